--- /dev/null
+++ b/crates/citronctl/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/citronproxy/src/dev/sample.rs
@@ -0,0 +1,139 @@
+//! The sample deployment.
+
+use {
+    crate::{clock::Clock, control::Follower, traffic},
+    citron_core::{
+        id::{Epoch, Revision, ServerName, ShardBits, Slots, Weight},
+        ownership::Assignment,
+        table::{
+            BlockId, BlockRow, Commit, DomainRow, DomainState, Fencing, KeyRule, MoveBudget,
+            Objectives, Row, ServerRow, ServerState, ServiceRow, Write,
+        },
+    },
+    citron_platform::{LaneStore, Memory, PlatformError, TableStore},
+    std::{error::Error, net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Where the sample takes requests.
+const TRAFFIC: &str = "127.0.0.1:8080";
+/// Base-two logarithm of the sample's shard count.
+const SHARD_BITS: u8 = 4;
+
+/// Runs the sample until the process is stopped.
+///
+/// # Errors
+/// If the address is in use.
+pub async fn run() -> Result<(), Box<dyn Error>> {
+    let local = LocalSet::new();
+    local.run_until(run_local()).await
+}
+
+async fn run_local() -> Result<(), Box<dyn Error>> {
+    let backend = TcpListener::bind("127.0.0.1:0").await?;
+    let address = backend.local_addr()?;
+    spawn_local(serve_sample(backend));
+    let store = LaneStore::new(Memory::default(), "dev".to_string());
+    commit_rows(&store, sample_rows(address)?).await?;
+    let handle = traffic::TrafficHandle::default();
+    let clock = Clock::start();
+    let workers = traffic::start(TRAFFIC.parse()?, 1, &handle, clock)?;
+    println!("try: curl -i http://{}/kegs/bar-7", workers.address);
+    Follower::new(store, handle, clock, "dev".parse()?)
+        .run()
+        .await;
+    Ok(())
+}
+
+async fn commit_rows(store: &impl TableStore, rows: Vec<Row>) -> Result<(), PlatformError> {
+    let writes = rows.into_iter().map(|row| Write {
+        key: row.key(),
+        expect: Revision(0),
+        row: Some(row),
+    });
+    let writes = writes.collect();
+    let history = None;
+    store.commit(Commit { writes, history }).await?;
+    Ok(())
+}
+
+/// One domain, one service, one backend server that owns all shards.
+///
+/// # Errors
+/// Never, unless a name in here is not a name.
+pub fn sample_rows(address: SocketAddr) -> Result<Vec<Row>, Box<dyn Error>> {
+    let shards = ShardBits::new(SHARD_BITS).ok_or("too many shards")?;
+    let server: ServerName = "sample-1".parse()?;
+    let service = ServiceRow {
+        name: "sample".parse()?,
+        operator: "dev".parse()?,
+        hosts: Vec::new(),
+        prefix: "/kegs".to_string(),
+        key: KeyRule::Segment(1),
+        idempotent: vec!["GET".to_string(), "HEAD".to_string()],
+        shards,
+        deadline: Duration::from_secs(10),
+        grace: Duration::from_secs(30),
+        moves: MoveBudget {
+            minute: 10,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(100),
+            slower: 10_000,
+        },
+    };
+    let block = BlockRow {
+        service: service.name.clone(),
+        block: BlockId(0),
+        shards: (0..shards.shards())
+            .map(|_| Assignment::owned(server.clone(), Epoch(1)))
+            .collect(),
+    };
+    let server = ServerRow {
+        name: server,
+        service: service.name.clone(),
+        domain: "dev".parse()?,
+        address,
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Unchecked,
+        state: ServerState::Active,
+    };
+    let domain = DomainRow {
+        name: "dev".parse()?,
+        state: DomainState::Live,
+        confirmers: Vec::new(),
+    };
+    Ok(vec![
+        Row::Domain(domain),
+        Row::Service(service),
+        Row::Server(server),
+        Row::Block(block),
+    ])
+}
+
+/// Answers every request with a fixed text; enough for a first look.
+async fn serve_sample(listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            spawn_local(answer_sample(stream));
+        }
+    }
+}
+
+async fn answer_sample(mut stream: TcpStream) {
+    const ANSWER: &[u8] =
+        b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nconnection: close\r\n\r\nhello, keg!\n";
+    let mut head = [0; 4_096];
+    if stream.read(&mut head).await.is_ok() {
+        let _ = stream.write_all(ANSWER).await;
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/src/lib.rs
@@ -0,0 +1,9 @@
+//! One instance of citronproxy: a control thread, and traffic threads that read
+//! what it publishes.
+
+pub mod clock;
+pub mod control;
+pub mod dev;
+pub mod events;
+pub mod settings;
+pub mod traffic;
--- /dev/null
+++ b/crates/citronproxy/src/main.rs
@@ -0,0 +1,113 @@
+//! The instance's binary.
+
+use {
+    citron_platform::{HttpPlatform, LaneStore},
+    citronproxy::{
+        clock::Clock,
+        control::Follower,
+        dev, events,
+        settings::Settings,
+        traffic::{self, TrafficHandle},
+    },
+    std::{error::Error, path::PathBuf, process::ExitCode},
+    tokio::runtime::Builder,
+};
+
+const HELP: &str = "\
+citronproxy: routes requests to backend servers that own keys exclusively
+
+usage:
+  citronproxy run FILE     run an instance with the settings in FILE
+  citronproxy check FILE   check settings and do nothing else
+  citronproxy dev          one process with a sample service, to try it out
+  citronproxy --help       this text
+
+exit codes: 0 done, 1 failed while running, 2 wrong usage or settings
+";
+/// Wrong usage or settings.
+const EXIT_USAGE: u8 = 2;
+
+enum Command {
+    Run(PathBuf),
+    Check(PathBuf),
+    Dev,
+    Help,
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let command = match parse_args() {
+        Ok(command) => command,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    let ran = match command {
+        Command::Help => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Command::Dev => run_dev(),
+        Command::Check(file) | Command::Run(file) if !file.exists() => {
+            return usage_error(&format!("{}: no such file", file.display()));
+        }
+        Command::Check(file) => match Settings::load(&file) {
+            Ok(_) => Ok(()),
+            Err(error) => return usage_error(&error.to_string()),
+        },
+        Command::Run(file) => match Settings::load(&file) {
+            Ok(settings) => run(settings),
+            Err(error) => return usage_error(&error.to_string()),
+        },
+    };
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("citronproxy: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage_error(message: &str) -> ExitCode {
+    eprintln!("citronproxy: {message}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn parse_args() -> Result<Command, pico_args::Error> {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    let path = |text: &std::ffi::OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
+    match args.subcommand()?.as_deref() {
+        Some("run") => Ok(Command::Run(args.free_from_os_str(path)?)),
+        Some("check") => Ok(Command::Check(args.free_from_os_str(path)?)),
+        Some("dev") => Ok(Command::Dev),
+        _ => Ok(Command::Help),
+    }
+}
+
+fn run_dev() -> Result<(), Box<dyn Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(dev::run())
+}
+
+fn run(settings: Settings) -> Result<(), Box<dyn Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let clock = Clock::start();
+    let handle = TrafficHandle::default();
+    let workers = traffic::start(settings.traffic, settings.threads, &handle, clock)?;
+    log::info!(
+        "{} {} on {}",
+        events::STARTED,
+        settings.instance,
+        workers.address
+    );
+    // Whoever asked for port 0 learns the port here.
+    println!("traffic {}", workers.address);
+    let writer = format!("{}/{}", settings.instance, std::process::id());
+    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
+    let follower = Follower::new(store, handle, clock, settings.domain);
+    runtime.block_on(follower.run());
+    workers.join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/citronproxy/src/settings/file.rs
@@ -0,0 +1,134 @@
+//! Reading and checking a settings file.
+
+use {
+    super::SettingsError,
+    citron_core::id::{DomainName, InstanceId},
+    json_comments::StripComments,
+    serde::Deserialize,
+    std::{
+        fs::File,
+        io::{BufReader, Read},
+        net::SocketAddr,
+        path::Path,
+        str::FromStr,
+    },
+};
+
+/// The most traffic threads.
+const MAX_THREADS: usize = 64;
+/// The shortest admin token, in characters.
+const MIN_TOKEN: usize = 16;
+
+/// Settings of one instance.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name, the same across restarts.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it takes callers' requests.
+    pub traffic: SocketAddr,
+    /// Where it talks with other instances.
+    pub peer: SocketAddr,
+    /// Where it takes operators' requests.
+    pub admin: SocketAddr,
+    /// The platform's table, object store and instance list.
+    pub platform: SocketAddr,
+    /// Traffic threads; 2 if not given.
+    pub threads: usize,
+    /// Bearer token of the admin API; without one the API refuses every call.
+    pub token: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSettings {
+    instance: String,
+    domain: String,
+    traffic: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+    platform: SocketAddr,
+    #[serde(default = "default_threads")]
+    threads: usize,
+    token: Option<String>,
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// [`SettingsError`] names the file, the field or line, what was found and
+    /// what is allowed.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let read_error = |source| SettingsError::Read {
+            file: path.to_path_buf(),
+            source,
+        };
+        let file = File::open(path).map_err(read_error)?;
+        Self::read(path, BufReader::new(file))
+    }
+
+    /// Checks settings from any source; `path` only names them in errors.
+    ///
+    /// # Errors
+    /// As [`Self::load`].
+    pub fn read(path: &Path, source: impl Read) -> Result<Self, SettingsError> {
+        let mut json = serde_json::Deserializer::from_reader(StripComments::new(source));
+        let parsed = serde_path_to_error::deserialize::<_, RawSettings>(&mut json);
+        let file = parsed.map_err(|error| SettingsError::Syntax {
+            file: path.to_path_buf(),
+            field: error.path().to_string(),
+            message: error.inner().to_string(),
+        })?;
+        json.end().map_err(|error| SettingsError::Syntax {
+            file: path.to_path_buf(),
+            field: ".".to_string(),
+            message: error.to_string(),
+        })?;
+        file.check(path)
+    }
+}
+
+impl RawSettings {
+    fn check(self, path: &Path) -> Result<Settings, SettingsError> {
+        let value_error = |field: &str, found: String, allowed: String| SettingsError::Value {
+            file: path.to_path_buf(),
+            field: field.to_string(),
+            found,
+            allowed,
+        };
+        if !(1..=MAX_THREADS).contains(&self.threads) {
+            let allowed = format!("1 to {MAX_THREADS}");
+            return Err(value_error("threads", self.threads.to_string(), allowed));
+        }
+        let short = |token: &String| token.chars().count() < MIN_TOKEN;
+        if self.token.as_ref().is_some_and(short) {
+            let allowed = format!("at least {MIN_TOKEN} characters");
+            return Err(value_error("token", "a shorter text".to_string(), allowed));
+        }
+        Ok(Settings {
+            instance: name(path, "instance", &self.instance)?,
+            domain: name(path, "domain", &self.domain)?,
+            traffic: self.traffic,
+            peer: self.peer,
+            admin: self.admin,
+            platform: self.platform,
+            threads: self.threads,
+            token: self.token,
+        })
+    }
+}
+
+fn name<T: FromStr>(path: &Path, field: &str, text: &str) -> Result<T, SettingsError> {
+    text.parse().map_err(|_| SettingsError::Value {
+        file: path.to_path_buf(),
+        field: field.to_string(),
+        found: text.to_string(),
+        allowed: "1 to 63 of a-z, 0-9, '-', '.' and '_'".to_string(),
+    })
+}
--- /dev/null
+++ b/crates/citronproxy/src/settings/mod.rs
@@ -0,0 +1,6 @@
+//! What an instance learns at its start: JSON with comments, checked whole.
+
+mod error;
+mod file;
+
+pub use {error::SettingsError, file::Settings};
--- /dev/null
+++ b/crates/citronproxy/src/traffic/request.rs
@@ -0,0 +1,76 @@
+//! What the router reads from a request's head.
+
+use {
+    citron_core::{
+        id::KeyHash,
+        routing::Route,
+        table::{KeyRule, ServiceRow},
+    },
+    citron_wire::grant::{HEADER_EPOCH, HEADER_SCOPE, HEADER_SERVICE},
+    http::{HeaderMap, HeaderName, HeaderValue, Uri, header, request::Parts},
+};
+
+/// Headers that concern one connection and are never passed on (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Not registered, but treated as hop-by-hop by custom.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// The host a request names, without its port.
+pub fn host(head: &Parts) -> &str {
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = head.uri.host().or(named).unwrap_or("");
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+/// The key's hash; `None` if the request has none where the rule says.
+pub fn key_hash(rule: &KeyRule, head: &Parts) -> Option<KeyHash> {
+    let key = match rule {
+        KeyRule::Header(name) => head.headers.get(name)?.as_bytes(),
+        KeyRule::Segment(number) => segment(&head.uri, *number)?.as_bytes(),
+    };
+    (!key.is_empty()).then(|| KeyHash::of(key))
+}
+
+fn segment(uri: &Uri, number: usize) -> Option<&str> {
+    uri.path().split('/').skip(1).nth(number)
+}
+
+/// Removes what concerns the caller's connection only, listed or by custom.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in &listed {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
+
+/// Tells the backend server under which grant the request was routed.
+pub fn set_grant(headers: &mut HeaderMap, row: &ServiceRow, route: &Route) {
+    let service = HeaderValue::from_str(row.name.as_str());
+    let scope = HeaderValue::from_str(&route.scope.to_string());
+    if let (Ok(service), Ok(scope)) = (service, scope) {
+        headers.insert(HEADER_SERVICE, service);
+        headers.insert(HEADER_SCOPE, scope);
+        headers.insert(HEADER_EPOCH, HeaderValue::from(route.epoch.0));
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/tests/settings.rs
@@ -0,0 +1,50 @@
+//! Settings are checked whole, and errors name file, field, found and allowed.
+
+use {citronproxy::settings::Settings, std::path::Path};
+
+const GOOD: &str = r#"{
+    // an entry instance
+    "instance": "entry-1", "domain": "harbour",
+    "traffic": "127.0.0.1:8080", "peer": "127.0.0.1:8081", "admin": "127.0.0.1:8082",
+    "platform": "127.0.0.1:9000"
+}"#;
+
+fn error_of(text: &str) -> String {
+    let read = Settings::read(Path::new("entry.json"), text.as_bytes());
+    read.expect_err("refused").to_string()
+}
+
+#[test]
+fn comments_and_defaults_are_taken() {
+    let settings = Settings::read(Path::new("entry.json"), GOOD.as_bytes()).unwrap();
+    assert_eq!(settings.threads, 2);
+    assert_eq!(settings.token, None);
+}
+
+#[test]
+fn errors_name_what_is_wrong() {
+    let cases = [
+        (
+            "unknown field",
+            GOOD.replace("\"platform\"", "\"platfrom\""),
+        ),
+        (
+            "missing field",
+            GOOD.replace("\"domain\": \"harbour\",", ""),
+        ),
+        ("bad address", GOOD.replace("127.0.0.1:9000", "nowhere")),
+        ("bad name", GOOD.replace("entry-1", "Entry 1")),
+        (
+            "no threads",
+            GOOD.replace("\"platform\"", "\"threads\": 0, \"platform\""),
+        ),
+        (
+            "short token",
+            GOOD.replace("\"platform\"", "\"token\": \"x\", \"platform\""),
+        ),
+        ("not JSON", GOOD.replace("\"domain\":", "\"domain\"")),
+        ("two values", format!("{GOOD} {GOOD}")),
+    ];
+    let lines = cases.map(|(case, text)| format!("{case}: {}", error_of(&text)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- /dev/null
+++ b/crates/citronproxy/tests/support/instance.rs
@@ -0,0 +1,77 @@
+//! An instance as a process of its own.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A running instance; killed when dropped.
+pub struct Instance {
+    pub traffic: SocketAddr,
+    child: Child,
+    file: PathBuf,
+}
+
+impl Instance {
+    /// Starts the binary with settings of its own and waits for its addresses.
+    pub fn start(name: &str, domain: &str, platform: SocketAddr) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file =
+            std::env::temp_dir().join(format!("citron-{}-{number}.json", std::process::id()));
+        let settings = format!(
+            r#"{{ // written by a test
+            "instance": "{name}", "domain": "{domain}", "platform": "{platform}",
+            "traffic": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            "threads": 2, "token": "a-token-for-tests" }}"#
+        );
+        fs::write(&file, settings).expect("settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_citronproxy"))
+            .arg("run")
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("instance starts");
+        let stdout = child.stdout.take().expect("stdout");
+        let traffic = read_address(&mut BufReader::new(stdout), "traffic ");
+        Self {
+            traffic,
+            child,
+            file,
+        }
+    }
+
+    /// The process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process as `kill -9` does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+fn read_address(lines: &mut impl BufRead, label: &str) -> SocketAddr {
+    loop {
+        let mut line = String::new();
+        let read = lines.read_line(&mut line).expect("a line");
+        assert!(read > 0, "the instance ended without an address");
+        if let Some(address) = line.trim().strip_prefix(label) {
+            return address.parse().expect("an address");
+        }
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -0,0 +1,13 @@
+//! A small deployment for tests: stand-ins within the test, instances as real
+//! processes. Everything ends with the value that holds it.
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
+
+mod call;
+mod instance;
+mod rows;
+
+pub use {
+    call::{Reply, call, get, post},
+    instance::Instance,
+    rows::{Sample, commit, domain_row, sample},
+};
--- /dev/null
+++ b/crates/citronproxy/tests/support/rows.rs
@@ -0,0 +1,102 @@
+//! Rows of a small deployment.
+
+use {
+    citron_core::{
+        id::{Epoch, Revision, ServerName, ShardBits, Slots, Weight},
+        ownership::Assignment,
+        table::{
+            BlockId, BlockRow, Commit, CommitAnswer, DomainRow, DomainState, Fencing, KeyRule,
+            MoveBudget, Objectives, Row, ServerRow, ServerState, ServiceRow, Write,
+        },
+    },
+    citron_platform::{LaneStore, Memory, TableStore},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What a sample deployment looks like.
+pub struct Sample {
+    /// Backend servers: name, failure domain, address.
+    pub servers: Vec<(String, String, SocketAddr)>,
+    /// Whether they check grants.
+    pub fencing: Fencing,
+}
+
+/// A service `kegs` under `/kegs`, keyed by the second path segment, with 64
+/// shards dealt out in turn.
+pub fn sample(sample: &Sample) -> Vec<Row> {
+    let shards = ShardBits::new(6).expect("few shards");
+    let service = ServiceRow {
+        name: "kegs".parse().expect("a name"),
+        operator: "authority".parse().expect("a name"),
+        hosts: Vec::new(),
+        prefix: "/kegs".to_string(),
+        key: KeyRule::Segment(1),
+        idempotent: vec!["GET".to_string()],
+        shards,
+        deadline: Duration::from_secs(5),
+        grace: Duration::from_secs(5),
+        moves: MoveBudget {
+            minute: 100,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(100),
+            slower: 10_000,
+        },
+    };
+    let names: Vec<ServerName> = sample
+        .servers
+        .iter()
+        .map(|(name, _, _)| name.parse().expect("a name"))
+        .collect();
+    let owners = names.iter().cycle().take(shards.shards() as usize);
+    let block = BlockRow {
+        service: service.name.clone(),
+        block: BlockId(0),
+        shards: owners
+            .map(|name| Assignment::owned(name.clone(), Epoch(1)))
+            .collect(),
+    };
+    let mut rows = vec![Row::Service(service), Row::Block(block)];
+    for (name, domain, address) in &sample.servers {
+        rows.push(Row::Server(ServerRow {
+            name: name.parse().expect("a name"),
+            service: "kegs".parse().expect("a name"),
+            domain: domain.parse().expect("a name"),
+            address: *address,
+            weight: Weight(100),
+            cap: None,
+            slots: Slots(4),
+            connections: 100,
+            fencing: sample.fencing,
+            state: ServerState::Active,
+        }));
+    }
+    rows
+}
+
+/// A failure domain without confirmers.
+pub fn domain_row(name: &str) -> Row {
+    Row::Domain(DomainRow {
+        name: name.parse().expect("a name"),
+        state: DomainState::Live,
+        confirmers: Vec::new(),
+    })
+}
+
+/// Writes rows that are not there yet.
+pub async fn commit(memory: &Memory, writer: &str, rows: Vec<Row>) {
+    let store = LaneStore::new(memory.clone(), writer.to_string());
+    let writes = rows.into_iter().map(|row| Write {
+        key: row.key(),
+        expect: Revision(0),
+        row: Some(row),
+    });
+    let commit = Commit {
+        writes: writes.collect(),
+        history: None,
+    };
+    let answer = store.commit(commit).await.expect("the stand-in is up");
+    assert!(matches!(answer, CommitAnswer::Done(_)), "{answer:?}");
+}
--- /dev/null
+++ b/crates/core/src/id/mod.rs
@@ -0,0 +1,13 @@
+//! Names and numbers that identify things.
+
+mod error;
+mod key;
+mod name;
+mod number;
+
+pub use {
+    error::ParseIdError,
+    key::{KeyHash, ShardBits, ShardId},
+    name::{DomainName, InstanceId, OperatorName, ServerName, ServiceName},
+    number::{CommitId, Epoch, Incarnation, Revision, Slots, Weight},
+};
--- /dev/null
+++ b/crates/core/src/id/number.rs
@@ -0,0 +1,67 @@
+//! Numbers that identify or measure.
+
+use {
+    super::ParseIdError,
+    std::{fmt, str::FromStr},
+};
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $repr:ty, $min:expr, $max:expr) => {
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use citron_core::id::", stringify!($name), ";")]
+        #[doc = concat!("let number: ", stringify!($name), " = \"7\".parse().unwrap();")]
+        /// assert_eq!(number.to_string(), "7");
+        #[doc = concat!("assert!(\"seven\".parse::<", stringify!($name), ">().is_err());")]
+        /// ```
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        pub struct $name(pub $repr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let number = text.parse::<$repr>().ok();
+                let valid = number.filter(|n| ($min..=$max).contains(n));
+                valid.map(Self).ok_or_else(|| ParseIdError::Number {
+                    found: text.to_string(),
+                    min: $min,
+                    max: $max as u64,
+                })
+            }
+        }
+    };
+}
+
+number_type!(
+    /// Version of the whole table: the number of the last commit. Rows carry the
+    /// revision of the commit that wrote them; 0 stands for "no such row".
+    Revision, u64, 0, u64::MAX
+);
+number_type!(
+    /// Fencing token of a shard. Grows with every change of owner, never reused.
+    Epoch, u64, 0, u64::MAX
+);
+number_type!(
+    /// Tells two starts of the same instance apart; drawn at each process start.
+    Incarnation, u64, 0, u64::MAX
+);
+number_type!(
+    /// Number of a commit among those of one writer.
+    CommitId, u64, 0, u64::MAX
+);
+number_type!(
+    /// Requests that a backend server runs at a time.
+    Slots, u32, 1, 65_536
+);
+number_type!(
+    /// Share of a backend server in the load of its service; 0 takes it out.
+    Weight, u32, 0, 10_000
+);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions of citronproxy, without clock, socket, thread or unseeded randomness.
+//!
+//! Every aggregate is driven by events and a [`time::Time`] and answers with
+//! actions, so that the processes, the model checker and the tests run the very
+//! same code.
+
+pub mod id;
+pub mod membership;
+pub mod ownership;
+pub mod routing;
+pub mod table;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/table/row.rs
@@ -0,0 +1,78 @@
+//! Any row, and the key it is stored under.
+
+use {
+    super::{BlockId, BlockRow, DomainRow, InstanceRow, OverrideRow, ServerRow, ServiceRow},
+    crate::id::{DomainName, InstanceId, KeyHash, Revision, ServerName, ServiceName},
+    std::fmt,
+};
+
+/// Identifies a row.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RowKey {
+    /// A service.
+    Service(ServiceName),
+    /// A backend server.
+    Server(ServerName),
+    /// A failure domain.
+    Domain(DomainName),
+    /// An instance.
+    Instance(InstanceId),
+    /// A run of shards.
+    Block(ServiceName, BlockId),
+    /// A key taken out of its shard.
+    Override(ServiceName, KeyHash),
+}
+
+/// As stored by the platform: `kind/name` or `kind/service/number`.
+impl fmt::Display for RowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Service(name) => write!(f, "service/{name}"),
+            Self::Server(name) => write!(f, "server/{name}"),
+            Self::Domain(name) => write!(f, "domain/{name}"),
+            Self::Instance(id) => write!(f, "instance/{id}"),
+            Self::Block(service, block) => write!(f, "block/{service}/{}", block.0),
+            Self::Override(service, key) => write!(f, "override/{service}/{key}"),
+        }
+    }
+}
+
+/// A row of any kind.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Row {
+    /// A service.
+    Service(ServiceRow),
+    /// A backend server.
+    Server(ServerRow),
+    /// A failure domain.
+    Domain(DomainRow),
+    /// An instance.
+    Instance(InstanceRow),
+    /// A run of shards.
+    Block(BlockRow),
+    /// A key taken out of its shard.
+    Override(OverrideRow),
+}
+
+impl Row {
+    /// The key that the row is stored under.
+    pub fn key(&self) -> RowKey {
+        match self {
+            Self::Service(row) => RowKey::Service(row.name.clone()),
+            Self::Server(row) => RowKey::Server(row.name.clone()),
+            Self::Domain(row) => RowKey::Domain(row.name.clone()),
+            Self::Instance(row) => RowKey::Instance(row.id.clone()),
+            Self::Block(row) => RowKey::Block(row.service.clone(), row.block),
+            Self::Override(row) => RowKey::Override(row.service.clone(), row.key),
+        }
+    }
+}
+
+/// Something with the revision of the commit that wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Versioned<T> {
+    /// The commit that wrote it.
+    pub version: Revision,
+    /// What was written.
+    pub value: T,
+}
--- /dev/null
+++ b/crates/core/src/time/mod.rs
@@ -0,0 +1,5 @@
+//! Time as the decisions see it.
+
+mod instant;
+
+pub use instant::Time;
--- /dev/null
+++ b/crates/fakes/src/backend/server.rs
@@ -0,0 +1,201 @@
+//! The HTTP server of the stand-in backend server.
+
+use {
+    super::{Fence, Run, Runs},
+    crate::http::{Answer, json, plain},
+    citron_core::{
+        id::{Epoch, ServiceName},
+        ownership::{Boot, Grant, GrantResult, Lease, Scope},
+    },
+    citron_wire::grant::{
+        GRANTS_PATH, GrantOrderWire, GrantReplyWire, GrantResultWire, HEADER_EPOCH, HEADER_REFUSED,
+        HEADER_SCOPE, HEADER_SERVICE, parse_scope,
+    },
+    http::{HeaderMap, HeaderValue, Request, StatusCode},
+    http_body_util::BodyExt,
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    serde_json::json as value,
+    std::{
+        convert::Infallible,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant, SystemTime},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+    },
+};
+
+/// How a stand-in backend server behaves.
+#[derive(Debug, Clone)]
+pub struct BackendConfig {
+    /// Its name.
+    pub name: String,
+    /// Requests it runs at a time.
+    pub slots: usize,
+    /// How long a request runs.
+    pub work: Duration,
+    /// Whether it checks grants.
+    pub fenced: bool,
+}
+
+/// The stand-in, listening; it stops when its runtime does.
+#[derive(Debug, Clone)]
+pub struct BackendServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it ran.
+    pub runs: Runs,
+    config: BackendConfig,
+    slots: Arc<Semaphore>,
+    fence: Arc<Mutex<Fence>>,
+    started: Instant,
+}
+
+impl BackendServer {
+    /// Starts on an address, port 0 for any, within the current runtime.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub async fn start(address: SocketAddr, config: BackendConfig) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let boot = Boot(wall_micros());
+        let server = Self {
+            address: listener.local_addr()?,
+            runs: Runs::default(),
+            slots: Arc::new(Semaphore::new(config.slots)),
+            fence: Arc::new(Mutex::new(Fence::new(boot))),
+            started: Instant::now(),
+            config,
+        };
+        tokio::spawn(server.clone().accept(listener));
+        Ok(server)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            tokio::spawn(self.clone().connection(stream));
+        }
+    }
+
+    async fn connection(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| self.answer(request));
+        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        if let Err(error) = served.await {
+            log::debug!("backend connection ended: {error}");
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Infallible> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return Ok(plain(StatusCode::BAD_REQUEST, Vec::new()));
+        };
+        let body = body.to_bytes();
+        match head.uri.path() {
+            GRANTS_PATH => Ok(self.order(&body)),
+            "/.citron/runs" => Ok(json(StatusCode::OK, &self.runs.all())),
+            path => Ok(self.run(path, &head.headers, body.len()).await),
+        }
+    }
+
+    fn order(&self, body: &[u8]) -> Answer {
+        let order: GrantOrderWire = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(error) => return plain(StatusCode::BAD_REQUEST, error.to_string().into_bytes()),
+        };
+        let grants: Result<Vec<Grant>, _> = order.grants.into_iter().map(Grant::try_from).collect();
+        let grants = match grants {
+            Ok(grants) => grants,
+            Err(error) => return plain(StatusCode::BAD_REQUEST, error.to_string().into_bytes()),
+        };
+        let boot = order.boot.map(Boot);
+        let lease = order.lease.map(Lease::from);
+        let clock = self.started.elapsed();
+        let mut fence = self.fence.lock().unwrap_or_else(PoisonError::into_inner);
+        let reply = fence.order(boot, &grants, lease, clock);
+        let results = reply
+            .results
+            .iter()
+            .zip(&grants)
+            .map(|(result, grant)| match result {
+                GrantResult::Accepted => GrantResultWire {
+                    accepted: true,
+                    seen: grant.epoch.0,
+                },
+                GrantResult::Stale { seen } => GrantResultWire {
+                    accepted: false,
+                    seen: seen.0,
+                },
+            });
+        let wire = GrantReplyWire {
+            boot: reply.boot.0,
+            clock_us: reply.clock.as_micros() as u64,
+            results: results.collect(),
+        };
+        json(StatusCode::OK, &wire)
+    }
+
+    async fn run(&self, path: &str, headers: &HeaderMap, size: usize) -> Answer {
+        let Ok(_slot) = self.slots.acquire().await else {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+        };
+        if self.config.fenced && !self.allowed(headers) {
+            return refused("epoch");
+        }
+        self.runs.push(self.record(path, headers));
+        tokio::time::sleep(self.config.work).await;
+        let body = value!({ "server": self.config.name, "path": path, "received": size });
+        json(StatusCode::OK, &body)
+    }
+
+    fn allowed(&self, headers: &HeaderMap) -> bool {
+        let Some((service, scope, epoch)) = grant_of(headers) else {
+            return false;
+        };
+        let fence = self.fence.lock().unwrap_or_else(PoisonError::into_inner);
+        fence.allows(&service, scope, epoch, self.started.elapsed())
+    }
+
+    fn record(&self, path: &str, headers: &HeaderMap) -> Run {
+        Run {
+            server: self.config.name.clone(),
+            scope: text(headers, HEADER_SCOPE).to_string(),
+            epoch: text(headers, HEADER_EPOCH).parse().unwrap_or(0),
+            path: path.to_string(),
+            id: text(headers, "test-id").to_string(),
+            at_us: wall_micros(),
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or("")
+}
+
+fn grant_of(headers: &HeaderMap) -> Option<(ServiceName, Scope, Epoch)> {
+    let service = text(headers, HEADER_SERVICE).parse().ok()?;
+    let scope = parse_scope(text(headers, HEADER_SCOPE)).ok()?;
+    let epoch = text(headers, HEADER_EPOCH).parse().ok()?;
+    Some((service, scope, epoch))
+}
+
+fn refused(reason: &'static str) -> Answer {
+    let mut answer = plain(StatusCode::MISDIRECTED_REQUEST, Vec::new());
+    let value = HeaderValue::from_static(reason);
+    answer.headers_mut().insert(HEADER_REFUSED, value);
+    answer
+}
+
+fn wall_micros() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_micros() as u64)
+}
--- /dev/null
+++ b/crates/fakes/src/http.rs
@@ -0,0 +1,31 @@
+//! What the stand-ins' servers share.
+
+use {
+    bytes::Bytes,
+    http::{Response, StatusCode},
+    http_body_util::Full,
+    serde::Serialize,
+};
+
+/// An answer of any stand-in.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Answer {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    plain(status, bytes)
+}
+
+pub(crate) fn plain(status: StatusCode, bytes: Vec<u8>) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    *response.status_mut() = status;
+    response
+}
+
+/// The value of one query parameter, as it stands.
+pub(crate) fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .into_iter()
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the systems around citronproxy, for tests and trials.
+
+pub mod backend;
+pub mod platform;
+
+mod http;
--- /dev/null
+++ b/crates/fakes/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's table, object store and instance list over HTTP, with outages.
+
+mod faults;
+mod server;
+
+pub use {
+    faults::{Faults, Trouble},
+    server::PlatformServer,
+};
--- /dev/null
+++ b/crates/platform/src/grants.rs
@@ -0,0 +1,24 @@
+//! Orders to backend servers.
+
+use {
+    crate::PlatformError,
+    citron_core::{
+        ownership::{Boot, Grant, GrantReply, Lease},
+        table::ServerRow,
+    },
+    std::future::Future,
+};
+
+/// Gives grants and leases to backend servers that check them.
+pub trait Grants {
+    /// Sends grants and a lease in one order; with neither it only asks for the
+    /// server's clock. An order that names another start than the server's is
+    /// refused whole.
+    fn order(
+        &self,
+        server: &ServerRow,
+        boot: Option<Boot>,
+        grants: &[Grant],
+        lease: Option<Lease>,
+    ) -> impl Future<Output = Result<GrantReply, PlatformError>>;
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,197 @@
+//! The platform and backend server grants over HTTP.
+
+use {
+    crate::{Grants, InstanceList, Listed, ListedState, ObjectStore, PlatformError, TableService},
+    bytes::Bytes,
+    citron_core::{
+        ownership::{Boot, Grant, GrantReply, Lease},
+        table::ServerRow,
+    },
+    citron_wire::{
+        grant::{GRANTS_PATH, GrantOrderWire, GrantReplyWire, GrantWire, LeaseWire},
+        table::{ChangesWire, CommitAnswerWire, CommitWire, LogWire, StoredWire},
+    },
+    http::{Method, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper_util::rt::TokioIo,
+    serde::{Deserialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// How long one call may take.
+const CALL_TIME: Duration = Duration::from_millis(1_000);
+/// The largest answer that is read.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// Client of the platform's services at one address.
+///
+/// Every call opens its own connection: at two reads a second that costs
+/// little, and no connection that went silent is ever used again.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+}
+
+impl HttpPlatform {
+    /// A client; nothing is sent yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, PlatformError> {
+        let (status, bytes) = call(self.address, Method::GET, path, Bytes::new()).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        decode(status, &bytes).map(Some)
+    }
+
+    async fn must_get<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+        let found = self.get(path).await?;
+        found.ok_or_else(|| PlatformError::Answer(format!("{path} not found")))
+    }
+}
+
+impl TableService for HttpPlatform {
+    async fn changes(&self, since: u64) -> Result<ChangesWire, PlatformError> {
+        self.must_get(&format!("/v1/changes?since={since}")).await
+    }
+
+    async fn commit(&self, commit: &CommitWire) -> Result<CommitAnswerWire, PlatformError> {
+        let body = encode(commit)?;
+        let (status, bytes) = call(self.address, Method::POST, "/v1/commit", body).await?;
+        decode(status, &bytes)
+    }
+
+    async fn row(&self, key: &str) -> Result<Option<StoredWire>, PlatformError> {
+        self.get(&format!("/v1/row?key={key}")).await
+    }
+
+    async fn log(&self, after: u64, limit: usize) -> Result<LogWire, PlatformError> {
+        self.must_get(&format!("/v1/log?after={after}&limit={limit}"))
+            .await
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    async fn put(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        let path = format!("/v1/objects/{name}");
+        let (status, _) = call(self.address, Method::PUT, &path, bytes.into()).await?;
+        check(status)
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let path = format!("/v1/objects/{name}");
+        let (status, bytes) = call(self.address, Method::GET, &path, Bytes::new()).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        check(status)?;
+        Ok(Some(bytes.to_vec()))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+        self.must_get(&format!("/v1/objects?prefix={prefix}")).await
+    }
+}
+
+#[derive(Deserialize)]
+struct ListedWire {
+    name: String,
+    leaving: bool,
+}
+
+impl InstanceList for HttpPlatform {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        let wires: Vec<ListedWire> = self.must_get("/v1/instances").await?;
+        let listed = wires.into_iter().map(|wire| Listed {
+            name: wire.name,
+            state: match wire.leaving {
+                true => ListedState::Leaving,
+                false => ListedState::Live,
+            },
+        });
+        Ok(listed.collect())
+    }
+}
+
+impl Grants for HttpPlatform {
+    async fn order(
+        &self,
+        server: &ServerRow,
+        boot: Option<Boot>,
+        grants: &[Grant],
+        lease: Option<Lease>,
+    ) -> Result<GrantReply, PlatformError> {
+        let order = GrantOrderWire {
+            boot: boot.map(|boot| boot.0),
+            grants: grants.iter().map(GrantWire::from).collect(),
+            lease: lease.as_ref().map(LeaseWire::from),
+        };
+        let body = encode(&order)?;
+        let (status, bytes) = call(server.address, Method::POST, GRANTS_PATH, body).await?;
+        let reply: GrantReplyWire = decode(status, &bytes)?;
+        Ok(reply.into())
+    }
+}
+
+fn encode(wire: &impl serde::Serialize) -> Result<Bytes, PlatformError> {
+    let json = serde_json::to_vec(wire);
+    json.map(Bytes::from)
+        .map_err(|error| PlatformError::Answer(error.to_string()))
+}
+
+fn check(status: StatusCode) -> Result<(), PlatformError> {
+    match status.is_success() {
+        true => Ok(()),
+        false => Err(PlatformError::Answer(format!("status {status}"))),
+    }
+}
+
+fn decode<T: DeserializeOwned>(status: StatusCode, bytes: &[u8]) -> Result<T, PlatformError> {
+    check(status)?;
+    serde_json::from_slice(bytes).map_err(|error| PlatformError::Answer(error.to_string()))
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), PlatformError> {
+    let call = exchange(address, method, path, body);
+    let late = |_| PlatformError::Unsettled(format!("no answer in {CALL_TIME:?}"));
+    timeout(CALL_TIME, call).await.map_err(late)?
+}
+
+async fn exchange(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), PlatformError> {
+    let connected = TcpStream::connect(address).await;
+    let stream = connected.map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.map_err(unsettled)?;
+    let driver = tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(Full::new(body))
+        .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    let response = sender.send_request(request).await.map_err(unsettled)?;
+    let status = response.status();
+    let limited = Limited::new(response.into_body(), MAX_ANSWER)
+        .collect()
+        .await;
+    let bytes = limited.map_err(|error| PlatformError::Unsettled(error.to_string()))?;
+    driver.abort();
+    Ok((status, bytes.to_bytes()))
+}
+
+fn unsettled(error: hyper::Error) -> PlatformError {
+    PlatformError::Unsettled(error.to_string())
+}
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,157 @@
+//! A platform within the process, for `citronproxy dev` and the stand-ins.
+
+use {
+    crate::{InstanceList, Listed, ListedState, ObjectStore, PlatformError, TableService},
+    citron_wire::table::{
+        ChangesWire, CommitAnswerWire, CommitWire, LANE_PREFIX, LOG_PREFIX, LogWire, StoredWire,
+        WriteWire,
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    rows: BTreeMap<String, StoredWire>,
+    objects: BTreeMap<String, Vec<u8>>,
+    listed: BTreeMap<String, ListedState>,
+}
+
+/// Table, object store and instance list in memory; clones share their state.
+///
+/// ```
+/// use citron_platform::{Memory, TableService};
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// let memory = Memory::default();
+/// assert_eq!(memory.changes(0).await.unwrap().revision, 0);
+/// # });
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+}
+
+impl Memory {
+    /// Sets what the instance list says of a machine; `None` takes it off.
+    pub fn set_listed(&self, name: &str, state: Option<ListedState>) {
+        let mut guard = self.lock();
+        match state {
+            Some(state) => guard.listed.insert(name.to_string(), state),
+            None => guard.listed.remove(name),
+        };
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn commit(&mut self, commit: &CommitWire) -> CommitAnswerWire {
+        let lost = commit.writes.iter().find_map(|write| self.lost(write));
+        if lost.is_some() {
+            let revision = None;
+            return CommitAnswerWire { revision, lost };
+        }
+        self.revision += 1;
+        for write in &commit.writes {
+            self.write(write);
+        }
+        CommitAnswerWire {
+            revision: Some(self.revision),
+            lost: None,
+        }
+    }
+
+    /// The row that a write would clobber.
+    fn lost(&self, write: &WriteWire) -> Option<StoredWire> {
+        let current = self.rows.get(&write.key).filter(|row| row.value.is_some());
+        let version = current.map_or(0, |row| row.version);
+        if version == write.expect {
+            return None;
+        }
+        Some(StoredWire {
+            key: write.key.clone(),
+            version,
+            value: current.and_then(|row| row.value.clone()),
+        })
+    }
+
+    fn write(&mut self, write: &WriteWire) {
+        let row = StoredWire {
+            key: write.key.clone(),
+            version: self.revision,
+            value: write.value.clone(),
+        };
+        self.rows.insert(write.key.clone(), row);
+    }
+}
+
+fn is_config(row: &StoredWire) -> bool {
+    !row.key.starts_with(LOG_PREFIX) && !row.key.starts_with(LANE_PREFIX)
+}
+
+impl TableService for Memory {
+    async fn changes(&self, since: u64) -> Result<ChangesWire, PlatformError> {
+        let state = self.lock();
+        let changed = state.rows.values().filter(|row| row.version > since);
+        Ok(ChangesWire {
+            since,
+            revision: state.revision,
+            rows: changed.filter(|row| is_config(row)).cloned().collect(),
+        })
+    }
+
+    async fn commit(&self, commit: &CommitWire) -> Result<CommitAnswerWire, PlatformError> {
+        Ok(self.lock().commit(commit))
+    }
+
+    async fn row(&self, key: &str) -> Result<Option<StoredWire>, PlatformError> {
+        let state = self.lock();
+        let row = state.rows.get(key).filter(|row| row.value.is_some());
+        Ok(row.cloned())
+    }
+
+    async fn log(&self, after: u64, limit: usize) -> Result<LogWire, PlatformError> {
+        let state = self.lock();
+        let log = state
+            .rows
+            .values()
+            .filter(|row| row.key.starts_with(LOG_PREFIX));
+        let mut rows: Vec<StoredWire> = log.filter(|row| row.version > after).cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        rows.truncate(limit);
+        Ok(LogWire { rows })
+    }
+}
+
+impl ObjectStore for Memory {
+    async fn put(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        self.lock().objects.insert(name.to_string(), bytes);
+        Ok(())
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        Ok(self.lock().objects.get(name).cloned())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+        let state = self.lock();
+        let names = state.objects.keys().filter(|name| name.starts_with(prefix));
+        Ok(names.cloned().collect())
+    }
+}
+
+impl InstanceList for Memory {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        let state = self.lock();
+        let listed = state.listed.iter().map(|(name, state)| Listed {
+            name: name.clone(),
+            state: *state,
+        });
+        Ok(listed.collect())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/row/domain.rs
@@ -0,0 +1,80 @@
+//! Failure domain rows as JSON.
+
+use {
+    crate::{WireError, error::parse},
+    citron_core::{
+        id::Incarnation,
+        table::{Confirmer, DomainRow, DomainState},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// One confirmer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfirmerWire {
+    /// The instance's name.
+    pub instance: String,
+    /// The start that may vote.
+    pub incarnation: u64,
+}
+
+/// A failure domain; `lost_by` is there once an operator has declared it lost.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DomainWire {
+    /// Its name.
+    pub name: String,
+    /// Who declared it lost.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lost_by: Option<String>,
+    /// The instances that vote while it is cut off.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub confirmers: Vec<ConfirmerWire>,
+}
+
+impl From<&DomainRow> for DomainWire {
+    fn from(core: &DomainRow) -> Self {
+        let lost_by = match &core.state {
+            DomainState::Live => None,
+            DomainState::Lost { by } => Some(by.clone()),
+        };
+        let confirmers = core.confirmers.iter().map(|confirmer| ConfirmerWire {
+            instance: confirmer.instance.to_string(),
+            incarnation: confirmer.incarnation.0,
+        });
+        Self {
+            name: core.name.to_string(),
+            lost_by,
+            confirmers: confirmers.collect(),
+        }
+    }
+}
+
+impl TryFrom<ConfirmerWire> for Confirmer {
+    type Error = WireError;
+
+    fn try_from(wire: ConfirmerWire) -> Result<Self, WireError> {
+        Ok(Self {
+            instance: parse("confirmers.instance", &wire.instance)?,
+            incarnation: Incarnation(wire.incarnation),
+        })
+    }
+}
+
+impl TryFrom<DomainWire> for DomainRow {
+    type Error = WireError;
+
+    fn try_from(wire: DomainWire) -> Result<Self, WireError> {
+        let state = match wire.lost_by {
+            None => DomainState::Live,
+            Some(by) => DomainState::Lost { by },
+        };
+        let confirmers = wire.confirmers.into_iter().map(Confirmer::try_from);
+        Ok(Self {
+            name: parse("name", &wire.name)?,
+            state,
+            confirmers: confirmers.collect::<Result<_, _>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/row/instance.rs
@@ -0,0 +1,69 @@
+//! Instance rows as JSON.
+
+use {
+    crate::{WireError, error::parse},
+    citron_core::{
+        id::{Incarnation, Revision},
+        table::{InstanceRow, InstanceState},
+    },
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// One start of one instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceWire {
+    /// Its name.
+    pub id: String,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub domain: String,
+    /// Callers' address.
+    pub traffic: SocketAddr,
+    /// Other instances' address.
+    pub peer: SocketAddr,
+    /// Operators' address.
+    pub admin: SocketAddr,
+    /// Whether it is finishing.
+    pub leaving: bool,
+    /// The revision in force there when the row was written.
+    pub revision: u64,
+}
+
+impl From<&InstanceRow> for InstanceWire {
+    fn from(core: &InstanceRow) -> Self {
+        Self {
+            id: core.id.to_string(),
+            incarnation: core.incarnation.0,
+            domain: core.domain.to_string(),
+            traffic: core.traffic,
+            peer: core.peer,
+            admin: core.admin,
+            leaving: core.state == InstanceState::Leaving,
+            revision: core.revision.0,
+        }
+    }
+}
+
+impl TryFrom<InstanceWire> for InstanceRow {
+    type Error = WireError;
+
+    fn try_from(wire: InstanceWire) -> Result<Self, WireError> {
+        let state = match wire.leaving {
+            false => InstanceState::Live,
+            true => InstanceState::Leaving,
+        };
+        Ok(Self {
+            id: parse("id", &wire.id)?,
+            incarnation: Incarnation(wire.incarnation),
+            domain: parse("domain", &wire.domain)?,
+            traffic: wire.traffic,
+            peer: wire.peer,
+            admin: wire.admin,
+            state,
+            revision: Revision(wire.revision),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/row/server.rs
@@ -0,0 +1,94 @@
+//! Backend server rows as JSON.
+
+use {
+    crate::{
+        WireError,
+        error::{parse, value_error},
+    },
+    citron_core::{
+        id::{Slots, Weight},
+        table::{Fencing, ServerRow, ServerState},
+    },
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// A backend server.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerWire {
+    /// Its name.
+    pub name: String,
+    /// The service it serves.
+    pub service: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its share of the load, 0 to 10000.
+    pub weight: u32,
+    /// Requests a second it may get.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap: Option<u32>,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Connections it bears.
+    pub connections: u32,
+    /// Whether it checks fencing tokens.
+    pub fenced: bool,
+    /// `active`, `draining` or `retired`.
+    pub state: String,
+}
+
+impl From<&ServerRow> for ServerWire {
+    fn from(core: &ServerRow) -> Self {
+        let state = match core.state {
+            ServerState::Active => "active",
+            ServerState::Draining => "draining",
+            ServerState::Retired => "retired",
+        };
+        Self {
+            name: core.name.to_string(),
+            service: core.service.to_string(),
+            domain: core.domain.to_string(),
+            address: core.address,
+            weight: core.weight.0,
+            cap: core.cap,
+            slots: core.slots.0,
+            connections: core.connections,
+            fenced: core.fencing == Fencing::Checked,
+            state: state.to_string(),
+        }
+    }
+}
+
+impl TryFrom<ServerWire> for ServerRow {
+    type Error = WireError;
+
+    fn try_from(wire: ServerWire) -> Result<Self, WireError> {
+        let state = match wire.state.as_str() {
+            "active" => ServerState::Active,
+            "draining" => ServerState::Draining,
+            "retired" => ServerState::Retired,
+            other => return Err(value_error("state", other, "active, draining, retired")),
+        };
+        let fencing = match wire.fenced {
+            true => Fencing::Checked,
+            false => Fencing::Unchecked,
+        };
+        let weight: Weight = parse("weight", &wire.weight.to_string())?;
+        let slots: Slots = parse("slots", &wire.slots.to_string())?;
+        Ok(Self {
+            name: parse("name", &wire.name)?,
+            service: parse("service", &wire.service)?,
+            domain: parse("domain", &wire.domain)?,
+            address: wire.address,
+            weight,
+            cap: wire.cap,
+            slots,
+            connections: wire.connections,
+            fencing,
+            state,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/row/service.rs
@@ -0,0 +1,116 @@
+//! Service rows as JSON.
+
+use {
+    crate::{
+        WireError,
+        error::{parse, value_error},
+    },
+    citron_core::{
+        id::ShardBits,
+        table::{KeyRule, MoveBudget, Objectives, ServiceRow},
+    },
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// A service. Times are in milliseconds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceWire {
+    /// Its name.
+    pub name: String,
+    /// The operator it belongs to.
+    pub operator: String,
+    /// Host names it answers to; any host if empty.
+    #[serde(default)]
+    pub hosts: Vec<String>,
+    /// Paths it answers to begin with this.
+    pub prefix: String,
+    /// `header:NAME` or `segment:NUMBER`.
+    pub key: String,
+    /// Methods whose requests may run more than once.
+    pub idempotent: Vec<String>,
+    /// Base-two logarithm of the shard count.
+    pub shard_bits: u8,
+    /// Time a request may take.
+    pub deadline_ms: u64,
+    /// How long a cut-off domain goes on serving.
+    pub grace_ms: u64,
+    /// Shards a minute that may move for balance.
+    pub moves_minute: u32,
+    /// Load of the fullest server over the mean, in percent, that begins a move.
+    pub moves_threshold: u32,
+    /// Requests per million that may fail.
+    pub slo_failures: u32,
+    /// Latency that counts as good.
+    pub slo_latency_ms: u64,
+    /// Requests per million that may be slower.
+    pub slo_slower: u32,
+}
+
+impl From<&ServiceRow> for ServiceWire {
+    fn from(core: &ServiceRow) -> Self {
+        let key = match &core.key {
+            KeyRule::Header(name) => format!("header:{name}"),
+            KeyRule::Segment(number) => format!("segment:{number}"),
+        };
+        Self {
+            name: core.name.to_string(),
+            operator: core.operator.to_string(),
+            hosts: core.hosts.clone(),
+            prefix: core.prefix.clone(),
+            key,
+            idempotent: core.idempotent.clone(),
+            shard_bits: core.shards.shards().trailing_zeros() as u8,
+            deadline_ms: millis(core.deadline),
+            grace_ms: millis(core.grace),
+            moves_minute: core.moves.minute,
+            moves_threshold: core.moves.threshold,
+            slo_failures: core.objectives.failures,
+            slo_latency_ms: millis(core.objectives.latency),
+            slo_slower: core.objectives.slower,
+        }
+    }
+}
+
+impl TryFrom<ServiceWire> for ServiceRow {
+    type Error = WireError;
+
+    fn try_from(wire: ServiceWire) -> Result<Self, WireError> {
+        let bits = ShardBits::new(wire.shard_bits);
+        let shards = bits.ok_or_else(|| value_error("shard_bits", wire.shard_bits, "0 to 20"))?;
+        Ok(Self {
+            name: parse("name", &wire.name)?,
+            operator: parse("operator", &wire.operator)?,
+            hosts: wire.hosts,
+            prefix: wire.prefix,
+            key: key_rule(&wire.key)?,
+            idempotent: wire.idempotent,
+            shards,
+            deadline: Duration::from_millis(wire.deadline_ms),
+            grace: Duration::from_millis(wire.grace_ms),
+            moves: MoveBudget {
+                minute: wire.moves_minute,
+                threshold: wire.moves_threshold,
+            },
+            objectives: Objectives {
+                failures: wire.slo_failures,
+                latency: Duration::from_millis(wire.slo_latency_ms),
+                slower: wire.slo_slower,
+            },
+        })
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn key_rule(text: &str) -> Result<KeyRule, WireError> {
+    let bad = || value_error("key", text, "header:NAME or segment:NUMBER");
+    match text.split_once(':') {
+        Some(("header", name)) if !name.is_empty() => Ok(KeyRule::Header(name.to_lowercase())),
+        Some(("segment", number)) => number.parse().map(KeyRule::Segment).map_err(|_| bad()),
+        _ => Err(bad()),
+    }
+}
