--- /dev/null
+++ b/crates/core/src/routing/verdict.rs
@@ -0,0 +1,134 @@
+//! The answers of our own: status, outcome and when to come back.
+
+use {
+    super::Outcome,
+    std::{fmt, time::Duration},
+};
+
+/// The longest time that a caller is told to stay away.
+const RETRY_MAX: Duration = Duration::from_secs(60);
+
+/// Why a request gets an answer of ours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Nobody owns the key now, or its shard is moving.
+    NoOwner,
+    /// The instance's leave to route ran out before the write.
+    Unconfirmed,
+    /// The wait for a slot would outlast the deadline, or the queue is full.
+    Overloaded,
+    /// The server's cap of requests a second is used up.
+    Capped,
+    /// Requests like this one crashed servers.
+    Quarantined,
+    /// The server refused it and promised not to run it.
+    Refused,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection was lost.
+    Lost,
+    /// The time was used up.
+    TimedOut,
+    /// The instance is leaving.
+    Leaving,
+    /// The caller left; nobody reads the answer.
+    CallerLeft,
+}
+
+impl Reason {
+    /// All reasons.
+    pub const ALL: [Self; 11] = [
+        Self::NoOwner,
+        Self::Unconfirmed,
+        Self::Overloaded,
+        Self::Capped,
+        Self::Quarantined,
+        Self::Refused,
+        Self::Unreachable,
+        Self::Lost,
+        Self::TimedOut,
+        Self::Leaving,
+        Self::CallerLeft,
+    ];
+
+    /// The HTTP status; 499 goes to logs only.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::NoOwner | Self::Unconfirmed | Self::Overloaded => 503,
+            Self::Capped => 429,
+            Self::Quarantined => 422,
+            Self::Refused | Self::Leaving => 503,
+            Self::Unreachable | Self::Lost => 502,
+            Self::TimedOut => 504,
+            Self::CallerLeft => 499,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::NoOwner => "the key has no owner now",
+            Self::Unconfirmed => "the owner of the key is not certain now",
+            Self::Overloaded => "the wait for the backend server is too long",
+            Self::Capped => "the backend server's cap is used up",
+            Self::Quarantined => "requests like this one crashed backend servers",
+            Self::Refused => "the backend server refused the request",
+            Self::Unreachable => "the backend server cannot be reached",
+            Self::Lost => "the connection to the backend server was lost",
+            Self::TimedOut => "the time for the request is used up",
+            Self::Leaving => "the instance is leaving",
+            Self::CallerLeft => "the caller left",
+        })
+    }
+}
+
+/// An answer of ours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// Why.
+    pub reason: Reason,
+    /// The HTTP status.
+    pub status: u16,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// `Retry-After` in whole seconds, if coming back makes sense.
+    pub retry: Option<u32>,
+}
+
+impl Verdict {
+    /// The answer for a request that no server runs; it may come back after `wait`.
+    ///
+    /// ```
+    /// use {citron_core::routing::{Outcome, Reason, Verdict}, std::time::Duration};
+    /// let verdict = Verdict::not_run(Reason::Overloaded, Duration::from_millis(1_200));
+    /// assert_eq!((verdict.status, verdict.retry), (503, Some(2)));
+    /// assert_eq!(verdict.outcome, Outcome::NotRun);
+    /// ```
+    pub fn not_run(reason: Reason, wait: Duration) -> Self {
+        Self {
+            reason,
+            status: reason.status(),
+            outcome: Outcome::NotRun,
+            retry: Some(whole_seconds(wait)),
+        }
+    }
+
+    /// The answer for a request that may have run. The caller of one that is not
+    /// idempotent is not invited back: a resend could run it twice.
+    pub fn unknown(reason: Reason, idempotent: bool, wait: Duration) -> Self {
+        Self {
+            reason,
+            status: reason.status(),
+            outcome: Outcome::Unknown,
+            retry: idempotent.then(|| whole_seconds(wait)),
+        }
+    }
+}
+
+/// Rounded up, so that nobody is back too early; at least a second.
+fn whole_seconds(wait: Duration) -> u32 {
+    let capped = wait.min(RETRY_MAX);
+    let up = u32::from(capped.subsec_nanos() > 0);
+    (capped.as_secs() as u32 + up).max(1)
+}
