--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -189,7 +189,6 @@
             return Step::Wait;
         }
         self.answered = Some(no);
-        self.open = vec![no];
         Step::Forward(no)
     }
 
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -230,6 +230,7 @@
         let mut retries = Retries::new(BudgetConfig::UNLIMITED, SEED);
         let mut attempt = sent(kind(idempotent, RequestBody::Streamed), &mut retries);
         let (mut last, mut doubt, mut over) = (FIRST, false, false);
+        let mut forwarded = 0;
         let mut settled = std::collections::BTreeSet::new();
         for event in events {
             if let Event::Lost(no, point) | Event::TimedOut(no, point) = event {
@@ -251,8 +252,10 @@
                     over = true;
                 }
                 Step::Abort | Step::Done | Step::Drop => over = true,
-                Step::Forward(_) | Step::Wait => {}
+                Step::Forward(_) => forwarded += 1,
+                Step::Wait => {}
             }
         }
+        prop_assert!(forwarded <= 1, "two answers for one caller");
     }
 }
