--- /dev/null
+++ b/crates/core/src/admission/gate.rs
@@ -0,0 +1,233 @@
+//! Who may go to one backend server now, who waits, who is turned away.
+
+use {
+    super::{
+        LimitConfig, Rate, RateCap, Release, ServerLimit, SlotShare, Ticket, WaitQueue, Warmup,
+    },
+    crate::{routing::Reason, time::Time},
+    std::time::Duration,
+};
+
+/// Weight of a new sample of the demand.
+const DEMAND_GAIN: f64 = 0.3;
+
+/// Sizes of a gate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GateConfig {
+    /// Requests that may wait for a server on one instance.
+    pub queue: usize,
+    /// The longest wait that is worth beginning; a longer one is refused at once.
+    pub wait: Duration,
+    /// How the share follows the server.
+    pub limit: LimitConfig,
+}
+
+impl GateConfig {
+    /// The defaults.
+    pub const STANDARD: Self = Self {
+        queue: 64,
+        wait: Duration::from_millis(500),
+        limit: LimitConfig::STANDARD,
+    };
+}
+
+/// What becomes of a request that arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent now; report its end by [`Gate::end`].
+    Start,
+    /// It waits; [`Gate::next`] will name it.
+    Queued,
+    /// It is turned away and may come back after `wait`.
+    Shed {
+        /// Why.
+        reason: Reason,
+        /// The expected wait.
+        wait: Duration,
+    },
+}
+
+/// What [`Gate::next`] decided about a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// It may be sent now; report its end by [`Gate::end`].
+    Start(Ticket),
+    /// It could no longer end in time and is turned away now.
+    Shed {
+        /// Which.
+        ticket: Ticket,
+        /// When it may come back.
+        wait: Duration,
+    },
+}
+
+/// Limit, cap and queue of one backend server on one instance.
+///
+/// Drive it so: [`Self::arrive`] for each request; [`Self::end`] for each that was
+/// started; then, and whenever [`Self::wake`] has come, [`Self::next`] until it
+/// answers `None`. Once per exchange with the other instances, send
+/// [`Self::demand`] and set the share that [`super::shares`] gives.
+///
+/// ```
+/// use {citron_core::{admission::*, id::Slots, time::Time}, std::time::Duration};
+/// let now = Time::ZERO;
+/// let mut gate = Gate::new(GateConfig::STANDARD, even_share(Slots(4), 10), now);
+/// let deadline = now + Duration::from_secs(1);
+/// assert_eq!(gate.arrive(Ticket(1), deadline, now), Admission::Start);
+/// assert_eq!(gate.arrive(Ticket(2), deadline, now), Admission::Queued);
+/// let held = Duration::from_millis(20);
+/// gate.end(Release::Answered, held, now + held);
+/// let ready = gate.wake(now + held).unwrap();
+/// assert_eq!(gate.next(ready), Some(Turn::Start(Ticket(2))));
+/// ```
+#[derive(Debug)]
+pub struct Gate {
+    config: GateConfig,
+    limit: ServerLimit,
+    cap: Option<RateCap>,
+    queue: WaitQueue,
+    warmup: Option<Warmup>,
+    share: SlotShare,
+    arrivals: u32,
+    demand: f64,
+    sampled: Time,
+}
+
+impl Gate {
+    /// A gate that is open.
+    pub fn new(config: GateConfig, share: SlotShare, now: Time) -> Self {
+        Self {
+            limit: ServerLimit::new(share, config.limit, now),
+            cap: None,
+            queue: WaitQueue::default(),
+            warmup: None,
+            share,
+            arrivals: 0,
+            demand: 0.0,
+            sampled: now,
+            config,
+        }
+    }
+
+    /// Decides about a request that just arrived.
+    pub fn arrive(&mut self, ticket: Ticket, deadline: Time, now: Time) -> Admission {
+        self.arrivals = self.arrivals.saturating_add(1);
+        if let Some(shed) = self.over_cap(now) {
+            return shed;
+        }
+        if self.queue.is_empty() && self.limit.begin(now) {
+            return Admission::Start;
+        }
+        self.queue_or_shed(ticket, deadline, now)
+    }
+
+    /// A request that was started has ended, after holding its slot so long.
+    pub fn end(&mut self, release: Release, held: Duration, now: Time) {
+        let waiting = !self.queue.is_empty();
+        self.limit.end(release, held, waiting, now);
+        self.apply_share(now);
+    }
+
+    /// Takes the next request that may start, or that has to be turned away.
+    pub fn next(&mut self, now: Time) -> Option<Turn> {
+        if let Some(ticket) = self.queue.pop_late(now, self.limit.hold()) {
+            let wait = self.limit.expected_wait(self.queue.len());
+            return Some(Turn::Shed { ticket, wait });
+        }
+        if self.queue.is_empty() || !self.limit.begin(now) {
+            return None;
+        }
+        self.queue.pop().map(Turn::Start)
+    }
+
+    /// When [`Self::next`] may have an answer without another event before.
+    pub fn wake(&self, now: Time) -> Option<Time> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        self.limit.ready_at(now)
+    }
+
+    /// The caller of a waiting request left.
+    pub fn leave(&mut self, ticket: Ticket, deadline: Time) {
+        self.queue.remove(ticket, deadline);
+    }
+
+    /// The slots that the requests of late would use, those turned away included;
+    /// for the exchange with other instances.
+    pub fn demand(&mut self, now: Time) -> SlotShare {
+        let span = (now - self.sampled).as_secs_f64();
+        if span > 0.0 {
+            let sample = f64::from(self.arrivals) / span * self.limit.hold().as_secs_f64();
+            self.demand += DEMAND_GAIN * (sample - self.demand);
+            self.arrivals = 0;
+            self.sampled = now;
+        }
+        SlotShare::new(self.demand)
+    }
+
+    /// Sets this instance's part of the server's slots.
+    pub fn set_share(&mut self, share: SlotShare, now: Time) {
+        self.share = share;
+        self.apply_share(now);
+    }
+
+    /// Sets this instance's part of the server's cap; `None` lifts it.
+    pub fn set_cap(&mut self, rate: Option<Rate>, now: Time) {
+        match (&mut self.cap, rate) {
+            (Some(cap), Some(rate)) => cap.set_rate(rate, now),
+            (cap, rate) => *cap = rate.map(|rate| RateCap::new(rate, now)),
+        }
+    }
+
+    /// The server has just come up: its share grows to full over a while.
+    pub fn set_cold(&mut self, now: Time) {
+        self.warmup = Some(Warmup::new(now));
+        self.apply_share(now);
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.limit.running()
+    }
+
+    /// Requests that wait now.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn apply_share(&mut self, now: Time) {
+        let part = self.warmup.as_ref().map_or(1.0, |warmup| warmup.part(now));
+        if part >= 1.0 {
+            self.warmup = None;
+        }
+        let share = SlotShare::new(self.share.slots() * part);
+        self.limit.set_share(share, now);
+    }
+
+    fn over_cap(&mut self, now: Time) -> Option<Admission> {
+        let cap = self.cap.as_mut()?;
+        if cap.take(now) {
+            return None;
+        }
+        Some(Admission::Shed {
+            reason: Reason::Capped,
+            wait: cap.wait(now),
+        })
+    }
+
+    /// Turns away at once what could not be done in time: a caller that waits
+    /// for nothing also holds memory, and its late answer is wasted slot time.
+    fn queue_or_shed(&mut self, ticket: Ticket, deadline: Time, now: Time) -> Admission {
+        let wait = self.limit.expected_wait(self.queue.ahead(deadline));
+        let late = now + wait + self.limit.hold() > deadline;
+        let full = self.queue.len() >= self.config.queue;
+        if late || full || wait > self.config.wait {
+            let wait = self.limit.expected_wait(self.queue.len());
+            let reason = Reason::Overloaded;
+            return Admission::Shed { reason, wait };
+        }
+        self.queue.push(ticket, deadline);
+        Admission::Queued
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/rate.rs
@@ -0,0 +1,94 @@
+//! Caps of requests a second.
+
+use {
+    crate::{id::ParseIdError, time::Time},
+    std::{fmt, str::FromStr, time::Duration},
+};
+
+/// Requests a second.
+///
+/// ```
+/// use citron_core::admission::Rate;
+/// assert_eq!("12.5".parse(), Ok(Rate(12.5)));
+/// assert!("-1".parse::<Rate>().is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct Rate(pub f64);
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let parsed = text.parse::<f64>().ok();
+        let valid = parsed.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        valid.map(Self).ok_or_else(|| ParseIdError::Number {
+            found: text.to_string(),
+            min: 0,
+            max: u64::from(u32::MAX),
+        })
+    }
+}
+
+/// Token bucket for one instance's part of a cap; a second's worth at most is
+/// saved up, one request at least.
+///
+/// ```
+/// use {citron_core::{admission::{Rate, RateCap}, time::Time}, std::time::Duration};
+/// let mut cap = RateCap::new(Rate(2.0), Time::ZERO);
+/// assert!(cap.take(Time::ZERO) && cap.take(Time::ZERO) && !cap.take(Time::ZERO));
+/// assert_eq!(cap.wait(Time::ZERO), Duration::from_millis(500));
+/// assert!(cap.take(Time::from_micros(500_000)));
+/// ```
+#[derive(Debug)]
+pub struct RateCap {
+    rate: Rate,
+    tokens: f64,
+    filled: Time,
+}
+
+impl RateCap {
+    /// A full bucket.
+    pub fn new(rate: Rate, now: Time) -> Self {
+        Self {
+            rate,
+            tokens: rate.0.max(1.0),
+            filled: now,
+        }
+    }
+
+    /// Replaces the rate.
+    pub fn set_rate(&mut self, rate: Rate, now: Time) {
+        self.refill(now);
+        self.rate = rate;
+    }
+
+    /// Takes leave for one request.
+    pub fn take(&mut self, now: Time) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// How long until there is leave for one; an hour if the rate is 0.
+    pub fn wait(&self, now: Time) -> Duration {
+        let gained = (now - self.filled).as_secs_f64() * self.rate.0;
+        let missing = (1.0 - self.tokens - gained).max(0.0);
+        let seconds = missing / self.rate.0.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.min(3_600.0))
+    }
+
+    fn refill(&mut self, now: Time) {
+        let gained = (now - self.filled).as_secs_f64() * self.rate.0;
+        self.tokens = (self.tokens + gained).min(self.rate.0.max(1.0));
+        self.filled = self.filled.max(now);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions, so that the processes, the model checker and the tests run the very
 //! same code.
 
+pub mod admission;
 pub mod id;
 pub mod membership;
 pub mod ownership;
