Traffic answers control's questions: quiet, load by scope, phases of a drain

Control needs to know when a server gets nothing more under an older revision, and each thread's load. Each thread owns its in-flight table and answers by channel, so that no request takes a lock shared across threads; a shared table under a lock and atomics per server were ruled out for that reason. A request whose caller left after the write counts until its deadline. Not covered by tests of its own yet.

--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -1,25 +1,166 @@
 //! What control sees of traffic.
 
 use {
+    super::{
+        ask::Ask,
+        load::{LoadSample, merge},
+        phase::Phase,
+    },
     arc_swap::{ArcSwapOption, Guard},
-    citron_core::routing::Snapshot,
-    std::sync::Arc,
+    citron_core::{
+        id::{Revision, ServerName},
+        routing::Snapshot,
+    },
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::sleep,
+    },
 };
 
-/// Hands snapshots to the traffic threads without a lock.
+/// The pause between two rounds of questions to the threads.
+const ASK_PAUSE: Duration = Duration::from_millis(5);
+
+/// Hands snapshots to the traffic threads without a lock, and asks them things.
 #[derive(Debug, Clone, Default)]
 pub struct TrafficHandle {
-    snapshot: Arc<ArcSwapOption<Snapshot>>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    snapshot: ArcSwapOption<Snapshot>,
+    /// One channel a thread; locked by control only, never by a request.
+    threads: Mutex<Vec<mpsc::UnboundedSender<Ask>>>,
+    published: watch::Sender<Revision>,
+    phase: watch::Sender<Phase>,
 }
 
 impl TrafficHandle {
-    /// Makes a snapshot the one that requests are routed by from now on.
+    /// Makes a snapshot the one that requests are routed by from now on. An
+    /// older revision than the one in force is ignored.
     pub fn publish(&self, snapshot: Snapshot) {
-        self.snapshot.store(Some(Arc::new(snapshot)));
+        let revision = snapshot.map.revision;
+        if revision < *self.shared.published.borrow() {
+            return;
+        }
+        self.shared.snapshot.store(Some(Arc::new(snapshot)));
+        self.shared.published.send_replace(revision);
     }
 
     /// The snapshot in force; `None` until the first one is published.
     pub fn snapshot(&self) -> Guard<Option<Arc<Snapshot>>> {
-        self.snapshot.load()
+        self.shared.snapshot.load()
+    }
+
+    /// Tells every publication of a snapshot.
+    pub fn published(&self) -> watch::Receiver<Revision> {
+        self.shared.published.subscribe()
+    }
+
+    /// Resolves once no request that was routed under a revision older than
+    /// `below` can still be written to the server or run there for this instance.
+    ///
+    /// It waits for `below` to be published: until then new requests would still
+    /// be routed under an older one. A written request whose caller or connection
+    /// went away counts until its deadline, which the server was told.
+    pub async fn quiet(&self, server: &ServerName, below: Revision) {
+        loop {
+            // The order matters: a thread that answers after the publication
+            // routes nothing more under an older revision.
+            let published = *self.shared.published.borrow() >= below;
+            if published && self.all_quiet(server, below).await {
+                return;
+            }
+            sleep(ASK_PAUSE).await;
+        }
+    }
+
+    async fn all_quiet(&self, server: &ServerName, below: Revision) -> bool {
+        let asked = self.ask(|reply| Ask::Quiet {
+            server: server.clone(),
+            below,
+            reply,
+        });
+        for answer in asked {
+            // A thread that has ended has no request left.
+            if !answer.await.unwrap_or(true) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Load of every scope since this was last asked, in the order of service
+    /// and scope.
+    pub async fn load(&self) -> Vec<LoadSample> {
+        let mut samples = Vec::new();
+        for answer in self.ask(|reply| Ask::Load { reply }) {
+            samples.extend(answer.await.unwrap_or_default());
+        }
+        merge(samples)
+    }
+
+    fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner);
+        let asked = threads.iter().map(|thread| {
+            let (reply, answer) = oneshot::channel();
+            // A refused question drops `reply`, which the answer's side sees.
+            let _ = thread.send(make(reply));
+            answer
+        });
+        asked.collect()
+    }
+
+    /// Takes in a new thread; its questions arrive at the receiver.
+    pub(super) fn join(&self) -> mpsc::UnboundedReceiver<Ask> {
+        let (thread, asks) = mpsc::unbounded_channel();
+        let threads = self.shared.threads.lock();
+        threads.unwrap_or_else(PoisonError::into_inner).push(thread);
+        asks
+    }
+
+    /// Begins the drain: not ready any more, and every connection ends with the
+    /// answer it is about. Connections are still taken, since callers learn only
+    /// after a while that the instance leaves.
+    pub fn drain(&self) {
+        self.advance(Phase::Leaving);
+    }
+
+    /// Ends the taking of connections; requests under way go on to their end.
+    pub fn stop(&self) {
+        self.advance(Phase::Closing);
+    }
+
+    fn advance(&self, phase: Phase) {
+        let later = |now: &mut Phase| {
+            let advanced = phase > *now;
+            *now = phase.max(*now);
+            advanced
+        };
+        self.shared.phase.send_if_modified(later);
+    }
+
+    /// Resolves once all threads have ended after [`Self::stop`].
+    pub async fn drained(&self) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner).clone();
+        for thread in threads {
+            thread.closed().await;
+        }
+    }
+
+    /// Where the instance stands between its start and its end.
+    pub fn phase(&self) -> Phase {
+        *self.shared.phase.borrow()
+    }
+
+    /// Tells when the phase changes.
+    pub(super) fn phases(&self) -> watch::Receiver<Phase> {
+        self.shared.phase.subscribe()
     }
 }
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -1,8 +1,12 @@
 //! The request path: hyper on both sides, one single-threaded runtime a thread.
 
 mod answer;
+mod ask;
 mod body;
+mod flights;
 mod handle;
+mod load;
+mod phase;
 mod pool;
 mod proxy;
 mod request;
@@ -10,5 +14,7 @@
 
 pub use {
     handle::TrafficHandle,
+    load::LoadSample,
+    phase::Phase,
     worker::{Workers, start},
 };
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -4,7 +4,9 @@
     super::{
         answer::{mark, own},
         body::AnswerBody,
+        flights::{Flight, Flights},
         handle::TrafficHandle,
+        phase::Phase,
         pool::Pool,
         request::{host, key_hash, set_grant, strip_hop_by_hop},
     },
@@ -14,9 +16,9 @@
         table::ServerRow,
     },
     citron_wire::grant::HEADER_REFUSED,
-    http::{Request, Response, StatusCode, request::Parts},
+    http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
     hyper::body::Incoming,
-    std::{convert::Infallible, sync::Arc},
+    std::{cell::RefCell, convert::Infallible, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// When a caller may come back after a passing trouble, in seconds.
@@ -26,6 +28,7 @@
 #[derive(Debug, Clone)]
 pub struct Proxy {
     handle: TrafficHandle,
+    flights: Rc<RefCell<Flights>>,
     pool: Pool,
     clock: Clock,
 }
@@ -36,6 +39,7 @@
     service: Arc<ServiceRoutes>,
     server: Arc<ServerRow>,
     route: Route,
+    flight: Flight,
 }
 
 impl Target {
@@ -52,10 +56,11 @@
 
 impl Proxy {
     /// A path that routes by what the handle publishes.
-    pub fn new(handle: TrafficHandle, clock: Clock) -> Self {
+    pub fn new(handle: TrafficHandle, flights: Rc<RefCell<Flights>>, clock: Clock) -> Self {
         let pool = Pool::default();
         Self {
             handle,
+            flights,
             pool,
             clock,
         }
@@ -66,19 +71,31 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
-        if let Some(answer) = self.probe(request.uri().path()) {
-            return Ok(answer);
+        let mut answer = match self.probe(request.uri().path()) {
+            Some(answer) => answer,
+            None => self.route(request).await,
+        };
+        if self.handle.phase() > Phase::Serving {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
         }
+        Ok(answer)
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = request.into_parts();
         match self.target(&head) {
-            Ok(target) => Ok(self.forward(target, head, body).await),
-            Err(answer) => Ok(*answer),
+            Ok(target) => self.forward(target, head, body).await,
+            Err(answer) => *answer,
         }
     }
 
     fn probe(&self, path: &str) -> Option<Response<AnswerBody>> {
         match path {
             "/healthz" => Some(own(StatusCode::OK, Outcome::NotRun, None, "alive")),
+            "/readyz" if self.handle.phase() > Phase::Serving => {
+                Some(unavailable("the instance is leaving"))
+            }
             "/readyz" if self.handle.snapshot().is_some() => {
                 Some(own(StatusCode::OK, Outcome::NotRun, None, "ready"))
             }
@@ -106,17 +123,20 @@
         };
         let service = Arc::clone(service);
         let server = Arc::clone(snapshot.map.server(route.server));
+        let revision = snapshot.map.revision;
+        let flight = Flight::enter(&self.flights, &service, route.scope, &server, revision);
         Ok(Target {
             snapshot,
             service,
             server,
             route,
+            flight,
         })
     }
 
     async fn forward(
         &self,
-        target: Target,
+        mut target: Target,
         mut head: Parts,
         body: Incoming,
     ) -> Response<AnswerBody> {
@@ -131,13 +151,16 @@
         }
         strip_hop_by_hop(&mut head.headers);
         set_grant(&mut head.headers, &target.service.row, &target.route);
+        let deadline: Duration = target.service.row.deadline;
+        target.flight.written(self.clock.now() + deadline);
         let sent = connection
             .send_request(Request::from_parts(head, body))
             .await;
         match sent {
             Ok(response) => {
                 self.pool.give(address, connection);
-                passed_on(response)
+                target.flight.settled();
+                passed_on(response, target.flight)
             }
             Err(error) => own(
                 StatusCode::BAD_GATEWAY,
@@ -149,14 +172,20 @@
     }
 }
 
-fn passed_on(response: Response<Incoming>) -> Response<AnswerBody> {
+fn passed_on(response: Response<Incoming>, flight: Flight) -> Response<AnswerBody> {
     let refused = response.headers().contains_key(HEADER_REFUSED);
     if refused {
         return unavailable("the backend server refused the request");
     }
     let (mut head, body) = response.into_parts();
     strip_hop_by_hop(&mut head.headers);
-    let mut answer = Response::from_parts(head, AnswerBody::Streamed(body));
+    let mut answer = Response::from_parts(
+        head,
+        AnswerBody::Streamed {
+            body,
+            _flight: flight,
+        },
+    );
     mark(&mut answer, Outcome::Ran);
     answer
 }
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -1,22 +1,32 @@
 //! Traffic threads.
 
 use {
-    super::{handle::TrafficHandle, proxy::Proxy},
+    super::{
+        ask::{self, Ask},
+        flights::Flights,
+        handle::TrafficHandle,
+        phase::Phase,
+        proxy::Proxy,
+    },
     crate::{clock::Clock, events},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::{Domain, Socket, Type},
     std::{
+        cell::RefCell,
         io,
         net::SocketAddr,
+        pin::pin,
+        rc::Rc,
         thread::{self, JoinHandle},
         time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
         runtime::Builder,
+        sync::{mpsc, watch},
         task::{LocalSet, spawn_local},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -32,11 +42,19 @@
 pub struct Workers {
     /// Where they listen.
     pub address: SocketAddr,
+    handle: TrafficHandle,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Workers {
-    /// Waits until all threads have ended.
+    /// Takes no more connections and waits until all requests under way have
+    /// ended. Blocks the calling thread.
+    pub fn close(self) {
+        self.handle.stop();
+        self.join();
+    }
+
+    /// Waits until all threads have ended. Blocks the calling thread.
     pub fn join(self) {
         for thread in self.threads {
             let _ = thread.join();
@@ -62,12 +80,17 @@
     }
     let mut threads = Vec::new();
     for (number, listener) in listeners.into_iter().enumerate() {
-        let handle = handle.clone();
+        let thread = Thread::new(handle, clock);
         let name = format!("traffic-{number}");
-        let run = move || run_thread(listener, handle, clock);
+        let run = move || thread.run(listener);
         threads.push(thread::Builder::new().name(name).spawn(run)?);
     }
-    Ok(Workers { address, threads })
+    let handle = handle.clone();
+    Ok(Workers {
+        address,
+        handle,
+        threads,
+    })
 }
 
 /// Binds with port reuse: the kernel spreads connections over the threads.
@@ -81,24 +104,60 @@
     Ok(socket.into())
 }
 
-fn run_thread(listener: std::net::TcpListener, handle: TrafficHandle, clock: Clock) {
-    let Ok(runtime) = Builder::new_current_thread().enable_all().build() else {
-        return;
-    };
-    let proxy = Proxy::new(handle, clock);
-    LocalSet::new().block_on(&runtime, async move {
-        if let Ok(listener) = TcpListener::from_std(listener) {
-            accept(listener, proxy).await;
+/// What one thread is started with.
+struct Thread {
+    handle: TrafficHandle,
+    asks: mpsc::UnboundedReceiver<Ask>,
+    clock: Clock,
+}
+
+impl Thread {
+    fn new(handle: &TrafficHandle, clock: Clock) -> Self {
+        Self {
+            handle: handle.clone(),
+            asks: handle.join(),
+            clock,
         }
-    });
+    }
+
+    fn run(self, listener: std::net::TcpListener) {
+        let Ok(runtime) = Builder::new_current_thread().enable_all().build() else {
+            return;
+        };
+        LocalSet::new().block_on(&runtime, async move {
+            if let Ok(listener) = TcpListener::from_std(listener) {
+                self.serve(listener).await;
+            }
+        });
+    }
+
+    /// Takes connections until the instance closes, then waits for the last one.
+    async fn serve(self, listener: TcpListener) {
+        let flights = Rc::new(RefCell::new(Flights::new(self.clock)));
+        let proxy = Proxy::new(self.handle.clone(), Rc::clone(&flights), self.clock);
+        spawn_local(ask::answer(self.asks, flights));
+        let (open, mut last) = mpsc::channel(1);
+        let mut phases = self.handle.phases();
+        let closing = phases.wait_for(|phase| *phase == Phase::Closing);
+        tokio::select! {
+            _ = closing => {}
+            () = accept(&listener, &proxy, &self.handle, &open) => {}
+        }
+        take_waiting(&listener, &proxy, &self.handle, &open).await;
+        drop(listener);
+        drop(open);
+        // Every connection holds a clone of `open`.
+        let _: Option<()> = last.recv().await;
+    }
 }
 
-async fn accept(listener: TcpListener, proxy: Proxy) {
+/// Held by a connection while it is open.
+type Open = mpsc::Sender<()>;
+
+async fn accept(listener: &TcpListener, proxy: &Proxy, handle: &TrafficHandle, open: &Open) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(connection(stream, proxy.clone()));
-            }
+            Ok((stream, _)) => start_connection(stream, proxy, handle, open),
             Err(error) => {
                 log::warn!("{} {error}", events::ACCEPT_FAILED);
                 sleep(ACCEPT_PAUSE).await;
@@ -107,14 +166,41 @@
     }
 }
 
-async fn connection(stream: TcpStream, proxy: Proxy) {
+/// Takes the connections that the kernel has completed already: closing the
+/// listener would reset them, and with them requests that are on their way.
+async fn take_waiting(listener: &TcpListener, proxy: &Proxy, handle: &TrafficHandle, open: &Open) {
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        start_connection(stream, proxy, handle, open);
+    }
+}
+
+fn start_connection(stream: TcpStream, proxy: &Proxy, handle: &TrafficHandle, open: &Open) {
+    let phases = handle.phases();
+    spawn_local(connection(stream, proxy.clone(), phases, open.clone()));
+}
+
+async fn connection(
+    stream: TcpStream,
+    proxy: Proxy,
+    mut phases: watch::Receiver<Phase>,
+    _open: Open,
+) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| proxy.clone().serve(request));
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = served.await {
+    let mut served = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("caller's connection ended: {error}");
     }
 }
