--- a/crates/citronproxy/src/traffic/answer.rs
+++ b/crates/citronproxy/src/traffic/answer.rs
@@ -3,7 +3,7 @@
 use {
     super::body::AnswerBody,
     bytes::Bytes,
-    citron_core::routing::Outcome,
+    citron_core::routing::{Outcome, Verdict},
     http::{HeaderValue, Response, StatusCode, header},
     http_body_util::Full,
 };
@@ -11,6 +11,9 @@
 /// Answer header: what became of the request.
 pub const HEADER_OUTCOME: &str = "citron-outcome";
 
+/// When a caller may come back after a passing trouble, in seconds.
+const RETRY_SOON: u32 = 1;
+
 /// An answer of ours, with the outcome and when to come back, in seconds.
 pub fn own(
     status: StatusCode,
@@ -38,3 +41,17 @@
     };
     response.headers_mut().insert(HEADER_OUTCOME, value);
 }
+
+/// The answer that core decided on.
+pub fn from_verdict(verdict: &Verdict) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(verdict.status);
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let reason = verdict.reason.to_string();
+    own(status, verdict.outcome, verdict.retry, &reason)
+}
+
+/// The answer of an instance that can route nothing now.
+pub fn unavailable(reason: &str) -> Response<AnswerBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    own(status, Outcome::NotRun, Some(RETRY_SOON), reason)
+}
--- a/crates/citronproxy/src/traffic/body.rs
+++ b/crates/citronproxy/src/traffic/body.rs
@@ -1,7 +1,7 @@
 //! The body of an answer: the backend server's, or a short one of ours.
 
 use {
-    super::flights::Flight,
+    super::exchange::Exchange,
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     http_body_util::Full,
@@ -9,33 +9,109 @@
     std::{
         pin::Pin,
         task::{Context, Poll},
+        time::Duration,
     },
+    thiserror::Error,
+    tokio::time::{Sleep, sleep},
 };
 
+/// How long a server may pause within an answer.
+const PAUSE_MAX: Duration = Duration::from_secs(30);
+
+/// Why an answer ends before its end. The caller's connection is closed without
+/// the end of the message, so that no caller takes a part for the whole.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// The server's connection broke.
+    #[error("the answer was cut short: {0}")]
+    Cut(#[from] hyper::Error),
+    /// The server paused for too long.
+    #[error("the answer stopped for longer than {PAUSE_MAX:?}")]
+    Stopped,
+}
+
 /// A body that is streamed through, or that is ours.
 #[derive(Debug)]
 pub enum AnswerBody {
-    /// The backend server's, frame by frame; the request is under way until it ends.
-    Streamed {
-        /// The body.
-        body: Incoming,
-        /// The request.
-        _flight: Flight,
-    },
+    /// The backend server's, frame by frame.
+    Streamed(Box<Streamed>),
     /// Ours.
     Own(Full<Bytes>),
 }
 
+/// The backend server's body, and the exchange that it ends.
+#[derive(Debug)]
+pub struct Streamed {
+    body: Incoming,
+    exchange: Option<Exchange>,
+    pause: Option<Pin<Box<Sleep>>>,
+}
+
+impl Streamed {
+    /// Passes on the body of an exchange.
+    pub fn new(body: Incoming, exchange: Exchange) -> Self {
+        let mut streamed = Self {
+            body,
+            exchange: Some(exchange),
+            pause: None,
+        };
+        streamed.finish_at_end();
+        streamed
+    }
+
+    fn finish_at_end(&mut self) {
+        if !self.body.is_end_stream() {
+            return;
+        }
+        if let Some(exchange) = self.exchange.take() {
+            exchange.finish();
+        }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Pending => self.poll_pause(cx),
+            Poll::Ready(None) => {
+                if let Some(exchange) = self.exchange.take() {
+                    exchange.finish();
+                }
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                self.pause = None;
+                self.finish_at_end();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.exchange = None;
+                Poll::Ready(Some(Err(error.into())))
+            }
+        }
+    }
+
+    fn poll_pause(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let pause = self.pause.get_or_insert_with(|| Box::pin(sleep(PAUSE_MAX)));
+        if pause.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        self.exchange = None;
+        Poll::Ready(Some(Err(AnswerError::Stopped)))
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         match self.get_mut() {
-            Self::Streamed { body, .. } => Pin::new(body).poll_frame(cx),
+            Self::Streamed(streamed) => streamed.poll(cx),
             Self::Own(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
@@ -44,14 +120,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Streamed { body, .. } => body.is_end_stream(),
+            Self::Streamed(streamed) => streamed.body.is_end_stream(),
             Self::Own(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Streamed { body, .. } => body.size_hint(),
+            Self::Streamed(streamed) => streamed.body.size_hint(),
             Self::Own(body) => body.size_hint(),
         }
     }
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -3,18 +3,29 @@
 mod answer;
 mod ask;
 mod body;
+mod call;
+mod deadline;
+mod exchange;
 mod flights;
 mod handle;
+mod limits;
 mod load;
 mod phase;
 mod pool;
 mod proxy;
 mod request;
+mod state;
+mod target;
+mod tries;
+mod upload;
+mod wire;
 mod worker;
 
 pub use {
+    deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
+    limits::Limits,
     load::LoadSample,
     phase::Phase,
-    worker::{Workers, start},
+    worker::{Workers, start, start_with},
 };
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -1,19 +1,35 @@
 //! Connections to backend servers, kept by one traffic thread for itself.
 
 use {
-    hyper::{
-        body::Incoming,
-        client::conn::http1::{SendRequest, handshake},
+    super::{
+        upload::Upload,
+        wire::{Wire, WireStream},
     },
+    crate::clock::Clock,
+    citron_core::time::Time,
+    hyper::client::conn::http1::{Builder, SendRequest},
     hyper_util::rt::TokioIo,
     rustc_hash::FxHashMap,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     thiserror::Error,
-    tokio::net::TcpStream,
+    tokio::{
+        net::TcpStream,
+        task::AbortHandle,
+        time::{error::Elapsed, timeout},
+    },
 };
 
-/// A connection that can take one request.
-pub type Connection = SendRequest<Incoming>;
+/// Idle connections to one server that a thread keeps at most.
+const IDLE_MAX: usize = 32;
+/// How long a connection may stay idle.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+/// How recent a sign of life a request needs that may run only once. Younger
+/// than the time after which middle boxes forget a connection, by far.
+const FRESH_TIME: Duration = Duration::from_secs(1);
+/// How long a new connection may take.
+const CONNECT_TIME: Duration = Duration::from_secs(3);
+/// Read buffer of one connection, in bytes; bounds the head of an answer too.
+const BUFFER_MAX: usize = 64 * 1_024;
 
 /// Why there is no connection; nothing was written to the server.
 #[derive(Debug, Error)]
@@ -21,51 +37,129 @@
     /// The server cannot be reached.
     #[error("connect: {0}")]
     Io(#[from] std::io::Error),
+    /// The server did not take the connection in time.
+    #[error("connect: no answer in time")]
+    Slow(#[from] Elapsed),
     /// The HTTP handshake failed.
     #[error("handshake: {0}")]
     Http(#[from] hyper::Error),
 }
 
+/// A connection that carries one exchange at a time; closed at once when dropped.
+#[derive(Debug)]
+pub struct Connection {
+    /// Takes requests.
+    pub sender: SendRequest<Upload>,
+    /// What is known of the socket.
+    pub wire: Rc<Wire>,
+    /// Whether it has carried an exchange before.
+    pub reused: bool,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    /// Ends the driver and with it the socket: the server sees that nobody waits
+    /// any more, and a late answer finds no reader that could take it for its own.
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Which idle connections a request may go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that is not known to be closed.
+    Any,
+    /// Those that showed a sign of life just now: on one that went silent the
+    /// request would be lost, and could not be sent again.
+    Fresh,
+    /// None.
+    Never,
+}
+
 /// Idle connections by address.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Pool {
     idle: Rc<RefCell<FxHashMap<SocketAddr, Vec<Connection>>>>,
+    clock: Clock,
 }
 
 impl Pool {
+    /// An empty pool.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            idle: Rc::default(),
+            clock,
+        }
+    }
+
     /// An idle connection, or a new one.
-    pub async fn take(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle(address) {
-            return Ok(connection);
+    ///
+    /// # Errors
+    /// If there is none and the server takes no new one.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        reuse: Reuse,
+    ) -> Result<Connection, ConnectError> {
+        match self.take_idle(address, reuse) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
         }
-        let stream = TcpStream::connect(address).await?;
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = handshake(TokioIo::new(stream)).await?;
-        tokio::task::spawn_local(async move {
+        let wire = Wire::new(self.clock);
+        let io = TokioIo::new(WireStream::new(stream, Rc::clone(&wire)));
+        let built = Builder::new().max_buf_size(BUFFER_MAX).handshake(io).await;
+        let (sender, driver) = built?;
+        let driver = tokio::task::spawn_local(async move {
             if let Err(error) = driver.await {
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            wire,
+            reused: false,
+            driver: driver.abort_handle(),
+        })
     }
 
-    /// Keeps a connection for the next request.
-    pub fn give(&self, address: SocketAddr, connection: Connection) {
-        if connection.is_closed() {
+    /// Keeps a connection whose exchange has ended whole.
+    pub fn give(&self, address: SocketAddr, mut connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() >= IDLE_MAX || connection.sender.is_closed() {
             return;
         }
-        let mut idle = self.idle.borrow_mut();
-        idle.entry(address).or_default().push(connection);
+        connection.reused = true;
+        connections.push(connection);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Drops the idle connections that were last heard of before `since`: one of
+    /// their age has gone silent, and whatever lost track of it may have lost
+    /// track of them. Younger ones stay, so that the server is not suspected.
+    pub fn suspect(&self, address: SocketAddr, since: Time) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(&address) {
+            connections.retain(|connection| connection.wire.heard() >= since);
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let limit = match reuse {
+            Reuse::Any => IDLE_TIME,
+            Reuse::Fresh => FRESH_TIME,
+            Reuse::Never => return None,
+        };
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|kept| !kept.sender.is_closed() && now - kept.wire.heard() < IDLE_TIME);
+        let usable = |kept: &Connection| kept.sender.is_ready() && now - kept.wire.heard() < limit;
+        let found = connections.iter().rposition(usable)?;
+        Some(connections.remove(found))
     }
 }
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -1,69 +1,43 @@
-//! One request, from the caller to the owner of its key and back.
+//! The requests of one traffic thread.
 
 use {
     super::{
-        answer::{mark, own},
+        answer::{own, unavailable},
         body::AnswerBody,
-        flights::{Flight, Flights},
-        handle::TrafficHandle,
+        call::Call,
+        deadline,
         phase::Phase,
-        pool::Pool,
-        request::{host, key_hash, set_grant, strip_hop_by_hop},
+        request::{host, prepare},
+        state::State,
+        tries::Tries,
+        upload::Source,
     },
-    crate::clock::Clock,
-    citron_core::{
-        routing::{Outcome, Route, ServiceRoutes, Snapshot},
-        table::ServerRow,
+    citron_core::routing::{Outcome, ServiceRoutes},
+    http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
+    hyper::body::{Body, Incoming},
+    std::{
+        cell::{Cell, OnceCell},
+        convert::Infallible,
+        rc::Rc,
+        sync::Arc,
     },
-    citron_wire::grant::HEADER_REFUSED,
-    http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
-    hyper::body::Incoming,
-    std::{cell::RefCell, convert::Infallible, rc::Rc, sync::Arc, time::Duration},
+    tokio::sync::Notify,
 };
 
-/// When a caller may come back after a passing trouble, in seconds.
-const RETRY_SOON: u32 = 1;
-
 /// The request path of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct Proxy {
-    handle: TrafficHandle,
-    flights: Rc<RefCell<Flights>>,
-    pool: Pool,
-    clock: Clock,
-}
-
-/// Where a request goes, and under which snapshot.
-struct Target {
-    snapshot: Arc<Snapshot>,
-    service: Arc<ServiceRoutes>,
-    server: Arc<ServerRow>,
-    route: Route,
-    flight: Flight,
+    state: Rc<State>,
 }
 
-impl Target {
-    /// Whether the snapshot still allows a request to be written.
-    ///
-    /// Read right before the write: a thread that was paused for longer than
-    /// its leave must not send to an owner that was replaced meanwhile.
-    fn allowed(&self, clock: &Clock) -> bool {
-        let own = self.server.domain == self.snapshot.domain;
-        let grace = self.service.row.grace;
-        self.route.open && self.snapshot.confirmation.allows(clock.now(), own, grace)
-    }
-}
+/// An answer of ours; boxed, since it is large and rare.
+type Refusal = Box<Response<AnswerBody>>;
 
 impl Proxy {
     /// A path that routes by what the handle publishes.
-    pub fn new(handle: TrafficHandle, flights: Rc<RefCell<Flights>>, clock: Clock) -> Self {
-        let pool = Pool::default();
-        Self {
-            handle,
-            flights,
-            pool,
-            clock,
-        }
+    pub fn new(state: &Rc<State>) -> Self {
+        let state = Rc::clone(state);
+        Self { state }
     }
 
     /// Answers one request; whatever fails becomes an answer that says so.
@@ -73,128 +47,93 @@
     ) -> Result<Response<AnswerBody>, Infallible> {
         let mut answer = match self.probe(request.uri().path()) {
             Some(answer) => answer,
-            None => self.route(request).await,
+            None => self.route(request).await.unwrap_or_else(|refusal| *refusal),
         };
-        if self.handle.phase() > Phase::Serving {
+        if self.state.handle.phase() > Phase::Serving {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
         Ok(answer)
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let (head, body) = request.into_parts();
-        match self.target(&head) {
-            Ok(target) => self.forward(target, head, body).await,
-            Err(answer) => *answer,
-        }
-    }
-
     fn probe(&self, path: &str) -> Option<Response<AnswerBody>> {
+        let handle = &self.state.handle;
+        let ok = |reason| own(StatusCode::OK, Outcome::NotRun, None, reason);
         match path {
-            "/healthz" => Some(own(StatusCode::OK, Outcome::NotRun, None, "alive")),
-            "/readyz" if self.handle.phase() > Phase::Serving => {
+            "/healthz" => Some(ok("alive")),
+            "/readyz" if handle.phase() > Phase::Serving => {
                 Some(unavailable("the instance is leaving"))
             }
-            "/readyz" if self.handle.snapshot().is_some() => {
-                Some(own(StatusCode::OK, Outcome::NotRun, None, "ready"))
-            }
+            "/readyz" if handle.snapshot().is_some() => Some(ok("ready")),
             "/readyz" => Some(unavailable("no table yet")),
             _ => None,
         }
     }
 
-    fn target(&self, head: &Parts) -> Result<Target, Box<Response<AnswerBody>>> {
-        let refuse = |status, reason: &str| Box::new(own(status, Outcome::NotRun, None, reason));
-        let Some(snapshot) = self.handle.snapshot().clone() else {
-            return Err(Box::new(unavailable("no table yet")));
-        };
-        let Some(service) = snapshot.map.service(host(head), head.uri.path()) else {
-            return Err(refuse(
-                StatusCode::NOT_FOUND,
-                "no service for this host and path",
-            ));
-        };
-        let Some(key) = key_hash(&service.row.key, head) else {
-            return Err(refuse(StatusCode::BAD_REQUEST, "the request has no key"));
-        };
-        let Some(route) = service.route(key) else {
-            return Err(Box::new(unavailable("the key has no owner yet")));
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
+        let (mut head, body) = request.into_parts();
+        check(&head)?;
+        let service = self.service(&head)?;
+        let row = &service.row;
+        let now = self.state.clock.now();
+        let deadline = deadline::deadline(&head.headers, now, row.deadline);
+        let deadline = deadline.ok_or_else(|| {
+            let reason = "citron-timeout-ms is not a number above 0";
+            refusal(StatusCode::BAD_REQUEST, reason)
+        })?;
+        let max = self.state.limits.body;
+        if body.size_hint().lower() > max {
+            let reason = "the body is too large";
+            return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, reason));
+        }
+        prepare(&mut head);
+        let idempotent = row.idempotent.iter().any(|m| m == head.method.as_str());
+        let tries = Tries {
+            state: Rc::clone(&self.state),
+            head,
+            source: Source::new(body, max),
+            deadline,
+            refused: Cell::new(None),
+            patient: Cell::new(None),
+            reused: OnceCell::new(),
+            noted: Notify::new(),
         };
-        let service = Arc::clone(service);
-        let server = Arc::clone(snapshot.map.server(route.server));
-        let revision = snapshot.map.revision;
-        let flight = Flight::enter(&self.flights, &service, route.scope, &server, revision);
-        Ok(Target {
-            snapshot,
-            service,
-            server,
-            route,
-            flight,
-        })
+        Ok(Call::new(&tries, &row.name, idempotent).run().await)
     }
 
-    async fn forward(
-        &self,
-        mut target: Target,
-        mut head: Parts,
-        body: Incoming,
-    ) -> Response<AnswerBody> {
-        let address = target.server.address;
-        let mut connection = match self.pool.take(address).await {
-            Ok(connection) => connection,
-            Err(error) => return unavailable(&error.to_string()),
+    fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refusal> {
+        let snapshot = self.state.handle.snapshot();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return Err(Box::new(unavailable("no table yet")));
         };
-        if !target.allowed(&self.clock) {
-            self.pool.give(address, connection);
-            return unavailable("the owner of the key is not certain now");
-        }
-        strip_hop_by_hop(&mut head.headers);
-        set_grant(&mut head.headers, &target.service.row, &target.route);
-        let deadline: Duration = target.service.row.deadline;
-        target.flight.written(self.clock.now() + deadline);
-        let sent = connection
-            .send_request(Request::from_parts(head, body))
-            .await;
-        match sent {
-            Ok(response) => {
-                self.pool.give(address, connection);
-                target.flight.settled();
-                passed_on(response, target.flight)
-            }
-            Err(error) => own(
-                StatusCode::BAD_GATEWAY,
-                Outcome::Unknown,
-                None,
-                &error.to_string(),
-            ),
+        let service = snapshot.map.service(host(head), head.uri.path());
+        let service = service.ok_or_else(|| {
+            let reason = "no service for this host and path";
+            refusal(StatusCode::NOT_FOUND, reason)
+        })?;
+        if super::request::key_hash(&service.row.key, head).is_none() {
+            let reason = "the request has no key";
+            return Err(refusal(StatusCode::BAD_REQUEST, reason));
         }
+        Ok(Arc::clone(service))
     }
 }
 
-fn passed_on(response: Response<Incoming>, flight: Flight) -> Response<AnswerBody> {
-    let refused = response.headers().contains_key(HEADER_REFUSED);
-    if refused {
-        return unavailable("the backend server refused the request");
+/// Refuses what cannot be passed on exactly.
+fn check(head: &Parts) -> Result<(), Refusal> {
+    // In HTTP/1.0 an answer without a length ends with its connection, so that
+    // one cut short would look whole.
+    if head.version != Version::HTTP_11 {
+        let reason = "HTTP/1.1 is needed";
+        return Err(refusal(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
+    }
+    if matches!(head.method, Method::CONNECT | Method::TRACE) {
+        let reason = "the method is not passed on";
+        return Err(refusal(StatusCode::METHOD_NOT_ALLOWED, reason));
     }
-    let (mut head, body) = response.into_parts();
-    strip_hop_by_hop(&mut head.headers);
-    let mut answer = Response::from_parts(
-        head,
-        AnswerBody::Streamed {
-            body,
-            _flight: flight,
-        },
-    );
-    mark(&mut answer, Outcome::Ran);
-    answer
+    Ok(())
 }
 
-fn unavailable(reason: &str) -> Response<AnswerBody> {
-    own(
-        StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::NotRun,
-        Some(RETRY_SOON),
-        reason,
-    )
+fn refusal(status: StatusCode, reason: &str) -> Refusal {
+    Box::new(own(status, Outcome::NotRun, None, reason))
 }
--- a/crates/citronproxy/src/traffic/request.rs
+++ b/crates/citronproxy/src/traffic/request.rs
@@ -7,7 +7,7 @@
         table::{KeyRule, ServiceRow},
     },
     citron_wire::grant::{HEADER_EPOCH, HEADER_SCOPE, HEADER_SERVICE},
-    http::{HeaderMap, HeaderName, HeaderValue, Uri, header, request::Parts},
+    http::{HeaderMap, HeaderName, HeaderValue, Uri, header, request::Parts, uri::PathAndQuery},
 };
 
 /// Headers that concern one connection and are never passed on (RFC 9110, 7.6.1).
@@ -64,6 +64,22 @@
     headers.remove(KEEP_ALIVE);
 }
 
+/// Makes a head ready to be passed on: the path alone, whatever form the caller
+/// named it in, and nothing that concerns the caller's connection only.
+pub fn prepare(head: &mut Parts) {
+    if let Some(authority) = head.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        head.headers.insert(header::HOST, host);
+    }
+    let path = head.uri.path_and_query().cloned();
+    let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    head.uri = Uri::from(path);
+    strip_hop_by_hop(&mut head.headers);
+    // Answered by this instance once it reads the body.
+    head.headers.remove(header::EXPECT);
+}
+
 /// Tells the backend server under which grant the request was routed.
 pub fn set_grant(headers: &mut HeaderMap, row: &ServiceRow, route: &Route) {
     let service = HeaderValue::from_str(row.name.as_str());
--- /dev/null
+++ b/crates/citronproxy/src/traffic/state.rs
@@ -0,0 +1,76 @@
+//! What the requests of one traffic thread share.
+
+use {
+    super::{flights::Flights, handle::TrafficHandle, limits::Limits, pool::Pool},
+    crate::clock::Clock,
+    citron_core::{
+        id::ServiceName,
+        routing::{BudgetConfig, HedgeDelay, Retries},
+    },
+    rustc_hash::FxHashMap,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+};
+
+/// State of one thread; no other thread sees it.
+#[derive(Debug)]
+pub struct State {
+    /// Snapshots and the phase.
+    pub handle: TrafficHandle,
+    /// Requests that a server may be running.
+    pub flights: Rc<RefCell<Flights>>,
+    /// Idle connections.
+    pub pool: Pool,
+    /// The clock.
+    pub clock: Clock,
+    /// What callers may take up.
+    pub limits: Limits,
+    /// Requests that wait for a route.
+    pub waiting: Cell<usize>,
+    retries: RefCell<FxHashMap<ServiceName, Retries>>,
+    hedges: RefCell<FxHashMap<SocketAddr, HedgeDelay>>,
+    seed: u64,
+}
+
+impl State {
+    /// The state of a thread that has just started; `seed` is for the jitter.
+    pub fn new(handle: TrafficHandle, clock: Clock, limits: Limits, seed: u64) -> Rc<Self> {
+        Rc::new(Self {
+            handle,
+            flights: Rc::new(RefCell::new(Flights::new(clock))),
+            pool: Pool::new(clock),
+            clock,
+            limits,
+            waiting: Cell::new(0),
+            retries: RefCell::default(),
+            hedges: RefCell::default(),
+            seed,
+        })
+    }
+
+    /// Lets `act` use the service's retry budget and backoff.
+    pub fn with_retries<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Retries) -> T) -> T {
+        let mut retries = self.retries.borrow_mut();
+        if !retries.contains_key(service) {
+            let fresh = Retries::new(BudgetConfig::STANDARD, self.seed);
+            retries.insert(service.clone(), fresh);
+        }
+        let retries = retries.get_mut(service);
+        act(retries.expect("inserted above"))
+    }
+
+    /// When a hedge is due at a server, after the write.
+    pub fn hedge_due(&self, address: SocketAddr) -> Option<Duration> {
+        self.hedges.borrow().get(&address)?.due()
+    }
+
+    /// Counts the latency of an answer.
+    pub fn observe(&self, address: SocketAddr, latency: Duration) {
+        let mut hedges = self.hedges.borrow_mut();
+        hedges.entry(address).or_default().observe(latency);
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/src/traffic/tries.rs
@@ -0,0 +1,301 @@
+//! The tries of one request, each on a connection of its own.
+
+use {
+    super::{
+        deadline,
+        exchange::{Exchange, ExchangeError},
+        pool::Reuse,
+        request::set_grant,
+        state::State,
+        target::{NoTarget, Target},
+        upload::{Source, Upload},
+        wire::Wire,
+    },
+    citron_core::{
+        id::Revision,
+        routing::{Event, Link, Point, Send, Try},
+        time::Time,
+    },
+    citron_wire::grant::HEADER_REFUSED,
+    http::{HeaderMap, Request, Response, StatusCode, header, request::Parts},
+    hyper::body::{Body, Incoming},
+    std::{
+        cell::{Cell, OnceCell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
+};
+
+/// How long a request that its server refused waits for a newer table, by the
+/// number of the try. The server may also be waiting for its grant, so that the
+/// same route is tried again afterwards.
+const REFUSED_WAITS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(50),
+    Duration::from_millis(400),
+];
+
+/// Why a request cannot be written now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoRoute {
+    /// The key has no owner that takes requests.
+    Moving,
+    /// The instance's leave to route has ended.
+    Unconfirmed,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum Ended {
+    /// The head of an answer was read.
+    Answered(Box<Answered>),
+    /// It gave none.
+    Failed(Event),
+}
+
+/// A server's answer, not yet passed on.
+#[derive(Debug)]
+pub struct Answered {
+    /// Which try.
+    pub no: Try,
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// The exchange, which goes on until the answer's end.
+    pub exchange: Exchange,
+}
+
+/// One request that is being tried.
+#[derive(Debug)]
+pub struct Tries {
+    /// The thread's state.
+    pub state: Rc<State>,
+    /// The head, ready to be passed on but for what differs by try.
+    pub head: Parts,
+    /// The body.
+    pub source: Rc<Source>,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// The revision of the last route that was refused.
+    pub refused: Cell<Option<Revision>>,
+    /// Until when it waits for its key's owner to be certain.
+    pub patient: Cell<Option<Time>>,
+    /// Begin and address of the first write on a connection that was used before.
+    pub reused: OnceCell<(Time, SocketAddr)>,
+    /// Tells when the field above is set.
+    pub noted: Notify,
+}
+
+/// How far a try has got; outlives it when it is cancelled.
+#[derive(Debug, Default)]
+struct Progress {
+    wire: RefCell<Option<(Rc<Wire>, u64)>>,
+}
+
+impl Progress {
+    fn point(&self) -> Point {
+        match &*self.wire.borrow() {
+            None => Point::Unconnected,
+            Some((wire, begun)) if wire.written() == *begun => Point::Connected,
+            Some(_) => Point::Written,
+        }
+    }
+}
+
+impl Tries {
+    /// Runs one try to the head of an answer.
+    pub async fn run(&self, send: Send) -> Ended {
+        let progress = Progress::default();
+        let tried = timeout(send.limit + send.after, self.try_once(send, &progress)).await;
+        // A try that ran out of time was dropped with its connection, so that
+        // nothing is written any more: the point is final.
+        tried.unwrap_or_else(|_| Ended::Failed(Event::TimedOut(send.no, progress.point())))
+    }
+
+    async fn try_once(&self, send: Send, progress: &Progress) -> Ended {
+        if !send.after.is_zero() {
+            sleep(send.after).await;
+        }
+        let target = match self.target(send).await {
+            Ok(target) => target,
+            Err(NoRoute::Unconfirmed) => return Ended::Failed(Event::Withheld(send.no)),
+            Err(NoRoute::Moving) => return Ended::Failed(Event::Fenced(send.no)),
+        };
+        let revision = target.leave.snapshot.map.revision;
+        let address = target.server.address;
+        let reuse = match send.link {
+            Link::Any => Reuse::Any,
+            Link::Trusted => Reuse::Fresh,
+            Link::New => Reuse::Never,
+        };
+        let connection = match self.state.pool.take(address, reuse).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("{address}: {error}");
+                return Ended::Failed(Event::Lost(send.no, Point::Unconnected));
+            }
+        };
+        let now = self.state.clock.now();
+        if connection.reused {
+            let _ = self.reused.set((now, address));
+            self.noted.notify_one();
+        }
+        let wire = Rc::clone(&connection.wire);
+        progress
+            .wire
+            .replace(Some((Rc::clone(&wire), wire.written())));
+        let request = self.request(&target, now);
+        let pool = &self.state.pool;
+        let mut exchange = Exchange::new(pool, address, connection, target.flight, &self.source);
+        match exchange.send(request, target.leave, self.deadline).await {
+            Ok(response) => {
+                self.state.observe(address, self.state.clock.now() - now);
+                self.answered(send.no, response, exchange, revision)
+            }
+            Err(error) => {
+                log::debug!("{address}: {error}");
+                let event = match error {
+                    ExchangeError::Leave => Event::Withheld(send.no),
+                    ExchangeError::Before(_) => Event::Lost(send.no, Point::Connected),
+                    ExchangeError::After(_) => Event::Lost(send.no, Point::Written),
+                };
+                Ended::Failed(event)
+            }
+        }
+    }
+
+    fn answered(
+        &self,
+        no: Try,
+        response: Response<Incoming>,
+        exchange: Exchange,
+        revision: Revision,
+    ) -> Ended {
+        if let Some(reason) = response.headers().get(HEADER_REFUSED) {
+            let shed = reason == "shed";
+            let wait = retry_after(response.headers());
+            exchange.refused(response.body().is_end_stream());
+            if shed {
+                return Ended::Failed(Event::Refused { no, wait });
+            }
+            self.refused.set(Some(revision));
+            return Ended::Failed(Event::Fenced(no));
+        }
+        if !is_delimited(&response) {
+            return Ended::Failed(Event::Lost(no, Point::AnswerPart));
+        }
+        Ended::Answered(Box::new(Answered {
+            no,
+            response,
+            exchange,
+        }))
+    }
+
+    /// The owner of the key, once the instance may write to it.
+    async fn target(&self, send: Send) -> Result<Target, NoRoute> {
+        let refused = self.refused.get().filter(|_| send.reroute);
+        if refused.is_none()
+            && let Ok(target) = self.find()
+        {
+            return Ok(target);
+        }
+        let state = &self.state;
+        if state.waiting.get() >= state.limits.waiting {
+            return Err(NoRoute::Moving);
+        }
+        state.waiting.set(state.waiting.get() + 1);
+        let _waiting = Waiting(state);
+        if refused.is_some() {
+            let wait = REFUSED_WAITS[send.no.0 as usize % REFUSED_WAITS.len()];
+            if let Ok(target) = timeout(wait, self.newer(refused)).await {
+                return Ok(target);
+            }
+        }
+        let waited = timeout(self.patience(), self.newer(None)).await;
+        waited.or_else(|_| self.find())
+    }
+
+    /// Waits for the first write on a connection that was used before.
+    pub async fn reused(&self) -> (Time, SocketAddr) {
+        loop {
+            if let Some(reused) = self.reused.get() {
+                return *reused;
+            }
+            self.noted.notified().await;
+        }
+    }
+
+    /// How much longer this request may wait for its owner, over all its tries.
+    fn patience(&self) -> Duration {
+        let now = self.state.clock.now();
+        let until = self
+            .patient
+            .get()
+            .unwrap_or(now + self.state.limits.reroute);
+        self.patient.set(Some(until));
+        until - now
+    }
+
+    /// The target under a snapshot that is newer than a refused one.
+    async fn newer(&self, refused: Option<Revision>) -> Target {
+        let mut published = self.state.handle.published();
+        loop {
+            published.borrow_and_update();
+            if let Ok(target) = self.find()
+                && refused.is_none_or(|old| target.leave.snapshot.map.revision > old)
+            {
+                return target;
+            }
+            // The handle is held by this thread, so that the sender lives on.
+            let _ = published.changed().await;
+        }
+    }
+
+    fn find(&self) -> Result<Target, NoRoute> {
+        let state = &self.state;
+        match Target::find(&state.handle, &state.flights, &self.head) {
+            Ok(target) if target.leave.allows(state.clock.now()) => Ok(target),
+            Ok(_) => Err(NoRoute::Unconfirmed),
+            Err(NoTarget::Table) => Err(NoRoute::Unconfirmed),
+            Err(_) => Err(NoRoute::Moving),
+        }
+    }
+
+    fn request(&self, target: &Target, now: Time) -> Request<Upload> {
+        let mut head = self.head.clone();
+        set_grant(&mut head.headers, &target.service.row, &target.route);
+        deadline::pass_on(&mut head.headers, self.deadline, now);
+        Request::from_parts(head, Upload::new(&self.source))
+    }
+}
+
+/// Counts a request that waits.
+struct Waiting<'a>(&'a State);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let waiting = &self.0.waiting;
+        waiting.set(waiting.get() - 1);
+    }
+}
+
+/// Whether the end of the answer can be told from its being cut short. One that
+/// ends with its connection looks whole wherever it is cut.
+fn is_delimited(response: &Response<Incoming>) -> bool {
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return false;
+    }
+    let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+    let body = response.body();
+    chunked || body.is_end_stream() || body.size_hint().exact().is_some()
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(header::RETRY_AFTER)?;
+    let seconds: u64 = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -3,17 +3,17 @@
 use {
     super::{
         ask::{self, Ask},
-        flights::Flights,
         handle::TrafficHandle,
+        limits::Limits,
         phase::Phase,
         proxy::Proxy,
+        state::State,
     },
     crate::{clock::Clock, events},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::{Domain, Socket, Type},
     std::{
-        cell::RefCell,
         io,
         net::SocketAddr,
         pin::pin,
@@ -62,7 +62,7 @@
     }
 }
 
-/// Starts `count` threads that share one address.
+/// Starts `count` threads that share one address, with the standard limits.
 ///
 /// # Errors
 /// If the address cannot be bound or a thread cannot be started.
@@ -71,6 +71,20 @@
     count: usize,
     handle: &TrafficHandle,
     clock: Clock,
+) -> io::Result<Workers> {
+    start_with(address, count, handle, clock, Limits::default())
+}
+
+/// As [`start`], with limits.
+///
+/// # Errors
+/// As [`start`].
+pub fn start_with(
+    address: SocketAddr,
+    count: usize,
+    handle: &TrafficHandle,
+    clock: Clock,
+    limits: Limits,
 ) -> io::Result<Workers> {
     let first = bind(address)?;
     let address = first.local_addr()?;
@@ -80,7 +94,7 @@
     }
     let mut threads = Vec::new();
     for (number, listener) in listeners.into_iter().enumerate() {
-        let thread = Thread::new(handle, clock);
+        let thread = Thread::new(handle, clock, limits);
         let name = format!("traffic-{number}");
         let run = move || thread.run(listener);
         threads.push(thread::Builder::new().name(name).spawn(run)?);
@@ -109,11 +123,13 @@
     handle: TrafficHandle,
     asks: mpsc::UnboundedReceiver<Ask>,
     clock: Clock,
+    limits: Limits,
 }
 
 impl Thread {
-    fn new(handle: &TrafficHandle, clock: Clock) -> Self {
+    fn new(handle: &TrafficHandle, clock: Clock, limits: Limits) -> Self {
         Self {
+            limits,
             handle: handle.clone(),
             asks: handle.join(),
             clock,
@@ -133,9 +149,10 @@
 
     /// Takes connections until the instance closes, then waits for the last one.
     async fn serve(self, listener: TcpListener) {
-        let flights = Rc::new(RefCell::new(Flights::new(self.clock)));
-        let proxy = Proxy::new(self.handle.clone(), Rc::clone(&flights), self.clock);
-        spawn_local(ask::answer(self.asks, flights));
+        let seed = rand::random();
+        let state = State::new(self.handle.clone(), self.clock, self.limits, seed);
+        let proxy = Proxy::new(&state);
+        spawn_local(ask::answer(self.asks, Rc::clone(&state.flights)));
         let (open, mut last) = mpsc::channel(1);
         let mut phases = self.handle.phases();
         let closing = phases.wait_for(|phase| *phase == Phase::Closing);
--- /dev/null
+++ b/crates/citronproxy/tests/exchange.rs
@@ -0,0 +1,300 @@
+//! Connections between exchanges: late, crossed and abandoned answers, silence,
+//! deadlines, and what control is told of requests under way.
+
+mod support;
+
+use {
+    citron_core::{
+        id::{Epoch, Revision, ServerName},
+        ownership::Phase,
+        table::Row,
+    },
+    citron_fakes::raw::{Act, RawServer},
+    std::time::{Duration, Instant},
+    support::{LONG, Path, get, post, read_all},
+    tokio::{
+        io::AsyncWriteExt,
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+const POST: &[u8] = b"POST /kegs/bar-7 HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi";
+const POST_300_MS: &[u8] =
+    b"POST /kegs/bar-7 HTTP/1.1\r\nhost: a\r\ncitron-timeout-ms: 300\r\ncontent-length: 2\r\n\r\nhi";
+const SHORT: Duration = Duration::from_millis(300);
+
+fn server_1() -> ServerName {
+    "server-1".parse().unwrap()
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < LONG, "{what} did not come");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The first caller's time is up before the server answers; the answer comes
+/// after all, when a second caller asks. The second must get its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_reaches_nobody() {
+    let late = Act::Pause(Duration::from_millis(600));
+    let fine = vec![Act::Request, Act::answer("second")];
+    let script = vec![
+        Act::Request,
+        late,
+        Act::answer("first"),
+        Act::Request,
+        Act::Hang,
+    ];
+    let server = RawServer::start(vec![script, fine]).await.unwrap();
+    let path = Path::start(server.address);
+    let first = path.raw(POST_300_MS, SHORT * 3).await;
+    assert!(first.starts_with("HTTP/1.1 504"), "{first}");
+    assert!(first.contains("citron-outcome: unknown"), "{first}");
+    assert!(!first.contains("retry-after"), "{first}");
+    sleep(SHORT).await;
+    let second = post(path.address, "/kegs/bar-7", "2", "hi").await.unwrap();
+    assert_eq!(second.body, "second");
+    assert_eq!(server.runs(), 2);
+}
+
+/// The server answers one request twice, in one piece or in chunks. The surplus
+/// answer waits on the connection when the next caller's request comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_surplus_answer_reaches_nobody() {
+    let length = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let bodies = [
+        format!("{length}first{length}cross"),
+        format!("{chunked}5\r\nfirst\r\n0\r\n\r\n{chunked}5\r\ncross\r\n0\r\n\r\n"),
+    ];
+    for double in bodies {
+        let script = vec![Act::Request, Act::Write(double), Act::Request, Act::Hang];
+        let fine = vec![Act::Request, Act::answer("own"), Act::Hang];
+        let server = RawServer::start(vec![script, fine]).await.unwrap();
+        let path = Path::start(server.address);
+        // Both requests in one write, so that the second follows at once.
+        let both = [POST, POST].concat();
+        let answers = path.raw(&both, SHORT).await;
+        let cross = answers.contains("cross");
+        assert!(answers.contains("first") && !cross, "{answers}");
+        assert!(answers.contains("own"), "{answers}");
+    }
+}
+
+/// The caller leaves while the server works: the server sees its connection end
+/// at once, and no later request is put on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_frees_the_server() {
+    let fine = vec![Act::Request, Act::answer("own")];
+    let server = RawServer::start(vec![vec![Act::Request, Act::Hang], fine])
+        .await
+        .unwrap();
+    let path = Path::start(server.address);
+    let mut caller = TcpStream::connect(path.address).await.unwrap();
+    caller.write_all(POST).await.unwrap();
+    until("the request", || server.runs() == 1).await;
+    assert_eq!(server.closed(), 0);
+    drop(caller);
+    until("the end of the connection", || server.closed() == 1).await;
+    let next = post(path.address, "/kegs/bar-7", "2", "hi").await.unwrap();
+    assert_eq!(next.body, "own");
+}
+
+/// The caller leaves in the midst of a long answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_during_the_answer_frees_the_server() {
+    let part = "HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\npart";
+    let script = vec![Act::Request, Act::write(part), Act::Hang];
+    let server = RawServer::start(vec![script]).await.unwrap();
+    let path = Path::start(server.address);
+    let mut caller = TcpStream::connect(path.address).await.unwrap();
+    caller.write_all(POST).await.unwrap();
+    let begin = read_all(&mut caller, SHORT).await;
+    assert!(begin.ends_with("part"), "{begin}");
+    drop(caller);
+    until("the end of the connection", || server.closed() == 1).await;
+}
+
+/// The server answers before it has read the upload, and keeps its connection.
+/// The rest of the body must not be taken for a new request there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_with_half_a_request_is_not_used_again() {
+    let fine = vec![Act::Request, Act::answer("own")];
+    let early = vec![Act::Head, Act::answer("early"), Act::Hang];
+    let server = RawServer::start(vec![early, fine]).await.unwrap();
+    let path = Path::start(server.address);
+    let half = b"POST /kegs/bar-7 HTTP/1.1\r\nhost: a\r\ncontent-length: 9000\r\n\r\nhalf";
+    let first = path.raw(half, SHORT).await;
+    assert!(first.contains("early"), "{first}");
+    until("the end of the connection", || server.closed() == 1).await;
+    let next = post(path.address, "/kegs/bar-7", "2", "hi").await.unwrap();
+    assert_eq!(next.body, "own");
+}
+
+/// The server learns how long it may take: the caller's time, less what is spent.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_deadline_is_passed_on() {
+    let fine = vec![Act::Request, Act::answer("own")];
+    let server = RawServer::start(vec![fine]).await.unwrap();
+    let path = Path::start(server.address);
+    path.raw(POST_300_MS, SHORT).await;
+    path.raw(POST, SHORT).await;
+    let told = |number| {
+        let text = server.text(number);
+        let line = text
+            .lines()
+            .find_map(|l| l.strip_prefix("citron-timeout-ms: "));
+        line.and_then(|millis| millis.parse::<u64>().ok()).unwrap()
+    };
+    assert!((1..=300).contains(&told(0)), "{}", told(0));
+    assert!((301..=5_000).contains(&told(1)), "{}", told(1));
+}
+
+/// A connection that worked goes silent for good: whatever is written to it is
+/// lost. New ones work. An idempotent request gets its answer by a second
+/// connection long before its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_is_replaced() {
+    let silent = vec![Act::Request, Act::answer("one"), Act::Hang];
+    let fine = vec![Act::Request, Act::answer("two")];
+    let server = RawServer::start(vec![silent, fine]).await.unwrap();
+    let path = Path::start(server.address);
+    assert_eq!(get(path.address, "/kegs/bar-7").await.unwrap().body, "one");
+    let begun = Instant::now();
+    let reply = get(path.address, "/kegs/bar-7").await.unwrap();
+    assert_eq!(reply.body, "two");
+    assert!(begun.elapsed() < Duration::from_secs(4));
+}
+
+/// The same, but the connection has been idle, and the request may run only once:
+/// it is not put on a connection without a fresh sign of life.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_avoids_old_connections() {
+    let silent = vec![Act::Request, Act::answer("one"), Act::Hang];
+    let fine = vec![Act::Request, Act::answer("two")];
+    let server = RawServer::start(vec![silent, fine]).await.unwrap();
+    let path = Path::start(server.address);
+    assert_eq!(get(path.address, "/kegs/bar-7").await.unwrap().body, "one");
+    sleep(Duration::from_millis(1_300)).await;
+    let reply = post(path.address, "/kegs/bar-7", "2", "hi").await.unwrap();
+    assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"two"[..]));
+}
+
+fn edit_owner(path: &mut Path, phase: &Phase, epoch: u64) {
+    for row in &mut path.rows {
+        if let Row::Block(block) = row {
+            for shard in &mut block.shards {
+                shard.phase = phase.clone();
+                shard.epoch = Epoch(epoch);
+            }
+        }
+    }
+}
+
+/// A planned move: the key's owner is released, and named again 400 ms later.
+/// Requests of that time wait and are answered; none is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_wait_for_a_move_to_end() {
+    let fine = vec![Act::Request, Act::answer("own")];
+    let server = RawServer::start(vec![fine]).await.unwrap();
+    let mut path = Path::start(server.address);
+    let releasing = Phase::Releasing { to: server_1() };
+    edit_owner(&mut path, &releasing, 2);
+    path.publish(2, LONG);
+    let address = path.address;
+    let waiting = tokio::spawn(async move { post(address, "/kegs/bar-7", "1", "hi").await });
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(server.begun(), 0, "written while nobody owns the key");
+    edit_owner(&mut path, &Phase::Owned, 3);
+    path.publish(3, LONG);
+    let reply = waiting.await.unwrap().unwrap();
+    assert_eq!(reply.body, "own");
+    assert!(server.text(0).contains("citron-epoch: 3"));
+}
+
+/// Nobody is named in time: the caller is told at once after the short wait, well
+/// before its own deadline, that nothing ran and when to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_that_lasts_is_told() {
+    let server = RawServer::start(vec![vec![Act::Hang]]).await.unwrap();
+    let mut path = Path::start(server.address);
+    let releasing = Phase::Releasing { to: server_1() };
+    edit_owner(&mut path, &releasing, 2);
+    path.publish(2, LONG);
+    let begun = Instant::now();
+    let reply = post(path.address, "/kegs/bar-7", "1", "hi").await.unwrap();
+    assert_eq!(reply.status.as_u16(), 503);
+    assert_eq!(reply.header("citron-outcome"), "not-run");
+    assert_eq!(reply.header("retry-after"), "1");
+    assert!(begun.elapsed() < Duration::from_secs(4));
+}
+
+/// Control asks when a server gets nothing more under an older revision. It is
+/// told only after the request under way has its whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn quiet_waits_for_requests_under_way() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nha";
+    let pause = Act::Pause(SHORT);
+    let script = vec![
+        Act::Request,
+        pause.clone(),
+        Act::write(head),
+        pause,
+        Act::write("lf"),
+    ];
+    let server = RawServer::start(vec![script]).await.unwrap();
+    let path = Path::start(server.address);
+    let address = path.address;
+    let call = tokio::spawn(async move { get(address, "/kegs/bar-7").await.unwrap() });
+    until("the request", || server.runs() == 1).await;
+    let (handle, server_1) = (path.handle.clone(), server_1());
+    let quiet = handle.quiet(&server_1, Revision(2));
+    assert!(
+        timeout(SHORT / 4, quiet).await.is_err(),
+        "quiet before the publication"
+    );
+    path.publish(2, LONG);
+    assert!(
+        timeout(SHORT / 4, handle.quiet(&server_1, Revision(2)))
+            .await
+            .is_err()
+    );
+    timeout(
+        LONG,
+        handle.quiet(&"server-2".parse().unwrap(), Revision(2)),
+    )
+    .await
+    .unwrap();
+    timeout(LONG, handle.quiet(&server_1, Revision(2)))
+        .await
+        .unwrap();
+    assert!(timeout(LONG, call).await.unwrap().unwrap().body == "half");
+    let load = handle.load().await;
+    assert_eq!((load.len(), load[0].count), (1, 1));
+    assert!(load[0].busy >= SHORT, "{load:?}");
+    assert_eq!(handle.load().await, Vec::new());
+}
+
+/// The caller left, but the server was told that it may run the request for
+/// 300 ms. It may still do so, and control must not take it for quiet.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_abandoned_request_counts_until_its_deadline() {
+    let server = RawServer::start(vec![vec![Act::Request, Act::Hang]])
+        .await
+        .unwrap();
+    let path = Path::start(server.address);
+    let mut caller = TcpStream::connect(path.address).await.unwrap();
+    let begun = Instant::now();
+    let post = String::from_utf8_lossy(POST_300_MS).replace(": 300", ": 1500");
+    caller.write_all(post.as_bytes()).await.unwrap();
+    until("the request", || server.runs() == 1).await;
+    drop(caller);
+    until("the end of the connection", || server.closed() == 1).await;
+    path.publish(2, LONG);
+    path.handle.quiet(&server_1(), Revision(2)).await;
+    assert!(begun.elapsed() >= Duration::from_millis(1_400));
+}
--- a/crates/citronproxy/tests/support/mod.rs
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -4,10 +4,12 @@
 
 mod call;
 mod instance;
+mod path;
 mod rows;
 
 pub use {
     call::{Reply, call, get, post},
     instance::Instance,
+    path::{LONG, Path, read_all},
     rows::{Sample, commit, domain_row, sample},
 };
--- /dev/null
+++ b/crates/citronproxy/tests/support/path.rs
@@ -0,0 +1,111 @@
+//! The traffic threads within the test, under a table of its own.
+
+use {
+    super::{Sample, rows::sample},
+    citron_core::{
+        id::Revision,
+        membership::Confirmation,
+        routing::{RouteMap, Snapshot},
+        table::{Changes, Fencing, Row, Table},
+    },
+    citronproxy::{
+        clock::Clock,
+        traffic::{Limits, TrafficHandle, Workers, start_with},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+/// How long a test waits for anything.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// One traffic thread and what control would do for it.
+pub struct Path {
+    pub address: SocketAddr,
+    pub handle: TrafficHandle,
+    pub clock: Clock,
+    pub workers: Workers,
+    pub rows: Vec<Row>,
+}
+
+impl Path {
+    /// Routes the service `kegs` to one server, `server-1`.
+    pub fn start(server: SocketAddr) -> Self {
+        Self::start_with(server, Limits::default(), |_| {})
+    }
+
+    /// As [`Self::start`], with limits and changed rows.
+    pub fn start_with(server: SocketAddr, limits: Limits, edit: impl Fn(&mut Row)) -> Self {
+        let servers = vec![("server-1".to_string(), "harbour".to_string(), server)];
+        let fencing = Fencing::Checked;
+        let mut rows = sample(&Sample { servers, fencing });
+        rows.iter_mut().for_each(edit);
+        let handle = TrafficHandle::default();
+        let clock = Clock::start();
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let workers = start_with(any, 1, &handle, clock, limits).expect("threads start");
+        let path = Self {
+            address: workers.address,
+            handle,
+            clock,
+            workers,
+            rows,
+        };
+        path.publish(1, LONG);
+        path
+    }
+
+    /// Publishes the rows under a revision, with a leave of this length.
+    pub fn publish(&self, revision: u64, leave: Duration) {
+        let now = self.clock.now();
+        self.handle.publish(Snapshot {
+            map: Arc::new(RouteMap::build(&table(&self.rows, revision))),
+            confirmation: Confirmation {
+                anywhere: now + leave,
+                platform: now,
+                domain: now + leave,
+            },
+            domain: "harbour".parse().expect("a name"),
+        });
+    }
+
+    /// Sends bytes on a new connection and reads until its end, or until nothing
+    /// came for `wait`.
+    pub async fn raw(&self, bytes: &[u8], wait: Duration) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("connects");
+        // The instance may refuse and close before it has read all.
+        let _ = stream.write_all(bytes).await;
+        read_all(&mut stream, wait).await
+    }
+}
+
+fn table(rows: &[Row], revision: u64) -> Table {
+    let rows = rows
+        .iter()
+        .map(|row| (row.key(), Revision(1), Some(row.clone())));
+    let changes = Changes {
+        since: Revision(0),
+        revision: Revision(revision),
+        rows: rows.collect(),
+    };
+    let mut table = Table::default();
+    table.apply(changes).expect("no gap");
+    table
+}
+
+/// Reads until the end, or until nothing came for `wait`.
+pub async fn read_all(stream: &mut TcpStream, wait: Duration) -> String {
+    let mut text = Vec::new();
+    let mut buffer = [0; 16 * 1_024];
+    while let Ok(Ok(read)) = timeout(wait, stream.read(&mut buffer)).await {
+        if read == 0 {
+            break;
+        }
+        text.extend_from_slice(&buffer[..read]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod backend;
 pub mod platform;
+pub mod raw;
 
 mod http;
--- /dev/null
+++ b/crates/fakes/src/raw/mod.rs
@@ -0,0 +1,7 @@
+//! A backend server on raw sockets: it breaks off, answers late, twice or in
+//! part, wherever its script says.
+
+mod act;
+mod server;
+
+pub use {act::Act, server::RawServer};
