core: placement by load, with a move budget, hold time, caps and warm-up

Orphans go at once by weighted rendezvous with bounded load; balance takes the move that leaves the fuller end emptiest, within the budget, once an imbalance has lasted.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod membership;
 pub mod ownership;
+pub mod placement;
 pub mod routing;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,252 @@
+//! Placement at today's sizes: 20 servers, 1,024 shards, zipf 0.99 load.
+
+use {
+    citron_core::{
+        id::{KeyHash, ServerName, ShardBits, ShardId, Weight},
+        ownership::Scope,
+        placement::{
+            Candidate, HotChange, HotKeys, HotLimits, Load, Planner, PlannerLimits, Proposal,
+            Reason, ScopeLoad, View,
+        },
+        table::MoveBudget,
+        time::Time,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+const KEYS: u64 = 100_000;
+const SERVERS: usize = 20;
+const TOTAL: f64 = 60_000_000.0;
+
+fn name(number: usize) -> ServerName {
+    format!("server-{number:02}").parse().unwrap()
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    let make = |number| Candidate {
+        name: name(number),
+        weight: Weight(100),
+        warmth: 100,
+        cap: None,
+    };
+    (0..count).map(make).collect()
+}
+
+/// Load of the keys by rank, zipf with exponent 0.99.
+fn key_loads() -> Vec<(KeyHash, Load)> {
+    let weights: Vec<f64> = (1..=KEYS).map(|rank| (rank as f64).powf(-0.99)).collect();
+    let sum: f64 = weights.iter().sum();
+    let load = |weight: &f64| Load((weight / sum * TOTAL) as u64);
+    let keys = (0..KEYS).map(|number| KeyHash::of(format!("set-{number}").as_bytes()));
+    keys.zip(weights.iter().map(load)).collect()
+}
+
+/// A service of 1,024 shards.
+fn view(servers: usize, out: &[KeyHash]) -> View {
+    view_of(10, servers, out)
+}
+
+/// A service whose keys in `out` are owned alone; nothing has an owner yet.
+fn view_of(bits: u8, servers: usize, out: &[KeyHash]) -> View {
+    let bits = ShardBits::new(bits).unwrap();
+    let shards = (0..bits.shards()).map(|shard| (Scope::Shard(ShardId(shard)), 0));
+    let mut loads: BTreeMap<Scope, u64> = shards.collect();
+    for (key, load) in key_loads() {
+        let scope = match out.contains(&key) {
+            true => Scope::Key(key),
+            false => Scope::Shard(bits.shard_of(key)),
+        };
+        *loads.entry(scope).or_default() += load.0;
+    }
+    let scopes = loads.into_iter().map(|(scope, load)| ScopeLoad {
+        scope,
+        owner: None,
+        load: Load(load),
+        rate: 0,
+        moving: false,
+    });
+    View {
+        servers: candidates(servers),
+        scopes: scopes.collect(),
+        moves: MoveBudget {
+            minute: 1_000,
+            threshold: 105,
+        },
+    }
+}
+
+fn apply(view: &mut View, moves: &[Proposal]) {
+    for change in moves {
+        let found = view
+            .scopes
+            .iter_mut()
+            .find(|scope| scope.scope == change.scope);
+        found.expect("a known scope").owner = Some(change.to.clone());
+    }
+}
+
+/// Load of the fullest server over the mean, in percent.
+fn imbalance(view: &View) -> u64 {
+    let mut loads: BTreeMap<&ServerName, u64> = view
+        .servers
+        .iter()
+        .map(|server| (&server.name, 0))
+        .collect();
+    for scope in &view.scopes {
+        *loads
+            .get_mut(scope.owner.as_ref().expect("owned"))
+            .expect("known") += scope.load.0;
+    }
+    let total: u64 = loads.values().sum();
+    loads.values().max().unwrap() * 100 * loads.len() as u64 / total
+}
+
+fn settle(view: &mut View, planner: &mut Planner, mut now: Time) -> Vec<Proposal> {
+    let mut all = Vec::new();
+    for _ in 0..40 {
+        let moves = planner.plan(view, now);
+        apply(view, &moves);
+        all.extend(moves);
+        now = now + Duration::from_secs(15);
+    }
+    all
+}
+
+/// The keys that the tracker takes out after the hold time.
+fn hot_keys() -> Vec<KeyHash> {
+    let loads = key_loads();
+    let mean = Load(TOTAL as u64 / SERVERS as u64);
+    let watched: Vec<_> = loads
+        .iter()
+        .take(400)
+        .map(|(key, load)| (*key, *load, false))
+        .collect();
+    let mut hot = HotKeys::new(HotLimits::default());
+    assert!(hot.step(&watched, mean, Time::ZERO).is_empty());
+    let changes = hot.step(&watched, mean, Time::ZERO + Duration::from_secs(10));
+    let out = changes.iter().map(|change| match change {
+        HotChange::Out(key) => *key,
+        HotChange::Back(_) => panic!("nothing is out yet"),
+    });
+    out.collect()
+}
+
+/// Imbalance by shard count, with hot keys left in their shards or owned alone.
+/// With 20 servers the hottest key alone is more than a server's share: that is
+/// the floor. With 8 servers the aim of 1.10 is met at each shard count, and taking
+/// hot keys out makes little difference to it.
+#[test]
+fn imbalance_at_zipf_load() {
+    let out = hot_keys();
+    let hottest = key_loads()[0].1.0 * 100 * SERVERS as u64 / TOTAL as u64;
+    let settled = |bits, servers, out: &[KeyHash]| {
+        let mut view = view_of(bits, servers, out);
+        settle(&mut view, &mut Planner::default(), Time::ZERO);
+        imbalance(&view)
+    };
+    let mut lines = vec![format!(
+        "keys out {}, floor of 20 servers {hottest}%",
+        out.len()
+    )];
+    for (bits, servers) in [(6, 8), (8, 8), (10, 8), (12, 8), (6, 20), (8, 20), (10, 20)] {
+        let left = settled(bits, servers, &[]);
+        let alone = settled(bits, servers, &out);
+        let shards = 1 << bits;
+        lines.push(format!(
+            "{servers} servers, {shards} shards: in {left}%, alone {alone}%"
+        ));
+        if servers == 8 {
+            assert!(alone <= 110 && left <= 110);
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+    assert!(settled(10, SERVERS, &out) <= hottest);
+}
+
+/// One server is lost. Its shards get new owners at once, whatever the budget;
+/// no shard of another server moves for it.
+#[test]
+fn a_lost_server_moves_only_its_own_shards() {
+    let mut view = view(SERVERS, &[]);
+    let mut planner = Planner::default();
+    settle(&mut view, &mut planner, Time::ZERO);
+    view.moves.minute = 0;
+    let lost = view.servers.remove(3).name;
+    let before: Vec<ScopeLoad> = view.scopes.clone();
+    let moves = Planner::default().plan(&view, Time::ZERO + Duration::from_secs(3_600));
+    let owned = before
+        .iter()
+        .filter(|scope| scope.owner.as_ref() == Some(&lost));
+    let owned: Vec<Scope> = owned.map(|scope| scope.scope).collect();
+    assert!(!owned.is_empty());
+    let mut moved: Vec<Scope> = moves.iter().map(|change| change.scope).collect();
+    moved.sort();
+    assert_eq!(moved, owned);
+    assert!(moves.iter().all(|change| change.reason == Reason::Orphan));
+}
+
+/// A weight is halved and set back within the hold time: nothing moves. Set back
+/// later, no shard moves more than once on the way back.
+#[test]
+fn a_weight_set_back_moves_nothing_twice() {
+    let out = hot_keys();
+    let mut view = view(8, &out);
+    let mut planner = Planner::new(PlannerLimits::default());
+    settle(&mut view, &mut planner, Time::ZERO);
+    let start = Time::ZERO + Duration::from_secs(3_600);
+
+    view.servers[5].weight = Weight(50);
+    let dip = planner.plan(&view, start);
+    view.servers[5].weight = Weight(100);
+    let back = planner.plan(&view, start + Duration::from_secs(9));
+    assert_eq!((dip.len(), back.len()), (0, 0));
+
+    view.servers[5].weight = Weight(50);
+    let away = settle(&mut view, &mut planner, start + Duration::from_secs(60));
+    assert!(!away.is_empty());
+    view.servers[5].weight = Weight(100);
+    let returned = settle(&mut view, &mut planner, start + Duration::from_secs(3_600));
+    let mut scopes: Vec<Scope> = returned.iter().map(|change| change.scope).collect();
+    scopes.sort();
+    scopes.dedup();
+    assert_eq!(scopes.len(), returned.len());
+    assert!(imbalance(&view) <= 110);
+}
+
+/// An imbalance that lasts is mended no faster than the budget allows: a new
+/// server joins, nothing moves for the hold time, then a minute's moves at once
+/// and one more every 15 seconds.
+#[test]
+fn balance_keeps_to_its_budget() {
+    let out = hot_keys();
+    let mut view = view(8, &out);
+    settle(&mut view, &mut Planner::default(), Time::ZERO);
+    view.moves.minute = 4;
+    view.servers.extend(candidates(9).pop());
+    let mut planner = Planner::default();
+    let mut counts = Vec::new();
+    for seconds in [0, 9, 10, 25, 40, 70] {
+        let moves = planner.plan(&view, Time::ZERO + Duration::from_secs(seconds));
+        apply(&mut view, &moves);
+        counts.push(moves.len());
+    }
+    assert_eq!(counts, [0, 0, 4, 1, 1, 2]);
+}
+
+/// A capped server is over its cap although its load is small.
+#[test]
+fn a_cap_moves_load_away() {
+    let mut view = view(4, &[]);
+    for scope in &mut view.scopes {
+        scope.rate = 1;
+    }
+    settle(&mut view, &mut Planner::default(), Time::ZERO);
+    view.servers[0].cap = Some(100);
+    settle(&mut view, &mut Planner::default(), Time::ZERO);
+    let owned = view
+        .scopes
+        .iter()
+        .filter(|scope| scope.owner == Some(name(0)));
+    let rate: u32 = owned.map(|scope| scope.rate).sum();
+    assert!(rate <= 105, "{rate}");
+}
