--- a/crates/citronproxy/tests/settings.rs
+++ b/crates/citronproxy/tests/settings.rs
@@ -48,3 +48,19 @@
     let lines = cases.map(|(case, text)| format!("{case}: {}", error_of(&text)));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn example_settings_load() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings");
+    let entries = std::fs::read_dir(folder).unwrap();
+    let names = entries.map(|entry| {
+        let path = entry.unwrap().path();
+        Settings::load(&path)
+            .expect("a valid example")
+            .instance
+            .to_string()
+    });
+    let mut names: Vec<String> = names.collect();
+    names.sort();
+    assert_eq!(names, ["kingston-entry-1", "sudvestur-entry-1"]);
+}
