core: the next route map is made from what changed

Ruled out: the table's apply, which is a map insert. Change: servers keep their index, an unchanged service is shared, a changed one is a copy of its slots patched by block; neighbours with one owner share a look-up.

--- /dev/null
+++ b/crates/core/examples/slopes.rs
@@ -0,0 +1,169 @@
+//! Measures what state costs per shard, for docs/CAPACITY.md. One size a run, so
+//! that no run gets memory that an earlier one gave back:
+//! `cargo run --release -p citron-core --example slopes -- BITS`, with the
+//! base-two logarithm of the shard count.
+
+use {
+    citron_core::{
+        id::{Epoch, KeyHash, Revision, ServerName, ServiceName, ShardBits, Slots, Weight},
+        ownership::Assignment,
+        routing::RouteMap,
+        table::{
+            BLOCK_SHARDS, BlockId, BlockRow, Changes, Fencing, KeyRule, MoveBudget, Objectives,
+            Row, RowKey, ServerRow, ServerState, ServiceRow, Table,
+        },
+    },
+    std::{
+        fs,
+        hint::black_box,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Shards of one server.
+const SHARDS_SERVER: u32 = 64;
+const LOOKUPS: u64 = 2_000_000;
+
+fn main() {
+    println!("shards   table B/shard  map B/shard  build ns/shard  one block ms  lookup ns");
+    let bits = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    measure(bits.unwrap_or(18));
+}
+
+fn measure(bits: u8) {
+    let shards = 1_u32 << bits;
+    let before = resident();
+    let mut table = Table::default();
+    let changes = Changes {
+        since: Revision(0),
+        revision: Revision(1),
+        rows: rows(bits),
+    };
+    table.apply(changes).expect("from the start");
+    let with_table = resident();
+    let begun = Instant::now();
+    let map = RouteMap::build(&table);
+    let built = begun.elapsed();
+    let with_map = resident();
+    let block = one_block(&mut table, &map);
+    println!(
+        "{shards:>7}  {:>12.1}  {:>11.1}  {:>14.1}  {:>12.2}  {:>9.1}",
+        per_shard(with_table - before, shards),
+        per_shard(with_map - with_table, shards),
+        built.as_nanos() as f64 / f64::from(shards),
+        block.as_secs_f64() * 1e3,
+        lookup(&map),
+    );
+}
+
+fn per_shard(bytes: i64, shards: u32) -> f64 {
+    bytes as f64 / f64::from(shards)
+}
+
+/// From a changed block to the next map.
+fn one_block(table: &mut Table, map: &RouteMap) -> Duration {
+    let (key, row) = block(0, 2);
+    let changed = [key.clone()];
+    let changes = Changes {
+        since: Revision(1),
+        revision: Revision(2),
+        rows: vec![(key, Revision(2), Some(row))],
+    };
+    let begun = Instant::now();
+    table.apply(changes).expect("next");
+    black_box(map.next(table, &changed));
+    begun.elapsed()
+}
+
+fn lookup(map: &RouteMap) -> f64 {
+    let begun = Instant::now();
+    for number in 0..LOOKUPS {
+        let service = map.service("any", "/kegs/1").expect("the service");
+        let key = KeyHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        black_box(service.route(key));
+    }
+    begun.elapsed().as_nanos() as f64 / LOOKUPS as f64
+}
+
+fn service_name() -> ServiceName {
+    "balances".parse().expect("a name")
+}
+
+fn server_name(number: u32) -> ServerName {
+    format!("server-{number:05}").parse().expect("a name")
+}
+
+fn rows(bits: u8) -> Vec<(RowKey, Revision, Option<Row>)> {
+    let shards = 1_u32 << bits;
+    let mut rows = vec![Row::Service(service(bits))];
+    rows.extend((0..shards / SHARDS_SERVER).map(|number| Row::Server(server(number))));
+    let blocks = (0..shards / BLOCK_SHARDS).map(|number| block(number, 1).1);
+    rows.extend(blocks);
+    rows.into_iter()
+        .map(|row| (row.key(), Revision(1), Some(row)))
+        .collect()
+}
+
+fn block(number: u32, epoch: u64) -> (RowKey, Row) {
+    let first = number * BLOCK_SHARDS;
+    let owner = |shard: u32| Assignment::owned(server_name(shard / SHARDS_SERVER), Epoch(epoch));
+    let row = Row::Block(BlockRow {
+        service: service_name(),
+        block: BlockId(number),
+        shards: (first..first + BLOCK_SHARDS).map(owner).collect(),
+    });
+    (row.key(), row)
+}
+
+fn service(bits: u8) -> ServiceRow {
+    ServiceRow {
+        name: service_name(),
+        operator: "authority".parse().expect("a name"),
+        hosts: Vec::new(),
+        prefix: "/kegs".to_string(),
+        key: KeyRule::Segment(1),
+        idempotent: vec!["GET".to_string()],
+        shards: ShardBits::new(bits).expect("few enough"),
+        deadline: Duration::from_secs(5),
+        grace: Duration::from_secs(30),
+        moves: MoveBudget {
+            minute: 10,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(19),
+            slower: 10_000,
+        },
+    }
+}
+
+fn server(number: u32) -> ServerRow {
+    ServerRow {
+        name: server_name(number),
+        service: service_name(),
+        domain: "harbour".parse().expect("a name"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Checked,
+        state: ServerState::Active,
+    }
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> i64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| {
+        line.trim()
+            .trim_end_matches(" kB")
+            .trim()
+            .parse::<i64>()
+            .ok()
+    });
+    kib.unwrap_or(0) * 1024
+}
--- a/crates/core/src/routing/map.rs
+++ b/crates/core/src/routing/map.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        id::{Epoch, KeyHash, Revision, ServerName, ShardId},
+        id::{Epoch, KeyHash, Revision, ServerName, ServiceName, ShardId},
         ownership::{Assignment, Scope},
-        table::{BlockRow, OverrideRow, Row, ServerRow, ServiceRow, Table},
+        table::{BLOCK_SHARDS, BlockId, BlockRow, Row, RowKey, ServerRow, ServiceRow, Table},
     },
     rustc_hash::FxHashMap,
-    std::{collections::BTreeMap, sync::Arc},
+    std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
 
 /// Where a server stands in [`RouteMap::servers`].
@@ -34,6 +34,18 @@
     open: bool,
 }
 
+impl Slot {
+    fn new(server: ServerIndex, assignment: &Assignment) -> Self {
+        Self {
+            server,
+            epoch: assignment.epoch,
+            open: assignment.is_open(),
+        }
+    }
+}
+
+type ServerIndexes = BTreeMap<ServerName, ServerIndex>;
+
 /// The keys of one service.
 #[derive(Debug, Clone)]
 pub struct ServiceRoutes {
@@ -63,6 +75,47 @@
     fn slot(&self, shard: ShardId) -> Option<Slot> {
         self.slots.get(shard.0 as usize).copied().flatten()
     }
+
+    fn new(row: ServiceRow) -> Self {
+        Self {
+            slots: vec![None; row.shards.shards() as usize],
+            overrides: FxHashMap::default(),
+            row,
+        }
+    }
+
+    fn fill_block(&mut self, block: &BlockRow, index: &ServerIndexes) {
+        let first = block.block.first_shard().0 as usize;
+        // Neighbours mostly have one owner, whose look-up then serves all.
+        let mut last: Option<(&ServerName, Option<ServerIndex>)> = None;
+        for (slot, shard) in self.slots.iter_mut().skip(first).zip(&block.shards) {
+            let server = match last {
+                Some((owner, server)) if *owner == shard.owner => server,
+                _ => index.get(&shard.owner).copied(),
+            };
+            last = Some((&shard.owner, server));
+            *slot = server.map(|server| Slot::new(server, shard));
+        }
+    }
+
+    fn clear_block(&mut self, block: BlockId) {
+        let first = block.first_shard().0 as usize;
+        let slots = self.slots.iter_mut().skip(first);
+        for slot in slots.take(BLOCK_SHARDS as usize) {
+            *slot = None;
+        }
+    }
+
+    fn set_override(&mut self, key: KeyHash, row: Option<&Row>, index: &ServerIndexes) {
+        let Some(Row::Override(row)) = row else {
+            self.overrides.remove(&key);
+            return;
+        };
+        match index.get(&row.owner.owner) {
+            Some(server) => self.overrides.insert(key, Slot::new(*server, &row.owner)),
+            None => self.overrides.remove(&key),
+        };
+    }
 }
 
 /// All services and servers as of one revision; never changed once built.
@@ -72,12 +125,82 @@
     pub revision: Revision,
     services: Vec<Arc<ServiceRoutes>>,
     servers: Vec<Arc<ServerRow>>,
+    index: Arc<ServerIndexes>,
 }
 
 impl RouteMap {
     /// Builds the map from the table.
     pub fn build(table: &Table) -> Self {
-        Builder::default().build(table)
+        build(table)
+    }
+
+    /// The map for a table of which only the rows under `changed` differ from
+    /// the one that this map was built from.
+    ///
+    /// What did not change is shared with this map: a move of one shard costs a
+    /// copy of its service's slots, not a look at every assignment.
+    pub fn next(&self, table: &Table, changed: &[RowKey]) -> Self {
+        let patchable = changed.iter().all(|key| self.is_patchable(table, key));
+        if !patchable {
+            return Self::build(table);
+        }
+        let mut map = Self {
+            revision: table.revision(),
+            services: self.services.clone(),
+            servers: self.servers.clone(),
+            index: Arc::clone(&self.index),
+        };
+        for key in changed {
+            map.patch(table, key);
+        }
+        map
+    }
+
+    /// Whether a changed row leaves the list of services and servers as it is.
+    fn is_patchable(&self, table: &Table, key: &RowKey) -> bool {
+        match key {
+            RowKey::Service(_) => false,
+            RowKey::Server(name) => self.index.contains_key(name) && table.get(key).is_some(),
+            RowKey::Block(..) | RowKey::Override(..) => true,
+            RowKey::Domain(_) | RowKey::Instance(_) => true,
+        }
+    }
+
+    fn patch(&mut self, table: &Table, key: &RowKey) {
+        let row = table.get(key).map(|row| &row.value);
+        match (key, row) {
+            (RowKey::Server(name), Some(Row::Server(row))) => {
+                if let Some(index) = self.index.get(name) {
+                    self.servers[index.0 as usize] = Arc::new(row.clone());
+                }
+            }
+            (RowKey::Block(service, _), Some(Row::Block(row))) => {
+                self.patch_service(service, |routes, index| routes.fill_block(row, index));
+            }
+            (RowKey::Block(service, block), None) => {
+                self.patch_service(service, |routes, _| routes.clear_block(*block));
+            }
+            (RowKey::Override(service, key), row) => {
+                self.patch_service(service, |routes, index| {
+                    routes.set_override(*key, row, index)
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn patch_service(
+        &mut self,
+        name: &ServiceName,
+        patch: impl FnOnce(&mut ServiceRoutes, &ServerIndexes),
+    ) {
+        let found = self
+            .services
+            .iter_mut()
+            .find(|service| service.row.name == *name);
+        if let Some(service) = found {
+            patch(Arc::make_mut(service), &self.index);
+        }
     }
 
     /// The service for a host and path: the longest prefix wins, and among
@@ -115,67 +238,37 @@
     rest.is_empty() || prefix.ends_with('/') || rest.starts_with(['/', '?'])
 }
 
-#[derive(Default)]
-struct Builder {
-    map: RouteMap,
-    index: BTreeMap<ServerName, ServerIndex>,
-    blocks: Vec<BlockRow>,
-    overrides: Vec<OverrideRow>,
-}
-
-impl Builder {
-    fn build(mut self, table: &Table) -> RouteMap {
-        self.map.revision = table.revision();
-        let mut services = Vec::new();
-        for (_, row) in table.rows() {
-            match &row.value {
-                Row::Service(row) => services.push(row.clone()),
-                Row::Server(row) => self.add_server(row),
-                Row::Block(row) => self.blocks.push(row.clone()),
-                Row::Override(row) => self.overrides.push(row.clone()),
-                Row::Domain(_) | Row::Instance(_) => {}
+fn build(table: &Table) -> RouteMap {
+    let rows = table.rows().map(|(_, row)| &row.value);
+    let mut services = Vec::new();
+    let mut servers = Vec::new();
+    let mut index = BTreeMap::new();
+    for row in rows {
+        match row {
+            Row::Service(row) => services.push(ServiceRoutes::new(row.clone())),
+            Row::Server(row) => {
+                index.insert(row.name.clone(), ServerIndex(servers.len() as u32));
+                servers.push(Arc::new(row.clone()));
             }
+            Row::Block(_) | Row::Override(_) | Row::Domain(_) | Row::Instance(_) => {}
         }
-        services.sort_by_key(|row| (usize::MAX - row.prefix.len(), row.hosts.is_empty()));
-        for row in services {
-            let routes = self.service_routes(row);
-            self.map.services.push(Arc::new(routes));
-        }
-        self.map
     }
-
-    fn add_server(&mut self, row: &ServerRow) {
-        let index = ServerIndex(self.map.servers.len() as u32);
-        self.index.insert(row.name.clone(), index);
-        self.map.servers.push(Arc::new(row.clone()));
-    }
-
-    fn service_routes(&self, row: ServiceRow) -> ServiceRoutes {
-        let mut slots = vec![None; row.shards.shards() as usize];
-        for block in self.blocks.iter().filter(|b| b.service == row.name) {
-            self.fill_block(&mut slots, block);
-        }
-        let own = self.overrides.iter().filter(|o| o.service == row.name);
-        let overrides = own.filter_map(|o| Some((o.key, self.slot(&o.owner)?)));
-        ServiceRoutes {
-            slots,
-            overrides: overrides.collect(),
-            row,
-        }
-    }
-
-    fn fill_block(&self, slots: &mut [Option<Slot>], block: &BlockRow) {
-        let first = block.block.first_shard().0 as usize;
-        for (slot, shard) in slots.iter_mut().skip(first).zip(&block.shards) {
-            *slot = self.slot(shard);
+    services.sort_by_key(|routes| {
+        (
+            Reverse(routes.row.prefix.len()),
+            routes.row.hosts.is_empty(),
+        )
+    });
+    let mut map = RouteMap {
+        revision: table.revision(),
+        services: services.into_iter().map(Arc::new).collect(),
+        servers,
+        index: Arc::new(index),
+    };
+    for (key, _) in table.rows() {
+        if matches!(key, RowKey::Block(..) | RowKey::Override(..)) {
+            map.patch(table, key);
         }
     }
-
-    fn slot(&self, shard: &Assignment) -> Option<Slot> {
-        Some(Slot {
-            server: *self.index.get(&shard.owner)?,
-            epoch: shard.epoch,
-            open: shard.is_open(),
-        })
-    }
+    map
 }
