--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,5 +1,15 @@
 //! Which instances there are, and until when each may route.
 
 mod confirmation;
+mod error;
+mod member;
+mod relays;
+mod roster;
 
-pub use confirmation::Confirmation;
+pub use {
+    confirmation::{Confirmation, Remaining},
+    error::JoinError,
+    member::Member,
+    relays::Relays,
+    roster::{Roster, longest_leave},
+};
--- /dev/null
+++ b/crates/core/src/membership/roster.rs
@@ -0,0 +1,159 @@
+//! The instances that the table lists.
+
+use {
+    super::{JoinError, Member},
+    crate::{
+        id::{InstanceId, Revision},
+        ownership::{Rules, Spans, Strict},
+        table::{Commit, InstanceRow, InstanceState, Row, RowKey, Table, Write},
+        time::Time,
+    },
+    std::{collections::BTreeMap, marker::PhantomData, time::Duration},
+};
+
+/// Joining, leaving and being expelled, from the rows of instances.
+///
+/// A mover waits for every listed start of an instance, and for no other. So a
+/// start must be listed before it routes on reads of its own, and its row may
+/// only go once it can route no more: it has stopped by itself, or it was
+/// marked as expelled and its leave has run out since. An expelled start that
+/// sees its row stops at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Roster<R: Rules = Strict> {
+    spans: Spans,
+    /// When each expulsion was first seen in the table.
+    expelled: BTreeMap<Member, Time>,
+    rules: PhantomData<R>,
+}
+
+impl<R: Rules> Roster<R> {
+    /// A roster that has seen no table yet.
+    pub fn new(spans: Spans) -> Self {
+        Self {
+            spans,
+            expelled: BTreeMap::new(),
+            rules: PhantomData,
+        }
+    }
+
+    /// Notes which expulsions the table shows; call it with each newer table.
+    pub fn see(&mut self, table: &Table, now: Time) {
+        let mut seen = BTreeMap::new();
+        for row in instances(table) {
+            if row.state == InstanceState::Expelled {
+                let member = Member::of(row);
+                let at = self.expelled.get(&member).copied().unwrap_or(now);
+                seen.insert(member, at);
+            }
+        }
+        self.expelled = seen;
+    }
+
+    /// Whether this start is listed, and so may route on reads of its own under
+    /// this table. An unlisted one may route on relayed time only.
+    pub fn is_listed(table: &Table, member: &Member) -> bool {
+        let row = instance(table, &member.instance).map(|(_, row)| row);
+        row.is_some_and(|row| {
+            row.incarnation == member.incarnation && row.state != InstanceState::Expelled
+        })
+    }
+
+    /// The commit that lists an instance.
+    ///
+    /// # Errors
+    /// [`JoinError`] if another start holds the id and may still act.
+    pub fn join(&self, table: &Table, row: InstanceRow, now: Time) -> Result<Commit, JoinError> {
+        let Some((version, old)) = instance(table, &row.id) else {
+            return Ok(write(&row.id.clone(), Revision(0), Some(row)));
+        };
+        let same = old.incarnation == row.incarnation;
+        let found = old.incarnation;
+        if old.state != InstanceState::Expelled && !same {
+            let instance = row.id;
+            return Err(JoinError::Taken { instance, found });
+        }
+        if old.state == InstanceState::Expelled && !self.is_over(table, &Member::of(old), now) {
+            let instance = row.id;
+            return Err(JoinError::NotOver { instance, found });
+        }
+        Ok(write(&row.id.clone(), version, Some(row)))
+    }
+
+    /// The commit that says that a start takes no more callers.
+    pub fn leave(table: &Table, member: &Member) -> Option<Commit> {
+        Self::change(table, member, InstanceState::Leaving)
+    }
+
+    /// The commit by which a start that has stopped routing strikes itself off.
+    pub fn strike(table: &Table, member: &Member) -> Option<Commit> {
+        let (version, row) = instance(table, &member.instance)?;
+        let mine = row.incarnation == member.incarnation;
+        mine.then(|| write(&member.instance, version, None))
+    }
+
+    /// The commit that expels a start, for instance one that is surely lost.
+    pub fn expel(table: &Table, member: &Member) -> Option<Commit> {
+        Self::change(table, member, InstanceState::Expelled)
+    }
+
+    /// The commits that strike off expelled starts whose leave has run out.
+    pub fn clear(&self, table: &Table, now: Time) -> Vec<Commit> {
+        let over = |member: &&Member| self.is_over(table, member, now);
+        let members = self.expelled.keys().filter(over);
+        members.filter_map(|m| Self::strike(table, m)).collect()
+    }
+
+    fn is_over(&self, table: &Table, member: &Member, now: Time) -> bool {
+        let longest = longest_leave(table, self.spans);
+        let seen = self.expelled.get(member);
+        seen.is_some_and(|&at| now >= at + R::expulsion(longest))
+    }
+
+    fn change(table: &Table, member: &Member, state: InstanceState) -> Option<Commit> {
+        let (version, row) = instance(table, &member.instance)?;
+        let due = row.incarnation == member.incarnation
+            && row.state != state
+            && row.state != InstanceState::Expelled;
+        let row = InstanceRow {
+            state,
+            ..row.clone()
+        };
+        due.then(|| write(&member.instance, version, Some(row)))
+    }
+}
+
+/// The longest that any instance may route after its last read of the platform.
+pub fn longest_leave(table: &Table, spans: Spans) -> Duration {
+    let graces = table.rows().filter_map(|(_, row)| match &row.value {
+        Row::Service(row) => Some(row.grace),
+        _ => None,
+    });
+    graces.fold(spans.confirm, Duration::max)
+}
+
+fn instances(table: &Table) -> impl Iterator<Item = &InstanceRow> {
+    table.rows().filter_map(|(_, row)| match &row.value {
+        Row::Instance(row) => Some(row),
+        _ => None,
+    })
+}
+
+fn instance<'a>(table: &'a Table, id: &InstanceId) -> Option<(Revision, &'a InstanceRow)> {
+    let found = table.get(&RowKey::Instance(id.clone()))?;
+    match &found.value {
+        Row::Instance(row) => Some((found.version, row)),
+        _ => None,
+    }
+}
+
+fn write(id: &InstanceId, expect: Revision, row: Option<InstanceRow>) -> Commit {
+    let write = Write {
+        key: RowKey::Instance(id.clone()),
+        expect,
+        row: row.map(Row::Instance),
+    };
+    Commit {
+        writes: vec![write],
+        history: None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/begin.rs
@@ -0,0 +1,182 @@
+//! The first commit of a move.
+
+use {
+    super::{
+        Assignment, MoveError, Phase, Rules, Scope, Strict,
+        place::{assignment, replace, row_key, version},
+    },
+    crate::{
+        id::{Epoch, ServerName, ServiceName, ShardId},
+        table::{BlockId, Commit, Row, RowKey, ServerRow, ServerState, ServiceRow, Table, Write},
+    },
+};
+
+/// The commit that begins to move a scope to a server; a [`super::Mover`] does
+/// the rest. A shard that nobody has owned yet is simply assigned. A key that
+/// is still in its shard is taken out of it, and the shard's epoch is raised
+/// with the same commit, so that late requests for the key under the shard's
+/// old epoch are refused.
+///
+/// # Errors
+/// [`MoveError`]; nothing is to be committed then.
+pub fn begin_move(
+    table: &Table,
+    service: &ServiceName,
+    scope: Scope,
+    to: &ServerName,
+) -> Result<Commit, MoveError> {
+    begin_move_by::<Strict>(table, service, scope, to)
+}
+
+/// [`begin_move`] under other rules, for the model check.
+///
+/// # Errors
+/// As [`begin_move`].
+pub fn begin_move_by<R: Rules>(
+    table: &Table,
+    service: &ServiceName,
+    scope: Scope,
+    to: &ServerName,
+) -> Result<Commit, MoveError> {
+    let row = service_row(table, service)?;
+    check_target(table, service, to)?;
+    check_shard(row, scope)?;
+    let writes = match assignment(table, service, scope) {
+        Some(found) => {
+            let new = release::<R>(service, scope, found.value, to)?;
+            vec![replace(table, service, scope, found.version, new)]
+        }
+        None => match scope {
+            Scope::Shard(shard) => vec![assign(table, service, shard, to)?],
+            Scope::Key(key) => take_out::<R>(table, service, row.shards.shard_of(key), scope, to)?,
+        },
+    };
+    Ok(Commit {
+        writes,
+        history: None,
+    })
+}
+
+fn service_row<'a>(table: &'a Table, service: &ServiceName) -> Result<&'a ServiceRow, MoveError> {
+    let key = RowKey::Service(service.clone());
+    match table.get(&key).map(|found| &found.value) {
+        Some(Row::Service(row)) => Ok(row),
+        _ => Err(MoveError::UnknownService {
+            service: service.clone(),
+        }),
+    }
+}
+
+/// The row of a server, if the table has it.
+pub(super) fn server_row<'a>(table: &'a Table, server: &ServerName) -> Option<&'a ServerRow> {
+    let key = RowKey::Server(server.clone());
+    match table.get(&key).map(|found| &found.value) {
+        Some(Row::Server(row)) => Some(row),
+        _ => None,
+    }
+}
+
+fn check_target(table: &Table, service: &ServiceName, to: &ServerName) -> Result<(), MoveError> {
+    let server = to.clone();
+    let Some(row) = server_row(table, to) else {
+        return Err(MoveError::UnknownServer { server });
+    };
+    if row.service != *service {
+        return Err(MoveError::OtherService {
+            server,
+            found: row.service.clone(),
+            service: service.clone(),
+        });
+    }
+    if row.state != ServerState::Active {
+        let state = row.state;
+        return Err(MoveError::NotActive { server, state });
+    }
+    Ok(())
+}
+
+fn check_shard(row: &ServiceRow, scope: Scope) -> Result<(), MoveError> {
+    let last = row.shards.shards() - 1;
+    match scope {
+        Scope::Shard(shard) if shard.0 > last => Err(MoveError::NoShard {
+            service: row.name.clone(),
+            scope,
+            last,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn release<R: Rules>(
+    service: &ServiceName,
+    scope: Scope,
+    old: Assignment,
+    to: &ServerName,
+) -> Result<Assignment, MoveError> {
+    if let Phase::Releasing { to } = old.phase {
+        return Err(MoveError::Moving {
+            service: service.clone(),
+            scope,
+            to,
+        });
+    }
+    if old.owner == *to {
+        let server = to.clone();
+        return Err(MoveError::SameOwner { server, scope });
+    }
+    Ok(Assignment {
+        owner: old.owner,
+        epoch: R::release_epoch(old.epoch),
+        phase: Phase::Releasing { to: to.clone() },
+    })
+}
+
+fn assign(
+    table: &Table,
+    service: &ServiceName,
+    shard: ShardId,
+    to: &ServerName,
+) -> Result<Write, MoveError> {
+    let key = row_key(service, Scope::Shard(shard));
+    let first = BlockId::of(shard).first_shard().0;
+    let owned = match table.get(&key).map(|found| &found.value) {
+        Some(Row::Block(row)) => row.shards.len() as u32,
+        _ => 0,
+    };
+    let next = first + owned;
+    if shard.0 != next {
+        return Err(MoveError::Unowned {
+            service: service.clone(),
+            scope: Scope::Shard(shard),
+            next,
+        });
+    }
+    let new = Assignment::owned(to.clone(), Epoch(1));
+    let scope = Scope::Shard(shard);
+    let expect = version(table, &key);
+    Ok(replace(table, service, scope, expect, new))
+}
+
+fn take_out<R: Rules>(
+    table: &Table,
+    service: &ServiceName,
+    shard: ShardId,
+    scope: Scope,
+    to: &ServerName,
+) -> Result<Vec<Write>, MoveError> {
+    let whole = Scope::Shard(shard);
+    let Some(found) = assignment(table, service, whole) else {
+        return Err(MoveError::Unowned {
+            service: service.clone(),
+            scope,
+            next: shard.0,
+        });
+    };
+    let single = release::<R>(service, scope, found.value.clone(), to)?;
+    let mut rest = found.value;
+    rest.epoch = R::release_epoch(rest.epoch);
+    Ok(vec![
+        replace(table, service, scope, crate::id::Revision(0), single),
+        replace(table, service, whole, found.version, rest),
+    ])
+}
--- /dev/null
+++ b/crates/core/src/ownership/place.rs
@@ -0,0 +1,88 @@
+//! Where the table keeps the assignment of a scope.
+
+use {
+    super::{Assignment, Scope},
+    crate::{
+        id::{Revision, ServiceName},
+        table::{BlockId, BlockRow, OverrideRow, Row, RowKey, Table, Versioned, Write},
+    },
+};
+
+/// The assignment of a scope, and the version of the row that holds it;
+/// `None` if nobody owns it.
+pub fn assignment(
+    table: &Table,
+    service: &ServiceName,
+    scope: Scope,
+) -> Option<Versioned<Assignment>> {
+    let found = table.get(&row_key(service, scope))?;
+    let version = found.version;
+    let value = match (&found.value, scope) {
+        (Row::Block(row), Scope::Shard(shard)) => {
+            let index = shard.0 - row.block.first_shard().0;
+            row.shards.get(index as usize)?.clone()
+        }
+        (Row::Override(row), Scope::Key(_)) => row.owner.clone(),
+        _ => return None,
+    };
+    Some(Versioned { version, value })
+}
+
+/// A write that replaces the assignment of an owned scope, or appends that of
+/// the first unowned shard of a block; conditional on `expect`.
+pub(super) fn replace(
+    table: &Table,
+    service: &ServiceName,
+    scope: Scope,
+    expect: Revision,
+    new: Assignment,
+) -> Write {
+    let key = row_key(service, scope);
+    let row = match scope {
+        Scope::Shard(shard) => {
+            let block = BlockId::of(shard);
+            let mut row = block_row(table, service, block);
+            let index = (shard.0 - block.first_shard().0) as usize;
+            match row.shards.get_mut(index) {
+                Some(old) => *old = new,
+                None => row.shards.push(new),
+            }
+            Row::Block(row)
+        }
+        Scope::Key(hash) => Row::Override(OverrideRow {
+            service: service.clone(),
+            key: hash,
+            owner: new,
+        }),
+    };
+    Write {
+        key,
+        expect,
+        row: Some(row),
+    }
+}
+
+/// The row that holds a scope's assignment.
+pub fn row_key(service: &ServiceName, scope: Scope) -> RowKey {
+    match scope {
+        Scope::Shard(shard) => RowKey::Block(service.clone(), BlockId::of(shard)),
+        Scope::Key(hash) => RowKey::Override(service.clone(), hash),
+    }
+}
+
+/// The version of a row; 0 if there is none.
+pub(super) fn version(table: &Table, key: &RowKey) -> Revision {
+    table.get(key).map_or(Revision(0), |found| found.version)
+}
+
+fn block_row(table: &Table, service: &ServiceName, block: BlockId) -> BlockRow {
+    let key = RowKey::Block(service.clone(), block);
+    match table.get(&key).map(|found| &found.value) {
+        Some(Row::Block(row)) => row.clone(),
+        _ => BlockRow {
+            service: service.clone(),
+            block,
+            shards: Vec::new(),
+        },
+    }
+}
--- a/crates/core/src/table/instance.rs
+++ b/crates/core/src/table/instance.rs
@@ -12,6 +12,9 @@
     Live,
     /// Finishes what it has.
     Leaving,
+    /// Struck off by others: it may not act any more, and its row stays until
+    /// its last leave to route has surely run out.
+    Expelled,
 }
 
 /// One start of one instance.
--- a/crates/wire/src/row/instance.rs
+++ b/crates/wire/src/row/instance.rs
@@ -28,6 +28,9 @@
     pub admin: SocketAddr,
     /// Whether it is finishing.
     pub leaving: bool,
+    /// Whether others have struck it off.
+    #[serde(default)]
+    pub expelled: bool,
     /// The revision in force there when the row was written.
     pub revision: u64,
 }
@@ -42,6 +45,7 @@
             peer: core.peer,
             admin: core.admin,
             leaving: core.state == InstanceState::Leaving,
+            expelled: core.state == InstanceState::Expelled,
             revision: core.revision.0,
         }
     }
@@ -51,9 +55,10 @@
     type Error = WireError;
 
     fn try_from(wire: InstanceWire) -> Result<Self, WireError> {
-        let state = match wire.leaving {
-            false => InstanceState::Live,
-            true => InstanceState::Leaving,
+        let state = match (wire.leaving, wire.expelled) {
+            (_, true) => InstanceState::Expelled,
+            (true, false) => InstanceState::Leaving,
+            (false, false) => InstanceState::Live,
         };
         Ok(Self {
             id: parse("id", &wire.id)?,
