Operators' edits: checked rules, several rows all or nothing

Why: an edit must be refused with a clear reason before it can harm, and a lost race must never undo somebody else's change. Rows are checked as the whole table would be after the edit.

- Edit::plan gives a Commit with its HistoryRow, plus checks: versions of rows that a rule rested on but that the edit leaves alone.
Without checks, two edits that are valid alone could together break a rule (both drain one of the last two servers).
Ruled out: writing such rows unchanged, since that bumps their version and makes bystanders lose races.
- TableStore::commit_checked carries the checks to the platform; commit stays.
- A service's first servers get its shards by weight (initial_blocks), epochs above the table's revision, so that a name used again reuses no epoch.
- Address, domain, service and fencing of an owner, shard count and a shorter grace are refused once shards are owned: an instance with an older row would act on the old values while a mover counts on the new ones.

Not covered: two servers added at the same instant with one address (no row exists yet to check).

--- a/crates/core/src/table/commit.rs
+++ b/crates/core/src/table/commit.rs
@@ -17,6 +17,15 @@
     pub row: Option<Row>,
 }
 
+/// A row that a commit leaves alone but rests on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Check {
+    /// The row.
+    pub key: RowKey,
+    /// The version it must have.
+    pub expect: Revision,
+}
+
 /// A row before and after an edit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowChange {
--- a/crates/core/src/table/error.rs
+++ b/crates/core/src/table/error.rs
@@ -1,6 +1,10 @@
 //! Errors of the table aggregate.
 
-use {super::RowKey, crate::id::Revision, thiserror::Error};
+use {
+    super::{Row, RowKey, Versioned},
+    crate::id::Revision,
+    thiserror::Error,
+};
 
 /// Why the table refuses rows.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -25,4 +29,20 @@
         /// What it may hold.
         allowed: String,
     },
+    /// A row has another version than the one that the edit names.
+    #[error("row {key} has changed since")]
+    Lost {
+        /// The row.
+        key: RowKey,
+        /// What it is now; `None` if it is not there.
+        current: Option<Box<Versioned<Row>>>,
+    },
+    /// An edit without rows or with too many.
+    #[error("{found} rows in one edit; allowed: 1 to {max}")]
+    Size {
+        /// How many rows.
+        found: usize,
+        /// How many are allowed.
+        max: usize,
+    },
 }
--- a/crates/core/src/table/mod.rs
+++ b/crates/core/src/table/mod.rs
@@ -3,18 +3,24 @@
 mod block;
 mod commit;
 mod domain;
+mod edit;
 mod error;
+mod initial;
 mod instance;
 mod row;
+mod rules;
 mod server;
 mod service;
 mod store;
+mod view;
 
 pub use {
     block::{BLOCK_SHARDS, BlockId, BlockRow, OverrideRow},
-    commit::{Changes, Commit, CommitAnswer, HistoryRow, RowChange, Write},
+    commit::{Changes, Check, Commit, CommitAnswer, HistoryRow, RowChange, Write},
     domain::{Confirmer, DomainRow, DomainState},
+    edit::{Edit, EditPlan, MAX_EDIT_ROWS, RowEdit},
     error::TableError,
+    initial::initial_blocks,
     instance::{InstanceRow, InstanceState},
     row::{Row, RowKey, Versioned},
     server::{Fencing, ServerRow, ServerState},
--- /dev/null
+++ b/crates/core/src/table/view.rs
@@ -0,0 +1,155 @@
+//! The table as it would be after an edit.
+
+use {
+    super::{
+        Check, DomainRow, Row, RowEdit, RowKey, ServerRow, ServerState, ServiceRow, Table,
+        Versioned,
+    },
+    crate::{
+        id::{DomainName, Revision, ServerName, ServiceName},
+        ownership::{Assignment, Phase},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A table with edits laid over it.
+pub(super) struct View<'a> {
+    table: &'a Table,
+    edits: BTreeMap<&'a RowKey, Option<&'a Row>>,
+    owners: BTreeSet<&'a ServerName>,
+}
+
+impl<'a> View<'a> {
+    pub(super) fn new(table: &'a Table, edits: &'a [RowEdit]) -> Self {
+        let mut owners = BTreeSet::new();
+        for (_, row) in table.rows() {
+            owners.extend(assignments(&row.value).iter().flat_map(named));
+        }
+        let edits = edits.iter().map(|edit| (&edit.key, edit.row.as_ref()));
+        Self {
+            table,
+            edits: edits.collect(),
+            owners,
+        }
+    }
+
+    pub(super) fn revision(&self) -> Revision {
+        self.table.revision()
+    }
+
+    /// The row before the edit.
+    pub(super) fn before(&self, key: &RowKey) -> Option<&'a Row> {
+        Some(&self.table.get(key)?.value)
+    }
+
+    fn after(&self, key: &RowKey) -> Option<&'a Row> {
+        match self.edits.get(key) {
+            Some(row) => *row,
+            None => self.before(key),
+        }
+    }
+
+    /// All rows after the edit.
+    pub(super) fn rows(&self) -> impl Iterator<Item = &'a Row> {
+        let kept = self.table.rows();
+        let kept = kept.filter(|(key, _)| !self.edits.contains_key(key));
+        let edited = self.edits.values().filter_map(|row| *row);
+        kept.map(|(_, row)| &row.value).chain(edited)
+    }
+
+    pub(super) fn service(&self, name: &ServiceName) -> Option<&'a ServiceRow> {
+        match self.after(&RowKey::Service(name.clone()))? {
+            Row::Service(row) => Some(row),
+            _ => None,
+        }
+    }
+
+    pub(super) fn domain(&self, name: &DomainName) -> Option<&'a DomainRow> {
+        match self.after(&RowKey::Domain(name.clone()))? {
+            Row::Domain(row) => Some(row),
+            _ => None,
+        }
+    }
+
+    /// All servers of a service after the edit, in the order of their names.
+    pub(super) fn servers(&self, service: &ServiceName) -> Vec<&'a ServerRow> {
+        let servers = self.rows().filter_map(|row| match row {
+            Row::Server(row) if row.service == *service => Some(row),
+            _ => None,
+        });
+        let mut servers: Vec<_> = servers.collect();
+        servers.sort_by(|one, other| one.name.cmp(&other.name));
+        servers
+    }
+
+    /// Servers that may own shards after the edit.
+    pub(super) fn serving(&self, service: &ServiceName) -> Vec<&'a ServerRow> {
+        let mut servers = self.servers(service);
+        servers.retain(|row| row.state == ServerState::Active && row.weight.0 > 0);
+        servers
+    }
+
+    /// Whether the server owns shards or keys, or is about to.
+    pub(super) fn owns(&self, server: &ServerName) -> bool {
+        self.owners.contains(server)
+    }
+
+    /// Blocks and overrides of a service.
+    pub(super) fn assignment_rows(
+        &self,
+        service: &ServiceName,
+    ) -> BTreeMap<&'a RowKey, &'a Versioned<Row>> {
+        let own = self.table.rows().filter(|(key, _)| match key {
+            RowKey::Block(name, _) | RowKey::Override(name, _) => name == service,
+            _ => false,
+        });
+        own.collect()
+    }
+
+    /// Rows that the rules rested on and that the edit leaves alone.
+    pub(super) fn checks(&self, edits: &[RowEdit]) -> Vec<Check> {
+        let mut keys = BTreeSet::new();
+        for edit in edits {
+            let rows = [edit.row.as_ref(), self.before(&edit.key)];
+            for row in rows.into_iter().flatten() {
+                self.rest_on(row, &mut keys);
+            }
+        }
+        let kept = keys.into_iter().filter(|key| !self.edits.contains_key(key));
+        let checks = kept.filter_map(|key| {
+            let expect = self.table.get(&key)?.version;
+            Some(Check { key, expect })
+        });
+        checks.collect()
+    }
+
+    fn rest_on(&self, row: &Row, keys: &mut BTreeSet<RowKey>) {
+        let Row::Server(row) = row else { return };
+        keys.insert(RowKey::Service(row.service.clone()));
+        keys.insert(RowKey::Domain(row.domain.clone()));
+        // One server that goes on serving is enough to bear out the rule that
+        // a service keeps one.
+        let serving = self.serving(&row.service);
+        let edited = |row: &&&ServerRow| self.edits.contains_key(&RowKey::Server(row.name.clone()));
+        if serving.iter().any(|row| edited(&row)) {
+            return;
+        }
+        keys.extend(serving.first().map(|row| RowKey::Server(row.name.clone())));
+    }
+}
+
+fn assignments(row: &Row) -> &[Assignment] {
+    match row {
+        Row::Block(row) => &row.shards,
+        Row::Override(row) => std::slice::from_ref(&row.owner),
+        _ => &[],
+    }
+}
+
+fn named(assignment: &Assignment) -> impl Iterator<Item = &ServerName> {
+    let next = match &assignment.phase {
+        Phase::Owned => None,
+        Phase::Releasing { to } => Some(to),
+    };
+    std::iter::once(&assignment.owner).chain(next)
+}
--- /dev/null
+++ b/crates/core/tests/edit.rs
@@ -0,0 +1,416 @@
+//! Operators' edits: the rules, and what a plan commits.
+
+use {
+    citron_core::{
+        id::{Epoch, Revision, ServerName, ShardBits, Slots, Weight},
+        ownership::{Assignment, Phase},
+        table::{
+            BlockRow, Changes, DomainRow, DomainState, Edit, EditPlan, Fencing, KeyRule,
+            MoveBudget, Objectives, Row, RowEdit, RowKey, ServerRow, ServerState, ServiceRow,
+            Table, TableError, initial_blocks,
+        },
+    },
+    proptest::prelude::*,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+fn service(name: &str) -> ServiceRow {
+    ServiceRow {
+        name: name.parse().unwrap(),
+        operator: "authority".parse().unwrap(),
+        hosts: Vec::new(),
+        prefix: format!("/{name}"),
+        key: KeyRule::Segment(1),
+        idempotent: vec!["GET".to_string()],
+        shards: ShardBits::new(7).unwrap(),
+        deadline: Duration::from_secs(5),
+        grace: Duration::from_secs(30),
+        moves: MoveBudget {
+            minute: 10,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(100),
+            slower: 10_000,
+        },
+    }
+}
+
+fn server(number: u16) -> ServerRow {
+    ServerRow {
+        name: format!("server-{number}").parse().unwrap(),
+        service: "kegs".parse().unwrap(),
+        domain: "harbour".parse().unwrap(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Checked,
+        state: ServerState::Active,
+    }
+}
+
+fn domain(name: &str) -> DomainRow {
+    DomainRow {
+        name: name.parse().unwrap(),
+        state: DomainState::Live,
+        confirmers: Vec::new(),
+    }
+}
+
+fn put(table: &Table, row: Row) -> RowEdit {
+    let key = row.key();
+    let expect = table.get(&key).map_or(Revision(0), |row| row.version);
+    let row = Some(row);
+    RowEdit { key, expect, row }
+}
+
+fn delete(table: &Table, key: &str) -> RowEdit {
+    let (kind, name) = key.split_once('/').unwrap();
+    let key = match kind {
+        "service" => RowKey::Service(name.parse().unwrap()),
+        "server" => RowKey::Server(name.parse().unwrap()),
+        _ => RowKey::Domain(name.parse().unwrap()),
+    };
+    let expect = table.get(&key).map_or(Revision(0), |row| row.version);
+    let row = None;
+    RowEdit { key, expect, row }
+}
+
+fn plan(table: &Table, rows: Vec<RowEdit>) -> Result<EditPlan, TableError> {
+    let by = "ann".to_string();
+    let at = Duration::ZERO;
+    Edit { by, at, rows }.plan(table)
+}
+
+fn apply(table: &mut Table, rows: Vec<RowEdit>) {
+    let plan = plan(table, rows).expect("a valid edit");
+    let since = table.revision();
+    let revision = Revision(since.0 + 1);
+    let rows = plan.commit.writes.into_iter();
+    let rows = rows.map(|write| (write.key, revision, write.row)).collect();
+    let changes = Changes {
+        since,
+        revision,
+        rows,
+    };
+    table.apply(changes).unwrap();
+}
+
+/// Servers 1 and 2 own the shards of `kegs`, server 3 is new and owns none.
+fn deployment() -> Table {
+    let mut table = Table::default();
+    let rows = vec![
+        put(&table, Row::Domain(domain("harbour"))),
+        put(&table, Row::Domain(domain("hills"))),
+        put(&table, Row::Service(service("kegs"))),
+        put(&table, Row::Server(server(1))),
+        put(&table, Row::Server(server(2))),
+    ];
+    apply(&mut table, rows);
+    let rows = vec![
+        put(&table, Row::Service(service("sets"))),
+        put(&table, Row::Server(server(3))),
+    ];
+    apply(&mut table, rows);
+    table
+}
+
+fn edited(number: u16, change: impl FnOnce(&mut ServerRow)) -> Row {
+    let mut row = server(number);
+    change(&mut row);
+    Row::Server(row)
+}
+
+fn changed(change: impl FnOnce(&mut ServiceRow)) -> Row {
+    let mut row = service("kegs");
+    change(&mut row);
+    Row::Service(row)
+}
+
+fn owners(plan: &EditPlan) -> BTreeMap<ServerName, usize> {
+    let mut owners = BTreeMap::new();
+    for write in &plan.commit.writes {
+        let Some(Row::Block(block)) = &write.row else {
+            continue;
+        };
+        for shard in &block.shards {
+            *owners.entry(shard.owner.clone()).or_default() += 1;
+        }
+    }
+    owners
+}
+
+#[test]
+fn broken_rules_name_row_field_and_what_is_allowed() {
+    let table = deployment();
+    let lost = |by: &str| DomainState::Lost { by: by.to_string() };
+    let block = table
+        .rows()
+        .find(|(key, _)| matches!(key, RowKey::Block(..)));
+    let block = block.unwrap().1.value.clone();
+    let cases: Vec<(&str, Row)> = vec![
+        ("system row", block),
+        (
+            "unknown service",
+            edited(4, |row| row.service = "nets".parse().unwrap()),
+        ),
+        (
+            "unknown domain",
+            edited(4, |row| row.domain = "moon".parse().unwrap()),
+        ),
+        ("cap of nothing", edited(3, |row| row.cap = Some(0))),
+        ("no connections", edited(3, |row| row.connections = 0)),
+        ("no port", edited(3, |row| row.address.set_port(0))),
+        (
+            "same address",
+            edited(4, |row| row.address = server(1).address),
+        ),
+        ("owner's address", edited(1, |row| row.address.set_port(1))),
+        (
+            "owner's service",
+            edited(1, |row| row.service = "sets".parse().unwrap()),
+        ),
+        (
+            "owner's domain",
+            edited(1, |row| row.domain = "hills".parse().unwrap()),
+        ),
+        (
+            "owner's fencing",
+            edited(1, |row| row.fencing = Fencing::Unchecked),
+        ),
+        (
+            "owner retired",
+            edited(1, |row| row.state = ServerState::Retired),
+        ),
+        (
+            "shard count",
+            changed(|row| row.shards = ShardBits::new(8).unwrap()),
+        ),
+        (
+            "shorter grace",
+            changed(|row| row.grace = Duration::from_secs(1)),
+        ),
+        (
+            "long grace",
+            changed(|row| row.grace = Duration::from_secs(3_601)),
+        ),
+        (
+            "short deadline",
+            changed(|row| row.deadline = Duration::from_millis(1)),
+        ),
+        (
+            "slow objective",
+            changed(|row| row.objectives.latency = Duration::from_secs(6)),
+        ),
+        ("low threshold", changed(|row| row.moves.threshold = 100)),
+        ("no prefix", changed(|row| row.prefix = "kegs".to_string())),
+        (
+            "same route",
+            changed(|row| row.prefix = "/sets".to_string()),
+        ),
+        (
+            "bad host",
+            changed(|row| row.hosts = vec!["a b".to_string()]),
+        ),
+        (
+            "bad header",
+            changed(|row| row.key = KeyRule::Header("a b".to_string())),
+        ),
+        (
+            "bad method",
+            changed(|row| row.idempotent = vec!["get".to_string()]),
+        ),
+        (
+            "lost by another",
+            Row::Domain(DomainRow {
+                state: lost("bob"),
+                ..domain("hills")
+            }),
+        ),
+    ];
+    let mut lines = Vec::new();
+    for (case, row) in cases {
+        let error = plan(&table, vec![put(&table, row)]).expect_err(case);
+        lines.push(format!("{case}: {error}"));
+    }
+    for key in [
+        "server/server-1",
+        "service/kegs",
+        "domain/harbour",
+        "domain/moon",
+    ] {
+        let error = plan(&table, vec![delete(&table, key)]).expect_err(key);
+        lines.push(format!("delete {key}: {error}"));
+    }
+    let out = |number| {
+        put(
+            &table,
+            edited(number, |row| row.state = ServerState::Draining),
+        )
+    };
+    let error = plan(&table, vec![out(1), out(2), out(3)]).expect_err("all drained");
+    lines.push(format!("all drained: {error}"));
+    let error = plan(&table, vec![out(1), out(1)]).expect_err("twice");
+    lines.push(format!("twice: {error}"));
+    let error = plan(&table, Vec::new()).expect_err("empty");
+    lines.push(format!("empty: {error}"));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// The operator edits a row that somebody else has changed since it was read.
+/// Taking the edit would undo that change unseen, so it is refused, with the row
+/// as it is now, and so is every other row of the same edit.
+#[test]
+fn an_edit_of_an_older_version_is_lost_as_a_whole() {
+    let mut table = deployment();
+    let stale = put(&table, edited(3, |row| row.weight = Weight(1)));
+    let other = put(&table, edited(1, |row| row.weight = Weight(1)));
+    let rows = vec![put(&table, edited(3, |row| row.weight = Weight(7)))];
+    apply(&mut table, rows);
+    let error = plan(&table, vec![other, stale]).unwrap_err();
+    let TableError::Lost { key, current } = error else {
+        panic!("{error}");
+    };
+    assert_eq!(key.to_string(), "server/server-3");
+    let current = current.unwrap();
+    assert_eq!(current.version, Revision(3));
+    assert_eq!(current.value, edited(3, |row| row.weight = Weight(7)));
+}
+
+#[test]
+fn first_servers_get_all_shards_by_weight() {
+    let mut table = Table::default();
+    let rows = vec![
+        put(&table, Row::Domain(domain("harbour"))),
+        put(&table, Row::Service(service("kegs"))),
+    ];
+    apply(&mut table, rows);
+    let rows = vec![
+        put(&table, edited(1, |row| row.weight = Weight(100))),
+        put(&table, edited(2, |row| row.weight = Weight(300))),
+        put(&table, edited(3, |row| row.weight = Weight(0))),
+        put(&table, edited(4, |row| row.state = ServerState::Draining)),
+    ];
+    let plan = plan(&table, rows).unwrap();
+    let owners = owners(&plan);
+    let counts: Vec<_> = owners
+        .iter()
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+    assert_eq!(counts, ["server-1 32", "server-2 96"]);
+    let history = plan.commit.history.unwrap();
+    assert_eq!(
+        history.changes.len(),
+        4,
+        "the system's rows are no edit of the operator"
+    );
+}
+
+/// A service and its servers are deleted in one edit and set up anew under the
+/// same name. An epoch used twice would let a backend server that still holds
+/// the old grant run requests of a shard it no longer owns.
+#[test]
+fn a_deleted_service_takes_its_blocks_and_epochs_are_not_used_again() {
+    let mut table = deployment();
+    let first = epochs(&table);
+    let mut rows = vec![delete(&table, "service/kegs")];
+    rows.extend((1..=3).map(|n| delete(&table, &format!("server/server-{n}"))));
+    apply(&mut table, rows);
+    assert!(epochs(&table).is_empty());
+    let rows = vec![put(&table, changed(|_| ())), put(&table, edited(1, |_| ()))];
+    apply(&mut table, rows);
+    assert!(epochs(&table).iter().min() > first.iter().max());
+}
+
+fn epochs(table: &Table) -> Vec<Epoch> {
+    let blocks = table.rows().filter_map(|(_, row)| match &row.value {
+        Row::Block(block) => Some(block.shards.iter().map(|shard| shard.epoch)),
+        _ => None,
+    });
+    blocks.flatten().collect()
+}
+
+/// Two operators drain one server each, at once, through different instances;
+/// these two are the last of their service. Each edit is valid by itself. The
+/// check on the other server's row makes the later commit fail, so that it is
+/// planned anew and refused.
+#[test]
+fn edits_that_are_valid_only_alone_check_each_other() {
+    let mut table = deployment();
+    let rows = vec![delete(&table, "server/server-3")];
+    apply(&mut table, rows);
+    let out = |table: &Table, number| {
+        let row = edited(number, |row| row.state = ServerState::Draining);
+        vec![put(table, row)]
+    };
+    let first = plan(&table, out(&table, 1)).unwrap();
+    let second = plan(&table, out(&table, 2)).unwrap();
+    let checked = |plan: &EditPlan, name: &str| {
+        plan.checks
+            .iter()
+            .any(|check| check.key.to_string() == name)
+    };
+    assert!(checked(&first, "server/server-2"));
+    assert!(checked(&second, "server/server-1"));
+    assert!(checked(&first, "service/kegs") && checked(&first, "domain/harbour"));
+    let rows = out(&table, 1);
+    apply(&mut table, rows);
+    assert!(plan(&table, out(&table, 2)).is_err());
+}
+
+/// A shard is on its way to a server that owns nothing yet; an operator deletes
+/// that server. The shard would end with an owner that does not exist.
+#[test]
+fn a_server_that_shards_are_moving_to_is_not_deleted() {
+    let mut table = deployment();
+    let to: ServerName = "server-3".parse().unwrap();
+    let block = table
+        .rows()
+        .find(|(key, _)| matches!(key, RowKey::Block(..)));
+    let Row::Block(mut block) = block.unwrap().1.value.clone() else {
+        panic!()
+    };
+    block.shards[0].phase = Phase::Releasing { to };
+    let since = table.revision();
+    let revision = Revision(since.0 + 1);
+    let row = Row::Block(block);
+    let rows = vec![(row.key(), revision, Some(row))];
+    let changes = Changes {
+        since,
+        revision,
+        rows,
+    };
+    table.apply(changes).unwrap();
+    let error = plan(&table, vec![delete(&table, "server/server-3")]).unwrap_err();
+    assert!(error.to_string().contains("owns shards"), "{error}");
+}
+
+proptest! {
+    #[test]
+    fn every_shard_is_dealt_once_and_within_one_of_its_share(
+        bits in 0_u8..=10,
+        weights in prop::collection::vec(0_u32..=10_000, 1..12),
+    ) {
+        let mut row = service("kegs");
+        row.shards = ShardBits::new(bits).unwrap();
+        let servers: Vec<_> = weights.iter().enumerate().map(|(number, weight)| {
+            ServerRow { weight: Weight(*weight), ..server(number as u16) }
+        }).collect();
+        let blocks = initial_blocks(&row, &servers.iter().collect::<Vec<_>>(), Epoch(9));
+        let total: u32 = weights.iter().sum();
+        if total == 0 {
+            prop_assert!(blocks.is_empty());
+            return Ok(());
+        }
+        let dealt: Vec<&Assignment> = blocks.iter().flat_map(|block: &BlockRow| &block.shards).collect();
+        prop_assert_eq!(dealt.len(), row.shards.shards() as usize);
+        for server in &servers {
+            let own = dealt.iter().filter(|shard| shard.owner == server.name).count() as f64;
+            let share = f64::from(row.shards.shards()) * f64::from(server.weight.0) / f64::from(total);
+            prop_assert!((own - share).abs() <= 1.0, "{} has {own}, its share is {share}", server.name);
+        }
+    }
+}
--- a/crates/platform/src/lane.rs
+++ b/crates/platform/src/lane.rs
@@ -4,11 +4,13 @@
     crate::{HistoryEntry, PlatformError, TableService, TableStore},
     citron_core::{
         id::Revision,
-        table::{Changes, Commit, CommitAnswer, HistoryRow, Row, Versioned, Write},
+        table::{Changes, Check, Commit, CommitAnswer, HistoryRow, Row, Versioned, Write},
     },
     citron_wire::{
         row::{RowWire, parse_row_key},
-        table::{CommitWire, HistoryWire, LANE_PREFIX, LOG_PREFIX, StoredWire, WriteWire},
+        table::{
+            CheckWire, CommitWire, HistoryWire, LANE_PREFIX, LOG_PREFIX, StoredWire, WriteWire,
+        },
     },
     serde_json::{Value, json},
     std::time::Duration,
@@ -73,7 +75,7 @@
         format!("{LANE_PREFIX}{}", self.writer)
     }
 
-    fn wire(&self, commit: &Commit, lane: &Lane) -> CommitWire {
+    fn wire(&self, commit: &Commit, checks: &[Check], lane: &Lane) -> CommitWire {
         // The lane goes first: the service names the first row that fails.
         let mut writes = vec![WriteWire {
             key: self.lane_key(),
@@ -84,7 +86,8 @@
         if let Some(history) = &commit.history {
             writes.push(self.history_write(history, lane.last));
         }
-        CommitWire { writes }
+        let checks = checks.iter().map(check_wire).collect();
+        CommitWire { writes, checks }
     }
 
     fn history_write(&self, history: &HistoryRow, id: u64) -> WriteWire {
@@ -95,8 +98,14 @@
         }
     }
 
-    async fn send(&self, commit: &Commit, lane: &mut Lane) -> Result<Sent, PlatformError> {
-        let answer = self.service.commit(&self.wire(commit, lane)).await?;
+    async fn send(
+        &self,
+        commit: &Commit,
+        checks: &[Check],
+        lane: &mut Lane,
+    ) -> Result<Sent, PlatformError> {
+        let wire = self.wire(commit, checks, lane);
+        let answer = self.service.commit(&wire).await?;
         if let Some(revision) = answer.revision {
             lane.version = revision;
             return Ok(Sent::Done(Revision(revision)));
@@ -120,13 +129,17 @@
         Ok(Changes::try_from(wire)?)
     }
 
-    async fn commit(&self, commit: Commit) -> Result<CommitAnswer, PlatformError> {
+    async fn commit_checked(
+        &self,
+        commit: Commit,
+        checks: &[Check],
+    ) -> Result<CommitAnswer, PlatformError> {
         let mut lane = self.lane.lock().await;
         lane.last += 1;
         let mut pause = PAUSE;
         let mut last_error = String::new();
         for _ in 0..SENDS {
-            match self.send(&commit, &mut lane).await {
+            match self.send(&commit, checks, &mut lane).await {
                 Ok(Sent::Done(revision)) => return Ok(CommitAnswer::Done(revision)),
                 Ok(Sent::Lost(lost)) => return lost_answer(lost),
                 Ok(Sent::Again) => continue,
@@ -160,6 +173,13 @@
     }
 }
 
+fn check_wire(check: &Check) -> CheckWire {
+    CheckWire {
+        key: check.key.to_string(),
+        expect: check.expect.0,
+    }
+}
+
 fn last_of(lane: &StoredWire) -> Option<u64> {
     lane.value.as_ref()?.get("last")?.as_u64()
 }
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -51,7 +51,10 @@
 
 impl State {
     fn commit(&mut self, commit: &CommitWire) -> CommitAnswerWire {
-        let lost = commit.writes.iter().find_map(|write| self.lost(write));
+        let writes = commit.writes.iter().map(|write| (&write.key, write.expect));
+        let checks = commit.checks.iter().map(|check| (&check.key, check.expect));
+        let mut conditions = writes.chain(checks);
+        let lost = conditions.find_map(|(key, expect)| self.lost(key, expect));
         if lost.is_some() {
             let revision = None;
             return CommitAnswerWire { revision, lost };
@@ -66,15 +69,15 @@
         }
     }
 
-    /// The row that a write would clobber.
-    fn lost(&self, write: &WriteWire) -> Option<StoredWire> {
-        let current = self.rows.get(&write.key).filter(|row| row.value.is_some());
+    /// The row, if it has another version than expected.
+    fn lost(&self, key: &str, expect: u64) -> Option<StoredWire> {
+        let current = self.rows.get(key).filter(|row| row.value.is_some());
         let version = current.map_or(0, |row| row.version);
-        if version == write.expect {
+        if version == expect {
             return None;
         }
         Some(StoredWire {
-            key: write.key.clone(),
+            key: key.to_string(),
             version,
             value: current.and_then(|row| row.value.clone()),
         })
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -4,7 +4,7 @@
     crate::PlatformError,
     citron_core::{
         id::Revision,
-        table::{Changes, Commit, CommitAnswer, HistoryRow, Versioned},
+        table::{Changes, Check, Commit, CommitAnswer, HistoryRow, Versioned},
     },
     std::future::Future,
 };
@@ -20,7 +20,17 @@
 
     /// Commits once: a lost answer is settled by reading back before this
     /// returns.
-    fn commit(&self, commit: Commit) -> impl Future<Output = Result<CommitAnswer, PlatformError>>;
+    fn commit(&self, commit: Commit) -> impl Future<Output = Result<CommitAnswer, PlatformError>> {
+        self.commit_checked(commit, &[])
+    }
+
+    /// As [`Self::commit`], provided that rows it leaves alone have the versions
+    /// that it rests on.
+    fn commit_checked(
+        &self,
+        commit: Commit,
+        checks: &[Check],
+    ) -> impl Future<Output = Result<CommitAnswer, PlatformError>>;
 
     /// Accepted edits after a revision, oldest first, at most `limit`.
     fn history(
--- a/crates/wire/src/table/mod.rs
+++ b/crates/wire/src/table/mod.rs
@@ -12,8 +12,8 @@
 mod table_wire;
 
 pub use table_wire::{
-    ChangesWire, CommitAnswerWire, CommitWire, HistoryWire, LogWire, RowChangeWire, StoredWire,
-    WriteWire,
+    ChangesWire, CheckWire, CommitAnswerWire, CommitWire, HistoryWire, LogWire, RowChangeWire,
+    StoredWire, WriteWire,
 };
 
 /// Keys under this prefix are the history; they are left out of changes.
--- a/crates/wire/src/table/table_wire.rs
+++ b/crates/wire/src/table/table_wire.rs
@@ -47,11 +47,23 @@
     pub value: Option<Value>,
 }
 
+/// The version that a row the commit leaves alone must have.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CheckWire {
+    /// The key.
+    pub key: String,
+    /// The version; 0 if the row must not exist.
+    pub expect: u64,
+}
+
 /// Writes that take effect together or not at all.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CommitWire {
     /// The writes.
     pub writes: Vec<WriteWire>,
+    /// Compared after the writes' own conditions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub checks: Vec<CheckWire>,
 }
 
 /// What became of a commit: `revision` if it took effect, else `lost`.
