Admin API: rows, edits, status, history and owners over HTTP

Why: operators need to change the table through any instance and be told the truth about each edit: accepted, lost (with the row as it is), not applied, or unknown.

- Own listener on the control thread, own writer at the table so that an edit being settled holds up no other commit; `admin ADDRESS` on stdout.
- Ruled out: sharing the control loop's copy of the table, since a slow call must not hold it up.
Costs a second copy where operators call.

--- /dev/null
+++ b/crates/citronproxy/src/admin/error.rs
@@ -0,0 +1,123 @@
+//! Errors of the admin API, each with its status and word.
+
+use {
+    citron_core::table::{Row, RowKey, TableError, Versioned},
+    citron_platform::PlatformError,
+    citron_wire::{
+        WireError,
+        admin::{ErrorWire, VersionedRowWire},
+    },
+    http::StatusCode,
+    thiserror::Error,
+};
+
+/// Why a call is refused.
+#[derive(Debug, Error)]
+pub enum AdminError {
+    /// The settings hold no token.
+    #[error("this instance's settings hold no token, so it takes no calls")]
+    NoToken,
+    /// No token, or a wrong one.
+    #[error("the bearer token is missing or wrong")]
+    Unauthorized,
+    /// No such call or row.
+    #[error("{0} is not there")]
+    NotFound(String),
+    /// A known path, called with another method.
+    #[error("this path does not take {0}")]
+    Method(String),
+    /// An edit that does not say which version it saw.
+    #[error("name the version you saw in If-Match, or add with If-None-Match: *")]
+    NoVersion,
+    /// A request that cannot be read.
+    #[error("{0}")]
+    Malformed(String),
+    /// A rule of the table is broken.
+    #[error(transparent)]
+    Table(#[from] TableError),
+    /// A row changed since the operator read it; nothing took effect.
+    #[error("row {key} has changed since you read it; nothing took effect")]
+    Lost {
+        /// The row.
+        key: RowKey,
+        /// What it is now.
+        current: Option<Box<Versioned<Row>>>,
+    },
+    /// Rows that the edit rests on kept changing; nothing took effect.
+    #[error("rows this edit rests on kept changing; nothing took effect, try again")]
+    Busy,
+    /// The platform could not be read; nothing took effect.
+    #[error("the platform cannot be read, so nothing took effect: {0}")]
+    Unread(String),
+    /// The edit may or may not have taken effect, now or in a moment.
+    #[error("outcome unknown, read the rows or the history to see: {0}")]
+    Unknown(String),
+}
+
+impl AdminError {
+    /// A read that failed.
+    pub(super) fn unread(error: PlatformError) -> Self {
+        Self::Unread(error.to_string())
+    }
+
+    /// A commit that failed: whatever the reason, its effect is open.
+    pub(super) fn unsettled(error: PlatformError) -> Self {
+        Self::Unknown(error.to_string())
+    }
+
+    pub(super) fn status(&self) -> StatusCode {
+        match self {
+            Self::NoToken => StatusCode::FORBIDDEN,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::NotFound(_) => StatusCode::NOT_FOUND,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::NoVersion => StatusCode::PRECONDITION_REQUIRED,
+            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::Table(TableError::Lost { .. }) | Self::Lost { .. } => {
+                StatusCode::PRECONDITION_FAILED
+            }
+            Self::Table(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Busy | Self::Unread(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            Self::NoToken => "no-token",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound(_) => "not-found",
+            Self::Method(_) => "method",
+            Self::NoVersion => "no-version",
+            Self::Malformed(_) => "malformed",
+            Self::Table(TableError::Lost { .. }) | Self::Lost { .. } => "lost",
+            Self::Table(_) => "invalid",
+            Self::Busy => "busy",
+            Self::Unread(_) => "unavailable",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+
+    pub(super) fn wire(&self) -> ErrorWire {
+        let (key, current) = match self {
+            Self::Lost { key, current } | Self::Table(TableError::Lost { key, current }) => {
+                (Some(key), current.as_deref())
+            }
+            Self::Table(TableError::Invalid { key, .. }) => (Some(key), None),
+            _ => (None, None),
+        };
+        let current = key.zip(current).map(VersionedRowWire::from);
+        ErrorWire {
+            code: self.code().to_string(),
+            message: self.to_string(),
+            key: key.map(ToString::to_string),
+            current,
+        }
+    }
+}
+
+impl From<WireError> for AdminError {
+    fn from(error: WireError) -> Self {
+        Self::Malformed(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -0,0 +1,146 @@
+//! Answers about the table and about this instance.
+
+use {
+    super::{Admin, AdminError},
+    citron_core::{
+        id::{KeyHash, Revision, ServiceName},
+        ownership::{Assignment, Phase, Scope},
+        table::{BlockId, Row, RowKey, Table, Versioned},
+    },
+    citron_platform::TableStore,
+    citron_wire::{
+        admin::{HistoryPageWire, OwnerWire, RowsWire, StatusWire, VersionedRowWire},
+        row::InstanceWire,
+    },
+};
+
+/// The most history entries in one answer.
+const MAX_HISTORY: usize = 1_000;
+
+impl<S: TableStore> Admin<S> {
+    /// Rows whose key begins with `prefix`.
+    pub(super) async fn rows(&self, prefix: &str) -> RowsWire {
+        let fresh = self.refresh().await.is_ok();
+        let table = self.table();
+        let rows = table
+            .rows()
+            .filter(|(key, _)| key.to_string().starts_with(prefix));
+        RowsWire {
+            revision: table.revision().0,
+            fresh,
+            rows: rows.map(VersionedRowWire::from).collect(),
+        }
+    }
+
+    /// One row.
+    pub(super) async fn row(&self, key: &RowKey) -> Result<VersionedRowWire, AdminError> {
+        // Without the platform the last known row serves to look at; an edit
+        // that names its version is still compared by the platform.
+        let read = self.refresh().await;
+        match self.table().get(key) {
+            Some(row) => Ok((key, row).into()),
+            None => Err(read.err().unwrap_or(AdminError::NotFound(key.to_string()))),
+        }
+    }
+
+    /// This instance, and those of the table.
+    pub(super) async fn status(&self) -> StatusWire {
+        let fresh = self.refresh().await.is_ok();
+        let table = self.table();
+        let instances = table.rows().filter_map(|(_, row)| match &row.value {
+            Row::Instance(row) => Some(InstanceWire::from(row)),
+            _ => None,
+        });
+        StatusWire {
+            instance: self.instance.to_string(),
+            domain: self.domain.to_string(),
+            revision: self.in_force().0,
+            latest: table.revision().max(self.in_force()).0,
+            fresh,
+            instances: instances.collect(),
+        }
+    }
+
+    /// Accepted edits after a revision.
+    pub(super) async fn history(
+        &self,
+        after: Revision,
+        limit: usize,
+    ) -> Result<HistoryPageWire, AdminError> {
+        let limit = limit.min(MAX_HISTORY);
+        let read = self.store.history(after, limit).await;
+        let entries = read.map_err(AdminError::unread)?;
+        Ok(HistoryPageWire {
+            entries: entries.iter().map(Into::into).collect(),
+        })
+    }
+
+    /// Who owns a key.
+    pub(super) async fn owner(
+        &self,
+        service: ServiceName,
+        key: &str,
+    ) -> Result<OwnerWire, AdminError> {
+        let read = self.refresh().await;
+        let found = owner(&self.table(), &service, KeyHash::of(key.as_bytes()));
+        found.ok_or_else(|| {
+            let what = format!("an owner of '{key}' in service/{service}");
+            read.err().unwrap_or(AdminError::NotFound(what))
+        })
+    }
+}
+
+fn owner(table: &Table, service: &ServiceName, hash: KeyHash) -> Option<OwnerWire> {
+    let Row::Service(rules) = &table.get(&RowKey::Service(service.clone()))?.value else {
+        return None;
+    };
+    let single = RowKey::Override(service.clone(), hash);
+    let shard = rules.shards.shard_of(hash);
+    let block = RowKey::Block(service.clone(), BlockId::of(shard));
+    let (scope, key, row) = match table.get(&single) {
+        Some(row) => (Scope::Key(hash), single, row),
+        None => (Scope::Shard(shard), block.clone(), table.get(&block)?),
+    };
+    let assignment = assignment(row, scope)?;
+    let to = match &assignment.phase {
+        Phase::Owned => None,
+        Phase::Releasing { to } => Some(to.to_string()),
+    };
+    let reason = match scope {
+        Scope::Key(_) => "the key was taken out of its shard".to_string(),
+        Scope::Shard(shard) => format!(
+            "its hash falls into shard {shard} of {}",
+            rules.shards.shards()
+        ),
+    };
+    let state = to.as_ref().map_or("owns it".to_string(), |to| {
+        format!("is giving it up to {to}")
+    });
+    let why = format!(
+        "{reason}; {key}, version {}, says that {} {state} under epoch {}",
+        row.version, assignment.owner, assignment.epoch
+    );
+    Some(OwnerWire {
+        revision: table.revision().0,
+        service: service.to_string(),
+        hash: hash.to_string(),
+        scope: scope.to_string(),
+        row: key.to_string(),
+        version: row.version.0,
+        owner: assignment.owner.to_string(),
+        epoch: assignment.epoch.0,
+        to,
+        why,
+    })
+}
+
+fn assignment(row: &Versioned<Row>, scope: Scope) -> Option<&Assignment> {
+    match (&row.value, scope) {
+        (Row::Override(row), _) => Some(&row.owner),
+        (Row::Block(row), Scope::Shard(shard)) => {
+            let first = row.block.first_shard();
+            row.shards.get((shard.0 - first.0) as usize)
+        }
+        _ => None,
+    }
+}
--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! One instance of citronproxy: a control thread, and traffic threads that read
 //! what it publishes.
 
+pub mod admin;
 pub mod clock;
 pub mod control;
 pub mod dev;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -3,14 +3,18 @@
 use {
     citron_platform::{HttpPlatform, LaneStore},
     citronproxy::{
+        admin::{self, Admin, AdminServer},
         clock::Clock,
         control::Follower,
         dev, events,
         settings::Settings,
         traffic::{self, TrafficHandle},
     },
-    std::{error::Error, path::PathBuf, process::ExitCode},
-    tokio::runtime::Builder,
+    std::{error::Error, path::PathBuf, process::ExitCode, rc::Rc},
+    tokio::{
+        runtime::Builder,
+        task::{LocalSet, spawn_local},
+    },
 };
 
 const HELP: &str = "\
@@ -106,8 +110,31 @@
     println!("traffic {}", workers.address);
     let writer = format!("{}/{}", settings.instance, std::process::id());
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let follower = Follower::new(store, handle, clock, settings.domain);
-    runtime.block_on(follower.run());
+    let follower = Follower::new(store, handle.clone(), clock, settings.domain.clone());
+    LocalSet::new().block_on(&runtime, async move {
+        start_admin(settings, handle).await?;
+        follower.run().await;
+        Ok::<_, std::io::Error>(())
+    })?;
     workers.join();
     Ok(())
 }
+
+/// Serves operators, with a writer of their own at the table. Its name is drawn
+/// anew at each start, since its commits are numbered anew.
+async fn start_admin(settings: Settings, handle: TrafficHandle) -> std::io::Result<()> {
+    let server = AdminServer::bind(settings.admin).await?;
+    println!("admin {}", server.address);
+    let start: u64 = rand::random();
+    let writer = format!("{}/{start:016x}/admin", settings.instance);
+    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
+    let admin = Admin::new(
+        settings.instance,
+        settings.domain,
+        store,
+        handle,
+        settings.token,
+    );
+    spawn_local(admin::serve(server, Rc::new(admin)));
+    Ok(())
+}
--- /dev/null
+++ b/crates/citronproxy/tests/admin.rs
@@ -0,0 +1,191 @@
+//! The admin API's contract, call by call, on a real instance.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    citron_fakes::platform::PlatformServer,
+    citron_platform::{LaneStore, Memory},
+    citronproxy::{
+        admin::{Admin, AdminServer, serve},
+        traffic::TrafficHandle,
+    },
+    http::{Method, Request},
+    http_body_util::Full,
+    serde_json::{Value, json},
+    std::rc::Rc,
+    support::{Instance, Operator, call, server_row, starting_rows},
+    tokio::task::{LocalSet, spawn_local},
+};
+
+async fn start() -> (PlatformServer, Instance, Operator) {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let platform = PlatformServer::start(any).await.unwrap();
+    let instance = Instance::start("entry-1", "harbour", platform.address);
+    let operator = Operator::new("ann", instance.admin);
+    let (status, body) = operator.edit(&starting_rows()).await.unwrap();
+    assert_eq!(status, 200, "{body}");
+    (platform, instance, operator)
+}
+
+fn line(case: &str, (status, body): &(u16, Value)) -> String {
+    let of = |name: &str| body[name].as_str().unwrap_or("-").to_string();
+    let current = &body["current"]["version"];
+    format!(
+        "{case}: {status} {} | {} | current {current}",
+        of("code"),
+        of("message")
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_refusal_has_its_status_word_and_reason() {
+    let (platform, _instance, ann) = start().await;
+    let mut lines = Vec::new();
+    let row = server_row(1, 50);
+    let mut bad = row.clone();
+    bad["cap"] = json!(0);
+    let mut unknown = row.clone();
+    unknown["colour"] = json!("red");
+    let heavy = server_row(1, 20_000);
+    let cases = [
+        ("accepted", ann.put("server/server-1", 1, &row).await),
+        ("lost race", ann.put("server/server-1", 1, &row).await),
+        ("added twice", ann.put("server/server-1", 0, &row).await),
+        (
+            "lost to a deletion",
+            ann.put("server/server-9", 7, &server_row(9, 1)).await,
+        ),
+        (
+            "key of another row",
+            ann.put("server/server-2", 1, &row).await,
+        ),
+        ("rule broken", ann.put("server/server-1", 2, &bad).await),
+        (
+            "unknown field",
+            ann.put("server/server-1", 2, &unknown).await,
+        ),
+        (
+            "weight too large",
+            ann.put("server/server-1", 2, &heavy).await,
+        ),
+        (
+            "no version",
+            ann.send(Method::PUT, "/v1/rows/server/server-1", &[], Some(&row))
+                .await,
+        ),
+        ("owner deleted", ann.delete("server/server-1", 2).await),
+        ("row not there", ann.get("/v1/rows/server/server-9").await),
+        ("no such call", ann.get("/v1/nothing").await),
+        (
+            "wrong method",
+            ann.send(Method::POST, "/v1/status", &[], None).await,
+        ),
+        ("bad key", ann.get("/v1/rows/barrel/1").await),
+        ("bad number", ann.get("/v1/history?after=x").await),
+        (
+            "no owner",
+            ann.get("/v1/owner?service=nets&key=bar-7").await,
+        ),
+        (
+            "nobody",
+            Operator::new("", ann.admin)
+                .put("server/server-1", 2, &row)
+                .await,
+        ),
+    ];
+    for (case, called) in cases {
+        lines.push(line(case, &called.unwrap()));
+    }
+    platform.faults.set(|trouble| trouble.down = true);
+    let down = ann.put("server/server-1", 2, &row).await.unwrap();
+    assert_eq!(
+        (down.0, down.1["code"].as_str()),
+        (503, Some("unavailable"))
+    );
+    let (status, rows) = ann.get("/v1/rows?kind=server").await.unwrap();
+    assert_eq!((status, &rows["fresh"]), (200, &json!(false)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Without the right token nothing is answered, whatever the call; without a
+/// token in the settings there is no right one.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_without_the_token_are_refused() {
+    let (_platform, instance, _ann) = start().await;
+    let tokens = [
+        "",
+        "Bearer ",
+        "Bearer a-token-for-test",
+        "Bearer b-token-for-tests",
+        "bearer a-token-for-tests",
+        "Basic a-token-for-tests",
+    ];
+    for token in tokens {
+        for path in ["/v1/status", "/v1/rows", "/v1/nothing"] {
+            let request = Request::get(path).header("authorization", token);
+            let request = request.body(Full::<Bytes>::default()).unwrap();
+            let reply = call(instance.admin, request).await.unwrap();
+            assert_eq!(reply.status, 401, "{token} {path}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_instance_without_a_token_in_its_settings_refuses_all() {
+    let run = async {
+        let server = AdminServer::bind("127.0.0.1:0".parse().unwrap())
+            .await
+            .unwrap();
+        let address = server.address;
+        let store = LaneStore::new(Memory::default(), "test".to_string());
+        let name = "entry-1".parse().unwrap();
+        let domain = "harbour".parse().unwrap();
+        let admin = Admin::new(name, domain, store, TrafficHandle::default(), None);
+        spawn_local(serve(server, Rc::new(admin)));
+        for token in ["Bearer ", "Bearer a-token-for-tests"] {
+            let request = Request::get("/v1/status").header("authorization", token);
+            let request = request.body(Full::<Bytes>::default()).unwrap();
+            let reply = call(address, request).await.unwrap();
+            assert_eq!(reply.status, 403);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_of_several_rows_takes_effect_whole_or_not_at_all() {
+    let (_platform, _instance, ann) = start().await;
+    let edit = |version: u64| {
+        let row = |number| server_row(number, 7);
+        [
+            json!({ "key": "server/server-1", "version": 1, "row": row(1) }),
+            json!({ "key": "server/server-2", "version": version, "row": row(2) }),
+        ]
+    };
+    let (status, lost) = ann.edit(&edit(9)).await.unwrap();
+    assert_eq!(
+        (status, lost["key"].as_str()),
+        (412, Some("server/server-2"))
+    );
+    let (_, first) = ann.get("/v1/rows/server/server-1").await.unwrap();
+    assert_eq!(first["row"]["weight"], 100);
+    let (status, done) = ann.edit(&edit(1)).await.unwrap();
+    assert_eq!((status, done["revision"].as_u64()), (200, Some(2)));
+    let (_, page) = ann.get("/v1/history?after=1").await.unwrap();
+    insta::assert_json_snapshot!(page, { ".entries[].at_ms" => "[time]" });
+}
+
+/// First servers own all shards at once, and status tells who owns a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_service_is_owned_and_status_says_why() {
+    let (_platform, _instance, ann) = start().await;
+    let (status, owner) = ann.get("/v1/owner?service=kegs&key=bar-7").await.unwrap();
+    assert_eq!(status, 200);
+    insta::assert_json_snapshot!(owner);
+    let (_, escaped) = ann
+        .get("/v1/owner?service=kegs&key=%62ar%2D7")
+        .await
+        .unwrap();
+    assert_eq!(owner, escaped);
+}
--- /dev/null
+++ b/crates/citronproxy/tests/race.rs
@@ -0,0 +1,322 @@
+//! Operators who edit the same rows at once, through different instances.
+
+mod support;
+
+use {
+    citron_fakes::platform::PlatformServer,
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    support::{Called, Gate, Instance, Operator, server_row, starting_rows},
+    tokio::time::sleep,
+};
+
+/// What the brief of operations allows for an edit to be in force everywhere.
+const EVERYWHERE: Duration = Duration::from_secs(7);
+/// Operators at once.
+const OPERATORS: u32 = 10;
+/// Edits that each of them tries.
+const EDITS: u32 = 15;
+
+/// What an operator was told of one edit, whose weight no other edit has.
+#[derive(Debug, Clone)]
+enum Told {
+    Accepted { revision: u64 },
+    Lost,
+    NotApplied,
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+struct Tried {
+    by: String,
+    /// The row as the operator saw it.
+    seen: Value,
+    weight: u64,
+    told: Told,
+}
+
+async fn platform() -> PlatformServer {
+    let any = "127.0.0.1:0".parse().unwrap();
+    PlatformServer::start(any).await.unwrap()
+}
+
+fn told(called: &Called) -> Told {
+    match called {
+        Ok((200, body)) => Told::Accepted {
+            revision: body["revision"].as_u64().expect("a revision"),
+        },
+        Ok((412, body)) => {
+            let current = body["current"]["version"].as_u64();
+            assert!(current.is_some(), "the loser sees the row as it is: {body}");
+            Told::Lost
+        }
+        Ok((503, _)) => Told::NotApplied,
+        // An instance that died leaves it open whether it had committed.
+        Ok((504, _)) | Err(_) => Told::Unknown,
+        Ok((status, body)) => panic!("{status} {body}"),
+    }
+}
+
+async fn operate(number: u32, admins: Vec<SocketAddr>) -> Vec<Tried> {
+    let mut tried = Vec::new();
+    for edit in 0..EDITS {
+        let admin = admins[((number + edit) % 3) as usize];
+        let ann = Operator::new(&format!("operator-{number}"), admin);
+        let server = 1 + (edit % 3) as u16;
+        let key = format!("server/server-{server}");
+        let Ok((200, seen)) = ann.get(&format!("/v1/rows/{key}")).await else {
+            continue;
+        };
+        let weight = 1_000 + number * EDITS + edit;
+        let version = seen["version"].as_u64().unwrap();
+        let called = ann.put(&key, version, &server_row(server, weight)).await;
+        tried.push(Tried {
+            by: ann.name.clone(),
+            seen: seen["row"].clone(),
+            weight: u64::from(weight),
+            told: told(&called),
+        });
+    }
+    tried
+}
+
+async fn history(ann: &Operator) -> Vec<Value> {
+    let mut entries = Vec::new();
+    let mut after = 0;
+    loop {
+        let (_, page) = ann
+            .get(&format!("/v1/history?after={after}&limit=40"))
+            .await
+            .unwrap();
+        let page = page["entries"].as_array().unwrap().clone();
+        let Some(last) = page.last() else {
+            return entries;
+        };
+        after = last["revision"].as_u64().unwrap();
+        entries.extend(page);
+    }
+}
+
+/// Ten operators change the weights of the same three servers through three
+/// instances, while answers of commits are lost on their way from the platform
+/// and one instance is killed in the middle. Whoever is told "accepted" must
+/// find the edit in the history for good, whoever is told "lost" or "not
+/// applied" must not, and no accepted edit may undo another one unseen.
+#[tokio::test(flavor = "multi_thread")]
+async fn ten_operators_at_once_lose_no_accepted_edit_and_are_told_the_truth() {
+    let platform = platform().await;
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let mut instances = names.map(|name| Instance::start(name, "harbour", platform.address));
+    let admins: Vec<_> = instances.iter().map(|instance| instance.admin).collect();
+    let ann = Operator::new("ann", admins[1]);
+    let (status, body) = ann.edit(&starting_rows()).await.unwrap();
+    assert_eq!(status, 200, "{body}");
+
+    let operators: Vec<_> = (0..OPERATORS)
+        .map(|number| tokio::spawn(operate(number, admins.clone())))
+        .collect();
+    let mut losses = 0;
+    for round in 0..40 {
+        losses += 1 - platform.faults.get().lost;
+        platform.faults.set(|trouble| trouble.lost = 1);
+        if round == 5 {
+            instances[0].kill();
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    platform.faults.set(|trouble| trouble.lost = 0);
+    let mut tried = Vec::new();
+    for operator in operators {
+        tried.extend(operator.await.unwrap());
+    }
+
+    let entries = history(&ann).await;
+    check_history(&ann, &entries).await;
+    check_told(&tried, &entries);
+    let count = |name: &str| {
+        tried
+            .iter()
+            .filter(|one| format!("{:?}", one.told).starts_with(name))
+            .count()
+    };
+    println!(
+        "told: {} accepted, {} lost, {} unknown, {} not applied; {losses} answers lost",
+        count("Accepted"),
+        count("Lost"),
+        count("Unknown"),
+        count("NotApplied"),
+    );
+    assert!(
+        count("Accepted") >= 10 && count("Lost") >= 10,
+        "a race took place"
+    );
+    assert!(losses >= 3, "answers were lost");
+}
+
+/// Each change starts from the row that the change before it left, and the last
+/// one left what the table now holds.
+async fn check_history(ann: &Operator, entries: &[Value]) {
+    let mut rows: BTreeMap<String, Value> = BTreeMap::new();
+    let mut last = 0;
+    for entry in entries {
+        let revision = entry["revision"].as_u64().unwrap();
+        assert!(revision > last, "the history is in order");
+        last = revision;
+        for change in entry["changes"].as_array().unwrap() {
+            let key = change["key"].as_str().unwrap().to_string();
+            let before = rows.get(&key).cloned().unwrap_or(Value::Null);
+            assert_eq!(change["before"], before, "the history has a gap");
+            rows.insert(key, change["after"].clone());
+        }
+    }
+    for (key, row) in rows {
+        let (_, now) = ann.get(&format!("/v1/rows/{key}")).await.unwrap();
+        assert_eq!(now["row"], row, "the table holds the last accepted edit");
+    }
+}
+
+fn check_told(tried: &[Tried], entries: &[Value]) {
+    for one in tried {
+        let found: Vec<_> = entries
+            .iter()
+            .filter(|entry| entry["changes"][0]["after"]["weight"] == json!(one.weight))
+            .collect();
+        let revision = found
+            .first()
+            .map(|entry| entry["revision"].as_u64().unwrap());
+        assert!(found.len() <= 1, "{one:?} took effect twice");
+        match &one.told {
+            Told::Accepted { revision: told } => assert_eq!(revision, Some(*told), "{one:?}"),
+            Told::Lost | Told::NotApplied => assert_eq!(revision, None, "{one:?}"),
+            Told::Unknown => {}
+        }
+        for entry in found {
+            assert_eq!(entry["by"], json!(one.by));
+            let before = &entry["changes"][0]["before"];
+            assert_eq!(*before, one.seen, "an edit undid another one unseen");
+        }
+    }
+}
+
+/// The edit takes effect, but every answer of the platform is lost, also to the
+/// resends. The operator is told that the outcome is unknown, as either "done"
+/// or "not applied" would be a guess, and finds the edit in the history.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_that_cannot_be_settled_is_told_unknown() {
+    let platform = platform().await;
+    let instance = Instance::start("entry-1", "harbour", platform.address);
+    let ann = Operator::new("ann", instance.admin);
+    ann.edit(&starting_rows()).await.unwrap();
+    platform.faults.set(|trouble| trouble.lost = 100);
+    let called = ann.put("server/server-1", 1, &server_row(1, 77)).await;
+    platform.faults.set(|trouble| trouble.lost = 0);
+    let (status, body) = called.unwrap();
+    assert_eq!((status, body["code"].as_str()), (504, Some("unknown")));
+    assert_eq!(history(&ann).await.len(), 2);
+}
+
+/// One instance is cut off from the platform while edits are accepted through
+/// another one. The cut-off instance keeps the revision it has, says that it is
+/// not fresh, takes no edit, and once it is reached again catches up and never
+/// goes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_instance_catches_up_and_never_goes_back() {
+    let platform = platform().await;
+    let gate = Gate::start(platform.address).await;
+    let near = Instance::start("entry-1", "harbour", platform.address);
+    let far = Instance::start("entry-2", "harbour", gate.address);
+    let ann = Operator::new("ann", near.admin);
+    let bob = Operator::new("bob", far.admin);
+    ann.edit(&starting_rows()).await.unwrap();
+    until_revision(&bob, 1).await;
+
+    gate.set_open(false);
+    for weight in 1..=5 {
+        let (status, _) = ann
+            .put("server/server-1", u64::from(weight), &server_row(1, weight))
+            .await
+            .unwrap();
+        assert_eq!(status, 200);
+    }
+    let (status, body) = bob
+        .put("server/server-1", 1, &server_row(1, 99))
+        .await
+        .unwrap();
+    assert_eq!((status, body["code"].as_str()), (503, Some("unavailable")));
+    let (_, cut_off) = bob.get("/v1/status").await.unwrap();
+    assert_eq!(
+        (&cut_off["revision"], &cut_off["fresh"]),
+        (&json!(1), &json!(false))
+    );
+
+    gate.set_open(true);
+    let took = until_revision(&bob, 6).await;
+    println!("caught up in {took:?}");
+    let (_, now) = bob.get("/v1/rows/server/server-1").await.unwrap();
+    assert_eq!(
+        (&now["version"], &now["row"]["weight"]),
+        (&json!(6), &json!(5))
+    );
+}
+
+/// Polls until a revision is in force, checking that it never goes back.
+async fn until_revision(operator: &Operator, wanted: u64) -> Duration {
+    let begun = Instant::now();
+    let mut last = 0;
+    loop {
+        let revision = operator.revision().await;
+        assert!(revision >= last, "went back from {last} to {revision}");
+        last = revision;
+        if revision >= wanted {
+            return begun.elapsed();
+        }
+        assert!(
+            begun.elapsed() < EVERYWHERE,
+            "still at {revision}, not {wanted}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// An accepted edit is in force on every instance within seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_edit_is_in_force_everywhere_in_time() {
+    let platform = platform().await;
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let instances = names.map(|name| Instance::start(name, "harbour", platform.address));
+    let operators = instances
+        .each_ref()
+        .map(|instance| Operator::new("ann", instance.admin));
+    operators[0].edit(&starting_rows()).await.unwrap();
+    let mut took = Vec::new();
+    for edit in 0..12 {
+        let ann = &operators[edit % 3];
+        let version = 1 + edit as u64;
+        let called = ann
+            .put(
+                "server/server-1",
+                version,
+                &server_row(1, 500 + edit as u32),
+            )
+            .await;
+        let (_, body) = called.unwrap();
+        let revision = body["revision"].as_u64().expect("accepted");
+        let begun = Instant::now();
+        for operator in &operators {
+            until_revision(operator, revision).await;
+        }
+        took.push(begun.elapsed());
+    }
+    took.sort();
+    println!(
+        "in force on 3 of 3: median {:?}, longest {:?} of {}",
+        took[6],
+        took[11],
+        took.len()
+    );
+    assert!(took[11] < EVERYWHERE);
+}
--- /dev/null
+++ b/crates/citronproxy/tests/support/gate.rs
@@ -0,0 +1,47 @@
+//! A relay in front of the platform that cuts one instance off.
+
+use {
+    std::net::SocketAddr,
+    tokio::{
+        io::copy_bidirectional,
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Passes connections on while open; closing cuts those under way as well.
+pub struct Gate {
+    pub address: SocketAddr,
+    open: watch::Sender<bool>,
+}
+
+impl Gate {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (open, state) = watch::channel(true);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(relay(stream, target, state.clone()));
+            }
+        });
+        Self { address, open }
+    }
+
+    pub fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+}
+
+async fn relay(mut stream: TcpStream, target: SocketAddr, mut state: watch::Receiver<bool>) {
+    if !*state.borrow() {
+        return;
+    }
+    let Ok(mut other) = TcpStream::connect(target).await else {
+        return;
+    };
+    tokio::select! {
+        _ = copy_bidirectional(&mut stream, &mut other) => {}
+        _ = state.wait_for(|open| !open) => {}
+    }
+}
--- a/crates/citronproxy/tests/support/instance.rs
+++ b/crates/citronproxy/tests/support/instance.rs
@@ -9,11 +9,15 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
+/// The admin token of every instance.
+pub const TOKEN: &str = "a-token-for-tests";
+
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
 /// A running instance; killed when dropped.
 pub struct Instance {
     pub traffic: SocketAddr,
+    pub admin: SocketAddr,
     child: Child,
     file: PathBuf,
 }
@@ -28,7 +32,7 @@
             r#"{{ // written by a test
             "instance": "{name}", "domain": "{domain}", "platform": "{platform}",
             "traffic": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
-            "threads": 2, "token": "a-token-for-tests" }}"#
+            "threads": 2, "token": "{TOKEN}" }}"#
         );
         fs::write(&file, settings).expect("settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_citronproxy"))
@@ -38,9 +42,12 @@
             .spawn()
             .expect("instance starts");
         let stdout = child.stdout.take().expect("stdout");
-        let traffic = read_address(&mut BufReader::new(stdout), "traffic ");
+        let mut lines = BufReader::new(stdout);
+        let traffic = read_address(&mut lines, "traffic ");
+        let admin = read_address(&mut lines, "admin ");
         Self {
             traffic,
+            admin,
             child,
             file,
         }
--- a/crates/citronproxy/tests/support/mod.rs
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -2,12 +2,16 @@
 //! processes. Everything ends with the value that holds it.
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
+mod admin;
 mod call;
+mod gate;
 mod instance;
 mod rows;
 
 pub use {
+    admin::{Called, Operator, server_row, starting_rows},
     call::{Reply, call, get, post},
-    instance::Instance,
+    gate::Gate,
+    instance::{Instance, TOKEN},
     rows::{Sample, commit, domain_row, sample},
 };
--- a/crates/core/src/table/rules.rs
+++ b/crates/core/src/table/rules.rs
@@ -116,7 +116,11 @@
     fn delete_server(&self, row: &ServerRow) -> Result<(), TableError> {
         let leaves = self.view.service(&row.service).is_some();
         if leaves && self.view.owns(&row.name) {
-            return self.broken("name", "owns shards", "a server that owns none: drain it");
+            return self.broken(
+                "name",
+                "the owner of shards",
+                "a server that owns none: drain it",
+            );
         }
         self.keeps_serving(row)
     }
--- a/crates/core/tests/edit.rs
+++ b/crates/core/tests/edit.rs
@@ -385,7 +385,7 @@
     };
     table.apply(changes).unwrap();
     let error = plan(&table, vec![delete(&table, "server/server-3")]).unwrap_err();
-    assert!(error.to_string().contains("owns shards"), "{error}");
+    assert!(error.to_string().contains("the owner of shards"), "{error}");
 }
 
 proptest! {
