--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,11 @@
 //! actions, so that the processes, the model checker and the tests run the very
 //! same code.
 
+pub mod admission;
 pub mod id;
 pub mod membership;
 pub mod ownership;
+pub mod placement;
 pub mod routing;
 pub mod table;
 pub mod time;
