Admin API: moves of a shard or key

Why: operators move a hot key by hand. The commit is core's begin_move with a history row, and rests on the new owner's row (commit_checked), so that a server deleted at the same moment does not become an owner. Only the begin: whether it is finished shows in /v1/owner; the control loops finish it.

--- a/crates/citronproxy/src/admin/editor.rs
+++ b/crates/citronproxy/src/admin/editor.rs
@@ -3,8 +3,9 @@
 use {
     super::{Admin, AdminError},
     citron_core::{
-        id::Revision,
-        table::{CommitAnswer, Edit, RowKey},
+        id::{Revision, ServerName, ServiceName},
+        ownership::{Scope, begin_move},
+        table::{Check, Commit, CommitAnswer, Edit, HistoryRow, RowChange, RowKey, Table},
     },
     citron_platform::TableStore,
     std::time::{Duration, SystemTime},
@@ -39,6 +40,60 @@
     }
 }
 
+/// A move that an operator asks for.
+#[derive(Debug, Clone)]
+pub(super) struct Moving {
+    pub(super) by: String,
+    pub(super) service: ServiceName,
+    pub(super) scope: Scope,
+    pub(super) to: ServerName,
+}
+
+impl<S: TableStore> Admin<S> {
+    /// Begins a move; the control loops finish it. Accepted means that the old
+    /// owner is being released, not that the new one owns the scope.
+    pub(super) async fn begin(&self, moving: &Moving) -> Result<Revision, AdminError> {
+        for _ in 0..PLANS {
+            self.refresh().await?;
+            let (commit, checks) = plan_move(&self.table(), moving)?;
+            let committed = self.store.commit_checked(commit, &checks).await;
+            if let CommitAnswer::Done(revision) = committed.map_err(AdminError::unsettled)? {
+                return Ok(revision);
+            }
+        }
+        Err(AdminError::Busy)
+    }
+}
+
+/// The commit of a move. It rests on the row of the new owner: an operator who
+/// deletes that server at the same moment would leave the scope with an owner
+/// that does not exist.
+fn plan_move(table: &Table, moving: &Moving) -> Result<(Commit, Vec<Check>), AdminError> {
+    let Moving {
+        by,
+        service,
+        scope,
+        to,
+    } = moving;
+    let mut commit = begin_move(table, service, *scope, to)?;
+    let changes = commit.writes.iter().map(|write| RowChange {
+        key: write.key.clone(),
+        before: table.get(&write.key).map(|row| row.value.clone()),
+        after: write.row.clone(),
+    });
+    commit.history = Some(HistoryRow {
+        by: by.clone(),
+        at: wall_clock(),
+        changes: changes.collect(),
+    });
+    let server = RowKey::Server(to.clone());
+    let checks = table.get(&server).map(|row| Check {
+        key: server.clone(),
+        expect: row.version,
+    });
+    Ok((commit, checks.into_iter().collect()))
+}
+
 fn names(edit: &Edit, key: &RowKey) -> bool {
     edit.rows.iter().any(|row| row.key == *key)
 }
--- a/crates/citronproxy/src/admin/error.rs
+++ b/crates/citronproxy/src/admin/error.rs
@@ -1,7 +1,10 @@
 //! Errors of the admin API, each with its status and word.
 
 use {
-    citron_core::table::{Row, RowKey, TableError, Versioned},
+    citron_core::{
+        ownership::MoveError,
+        table::{Row, RowKey, TableError, Versioned},
+    },
     citron_platform::PlatformError,
     citron_wire::{
         WireError,
@@ -35,6 +38,9 @@
     /// A rule of the table is broken.
     #[error(transparent)]
     Table(#[from] TableError),
+    /// A move that cannot begin.
+    #[error(transparent)]
+    Move(#[from] MoveError),
     /// A row changed since the operator read it; nothing took effect.
     #[error("row {key} has changed since you read it; nothing took effect")]
     Lost {
@@ -76,7 +82,7 @@
             Self::Table(TableError::Lost { .. }) | Self::Lost { .. } => {
                 StatusCode::PRECONDITION_FAILED
             }
-            Self::Table(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Table(_) | Self::Move(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Busy | Self::Unread(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -91,7 +97,7 @@
             Self::NoVersion => "no-version",
             Self::Malformed(_) => "malformed",
             Self::Table(TableError::Lost { .. }) | Self::Lost { .. } => "lost",
-            Self::Table(_) => "invalid",
+            Self::Table(_) | Self::Move(_) => "invalid",
             Self::Busy => "busy",
             Self::Unread(_) => "unavailable",
             Self::Unknown(_) => "unknown",
--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -4,15 +4,16 @@
     super::{
         Admin, AdminError,
         answer::{Answer, json, tagged},
-        editor::wall_clock,
+        editor::{Moving, wall_clock},
     },
     citron_core::{
-        id::{ParseIdError, Revision},
+        id::{KeyHash, ParseIdError, Revision, ShardId},
+        ownership::Scope,
         table::{Edit, Row, RowEdit},
     },
     citron_platform::TableStore,
     citron_wire::{
-        admin::{EditWire, HEADER_OPERATOR, RevisionWire},
+        admin::{EditWire, HEADER_OPERATOR, MoveWire, RevisionWire},
         row::{RowWire, parse_row_key},
     },
     http::{HeaderMap, Method, StatusCode, header, request::Parts},
@@ -43,6 +44,7 @@
                 let rows = rows.collect::<Result<_, _>>()?;
                 self.take(&head.headers, rows).await
             }
+            (&Method::POST, "/v1/moves") => self.move_call(&head.headers, read(body)?).await,
             (&Method::GET, "/v1/status") => Ok(json(StatusCode::OK, &self.status().await)),
             (&Method::GET, "/v1/history") => {
                 let after = query.number("after", Revision(0))?;
@@ -55,9 +57,10 @@
                 let owner = self.owner(service, &query.must("key")?).await?;
                 Ok(json(StatusCode::OK, &owner))
             }
-            (method, "/v1/rows" | "/v1/edits" | "/v1/status" | "/v1/history" | "/v1/owner") => {
-                Err(AdminError::Method(method.to_string()))
-            }
+            (
+                method,
+                "/v1/rows" | "/v1/edits" | "/v1/moves" | "/v1/status" | "/v1/history" | "/v1/owner",
+            ) => Err(AdminError::Method(method.to_string())),
             _ => Err(AdminError::NotFound(path.to_string())),
         }
     }
@@ -81,6 +84,26 @@
         self.take(&head.headers, vec![edit]).await
     }
 
+    async fn move_call(&self, headers: &HeaderMap, wire: MoveWire) -> Result<Answer, AdminError> {
+        let scope = match (wire.shard, &wire.key) {
+            (Some(shard), None) => Scope::Shard(ShardId(shard)),
+            (None, Some(key)) => Scope::Key(KeyHash::of(key.as_bytes())),
+            _ => {
+                return Err(AdminError::Malformed(
+                    "name either shard or key".to_string(),
+                ));
+            }
+        };
+        let moving = Moving {
+            by: operator(headers)?,
+            service: wire.service.parse().map_err(bad_id)?,
+            scope,
+            to: wire.to.parse().map_err(bad_id)?,
+        };
+        let revision = self.begin(&moving).await?.0;
+        Ok(tagged(revision, &RevisionWire { revision }))
+    }
+
     async fn take(&self, headers: &HeaderMap, rows: Vec<RowEdit>) -> Result<Answer, AdminError> {
         let by = text(headers, HEADER_OPERATOR);
         let by =
@@ -104,6 +127,11 @@
     tag.trim_matches('"').parse().map_err(bad_id)
 }
 
+fn operator(headers: &HeaderMap) -> Result<String, AdminError> {
+    let by = text(headers, HEADER_OPERATOR).map(str::to_string);
+    by.ok_or_else(|| AdminError::Malformed(format!("{HEADER_OPERATOR} is missing")))
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -189,3 +189,28 @@
         .unwrap();
     assert_eq!(owner, escaped);
 }
+
+/// A move is accepted once the release is committed; the key's owner then shows
+/// whom it goes to. A server that is not there is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_begins_with_a_release_and_is_in_the_history() {
+    let (_platform, _instance, ann) = start().await;
+    let ask = |body: Value| {
+        let ann = ann.clone();
+        async move {
+            ann.send(Method::POST, "/v1/moves", &[], Some(&body))
+                .await
+                .unwrap()
+        }
+    };
+    let (status, body) = ask(json!({ "service": "kegs", "shard": 2, "to": "server-9" })).await;
+    assert_eq!((status, body["code"].as_str()), (422, Some("invalid")));
+    let (status, body) = ask(json!({ "service": "kegs", "to": "server-1" })).await;
+    assert_eq!((status, body["code"].as_str()), (400, Some("malformed")));
+    let (status, _) = ask(json!({ "service": "kegs", "shard": 2, "to": "server-1" })).await;
+    assert_eq!(status, 200);
+    let (_, page) = ann.get("/v1/history?after=1").await.unwrap();
+    let change = &page["entries"][0]["changes"][0];
+    assert_eq!(change["key"], "block/kegs/0");
+    assert_eq!(change["after"]["shards"][2]["to"], "server-1");
+}
