--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -1,9 +1,11 @@
 //! One instance of citronproxy: a control thread, and traffic threads that read
 //! what it publishes.
 
+pub mod admin;
 pub mod clock;
 pub mod control;
 pub mod dev;
 pub mod events;
+pub mod peer;
 pub mod settings;
 pub mod traffic;
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -1,14 +1,31 @@
 //! The request path: hyper on both sides, one single-threaded runtime a thread.
 
 mod answer;
+mod ask;
 mod body;
+mod call;
+mod deadline;
+mod exchange;
+mod flights;
 mod handle;
+mod limits;
+mod load;
+mod phase;
 mod pool;
 mod proxy;
 mod request;
+mod state;
+mod target;
+mod tries;
+mod upload;
+mod wire;
 mod worker;
 
 pub use {
+    deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
-    worker::{Workers, start},
+    limits::Limits,
+    load::LoadSample,
+    phase::Phase,
+    worker::{Workers, start, start_with},
 };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod id;
 pub mod membership;
 pub mod ownership;
+pub mod placement;
 pub mod routing;
 pub mod table;
 pub mod time;
