Crash log and health: crashing requests, outliers, connections gone silent

Reason: a request that crashes each server that runs it takes down one after the other, as each instance alone sees too few crashes; a frozen server holds callers until their deadlines; old connections can go silent while new ones work.

crash::CrashLog, one per instance (short lock): refused(print) before each try (-> Event::Denied with Reason::Quarantined; with a try asked for but not begun it adds no doubt), crashed() when a connection died (Point >= HeadPart, never a timeout), answered() after a whole answer; report()/merge() by the exchange with peers, entries()/lift() for the admin API. Refused after 3 crashes over all instances, for 600 s. Counts are cumulative per start of an instance, so reports may repeat, be late or reordered. health::PoolHealth per service: check() before a try (Refuse -> Denied), succeeded()/failed(), ejected() for the planner; 5 failures in a row or 5 times the pool's middle latency eject, never over 30%. health::Links per server: allows(kept, idempotent), silent() -> whom to blame; silence_after(). Attempt: Event::Denied now stands for the try not yet begun: it leaves no doubt and ends no other exchange. Before, a retry that was turned away made a request 'unknown' that was surely not run.

Ruled out: clearing a fingerprint for good by one answer (a request that turns bad later would never be found): an answer voids the crashes before it. Ejecting on 5xx answers (they are the server's answers).

--- /dev/null
+++ b/crates/core/src/crash/fingerprint.rs
@@ -0,0 +1,52 @@
+//! What makes two requests the same request sent again.
+
+use {
+    crate::id::ParseIdError,
+    std::{fmt, str::FromStr},
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// Stable 64-bit hash of what stays the same when a caller sends a request again.
+///
+/// ```
+/// use citron_core::crash::Fingerprint;
+/// let one = Fingerprint::of(&[b"POST", b"/bars/7/pickups", b"body"]);
+/// assert_eq!(one, Fingerprint::of(&[b"POST", b"/bars/7/pickups", b"body"]));
+/// assert_ne!(one, Fingerprint::of(&[b"POST", b"/bars/7/pickup", b"sbody"]));
+/// assert_eq!(one.to_string().parse(), Ok(one));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Hashes parts: method, path with query, `Idempotency-Key`, length of the
+    /// body, and as much of the body as is kept. Requests that differ in none of
+    /// the parts are taken for the same.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hash = Xxh3::new();
+        for part in parts {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        Self(hash.digest())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let parsed = u64::from_str_radix(text, 16);
+        parsed.map(Self).map_err(|_| ParseIdError::Number {
+            found: text.to_string(),
+            min: 0,
+            max: u64::MAX,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/health/pool.rs
@@ -0,0 +1,119 @@
+//! Which servers of a service are outliers.
+
+use {
+    super::{Check, HealthConfig, ServerHealth},
+    crate::{id::ServerName, time::Time},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// The servers of one service, as one instance measures them.
+///
+/// Only own measurements count: a server that freezes goes on reporting that it
+/// is well. As a fault of the instance or of its network makes all servers look
+/// bad, no more than a stated share of them is ever ejected.
+///
+/// ```
+/// use citron_core::{health::*, time::Time};
+/// let names = ["a", "b", "c", "d"].map(|name| name.parse().unwrap());
+/// let mut pool = PoolHealth::new(HealthConfig::STANDARD);
+/// pool.set_servers(names.iter().cloned());
+/// for name in &names {
+///     (0..10).for_each(|_| pool.failed(name, Time::ZERO));
+/// }
+/// assert_eq!(pool.ejected().count(), 1);
+/// ```
+#[derive(Debug)]
+pub struct PoolHealth {
+    config: HealthConfig,
+    servers: BTreeMap<ServerName, ServerHealth>,
+}
+
+impl PoolHealth {
+    /// An empty pool.
+    pub fn new(config: HealthConfig) -> Self {
+        Self {
+            config,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the list of servers; those that stay keep their state.
+    pub fn set_servers(&mut self, names: impl Iterator<Item = ServerName>) {
+        let mut old = std::mem::take(&mut self.servers);
+        for name in names {
+            let health = old.remove(&name).unwrap_or_default();
+            self.servers.insert(name, health);
+        }
+    }
+
+    /// The server answered after so long; whether it has just been taken back, so
+    /// that its gate begins cold.
+    pub fn succeeded(&mut self, name: &ServerName, latency: Duration, now: Time) -> bool {
+        let late = self.is_outlier(latency);
+        let Some(server) = self.servers.get_mut(name) else {
+            return false;
+        };
+        // A slow server answers its probes too; slowly, they do not take it back.
+        if server.is_ejected() && late {
+            server.failed(&self.config, now);
+            return false;
+        }
+        let back = server.succeeded(latency, &self.config);
+        let usual = server.latency(&self.config);
+        if usual.is_some_and(|usual| self.is_outlier(usual)) && self.has_room() {
+            self.eject(name, now);
+        }
+        back
+    }
+
+    /// The server gave no answer: it could not be reached, the connection died,
+    /// or one that was opened for the request stayed silent.
+    pub fn failed(&mut self, name: &ServerName, now: Time) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let many = server.failed(&self.config, now);
+        if many && self.has_room() {
+            self.eject(name, now);
+        }
+    }
+
+    /// Whether a request may go to a server.
+    pub fn check(&mut self, name: &ServerName, now: Time) -> Check {
+        let server = self.servers.get_mut(name);
+        server.map_or(Check::Pass, |server| server.check(now))
+    }
+
+    /// The servers that are ejected, for the planner to move their shards.
+    pub fn ejected(&self) -> impl Iterator<Item = &ServerName> {
+        let servers = self.servers.iter();
+        let out = servers.filter(|(_, server)| server.is_ejected());
+        out.map(|(name, _)| name)
+    }
+
+    fn eject(&mut self, name: &ServerName, now: Time) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.eject(now);
+        }
+    }
+
+    /// Whether one more may be ejected.
+    fn has_room(&self) -> bool {
+        let most = self.config.share * self.servers.len() as f64;
+        (self.ejected().count() + 1) as f64 <= most
+    }
+
+    /// Whether a latency is far above the pool's middle one.
+    fn is_outlier(&self, latency: Duration) -> bool {
+        if latency <= self.config.slow_least {
+            return false;
+        }
+        let servers = self.servers.values();
+        let mut all: Vec<Duration> = servers
+            .filter_map(|server| server.latency(&self.config))
+            .collect();
+        all.sort_unstable();
+        let middle = all.get(all.len().saturating_sub(1) / 2);
+        middle.is_some_and(|middle| latency > middle.mul_f64(self.config.slow_factor))
+    }
+}
--- /dev/null
+++ b/crates/core/src/health/server.rs
@@ -0,0 +1,106 @@
+//! What one instance has measured of one server.
+
+use {super::HealthConfig, crate::time::Time, std::time::Duration};
+
+/// Weight of a new sample of the latency.
+const GAIN: f64 = 0.05;
+/// The first wait of an ejected server for a probe; it doubles up to the longest.
+const PROBE_FIRST: Duration = Duration::from_secs(1);
+const PROBE_LONGEST: Duration = Duration::from_secs(30);
+
+/// Whether a request may go to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Check {
+    /// It may.
+    Pass,
+    /// The server is ejected, and this request tells whether it has come back.
+    /// One that is not idempotent is refused instead, and the next one asked.
+    Probe,
+    /// The server is ejected until then; the request is answered at once.
+    Refuse {
+        /// When the next probe is due.
+        wait: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Ejection {
+    wait: Duration,
+    probe: Time,
+    answers: u32,
+}
+
+/// Failures and latency of one server.
+#[derive(Debug, Default)]
+pub struct ServerHealth {
+    failures: u32,
+    latency: f64,
+    samples: u32,
+    ejection: Option<Ejection>,
+}
+
+impl ServerHealth {
+    /// Counts an answer; whether the server has just been taken back.
+    pub fn succeeded(&mut self, latency: Duration, config: &HealthConfig) -> bool {
+        self.failures = 0;
+        let gain = if self.samples == 0 { 1.0 } else { GAIN };
+        self.latency += gain * (latency.as_secs_f64() - self.latency);
+        self.samples = self.samples.saturating_add(1);
+        let Some(ejection) = &mut self.ejection else {
+            return false;
+        };
+        ejection.answers += 1;
+        if ejection.answers < config.probes {
+            return false;
+        }
+        // What was measured before belongs to the trouble that is over.
+        *self = Self::default();
+        true
+    }
+
+    /// Counts a failure; whether there are too many in a row.
+    pub fn failed(&mut self, config: &HealthConfig, now: Time) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        if let Some(ejection) = &mut self.ejection {
+            ejection.answers = 0;
+            ejection.wait = (ejection.wait * 2).min(PROBE_LONGEST);
+            ejection.probe = now + ejection.wait;
+            return false;
+        }
+        self.failures >= config.failures
+    }
+
+    /// Takes the server out.
+    pub fn eject(&mut self, now: Time) {
+        self.ejection.get_or_insert(Ejection {
+            wait: PROBE_FIRST,
+            probe: now + PROBE_FIRST,
+            answers: 0,
+        });
+    }
+
+    /// Whether a request may go to it. One probe goes at a time: the next one is
+    /// due after the wait, or once the last was answered.
+    pub fn check(&mut self, now: Time) -> Check {
+        let Some(ejection) = &mut self.ejection else {
+            return Check::Pass;
+        };
+        if now < ejection.probe {
+            let wait = ejection.probe - now;
+            return Check::Refuse { wait };
+        }
+        ejection.probe = now + ejection.wait;
+        Check::Probe
+    }
+
+    /// Whether it is taken out.
+    pub fn is_ejected(&self) -> bool {
+        self.ejection.is_some()
+    }
+
+    /// The smoothed latency, once enough was seen.
+    pub fn latency(&self, config: &HealthConfig) -> Option<Duration> {
+        let enough = self.samples >= config.samples;
+        enough.then(|| Duration::from_secs_f64(self.latency))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,8 @@
 //! same code.
 
 pub mod admission;
+pub mod crash;
+pub mod health;
 pub mod id;
 pub mod membership;
 pub mod ownership;
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -113,7 +113,7 @@
         }
         match event {
             Event::Admitted => self.send(Duration::ZERO, self.first_link(), false, now),
-            Event::Denied { reason, wait } => self.give_up(reason, Some(wait)),
+            Event::Denied { reason, wait } => self.denied(reason, wait),
             Event::BodyBegun => self.body_begun(),
             Event::HedgeDue => self.hedge(now, retries),
             Event::CallerLeft => self.end(Step::Drop),
@@ -175,6 +175,15 @@
         })
     }
 
+    /// The last try was not begun, so that it leaves no doubt; others stay open.
+    fn denied(&mut self, reason: Reason, wait: Duration) -> Step {
+        self.open.pop();
+        if self.open.is_empty() {
+            return self.give_up(reason, Some(wait));
+        }
+        Step::Wait
+    }
+
     fn hedge(&mut self, now: Time, retries: &mut Retries) -> Step {
         let one = self.open.len() == 1 && self.answered.is_none();
         let time = self.kind.deadline - now >= TRY_LEAST;
@@ -230,7 +239,7 @@
 
     fn give_up(&mut self, reason: Reason, wait: Option<Duration>) -> Step {
         let wait = wait.unwrap_or(RECONNECT);
-        let verdict = if self.may_have_run() {
+        let verdict = if self.doubt {
             Verdict::unknown(reason, self.kind.idempotent, wait)
         } else {
             Verdict::not_run(reason, wait)
@@ -238,11 +247,6 @@
         self.end(Step::Answer(verdict))
     }
 
-    /// Whether an exchange is open or one failed after a write.
-    fn may_have_run(&self) -> bool {
-        self.doubt || !self.open.is_empty()
-    }
-
     fn end(&mut self, step: Step) -> Step {
         self.ended = true;
         self.open.clear();
--- a/crates/core/src/routing/event.rs
+++ b/crates/core/src/routing/event.rs
@@ -14,11 +14,13 @@
 pub enum Event {
     /// The request has a slot and can be sent for the first time.
     Admitted,
-    /// Admission, routing or quarantine turns it away; it may come back after `wait`.
+    /// Admission, routing or quarantine turns it away before its first try, or
+    /// before the try that was asked for last is begun. An exchange that is open
+    /// ends by [`Self::TimedOut`] instead.
     Denied {
         /// Why.
         reason: Reason,
-        /// The expected wait.
+        /// The expected wait: when it may come back.
         wait: Duration,
     },
     /// The first piece of a streamed body was taken from the caller.
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -188,6 +188,44 @@
     assert_eq!(verdict.outcome, Outcome::Unknown);
 }
 
+/// A request waits to be sent again when the instance learns that requests like
+/// it crash servers. What the first try left open decides the outcome.
+#[test]
+fn a_retry_that_is_turned_away_adds_no_doubt() {
+    let cases = [
+        (Point::Unconnected, Outcome::NotRun),
+        (Point::Written, Outcome::Unknown),
+    ];
+    for (point, outcome) in cases {
+        let mut retries = retries();
+        let mut attempt = sent(kind(true, RequestBody::Kept), &mut retries);
+        attempt.step(Event::Lost(FIRST, point), Time::ZERO, &mut retries);
+        let denied = Event::Denied {
+            reason: Reason::Quarantined,
+            wait: Duration::from_secs(60),
+        };
+        let Step::Answer(verdict) = attempt.step(denied, Time::ZERO, &mut retries) else {
+            panic!("nothing is open");
+        };
+        assert_eq!((verdict.status, verdict.outcome), (422, outcome));
+    }
+}
+
+/// A hedge finds no free slot. The first exchange goes on.
+#[test]
+fn a_hedge_that_is_turned_away_ends_nothing() {
+    let mut retries = retries();
+    let mut attempt = sent(kind(true, RequestBody::Kept), &mut retries);
+    attempt.step(Event::HedgeDue, Time::ZERO, &mut retries);
+    let denied = Event::Denied {
+        reason: Reason::Overloaded,
+        wait: Duration::ZERO,
+    };
+    assert_eq!(attempt.step(denied, Time::ZERO, &mut retries), Step::Wait);
+    let step = attempt.step(Event::Answered(FIRST), Time::ZERO, &mut retries);
+    assert_eq!(step, Step::Forward(FIRST));
+}
+
 /// The deadline is nearer than the backoff: the caller is told at once, not at
 /// the deadline.
 #[test]
--- a/crates/core/tests/overload/bench.rs
+++ b/crates/core/tests/overload/bench.rs
@@ -366,17 +366,20 @@
     fn deadline(&mut self, id: usize) {
         let request = &self.requests[id];
         let (instance, deadline) = (request.instance, request.deadline);
+        let mut event = Event::Denied {
+            reason: Reason::TimedOut,
+            wait: Duration::from_secs(1),
+        };
         match request.place {
             Place::Over => return,
             Place::Queue => self.gates[instance].leave(Ticket(id as u64), deadline),
             Place::Server { no, .. } => {
                 self.release(id, no, Release::TimedOut);
+                event = Event::TimedOut(no, Point::Written);
             }
             Place::Backoff => self.backing_off -= 1,
         }
-        let wait = Duration::from_secs(1);
-        let reason = Reason::TimedOut;
-        self.step(id, Event::Denied { reason, wait });
+        self.step(id, event);
         self.drain(instance);
     }
 
