Admission: book of the instances' demand, parts of slots and caps from server rows

Reason: the control thread needs one call from reports to shares, and an instance that is cut off goes on sending: its even part is left to it, so that both sides of a partition together stay within slots and cap. A report counts for 2 s; nobody heard of means the even part.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -110,10 +110,7 @@
             share,
             waited: false,
             counts: Counts::default(),
-            demand: Demand {
-                arrivals: Rate(0.0),
-                answers: Rate(0.0),
-            },
+            demand: Demand::NONE,
             sampled: now,
             config,
         }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! How much work goes to a backend server, and whose.
 
+mod book;
 mod fair;
 mod gate;
 mod limit;
@@ -9,6 +10,7 @@
 mod warmup;
 
 pub use {
+    book::{DemandBook, Part},
     fair::OperatorRoom,
     gate::{Admission, Gate, GateConfig, Turn},
     limit::{LimitConfig, Release, ServerLimit},
--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -89,15 +89,25 @@
 /// assert!(calm[1].slots() >= 1.0);
 /// ```
 pub fn shares(slots: Slots, demands: &[Demand]) -> Vec<SlotShare> {
-    let total: f64 = demands.iter().map(Demand::weight).sum();
     let short = is_short(demands);
     let least = if short { 0.0 } else { CALM_LEAST };
-    let part = |demand: &Demand| f64::from(slots.0) * demand.weight() / total;
+    let part = |demand: &Demand| f64::from(slots.0) * demand.part_of(demands);
     let share = |demand: &Demand| SlotShare(part(demand).max(least));
     demands.iter().map(share).collect()
 }
 
 impl Demand {
+    /// No request for the server.
+    pub const NONE: Self = Self {
+        arrivals: Rate(0.0),
+        answers: Rate(0.0),
+    };
+
+    /// This demand over all of them.
+    pub(super) fn part_of(&self, all: &[Self]) -> f64 {
+        self.weight() / all.iter().map(Self::weight).sum::<f64>()
+    }
+
     fn weight(&self) -> f64 {
         self.arrivals.0.max(RATE_LEAST)
     }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -3,8 +3,8 @@
 use {
     citron_core::{
         admission::{
-            Admission, Demand, Gate, GateConfig, LimitConfig, OperatorRoom, Rate, Release,
-            SlotShare, Ticket, Turn, shares,
+            Admission, Demand, DemandBook, Gate, GateConfig, LimitConfig, OperatorRoom, Rate,
+            Release, SlotShare, Ticket, Turn, shares,
         },
         id::Slots,
         routing::Reason,
@@ -216,6 +216,38 @@
     assert_eq!((room.held(&flood), quiet_held, other_held), (200, 67, 22));
 }
 
+/// Ten instances, four of them cut off from the rest. Both sides have more demand
+/// than the server has slots; together they must not send more than it takes, nor
+/// more than its cap.
+#[test]
+fn two_sides_of_a_partition_share_a_server() {
+    let demand = Demand {
+        arrivals: Rate(100.0),
+        answers: Rate(10.0),
+    };
+    let server = "server-1".parse().unwrap();
+    let parts = [4, 6].map(|side: usize| {
+        let mut book = DemandBook::default();
+        for peer in 1..side {
+            let from = format!("instance-{peer}").parse().unwrap();
+            book.hear(from, [("server-1".parse().unwrap(), demand)].into(), at(0));
+        }
+        let cap = Some(Rate(50.0));
+        let part = book.part(&server, Slots(4), cap, demand, 10, at(0));
+        let late = book.part(&server, Slots(4), cap, demand, 10, at(5_000));
+        assert_eq!(late.share, SlotShare::new(0.4), "old reports do not count");
+        (
+            part.share.slots() * side as f64,
+            part.cap.unwrap().0 * side as f64,
+        )
+    });
+    let (slots, cap) = (parts[0].0 + parts[1].0, parts[0].1 + parts[1].1);
+    assert!(
+        (slots - 4.0).abs() < 1e-9 && (cap - 50.0).abs() < 1e-9,
+        "{slots} {cap}"
+    );
+}
+
 proptest! {
     /// While slots are short, the parts add up to the slots, and instances with
     /// the same demand get the same part.
