Guards: limits, health and crashes of an instance behind one call for each try

Reason: the request path would have to know in which order quarantine, health, cap and slots are asked and what each end of a try tells against whom; that is policy and can be tested without sockets.

How to drive it: one Guards per instance behind a short lock (or one per thread with 'listed' times the threads). set_map() for each revision; enter(operator)/leave(operator) around a request; ask() before each try -> Start | Queued | Shed (to the attempt as Event::Denied); end() after each started try with TryEnd; then next() until None, and at wake(); give_up() if the caller of a waiting one left. Control: demands() out, DemandBook::part_of -> set_part(); crashes.report()/merge(); ejected() to the planner.

A probe of an ejected server is an idempotent request if one comes within two waits, else another: a service with purchases only would never get a frozen server back (found while writing the tests). Latency for health is the time to the answer's head: a slow reader is not a slow server. A refusal by the server is a sign of life.

--- a/crates/core/examples/policy_cost.rs
+++ b/crates/core/examples/policy_cost.rs
@@ -106,7 +106,7 @@
     pool.set_servers(names.iter().cloned());
     move |round| {
         let name = &names[round as usize % SERVERS];
-        black_box(pool.check(name, at(round)));
+        black_box(pool.check(name, true, at(round)));
         pool.succeeded(name, HOLD, at(round));
     }
 }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod book;
 mod fair;
 mod gate;
+mod guards;
 mod limit;
 mod queue;
 mod rate;
@@ -13,6 +14,7 @@
     book::{DemandBook, Part},
     fair::OperatorRoom,
     gate::{Admission, Gate, GateConfig, Turn},
+    guards::{Ask, Guards, TryEnd},
     limit::{LimitConfig, Release, ServerLimit},
     queue::{Ticket, WaitQueue},
     rate::{Rate, RateCap},
--- a/crates/core/src/health/pool.rs
+++ b/crates/core/src/health/pool.rs
@@ -66,6 +66,13 @@
         back
     }
 
+    /// The server refused a request: it is busy, not dead.
+    pub fn alive(&mut self, name: &ServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.alive();
+        }
+    }
+
     /// The server gave no answer: it could not be reached, the connection died,
     /// or one that was opened for the request stayed silent.
     pub fn failed(&mut self, name: &ServerName, now: Time) {
@@ -79,9 +86,9 @@
     }
 
     /// Whether a request may go to a server.
-    pub fn check(&mut self, name: &ServerName, now: Time) -> Check {
+    pub fn check(&mut self, name: &ServerName, idempotent: bool, now: Time) -> Check {
         let server = self.servers.get_mut(name);
-        server.map_or(Check::Pass, |server| server.check(now))
+        server.map_or(Check::Pass, |server| server.check(idempotent, now))
     }
 
     /// The servers that are ejected, for the planner to move their shards.
--- a/crates/core/src/health/server.rs
+++ b/crates/core/src/health/server.rs
@@ -14,7 +14,6 @@
     /// It may.
     Pass,
     /// The server is ejected, and this request tells whether it has come back.
-    /// One that is not idempotent is refused instead, and the next one asked.
     Probe,
     /// The server is ejected until then; the request is answered at once.
     Refuse {
@@ -58,6 +57,11 @@
         true
     }
 
+    /// Counts a sign of life that says nothing about the latency.
+    pub fn alive(&mut self) {
+        self.failures = 0;
+    }
+
     /// Counts a failure; whether there are too many in a row.
     pub fn failed(&mut self, config: &HealthConfig, now: Time) -> bool {
         self.failures = self.failures.saturating_add(1);
@@ -80,14 +84,23 @@
     }
 
     /// Whether a request may go to it. One probe goes at a time: the next one is
-    /// due after the wait, or once the last was answered.
-    pub fn check(&mut self, now: Time) -> Check {
+    /// due after the wait.
+    ///
+    /// A probe of a frozen server ends as `unknown` if it is not idempotent. Such a
+    /// request is taken only when no other came for another wait, since a service
+    /// that has no others would never get its server back.
+    pub fn check(&mut self, idempotent: bool, now: Time) -> Check {
         let Some(ejection) = &mut self.ejection else {
             return Check::Pass;
         };
-        if now < ejection.probe {
-            let wait = ejection.probe - now;
-            return Check::Refuse { wait };
+        let grace = if idempotent {
+            Duration::ZERO
+        } else {
+            ejection.wait
+        };
+        let due = ejection.probe + grace;
+        if now < due {
+            return Check::Refuse { wait: due - now };
         }
         ejection.probe = now + ejection.wait;
         Check::Probe
--- a/crates/core/src/routing/verdict.rs
+++ b/crates/core/src/routing/verdict.rs
@@ -17,6 +17,10 @@
     Unconfirmed,
     /// The wait for a slot would outlast the deadline, or the queue is full.
     Overloaded,
+    /// The server gave no answers lately and is probed from time to time.
+    Ejected,
+    /// The operator has as many requests in progress as the instance allows.
+    Crowded,
     /// The server's cap of requests a second is used up.
     Capped,
     /// Requests like this one crashed servers.
@@ -37,10 +41,12 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::NoOwner,
         Self::Unconfirmed,
         Self::Overloaded,
+        Self::Ejected,
+        Self::Crowded,
         Self::Capped,
         Self::Quarantined,
         Self::Refused,
@@ -57,7 +63,7 @@
             Self::NoOwner | Self::Unconfirmed | Self::Overloaded => 503,
             Self::Capped => 429,
             Self::Quarantined => 422,
-            Self::Refused | Self::Leaving => 503,
+            Self::Ejected | Self::Crowded | Self::Refused | Self::Leaving => 503,
             Self::Unreachable | Self::Lost => 502,
             Self::TimedOut => 504,
             Self::CallerLeft => 499,
@@ -71,6 +77,8 @@
             Self::NoOwner => "the key has no owner now",
             Self::Unconfirmed => "the owner of the key is not certain now",
             Self::Overloaded => "the wait for the backend server is too long",
+            Self::Ejected => "the backend server does not answer now",
+            Self::Crowded => "the operator has too many requests in progress here",
             Self::Capped => "the backend server's cap is used up",
             Self::Quarantined => "requests like this one crashed backend servers",
             Self::Refused => "the backend server refused the request",
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -111,7 +111,7 @@
             Verdict::unknown(reason, false, wait),
         ];
         let cells: Vec<String> = verdicts.into_iter().map(told_verdict).collect();
-        let _ = writeln!(table, "{:<50}{}", reason.to_string(), cells.join(" | "));
+        let _ = writeln!(table, "{:<55}{}", reason.to_string(), cells.join(" | "));
     }
     assert_snapshot!(table);
 }
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -40,11 +40,11 @@
     fail(&mut pool, &names[0], 4);
     pool.succeeded(&names[0], FAST, at(0));
     fail(&mut pool, &names[0], 4);
-    assert_eq!(pool.check(&names[0], at(0)), Check::Pass);
+    assert_eq!(pool.check(&names[0], true, at(0)), Check::Pass);
     fail(&mut pool, &names[0], 1);
     let wait = Duration::from_secs(1);
-    assert_eq!(pool.check(&names[0], at(0)), Check::Refuse { wait });
-    assert_eq!(pool.check(&names[1], at(0)), Check::Pass);
+    assert_eq!(pool.check(&names[0], true, at(0)), Check::Refuse { wait });
+    assert_eq!(pool.check(&names[1], true, at(0)), Check::Pass);
 }
 
 /// The instance's own network fails, and every server looks bad. Ejecting them
@@ -95,24 +95,42 @@
     let names = names(6);
     let mut pool = pool(&names);
     fail(&mut pool, &names[0], 5);
-    assert_eq!(pool.check(&names[0], at(1_000)), Check::Probe);
+    assert_eq!(pool.check(&names[0], true, at(1_000)), Check::Probe);
     assert!(matches!(
-        pool.check(&names[0], at(1_001)),
+        pool.check(&names[0], true, at(1_001)),
         Check::Refuse { .. }
     ));
     pool.failed(&names[0], at(1_500));
     let wait = Duration::from_secs(2);
-    assert_eq!(pool.check(&names[0], at(1_500)), Check::Refuse { wait });
+    assert_eq!(
+        pool.check(&names[0], true, at(1_500)),
+        Check::Refuse { wait }
+    );
     let mut back = Vec::new();
     for round in 0..3 {
         assert_eq!(
-            pool.check(&names[0], at(10_000 + 5_000 * round)),
+            pool.check(&names[0], true, at(10_000 + 5_000 * round)),
             Check::Probe
         );
         back.push(pool.succeeded(&names[0], FAST, at(10_100)));
     }
     assert_eq!(back, [false, false, true]);
-    assert_eq!(pool.check(&names[0], at(25_000)), Check::Pass);
+    assert_eq!(pool.check(&names[0], true, at(25_000)), Check::Pass);
+}
+
+/// The server of a service without idempotent requests is frozen. Its probes risk
+/// an `unknown`, but without any the server would stay out for good.
+#[test]
+fn other_requests_probe_only_when_no_idempotent_one_does() {
+    let names = names(6);
+    let mut pool = pool(&names);
+    fail(&mut pool, &names[0], 5);
+    let wait = Duration::from_millis(500);
+    assert_eq!(
+        pool.check(&names[0], false, at(1_500)),
+        Check::Refuse { wait }
+    );
+    assert_eq!(pool.check(&names[0], false, at(2_000)), Check::Probe);
 }
 
 /// Open connections go silent for good while new ones work. One request finds
