--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -154,6 +154,38 @@
     assert_eq!(done, Step::Done);
 }
 
+/// A server is in trouble and every request to it fails. Neither retries nor hedges
+/// may multiply the load on it beyond the budget.
+#[test]
+fn an_empty_budget_stops_retries_and_hedges() {
+    let config = BudgetConfig {
+        share: 0.0,
+        burst: 0.5,
+    };
+    let mut retries = Retries::new(config, SEED);
+    let mut attempt = sent(kind(true, RequestBody::Kept), &mut retries);
+    let hedge = attempt.step(Event::HedgeDue, Time::ZERO, &mut retries);
+    assert_eq!(hedge, Step::Wait);
+    let lost = Event::Lost(FIRST, Point::Written);
+    let step = attempt.step(lost, Time::ZERO, &mut retries);
+    assert!(matches!(step, Step::Answer(_)));
+}
+
+/// A server refuses every epoch. The caller gets an answer after a few tries, long
+/// before its deadline.
+#[test]
+fn tries_are_counted_even_without_a_budget() {
+    let mut retries = Retries::new(BudgetConfig::UNLIMITED, SEED);
+    let mut attempt = sent(kind(false, RequestBody::Kept), &mut retries);
+    let fenced = |no| Event::Fenced(Try(no));
+    let steps: Vec<Step> = (1..=TRIES_MAX)
+        .map(|no| attempt.step(fenced(no), Time::ZERO, &mut retries))
+        .collect();
+    let sends = steps.iter().filter(|step| matches!(step, Step::Send(_)));
+    assert_eq!(sends.count(), TRIES_MAX as usize - 1);
+    assert!(matches!(steps.last(), Some(Step::Answer(_))));
+}
+
 /// A hedge of a purchase would buy twice.
 #[test]
 fn requests_that_are_not_idempotent_are_never_hedged() {
