--- a/crates/core/tests/overload/bench.rs
+++ b/crates/core/tests/overload/bench.rs
@@ -1,64 +1,28 @@
 //! Ten instances before one backend server, in virtual time.
 
 use {
-    crate::stats::Stats,
+    crate::{
+        callers::{Callers, INSTANCES},
+        plan::Plan,
+        server::{Reached, Server},
+        stats::Stats,
+    },
     citron_core::{
         admission::{
-            Admission, Demand, Gate, GateConfig, Release, SlotShare, Ticket, Turn, even_share,
-            shares,
+            Admission, Demand, Gate, Release, SlotShare, Ticket, Turn, even_share, shares,
         },
         id::Slots,
-        routing::{
-            Attempt, BudgetConfig, Event, Point, Reason, RequestBody, RequestKind, Retries, Step,
-            Try,
-        },
+        routing::{Attempt, Event, Point, Reason, RequestBody, RequestKind, Retries, Step, Try},
         time::Time,
     },
-    rand::{Rng, SeedableRng},
-    rand_chacha::ChaCha8Rng,
-    std::{cmp::Reverse, collections::BinaryHeap, collections::VecDeque, time::Duration},
+    std::{cmp::Reverse, collections::BinaryHeap, time::Duration},
 };
 
 /// One way between an instance and the server.
 const WAY: Duration = Duration::from_micros(250);
-/// Added to the server's next work for each refusal.
-const REFUSAL_WORK: Duration = Duration::from_micros(500);
-/// Work of a request: a fixed part and an exponential one.
-const WORK_FIXED: f64 = 0.005;
-const WORK_RANDOM: f64 = 0.015;
 const EXCHANGE: Duration = Duration::from_millis(200);
-const INSTANCES: usize = 10;
-/// Callers come to the instances in these proportions, turned by one each 10 s.
-const WEIGHTS: [f64; INSTANCES] = [6.0, 4.0, 2.0, 2.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
-const TURN: f64 = 10.0;
-
-#[derive(Debug, Clone, Copy)]
-pub struct Plan {
-    pub slots: u32,
-    /// Offered load over capacity.
-    pub load: f64,
-    pub gate: GateConfig,
-    /// The share before and without exchanges; `None` for the even part.
-    pub share: Option<f64>,
-    pub exchange: bool,
-    pub budget: BudgetConfig,
-    /// Requests the server keeps waiting before it refuses.
-    pub backlog: usize,
-    /// Time a try may take before it is given up for a retry.
-    pub progress: Option<Duration>,
-    /// How often a caller sends a failed request again, a second apart.
-    pub resends: u32,
-    /// What is sent or answered then is lost without a sign.
-    pub outage: Option<(Time, Time)>,
-    pub end: Time,
-    pub seed: u64,
-}
-
-impl Plan {
-    pub fn capacity(&self) -> f64 {
-        f64::from(self.slots) / (WORK_FIXED + WORK_RANDOM)
-    }
-}
+/// Added to the seed for the callers' own random numbers.
+const CALLERS_SEED: u64 = 1_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Ev {
@@ -106,12 +70,10 @@
     gates: Vec<Gate>,
     retries: Vec<Retries>,
     requests: Vec<Request>,
-    running: u32,
-    backlog: VecDeque<(usize, Try)>,
-    extra: Duration,
+    server: Server<(usize, Try)>,
+    callers: Callers,
     /// Refused by the server and not back at a gate yet.
     backing_off: usize,
-    random: ChaCha8Rng,
     pub stats: Stats,
 }
 
@@ -128,11 +90,9 @@
             gates: (0..INSTANCES).map(gate).collect(),
             retries: (0..INSTANCES).map(retries).collect(),
             requests: Vec::new(),
-            running: 0,
-            backlog: VecDeque::new(),
-            extra: Duration::ZERO,
+            server: Server::new(plan.slots, plan.backlog, plan.seed),
+            callers: Callers::new(plan.load * plan.capacity(), plan.seed + CALLERS_SEED),
             backing_off: 0,
-            random: ChaCha8Rng::seed_from_u64(plan.seed),
             stats: Stats::new(INSTANCES, plan.slots, plan.capacity()),
             plan,
         };
@@ -158,7 +118,7 @@
     fn advance(&mut self, time: Time) {
         let waiting: usize = self.gates.iter().map(Gate::waiting).sum();
         let waiting = waiting + self.backing_off;
-        let idle = (self.plan.slots - self.running).min(waiting as u32);
+        let idle = self.server.idle().min(waiting as u32);
         self.stats.idle(idle, time - self.now, time);
         self.now = time;
     }
@@ -179,16 +139,9 @@
     }
 
     fn arrive(&mut self) {
-        let rate = self.plan.load * self.plan.capacity();
-        let gap = -self.random.random_range(f64::MIN_POSITIVE..1.0).ln() / rate;
-        self.at(Duration::from_secs_f64(gap), Ev::Arrive);
-        let turn = (self.now.as_micros() as f64 / 1e6 / TURN) as usize;
-        let mut point = self.random.random_range(0.0..WEIGHTS.iter().sum());
-        let found = WEIGHTS.iter().position(|weight| {
-            point -= weight;
-            point < 0.0
-        });
-        let instance = (found.unwrap_or(0) + turn) % INSTANCES;
+        let gap = self.callers.gap();
+        self.at(gap, Ev::Arrive);
+        let instance = self.callers.instance(self.now);
         self.stats.offered(instance, self.now);
         self.request(instance, self.plan.resends);
     }
@@ -287,33 +240,22 @@
         if self.is_down() {
             return;
         }
-        if self.running < self.plan.slots {
-            self.work(id, no);
-        } else if self.backlog.len() < self.plan.backlog {
-            self.backlog.push_back((id, no));
-        } else {
-            self.extra += REFUSAL_WORK;
-            self.stats.server_refused(self.now);
-            self.at(WAY, Ev::Reply(id, no, Ending::Refused));
+        match self.server.reach((id, no)) {
+            Reached::Works(work) => self.at(work, Ev::Worked(id, no)),
+            Reached::Kept => {}
+            Reached::Refused => {
+                self.stats.server_refused(self.now);
+                self.at(WAY, Ev::Reply(id, no, Ending::Refused));
+            }
         }
     }
 
-    fn work(&mut self, id: usize, no: Try) {
-        self.running += 1;
-        let random = -self.random.random_range(f64::MIN_POSITIVE..1.0).ln();
-        let work = Duration::from_secs_f64(WORK_FIXED + WORK_RANDOM * random);
-        let work = work + std::mem::take(&mut self.extra);
-        self.at(work, Ev::Worked(id, no));
-    }
-
-    /// The server does not notice that a caller is gone: the worst case.
     fn worked(&mut self, id: usize, no: Try) {
-        self.running -= 1;
         if !self.is_down() {
             self.at(WAY, Ev::Reply(id, no, Ending::Answered));
         }
-        if let Some((id, no)) = self.backlog.pop_front() {
-            self.work(id, no);
+        if let Some(((id, no), work)) = self.server.worked() {
+            self.at(work, Ev::Worked(id, no));
         }
     }
 
--- a/crates/core/tests/overload/limits.rs
+++ b/crates/core/tests/overload/limits.rs
@@ -1,10 +1,7 @@
 //! Ways of sharing a server's slots, compared.
 
 use {
-    crate::{
-        bench::{Bench, Plan},
-        stats::Stats,
-    },
+    crate::{bench::Bench, plan::Plan, stats::Stats},
     citron_core::{
         admission::{GateConfig, LimitConfig},
         routing::BudgetConfig,
--- a/crates/core/tests/overload/outage.rs
+++ b/crates/core/tests/overload/outage.rs
@@ -1,10 +1,7 @@
 //! A server that is silent for 10 s under load.
 
 use {
-    crate::{
-        bench::{Bench, Plan},
-        stats::Stats,
-    },
+    crate::{bench::Bench, plan::Plan, stats::Stats},
     citron_core::{
         admission::{GateConfig, LimitConfig},
         routing::BudgetConfig,
--- /dev/null
+++ b/crates/core/tests/overload/plan.rs
@@ -0,0 +1,35 @@
+//! What a run of the bench is made of.
+
+use {
+    crate::server::{WORK_FIXED, WORK_RANDOM},
+    citron_core::{admission::GateConfig, routing::BudgetConfig, time::Time},
+    std::time::Duration,
+};
+
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    pub slots: u32,
+    /// Offered load over capacity.
+    pub load: f64,
+    pub gate: GateConfig,
+    /// The share before and without exchanges; `None` for the even part.
+    pub share: Option<f64>,
+    pub exchange: bool,
+    pub budget: BudgetConfig,
+    /// Requests the server keeps waiting before it refuses.
+    pub backlog: usize,
+    /// Time a try may take before it is given up for a retry.
+    pub progress: Option<Duration>,
+    /// How often a caller sends a failed request again, a second apart.
+    pub resends: u32,
+    /// What is sent or answered then is lost without a sign.
+    pub outage: Option<(Time, Time)>,
+    pub end: Time,
+    pub seed: u64,
+}
+
+impl Plan {
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.slots) / (WORK_FIXED + WORK_RANDOM)
+    }
+}
