Drain on SIGTERM, and a guard against ambiguous messages on callers' connections

Reason: the instance died with its requests on SIGTERM; the HTTP library settles a Content-Length beside Transfer-Encoding and repeated lengths by rules of its own, which a balancer in front need not share. Change: lifecycle (statig): not ready, one second in which connections are still taken and each ends with its answer, then no new ones, all requests to their end, exit 0. GuardStream checks every head and chunk before the library sees it, limits size, slowness, idleness and unread answers; a refused head is replaced by a request that the proxy answers, so that the outcome is told there as well. Ruled out: checking the parsed headers, since the library drops the second length before anyone sees it.

--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod control;
 pub mod dev;
 pub mod events;
+pub mod lifecycle;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/citronproxy/src/lifecycle/run.rs
@@ -0,0 +1,37 @@
+//! The drive of the states.
+
+use {
+    super::{Change, Lifecycle},
+    crate::traffic::TrafficHandle,
+    statig::blocking::IntoStateMachineExt,
+    std::{io, time::Duration},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        time::sleep,
+    },
+};
+
+/// How long an instance that leaves still takes connections: balancers ask
+/// `/readyz` now and then, and send requests until they have seen its answer.
+pub const LEAVE_TIME: Duration = Duration::from_secs(1);
+
+/// Waits for SIGTERM or SIGINT, then for the end of all requests under way,
+/// however long they take. Whatever requests need must go on meanwhile.
+///
+/// # Errors
+/// If the signals cannot be caught.
+pub async fn run(handle: TrafficHandle) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut machine = Lifecycle::new(handle.clone()).state_machine();
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    machine.handle(&Change::Asked);
+    sleep(LEAVE_TIME).await;
+    machine.handle(&Change::Noticed);
+    handle.drained().await;
+    machine.handle(&Change::Finished);
+    Ok(())
+}
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -5,7 +5,7 @@
     citronproxy::{
         clock::Clock,
         control::Follower,
-        dev, events,
+        dev, events, lifecycle,
         settings::Settings,
         traffic::{self, TrafficHandle},
     },
@@ -106,8 +106,13 @@
     println!("traffic {}", workers.address);
     let writer = format!("{}/{}", settings.instance, std::process::id());
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let follower = Follower::new(store, handle, clock, settings.domain);
-    runtime.block_on(follower.run());
-    workers.join();
-    Ok(())
+    let follower = Follower::new(store, handle.clone(), clock, settings.domain);
+    let lived = runtime.block_on(async {
+        tokio::select! {
+            lived = lifecycle::run(handle) => lived,
+            () = follower.run() => Ok(()),
+        }
+    });
+    workers.close();
+    Ok(lived?)
 }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -61,7 +61,7 @@
             match step {
                 Step::Send(send) => open.push(tries.run(send)),
                 Step::Forward(no) => return self.forward(no),
-                Step::Answer(verdict) => return self.give_up(from_verdict(&verdict)),
+                Step::Answer(verdict) => return from_verdict(&verdict),
                 Step::Wait => {}
                 Step::Abort | Step::Done | Step::Drop => return broken(),
             }
@@ -72,6 +72,11 @@
                 () = hedge_due(tries), if hedge => Event::HedgeDue,
                 else => return broken(),
             };
+            if self.answer.is_none()
+                && let Some(answer) = self.bad_body(event)
+            {
+                return answer;
+            }
             step = self.step(event);
         }
     }
@@ -141,7 +146,8 @@
         answer
     }
 
-    fn give_up(&self, answer: Response<AnswerBody>) -> Response<AnswerBody> {
+    /// The answer to a caller whose body cannot be passed on whole.
+    fn bad_body(&self, event: Event) -> Option<Response<AnswerBody>> {
         let (status, reason) = if self.tries.source.too_large() {
             (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         } else if self.tries.source.cut() {
@@ -150,10 +156,16 @@
                 "the body is malformed or cut short",
             )
         } else {
-            return answer;
+            return None;
+        };
+        // Once a part is with the server, nobody knows what it makes of it.
+        let clean = matches!(event, Event::Lost(Try(1), point) if point.is_clean());
+        let outcome = if clean {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
         };
-        // A part of the body may be with the server, which was cut off.
-        own(status, Outcome::Unknown, None, reason)
+        Some(own(status, outcome, None, reason))
     }
 }
 
--- /dev/null
+++ b/crates/citronproxy/src/traffic/guard/stream.rs
@@ -0,0 +1,279 @@
+//! The guarded socket.
+
+use {
+    super::{
+        Refusal,
+        chunks::Chunks,
+        head::{self, Framing},
+    },
+    crate::traffic::Limits,
+    std::{
+        io::{self, ErrorKind, IoSlice},
+        pin::Pin,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::{Sleep, sleep},
+    },
+};
+
+/// Bytes read at a time while a head is looked for.
+const READ: usize = 8 * 1_024;
+/// How long unread bytes of a caller are thrown away before its connection is
+/// closed: a close with bytes unread resets it, and the answer could be lost.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Where the stream of requests stands.
+#[derive(Debug)]
+enum Mode {
+    /// In a head; so many bytes of it were scanned.
+    Head(usize),
+    /// In a body with so many bytes to come.
+    Body(u64),
+    /// In a chunked body.
+    Chunks(Chunks),
+    /// After a refusal: whatever else comes is ignored.
+    Refused,
+}
+
+type Timer = Option<Pin<Box<Sleep>>>;
+
+/// A caller's socket that passes on checked messages only.
+#[derive(Debug)]
+pub struct GuardStream {
+    stream: TcpStream,
+    limits: Limits,
+    mode: Mode,
+    /// Read, and not passed on yet.
+    unread: Vec<u8>,
+    /// How many of the unread bytes are checked.
+    checked: usize,
+    slow: Timer,
+    stall: Timer,
+    linger: Timer,
+}
+
+impl GuardStream {
+    /// Guards a socket.
+    pub fn new(stream: TcpStream, limits: Limits) -> Self {
+        Self {
+            stream,
+            limits,
+            mode: Mode::Head(0),
+            unread: Vec::new(),
+            checked: 0,
+            slow: None,
+            stall: None,
+            linger: None,
+        }
+    }
+
+    fn pass(&mut self, out: &mut ReadBuf<'_>) {
+        let taken = self.checked.min(out.remaining());
+        out.put_slice(&self.unread[..taken]);
+        self.unread.drain(..taken);
+        self.checked -= taken;
+    }
+
+    /// Checks the unread bytes as far as they go.
+    fn check(&mut self) -> io::Result<()> {
+        match &mut self.mode {
+            Mode::Head(scanned) => match find_head(&self.unread, *scanned, self.limits.head) {
+                Ok(None) => *scanned = self.unread.len(),
+                Ok(Some((end, framing))) => self.begin_body(end, framing),
+                Err(refusal) => self.refuse(refusal),
+            },
+            Mode::Body(_) | Mode::Chunks(_) => self.checked = self.follow(None)?,
+            Mode::Refused => self.unread.clear(),
+        }
+        Ok(())
+    }
+
+    fn begin_body(&mut self, end: usize, framing: Framing) {
+        self.slow = None;
+        self.checked = end;
+        self.mode = match framing {
+            Framing::Length(0) => Mode::Head(0),
+            Framing::Length(length) => Mode::Body(length),
+            Framing::Chunked => Mode::Chunks(Chunks::new()),
+        };
+    }
+
+    fn refuse(&mut self, refusal: Refusal) {
+        self.unread = refusal.stand_in();
+        self.checked = self.unread.len();
+        self.mode = Mode::Refused;
+        self.slow = None;
+    }
+
+    /// Follows a body through `bytes`, or through the unread ones; tells how many
+    /// belong to it.
+    fn follow(&mut self, bytes: Option<&[u8]>) -> io::Result<usize> {
+        let bytes = bytes.unwrap_or(&self.unread);
+        let (taken, done) = match &mut self.mode {
+            Mode::Body(left) => {
+                let taken = usize::try_from(*left)
+                    .unwrap_or(usize::MAX)
+                    .min(bytes.len());
+                *left -= taken as u64;
+                (taken, *left == 0)
+            }
+            Mode::Chunks(chunks) => {
+                let taken = chunks.follow(bytes).map_err(|_| bad_chunk())?;
+                (taken, chunks.done())
+            }
+            Mode::Head(_) | Mode::Refused => (0, false),
+        };
+        if done {
+            self.mode = Mode::Head(0);
+        }
+        Ok(taken)
+    }
+
+    /// Reads a part of a body right into `out`; what is beyond its end is kept.
+    fn poll_body(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = out.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, out))?;
+        let read = &out.filled()[before..];
+        let taken = self.follow(Some(read))?;
+        self.unread.extend_from_slice(&read[taken..]);
+        out.set_filled(before + taken);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads on in a head; `false` at the end of the stream.
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let mut buffer = [0; READ];
+        let mut read = ReadBuf::new(&mut buffer);
+        if Pin::new(&mut self.stream)
+            .poll_read(cx, &mut read)?
+            .is_pending()
+        {
+            return self.poll_slow(cx);
+        }
+        self.unread.extend_from_slice(read.filled());
+        Poll::Ready(Ok(!read.filled().is_empty()))
+    }
+
+    /// Ends a connection whose caller sends a head too slowly: each one holds a
+    /// descriptor and memory, and slow ones in number would use up both.
+    fn poll_slow(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        if self.unread.is_empty() {
+            return Poll::Pending;
+        }
+        let time = self.limits.slow;
+        let slow = self.slow.get_or_insert_with(|| Box::pin(sleep(time)));
+        ready!(slow.as_mut().poll(cx));
+        Poll::Ready(Err(ErrorKind::TimedOut.into()))
+    }
+
+    /// Ends a connection whose caller reads its answer no more: the answer holds
+    /// a slot of the backend server.
+    fn watch<T>(&mut self, cx: &mut Context<'_>, done: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if done.is_ready() {
+            self.stall = None;
+            return done;
+        }
+        let time = self.limits.stall;
+        let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(time)));
+        ready!(stall.as_mut().poll(cx));
+        Poll::Ready(Err(ErrorKind::TimedOut.into()))
+    }
+
+    /// Whether the caller may still be sending what nobody will read.
+    fn unfinished(&self) -> bool {
+        !matches!(self.mode, Mode::Head(_))
+    }
+}
+
+fn find_head(
+    unread: &[u8],
+    scanned: usize,
+    max: usize,
+) -> Result<Option<(usize, Framing)>, Refusal> {
+    let end = head::end(&unread[..unread.len().min(max)], scanned)?;
+    match end {
+        Some(end) => Ok(Some((end, head::check(&unread[..end])?))),
+        None if unread.len() >= max => Err(Refusal::Large),
+        None => Ok(None),
+    }
+}
+
+fn bad_chunk() -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, "a malformed chunk")
+}
+
+impl AsyncRead for GuardStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        loop {
+            if this.checked == 0 && !this.unread.is_empty() {
+                this.check()?;
+            }
+            if this.checked > 0 {
+                this.pass(out);
+                return Poll::Ready(Ok(()));
+            }
+            if matches!(this.mode, Mode::Body(_) | Mode::Chunks(_)) {
+                return this.poll_body(cx, out);
+            }
+            if !ready!(this.poll_head(cx))? {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+impl AsyncWrite for GuardStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.watch(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        if !self.unfinished() {
+            return Poll::Ready(Ok(()));
+        }
+        let linger = self.linger.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let mut buffer = [0; READ];
+            let mut read = ReadBuf::new(&mut buffer);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+            if read.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -6,6 +6,8 @@
         body::AnswerBody,
         call::Call,
         deadline,
+        guard::Refusal,
+        limits::Limits,
         phase::Phase,
         request::{host, prepare},
         state::State,
@@ -31,7 +33,7 @@
 }
 
 /// An answer of ours; boxed, since it is large and rare.
-type Refusal = Box<Response<AnswerBody>>;
+type Refused = Box<Response<AnswerBody>>;
 
 impl Proxy {
     /// A path that routes by what the handle publishes.
@@ -40,6 +42,11 @@
         Self { state }
     }
 
+    /// What callers may take up.
+    pub fn limits(&self) -> Limits {
+        self.state.limits
+    }
+
     /// Answers one request; whatever fails becomes an answer that says so.
     pub async fn serve(
         self,
@@ -66,11 +73,15 @@
             }
             "/readyz" if handle.snapshot().is_some() => Some(ok("ready")),
             "/readyz" => Some(unavailable("no table yet")),
-            _ => None,
+            _ => {
+                let refused = Refusal::of_path(path)?;
+                let (status, reason) = (refused.status(), refused.to_string());
+                Some(own(status, Outcome::NotRun, None, &reason))
+            }
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refused> {
         let (mut head, body) = request.into_parts();
         check(&head)?;
         let service = self.service(&head)?;
@@ -101,7 +112,7 @@
         Ok(Call::new(&tries, &row.name, idempotent).run().await)
     }
 
-    fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refusal> {
+    fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refused> {
         let snapshot = self.state.handle.snapshot();
         let Some(snapshot) = snapshot.as_ref() else {
             return Err(Box::new(unavailable("no table yet")));
@@ -120,20 +131,29 @@
 }
 
 /// Refuses what cannot be passed on exactly.
-fn check(head: &Parts) -> Result<(), Refusal> {
+fn check(head: &Parts) -> Result<(), Refused> {
     // In HTTP/1.0 an answer without a length ends with its connection, so that
     // one cut short would look whole.
     if head.version != Version::HTTP_11 {
         let reason = "HTTP/1.1 is needed";
-        return Err(refusal(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
+        return Err(last(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
     }
     if matches!(head.method, Method::CONNECT | Method::TRACE) {
         let reason = "the method is not passed on";
-        return Err(refusal(StatusCode::METHOD_NOT_ALLOWED, reason));
+        return Err(last(StatusCode::METHOD_NOT_ALLOWED, reason));
     }
     Ok(())
 }
 
-fn refusal(status: StatusCode, reason: &str) -> Refusal {
+/// A refusal that ends the connection: what follows such a request on it may not
+/// be a request.
+fn last(status: StatusCode, reason: &str) -> Refused {
+    let mut refused = refusal(status, reason);
+    let close = HeaderValue::from_static("close");
+    refused.headers_mut().insert(header::CONNECTION, close);
+    refused
+}
+
+fn refusal(status: StatusCode, reason: &str) -> Refused {
     Box::new(own(status, Outcome::NotRun, None, reason))
 }
--- a/crates/citronproxy/src/traffic/upload.rs
+++ b/crates/citronproxy/src/traffic/upload.rs
@@ -22,6 +22,9 @@
     /// The caller broke off or sent a malformed body.
     #[error("the caller's body: {0}")]
     Caller(#[from] hyper::Error),
+    /// It could not be read before.
+    #[error("the body was cut short before")]
+    Ended,
     /// The caller sent more than is allowed.
     #[error("the body is larger than {max} bytes")]
     TooLarge {
@@ -101,6 +104,11 @@
 
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
         let mut state = self.state.borrow_mut();
+        // After an error the library tells an ordinary end: a retry would pass a
+        // part of a body on as the whole.
+        if matches!(state.end, End::Cut | End::TooLarge) {
+            return Poll::Ready(Some(Err(UploadError::Ended)));
+        }
         loop {
             let frame = ready!(Pin::new(&mut state.incoming).poll_frame(cx));
             let data = match frame {
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ask::{self, Ask},
+        guard::GuardStream,
         handle::TrafficHandle,
         limits::Limits,
         phase::Phase,
@@ -32,8 +33,8 @@
 
 /// Connections that wait to be accepted, per thread.
 const BACKLOG: i32 = 1_024;
-/// How long a caller may take to send the head of a request.
-const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Bytes that are buffered of one caller's connection, each way.
+const BUFFER_MAX: usize = 64 * 1_024;
 /// The pause after a failed accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -203,12 +204,15 @@
     _open: Open,
 ) {
     let _ = stream.set_nodelay(true);
+    let limits = proxy.limits();
+    let guarded = GuardStream::new(stream, limits);
     let service = service_fn(move |request| proxy.clone().serve(request));
     let mut served = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIME)
-            .serve_connection(TokioIo::new(stream), service)
+            .header_read_timeout(limits.idle)
+            .max_buf_size(BUFFER_MAX)
+            .serve_connection(TokioIo::new(guarded), service)
     );
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
--- /dev/null
+++ b/crates/citronproxy/tests/drain.rs
@@ -0,0 +1,277 @@
+//! An instance leaves under traffic.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    citron_core::table::{Fencing, Row},
+    citron_fakes::{
+        backend::{BackendConfig, BackendServer},
+        platform::PlatformServer,
+        raw::{Act, RawServer},
+    },
+    http::{Request, Response, header},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{SendRequest, handshake},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    support::{Instance, LONG, Sample, commit, domain_row, get, sample},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::sleep,
+    },
+};
+
+/// Callers that send all the time.
+const CALLERS: usize = 12;
+/// Size of the upload and of the download.
+const LARGE: usize = 24 * 1_024 * 1_024;
+/// Parts of the upload and of the download, with a pause after each.
+const PARTS: usize = 48;
+const PART_PAUSE: Duration = Duration::from_millis(60);
+
+async fn ready(address: SocketAddr) -> bool {
+    let reply = get(address, "/readyz").await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
+async fn until_ready(address: SocketAddr) {
+    let begun = Instant::now();
+    while !ready(address).await {
+        assert!(begun.elapsed() < LONG, "{address} did not become ready");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A caller behind a balancer of two instances: it keeps its connection until
+/// told to close it, and then takes the first instance that is ready.
+struct Caller {
+    instances: [SocketAddr; 2],
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    async fn connect(&self) -> SendRequest<Full<Bytes>> {
+        loop {
+            for address in self.instances {
+                if !ready(address).await {
+                    continue;
+                }
+                // Nothing was sent to an instance that refuses the connection.
+                let Ok(stream) = TcpStream::connect(address).await else {
+                    continue;
+                };
+                let (sender, driver) = handshake(TokioIo::new(stream)).await.expect("a handshake");
+                tokio::spawn(driver);
+                return sender;
+            }
+        }
+    }
+
+    async fn post(&mut self, id: &str) -> Result<(), String> {
+        let mut sender = match self.sender.take() {
+            Some(sender) => sender,
+            None => self.connect().await,
+        };
+        let request = Request::post(format!("/kegs/bar-{id}"))
+            .header("host", "kegs")
+            .header("test-id", id)
+            .body(Full::from("pickup"))
+            .expect("a request");
+        let sent = sender.send_request(request).await;
+        let answer = sent.map_err(|error| format!("{id}: no answer: {error}"))?;
+        let close = answer.headers().contains_key(header::CONNECTION);
+        whole(id, answer).await?;
+        if !close && sender.ready().await.is_ok() {
+            self.sender = Some(sender);
+        }
+        Ok(())
+    }
+}
+
+async fn whole(id: &str, answer: Response<Incoming>) -> Result<(), String> {
+    let ran = answer
+        .headers()
+        .get("citron-outcome")
+        .is_some_and(|v| v == "ran");
+    let status = answer.status();
+    let body = answer.into_body().collect().await;
+    let body = body
+        .map_err(|error| format!("{id}: cut: {error}"))?
+        .to_bytes();
+    if !ran || status != 200 {
+        return Err(format!("{id}: {status} {}", String::from_utf8_lossy(&body)));
+    }
+    Ok(())
+}
+
+async fn call_on(
+    number: usize,
+    instances: [SocketAddr; 2],
+    stop: Arc<AtomicBool>,
+) -> Vec<Result<String, String>> {
+    let sender = None;
+    let mut caller = Caller { instances, sender };
+    let mut results = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let id = format!("{number}-{}", results.len());
+        results.push(caller.post(&id).await.map(|()| id));
+        // Some callers pause, so that their connections are idle at times.
+        sleep(Duration::from_millis(5 * number as u64)).await;
+    }
+    results
+}
+
+async fn slow_upload(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST /kegs/photos HTTP/1.1\r\nhost: a\r\ntest-id: upload\r\ncontent-length: {LARGE}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let part = vec![b'x'; LARGE / PARTS];
+    for _ in 0..PARTS {
+        stream.write_all(&part).await.expect("the upload goes on");
+        sleep(PART_PAUSE).await;
+    }
+    support::read_all(&mut stream, LONG).await
+}
+
+/// Bytes of the body that arrived.
+async fn slow_download(address: SocketAddr) -> usize {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /photos/all HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut buffer = vec![0; LARGE / PARTS];
+    let mut answer = Vec::new();
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => answer.extend_from_slice(&buffer[..read]),
+        }
+        sleep(PART_PAUSE / 2).await;
+    }
+    let head = answer.windows(4).position(|part| part == b"\r\n\r\n");
+    answer.len() - head.map_or(0, |head| head + 4)
+}
+
+/// The rows of a second service, `photos`, with a server of its own.
+fn photos(address: SocketAddr) -> Vec<Row> {
+    let servers = vec![("photos-1".to_string(), "harbour".to_string(), address)];
+    let fencing = Fencing::Unchecked;
+    let mut rows = sample(&Sample { servers, fencing });
+    let name: citron_core::id::ServiceName = "photos".parse().unwrap();
+    for row in &mut rows {
+        match row {
+            Row::Service(row) => {
+                row.name = name.clone();
+                row.prefix = "/photos".to_string();
+            }
+            Row::Block(row) => row.service = name.clone(),
+            Row::Server(row) => row.service = name.clone(),
+            _ => {}
+        }
+    }
+    rows
+}
+
+/// Twelve callers send all the time through two instances, one of which is asked
+/// to leave while an upload of 24 MiB and a slow download run through it. Both
+/// end whole, every request of every caller gets its whole answer, each runs
+/// once, and the instance exits with 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_leaves_and_no_request_is_lost() {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let platform = PlatformServer::start(any).await.unwrap();
+    let config = BackendConfig {
+        name: "server-1".to_string(),
+        slots: 64,
+        work: Duration::from_millis(5),
+        fenced: false,
+    };
+    let server = BackendServer::start(any, config).await.unwrap();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE}\r\n\r\n");
+    let large = Act::Write(head + &"y".repeat(LARGE));
+    let raw = RawServer::start(vec![vec![Act::Request, large]])
+        .await
+        .unwrap();
+    let servers = vec![(
+        "server-1".to_string(),
+        "harbour".to_string(),
+        server.address,
+    )];
+    let fencing = Fencing::Unchecked;
+    let mut rows = sample(&Sample { servers, fencing });
+    rows.extend(photos(raw.address));
+    rows.push(domain_row("harbour"));
+    commit(&platform.memory, "test", rows).await;
+
+    let mut leaving = Instance::start("entry-1", "harbour", platform.address);
+    let staying = Instance::start("entry-2", "harbour", platform.address);
+    until_ready(leaving.traffic).await;
+    until_ready(staying.traffic).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let instances = [leaving.traffic, staying.traffic];
+    let callers =
+        (0..CALLERS).map(|number| tokio::spawn(call_on(number, instances, Arc::clone(&stop))));
+    let callers: Vec<_> = callers.collect();
+    let upload = tokio::spawn(slow_upload(leaving.traffic));
+    let download = tokio::spawn(slow_download(leaving.traffic));
+    sleep(Duration::from_millis(600)).await;
+
+    leaving.terminate();
+    sleep(Duration::from_millis(200)).await;
+    assert!(!ready(leaving.traffic).await, "still ready");
+    let begun = Instant::now();
+    let code = loop {
+        if let Some(code) = leaving.exit_code() {
+            break code;
+        }
+        assert!(begun.elapsed() < LONG, "the instance does not end");
+        sleep(Duration::from_millis(20)).await;
+    };
+    stop.store(true, Ordering::Relaxed);
+    let mut results = Vec::new();
+    for caller in callers {
+        results.extend(caller.await.unwrap());
+    }
+
+    assert_eq!(code, 0);
+    let uploaded = upload.await.unwrap();
+    assert!(
+        uploaded.contains(&format!("\"received\":{LARGE}")),
+        "{uploaded}"
+    );
+    assert_eq!(download.await.unwrap(), LARGE);
+    let lost: Vec<&String> = results
+        .iter()
+        .filter_map(|result| result.as_ref().err())
+        .collect();
+    assert!(
+        lost.is_empty(),
+        "{} of {} lost: {lost:?}",
+        lost.len(),
+        results.len()
+    );
+    let sent: BTreeSet<&String> = results.iter().flatten().collect();
+    let ran: Vec<String> = server.runs.all().iter().map(|run| run.id.clone()).collect();
+    let ran: Vec<&String> = ran.iter().filter(|id| *id != "upload").collect();
+    assert!(sent.len() > 100, "too little traffic: {}", sent.len());
+    assert_eq!(
+        ran.len(),
+        sent.len(),
+        "a request ran more than once, or not at all"
+    );
+    assert_eq!(ran.into_iter().collect::<BTreeSet<_>>(), sent);
+}
--- a/crates/citronproxy/tests/support/instance.rs
+++ b/crates/citronproxy/tests/support/instance.rs
@@ -51,6 +51,22 @@
         self.child.id()
     }
 
+    /// Asks the process to leave, as the platform does.
+    pub fn terminate(&self) {
+        let pid = libc::pid_t::try_from(self.pid()).expect("a process id");
+        // SAFETY: it sends a signal to a process that this value owns and has
+        // not waited for, so that the id cannot belong to another process.
+        #[allow(unsafe_code, reason = "the standard library sends no SIGTERM")]
+        let sent = unsafe { libc::kill(pid, libc::SIGTERM) };
+        assert_eq!(sent, 0);
+    }
+
+    /// The exit code, once the process has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let ended = self.child.try_wait().expect("a child");
+        ended.and_then(|status| status.code())
+    }
+
     /// Ends the process as `kill -9` does.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
