--- /dev/null
+++ b/crates/citronproxy/examples/bench.rs
@@ -0,0 +1,182 @@
+//! Requests a second and added latency of the request path, against a direct
+//! connection to the same stand-in, side by side:
+//! `cargo run --release --example bench [-- --seconds N] [--post]`.
+
+use {
+    citron_core::{
+        id::Revision,
+        membership::Confirmation,
+        routing::{RouteMap, Snapshot},
+        table::{Changes, Row, Table},
+    },
+    citronproxy::{clock::Clock, dev, traffic},
+    hdrhistogram::Histogram,
+    std::{
+        error::Error,
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Traffic threads of the instance.
+const THREADS: usize = 2;
+/// The two ways alternate in slices of this length, so that whatever else the
+/// machine does meets both alike.
+const SLICE: Duration = Duration::from_millis(100);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\nhello, keg!\n";
+
+type Nanos = Histogram<u64>;
+type CallError = Box<dyn Error + Send + Sync>;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut args = pico_args::Arguments::from_env();
+    let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(6);
+    let request: &[u8] = match args.contains("--post") {
+        true => b"POST /kegs/bar-7 HTTP/1.1\r\nhost: kegs\r\ncontent-length: 4\r\n\r\nkegs",
+        false => b"GET /kegs/bar-7 HTTP/1.1\r\nhost: kegs\r\n\r\n",
+    };
+    let server = stand_in()?;
+    let proxy = instance(server)?;
+    println!("connections  way     requests/s  p50 us  p99 us  added p50  added p99");
+    for connections in [1, 4, 16] {
+        let ways = [server, proxy];
+        let [direct, proxied] = measure(ways, connections, request, seconds)?;
+        print_row(connections, "direct", &direct, &direct, seconds);
+        print_row(connections, "proxy", &proxied, &direct, seconds);
+    }
+    Ok(())
+}
+
+fn print_row(connections: usize, way: &str, nanos: &Nanos, base: &Nanos, seconds: u64) {
+    let micros = |histogram: &Nanos, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+    // Each way has half of the time.
+    let rate = nanos.len() as f64 / (seconds as f64 / 2.0);
+    let [p50, p99] = [0.5, 0.99].map(|q| micros(nanos, q));
+    let [added_50, added_99] = [0.5, 0.99].map(|q| micros(nanos, q) - micros(base, q));
+    println!(
+        "{connections:>11}  {way:<6}  {rate:>10.0}  {p50:>6.0}  {p99:>6.0}  {added_50:>9.0}  {added_99:>9.0}"
+    );
+}
+
+/// Latencies of the two ways, over connections that are kept.
+fn measure(
+    ways: [SocketAddr; 2],
+    connections: usize,
+    request: &'static [u8],
+    seconds: u64,
+) -> Result<[Nanos; 2], Box<dyn Error>> {
+    let begun = Instant::now();
+    let run = move || call(ways, request, begun, Duration::from_secs(seconds));
+    let callers: Vec<_> = (0..connections).map(|_| thread::spawn(run)).collect();
+    let mut sums = [Nanos::new(3)?, Nanos::new(3)?];
+    for caller in callers {
+        let measured = caller.join().map_err(|_| "a caller failed")?;
+        let measured = measured.map_err(|error| error.to_string())?;
+        for (sum, one) in sums.iter_mut().zip(measured) {
+            sum.add(one)?;
+        }
+    }
+    Ok(sums)
+}
+
+fn call(
+    ways: [SocketAddr; 2],
+    request: &[u8],
+    begun: Instant,
+    time: Duration,
+) -> Result<[Nanos; 2], CallError> {
+    let mut streams = [TcpStream::connect(ways[0])?, TcpStream::connect(ways[1])?];
+    let mut nanos = [Nanos::new(3)?, Nanos::new(3)?];
+    for stream in &mut streams {
+        stream.set_nodelay(true)?;
+        // The first request on a connection makes the instance connect.
+        exchange(stream, request)?;
+    }
+    while begun.elapsed() < time {
+        let slice = begun.elapsed().as_nanos() / SLICE.as_nanos();
+        let way = usize::from(slice % 2 == 1);
+        let sent = Instant::now();
+        exchange(&mut streams[way], request)?;
+        nanos[way].record(sent.elapsed().as_nanos() as u64)?;
+    }
+    Ok(nanos)
+}
+
+fn exchange(stream: &mut TcpStream, request: &[u8]) -> Result<(), CallError> {
+    let mut answer = [0; 1_024];
+    let mut length = 0;
+    stream.write_all(request)?;
+    while !answer[..length].ends_with(b"hello, keg!\n") {
+        let read = stream.read(&mut answer[length..])?;
+        if read == 0 || !answer.starts_with(b"HTTP/1.1 200") {
+            return Err("not the answer".into());
+        }
+        length += read;
+    }
+    Ok(())
+}
+
+/// A server with a thread for each connection and a fixed answer.
+fn stand_in() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    });
+    Ok(address)
+}
+
+fn serve(mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut head = [0; 4_096];
+    let mut length = 0;
+    loop {
+        let read = stream.read(&mut head[length..])?;
+        if read == 0 {
+            return Ok(());
+        }
+        length += read;
+        let whole = &head[..length];
+        let end = match whole.starts_with(b"POST") {
+            true => &b"kegs"[..],
+            false => b"\r\n\r\n",
+        };
+        if whole.ends_with(end) && whole.windows(4).any(|part| part == b"\r\n\r\n") {
+            stream.write_all(ANSWER)?;
+            length = 0;
+        }
+    }
+}
+
+/// Traffic threads that route to the stand-in.
+fn instance(server: SocketAddr) -> Result<SocketAddr, Box<dyn Error>> {
+    let rows = dev::sample_rows(server)?;
+    let rows = rows
+        .into_iter()
+        .map(|row: Row| (row.key(), Revision(1), Some(row)));
+    let mut table = Table::default();
+    table.apply(Changes {
+        since: Revision(0),
+        revision: Revision(1),
+        rows: rows.collect(),
+    })?;
+    let clock = Clock::start();
+    let handle = traffic::TrafficHandle::default();
+    let workers = traffic::start("127.0.0.1:0".parse()?, THREADS, &handle, clock)?;
+    let until = clock.now() + Duration::from_secs(3_600);
+    handle.publish(Snapshot {
+        map: Arc::new(RouteMap::build(&table)),
+        confirmation: Confirmation {
+            anywhere: until,
+            platform: clock.now(),
+            domain: until,
+        },
+        domain: "dev".parse()?,
+    });
+    Ok(workers.address)
+}
--- a/crates/fakes/src/raw/mod.rs
+++ b/crates/fakes/src/raw/mod.rs
@@ -2,6 +2,7 @@
 //! part, wherever its script says.
 
 mod act;
+mod drain;
 mod server;
 
-pub use {act::Act, server::RawServer};
+pub use {act::Act, drain::drain_server, server::RawServer};
