--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! How much work goes to a backend server, and whose.
 
+mod book;
 mod fair;
 mod gate;
 mod limit;
@@ -9,11 +10,12 @@
 mod warmup;
 
 pub use {
+    book::{DemandBook, Part},
     fair::OperatorRoom,
     gate::{Admission, Gate, GateConfig, Turn},
     limit::{LimitConfig, Release, ServerLimit},
     queue::{Ticket, WaitQueue},
     rate::{Rate, RateCap},
-    share::{SlotShare, even_share, shares},
+    share::{Demand, SlotShare, even_share, shares},
     warmup::Warmup,
 };
