Limits of backend servers on the real path: slots, caps, short queues, operators' room

Reason: the path sent a server whatever came, however few slots it has. Change: each traffic thread keeps core's gate of each server. A request takes a slot before its first try and gives it back at its answer's end, or at once when its caller leaves; what cannot be served in time is refused at once. Control can set this instance's part of each server and read the demand to exchange; without a part all slots are divided among the threads, with one for each at least. Time of bodies over 64 KiB is not counted as a sign of the server's load: one long upload would make all waits look too long. Ruled out: a slot for each try (a hedge or reroute would queue behind itself).

--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -1,9 +1,12 @@
 //! What control asks of a traffic thread.
 
 use {
-    super::{flights::Flights, load::LoadSample},
-    citron_core::id::{Revision, ServerName},
-    std::{cell::RefCell, rc::Rc},
+    super::{gates::Parts, load::LoadSample, state::State},
+    citron_core::{
+        admission::Demand,
+        id::{Revision, ServerName},
+    },
+    std::{rc::Rc, sync::Arc},
     tokio::sync::{mpsc, oneshot},
 };
 
@@ -20,6 +23,18 @@
         /// Takes the answer.
         reply: oneshot::Sender<bool>,
     },
+    /// Rates of requests by server since the last time it was asked for.
+    Demand {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServerName, Demand)>>,
+    },
+    /// Sets what the instance may take of each server.
+    Parts {
+        /// The parts.
+        parts: Arc<Parts>,
+        /// Told when they are in force.
+        reply: oneshot::Sender<()>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -28,9 +43,9 @@
 }
 
 /// Answers questions until the other side is gone.
-pub async fn answer(mut asks: mpsc::UnboundedReceiver<Ask>, flights: Rc<RefCell<Flights>>) {
+pub async fn answer(mut asks: mpsc::UnboundedReceiver<Ask>, state: Rc<State>) {
     while let Some(ask) = asks.recv().await {
-        let mut flights = flights.borrow_mut();
+        let mut flights = state.flights.borrow_mut();
         // Whoever asked may have stopped waiting.
         match ask {
             Ask::Quiet {
@@ -38,6 +53,11 @@
                 below,
                 reply,
             } => drop(reply.send(flights.quiet(&server, below))),
+            Ask::Demand { reply } => drop(reply.send(state.gates.demand())),
+            Ask::Parts { parts, reply } => {
+                state.gates.set_parts(parts);
+                let _ = reply.send(());
+            }
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/body.rs
+++ b/crates/citronproxy/src/traffic/body.rs
@@ -1,8 +1,9 @@
 //! The body of an answer: the backend server's, or a short one of ours.
 
 use {
-    super::exchange::Exchange,
+    super::{exchange::Exchange, gates::Slot},
     bytes::Bytes,
+    citron_core::admission::Release,
     http_body::{Body, Frame, SizeHint},
     http_body_util::Full,
     hyper::body::Incoming,
@@ -18,6 +19,9 @@
 /// How long a server may pause within an answer.
 const PAUSE_MAX: Duration = Duration::from_secs(30);
 
+/// Bytes of an answer above which its time says nothing of the server.
+const LARGE: usize = 64 * 1_024;
+
 /// Why an answer ends before its end. The caller's connection is closed without
 /// the end of the message, so that no caller takes a part for the whole.
 #[derive(Debug, Error)]
@@ -44,15 +48,19 @@
 pub struct Streamed {
     body: Incoming,
     exchange: Option<Exchange>,
+    slot: Option<Slot>,
+    size: usize,
     pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl Streamed {
     /// Passes on the body of an exchange.
-    pub fn new(body: Incoming, exchange: Exchange) -> Self {
+    pub fn new(body: Incoming, exchange: Exchange, slot: Option<Slot>) -> Self {
         let mut streamed = Self {
             body,
             exchange: Some(exchange),
+            slot,
+            size: 0,
             pause: None,
         };
         streamed.finish_at_end();
@@ -63,27 +71,44 @@
         if !self.body.is_end_stream() {
             return;
         }
-        if let Some(exchange) = self.exchange.take() {
-            exchange.finish();
+        self.finish();
+    }
+
+    fn finish(&mut self) {
+        let Some(exchange) = self.exchange.take() else {
+            return;
+        };
+        // The time of a large body tells of the caller's line, not of the server.
+        let small = exchange.is_small() && self.size <= LARGE;
+        exchange.finish();
+        if let Some(mut slot) = self.slot.take()
+            && small
+        {
+            slot.note(Release::Answered);
         }
     }
 
+    /// Ends it without an answer that is whole.
+    fn abandon(&mut self) {
+        self.exchange = None;
+        self.slot = None;
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Pending => self.poll_pause(cx),
             Poll::Ready(None) => {
-                if let Some(exchange) = self.exchange.take() {
-                    exchange.finish();
-                }
+                self.finish();
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Ok(frame))) => {
                 self.pause = None;
+                self.size += frame.data_ref().map_or(0, Bytes::len);
                 self.finish_at_end();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                self.exchange = None;
+                self.abandon();
                 Poll::Ready(Some(Err(error.into())))
             }
         }
@@ -97,7 +122,7 @@
         if pause.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
-        self.exchange = None;
+        self.abandon();
         Poll::Ready(Some(Err(AnswerError::Stopped)))
     }
 }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -4,10 +4,12 @@
     super::{
         answer::{from_verdict, mark, own},
         body::{AnswerBody, Streamed},
+        gates::{Denied, Slot},
         request::strip_hop_by_hop,
         tries::{Answered, Ended, Tries},
     },
     citron_core::{
+        admission::Release,
         id::ServiceName,
         routing::{Attempt, Event, Outcome, RequestBody, RequestKind, Step, Try},
     },
@@ -28,6 +30,7 @@
     service: &'a ServiceName,
     attempt: Attempt,
     answer: Option<Box<Answered>>,
+    slot: Option<Slot>,
 }
 
 impl<'a> Call<'a> {
@@ -48,6 +51,7 @@
             tries,
             service,
             answer: None,
+            slot: None,
         }
     }
 
@@ -56,7 +60,14 @@
     pub async fn run(mut self) -> Response<AnswerBody> {
         let tries = self.tries;
         let mut open = FuturesUnordered::new();
-        let mut step = self.step(Event::Admitted);
+        let admitted = match tries.admit().await {
+            Ok(slot) => {
+                self.slot = slot;
+                Event::Admitted
+            }
+            Err(Denied { reason, wait }) => Event::Denied { reason, wait },
+        };
+        let mut step = self.step(admitted);
         loop {
             match step {
                 Step::Send(send) => open.push(tries.run(send)),
@@ -98,6 +109,7 @@
         match ended {
             Ended::Failed(event) => {
                 self.note_silence(event);
+                self.note_release(event);
                 event
             }
             Ended::Answered(answered) => {
@@ -109,6 +121,18 @@
         }
     }
 
+    /// Tells the server's gate what a failure says of the server's load.
+    fn note_release(&mut self, event: Event) {
+        let release = match event {
+            Event::Refused { .. } => Release::Refused,
+            Event::TimedOut(..) => Release::TimedOut,
+            _ => Release::Other,
+        };
+        if let Some(slot) = &mut self.slot {
+            slot.note(release);
+        }
+    }
+
     /// Suspects the old connections of a server if a request on one of them got
     /// no sign of life until its time was up.
     fn note_silence(&self, event: Event) {
@@ -140,7 +164,7 @@
         }
         let (mut head, body) = answered.response.into_parts();
         strip_hop_by_hop(&mut head.headers);
-        let streamed = Streamed::new(body, answered.exchange);
+        let streamed = Streamed::new(body, answered.exchange, self.slot.take());
         let mut answer = Response::from_parts(head, AnswerBody::Streamed(Box::new(streamed)));
         mark(&mut answer, Outcome::Ran);
         answer
--- a/crates/citronproxy/src/traffic/exchange.rs
+++ b/crates/citronproxy/src/traffic/exchange.rs
@@ -86,6 +86,11 @@
         })
     }
 
+    /// Whether the request's body is small enough to be kept.
+    pub fn is_small(&self) -> bool {
+        self.source.replayable()
+    }
+
     /// Ends it with a whole answer. The connection is kept only if the whole
     /// request was written too: the server would take the rest for a new one.
     pub fn finish(mut self) {
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -3,15 +3,18 @@
 use {
     super::{
         ask::Ask,
+        gates::Parts,
         load::{LoadSample, merge},
         phase::Phase,
     },
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
+        admission::{Demand, Part},
         id::{Revision, ServerName},
         routing::Snapshot,
     },
     std::{
+        collections::BTreeMap,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -104,6 +107,37 @@
         merge(samples)
     }
 
+    /// Rates of requests by server since this was last asked, for the exchange
+    /// with other instances.
+    pub async fn demand(&self) -> BTreeMap<ServerName, Demand> {
+        let mut sums = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Demand { reply }) {
+            for (server, demand) in answer.await.unwrap_or_default() {
+                let sum = sums.entry(server).or_insert(Demand::NONE);
+                sum.arrivals.0 += demand.arrivals.0;
+                sum.answers.0 += demand.answers.0;
+            }
+        }
+        sums
+    }
+
+    /// Sets what this instance may take of each server; of a server without a
+    /// part it takes all slots. Resolves when the parts are in force.
+    pub async fn set_parts(&self, parts: BTreeMap<ServerName, Part>) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner).len();
+        let parts = Arc::new(Parts { parts, threads });
+        let parts = || Arc::clone(&parts);
+        let asked = self.ask(|reply| Ask::Parts {
+            parts: parts(),
+            reply,
+        });
+        for answer in asked {
+            // A thread that has ended needs no part.
+            let _ = answer.await;
+        }
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/limits.rs
+++ b/crates/citronproxy/src/traffic/limits.rs
@@ -19,6 +19,8 @@
     pub reroute: Duration,
     /// Requests of one thread that wait so at a time.
     pub waiting: usize,
+    /// Requests of one thread in progress at a time.
+    pub room: usize,
 }
 
 impl Default for Limits {
@@ -31,6 +33,7 @@
             stall: Duration::from_secs(30),
             reroute: Duration::from_secs(1),
             waiting: 1_024,
+            room: 4_096,
         }
     }
 }
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod deadline;
 mod exchange;
 mod flights;
+mod gates;
 mod guard;
 mod handle;
 mod limits;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -14,7 +14,10 @@
         tries::Tries,
         upload::Source,
     },
-    citron_core::routing::{Outcome, ServiceRoutes},
+    citron_core::{
+        id::OperatorName,
+        routing::{Outcome, ServiceRoutes},
+    },
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
@@ -109,6 +112,10 @@
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
+        let Some(_room) = Room::enter(&self.state, &row.operator) else {
+            let reason = "too many requests of this operator are in progress";
+            return Err(Box::new(unavailable(reason)));
+        };
         Ok(Call::new(&tries, &row.name, idempotent).run().await)
     }
 
@@ -130,6 +137,25 @@
     }
 }
 
+/// Room that a request takes up until the head of its answer.
+struct Room<'a> {
+    state: &'a State,
+    operator: &'a OperatorName,
+}
+
+impl<'a> Room<'a> {
+    fn enter(state: &'a State, operator: &'a OperatorName) -> Option<Self> {
+        let entered = state.room.borrow_mut().enter(operator);
+        entered.then_some(Self { state, operator })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.state.room.borrow_mut().leave(self.operator);
+    }
+}
+
 /// Refuses what cannot be passed on exactly.
 fn check(head: &Parts) -> Result<(), Refused> {
     // In HTTP/1.0 an answer without a length ends with its connection, so that
--- a/crates/citronproxy/src/traffic/state.rs
+++ b/crates/citronproxy/src/traffic/state.rs
@@ -1,9 +1,10 @@
 //! What the requests of one traffic thread share.
 
 use {
-    super::{flights::Flights, handle::TrafficHandle, limits::Limits, pool::Pool},
+    super::{flights::Flights, gates::Gates, handle::TrafficHandle, limits::Limits, pool::Pool},
     crate::clock::Clock,
     citron_core::{
+        admission::OperatorRoom,
         id::ServiceName,
         routing::{BudgetConfig, HedgeDelay, Retries},
     },
@@ -23,6 +24,10 @@
     pub handle: TrafficHandle,
     /// Requests that a server may be running.
     pub flights: Rc<RefCell<Flights>>,
+    /// The limits of backend servers.
+    pub gates: Gates,
+    /// Room for requests in progress, by operator.
+    pub room: RefCell<OperatorRoom>,
     /// Idle connections.
     pub pool: Pool,
     /// The clock.
@@ -42,6 +47,8 @@
         Rc::new(Self {
             handle,
             flights: Rc::new(RefCell::new(Flights::new(clock))),
+            gates: Gates::new(clock),
+            room: RefCell::new(OperatorRoom::new(limits.room)),
             pool: Pool::new(clock),
             clock,
             limits,
--- a/crates/citronproxy/src/traffic/tries.rs
+++ b/crates/citronproxy/src/traffic/tries.rs
@@ -4,6 +4,7 @@
     super::{
         deadline,
         exchange::{Exchange, ExchangeError},
+        gates::{Denied, Slot},
         pool::Reuse,
         request::set_grant,
         state::State,
@@ -23,6 +24,7 @@
         cell::{Cell, OnceCell, RefCell},
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -107,6 +109,28 @@
 }
 
 impl Tries {
+    /// Waits for a slot of the server that owns the key now.
+    ///
+    /// # Errors
+    /// [`Denied`], at once, if the request has to come back later.
+    pub async fn admit(&self) -> Result<Option<Slot>, Denied> {
+        let first = Send {
+            no: Try(0),
+            after: Duration::ZERO,
+            limit: self.deadline - self.state.clock.now(),
+            link: Link::Any,
+            reroute: false,
+        };
+        // Without an owner there is no server to wait for; the first try tells so.
+        let Ok(Ok(target)) = timeout(first.limit, self.target(first)).await else {
+            return Ok(None);
+        };
+        let server = Arc::clone(&target.server);
+        drop(target);
+        let slot = self.state.gates.enter(&server, self.deadline).await?;
+        Ok(Some(slot))
+    }
+
     /// Runs one try to the head of an answer.
     pub async fn run(&self, send: Send) -> Ended {
         let progress = Progress::default();
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -157,7 +157,7 @@
         let seed = rand::random();
         let state = State::new(self.handle.clone(), self.clock, self.limits, seed);
         let proxy = Proxy::new(&state);
-        spawn_local(ask::answer(self.asks, Rc::clone(&state.flights)));
+        spawn_local(ask::answer(self.asks, Rc::clone(&state)));
         let (open, mut last) = mpsc::channel(1);
         let mut phases = self.handle.phases();
         let closing = phases.wait_for(|phase| *phase == Phase::Closing);
--- /dev/null
+++ b/crates/citronproxy/tests/limits.rs
@@ -0,0 +1,152 @@
+//! Limits of a backend server on the real path.
+
+mod support;
+
+use {
+    citron_core::{
+        admission::{Part, SlotShare},
+        id::Slots,
+        table::Row,
+    },
+    citron_fakes::raw::{Act, RawServer},
+    citronproxy::traffic::Limits,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    support::{LONG, Path, Reply, post},
+    tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinHandle, time::sleep},
+};
+
+async fn slow(work: Duration) -> RawServer {
+    let answer = Act::answer("fine");
+    let one = [Act::Request, Act::Pause(work), answer];
+    let script = one.iter().cycle().take(300).cloned().collect();
+    RawServer::start(vec![script]).await.unwrap()
+}
+
+fn path(server: &RawServer, slots: u32, cap: Option<u32>) -> Path {
+    Path::start_with(server.address, Limits::default(), |row| {
+        if let Row::Server(row) = row {
+            row.slots = Slots(slots);
+            row.cap = cap;
+        }
+    })
+}
+
+fn send(path: &Path, count: usize) -> Vec<JoinHandle<Reply>> {
+    let address = path.address;
+    let call =
+        move |_| tokio::spawn(async move { post(address, "/kegs/a", "", "hi").await.unwrap() });
+    (0..count).map(call).collect()
+}
+
+async fn replies(calls: Vec<JoinHandle<Reply>>) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    for call in calls {
+        replies.push(call.await.unwrap());
+    }
+    replies
+}
+
+fn told(reply: &Reply) -> (u16, &str, bool) {
+    let back = !reply.header("retry-after").is_empty();
+    (reply.status.as_u16(), reply.header("citron-outcome"), back)
+}
+
+/// Six callers ask a server of two slots at once. It never gets more than two at
+/// a time; the others wait a little, and all are answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_gets_no_more_than_its_slots() {
+    let server = slow(Duration::from_millis(400)).await;
+    let path = path(&server, 2, None);
+    let calls = send(&path, 6);
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(server.runs(), 2);
+    for reply in replies(calls).await {
+        assert_eq!(told(&reply), (200, "ran", false));
+    }
+    assert_eq!(server.runs(), 6);
+}
+
+/// More callers than can be served in time: those who are turned away learn at
+/// once that nothing ran and when to come back; all others are answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let server = slow(Duration::from_millis(100)).await;
+    let path = path(&server, 1, None);
+    replies(send(&path, 8)).await;
+    let before = server.runs();
+    let begun = Instant::now();
+    let calls = send(&path, 60);
+    let mut refused = 0;
+    let mut ran = 0;
+    for reply in replies(calls).await {
+        match told(&reply) {
+            (200, "ran", false) => ran += 1,
+            (503, "not-run", true) => refused += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(refused >= 30, "{refused} refused");
+    assert!(ran >= 1);
+    assert_eq!(server.runs() - before, ran);
+    assert!(begun.elapsed() < LONG / 4);
+}
+
+/// An operator caps a server at two requests a second; five come at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cap_is_kept() {
+    let server = slow(Duration::ZERO).await;
+    let path = path(&server, 4, Some(2));
+    let replies = replies(send(&path, 5)).await;
+    let of = |status| replies.iter().filter(|reply| told(reply) == status).count();
+    assert_eq!(
+        (of((200, "ran", false)), of((429, "not-run", true))),
+        (2, 3)
+    );
+    assert_eq!(server.runs(), 2);
+}
+
+/// The only slot is held by a caller that leaves: the next one gets it at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_frees_its_slot() {
+    let hang = vec![Act::Request, Act::Hang];
+    let fine = vec![Act::Request, Act::answer("fine")];
+    let server = RawServer::start(vec![hang, fine]).await.unwrap();
+    let path = path(&server, 1, None);
+    let mut caller = TcpStream::connect(path.address).await.unwrap();
+    let request = b"POST /kegs/a HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    while server.runs() == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let next = send(&path, 1);
+    sleep(Duration::from_millis(150)).await;
+    assert_eq!(server.runs(), 1, "two requests at a server of one slot");
+    drop(caller);
+    assert_eq!(told(&replies(next).await[0]), (200, "ran", false));
+}
+
+/// Control gives this instance half of a server of four slots: it is kept to two.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_of_the_slots_is_kept_to() {
+    let server = slow(Duration::from_millis(400)).await;
+    let path = path(&server, 4, None);
+    let part = Part {
+        share: SlotShare::new(2.0),
+        cap: None,
+    };
+    let parts = BTreeMap::from([("server-1".parse().unwrap(), part)]);
+    path.handle.set_parts(parts).await;
+    let calls = send(&path, 4);
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(server.runs(), 2);
+    replies(calls).await;
+    let demand = path.handle.demand().await;
+    let demand = &demand[&"server-1".parse().unwrap()];
+    assert!(
+        demand.arrivals.0 > 0.0 && demand.answers.0 > 0.0,
+        "{demand:?}"
+    );
+}
