--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -6,7 +6,7 @@
         admin::{self, Admin, AdminServer},
         clock::Clock,
         control::Follower,
-        dev, events,
+        dev, events, lifecycle,
         settings::Settings,
         traffic::{self, TrafficHandle},
     },
@@ -112,11 +112,13 @@
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
     let follower = Follower::new(store, handle.clone(), clock, settings.domain.clone());
     LocalSet::new().block_on(&runtime, async move {
-        start_admin(settings, handle).await?;
-        follower.run().await;
-        Ok::<_, std::io::Error>(())
+        start_admin(settings, handle.clone()).await?;
+        tokio::select! {
+            lived = lifecycle::run(handle) => lived,
+            () = follower.run() => Ok(()),
+        }
     })?;
-    workers.join();
+    workers.close();
     Ok(())
 }
 
