citronctl: rows, drain, cap, retire, move, declare-lost, status, owner, history

Why: operators work from a spreadsheet-like table and must see what an edit changes before it is applied, and learn afterwards what became of it.

- Import names the versions of the exported sheet, so a sheet that is older than the table is refused (exit 3) instead of undoing what happened since.
- An order that got no answer is never sent to another instance (exit 4).
- The token comes from the environment or a file, never from an argument.

--- /dev/null
+++ b/crates/citronctl/src/args.rs
@@ -0,0 +1,115 @@
+//! What is common to all commands.
+
+use {
+    crate::error::CtlError,
+    pico_args::Arguments,
+    std::{env, fs, net::SocketAddr, time::Duration},
+};
+
+/// How long `--wait` waits unless told otherwise, in seconds.
+const WAIT_SECONDS: u64 = 30;
+
+/// Options of every command.
+#[derive(Debug)]
+pub struct Options {
+    /// Admin addresses of instances; the first that can be reached is used.
+    pub admins: Vec<SocketAddr>,
+    /// Who makes the edits.
+    pub by: String,
+    /// Where the token is, unless it is in the environment.
+    pub token_file: Option<String>,
+    /// Whether to wait until an edit is in force everywhere.
+    pub wait: bool,
+    /// How long to wait.
+    pub wait_time: Duration,
+    /// Whether to apply without asking.
+    pub yes: bool,
+}
+
+impl Options {
+    /// Takes the common options out of the arguments.
+    pub fn read(args: &mut Arguments) -> Result<Self, CtlError> {
+        let given: Option<String> = args.opt_value_from_str("--at")?;
+        let admins = given.or_else(|| env::var("CITRON_ADMIN").ok());
+        let by: Option<String> = args.opt_value_from_str("--by")?;
+        let seconds: Option<u64> = args.opt_value_from_str("--wait-time")?;
+        Ok(Self {
+            admins: addresses(&admins.unwrap_or_default())?,
+            by: by.or_else(|| env::var("USER").ok()).unwrap_or_default(),
+            token_file: args.opt_value_from_str("--token-file")?,
+            wait: args.contains("--wait"),
+            wait_time: Duration::from_secs(seconds.unwrap_or(WAIT_SECONDS)),
+            yes: args.contains("--yes"),
+        })
+    }
+
+    /// The bearer token. It is never an argument: arguments are seen by every
+    /// user of the machine and kept in the shell's history.
+    pub fn token(&self) -> Result<String, CtlError> {
+        let file = self.token_file.clone();
+        if let Some(file) = file.or_else(|| env::var("CITRON_TOKEN_FILE").ok()) {
+            let text = fs::read_to_string(&file);
+            let text = text.map_err(|error| CtlError::Usage(format!("{file}: {error}")))?;
+            return Ok(text.trim().to_string());
+        }
+        let missing = |_| CtlError::Usage("set CITRON_TOKEN or CITRON_TOKEN_FILE".to_string());
+        env::var("CITRON_TOKEN").map_err(missing)
+    }
+}
+
+fn addresses(text: &str) -> Result<Vec<SocketAddr>, CtlError> {
+    let parts = text.split(',').filter(|part| !part.is_empty());
+    let parsed = parts.map(|part| {
+        let bad = |_| CtlError::Usage(format!("'{part}' is not an address and port"));
+        part.parse().map_err(bad)
+    });
+    parsed.collect()
+}
+
+macro_rules! commands {
+    ($($variant:ident = $name:literal),* $(,)?) => {
+        /// Which command.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Command {
+            /// The list of commands.
+            Help,
+            $(#[doc = concat!("`", $name, "`")] $variant),*
+        }
+
+        impl Command {
+            /// Finds a command by its word.
+            fn named(word: &str) -> Option<Self> {
+                match word {
+                    $($name => Some(Self::$variant),)*
+                    _ => None,
+                }
+            }
+        }
+    };
+}
+
+commands! {
+    Table = "table",
+    Drain = "drain",
+    Cap = "cap",
+    Retire = "retire",
+    Move = "move",
+    DeclareLost = "declare-lost",
+    Status = "status",
+    Owner = "owner",
+    History = "history",
+    Report = "report",
+}
+
+impl Command {
+    /// Takes the command out of the arguments.
+    pub fn read(args: &mut Arguments) -> Result<Self, CtlError> {
+        match args.subcommand()?.as_deref() {
+            None | Some("help") => Ok(Self::Help),
+            Some(word) => {
+                let unknown = || CtlError::Usage(format!("no command '{word}'; see --help"));
+                Self::named(word).ok_or_else(unknown)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/citronctl/src/client.rs
@@ -0,0 +1,188 @@
+//! Calls of the admin API.
+
+use {
+    crate::{args::Options, error::CtlError},
+    bytes::Bytes,
+    citron_wire::admin::{
+        EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, MoveWire, OwnerWire, RevisionWire,
+        RowEditWire, RowsWire, StatusWire,
+    },
+    http::{Method, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full},
+    hyper::client::conn::http1::{SendRequest, handshake},
+    hyper_util::rt::TokioIo,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// How long connecting may take.
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+/// How long an answer may take; an instance settles an edit for a few seconds.
+const ANSWER_TIME: Duration = Duration::from_secs(20);
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Calls whichever instance can be reached.
+#[derive(Debug)]
+pub struct Client {
+    /// Admin addresses, in the order they are tried.
+    pub admins: Vec<SocketAddr>,
+    by: String,
+    token: String,
+}
+
+impl Client {
+    /// A client; nothing is sent yet.
+    pub fn new(options: &Options) -> Result<Self, CtlError> {
+        if options.admins.is_empty() {
+            let message = "name an instance with --at or CITRON_ADMIN";
+            return Err(CtlError::Usage(message.to_string()));
+        }
+        Ok(Self {
+            admins: options.admins.clone(),
+            by: options.by.clone(),
+            token: options.token()?,
+        })
+    }
+
+    /// Rows of a kind, or all.
+    pub async fn rows(&self, kind: Option<&str>) -> Result<RowsWire, CtlError> {
+        let query = kind.map(|kind| format!("?kind={kind}"));
+        self.get(&format!("/v1/rows{}", query.unwrap_or_default()))
+            .await
+    }
+
+    /// The status of one instance.
+    pub async fn status(&self, admin: SocketAddr) -> Result<StatusWire, CtlError> {
+        let connection = connect(admin).await?;
+        self.exchange(connection, admin, Method::GET, "/v1/status", &())
+            .await
+    }
+
+    /// The status of the first instance that can be reached.
+    pub async fn any_status(&self) -> Result<StatusWire, CtlError> {
+        self.get("/v1/status").await
+    }
+
+    /// Who owns a key.
+    pub async fn owner(&self, service: &str, key: &str) -> Result<OwnerWire, CtlError> {
+        let (service, key) = (escape(service), escape(key));
+        self.get(&format!("/v1/owner?service={service}&key={key}"))
+            .await
+    }
+
+    /// Accepted edits.
+    pub async fn history(&self, after: u64, limit: usize) -> Result<HistoryPageWire, CtlError> {
+        self.get(&format!("/v1/history?after={after}&limit={limit}"))
+            .await
+    }
+
+    /// Commits an edit.
+    pub async fn edit(&self, rows: Vec<RowEditWire>) -> Result<u64, CtlError> {
+        let accepted: RevisionWire = self.post("/v1/edits", &EditWire { rows }).await?;
+        Ok(accepted.revision)
+    }
+
+    /// Begins a move.
+    pub async fn begin(&self, moving: &MoveWire) -> Result<u64, CtlError> {
+        let accepted: RevisionWire = self.post("/v1/moves", moving).await?;
+        Ok(accepted.revision)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CtlError> {
+        let (connection, admin) = self.connect().await?;
+        self.exchange(connection, admin, Method::GET, path, &())
+            .await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CtlError> {
+        let (connection, admin) = self.connect().await?;
+        self.exchange(connection, admin, Method::POST, path, body)
+            .await
+    }
+
+    /// The first instance that takes a connection. Once a request is sent it is
+    /// not sent to another one: an edit could then be reported as a lost race
+    /// against itself.
+    async fn connect(&self) -> Result<(Connection, SocketAddr), CtlError> {
+        let mut last = CtlError::Failed("no instance".to_string());
+        for admin in &self.admins {
+            match connect(*admin).await {
+                Ok(connection) => return Ok((connection, *admin)),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        mut connection: Connection,
+        admin: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CtlError> {
+        let body = serde_json::to_vec(body).map_err(failed)?;
+        let edits = method == Method::POST;
+        let open = |message: String| match edits {
+            true => CtlError::Unknown(message),
+            false => CtlError::Failed(message),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, admin.to_string())
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .header(HEADER_OPERATOR, &self.by)
+            .body(Full::from(body))
+            .map_err(failed)?;
+        let answer = async {
+            let response = connection.send_request(request).await?;
+            let status = response.status();
+            let bytes = response.into_body().collect().await?.to_bytes();
+            Ok::<_, hyper::Error>((status, bytes))
+        };
+        let late = |_| open(format!("{admin} gave no answer"));
+        let answered = timeout(ANSWER_TIME, answer).await.map_err(late)?;
+        let (status, bytes) = answered.map_err(|error| open(format!("{admin}: {error}")))?;
+        let unreadable = |error| open(format!("{admin}: {error}"));
+        if status == StatusCode::OK {
+            return serde_json::from_slice(&bytes).map_err(unreadable);
+        }
+        let wire: ErrorWire = serde_json::from_slice(&bytes).map_err(unreadable)?;
+        let wire = Box::new(wire);
+        Err(CtlError::Refused { wire })
+    }
+}
+
+async fn connect(admin: SocketAddr) -> Result<Connection, CtlError> {
+    let late = |_| CtlError::Failed(format!("{admin} not reached in {CONNECT_TIME:?}"));
+    let connected = timeout(CONNECT_TIME, TcpStream::connect(admin)).await;
+    let stream = connected.map_err(late)?;
+    let stream = stream.map_err(|error| CtlError::Failed(format!("{admin}: {error}")))?;
+    let (sender, driver) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
+    tokio::spawn(driver);
+    Ok(sender)
+}
+
+fn failed(error: impl ToString) -> CtlError {
+    CtlError::Failed(error.to_string())
+}
+
+/// Percent escapes, for all but plain characters.
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            true => escaped.push(char::from(byte)),
+            false => escaped.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    escaped
+}
--- /dev/null
+++ b/crates/citronctl/src/commands/look.rs
@@ -0,0 +1,118 @@
+//! Commands that only look.
+
+use {
+    super::finish,
+    crate::{client::Client, diff::changes, error::CtlError, grid, wait},
+    citron_wire::{
+        admin::{HistoryEntryWire, StatusWire},
+        table::RowChangeWire,
+    },
+    jiff::Timestamp,
+    pico_args::Arguments,
+    std::collections::BTreeMap,
+};
+
+/// History entries unless told otherwise.
+const HISTORY: usize = 100;
+
+/// `status [--format table|json]`
+pub async fn status(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
+    let json = is_json(&mut args)?;
+    finish(args)?;
+    let round = wait::ask_all(client).await;
+    if json {
+        return print_json(&round);
+    }
+    print!("{}", status_grid(&round));
+    let reached = round.values().flatten().count();
+    println!("{reached} of {} instances reached", round.len());
+    Ok(())
+}
+
+fn status_grid(round: &BTreeMap<String, Option<StatusWire>>) -> String {
+    let heads = ["instance", "domain", "in force", "latest known", "platform"];
+    let line = |(name, status): (&String, &Option<StatusWire>)| {
+        let Some(status) = status else {
+            let unreached = ["?", "?", "?", "not reached"].map(str::to_string);
+            return [vec![name.clone()], unreached.to_vec()].concat();
+        };
+        let platform = if status.fresh { "reached" } else { "cut off" };
+        vec![
+            name.clone(),
+            status.domain.clone(),
+            status.revision.to_string(),
+            status.latest.to_string(),
+            platform.to_string(),
+        ]
+    };
+    let lines: Vec<_> = round.iter().map(line).collect();
+    grid::layout(&heads.map(str::to_string), &lines)
+}
+
+/// `owner SERVICE KEY`
+pub async fn owner(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
+    let service: String = args.free_from_str()?;
+    let key: String = args.free_from_str()?;
+    finish(args)?;
+    let owner = client.owner(&service, &key).await?;
+    println!("{}", owner.owner);
+    println!("{}", owner.why);
+    Ok(())
+}
+
+/// `history [--after REVISION] [--limit N] [--format table|json]`
+pub async fn history(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
+    let json = is_json(&mut args)?;
+    let after: Option<u64> = args.opt_value_from_str("--after")?;
+    let limit: Option<usize> = args.opt_value_from_str("--limit")?;
+    finish(args)?;
+    let page = client
+        .history(after.unwrap_or(0), limit.unwrap_or(HISTORY))
+        .await?;
+    if json {
+        return print_json(&page);
+    }
+    for entry in &page.entries {
+        print!("{}", entry_text(entry));
+    }
+    Ok(())
+}
+
+fn entry_text(entry: &HistoryEntryWire) -> String {
+    let millis = i64::try_from(entry.at_ms).unwrap_or(i64::MAX);
+    let at = Timestamp::from_millisecond(millis);
+    let at = at.map_or_else(|_| "?".to_string(), |at| at.to_string());
+    let mut text = format!("revision {} by {} at {at}\n", entry.revision, entry.by);
+    for change in &entry.changes {
+        for line in change_text(change).lines() {
+            text.push_str(&format!("  {line}\n"));
+        }
+    }
+    text
+}
+
+fn change_text(change: &RowChangeWire) -> String {
+    match (&change.before, &change.after) {
+        (Some(before), Some(after)) => changes(&change.key, before, after),
+        (None, Some(_)) => format!("+ {}", change.key),
+        _ => format!("- {}", change.key),
+    }
+}
+
+fn is_json(args: &mut Arguments) -> Result<bool, CtlError> {
+    let format: Option<String> = args.opt_value_from_str("--format")?;
+    match format.as_deref() {
+        None | Some("table") => Ok(false),
+        Some("json") => Ok(true),
+        Some(other) => {
+            let message = format!("--format is '{other}'; allowed: table, json");
+            Err(CtlError::Usage(message))
+        }
+    }
+}
+
+fn print_json(value: &impl serde::Serialize) -> Result<(), CtlError> {
+    let failed = |error: serde_json::Error| CtlError::Failed(error.to_string());
+    println!("{}", serde_json::to_string_pretty(value).map_err(failed)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/citronctl/src/commands/table.rs
@@ -0,0 +1,158 @@
+//! `table show|set|import|export|delete`
+
+use {
+    super::{
+        finish,
+        rows::{changed, find},
+    },
+    crate::{
+        args::Options,
+        client::Client,
+        confirm,
+        error::CtlError,
+        grid,
+        sheet::{self, Line},
+    },
+    citron_wire::admin::{RowEditWire, RowsWire, VersionedRowWire},
+    pico_args::Arguments,
+    serde_json::Value,
+    std::fs,
+};
+
+/// Kinds that operators edit.
+const OPERATORS: &[&str] = &["domain", "service", "server"];
+
+/// Runs a `table` command.
+pub async fn run(mut args: Arguments, options: &Options, client: &Client) -> Result<(), CtlError> {
+    match args.subcommand()?.as_deref() {
+        Some("show") => show(args, client, "table").await,
+        Some("export") => show(args, client, "csv").await,
+        Some("import") => import(args, options, client).await,
+        Some("set") => set(args, options, client).await,
+        Some("delete") => delete(args, options, client).await,
+        _ => Err(CtlError::Usage(
+            "table show, set, import, export or delete".to_string(),
+        )),
+    }
+}
+
+async fn show(mut args: Arguments, client: &Client, default: &str) -> Result<(), CtlError> {
+    let format: Option<String> = args.opt_value_from_str("--format")?;
+    let kind: Option<String> = args.opt_free_from_str()?;
+    finish(args)?;
+    let mut table = client.rows(kind.as_deref()).await?;
+    if kind.is_none() {
+        table.rows.retain(|row| OPERATORS.contains(&kind_of(row)));
+    }
+    match format.as_deref().unwrap_or(default) {
+        "table" => print!("{}", grids(&table)),
+        "csv" => print!("{}", sheet::to_csv(&table.rows)?),
+        "json" => println!("{}", to_json(&table)?),
+        other => {
+            let message = format!("--format is '{other}'; allowed: table, csv, json");
+            return Err(CtlError::Usage(message));
+        }
+    }
+    Ok(())
+}
+
+fn kind_of(row: &VersionedRowWire) -> &str {
+    row.key.split('/').next().unwrap_or("")
+}
+
+/// One grid a kind: their columns differ.
+fn grids(table: &RowsWire) -> String {
+    let mut text = String::new();
+    for rows in table
+        .rows
+        .chunk_by(|one, next| kind_of(one) == kind_of(next))
+    {
+        let (heads, lines) = sheet::cells(rows, &["kind"]);
+        text.push_str(&grid::layout(&heads, &lines));
+        text.push('\n');
+    }
+    let stale = if table.fresh {
+        ""
+    } else {
+        ", last known: the platform is not reached"
+    };
+    text.push_str(&format!("revision {}{stale}\n", table.revision));
+    text
+}
+
+fn to_json(table: &RowsWire) -> Result<String, CtlError> {
+    let failed = |error: serde_json::Error| CtlError::Failed(error.to_string());
+    serde_json::to_string_pretty(&table.rows).map_err(failed)
+}
+
+async fn import(mut args: Arguments, options: &Options, client: &Client) -> Result<(), CtlError> {
+    let dry_run = args.contains("--dry-run");
+    let file: String = args.free_from_str()?;
+    finish(args)?;
+    let text = fs::read_to_string(&file);
+    let text = text.map_err(|error| CtlError::Usage(format!("{file}: {error}")))?;
+    let lines = match text.trim_start().starts_with('[') {
+        true => sheet::from_json(&text)?,
+        false => sheet::from_csv(&text)?,
+    };
+    let table = client.rows(None).await?;
+    let mut edits = Vec::new();
+    for line in lines {
+        edits.extend(import_line(line, &table)?);
+    }
+    confirm::apply(client, options, &table, edits, dry_run).await
+}
+
+/// The edit that a line asks for; `None` if the row is like that already.
+fn import_line(line: Line, table: &RowsWire) -> Result<Option<RowEditWire>, CtlError> {
+    let key = sheet::key(&line.row)?;
+    let current = table.rows.iter().find(|row| row.key == key);
+    let same = |row: &VersionedRowWire| sheet::fields(&row.row) == sheet::fields(&line.row);
+    if current.is_some_and(same) {
+        return Ok(None);
+    }
+    let version = line.version.or(current.map(|row| row.version));
+    Ok(Some(RowEditWire {
+        key,
+        version: version.unwrap_or(0),
+        row: Some(line.row),
+    }))
+}
+
+async fn set(mut args: Arguments, options: &Options, client: &Client) -> Result<(), CtlError> {
+    let dry_run = args.contains("--dry-run");
+    let version: Option<u64> = args.opt_value_from_str("--version")?;
+    let key: String = args.free_from_str()?;
+    let mut values: Vec<(String, Value)> = Vec::new();
+    while let Some(word) = args.opt_free_from_str::<String>()? {
+        let (field, cell) = word
+            .split_once('=')
+            .ok_or_else(|| CtlError::Usage(format!("'{word}' is not FIELD=VALUE")))?;
+        let value = sheet::value(field, cell)?.unwrap_or(Value::Null);
+        values.push((field.to_string(), value));
+    }
+    finish(args)?;
+    let table = client.rows(None).await?;
+    let row = find(&table, &key)?;
+    let values = values
+        .iter()
+        .map(|(field, value)| (field.as_str(), value.clone()));
+    let values: Vec<_> = values.collect();
+    let edit = changed(row, version.unwrap_or(row.version), &values)?;
+    confirm::apply(client, options, &table, edit.into_iter().collect(), dry_run).await
+}
+
+async fn delete(mut args: Arguments, options: &Options, client: &Client) -> Result<(), CtlError> {
+    let dry_run = args.contains("--dry-run");
+    let version: Option<u64> = args.opt_value_from_str("--version")?;
+    let key: String = args.free_from_str()?;
+    finish(args)?;
+    let table = client.rows(None).await?;
+    let row = find(&table, &key)?;
+    let edit = RowEditWire {
+        version: version.unwrap_or(row.version),
+        key,
+        row: None,
+    };
+    confirm::apply(client, options, &table, vec![edit], dry_run).await
+}
--- a/crates/citronctl/src/main.rs
+++ b/crates/citronctl/src/main.rs
@@ -1,2 +1,46 @@
-//! placeholder
-fn main() {}
+//! The operators' command line.
+
+mod args;
+mod client;
+mod commands;
+mod confirm;
+mod diff;
+mod error;
+mod grid;
+mod help;
+mod sheet;
+mod wait;
+
+use {
+    args::{Command, Options},
+    client::Client,
+    error::CtlError,
+    std::process::ExitCode,
+    tokio::runtime::Builder,
+};
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("citronctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn start() -> Result<(), CtlError> {
+    let mut args = pico_args::Arguments::from_env();
+    let help = args.contains(["-h", "--help"]);
+    let options = Options::read(&mut args)?;
+    let command = Command::read(&mut args)?;
+    if help || command == Command::Help {
+        print!("{}", help::text(&command));
+        return Ok(());
+    }
+    let client = Client::new(&options)?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| CtlError::Failed(error.to_string()))?;
+    runtime.block_on(commands::run(command, args, &options, &client))
+}
--- /dev/null
+++ b/crates/citronctl/tests/ctl.rs
@@ -0,0 +1,187 @@
+//! The command line, end to end against a real admin API.
+
+mod support;
+
+use {
+    std::{fs, io::Read, net::TcpListener, path::PathBuf, thread},
+    support::{Ran, Shell},
+};
+
+const TABLE: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../examples/tables/kubbahus.json"
+);
+
+fn ok(ran: Ran) -> String {
+    assert_eq!(ran.code, 0, "{ran:?}");
+    ran.out
+}
+
+/// A file of this test, removed when dropped.
+struct File(PathBuf);
+
+impl File {
+    fn write(name: &str, text: &str) -> Self {
+        let name = format!("citronctl-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn every_command_has_help_without_an_instance() {
+    let shell = Shell {
+        admin: "127.0.0.1:1".parse().unwrap(),
+    };
+    let commands = [
+        "",
+        "table",
+        "drain",
+        "cap",
+        "retire",
+        "move",
+        "declare-lost",
+        "status",
+        "owner",
+        "history",
+        "report",
+    ];
+    let mut text = String::new();
+    for command in commands {
+        let ran = shell.run(&format!("{command} --help"));
+        text.push_str(&ok(ran));
+        text.push('\n');
+    }
+    insta::assert_snapshot!(text);
+}
+
+/// A spreadsheet's way: import, export, change a cell, import again, and see
+/// what is refused.
+#[test]
+fn a_table_goes_out_to_a_spreadsheet_and_back() {
+    let shell = Shell::start();
+    ok(shell.run(&format!("table import {TABLE} --yes --wait")));
+    let again = ok(shell.run(&format!("table import {TABLE} --yes")));
+    assert_eq!(again, "nothing to change\n");
+    insta::assert_snapshot!("show", ok(shell.run("table show")));
+
+    let csv = ok(shell.run("table export server"));
+    let sheet = File::write("servers.csv", &csv);
+    let unchanged = ok(shell.run(&format!("table import {} --yes", sheet.path())));
+    assert_eq!(unchanged, "nothing to change\n");
+    let heads: Vec<&str> = csv.lines().next().unwrap().split(',').collect();
+    let weight = heads.iter().position(|head| *head == "weight").unwrap();
+    let mut lines: Vec<String> = csv.lines().map(str::to_string).collect();
+    let mut cells: Vec<&str> = lines[1].split(',').collect();
+    cells[weight] = "7";
+    lines[1] = cells.join(",");
+    let edited = File::write("edited.csv", &lines.join("\n"));
+    let dry = shell.run(&format!("table import {} --dry-run", edited.path()));
+    assert_eq!(dry.code, 0, "{dry:?}");
+    assert_eq!(dry.err.lines().count(), 1, "{}", dry.err);
+    assert!(dry.err.contains("weight: 100 -> 7"), "{}", dry.err);
+    let ran = shell.run(&format!("table import {} --yes --wait", edited.path()));
+    assert!(ran.err.contains("in force on 1 of 1"), "{ran:?}");
+    let late = shell.run(&format!("table import {} --yes", sheet.path()));
+    assert_eq!(late.code, 3, "the older sheet lost: {late:?}");
+    let json = ok(shell.run("table export server --format json"));
+    let file = File::write("servers.json", &json);
+    let same = ok(shell.run(&format!("table import {} --yes", file.path())));
+    assert_eq!(same, "nothing to change\n");
+}
+
+#[test]
+fn commands_change_what_they_say_and_end_with_their_codes() {
+    let shell = Shell::start();
+    ok(shell.run(&format!("table import {TABLE} --yes")));
+    let mut text = String::new();
+    let lines = [
+        "cap checkout-01 200 --yes",
+        "cap checkout-01 none --yes",
+        "cap checkout-01 many --yes",
+        "drain checkout-01 --yes --wait",
+        "drain checkout-01 --yes",
+        "drain checkout-01 --undo --yes",
+        "drain checkout-01",
+        "drain checkout-99 --yes",
+        "retire checkout-01 --yes",
+        "declare-lost sudvestur-4 --yes",
+        "declare-lost sudvestur-4 --undo --yes",
+        "table set server/checkout-01 weight=5 cap=50 --yes",
+        "table set server/checkout-01 weight=6 --version 1 --yes",
+        "table set server/checkout-01 weight=70000 --yes",
+        "table set server/checkout-01 weight --yes",
+        "table delete server/checkout-01 --yes",
+        "move checkout --shard 3 --to checkout-02 --wait",
+        "move checkout --key set-7 --to nowhere",
+        "move checkout --to checkout-02",
+        "owner checkout nobody",
+        "status",
+        "nonsense",
+        "status --colour",
+    ];
+    for line in lines {
+        let Ran { code, out, err } = shell.run(line);
+        text.push_str(&format!("$ citronctl {line}\n{out}{err}exit {code}\n\n"));
+    }
+    let history = ok(shell.run("history --after 1"));
+    let plain = history
+        .lines()
+        .map(|line| line.split(" at ").next().unwrap());
+    text.push_str(&plain.collect::<Vec<_>>().join("\n"));
+    // Whether the revision is in force at the first look is a matter of time.
+    insta::with_settings!({ filters => vec![("in force on 0 of 1\n", "")] }, {
+        insta::assert_snapshot!(text);
+    });
+}
+
+/// The token is taken from a file or the environment; a wrong one is refused,
+/// and an instance that is not there is skipped for the next one.
+#[test]
+fn the_next_instance_is_asked_if_one_is_not_reached() {
+    let shell = Shell::start();
+    let both = format!("--at 127.0.0.1:1,{} status", shell.admin);
+    let ran = shell.run(&both);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(ran.out.contains("1 of 2 instances reached"), "{ran:?}");
+    let wrong = File::write("wrong", "some-other-token\n");
+    let ran = shell.run(&format!("history --token-file {}", wrong.path()));
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("token"), "{ran:?}");
+    let right = File::write("right", "a-token-for-tests\n");
+    ok(shell.run(&format!("history --token-file {}", right.path())));
+}
+
+/// The instance dies after it took the order and before it answered: the order
+/// may have been committed, so that the exit code must say neither yes nor no,
+/// and the order must not be sent to the next instance.
+#[test]
+fn an_order_without_an_answer_has_an_unknown_outcome() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dying = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut order = [0; 1_024];
+        stream.read(&mut order).unwrap()
+    });
+    let shell = Shell::start();
+    let line = format!(
+        "--at {dying},{} move checkout --shard 1 --to x",
+        shell.admin
+    );
+    let ran = shell.run(&line);
+    assert!(server.join().unwrap() > 0, "the order was sent");
+    assert_eq!(ran.code, 4, "{ran:?}");
+    assert!(ran.err.contains("outcome unknown"), "{ran:?}");
+}
--- /dev/null
+++ b/crates/citronctl/tests/support/mod.rs
@@ -0,0 +1,88 @@
+//! An instance's admin API within the test, and the command line as a process.
+
+use {
+    citron_platform::{LaneStore, Memory},
+    citronproxy::{
+        admin::{Admin, AdminServer, serve},
+        clock::Clock,
+        control::Follower,
+        traffic::TrafficHandle,
+    },
+    std::{
+        net::SocketAddr,
+        process::{Command, Stdio},
+        rc::Rc,
+        sync::mpsc,
+        thread,
+    },
+    tokio::{
+        runtime::Builder,
+        task::{LocalSet, spawn_local},
+    },
+};
+
+const TOKEN: &str = "a-token-for-tests";
+
+/// What a command left.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+/// An operator at a shell.
+#[derive(Debug, Clone, Copy)]
+pub struct Shell {
+    pub admin: SocketAddr,
+}
+
+impl Shell {
+    /// Serves an empty table; ends with the test's process.
+    pub fn start() -> Self {
+        let (sender, address) = mpsc::channel();
+        thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            LocalSet::new().block_on(&runtime, async move {
+                let any = "127.0.0.1:0".parse().unwrap();
+                let server = AdminServer::bind(any).await.unwrap();
+                sender.send(server.address).unwrap();
+                run(server).await;
+            });
+        });
+        let admin = address.recv().unwrap();
+        Self { admin }
+    }
+
+    /// Runs a command as ann; the words are separated by spaces.
+    pub fn run(&self, line: &str) -> Ran {
+        let ran = Command::new(env!("CARGO_BIN_EXE_citronctl"))
+            .args(line.split_whitespace())
+            .env("CITRON_ADMIN", self.admin.to_string())
+            .env("CITRON_TOKEN", TOKEN)
+            .env("USER", "ann")
+            .stdin(Stdio::null())
+            .output()
+            .expect("the command runs");
+        Ran {
+            code: ran.status.code().expect("an exit code"),
+            out: String::from_utf8(ran.stdout).unwrap(),
+            err: String::from_utf8(ran.stderr).unwrap(),
+        }
+    }
+}
+
+async fn run(server: AdminServer) {
+    let memory = Memory::default();
+    let handle = TrafficHandle::default();
+    let domain = "kingston-1".parse().unwrap();
+    let store = LaneStore::new(memory.clone(), "admin".to_string());
+    let name = "entry-1".parse().unwrap();
+    let token = Some(TOKEN.to_string());
+    let admin = Admin::new(name, domain, store, handle.clone(), token);
+    spawn_local(serve(server, Rc::new(admin)));
+    let store = LaneStore::new(memory, "control".to_string());
+    let domain = "kingston-1".parse().unwrap();
+    let follower = Follower::new(store, handle, Clock::start(), domain);
+    follower.run().await;
+}
