--- a/crates/citronproxy/tests/support/mod.rs
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod gate;
 mod instance;
+mod path;
 mod rows;
 
 pub use {
@@ -13,5 +14,6 @@
     call::{Reply, call, get, post},
     gate::Gate,
     instance::{Instance, TOKEN},
+    path::{LONG, Path, read_all},
     rows::{Sample, commit, domain_row, sample},
 };
