Service-level burn: counts by minute, pages in the object store, burn rates

Why: objectives stand in the service's row, and somebody has to see how fast their budgets are spent, also after the instances that counted are gone.

- Traffic counts answers, failures, slow answers and slot time by server per thread; control takes them every second, adds the share of shards that could not be reached and the shards that changed owner.
- One page an hour and instance in the object store, written every 40 s, eight pages in turn; a start takes over the page that an earlier start left, and does not write before it has, so a replaced instance loses less than a minute.
- GET /v1/burn puts all pages of six hours together.
Fast rule 14.4 over 5 min and 1 h, slow rule 6 over 30 min and 6 h.
- Ruled out: a page a minute (objects without end), one object for all instances (would need conditions that the object store does not have).

Not counted: callers that left before an answer; answers cut short after their head. At many instances a reader has many pages to read: about seven each.

--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -6,12 +6,13 @@
         answer::{Answer, json, tagged},
         editor::{Moving, wall_clock},
     },
+    crate::slo::gather,
     citron_core::{
         id::{KeyHash, ParseIdError, Revision, ShardId},
         ownership::Scope,
         table::{Edit, Row, RowEdit},
     },
-    citron_platform::TableStore,
+    citron_platform::{ObjectStore, TableStore},
     citron_wire::{
         admin::{EditWire, HEADER_OPERATOR, MoveWire, RevisionWire},
         row::{RowWire, parse_row_key},
@@ -21,10 +22,20 @@
     std::str::FromStr,
 };
 
+/// Paths without a name in them.
+const PATHS: &[&str] = &[
+    "/v1/rows",
+    "/v1/edits",
+    "/v1/moves",
+    "/v1/burn",
+    "/v1/status",
+    "/v1/history",
+    "/v1/owner",
+];
 /// History entries in one answer unless the caller says otherwise.
 const HISTORY: usize = 100;
 
-impl<S: TableStore> Admin<S> {
+impl<S: TableStore + ObjectStore> Admin<S> {
     /// Answers one call of somebody who may call.
     pub(super) async fn answer(&self, head: &Parts, body: &[u8]) -> Result<Answer, AdminError> {
         let path = head.uri.path();
@@ -45,6 +56,10 @@
                 self.take(&head.headers, rows).await
             }
             (&Method::POST, "/v1/moves") => self.move_call(&head.headers, read(body)?).await,
+            (&Method::GET, "/v1/burn") => {
+                let burn = gather(&self.store).await.map_err(AdminError::unread)?;
+                Ok(json(StatusCode::OK, &burn))
+            }
             (&Method::GET, "/v1/status") => Ok(json(StatusCode::OK, &self.status().await)),
             (&Method::GET, "/v1/history") => {
                 let after = query.number("after", Revision(0))?;
@@ -57,10 +72,7 @@
                 let owner = self.owner(service, &query.must("key")?).await?;
                 Ok(json(StatusCode::OK, &owner))
             }
-            (
-                method,
-                "/v1/rows" | "/v1/edits" | "/v1/moves" | "/v1/status" | "/v1/history" | "/v1/owner",
-            ) => Err(AdminError::Method(method.to_string())),
+            (method, path) if PATHS.contains(&path) => Err(AdminError::Method(method.to_string())),
             _ => Err(AdminError::NotFound(path.to_string())),
         }
     }
--- a/crates/citronproxy/src/admin/server.rs
+++ b/crates/citronproxy/src/admin/server.rs
@@ -8,7 +8,7 @@
     },
     crate::events,
     bytes::Bytes,
-    citron_platform::TableStore,
+    citron_platform::{ObjectStore, TableStore},
     http::{Request, request::Parts},
     http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -53,7 +53,10 @@
 }
 
 /// Serves the API on a local task set; ends only with its task.
-pub async fn serve<S: TableStore + 'static>(server: AdminServer, admin: Rc<Admin<S>>) {
+pub async fn serve<S: TableStore + ObjectStore + 'static>(
+    server: AdminServer,
+    admin: Rc<Admin<S>>,
+) {
     let slots = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
@@ -75,7 +78,7 @@
     }
 }
 
-async fn connection<S: TableStore>(stream: TcpStream, admin: Rc<Admin<S>>) {
+async fn connection<S: TableStore + ObjectStore>(stream: TcpStream, admin: Rc<Admin<S>>) {
     let service = service_fn(|request| answer(&admin, request));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -86,7 +89,7 @@
     }
 }
 
-async fn answer<S: TableStore>(
+async fn answer<S: TableStore + ObjectStore>(
     admin: &Admin<S>,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
@@ -96,7 +99,7 @@
 }
 
 /// The token comes first: whoever has none gets no body read into memory.
-async fn checked_answer<S: TableStore>(
+async fn checked_answer<S: TableStore + ObjectStore>(
     admin: &Admin<S>,
     head: Parts,
     body: Incoming,
--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod events;
 pub mod peer;
 pub mod settings;
+pub mod slo;
 pub mod traffic;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -8,6 +8,7 @@
         control::Follower,
         dev, events,
         settings::Settings,
+        slo::Recorder,
         traffic::{self, TrafficHandle},
     },
     std::{error::Error, path::PathBuf, process::ExitCode, rc::Rc},
@@ -112,6 +113,7 @@
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
     let follower = Follower::new(store, handle.clone(), clock, settings.domain.clone());
     LocalSet::new().block_on(&runtime, async move {
+        start_recorder(&settings, handle.clone(), clock);
         start_admin(settings, handle).await?;
         follower.run().await;
         Ok::<_, std::io::Error>(())
@@ -120,6 +122,13 @@
     Ok(())
 }
 
+/// Counts for service-level objectives.
+fn start_recorder(settings: &Settings, handle: TrafficHandle, clock: Clock) {
+    let store = HttpPlatform::new(settings.platform);
+    let recorder = Recorder::new(settings.instance.clone(), settings.domain.clone(), handle);
+    spawn_local(recorder.run(store, clock));
+}
+
 /// Serves operators, with a writer of their own at the table. Its name is drawn
 /// anew at each start, since its commits are numbered anew.
 async fn start_admin(settings: Settings, handle: TrafficHandle) -> std::io::Result<()> {
--- /dev/null
+++ b/crates/citronproxy/src/slo/gather.rs
@@ -0,0 +1,47 @@
+//! Puts the pages of all instances together.
+
+use {
+    super::wall_clock,
+    citron_core::slo::{Minute, Record, SLOW},
+    citron_platform::{ObjectStore, PlatformError},
+    citron_wire::slo::{BurnWire, PAGE_PREFIX, PageWire, RecordWire},
+    std::collections::BTreeSet,
+};
+
+/// Reads the pages of the last six hours.
+///
+/// # Errors
+/// If the object store cannot be listed. A page that cannot be read is counted
+/// in the answer.
+pub async fn gather(store: &impl ObjectStore) -> Result<BurnWire, PlatformError> {
+    let now = Minute::of(wall_clock());
+    let first = Minute((now.0 + 1).saturating_sub(SLOW.long));
+    let mut record = Record::default();
+    let mut instances = BTreeSet::new();
+    let mut unread = 0;
+    for name in store.list(PAGE_PREFIX).await? {
+        let Some((instance, page)) = read(store, &name).await else {
+            unread += 1;
+            continue;
+        };
+        // The next pages may already be those of a day before.
+        if page.entries().any(|(minute, _, _)| minute >= first) {
+            record.merge(&page);
+            instances.insert(instance);
+        }
+    }
+    record.forget(first);
+    Ok(BurnWire {
+        minute: now.0,
+        instances: instances.into_iter().collect(),
+        unread,
+        record: RecordWire::from(&record),
+    })
+}
+
+async fn read(store: &impl ObjectStore, name: &str) -> Option<(String, Record)> {
+    let bytes = store.get(name).await.ok()??;
+    let page: PageWire = serde_json::from_slice(&bytes).ok()?;
+    let record = Record::try_from(page.record).ok()?;
+    Some((page.instance, record))
+}
--- /dev/null
+++ b/crates/citronproxy/src/slo/mod.rs
@@ -0,0 +1,19 @@
+//! Counts for service-level objectives: taken from traffic on the control
+//! thread, kept as small pages in the object store, and put together again for
+//! whoever asks.
+
+mod gather;
+mod page;
+mod recorder;
+
+pub use {gather::gather, recorder::Recorder};
+
+use page::Page;
+
+use std::time::{Duration, SystemTime};
+
+/// The wall clock: it only labels records, no decision about keys rests on it.
+fn wall_clock() -> Duration {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/citronproxy/src/slo/page.rs
@@ -0,0 +1,85 @@
+//! One hour of one instance.
+
+use {
+    citron_core::{id::InstanceId, slo::Record},
+    citron_platform::{ObjectStore, PlatformError},
+    citron_wire::slo::{PageWire, RecordWire, page_name},
+};
+
+/// A page that is being written.
+#[derive(Debug)]
+pub(super) struct Page {
+    /// Hours since the Unix epoch.
+    pub hour: u64,
+    /// What was counted.
+    pub record: Record,
+    /// Whether it holds more than the object store.
+    pub dirty: bool,
+    /// Whether it holds what an earlier start of the instance counted in this
+    /// hour. Until it does it must not be written: it would wipe that out.
+    whole: bool,
+}
+
+impl Page {
+    /// The page that a start of the instance begins with.
+    pub fn first(hour: u64) -> Self {
+        let whole = false;
+        Self {
+            whole,
+            ..Self::begin(hour)
+        }
+    }
+
+    /// The page of an hour that began while the instance ran.
+    pub fn begin(hour: u64) -> Self {
+        Self {
+            hour,
+            record: Record::default(),
+            dirty: false,
+            whole: true,
+        }
+    }
+
+    /// Writes the page if it has changed.
+    pub async fn flush(
+        &mut self,
+        store: &impl ObjectStore,
+        instance: &InstanceId,
+    ) -> Result<(), PlatformError> {
+        if !self.dirty {
+            return Ok(());
+        }
+        let name = page_name(instance.as_str(), self.hour);
+        if !self.whole {
+            self.take_over(store, &name).await?;
+        }
+        let page = PageWire {
+            instance: instance.to_string(),
+            hour: self.hour,
+            record: RecordWire::from(&self.record),
+        };
+        let bytes = serde_json::to_vec(&page);
+        let bytes = bytes.map_err(|error| PlatformError::Answer(error.to_string()))?;
+        store.put(&name, bytes).await?;
+        self.dirty = false;
+        Ok(())
+    }
+
+    async fn take_over(
+        &mut self,
+        store: &impl ObjectStore,
+        name: &str,
+    ) -> Result<(), PlatformError> {
+        if let Some(bytes) = store.get(name).await? {
+            // A page that cannot be read is of no use to anybody.
+            let page = serde_json::from_slice::<PageWire>(&bytes).ok();
+            let page = page.filter(|page| page.hour == self.hour);
+            let earlier = page.and_then(|page| Record::try_from(page.record).ok());
+            for (minute, service, tally) in earlier.unwrap_or_default().entries() {
+                self.record.add(minute, service, tally);
+            }
+        }
+        self.whole = true;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/src/slo/recorder.rs
@@ -0,0 +1,131 @@
+//! Takes counts and keeps them.
+
+use {
+    super::{Page, wall_clock},
+    crate::{clock::Clock, traffic::TrafficHandle},
+    citron_core::{
+        id::{DomainName, InstanceId, ServiceName},
+        routing::RouteMap,
+        slo::{Minute, Reach, Tally, moved_shards},
+        time::Time,
+    },
+    citron_platform::{ObjectStore, PlatformError},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The pause between two looks at what can be reached.
+const SAMPLE_PAUSE: Duration = Duration::from_secs(1);
+/// Looks between two writes: with the write's own time well below a minute, which
+/// is what a replaced instance may lose.
+const FLUSH_SAMPLES: u32 = 40;
+/// Pages kept while the object store cannot be written.
+const MAX_PAGES: usize = 8;
+
+/// Records of one instance.
+#[derive(Debug)]
+pub struct Recorder {
+    instance: InstanceId,
+    domain: DomainName,
+    handle: TrafficHandle,
+    map: Arc<RouteMap>,
+    reach: Reach,
+    sampled: Option<Time>,
+    pages: Vec<Page>,
+}
+
+impl Recorder {
+    /// A recorder that has counted nothing yet.
+    pub fn new(instance: InstanceId, domain: DomainName, handle: TrafficHandle) -> Self {
+        Self {
+            instance,
+            domain,
+            handle,
+            map: Arc::default(),
+            reach: Reach::default(),
+            sampled: None,
+            pages: Vec::new(),
+        }
+    }
+
+    /// Counts and keeps; ends only with its task.
+    pub async fn run(mut self, store: impl ObjectStore, clock: Clock) {
+        let mut samples = 0;
+        loop {
+            sleep(SAMPLE_PAUSE).await;
+            self.sample(clock.now(), Minute::of(wall_clock())).await;
+            samples += 1;
+            if samples < FLUSH_SAMPLES {
+                continue;
+            }
+            // After a failure it is tried again with the next sample.
+            match self.flush(&store).await {
+                Ok(()) => samples = 0,
+                Err(error) => log::debug!("records not written: {error}"),
+            }
+        }
+    }
+
+    /// Adds what happened since the last sample to a minute.
+    pub async fn sample(&mut self, now: Time, minute: Minute) {
+        let mut tallies = self.handle.tallies().await;
+        self.watch(now, &mut tallies);
+        let page = self.page(minute.hour());
+        for (service, tally) in &tallies {
+            page.record.add(minute, service, tally);
+            page.dirty = true;
+        }
+    }
+
+    fn watch(&mut self, now: Time, tallies: &mut BTreeMap<ServiceName, Tally>) {
+        let span = self.sampled.map(|before| now - before);
+        self.sampled = Some(now);
+        let snapshot = self.handle.snapshot();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return;
+        };
+        if !Arc::ptr_eq(&snapshot.map, &self.map) {
+            for (service, moved) in moved_shards(&self.map, &snapshot.map) {
+                tallies.entry(service).or_default().moved += moved;
+            }
+            self.reach = Reach::new(&snapshot.map, &self.domain);
+            self.map = Arc::clone(&snapshot.map);
+        }
+        let span = span.unwrap_or_default();
+        for (service, share) in self.reach.closed(snapshot, now) {
+            let tally = tallies.entry(service).or_default();
+            tally.watched += span;
+            tally.closed += span.mul_f64(share);
+        }
+    }
+
+    fn page(&mut self, hour: u64) -> &mut Page {
+        let found = self.pages.iter().position(|page| page.hour == hour);
+        let place = found.unwrap_or_else(|| {
+            let page = match self.pages.is_empty() {
+                true => Page::first(hour),
+                false => Page::begin(hour),
+            };
+            self.pages.push(page);
+            if self.pages.len() > MAX_PAGES {
+                self.pages.remove(0);
+            }
+            self.pages.len() - 1
+        });
+        &mut self.pages[place]
+    }
+
+    /// Writes all pages that have changed.
+    ///
+    /// # Errors
+    /// If the object store cannot be reached; nothing counted is lost.
+    pub async fn flush(&mut self, store: &impl ObjectStore) -> Result<(), PlatformError> {
+        for page in &mut self.pages {
+            page.flush(store, &self.instance).await?;
+        }
+        let last = self.pages.last().map(|page| page.hour);
+        self.pages
+            .retain(|page| page.dirty || Some(page.hour) == last);
+        Ok(())
+    }
+}
--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{flights::Flights, load::LoadSample},
-    citron_core::id::{Revision, ServerName},
+    citron_core::{
+        id::{Revision, ServerName, ServiceName},
+        slo::Tally,
+    },
     std::{cell::RefCell, rc::Rc},
     tokio::sync::{mpsc, oneshot},
 };
@@ -20,6 +23,11 @@
         /// Takes the answer.
         reply: oneshot::Sender<bool>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -38,6 +46,7 @@
                 below,
                 reply,
             } => drop(reply.send(flights.quiet(&server, below))),
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- /dev/null
+++ b/crates/citronproxy/src/traffic/burn.rs
@@ -0,0 +1,49 @@
+//! What one traffic thread counts for service-level objectives.
+
+use {
+    citron_core::{
+        id::{ServerName, ServiceName},
+        slo::Tally,
+    },
+    rustc_hash::FxHashMap,
+    std::time::Duration,
+};
+
+/// Counts since they were last taken.
+#[derive(Debug, Default)]
+pub struct Burn {
+    services: FxHashMap<ServiceName, Tally>,
+}
+
+impl Burn {
+    /// Counts one answer. A caller that left before it had an answer is not
+    /// counted: nobody can say what it would have got.
+    pub fn answered(&mut self, service: &ServiceName, failed: bool, slow: bool) {
+        let tally = self.tally(service);
+        tally.total += 1;
+        tally.failed += u64::from(failed);
+        tally.slow += u64::from(slow);
+    }
+
+    /// Counts the time that a request held a slot of a server.
+    pub fn busy(&mut self, service: &ServiceName, server: &ServerName, time: Duration) {
+        let busy = &mut self.tally(service).busy;
+        match busy.get_mut(server) {
+            Some(sum) => *sum += time,
+            None => drop(busy.insert(server.clone(), time)),
+        }
+    }
+
+    /// The counts so far; counting begins anew.
+    pub fn take(&mut self) -> Vec<(ServiceName, Tally)> {
+        std::mem::take(&mut self.services).into_iter().collect()
+    }
+
+    /// Two look-ups instead of an entry: the name is cloned once, not per request.
+    fn tally(&mut self, service: &ServiceName) -> &mut Tally {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Tally::default());
+        }
+        self.services.get_mut(service).expect("inserted above")
+    }
+}
--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -1,7 +1,7 @@
 //! Requests that a backend server may be running for this thread.
 
 use {
-    super::load::Load,
+    super::{burn::Burn, load::Load},
     crate::clock::Clock,
     citron_core::{
         id::{Revision, ServerName},
@@ -31,6 +31,8 @@
 pub struct Flights {
     /// Load by scope.
     pub load: Load,
+    /// Counts for service-level objectives.
+    pub burn: Burn,
     clock: Clock,
     entries: FxHashMap<u64, Entry>,
     abandoned: Vec<Abandoned>,
@@ -42,6 +44,7 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             load: Load::default(),
+            burn: Burn::default(),
             clock,
             entries: FxHashMap::default(),
             abandoned: Vec::new(),
@@ -117,14 +120,17 @@
     fn drop(&mut self) {
         let mut table = self.flights.borrow_mut();
         let now = table.clock.now();
-        if let Some(begun) = self.begun {
-            table
-                .load
-                .add(&self.service.row.name, self.scope, now - begun);
+        let service = &self.service.row.name;
+        let time = self.begun.map(|begun| now - begun);
+        if let Some(time) = time {
+            table.load.add(service, self.scope, time);
         }
         let Some(entry) = table.entries.remove(&self.number) else {
             return;
         };
+        if let Some(time) = time {
+            table.burn.busy(service, &entry.server.name, time);
+        }
         if let Some(until) = self.until.filter(|until| *until > now) {
             table.abandoned.push(Abandoned { entry, until });
         }
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -8,10 +8,12 @@
     },
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
-        id::{Revision, ServerName},
+        id::{Revision, ServerName, ServiceName},
         routing::Snapshot,
+        slo::Tally,
     },
     std::{
+        collections::BTreeMap,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -104,6 +106,17 @@
         merge(samples)
     }
 
+    /// Counts for service-level objectives since this was last asked.
+    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
+        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Burn { reply }) {
+            for (service, tally) in answer.await.unwrap_or_default() {
+                *tallies.entry(service).or_default() += &tally;
+            }
+        }
+        tallies
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod ask;
 mod body;
+mod burn;
 mod call;
 mod deadline;
 mod exchange;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{own, unavailable},
+        answer::{HEADER_OUTCOME, own, unavailable},
         body::AnswerBody,
         call::Call,
         deadline,
@@ -12,7 +12,10 @@
         tries::Tries,
         upload::Source,
     },
-    citron_core::routing::{Outcome, ServiceRoutes},
+    citron_core::{
+        routing::{Outcome, ServiceRoutes},
+        table::ServiceRow,
+    },
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
@@ -20,6 +23,7 @@
         convert::Infallible,
         rc::Rc,
         sync::Arc,
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -98,7 +102,21 @@
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
-        Ok(Call::new(&tries, &row.name, idempotent).run().await)
+        let answer = Call::new(&tries, &row.name, idempotent).run().await;
+        self.count(row, &answer, self.state.clock.now() - now);
+        Ok(answer)
+    }
+
+    /// Counts an answer for the service's objectives.
+    fn count(&self, row: &ServiceRow, answer: &Response<AnswerBody>, time: Duration) {
+        let ran = answer
+            .headers()
+            .get(HEADER_OUTCOME)
+            .is_some_and(|outcome| outcome == "ran");
+        let failed = !ran || answer.status().is_server_error();
+        let slow = time > row.objectives.latency;
+        let mut flights = self.state.flights.borrow_mut();
+        flights.burn.answered(&row.name, failed, slow);
     }
 
     fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refusal> {
--- /dev/null
+++ b/crates/citronproxy/tests/slo.rs
@@ -0,0 +1,168 @@
+//! Counts for service-level objectives, from a request to the report's figures.
+
+mod support;
+
+use {
+    citron_core::{
+        id::{DomainName, InstanceId, ServiceName},
+        slo::{Minute, Record},
+        table::Fencing,
+        time::Time,
+    },
+    citron_fakes::{
+        backend::{BackendConfig, BackendServer},
+        platform::PlatformServer,
+    },
+    citron_platform::{HttpPlatform, LaneStore, Memory, ObjectStore},
+    citron_wire::slo::PAGE_PREFIX,
+    citronproxy::{
+        clock::Clock,
+        control::Follower,
+        slo::{Recorder, gather},
+        traffic::{TrafficHandle, start},
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, SystemTime},
+    },
+    support::{Sample, commit, domain_row, get, sample},
+    tokio::{
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+const ANY: &str = "127.0.0.1:0";
+
+fn minute() -> Minute {
+    Minute::of(SystemTime::UNIX_EPOCH.elapsed().unwrap())
+}
+
+fn recorder(handle: &TrafficHandle) -> Recorder {
+    let instance: InstanceId = "entry-1".parse().unwrap();
+    let domain: DomainName = "harbour".parse().unwrap();
+    Recorder::new(instance, domain, handle.clone())
+}
+
+/// Traffic threads over one backend server; requests to `/kegs`.
+async fn traffic(memory: &Memory) -> (SocketAddr, TrafficHandle) {
+    let config = BackendConfig {
+        name: "server-1".to_string(),
+        slots: 4,
+        work: Duration::from_millis(20),
+        fenced: false,
+    };
+    let server = BackendServer::start(ANY.parse().unwrap(), config)
+        .await
+        .unwrap();
+    let named = (
+        "server-1".to_string(),
+        "harbour".to_string(),
+        server.address,
+    );
+    let mut rows = sample(&Sample {
+        servers: vec![named],
+        fencing: Fencing::Unchecked,
+    });
+    rows.push(domain_row("harbour"));
+    commit(memory, "test", rows).await;
+    let handle = TrafficHandle::default();
+    let clock = Clock::start();
+    let workers = start(ANY.parse().unwrap(), 2, &handle, clock).unwrap();
+    let store = LaneStore::new(memory.clone(), "control".to_string());
+    let domain = "harbour".parse().unwrap();
+    spawn_local(Follower::new(store, handle.clone(), clock, domain).run());
+    while handle.snapshot().is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    (workers.address, handle)
+}
+
+fn total(record: &Record) -> (u64, u64) {
+    let entries = record.entries().map(|(_, _, tally)| tally);
+    entries.fold((0, 0), |(total, failed), tally| {
+        (total + tally.total, failed + tally.failed)
+    })
+}
+
+async fn gathered(store: &impl ObjectStore) -> Record {
+    let burn = gather(store).await.unwrap();
+    assert_eq!(burn.unread, 0);
+    burn.record.try_into().unwrap()
+}
+
+#[tokio::test]
+async fn answers_and_slot_time_are_counted_by_service() {
+    let run = async {
+        let memory = Memory::default();
+        let (address, handle) = traffic(&memory).await;
+        let mut recorder = recorder(&handle);
+        recorder.sample(Time::from_micros(0), minute()).await;
+        for key in 0..5 {
+            let reply = get(address, &format!("/kegs/bar-{key}")).await.unwrap();
+            assert_eq!(reply.status, 200);
+        }
+        recorder
+            .sample(Time::from_micros(1_000_000), minute())
+            .await;
+        recorder.flush(&memory).await.unwrap();
+        let record = gathered(&memory).await;
+        assert_eq!(total(&record), (5, 0));
+        let kegs: ServiceName = "kegs".parse().unwrap();
+        let sum = record.sum(&kegs, minute(), 5);
+        let busy: Duration = sum.busy.values().sum();
+        assert!(busy >= Duration::from_millis(100), "{sum:?}");
+        assert_eq!(sum.watched, Duration::from_secs(1));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// An instance is killed and started anew within the hour, while the object
+/// store is out of reach. What the first start had written must not be wiped
+/// out by what the second one writes, and nothing counted meanwhile is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replaced_instance_keeps_what_was_written() {
+    let run = async {
+        let platform = PlatformServer::start(ANY.parse().unwrap()).await.unwrap();
+        let store = HttpPlatform::new(platform.address);
+        let (address, handle) = traffic(&platform.memory).await;
+        let hour = minute();
+        let mut first = recorder(&handle);
+        get(address, "/kegs/bar-1").await.unwrap();
+        first.sample(Time::from_micros(0), hour).await;
+        first.flush(&store).await.unwrap();
+        drop(first);
+
+        let mut second = recorder(&handle);
+        platform.faults.set(|trouble| trouble.down = true);
+        get(address, "/kegs/bar-2").await.unwrap();
+        second.sample(Time::from_micros(0), hour).await;
+        assert!(second.flush(&store).await.is_err());
+        get(address, "/kegs/bar-3").await.unwrap();
+        second.sample(Time::from_micros(1_000_000), hour).await;
+        platform.faults.set(|trouble| trouble.down = false);
+        second.flush(&store).await.unwrap();
+        second.flush(&store).await.unwrap();
+        assert_eq!(total(&gathered(&store).await), (3, 0));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Pages are written over after eight hours, so that the store does not grow
+/// with the time that an instance runs.
+#[tokio::test]
+async fn an_instance_keeps_eight_pages() {
+    let memory = Memory::default();
+    let run = async {
+        let (_, handle) = traffic(&memory).await;
+        let mut recorder = recorder(&handle);
+        for hour in 0..20 {
+            let minute = Minute((1_000 + hour) * Minute::HOUR);
+            recorder.sample(Time::from_micros(hour), minute).await;
+            recorder.flush(&memory).await.unwrap();
+        }
+        let names = ObjectStore::list(&memory, PAGE_PREFIX).await.unwrap();
+        assert_eq!(names.len(), 8);
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod ownership;
 pub mod placement;
 pub mod routing;
+pub mod slo;
 pub mod table;
 pub mod time;
--- a/crates/core/src/routing/map.rs
+++ b/crates/core/src/routing/map.rs
@@ -72,6 +72,20 @@
         })
     }
 
+    /// Where each shard goes, in their order; `None` while nobody owns it.
+    pub fn shards(&self) -> impl Iterator<Item = Option<Route>> {
+        let shards = (0..self.row.shards.shards()).map(ShardId);
+        shards.map(|shard| {
+            let slot = self.slot(shard)?;
+            Some(Route {
+                server: slot.server,
+                epoch: slot.epoch,
+                scope: Scope::Shard(shard),
+                open: slot.open,
+            })
+        })
+    }
+
     fn slot(&self, shard: ShardId) -> Option<Slot> {
         self.slots.get(shard.0 as usize).copied().flatten()
     }
--- /dev/null
+++ b/crates/core/src/slo/record.rs
@@ -0,0 +1,71 @@
+//! Counts by minute and service.
+
+use {
+    super::{Minute, Tally},
+    crate::id::ServiceName,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Buckets of a minute each, of all services; the oldest are dropped.
+///
+/// ```
+/// use citron_core::slo::{Minute, Record, Tally};
+/// let service = "kegs".parse().unwrap();
+/// let mut record = Record::default();
+/// record.add(Minute(7), &service, &Tally { total: 3, ..Tally::default() });
+/// assert_eq!(record.sum(&service, Minute(9), 5).total, 3);
+/// assert_eq!(record.sum(&service, Minute(12), 5).total, 0);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Record {
+    minutes: BTreeMap<Minute, BTreeMap<ServiceName, Tally>>,
+}
+
+impl Record {
+    /// Adds what this instance counted in a minute.
+    pub fn add(&mut self, minute: Minute, service: &ServiceName, tally: &Tally) {
+        *self.bucket(minute, service) += tally;
+    }
+
+    /// Adds what another instance counted.
+    pub fn merge(&mut self, other: &Record) {
+        for (minute, service, tally) in other.entries() {
+            self.bucket(minute, service).merge(tally);
+        }
+    }
+
+    fn bucket(&mut self, minute: Minute, service: &ServiceName) -> &mut Tally {
+        let services = self.minutes.entry(minute).or_default();
+        services.entry(service.clone()).or_default()
+    }
+
+    /// Drops what lies before a minute.
+    pub fn forget(&mut self, before: Minute) {
+        self.minutes = self.minutes.split_off(&before);
+    }
+
+    /// All buckets, in the order of minute and service.
+    pub fn entries(&self) -> impl Iterator<Item = (Minute, &ServiceName, &Tally)> {
+        let minutes = self.minutes.iter();
+        minutes.flat_map(|(minute, services)| {
+            services.iter().map(|(name, tally)| (*minute, name, tally))
+        })
+    }
+
+    /// Every service that something was counted of.
+    pub fn services(&self) -> BTreeSet<&ServiceName> {
+        self.minutes.values().flat_map(BTreeMap::keys).collect()
+    }
+
+    /// Counts of the last `window` minutes, up to and with `now`.
+    pub fn sum(&self, service: &ServiceName, now: Minute, window: u64) -> Tally {
+        let first = Minute((now.0 + 1).saturating_sub(window));
+        let mut sum = Tally::default();
+        for (_, services) in self.minutes.range(first..=now) {
+            if let Some(tally) = services.get(service) {
+                sum += tally;
+            }
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/crates/core/tests/slo.rs
@@ -0,0 +1,213 @@
+//! Burn rates, and what is reached and moved.
+
+use {
+    citron_core::{
+        id::{Epoch, Revision, ServerName, ServiceName, ShardBits, Slots, Weight},
+        membership::Confirmation,
+        ownership::{Assignment, Phase},
+        routing::{RouteMap, Snapshot},
+        slo::{Minute, Reach, Record, ServiceReport, Tally, moved_shards},
+        table::{
+            BlockId, BlockRow, Changes, Fencing, KeyRule, MoveBudget, Objectives, Row, ServerRow,
+            ServerState, ServiceRow, Table,
+        },
+        time::Time,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const NOW: Minute = Minute(10_000);
+
+/// From and to so many minutes back, and failures a minute.
+type Span = (u64, u64, u64);
+
+fn service() -> ServiceRow {
+    ServiceRow {
+        name: "kegs".parse().unwrap(),
+        operator: "authority".parse().unwrap(),
+        hosts: Vec::new(),
+        prefix: "/kegs".to_string(),
+        key: KeyRule::Segment(1),
+        idempotent: Vec::new(),
+        shards: ShardBits::new(2).unwrap(),
+        deadline: Duration::from_secs(5),
+        grace: Duration::from_secs(10),
+        moves: MoveBudget {
+            minute: 10,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(100),
+            slower: 10_000,
+        },
+    }
+}
+
+fn server(number: u16, domain: &str) -> ServerRow {
+    ServerRow {
+        name: format!("server-{number}").parse().unwrap(),
+        service: "kegs".parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Unchecked,
+        state: ServerState::Active,
+    }
+}
+
+/// Four shards; server 1 is in `harbour`, server 2 in `hills`.
+fn map(owners: [u16; 4], releasing: bool) -> RouteMap {
+    let owner = |number: u16| {
+        let name: ServerName = format!("server-{number}").parse().unwrap();
+        Assignment::owned(name, Epoch(1))
+    };
+    let mut shards: Vec<Assignment> = owners.into_iter().map(owner).collect();
+    if releasing {
+        let to = "server-2".parse().unwrap();
+        shards[0].phase = Phase::Releasing { to };
+    }
+    let block = BlockRow {
+        service: "kegs".parse().unwrap(),
+        block: BlockId(0),
+        shards,
+    };
+    let rows = [
+        Row::Service(service()),
+        Row::Server(server(1, "harbour")),
+        Row::Server(server(2, "hills")),
+        Row::Block(block),
+    ];
+    let rows = rows
+        .into_iter()
+        .map(|row| (row.key(), Revision(1), Some(row)));
+    let changes = Changes {
+        since: Revision(0),
+        revision: Revision(1),
+        rows: rows.collect(),
+    };
+    let mut table = Table::default();
+    table.apply(changes).unwrap();
+    RouteMap::build(&table)
+}
+
+/// A record of 1000 requests a minute.
+fn record(spans: &[Span]) -> Record {
+    let name: ServiceName = "kegs".parse().unwrap();
+    let mut record = Record::default();
+    for (from, to, bad) in spans {
+        for back in *from..*to {
+            let tally = Tally {
+                total: 1_000,
+                failed: *bad,
+                ..Tally::default()
+            };
+            record.add(Minute(NOW.0 - back), &name, &tally);
+        }
+    }
+    record
+}
+
+#[test]
+fn alerts_need_a_long_and_a_short_window() {
+    let cases: [(&str, &[Span]); 6] = [
+        ("nothing counted", &[]),
+        ("within budget", &[(0, 360, 1)]),
+        ("two bad minutes", &[(0, 2, 100), (2, 360, 0)]),
+        ("a bad quarter of an hour", &[(0, 15, 100), (15, 360, 0)]),
+        ("an hour ago", &[(0, 60, 0), (60, 75, 500), (75, 360, 0)]),
+        ("smouldering", &[(0, 360, 7)]),
+    ];
+    let lines = cases.map(|(case, spans)| {
+        let report = ServiceReport::new(&record(spans), &service(), NOW);
+        let burns = report.failures;
+        format!(
+            "{case}: 5m {:.1} 1h {:.1} 30m {:.1} 6h {:.1} {:?}, {} requests",
+            burns.fast.0,
+            burns.fast.1,
+            burns.slow.0,
+            burns.slow.1,
+            burns.alert(),
+            report.requests,
+        )
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Two instances watch the same minute. Both see the same move, and one of them
+/// is cut off for half of it: callers find a key unreachable for a quarter of
+/// the minute on the mean.
+#[test]
+fn instances_are_put_together_without_counting_a_move_twice() {
+    let name: ServiceName = "kegs".parse().unwrap();
+    let one = |closed| {
+        let tally = Tally {
+            total: 10,
+            closed: Duration::from_secs(closed),
+            watched: Duration::from_secs(60),
+            moved: 3,
+            ..Tally::default()
+        };
+        let mut record = Record::default();
+        record.add(NOW, &name, &tally);
+        record
+    };
+    let mut merged = Record::default();
+    merged.merge(&one(0));
+    merged.merge(&one(30));
+    let report = ServiceReport::new(&merged, &service(), NOW);
+    assert_eq!((report.requests, report.churn), (20, 3));
+    assert_eq!(report.unavailable, Duration::from_secs(15));
+}
+
+#[test]
+fn a_record_forgets_what_is_too_old() {
+    let mut record = record(&[(0, 10, 0)]);
+    record.forget(Minute(NOW.0 - 4));
+    assert_eq!(record.entries().count(), 5);
+}
+
+/// A shard counts as closed while it is released, and so do those that the
+/// instance has no leave to route to: elsewhere after the lease, in its own
+/// domain after the grace.
+#[test]
+fn shards_are_closed_while_moving_and_without_leave() {
+    let second = Duration::from_secs(1);
+    let read = Time::from_micros(0) + second;
+    let confirmation = Confirmation {
+        anywhere: read + second,
+        platform: read,
+        domain: read + 100 * second,
+    };
+    let cases = [("at rest", false), ("one released", true)];
+    let mut lines = Vec::new();
+    for (case, releasing) in cases {
+        let map = Arc::new(map([1, 1, 1, 2], releasing));
+        let domain: citron_core::id::DomainName = "harbour".parse().unwrap();
+        let reach = Reach::new(&map, &domain);
+        let snapshot = Snapshot {
+            map,
+            confirmation,
+            domain,
+        };
+        for seconds in [0, 2, 11] {
+            let closed = reach.closed(&snapshot, read + seconds * second);
+            let share = closed.values().next().unwrap();
+            lines.push(format!("{case}, {seconds} s after the read: {share}"));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn moved_shards_are_those_with_another_owner() {
+    let before = map([1, 1, 2, 2], false);
+    let after = map([1, 2, 1, 2], false);
+    let kegs: ServiceName = "kegs".parse().unwrap();
+    assert_eq!(moved_shards(&before, &after)[&kegs], 2);
+    assert_eq!(moved_shards(&after, &after)[&kegs], 0);
+    assert!(moved_shards(&RouteMap::default(), &after).is_empty());
+}
--- a/crates/platform/src/lane.rs
+++ b/crates/platform/src/lane.rs
@@ -1,7 +1,7 @@
 //! Commits that take effect once, whatever becomes of their answers.
 
 use {
-    crate::{HistoryEntry, PlatformError, TableService, TableStore},
+    crate::{HistoryEntry, ObjectStore, PlatformError, TableService, TableStore},
     citron_core::{
         id::Revision,
         table::{Changes, Check, Commit, CommitAnswer, HistoryRow, Row, Versioned, Write},
@@ -161,6 +161,20 @@
     }
 }
 
+impl<S: ObjectStore> ObjectStore for LaneStore<S> {
+    async fn put(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        self.service.put(name, bytes).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        self.service.get(name).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+        self.service.list(prefix).await
+    }
+}
+
 fn to_value(wire: &impl serde::Serialize) -> Value {
     serde_json::to_value(wire).unwrap_or(Value::Null)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod grant;
 pub mod peer;
 pub mod row;
+pub mod slo;
 pub mod table;
 
 mod error;
--- /dev/null
+++ b/crates/wire/src/slo/record_wire.rs
@@ -0,0 +1,125 @@
+//! Records and their conversions.
+
+use {
+    crate::{WireError, error::parse},
+    citron_core::{
+        id::ServerName,
+        slo::{Minute, Record, Tally},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Counts of one service over a minute. Times are in milliseconds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TallyWire {
+    /// Minutes since the Unix epoch.
+    pub minute: u64,
+    /// The service.
+    pub service: String,
+    /// Requests.
+    pub total: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// Those that were slow.
+    pub slow: u64,
+    /// Time that shards could not be reached, as a mean over shards.
+    pub closed_ms: u64,
+    /// Time over which that was watched.
+    pub watched_ms: u64,
+    /// Shards whose owner changed.
+    pub moved: u64,
+    /// Slot time by server.
+    pub busy_ms: BTreeMap<String, u64>,
+}
+
+/// Counts by minute and service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RecordWire {
+    /// In the order of minute and service.
+    pub entries: Vec<TallyWire>,
+}
+
+/// One instance's record of one hour, as kept in the object store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PageWire {
+    /// The instance.
+    pub instance: String,
+    /// Hours since the Unix epoch.
+    pub hour: u64,
+    /// What it counted.
+    pub record: RecordWire,
+}
+
+/// What all instances counted.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct BurnWire {
+    /// The current minute, since the Unix epoch.
+    pub minute: u64,
+    /// Instances whose pages were read.
+    pub instances: Vec<String>,
+    /// Pages that could not be read.
+    pub unread: u32,
+    /// What they counted.
+    pub record: RecordWire,
+}
+
+impl From<&Record> for RecordWire {
+    fn from(core: &Record) -> Self {
+        let entries = core.entries().map(|(minute, service, tally)| TallyWire {
+            minute: minute.0,
+            service: service.to_string(),
+            total: tally.total,
+            failed: tally.failed,
+            slow: tally.slow,
+            closed_ms: millis(tally.closed),
+            watched_ms: millis(tally.watched),
+            moved: tally.moved,
+            busy_ms: tally
+                .busy
+                .iter()
+                .map(|(server, time)| (server.to_string(), millis(*time)))
+                .collect(),
+        });
+        let entries = entries.collect();
+        Self { entries }
+    }
+}
+
+impl TryFrom<RecordWire> for Record {
+    type Error = WireError;
+
+    fn try_from(wire: RecordWire) -> Result<Self, WireError> {
+        let mut record = Self::default();
+        for entry in wire.entries {
+            let minute = Minute(entry.minute);
+            let service = parse("service", &entry.service)?;
+            record.add(minute, &service, &entry.try_into()?);
+        }
+        Ok(record)
+    }
+}
+
+impl TryFrom<TallyWire> for Tally {
+    type Error = WireError;
+
+    fn try_from(wire: TallyWire) -> Result<Self, WireError> {
+        let mut busy: BTreeMap<ServerName, Duration> = BTreeMap::new();
+        for (server, time) in &wire.busy_ms {
+            busy.insert(parse("busy_ms", server)?, Duration::from_millis(*time));
+        }
+        Ok(Self {
+            total: wire.total,
+            failed: wire.failed,
+            slow: wire.slow,
+            closed: Duration::from_millis(wire.closed_ms),
+            watched: Duration::from_millis(wire.watched_ms),
+            moved: wire.moved,
+            busy,
+        })
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
