citronctl report: burn, imbalance, churn and unavailable time

Why: operators need to see how fast budgets are spent and what it comes from, on a page that needs no other service. Plain SVG, since five small line plots do not carry a plotting library.

- Imbalance is by weight and over all servers that are to share the load, so an idle server shows; a service that nobody counted is "no data", not "ok".
- The page was not looked at in a browser: none at hand.

--- a/crates/citronctl/src/client.rs
+++ b/crates/citronctl/src/client.rs
@@ -3,9 +3,12 @@
 use {
     crate::{args::Options, error::CtlError},
     bytes::Bytes,
-    citron_wire::admin::{
-        EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, MoveWire, OwnerWire, RevisionWire,
-        RowEditWire, RowsWire, StatusWire,
+    citron_wire::{
+        admin::{
+            EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, MoveWire, OwnerWire,
+            RevisionWire, RowEditWire, RowsWire, StatusWire,
+        },
+        slo::BurnWire,
     },
     http::{Method, Request, StatusCode, header},
     http_body_util::{BodyExt, Full},
@@ -78,6 +81,11 @@
             .await
     }
 
+    /// What all instances counted for service-level objectives.
+    pub async fn burn(&self) -> Result<BurnWire, CtlError> {
+        self.get("/v1/burn").await
+    }
+
     /// Commits an edit.
     pub async fn edit(&self, rows: Vec<RowEditWire>) -> Result<u64, CtlError> {
         let accepted: RevisionWire = self.post("/v1/edits", &EditWire { rows }).await?;
--- a/crates/citronctl/src/commands/look.rs
+++ b/crates/citronctl/src/commands/look.rs
@@ -2,7 +2,14 @@
 
 use {
     super::finish,
-    crate::{client::Client, diff::changes, error::CtlError, grid, wait},
+    crate::{
+        client::Client,
+        diff::changes,
+        error::CtlError,
+        grid,
+        report::{self, Figures},
+        wait,
+    },
     citron_wire::{
         admin::{HistoryEntryWire, StatusWire},
         table::RowChangeWire,
@@ -99,6 +106,25 @@
     }
 }
 
+/// `report [--format text|json|html]`
+pub async fn report(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
+    let format: Option<String> = args.opt_value_from_str("--format")?;
+    finish(args)?;
+    let burn = client.burn().await?;
+    let table = client.rows(None).await?;
+    let figures = Figures::new(burn, table)?;
+    match format.as_deref().unwrap_or("text") {
+        "text" => print!("{}", report::text(&figures)),
+        "json" => println!("{}", report::json(&figures)?),
+        "html" => print!("{}", report::html(&figures)),
+        other => {
+            let message = format!("--format is '{other}'; allowed: text, json, html");
+            return Err(CtlError::Usage(message));
+        }
+    }
+    Ok(())
+}
+
 fn is_json(args: &mut Arguments) -> Result<bool, CtlError> {
     let format: Option<String> = args.opt_value_from_str("--format")?;
     match format.as_deref() {
--- a/crates/citronctl/src/commands/mod.rs
+++ b/crates/citronctl/src/commands/mod.rs
@@ -31,7 +31,7 @@
         Command::Status => look::status(args, client).await,
         Command::Owner => look::owner(args, client).await,
         Command::History => look::history(args, client).await,
-        Command::Report => Err(CtlError::Failed("no report yet".to_string())),
+        Command::Report => look::report(args, client).await,
         Command::Help => Ok(()),
     }
 }
--- a/crates/citronctl/src/help.rs
+++ b/crates/citronctl/src/help.rs
@@ -94,8 +94,12 @@
 
 const REPORT: &str = "\
 citronctl report [--format text|json|html]
-  Burn of each service's objectives over 5 min, 1 h, 30 min and 6 h, with
-  imbalance, churn and unavailable time.
+  Burn of each service's objectives over 5 min, 1 h, 30 min and 6 h: 1 spends a
+  budget exactly over its period. 'fast burn' is 14.4 over 5 min and 1 h, 'slow
+  burn' 6 over 30 min and 6 h. Imbalance is the fullest server's load over the
+  mean of the last hour, each by its weight, churn the shards that changed owner in 6 h, and
+  unavailable the seconds in 6 h that a key could not be reached on the mean.
+  'html' is one page that needs nothing else: citronctl report --format html > burn.html
 ";
 
 /// The help of a command.
--- a/crates/citronctl/src/main.rs
+++ b/crates/citronctl/src/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod grid;
 mod help;
+mod report;
 mod sheet;
 mod wait;
 
--- /dev/null
+++ b/crates/citronctl/src/report/figures.rs
@@ -0,0 +1,139 @@
+//! What the report is made of.
+
+use {
+    crate::error::CtlError,
+    citron_core::{
+        id::{ServerName, ServiceName, Weight},
+        slo::{Alert, Minute, Record, SLOW, ServiceReport, Tally, burn_rate},
+        table::{Row, ServerState, ServiceRow},
+    },
+    citron_wire::{WireError, admin::RowsWire, slo::BurnWire},
+    jiff::Timestamp,
+    std::collections::BTreeMap,
+};
+
+/// Minutes that one point of a plot stands for.
+const STEP: u64 = 5;
+
+/// Figures of all services.
+#[derive(Debug)]
+pub struct Figures {
+    /// As of when.
+    pub at: String,
+    /// Instances that counted.
+    pub instances: Vec<String>,
+    /// Pages of records that could not be read.
+    pub unread: u32,
+    /// One a service.
+    pub services: Vec<ServiceFigures>,
+}
+
+/// Figures of one service.
+#[derive(Debug)]
+pub struct ServiceFigures {
+    /// Over the last six hours.
+    pub report: ServiceReport,
+    /// How they came about, oldest first, one each five minutes.
+    pub points: Vec<Point>,
+}
+
+/// Five minutes of a service; nothing counted leaves figures out.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Point {
+    /// Burn of the budget of failures.
+    pub failures: Option<f64>,
+    /// Burn of the budget of slow answers.
+    pub latency: Option<f64>,
+    /// Load of the busiest server over the mean.
+    pub imbalance: Option<f64>,
+    /// Shards whose owner changed.
+    pub churn: Option<f64>,
+    /// Share of keys and time that could not be reached, in percent.
+    pub unavailable: Option<f64>,
+}
+
+impl Figures {
+    /// Works the figures out from what instances counted and the objectives of
+    /// the table.
+    pub fn new(burn: BurnWire, table: RowsWire) -> Result<Self, CtlError> {
+        let bad = |error: WireError| CtlError::Failed(error.to_string());
+        let now = Minute(burn.minute);
+        let record = Record::try_from(burn.record).map_err(bad)?;
+        let mut services = Vec::new();
+        let rows = table.rows.into_iter().map(|row| Row::try_from(row.row));
+        let rows = rows.collect::<Result<Vec<_>, _>>().map_err(bad)?;
+        for row in &rows {
+            if let Row::Service(row) = row {
+                let weights = weights(&rows, &row.name);
+                services.push(ServiceFigures::new(&record, row, &weights, now));
+            }
+        }
+        let seconds = i64::try_from(now.0.saturating_mul(60)).unwrap_or(i64::MAX);
+        let at = Timestamp::from_second(seconds);
+        Ok(Self {
+            at: at.map_or_else(|_| "?".to_string(), |at| at.to_string()),
+            instances: burn.instances,
+            unread: burn.unread,
+            services,
+        })
+    }
+}
+
+impl ServiceFigures {
+    fn new(record: &Record, row: &ServiceRow, weights: &Weights, now: Minute) -> Self {
+        let first = now.0.saturating_sub(SLOW.long - STEP);
+        let ends = (first..=now.0).step_by(STEP as usize).map(Minute);
+        let points = ends.map(|end| Point::new(&record.sum(&row.name, end, STEP), row, weights));
+        Self {
+            report: ServiceReport::new(record, row, weights, now),
+            points: points.collect(),
+        }
+    }
+}
+
+impl Point {
+    fn new(tally: &Tally, row: &ServiceRow, weights: &Weights) -> Self {
+        let rate = |bad, budget| (tally.total > 0).then(|| burn_rate(bad, tally.total, budget));
+        let watched = !tally.watched.is_zero();
+        Self {
+            failures: rate(tally.failed, row.objectives.failures),
+            latency: rate(tally.slow, row.objectives.slower),
+            imbalance: tally.imbalance(weights),
+            churn: watched.then_some(tally.moved as f64),
+            unavailable: watched.then(|| tally.closed_share() * 100.0),
+        }
+    }
+}
+
+/// Weights of the servers that are to share the load of a service.
+type Weights = BTreeMap<ServerName, Weight>;
+
+fn weights(rows: &[Row], service: &ServiceName) -> Weights {
+    let sharing = rows.iter().filter_map(|row| match row {
+        Row::Server(row) if row.service == *service && row.state == ServerState::Active => {
+            Some((row.name.clone(), row.weight))
+        }
+        _ => None,
+    });
+    sharing.collect()
+}
+
+/// What a report calls for, as a word.
+pub fn alert_word(report: &ServiceReport) -> &'static str {
+    if report.requests == 0 {
+        return "no data";
+    }
+    match report.failures.alert().max(report.latency.alert()) {
+        Alert::None => "ok",
+        Alert::Slow => "slow burn",
+        Alert::Fast => "fast burn",
+    }
+}
+
+/// A rate, short; a budget of nothing is spent at once.
+pub fn rate_text(rate: f64) -> String {
+    match rate.is_finite() {
+        true => format!("{rate:.1}"),
+        false => "over".to_string(),
+    }
+}
--- /dev/null
+++ b/crates/citronctl/src/report/text.rs
@@ -0,0 +1,67 @@
+//! The report as text.
+
+use {
+    super::figures::{Figures, ServiceFigures, alert_word, rate_text},
+    crate::grid,
+    citron_core::slo::Burns,
+};
+
+const HEADS: [&str; 13] = [
+    "service",
+    "alert",
+    "fail 5m",
+    "1h",
+    "30m",
+    "6h",
+    "slow 5m",
+    "1h",
+    "30m",
+    "6h",
+    "requests",
+    "imbalance",
+    "churn",
+];
+
+/// One line a service; rates are multiples of the allowed one.
+pub fn text(figures: &Figures) -> String {
+    let heads = HEADS.iter().copied().chain(["unavailable s"]);
+    let heads: Vec<String> = heads.map(str::to_string).collect();
+    let lines: Vec<_> = figures.services.iter().map(line).collect();
+    let mut text = grid::layout(&heads, &lines);
+    text.push_str(&format!(
+        "\nas of {}, counted by {}",
+        figures.at,
+        who(figures)
+    ));
+    if figures.unread > 0 {
+        text.push_str(&format!("; records not readable: {}", figures.unread));
+    }
+    text.push('\n');
+    text
+}
+
+/// The instances that counted.
+pub fn who(figures: &Figures) -> String {
+    match figures.instances.as_slice() {
+        [] => "no instance".to_string(),
+        names => names.join(", "),
+    }
+}
+
+fn line(service: &ServiceFigures) -> Vec<String> {
+    let report = &service.report;
+    let mut cells = vec![report.service.to_string(), alert_word(report).to_string()];
+    cells.extend(rates(&report.failures));
+    cells.extend(rates(&report.latency));
+    cells.push(report.requests.to_string());
+    let imbalance = report.imbalance.map(|ratio| format!("{ratio:.2}"));
+    cells.push(imbalance.unwrap_or_else(|| "-".to_string()));
+    cells.push(report.churn.to_string());
+    cells.push(format!("{:.1}", report.unavailable.as_secs_f64()));
+    cells
+}
+
+/// Over 5 min, 1 h, 30 min and 6 h.
+pub fn rates(burns: &Burns) -> [String; 4] {
+    [burns.fast.0, burns.fast.1, burns.slow.0, burns.slow.1].map(rate_text)
+}
--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! An instance's admin API within the test, and the command line as a process.
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use {
     citron_platform::{LaneStore, Memory},
@@ -40,6 +41,11 @@
 impl Shell {
     /// Serves an empty table; ends with the test's process.
     pub fn start() -> Self {
+        Self::start_with(Memory::default())
+    }
+
+    /// As [`Self::start`], with what the platform holds.
+    pub fn start_with(memory: Memory) -> Self {
         let (sender, address) = mpsc::channel();
         thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
@@ -47,7 +53,7 @@
                 let any = "127.0.0.1:0".parse().unwrap();
                 let server = AdminServer::bind(any).await.unwrap();
                 sender.send(server.address).unwrap();
-                run(server).await;
+                run(server, memory).await;
             });
         });
         let admin = address.recv().unwrap();
@@ -72,8 +78,7 @@
     }
 }
 
-async fn run(server: AdminServer) {
-    let memory = Memory::default();
+async fn run(server: AdminServer, memory: Memory) {
     let handle = TrafficHandle::default();
     let domain = "kingston-1".parse().unwrap();
     let store = LaneStore::new(memory.clone(), "admin".to_string());
--- a/crates/core/src/slo/report.rs
+++ b/crates/core/src/slo/report.rs
@@ -3,10 +3,10 @@
 use {
     super::{Alert, BurnRule, FAST, Minute, Record, SLOW, Tally, burn_rate},
     crate::{
-        id::ServiceName,
+        id::{ServerName, ServiceName, Weight},
         table::{Objectives, ServiceRow},
     },
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Burn rates of one objective.
@@ -46,7 +46,8 @@
     pub latency: Burns,
     /// Requests over six hours.
     pub requests: u64,
-    /// Load of the busiest server over the mean, over the last hour.
+    /// Load of the fullest server over the mean, each by its weight, over the
+    /// last hour.
     pub imbalance: Option<f64>,
     /// Shards whose owner changed, over six hours.
     pub churn: u64,
@@ -56,8 +57,14 @@
 }
 
 impl ServiceReport {
-    /// Works the figures out, as of a minute.
-    pub fn new(record: &Record, row: &ServiceRow, now: Minute) -> Self {
+    /// Works the figures out, as of a minute; `weights` are those of the servers
+    /// that are to share the load.
+    pub fn new(
+        record: &Record,
+        row: &ServiceRow,
+        weights: &BTreeMap<ServerName, Weight>,
+        now: Minute,
+    ) -> Self {
         let service = row.name.clone();
         let objectives = row.objectives;
         let sum = |window| record.sum(&service, now, window);
@@ -72,7 +79,7 @@
             failures: burns(&|tally| burn_rate(tally.failed, tally.total, objectives.failures)),
             latency: burns(&|tally| burn_rate(tally.slow, tally.total, objectives.slower)),
             requests: whole.total,
-            imbalance: sum(FAST.long).imbalance(),
+            imbalance: sum(FAST.long).imbalance(weights),
             churn: whole.moved,
             unavailable: Duration::from_secs_f64(unavailable),
             objectives,
--- a/crates/core/src/slo/tally.rs
+++ b/crates/core/src/slo/tally.rs
@@ -1,7 +1,7 @@
 //! What is counted.
 
 use {
-    crate::id::ServerName,
+    crate::id::{ServerName, Weight},
     std::{collections::BTreeMap, ops::AddAssign, time::Duration},
 };
 
@@ -54,20 +54,31 @@
         self.moved = moved;
     }
 
-    /// Load of the busiest server over the mean; `None` if nothing ran.
+    /// Load of the fullest server over the mean, each by its weight; `None` if
+    /// nothing ran. Servers that got nothing count, those without a weight do not.
     ///
     /// ```
-    /// use {citron_core::slo::Tally, std::time::Duration};
-    /// let busy = [("one", 30), ("two", 10)];
+    /// use {citron_core::{id::Weight, slo::Tally}, std::time::Duration};
+    /// let busy = [("one", 30), ("two", 20)];
     /// let busy = busy.map(|(name, seconds)| (name.parse().unwrap(), Duration::from_secs(seconds)));
     /// let tally = Tally { busy: busy.into(), ..Tally::default() };
-    /// assert_eq!(tally.imbalance(), Some(1.5));
+    /// let weights = [("one", 100), ("two", 100), ("idle", 50)];
+    /// let weights = weights.map(|(name, weight)| (name.parse().unwrap(), Weight(weight)));
+    /// assert_eq!(tally.imbalance(&weights.into()), Some(1.5));
     /// ```
-    pub fn imbalance(&self) -> Option<f64> {
-        let most = self.busy.values().max()?.as_secs_f64();
-        let sum: Duration = self.busy.values().sum();
-        let mean = sum.as_secs_f64() / self.busy.len() as f64;
-        (mean > 0.0).then_some(most / mean)
+    pub fn imbalance(&self, weights: &BTreeMap<ServerName, Weight>) -> Option<f64> {
+        let loads = weights.iter().filter(|(_, weight)| weight.0 > 0);
+        let loads = loads.map(|(server, weight)| {
+            let busy = self.busy.get(server).copied().unwrap_or_default();
+            (busy.as_secs_f64(), f64::from(weight.0))
+        });
+        let (mut busy, mut weight, mut most) = (0.0, 0.0, 0.0_f64);
+        for (own, share) in loads {
+            busy += own;
+            weight += share;
+            most = most.max(own / share);
+        }
+        (busy > 0.0).then(|| most * weight / busy)
     }
 
     /// The share of time and keys that could not be reached, 0 to 1.
--- a/crates/core/tests/slo.rs
+++ b/crates/core/tests/slo.rs
@@ -13,7 +13,7 @@
         },
         time::Time,
     },
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 const NOW: Minute = Minute(10_000);
@@ -122,7 +122,7 @@
         ("smouldering", &[(0, 360, 7)]),
     ];
     let lines = cases.map(|(case, spans)| {
-        let report = ServiceReport::new(&record(spans), &service(), NOW);
+        let report = ServiceReport::new(&record(spans), &service(), &BTreeMap::new(), NOW);
         let burns = report.failures;
         format!(
             "{case}: 5m {:.1} 1h {:.1} 30m {:.1} 6h {:.1} {:?}, {} requests",
@@ -158,7 +158,7 @@
     let mut merged = Record::default();
     merged.merge(&one(0));
     merged.merge(&one(30));
-    let report = ServiceReport::new(&merged, &service(), NOW);
+    let report = ServiceReport::new(&merged, &service(), &BTreeMap::new(), NOW);
     assert_eq!((report.requests, report.churn), (20, 3));
     assert_eq!(report.unavailable, Duration::from_secs(15));
 }
