--- /dev/null
+++ b/crates/citronproxy/src/control/config.rs
@@ -0,0 +1,43 @@
+//! What control needs to know at its start.
+
+use {
+    citron_core::{
+        id::DomainName,
+        membership::Member,
+        table::{InstanceRow, InstanceState},
+    },
+    std::net::SocketAddr,
+};
+
+/// Who this instance is and where it is reached.
+#[derive(Debug, Clone)]
+pub struct ControlConfig {
+    /// This start of this instance; the incarnation is fresh at each start.
+    pub me: Member,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it takes callers' requests.
+    pub traffic: SocketAddr,
+    /// Where it takes other instances' calls; port 0 for any.
+    pub peer: SocketAddr,
+    /// Where it takes operators' requests.
+    pub admin: SocketAddr,
+    /// Some other instances, asked for the table while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl ControlConfig {
+    /// The row that lists this start.
+    pub(super) fn row(&self) -> InstanceRow {
+        InstanceRow {
+            id: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            domain: self.domain.clone(),
+            traffic: self.traffic,
+            peer: self.peer,
+            admin: self.admin,
+            state: InstanceState::Live,
+            revision: Default::default(),
+        }
+    }
+}
--- a/crates/citronproxy/src/control/follower.rs
+++ b/crates/citronproxy/src/control/follower.rs
@@ -1,93 +1,85 @@
-//! Follows the platform's table.
+//! Follows the table: from the platform, or by relay from other instances.
 
 use {
-    crate::{clock::Clock, events, traffic::TrafficHandle},
-    citron_core::{
-        id::DomainName,
-        membership::Confirmation,
-        routing::{RouteMap, Snapshot},
-        table::Table,
-        time::Time,
-    },
-    citron_platform::{PlatformError, TableStore},
-    std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    super::{ControlMetrics, Node},
+    crate::events,
+    citron_platform::TableStore,
+    futures::future::join_all,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
-/// How long a read of the platform confirms a revision, from its begin.
-pub const CONFIRM_TIME: Duration = Duration::from_millis(1_500);
 /// The pause between two reads.
 const READ_PAUSE: Duration = Duration::from_millis(400);
+/// The pause after a failed read, even if a newer revision is waited for.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two looks at whether a relay is needed.
+const RELAY_PAUSE: Duration = Duration::from_millis(200);
+/// A confirmation that rests on an older read is renewed by relay.
+const RELAY_AGE: Duration = Duration::from_millis(700);
+/// How many instances are asked at a time; each of their answers may be as old
+/// as our own.
+const RELAY_FAN: usize = 3;
 
-/// Keeps traffic's snapshot up to date with the table.
-#[derive(Debug)]
-pub struct Follower<S> {
-    store: S,
-    handle: TrafficHandle,
-    clock: Clock,
-    domain: DomainName,
-    table: Table,
-    map: Arc<RouteMap>,
-    reachable: bool,
-}
-
-impl<S: TableStore> Follower<S> {
-    /// A follower that knows nothing yet.
-    pub fn new(store: S, handle: TrafficHandle, clock: Clock, domain: DomainName) -> Self {
-        Self {
-            store,
-            handle,
-            clock,
-            domain,
-            table: Table::default(),
-            map: Arc::default(),
-            reachable: true,
+/// Reads the platform again and again; ends only with its task.
+pub async fn follow<S: TableStore + 'static>(node: Node<S>) {
+    let mut reachable = true;
+    loop {
+        let read = node.refresh().await;
+        ControlMetrics::count(&node.metrics().reads, read.is_ok());
+        match (&read, reachable) {
+            (Ok(()), false) => log::info!("{}", events::PLATFORM_BACK),
+            (Err(error), true) => log::warn!("{} {error}", events::PLATFORM_LOST),
+            _ => {}
         }
-    }
-
-    /// Reads the table again and again; ends only with its task.
-    pub async fn run(mut self) {
-        loop {
-            let begun = self.clock.now();
-            let read = self.refresh(begun).await;
-            self.note(read);
-            sleep(READ_PAUSE).await;
+        reachable = read.is_ok();
+        if !reachable {
+            sleep(RETRY_PAUSE).await;
         }
+        let _ = timeout(READ_PAUSE, node.woken()).await;
     }
+}
 
-    async fn refresh(&mut self, begun: Time) -> Result<(), PlatformError> {
-        let changes = self.store.changes(self.table.revision()).await?;
-        let newer = changes.revision > self.table.revision();
-        let applied = self.table.apply(changes);
-        applied.map_err(|error| PlatformError::Answer(error.to_string()))?;
-        if newer {
-            self.map = Arc::new(RouteMap::build(&self.table));
-            log::info!("{} {}", events::REVISION, self.table.revision());
+/// Asks other instances while the platform does not confirm; ends only with its
+/// task.
+pub async fn relay<S: TableStore + 'static>(node: Node<S>) {
+    let mut turn = 0;
+    let mut relayed = false;
+    loop {
+        sleep(RELAY_PAUSE).await;
+        let age = node.now() - node.look(|replica| replica.confirmation()).platform;
+        if age < RELAY_AGE {
+            note(relayed, false);
+            relayed = false;
+            continue;
         }
-        self.publish(begun);
-        Ok(())
+        let peers = peers(&node);
+        let fan = peers.len().min(RELAY_FAN);
+        let asked = (0..fan).map(|number| peers[(turn + number) % peers.len()]);
+        let answers = join_all(asked.map(|peer| node.relay_from(peer))).await;
+        turn += fan;
+        let confirmed = answers.iter().filter(|a| matches!(a, Ok(true))).count();
+        node.metrics().relays.inc_by(confirmed as u64);
+        note(relayed, confirmed > 0);
+        relayed = confirmed > 0;
     }
+}
 
-    fn publish(&self, begun: Time) {
-        let anywhere = begun + CONFIRM_TIME;
-        let confirmation = Confirmation {
-            anywhere,
-            platform: begun,
-            domain: anywhere,
-        };
-        self.handle.publish(Snapshot {
-            map: Arc::clone(&self.map),
-            confirmation,
-            domain: self.domain.clone(),
-        });
+fn note(before: bool, now: bool) {
+    match (before, now) {
+        (false, true) => log::warn!("{}", events::RELAY_BEGUN),
+        (true, false) => log::info!("{}", events::RELAY_ENDED),
+        _ => {}
     }
+}
 
-    fn note(&mut self, read: Result<(), PlatformError>) {
-        match (read, self.reachable) {
-            (Ok(()), false) => log::info!("{}", events::PLATFORM_BACK),
-            (Err(error), true) => log::warn!("{} {error}", events::PLATFORM_LOST),
-            _ => return,
+/// All other instances: those that the table lists, or else the settings' seeds.
+fn peers<S: TableStore + 'static>(node: &Node<S>) -> Vec<SocketAddr> {
+    let mut peers: Vec<SocketAddr> = node.others().iter().map(|row| row.peer).collect();
+    for seed in &node.config().seeds {
+        if !peers.contains(seed) {
+            peers.push(*seed);
         }
-        self.reachable = !self.reachable;
     }
+    peers
 }
--- /dev/null
+++ b/crates/citronproxy/src/control/listing.rs
@@ -0,0 +1,180 @@
+//! Keeps this instance listed, and takes lost ones off the list.
+
+use {
+    super::{ControlError, Node},
+    crate::events,
+    citron_core::{
+        id::InstanceId,
+        membership::{JoinError, Member, Roster},
+        table::{InstanceRow, Row, RowKey, Table},
+        time::Time,
+    },
+    citron_platform::TableStore,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The pause between two looks at the own row.
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+/// The pause between two rounds of questions to neighbours.
+const WATCH_PAUSE: Duration = Duration::from_secs(2);
+/// How many reachable instances after this one, in the order of their ids, are
+/// watched: everyone is watched by as many, at a cost that does not grow with
+/// the number of instances.
+const NEIGHBOURS: usize = 3;
+/// An instance that has not answered for so long is expelled.
+const EXPEL_AFTER: Duration = Duration::from_secs(10);
+/// How much later the next watcher acts than the one before it.
+const RANK_DELAY: Duration = Duration::from_secs(5);
+
+/// Lists this start if that is possible now.
+///
+/// # Errors
+/// [`ControlError::Taken`] if another instance has the id and answers.
+pub async fn join<S: TableStore + 'static>(node: &Node<S>) -> Result<(), ControlError> {
+    let now = node.now();
+    let row = node.config().row();
+    let planned = node.look(|replica| match replica.is_listed() {
+        true => Ok(None),
+        false => replica.roster.join(replica.table(), row, now).map(Some),
+    });
+    match planned {
+        Ok(None) | Err(JoinError::NotOver { .. }) => Ok(()),
+        Ok(Some(commit)) => {
+            let answer = node.commit(commit).await;
+            log::info!("{} {answer:?}", events::JOINED);
+            Ok(())
+        }
+        Err(JoinError::Taken { instance, found }) => {
+            let former = Member {
+                instance,
+                incarnation: found,
+            };
+            oust(node, &former).await
+        }
+    }
+}
+
+/// Another start holds the id: it is alive, or it is to be expelled. This one
+/// is listed once the other's leave has run out, and routes on relayed leave
+/// until then; the other may be paused and wake up as if nothing had happened.
+async fn oust<S: TableStore + 'static>(
+    node: &Node<S>,
+    former: &Member,
+) -> Result<(), ControlError> {
+    let Some(row) = node.table(|table| instance(table, &former.instance)) else {
+        return Ok(());
+    };
+    let answer = node.peers().status(row.peer).await;
+    let alive = answer.is_ok_and(|status| {
+        status.instance == former.instance && status.incarnation == former.incarnation
+    });
+    if alive {
+        return Err(ControlError::Taken {
+            instance: former.instance.clone(),
+            address: row.peer,
+            incarnation: former.incarnation,
+        });
+    }
+    expel(node, former).await;
+    Ok(())
+}
+
+async fn expel<S: TableStore + 'static>(node: &Node<S>, member: &Member) {
+    let Some(commit) = node.table(|table| <Roster>::expel(table, member)) else {
+        return;
+    };
+    log::warn!("{} {}", events::EXPELLED, member.instance);
+    node.commit(commit).await;
+}
+
+/// Keeps this start listed; ends only if another instance has its id.
+pub async fn stay<S: TableStore + 'static>(node: Node<S>) -> ControlError {
+    loop {
+        if let Err(error) = join(&node).await {
+            return error;
+        }
+        sleep(JOIN_PAUSE).await;
+    }
+}
+
+/// Takes this start off the list; it must have stopped routing.
+pub async fn strike<S: TableStore + 'static>(node: &Node<S>) {
+    let me = &node.config().me;
+    if let Some(commit) = node.table(|table| <Roster>::strike(table, me)) {
+        node.commit(commit).await;
+    }
+}
+
+/// Expels neighbours that are lost and clears rows whose wait is over; ends
+/// only with its task. While a lost instance is listed, every move of a server
+/// in its domain waits for the whole grace.
+pub async fn watch<S: TableStore + 'static>(node: Node<S>) {
+    let mut silent: BTreeMap<Member, Time> = BTreeMap::new();
+    loop {
+        sleep(WATCH_PAUSE).await;
+        if !node.look(|replica| replica.is_listed()) {
+            silent.clear();
+            continue;
+        }
+        let (found, lost) = round(&node, &silent).await;
+        silent = found;
+        for member in lost {
+            expel(&node, &member).await;
+        }
+        let now = node.now();
+        let commits = node.look(|replica| replica.roster.clear(replica.table(), now));
+        for commit in commits {
+            node.commit(commit).await;
+        }
+    }
+}
+
+/// Asks neighbours; gives those that are silent, since when, and those that
+/// this instance is to expel.
+async fn round<S: TableStore + 'static>(
+    node: &Node<S>,
+    silent: &BTreeMap<Member, Time>,
+) -> (BTreeMap<Member, Time>, Vec<Member>) {
+    let mut found = BTreeMap::new();
+    let mut lost = Vec::new();
+    let mut answering = 0;
+    for (member, row, rank) in successors(node) {
+        let answer = node.peers().status(row.peer).await;
+        if answer.is_ok_and(|status| status.incarnation == member.incarnation) {
+            answering += 1;
+            if answering == NEIGHBOURS {
+                break;
+            }
+            continue;
+        }
+        let now = node.now();
+        let since = silent.get(&member).copied().unwrap_or(now);
+        if now - since >= EXPEL_AFTER + RANK_DELAY * rank {
+            lost.push(member.clone());
+        }
+        found.insert(member, since);
+    }
+    (found, lost)
+}
+
+/// The other instances in the order of their ids, from this one's on; each with
+/// its distance, as far as it matters.
+fn successors<S: TableStore + 'static>(node: &Node<S>) -> Vec<(Member, InstanceRow, u32)> {
+    let me = &node.config().me.instance;
+    let mut rows = node.others();
+    let split = rows.partition_point(|row| row.id < *me);
+    rows.rotate_left(split);
+    let ranked = rows.into_iter().zip(0..);
+    ranked
+        .map(|(row, rank)| (Member::of(&row), row, rank.min(NEIGHBOURS as u32)))
+        .collect()
+}
+
+fn instance(table: &Table, id: &InstanceId) -> Option<InstanceRow> {
+    let row = table.get(&RowKey::Instance(id.clone()))?;
+    match &row.value {
+        Row::Instance(row) => Some(row.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/citronproxy/src/control/metrics.rs
@@ -0,0 +1,87 @@
+//! Counters and gauges of control.
+
+use {
+    citron_core::table::CommitAnswer,
+    citron_platform::PlatformError,
+    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector},
+};
+
+/// What control counts.
+#[derive(Debug, Clone)]
+pub struct ControlMetrics {
+    /// The revision in force here.
+    pub revision: IntGauge,
+    /// Reads of the platform, by result.
+    pub reads: IntCounterVec,
+    /// Commits, by result: `done`, `lost` to another writer, or `unanswered`.
+    pub commits: IntCounterVec,
+    /// Answers of other instances that brought leave to route.
+    pub relays: IntCounter,
+    /// Orders to backend servers, by result.
+    pub orders: IntCounterVec,
+    /// Moves that this instance brought to their end.
+    pub moves: IntCounter,
+    /// Moves under way now.
+    pub moving: IntGauge,
+    /// Servers that this instance cannot reach.
+    pub lost: IntGauge,
+}
+
+impl ControlMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// If one of the names is taken.
+    pub fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let by_result = |name: &str, help: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &["result"])?;
+            add(registry, counter)
+        };
+        Ok(Self {
+            revision: add(
+                registry,
+                IntGauge::new("citron_revision", "Revision of the table in force")?,
+            )?,
+            reads: by_result("citron_platform_reads_total", "Reads of the platform")?,
+            commits: by_result("citron_commits_total", "Commits to the table")?,
+            relays: add(
+                registry,
+                IntCounter::new("citron_relays_total", "Relayed confirmations taken")?,
+            )?,
+            orders: by_result("citron_grant_orders_total", "Orders to backend servers")?,
+            moves: add(
+                registry,
+                IntCounter::new("citron_moves_total", "Moves ended by this instance")?,
+            )?,
+            moving: add(
+                registry,
+                IntGauge::new("citron_moves_open", "Moves under way")?,
+            )?,
+            lost: add(
+                registry,
+                IntGauge::new("citron_servers_unreachable", "Servers that do not answer")?,
+            )?,
+        })
+    }
+
+    /// Counts what became of a commit.
+    pub(super) fn count_commit(&self, answer: &Result<CommitAnswer, PlatformError>) {
+        let result = match answer {
+            Ok(CommitAnswer::Done(_)) => "done",
+            Ok(CommitAnswer::Lost { .. }) => "lost",
+            Err(_) => "unanswered",
+        };
+        self.commits.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a success or a failure.
+    pub(super) fn count(counter: &IntCounterVec, ok: bool) {
+        let result = if ok { "ok" } else { "failed" };
+        counter.with_label_values(&[result]).inc();
+    }
+}
+
+fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> prometheus::Result<C> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- a/crates/citronproxy/src/control/mod.rs
+++ b/crates/citronproxy/src/control/mod.rs
@@ -1,5 +1,36 @@
-//! The control thread: follows the table and publishes what traffic routes by.
+//! The control thread: follows the table, publishes what traffic routes by,
+//! grants, and moves scopes between backend servers.
 
+mod batch;
+mod config;
+mod driven;
+mod error;
 mod follower;
+mod granting;
+mod listing;
+mod metrics;
+mod moving;
+mod node;
+mod planning;
+mod probing;
+mod replica;
+mod tasks;
+mod thread;
 
-pub use follower::Follower;
+pub use {
+    batch::Batch,
+    config::ControlConfig,
+    error::ControlError,
+    metrics::ControlMetrics,
+    moving::Moves,
+    node::{Committed, Node},
+    probing::Health,
+    replica::Replica,
+    thread::Control,
+};
+
+use {
+    driven::{Driven, Heard, ScopeKey},
+    probing::WATCHERS,
+    tasks::Tasks,
+};
--- /dev/null
+++ b/crates/citronproxy/src/control/planning.rs
@@ -0,0 +1,163 @@
+//! Begins moves: away from lost and leaving servers, and for balance.
+
+use {
+    super::{Batch, Health, Node, WATCHERS, tasks::service},
+    crate::events,
+    citron_core::{
+        id::{ServerName, ServiceName, ShardId},
+        ownership::{Scope, assignment, begin_move},
+        placement::{Candidate, Load, Planner, Proposal, Reason, ScopeLoad, View, warmth},
+        table::{Row, ServerRow, ServerState, ServiceRow, Table},
+        time::Time,
+    },
+    citron_platform::TableStore,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The pause between two plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(100);
+/// How much later the next instance acts than the one before it.
+const RANK_DELAY: Duration = Duration::from_millis(400);
+/// What a fully warm server gets of its share, in percent.
+const WARM: u64 = 100;
+
+/// Plans of one service.
+#[derive(Debug, Default)]
+struct Desk {
+    planner: Planner,
+    /// Since when this instance has seen work that nobody begins.
+    since: Option<Time>,
+}
+
+/// Plans again and again; ends only with its task.
+pub async fn plan<S: TableStore + 'static>(node: Node<S>, health: Health) {
+    let mut desks: BTreeMap<ServiceName, Desk> = BTreeMap::new();
+    loop {
+        sleep(PLAN_PAUSE).await;
+        node.metrics().lost.set(health.lost(node.now()) as i64);
+        if !node.look(|replica| replica.is_listed()) {
+            continue;
+        }
+        let services = node.table(services);
+        desks.retain(|name, _| services.contains(name));
+        for name in services {
+            let rank = node.rank(&name);
+            if rank < WATCHERS {
+                let desk = desks.entry(name.clone()).or_default();
+                plan_service(&node, &health, desk, &name, rank).await;
+            }
+        }
+    }
+}
+
+fn services(table: &Table) -> Vec<ServiceName> {
+    let services = table.rows().filter_map(|(_, row)| match &row.value {
+        Row::Service(row) => Some(row.name.clone()),
+        _ => None,
+    });
+    services.collect()
+}
+
+async fn plan_service<S: TableStore + 'static>(
+    node: &Node<S>,
+    health: &Health,
+    desk: &mut Desk,
+    name: &ServiceName,
+    rank: u32,
+) {
+    let now = node.now();
+    let view = node.table(|table| view(table, name, health, now));
+    let Some(view) = view else {
+        return;
+    };
+    let mut proposals = desk.planner.plan(&view, now);
+    // Only the first instance moves for balance: each has a budget of its own.
+    proposals.retain(|proposal| rank == 0 || proposal.reason == Reason::Orphan);
+    if proposals.is_empty() {
+        desk.since = None;
+        return;
+    }
+    let since = *desk.since.get_or_insert(now);
+    if now - since < RANK_DELAY * rank {
+        return;
+    }
+    desk.since = None;
+    begin(node, name, &proposals).await;
+}
+
+/// Begins all proposed moves with one commit.
+async fn begin<S: TableStore + 'static>(
+    node: &Node<S>,
+    name: &ServiceName,
+    proposals: &[Proposal],
+) {
+    let batch = node.table(|table| {
+        let mut batch = Batch::new(table);
+        for proposal in proposals {
+            let begun = begin_move(batch.draft(), name, proposal.scope, &proposal.to);
+            match begun {
+                Ok(commit) => batch.add(commit).ok()?,
+                Err(error) => log::warn!("{} {error}", events::MOVE_REFUSED),
+            }
+        }
+        Some(batch)
+    });
+    let Some(commit) = batch.and_then(Batch::commit) else {
+        return;
+    };
+    if node.commit(commit).await.done {
+        log::info!("{} {name}: {} scopes", events::MOVES_BEGUN, proposals.len());
+        node.announce_all();
+    }
+}
+
+/// The service as the planner sees it; `None` if there is no such service.
+fn view(table: &Table, name: &ServiceName, health: &Health, now: Time) -> Option<View> {
+    let row = service(table, name)?;
+    let servers = table.rows().filter_map(|(_, row)| match &row.value {
+        Row::Server(row) if row.service == *name => Some(row),
+        _ => None,
+    });
+    let usable = servers.filter(|row| is_usable(row, health, now));
+    Some(View {
+        servers: usable.map(|row| candidate(row, health, now)).collect(),
+        scopes: scopes(table, row),
+        moves: row.moves,
+    })
+}
+
+fn is_usable(row: &ServerRow, health: &Health, now: Time) -> bool {
+    let wanted = row.state == ServerState::Active && row.weight.0 > 0;
+    wanted && !health.is_lost(&row.name, now) && !health.is_leaving(&row.name)
+}
+
+fn candidate(row: &ServerRow, health: &Health, now: Time) -> Candidate {
+    let back = health.back_since(&row.name);
+    Candidate {
+        name: row.name.clone(),
+        weight: row.weight,
+        warmth: back.map_or(WARM, |start| warmth(start, now)),
+        cap: row.cap,
+    }
+}
+
+fn scopes(table: &Table, row: &ServiceRow) -> Vec<ScopeLoad> {
+    let shards = (0..row.shards.shards()).map(|shard| Scope::Shard(ShardId(shard)));
+    let keys = table.rows().filter_map(|(_, found)| match &found.value {
+        Row::Override(key) if key.service == row.name => Some(Scope::Key(key.key)),
+        _ => None,
+    });
+    let load = |scope| {
+        let found = assignment(table, &row.name, scope).map(|found| found.value);
+        let owner: Option<ServerName> = found.as_ref().map(|found| found.owner.clone());
+        ScopeLoad {
+            scope,
+            owner,
+            load: Load(0),
+            rate: 0,
+            moving: found.is_some_and(|found| !found.is_open()),
+        }
+    };
+    shards.chain(keys).map(load).collect()
+}
--- a/crates/citronproxy/src/dev/sample.rs
+++ b/crates/citronproxy/src/dev/sample.rs
@@ -1,16 +1,22 @@
 //! The sample deployment.
 
 use {
-    crate::{clock::Clock, control::Follower, traffic},
+    crate::{
+        clock::Clock,
+        control::{Control, ControlConfig, ControlMetrics},
+        traffic,
+    },
     citron_core::{
-        id::{Epoch, Revision, ServerName, ShardBits, Slots, Weight},
+        id::{Epoch, Incarnation, Revision, ServerName, ShardBits, Slots, Weight},
+        membership::Member,
         ownership::Assignment,
         table::{
             BlockId, BlockRow, Commit, DomainRow, DomainState, Fencing, KeyRule, MoveBudget,
             Objectives, Row, ServerRow, ServerState, ServiceRow, Write,
         },
     },
-    citron_platform::{LaneStore, Memory, PlatformError, TableStore},
+    citron_platform::{HttpServers, LaneStore, Memory, PlatformError, TableStore},
+    prometheus::Registry,
     std::{error::Error, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -21,6 +27,8 @@
 
 /// Where the sample takes requests.
 const TRAFFIC: &str = "127.0.0.1:8080";
+/// Any port of this machine.
+const ANY: &str = "127.0.0.1:0";
 /// Base-two logarithm of the sample's shard count.
 const SHARD_BITS: u8 = 4;
 
@@ -34,7 +42,7 @@
 }
 
 async fn run_local() -> Result<(), Box<dyn Error>> {
-    let backend = TcpListener::bind("127.0.0.1:0").await?;
+    let backend = TcpListener::bind(ANY).await?;
     let address = backend.local_addr()?;
     spawn_local(serve_sample(backend));
     let store = LaneStore::new(Memory::default(), "dev".to_string());
@@ -42,11 +50,22 @@
     let handle = traffic::TrafficHandle::default();
     let clock = Clock::start();
     let workers = traffic::start(TRAFFIC.parse()?, 1, &handle, clock)?;
+    let config = ControlConfig {
+        me: Member {
+            instance: "dev".parse()?,
+            incarnation: Incarnation(1),
+        },
+        domain: "dev".parse()?,
+        traffic: workers.address,
+        peer: ANY.parse()?,
+        admin: ANY.parse()?,
+        seeds: Vec::new(),
+    };
+    let metrics = ControlMetrics::new(&Registry::new())?;
+    let outside = (store, HttpServers::default());
+    let mut control = Control::start(config, outside, handle, clock, metrics).await?;
     println!("try: curl -i http://{}/kegs/bar-7", workers.address);
-    Follower::new(store, handle, clock, "dev".parse()?)
-        .run()
-        .await;
-    Ok(())
+    Err(control.failed().await.into())
 }
 
 async fn commit_rows(store: &impl TableStore, rows: Vec<Row>) -> Result<(), PlatformError> {
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -51,6 +51,26 @@
     PLATFORM_LOST = 101, "platform-lost";
     /// The platform can be read again.
     PLATFORM_BACK = 102, "platform-back";
+    /// Other instances confirm the revision, in place of the platform.
+    RELAY_BEGUN = 103, "relay-begun";
+    /// The platform's own reads suffice again, or nobody confirms any more.
+    RELAY_ENDED = 104, "relay-ended";
+    /// This start of the instance was entered in the table.
+    JOINED = 110, "joined";
+    /// An instance that does not answer was marked as expelled.
+    EXPELLED = 111, "expelled";
+    /// A backend server does not answer.
+    SERVER_LOST = 120, "server-lost";
+    /// A backend server that was lost answers again.
+    SERVER_BACK = 121, "server-back";
+    /// A backend server says that it is leaving.
+    SERVER_LEAVING = 122, "server-leaving";
+    /// This instance began to move scopes.
+    MOVES_BEGUN = 130, "moves-begun";
+    /// A move was refused by the rules of the table.
+    MOVE_REFUSED = 131, "move-refused";
+    /// A scope has its new owner, read back from the table.
+    MOVE_DONE = 132, "move-done";
     /// A traffic thread could not accept a connection.
     ACCEPT_FAILED = 200, "accept-failed";
 }
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -1,16 +1,18 @@
 //! The instance's binary.
 
 use {
-    citron_platform::{HttpPlatform, LaneStore},
+    citron_core::{id::Incarnation, membership::Member},
+    citron_platform::{HttpPlatform, HttpServers, LaneStore},
     citronproxy::{
         clock::Clock,
-        control::Follower,
+        control::{Control, ControlConfig, ControlMetrics},
         dev, events,
         settings::Settings,
         traffic::{self, TrafficHandle},
     },
-    std::{error::Error, path::PathBuf, process::ExitCode},
-    tokio::runtime::Builder,
+    prometheus::Registry,
+    std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode},
+    tokio::{runtime::Builder, task::LocalSet},
 };
 
 const HELP: &str = "\
@@ -104,10 +106,34 @@
     );
     // Whoever asked for port 0 learns the port here.
     println!("traffic {}", workers.address);
-    let writer = format!("{}/{}", settings.instance, std::process::id());
+    let control = run_control(settings, workers.address, handle, clock);
+    LocalSet::new().block_on(&runtime, control)
+}
+
+async fn run_control(
+    settings: Settings,
+    traffic: SocketAddr,
+    handle: TrafficHandle,
+    clock: Clock,
+) -> Result<(), Box<dyn Error>> {
+    let me = Member {
+        instance: settings.instance,
+        incarnation: Incarnation(rand::random()),
+    };
+    // New at each start: the numbers of a writer's commits begin anew.
+    let writer = format!("{}/{}", me.instance, me.incarnation);
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let follower = Follower::new(store, handle, clock, settings.domain);
-    runtime.block_on(follower.run());
-    workers.join();
-    Ok(())
+    let config = ControlConfig {
+        me,
+        domain: settings.domain,
+        traffic,
+        peer: settings.peer,
+        admin: settings.admin,
+        seeds: settings.seeds,
+    };
+    let metrics = ControlMetrics::new(&Registry::new())?;
+    let outside = (store, HttpServers::default());
+    let mut control = Control::start(config, outside, handle, clock, metrics).await?;
+    println!("peer {}", control.address);
+    Err(control.failed().await.into())
 }
--- a/crates/citronproxy/src/peer/client.rs
+++ b/crates/citronproxy/src/peer/client.rs
@@ -106,6 +106,20 @@
         self.call(address, CALL_TIME, ask).await
     }
 
+    /// Says that the table has reached a revision.
+    ///
+    /// # Errors
+    /// [`PeerError`] if there is no answer within half a second.
+    pub async fn announce(&self, address: SocketAddr, revision: Revision) -> Result<(), PeerError> {
+        let ask = async |client: peer::Client| {
+            let mut request = client.announce_request();
+            request.get().set_revision(revision.0);
+            request.send().promise.await?;
+            Ok(())
+        };
+        self.call(address, CALL_TIME, ask).await
+    }
+
     async fn call<T, F>(
         &self,
         address: SocketAddr,
--- a/crates/citronproxy/src/peer/host.rs
+++ b/crates/citronproxy/src/peer/host.rs
@@ -16,4 +16,7 @@
 
     /// Rows after `since`, and the status that goes with exactly those rows.
     fn changes(&self, asker: Asker, since: Revision) -> (InstanceStatus, Changes);
+
+    /// Hears that the table has reached a revision.
+    fn announce(&self, revision: Revision);
 }
--- a/crates/citronproxy/src/peer/server.rs
+++ b/crates/citronproxy/src/peer/server.rs
@@ -95,6 +95,15 @@
         write_status(&status, results.get().init_status());
         write_changes(&changes, results.get().init_changes()).map_err(refuse)
     }
+
+    async fn announce(
+        self: Rc<Self>,
+        params: peer::AnnounceParams,
+        _: peer::AnnounceResults,
+    ) -> Result<(), capnp::Error> {
+        self.host.announce(Revision(params.get()?.get_revision()));
+        Ok(())
+    }
 }
 
 fn refuse(error: citron_wire::WireError) -> capnp::Error {
--- a/crates/citronproxy/src/settings/file.rs
+++ b/crates/citronproxy/src/settings/file.rs
@@ -34,6 +34,9 @@
     pub admin: SocketAddr,
     /// The platform's table, object store and instance list.
     pub platform: SocketAddr,
+    /// Peer addresses of some other instances, asked for the table at a start
+    /// while the platform is down; none if not given.
+    pub seeds: Vec<SocketAddr>,
     /// Traffic threads; 2 if not given.
     pub threads: usize,
     /// Bearer token of the admin API; without one the API refuses every call.
@@ -49,6 +52,8 @@
     peer: SocketAddr,
     admin: SocketAddr,
     platform: SocketAddr,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
     #[serde(default = "default_threads")]
     threads: usize,
     token: Option<String>,
@@ -118,6 +123,7 @@
             peer: self.peer,
             admin: self.admin,
             platform: self.platform,
+            seeds: self.seeds,
             threads: self.threads,
             token: self.token,
         })
--- a/crates/citronproxy/tests/peer.rs
+++ b/crates/citronproxy/tests/peer.rs
@@ -9,7 +9,12 @@
     citron_fakes::link::Link,
     citron_wire::peer::{AckAnswer, AckAsk, Asker},
     citronproxy::peer::{PeerError, PeerHost, Peers, serve},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
@@ -23,6 +28,7 @@
 #[derive(Clone, Default)]
 struct Host {
     askers: Rc<RefCell<Vec<Asker>>>,
+    announced: Rc<Cell<Revision>>,
 }
 
 fn status() -> InstanceStatus {
@@ -75,6 +81,10 @@
         self.askers.borrow_mut().push(asker);
         (status(), changes(since))
     }
+
+    fn announce(&self, revision: Revision) {
+        self.announced.set(revision);
+    }
 }
 
 async fn host() -> (SocketAddr, Host) {
@@ -105,6 +115,8 @@
         let relayed = peers.changes(address, &asker, Revision(5)).await.unwrap();
         assert_eq!(relayed, (status(), changes(Revision(5))));
         assert_eq!(*host.askers.borrow(), [asker]);
+        peers.announce(address, Revision(9)).await.unwrap();
+        assert_eq!(host.announced.get(), Revision(9));
     };
     LocalSet::new().run_until(told).await;
 }
--- a/crates/fakes/src/backend/record.rs
+++ b/crates/fakes/src/backend/record.rs
@@ -20,6 +20,9 @@
     pub id: String,
     /// When it began, microseconds on the wall clock of the machine.
     pub at_us: u64,
+    /// When it ended, on the same clock; 0 while it runs.
+    #[serde(default)]
+    pub end_us: u64,
 }
 
 /// All runs of one server; clones share them.
@@ -29,12 +32,24 @@
 }
 
 impl Runs {
-    /// Adds a run.
-    pub fn push(&self, run: Run) {
-        self.runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(run);
+    /// Adds a run, and gives its number.
+    pub fn push(&self, run: Run) -> usize {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    /// Notes that a run has ended.
+    pub fn end(&self, number: usize, at: u64) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs[number].end_us = at;
+    }
+
+    /// Whether a run of a scope up to an epoch has not ended.
+    pub fn running(&self, scope: &str, epoch: u64) -> bool {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut open = runs.iter().filter(|run| run.end_us == 0);
+        open.any(|run| run.scope == scope && run.epoch <= epoch)
     }
 
     /// All so far, in order.
--- a/crates/fakes/src/backend/server.rs
+++ b/crates/fakes/src/backend/server.rs
@@ -5,13 +5,13 @@
     crate::http::{Answer, json, plain},
     citron_core::{
         id::{Epoch, ServiceName},
-        ownership::{Boot, Grant, GrantResult, Lease, Scope},
+        ownership::{Boot, Grant, GrantKind, GrantResult, Lease, Scope},
     },
     citron_wire::grant::{
         GRANTS_PATH, GrantOrderWire, GrantReplyWire, GrantResultWire, HEADER_EPOCH, HEADER_REFUSED,
         HEADER_SCOPE, HEADER_SERVICE, parse_scope,
     },
-    http::{HeaderMap, HeaderValue, Request, StatusCode},
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode},
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -20,7 +20,10 @@
         convert::Infallible,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant, SystemTime},
     },
     tokio::{
@@ -52,6 +55,7 @@
     config: BackendConfig,
     slots: Arc<Semaphore>,
     fence: Arc<Mutex<Fence>>,
+    draining: Arc<AtomicBool>,
     started: Instant,
 }
 
@@ -68,6 +72,7 @@
             runs: Runs::default(),
             slots: Arc::new(Semaphore::new(config.slots)),
             fence: Arc::new(Mutex::new(Fence::new(boot))),
+            draining: Arc::default(),
             started: Instant::now(),
             config,
         };
@@ -99,14 +104,29 @@
             return Ok(plain(StatusCode::BAD_REQUEST, Vec::new()));
         };
         let body = body.to_bytes();
+        if head.method == Method::OPTIONS {
+            return Ok(self.probe());
+        }
         match head.uri.path() {
-            GRANTS_PATH => Ok(self.order(&body)),
+            GRANTS_PATH => Ok(self.order(&body).await),
             "/.citron/runs" => Ok(json(StatusCode::OK, &self.runs.all())),
             path => Ok(self.run(path, &head.headers, body.len()).await),
         }
     }
 
-    fn order(&self, body: &[u8]) -> Answer {
+    /// Says that it is leaving, to control and to callers, from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    fn probe(&self) -> Answer {
+        match self.draining.load(Ordering::Relaxed) {
+            true => refused("draining"),
+            false => plain(StatusCode::OK, Vec::new()),
+        }
+    }
+
+    async fn order(&self, body: &[u8]) -> Answer {
         let order: GrantOrderWire = match serde_json::from_slice(body) {
             Ok(order) => order,
             Err(error) => return plain(StatusCode::BAD_REQUEST, error.to_string().into_bytes()),
@@ -119,8 +139,13 @@
         let boot = order.boot.map(Boot);
         let lease = order.lease.map(Lease::from);
         let clock = self.started.elapsed();
-        let mut fence = self.fence.lock().unwrap_or_else(PoisonError::into_inner);
-        let reply = fence.order(boot, &grants, lease, clock);
+        let reply = self.fence().order(boot, &grants, lease, clock);
+        // A revocation is accepted once nothing of the scope runs any more.
+        for grant in grants.iter().filter(|g| g.kind == GrantKind::Revoke) {
+            while self.runs.running(&grant.scope.to_string(), grant.epoch.0) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
         let results = reply
             .results
             .iter()
@@ -147,21 +172,31 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return plain(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
         };
-        if self.config.fenced && !self.allowed(headers) {
+        let Some(number) = self.begin(path, headers) else {
             return refused("epoch");
-        }
-        self.runs.push(self.record(path, headers));
+        };
         tokio::time::sleep(self.config.work).await;
+        self.runs.end(number, wall_micros());
         let body = value!({ "server": self.config.name, "path": path, "received": size });
         json(StatusCode::OK, &body)
     }
 
-    fn allowed(&self, headers: &HeaderMap) -> bool {
-        let Some((service, scope, epoch)) = grant_of(headers) else {
-            return false;
-        };
-        let fence = self.fence.lock().unwrap_or_else(PoisonError::into_inner);
-        fence.allows(&service, scope, epoch, self.started.elapsed())
+    /// Begins a run; in one step with the check, so that no revocation comes
+    /// between the two.
+    fn begin(&self, path: &str, headers: &HeaderMap) -> Option<usize> {
+        let fence = self.fence();
+        let allowed = !self.config.fenced || self.allowed(&fence, headers);
+        allowed.then(|| self.runs.push(self.record(path, headers)))
+    }
+
+    fn fence(&self) -> MutexGuard<'_, Fence> {
+        self.fence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn allowed(&self, fence: &Fence, headers: &HeaderMap) -> bool {
+        grant_of(headers).is_some_and(|(service, scope, epoch)| {
+            fence.allows(&service, scope, epoch, self.started.elapsed())
+        })
     }
 
     fn record(&self, path: &str, headers: &HeaderMap) -> Run {
@@ -172,6 +207,7 @@
             path: path.to_string(),
             id: text(headers, "test-id").to_string(),
             at_us: wall_micros(),
+            end_us: 0,
         }
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,16 +1,9 @@
-//! The platform and backend server grants over HTTP.
+//! The platform over HTTP.
 
 use {
-    crate::{Grants, InstanceList, Listed, ListedState, ObjectStore, PlatformError, TableService},
+    crate::{InstanceList, Listed, ListedState, ObjectStore, PlatformError, TableService},
     bytes::Bytes,
-    citron_core::{
-        ownership::{Boot, Grant, GrantReply, Lease},
-        table::ServerRow,
-    },
-    citron_wire::{
-        grant::{GRANTS_PATH, GrantOrderWire, GrantReplyWire, GrantWire, LeaseWire},
-        table::{ChangesWire, CommitAnswerWire, CommitWire, LogWire, StoredWire},
-    },
+    citron_wire::table::{ChangesWire, CommitAnswerWire, CommitWire, LogWire, StoredWire},
     http::{Method, Request, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper_util::rt::TokioIo,
@@ -116,26 +109,6 @@
     }
 }
 
-impl Grants for HttpPlatform {
-    async fn order(
-        &self,
-        server: &ServerRow,
-        boot: Option<Boot>,
-        grants: &[Grant],
-        lease: Option<Lease>,
-    ) -> Result<GrantReply, PlatformError> {
-        let order = GrantOrderWire {
-            boot: boot.map(|boot| boot.0),
-            grants: grants.iter().map(GrantWire::from).collect(),
-            lease: lease.as_ref().map(LeaseWire::from),
-        };
-        let body = encode(&order)?;
-        let (status, bytes) = call(server.address, Method::POST, GRANTS_PATH, body).await?;
-        let reply: GrantReplyWire = decode(status, &bytes)?;
-        Ok(reply.into())
-    }
-}
-
 fn encode(wire: &impl serde::Serialize) -> Result<Bytes, PlatformError> {
     let json = serde_json::to_vec(wire);
     json.map(Bytes::from)
--- a/crates/platform/src/lane.rs
+++ b/crates/platform/src/lane.rs
@@ -1,7 +1,7 @@
 //! Commits that take effect once, whatever becomes of their answers.
 
 use {
-    crate::{HistoryEntry, PlatformError, TableService, TableStore},
+    crate::{HistoryEntry, InstanceList, Listed, PlatformError, TableService, TableStore},
     citron_core::{
         id::Revision,
         table::{Changes, Commit, CommitAnswer, HistoryRow, Row, Versioned, Write},
@@ -148,6 +148,12 @@
     }
 }
 
+impl<S: InstanceList> InstanceList for LaneStore<S> {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        self.service.list().await
+    }
+}
+
 fn to_value(wire: &impl serde::Serialize) -> Value {
     serde_json::to_value(wire).unwrap_or(Value::Null)
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod objects;
 mod raw;
+mod servers;
 mod store;
 
 pub use {
@@ -20,5 +21,6 @@
     memory::Memory,
     objects::ObjectStore,
     raw::TableService,
+    servers::{HttpServers, Probe, Probes},
     store::{HistoryEntry, TableStore},
 };
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -49,4 +49,7 @@
 
   # Rows after a revision together with the confirmation that covers them.
   changes @2 (asker :Asker, since :UInt64) -> (status :Status, changes :Changes);
+
+  # Says that the table has reached a revision, so that it is read at once.
+  announce @3 (revision :UInt64) -> ();
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1658,6 +1658,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::changes_params::Owned>;
     pub type ChangesResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::changes_results::Owned>;
+    pub type AnnounceParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::announce_params::Owned>;
+    pub type AnnounceResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::announce_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1764,6 +1768,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn announce_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::announce_params::Owned,
+            crate::peer_capnp::peer::announce_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn status(
@@ -1793,6 +1806,15 @@
                 "method peer::Server::changes not implemented".to_string(),
             )))
         }
+        fn announce(
+            self: ::capnp::capability::Rc<Self>,
+            _: AnnounceParams,
+            _: AnnounceResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::announce not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1872,6 +1894,14 @@
                     )),
                     false,
                 ),
+                3 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::announce(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -3868,4 +3898,557 @@
             pub(crate) const TYPE_ID: u64 = 0xa7cb_9026_5b43_1e10;
         }
     }
+
+    pub mod announce_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 1,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(79, 7, 10, 118, 49, 68, 134, 249),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 110, 110, 111, 117, 110, 99, 101),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf986_4431_760a_074f;
+        }
+    }
+
+    pub mod announce_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(46, 200, 134, 83, 21, 199, 51, 249),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 110, 110, 111, 117, 110, 99, 101),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xf933_c715_5386_c82e;
+        }
+    }
 }
