--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -4,6 +4,7 @@
     citron_core::{id::Incarnation, membership::Member},
     citron_platform::{HttpPlatform, HttpServers, LaneStore},
     citronproxy::{
+        admin::{self, Admin, AdminServer},
         clock::Clock,
         control::{Control, ControlConfig, ControlMetrics},
         dev, events,
@@ -11,8 +12,18 @@
         traffic::{self, TrafficHandle},
     },
     prometheus::Registry,
-    std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode},
-    tokio::{runtime::Builder, task::LocalSet},
+    std::{
+        error::Error,
+        io::{self, Write},
+        net::SocketAddr,
+        path::PathBuf,
+        process::ExitCode,
+        rc::Rc,
+    },
+    tokio::{
+        runtime::Builder,
+        task::{LocalSet, spawn_local},
+    },
 };
 
 const HELP: &str = "\
@@ -104,12 +115,17 @@
         settings.instance,
         workers.address
     );
-    // Whoever asked for port 0 learns the port here.
-    println!("traffic {}", workers.address);
+    say("traffic", workers.address);
     let control = run_control(settings, workers.address, handle, clock);
     LocalSet::new().block_on(&runtime, control)
 }
 
+/// Tells an address, since whoever asked for port 0 learns the port here. That
+/// nobody reads it is no reason to stop.
+fn say(what: &str, address: SocketAddr) {
+    let _ = writeln!(io::stdout(), "{what} {address}");
+}
+
 async fn run_control(
     settings: Settings,
     traffic: SocketAddr,
@@ -117,9 +133,10 @@
     clock: Clock,
 ) -> Result<(), Box<dyn Error>> {
     let me = Member {
-        instance: settings.instance,
+        instance: settings.instance.clone(),
         incarnation: Incarnation(rand::random()),
     };
+    let admin = start_admin(&settings, &me, &handle).await?;
     // New at each start: the numbers of a writer's commits begin anew.
     let writer = format!("{}/{}", me.instance, me.incarnation);
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
@@ -128,12 +145,34 @@
         domain: settings.domain,
         traffic,
         peer: settings.peer,
-        admin: settings.admin,
+        admin,
         seeds: settings.seeds,
     };
     let metrics = ControlMetrics::new(&Registry::new())?;
     let outside = (store, HttpServers::default());
     let mut control = Control::start(config, outside, handle, clock, metrics).await?;
-    println!("peer {}", control.address);
+    say("peer", control.address);
     Err(control.failed().await.into())
 }
+
+/// Serves operators, with a writer of their own at the table.
+async fn start_admin(
+    settings: &Settings,
+    me: &Member,
+    handle: &TrafficHandle,
+) -> io::Result<SocketAddr> {
+    let server = AdminServer::bind(settings.admin).await?;
+    let address = server.address;
+    say("admin", address);
+    let writer = format!("{}/{}/admin", me.instance, me.incarnation);
+    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
+    let admin = Admin::new(
+        settings.instance.clone(),
+        settings.domain.clone(),
+        store,
+        handle.clone(),
+        settings.token.clone(),
+    );
+    spawn_local(admin::serve(server, Rc::new(admin)));
+    Ok(address)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod backend;
 pub mod link;
 pub mod platform;
+pub mod raw;
 
 mod http;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! backend server grants, and messages between instances. They convert to and from the types of `citron-core`,
 //! so that no decision depends on how something is written.
 
+pub mod admin;
 pub mod grant;
 pub mod peer;
 pub mod row;
