--- /dev/null
+++ b/crates/citronproxy/tests/leaving.rs
@@ -0,0 +1,69 @@
+//! Backend servers that are about to leave, with callers all the while.
+
+mod support;
+
+use {
+    citron_core::table::Fencing,
+    citron_platform::ListedState,
+    std::time::{Duration, Instant},
+    support::{Callers, Deployment, check_owners, check_told},
+    tokio::time::sleep,
+};
+
+/// A leaving server gets no new work after so long.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Clone, Copy)]
+enum Word {
+    Row,
+    List,
+    Own,
+}
+
+/// A server is told to leave by its row, or the platform's list or it itself
+/// says so. Its keys move to the others while callers post to all of them: none
+/// is refused, none is cut, and nothing runs under two owners.
+async fn leave(fencing: Fencing, word: Word) {
+    let case = format!("{fencing:?} {word:?}");
+    let grace = Duration::from_secs(3);
+    let deployment = Deployment::start(&["harbour"; 3], fencing, grace).await;
+    let one = deployment.instance("entry-1", "harbour").await;
+    let two = deployment.instance("entry-2", "harbour").await;
+    let callers = Callers::start(&[one.traffic, two.traffic], 48);
+    sleep(Duration::from_millis(300)).await;
+    let said = Instant::now();
+    match word {
+        Word::Row => deployment.drain("server-1").await,
+        Word::List => {
+            let memory = &deployment.platform.memory;
+            memory.set_listed("server-1", Some(ListedState::Leaving));
+        }
+        Word::Own => deployment.servers[0].drain(),
+    }
+    deployment.until_empty("server-1").await;
+    let took = said.elapsed();
+    sleep(Duration::from_millis(300)).await;
+    let told = callers.stop().await;
+    println!("{case}: moved in {took:?} under {} requests", told.len());
+    assert!(took < NO_NEW_WORK, "{case}: {took:?}");
+    let refused: Vec<_> = told.iter().filter(|one| one.status != 200).collect();
+    assert!(refused.is_empty(), "{case}: {refused:?}");
+    check_told(&told, &deployment.runs());
+    check_owners(&deployment.runs());
+    let slowest = told.iter().map(|one| one.took).max();
+    println!("{case}: slowest answer {slowest:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_that_checks_grants() {
+    for word in [Word::Row, Word::List, Word::Own] {
+        leave(Fencing::Checked, word).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_that_does_not() {
+    for word in [Word::Row, Word::List, Word::Own] {
+        leave(Fencing::Unchecked, word).await;
+    }
+}
--- a/crates/citronproxy/tests/support/mod.rs
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 mod admin;
 mod call;
+mod callers;
+mod deployment;
 mod gate;
 mod instance;
 mod path;
@@ -12,6 +14,8 @@
 pub use {
     admin::{Called, Operator, server_row, starting_rows},
     call::{Reply, call, get, post},
+    callers::{Callers, Told, check_owners, check_told, longest_gap},
+    deployment::{Deployment, any, until_serving},
     gate::Gate,
     instance::{Instance, TOKEN},
     path::{LONG, Path, read_all},
--- a/crates/core/src/ownership/granter.rs
+++ b/crates/core/src/ownership/granter.rs
@@ -5,7 +5,7 @@
         Assignment, Boot, Grant, GrantKind, GrantReply, Lease, Phase, Rules, Scope, Spans, Strict,
     },
     crate::{
-        id::{Revision, ShardId},
+        id::{Epoch, Revision, ShardId},
         membership::Confirmation,
         table::{Row, ServerRow, Table},
         time::Time,
@@ -162,15 +162,19 @@
 }
 
 fn grant(server: &ServerRow, scope: Scope, owner: &Assignment) -> Grant {
-    let mine = owner.owner == server.name && owner.phase == Phase::Owned;
-    let kind = match mine {
-        true => GrantKind::Own,
-        false => GrantKind::Revoke,
+    let mine = owner.owner == server.name;
+    let (kind, epoch) = match owner.phase {
+        Phase::Owned if mine => (GrantKind::Own, owner.epoch),
+        Phase::Releasing { .. } if mine => (GrantKind::Revoke, owner.epoch),
+        // Whatever it held of the scope was under an earlier epoch. The epoch
+        // of a release that goes to this very server must stay open: it is the
+        // one that the server is to own the scope under.
+        _ => (GrantKind::Revoke, Epoch(owner.epoch.0.saturating_sub(1))),
     };
     Grant {
         service: server.service.clone(),
         scope,
-        epoch: owner.epoch,
+        epoch,
         kind,
     }
 }
--- a/crates/fakes/src/backend/server.rs
+++ b/crates/fakes/src/backend/server.rs
@@ -28,7 +28,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{Semaphore, watch},
     },
 };
 
@@ -56,6 +56,7 @@
     slots: Arc<Semaphore>,
     fence: Arc<Mutex<Fence>>,
     draining: Arc<AtomicBool>,
+    frozen: watch::Sender<bool>,
     started: Instant,
 }
 
@@ -73,6 +74,7 @@
             slots: Arc::new(Semaphore::new(config.slots)),
             fence: Arc::new(Mutex::new(Fence::new(boot))),
             draining: Arc::default(),
+            frozen: watch::Sender::default(),
             started: Instant::now(),
             config,
         };
@@ -104,6 +106,7 @@
             return Ok(plain(StatusCode::BAD_REQUEST, Vec::new()));
         };
         let body = body.to_bytes();
+        self.thawed().await;
         if head.method == Method::OPTIONS {
             return Ok(self.probe());
         }
@@ -114,6 +117,22 @@
         }
     }
 
+    /// Stops the server as if its process were paused: connections are accepted,
+    /// what is sent waits, and its clock goes on.
+    pub fn freeze(&self) {
+        self.frozen.send_replace(true);
+    }
+
+    /// Goes on as if nothing had happened.
+    pub fn thaw(&self) {
+        self.frozen.send_replace(false);
+    }
+
+    async fn thawed(&self) {
+        let mut frozen = self.frozen.subscribe();
+        let _ = frozen.wait_for(|frozen| !frozen).await;
+    }
+
     /// Says that it is leaving, to control and to callers, from now on.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -139,6 +158,7 @@
         let boot = order.boot.map(Boot);
         let lease = order.lease.map(Lease::from);
         let clock = self.started.elapsed();
+        self.thawed().await;
         let reply = self.fence().order(boot, &grants, lease, clock);
         // A revocation is accepted once nothing of the scope runs any more.
         for grant in grants.iter().filter(|g| g.kind == GrantKind::Revoke) {
@@ -172,10 +192,12 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return plain(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
         };
+        self.thawed().await;
         let Some(number) = self.begin(path, headers) else {
             return refused("epoch");
         };
         tokio::time::sleep(self.config.work).await;
+        self.thawed().await;
         self.runs.end(number, wall_micros());
         let body = value!({ "server": self.config.name, "path": path, "received": size });
         json(StatusCode::OK, &body)
