--- a/crates/platform/src/lane.rs
+++ b/crates/platform/src/lane.rs
@@ -1,7 +1,9 @@
 //! Commits that take effect once, whatever becomes of their answers.
 
 use {
-    crate::{HistoryEntry, ObjectStore, PlatformError, TableService, TableStore},
+    crate::{
+        HistoryEntry, InstanceList, Listed, ObjectStore, PlatformError, TableService, TableStore,
+    },
     citron_core::{
         id::Revision,
         table::{Changes, Check, Commit, CommitAnswer, HistoryRow, Row, Versioned, Write},
@@ -175,6 +177,12 @@
     }
 }
 
+impl<S: InstanceList> InstanceList for LaneStore<S> {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        self.service.list().await
+    }
+}
+
 fn to_value(wire: &impl serde::Serialize) -> Value {
     serde_json::to_value(wire).unwrap_or(Value::Null)
 }
