--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -4,7 +4,8 @@
     super::{gates::Parts, load::LoadSample, state::State},
     citron_core::{
         admission::Demand,
-        id::{Revision, ServerName},
+        id::{Revision, ServerName, ServiceName},
+        slo::Tally,
     },
     std::{rc::Rc, sync::Arc},
     tokio::sync::{mpsc, oneshot},
@@ -35,6 +36,11 @@
         /// Told when they are in force.
         reply: oneshot::Sender<()>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -58,6 +64,7 @@
                 state.gates.set_parts(parts);
                 let _ = reply.send(());
             }
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -10,8 +10,9 @@
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
         admission::{Demand, Part},
-        id::{Revision, ServerName},
+        id::{Revision, ServerName, ServiceName},
         routing::Snapshot,
+        slo::Tally,
     },
     std::{
         collections::BTreeMap,
@@ -138,6 +139,17 @@
         }
     }
 
+    /// Counts for service-level objectives since this was last asked.
+    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
+        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Burn { reply }) {
+            for (service, tally) in answer.await.unwrap_or_default() {
+                *tallies.entry(service).or_default() += &tally;
+            }
+        }
+        tallies
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{own, unavailable},
+        answer::{HEADER_OUTCOME, own, unavailable},
         body::AnswerBody,
         call::Call,
         deadline,
@@ -17,6 +17,7 @@
     citron_core::{
         id::OperatorName,
         routing::{Outcome, ServiceRoutes},
+        table::ServiceRow,
     },
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
@@ -25,6 +26,7 @@
         convert::Infallible,
         rc::Rc,
         sync::Arc,
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -112,11 +114,24 @@
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
-        let Some(_room) = Room::enter(&self.state, &row.operator) else {
-            let reason = "too many requests of this operator are in progress";
-            return Err(Box::new(unavailable(reason)));
+        let answer = match Room::enter(&self.state, &row.operator) {
+            Some(_room) => Call::new(&tries, &row.name, idempotent).run().await,
+            None => unavailable("too many requests of this operator are in progress"),
         };
-        Ok(Call::new(&tries, &row.name, idempotent).run().await)
+        self.count(row, &answer, self.state.clock.now() - now);
+        Ok(answer)
+    }
+
+    /// Counts an answer for the service's objectives.
+    fn count(&self, row: &ServiceRow, answer: &Response<AnswerBody>, time: Duration) {
+        let ran = answer
+            .headers()
+            .get(HEADER_OUTCOME)
+            .is_some_and(|outcome| outcome == "ran");
+        let failed = !ran || answer.status().is_server_error();
+        let slow = time > row.objectives.latency;
+        let mut flights = self.state.flights.borrow_mut();
+        flights.burn.answered(&row.name, failed, slow);
     }
 
     fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refused> {
