Shares without reports: a slot while requests are answered, the even part when they are not

Cause: an instance that hears of no other one got the even part (0.3 or 0.4 slots) at all times. Seen to fail with the safeguard off: parts of slots and of caps left to instances not heard of.

--- a/crates/core/src/admission/book.rs
+++ b/crates/core/src/admission/book.rs
@@ -1,7 +1,7 @@
 //! What the instances last told each other about their demand.
 
 use {
-    super::{Demand, Rate, SlotShare, shares},
+    super::{Demand, Rate, SlotShare, share::share_of},
     crate::{
         id::{InstanceId, ServerName, Slots},
         table::ServerRow,
@@ -68,8 +68,7 @@
         demands.extend(self.fresh(server, now));
         let listed = listed.max(demands.len());
         let known = demands.len() as f64 / listed as f64;
-        let share = shares(slots, &demands)[0];
-        let share = SlotShare::new(share.slots() * known);
+        let share = share_of(f64::from(slots.0) * known, &own, &demands);
         let cap = cap.map(|cap| Rate(cap.0 * known * own.part_of(&demands)));
         Part { share, cap }
     }
--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -89,13 +89,17 @@
 /// assert!(calm[1].slots() >= 1.0);
 /// ```
 pub fn shares(slots: Slots, demands: &[Demand]) -> Vec<SlotShare> {
-    let short = is_short(demands);
-    let least = if short { 0.0 } else { CALM_LEAST };
-    let part = |demand: &Demand| f64::from(slots.0) * demand.part_of(demands);
-    let share = |demand: &Demand| SlotShare(part(demand).max(least));
+    let slots = f64::from(slots.0);
+    let share = |demand| share_of(slots, demand, demands);
     demands.iter().map(share).collect()
 }
 
+/// The share of one of `demands` in so many slots.
+pub(super) fn share_of(slots: f64, demand: &Demand, demands: &[Demand]) -> SlotShare {
+    let least = if is_short(demands) { 0.0 } else { CALM_LEAST };
+    SlotShare((slots * demand.part_of(demands)).max(least))
+}
+
 impl Demand {
     /// No request for the server.
     pub const NONE: Self = Self {
--- a/crates/core/tests/overload/bench.rs
+++ b/crates/core/tests/overload/bench.rs
@@ -3,15 +3,15 @@
 use {
     crate::{
         callers::{Callers, INSTANCES},
-        plan::Plan,
+        plan::{Plan, Reports},
         server::{Reached, Server},
         stats::Stats,
     },
     citron_core::{
         admission::{
-            Admission, Demand, Gate, Release, SlotShare, Ticket, Turn, even_share, shares,
+            Admission, Demand, DemandBook, Gate, Release, SlotShare, Ticket, Turn, even_share,
         },
-        id::Slots,
+        id::{ServerName, Slots},
         routing::{Attempt, Event, Point, Reason, RequestBody, RequestKind, Retries, Step, Try},
         time::Time,
     },
@@ -346,15 +346,29 @@
 
     fn exchange(&mut self) {
         self.at(EXCHANGE, Ev::Exchange);
-        if !self.plan.exchange {
+        if self.plan.reports == Reports::Unused {
             return;
         }
         let now = self.now;
         let demands: Vec<Demand> = self.gates.iter_mut().map(|g| g.demand(now)).collect();
-        let parts = shares(Slots(self.plan.slots), &demands);
-        for (instance, share) in parts.into_iter().enumerate() {
+        for instance in 0..INSTANCES {
+            let share = self.share(instance, &demands);
             self.gates[instance].set_share(share, now);
             self.drain(instance);
         }
     }
+
+    fn share(&self, instance: usize, demands: &[Demand]) -> SlotShare {
+        let server: ServerName = "server-1".parse().expect("a valid name");
+        let mut book = DemandBook::default();
+        for (peer, demand) in demands.iter().enumerate() {
+            if peer != instance && self.plan.reports == Reports::Heard {
+                let from = format!("instance-{peer}").parse().expect("a valid name");
+                book.hear(from, [(server.clone(), *demand)].into(), self.now);
+            }
+        }
+        let slots = Slots(self.plan.slots);
+        let part = book.part(&server, slots, None, demands[instance], INSTANCES, self.now);
+        part.share
+    }
 }
--- a/crates/core/tests/overload/limits.rs
+++ b/crates/core/tests/overload/limits.rs
@@ -1,7 +1,11 @@
 //! Ways of sharing a server's slots, compared.
 
 use {
-    crate::{bench::Bench, plan::Plan, stats::Stats},
+    crate::{
+        bench::Bench,
+        plan::{Plan, Reports},
+        stats::Stats,
+    },
     citron_core::{
         admission::{GateConfig, LimitConfig},
         routing::BudgetConfig,
@@ -27,42 +31,47 @@
 struct Way {
     name: &'static str,
     share: Option<f64>,
-    exchange: bool,
+    reports: Reports,
     limit: LimitConfig,
 }
 
-const WAYS: [Way; 5] = [
+const WAYS: [Way; 6] = [
     Way {
         name: "no limit",
         share: Some(1_000.0),
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "static split",
         share: None,
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "one each",
         share: Some(1.0),
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "adaptive alone",
         share: None,
-        exchange: false,
+        reports: Reports::Unused,
         limit: ALONE,
     },
+    Way {
+        name: "same, none heard",
+        reports: Reports::Lost,
+        ..CHOSEN
+    },
     CHOSEN,
 ];
 
 const CHOSEN: Way = Way {
     name: "adaptive, exchanged",
     share: None,
-    exchange: true,
+    reports: Reports::Heard,
     limit: LimitConfig::STANDARD,
 };
 
@@ -80,7 +89,7 @@
             ..GateConfig::STANDARD
         },
         share: way.share,
-        exchange: way.exchange,
+        reports: way.reports,
         budget: BudgetConfig::STANDARD,
         backlog,
         progress: None,
--- a/crates/core/tests/overload/outage.rs
+++ b/crates/core/tests/overload/outage.rs
@@ -1,7 +1,11 @@
 //! A server that is silent for 10 s under load.
 
 use {
-    crate::{bench::Bench, plan::Plan, stats::Stats},
+    crate::{
+        bench::Bench,
+        plan::{Plan, Reports},
+        stats::Stats,
+    },
     citron_core::{
         admission::{GateConfig, LimitConfig},
         routing::BudgetConfig,
@@ -83,7 +87,10 @@
         load: case.load,
         gate,
         share: (!case.limited).then_some(1_000.0),
-        exchange: case.limited,
+        reports: match case.limited {
+            true => Reports::Heard,
+            false => Reports::Unused,
+        },
         budget: case.budget,
         backlog: 10_000,
         progress: Some(Duration::from_millis(250)),
--- a/crates/core/tests/overload/plan.rs
+++ b/crates/core/tests/overload/plan.rs
@@ -6,6 +6,17 @@
     std::time::Duration,
 };
 
+/// What instances hear of each other's demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reports {
+    /// Shares are not worked out at all.
+    Unused,
+    /// Nobody hears of another.
+    Lost,
+    /// All hear of all.
+    Heard,
+}
+
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
     pub slots: u32,
@@ -14,7 +25,7 @@
     pub gate: GateConfig,
     /// The share before and without exchanges; `None` for the even part.
     pub share: Option<f64>,
-    pub exchange: bool,
+    pub reports: Reports,
     pub budget: BudgetConfig,
     /// Requests the server keeps waiting before it refuses.
     pub backlog: usize,
