Control: a sent order is dropped before the pause; example that measures control

Cause: control_slopes with the real control tasks showed 8.3 MB an instance at 40 backend servers and 31.6 MB at 160, with 4,096 shards. Each server's task kept its last order, which after the first answer names all 4,096 scopes, alive through its pause.

--- /dev/null
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -0,0 +1,329 @@
+//! Measures what control costs an instance at rest, for docs/CAPACITY.md:
+//! `cargo run --release -p citronproxy --example control_slopes -- INSTANCES SERVERS SECONDS`.
+//!
+//! All instances run their real control tasks on this one thread, with the
+//! platform in memory and backend servers that accept every order; calls
+//! between instances go over loopback. One size a run.
+
+use {
+    citron_core::{
+        id::{Epoch, Incarnation, Revision, ServerName, ShardBits, Slots, Weight},
+        membership::Member,
+        ownership::{Assignment, Boot, Grant, GrantReply, GrantResult, Lease},
+        table::{
+            BLOCK_SHARDS, BlockId, BlockRow, Changes, Check, Commit, CommitAnswer, DomainRow,
+            DomainState, Fencing, KeyRule, MoveBudget, Objectives, Row, ServerRow, ServerState,
+            ServiceRow, Write,
+        },
+    },
+    citron_platform::{
+        Grants, HistoryEntry, InstanceList, LaneStore, Listed, Memory, PlatformError, Probe,
+        Probes, TableStore,
+    },
+    citronproxy::{
+        clock::Clock,
+        control::{Control, ControlConfig, ControlMetrics},
+        traffic::TrafficHandle,
+    },
+    prometheus::Registry,
+    std::{
+        cell::Cell,
+        error::Error,
+        fs,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::LocalSet, time::sleep},
+};
+
+const DOMAINS: usize = 6;
+/// Base-two logarithm of the shard count: 64 shards a server at 64 servers.
+const SHARD_BITS: u8 = 12;
+/// Time to join and to learn of all others, before anything is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Clock ticks a second, as Linux counts processor time.
+const TICKS: f64 = 100.0;
+
+/// Calls to the outside, by kind, of all instances together.
+#[derive(Debug, Default)]
+struct Calls {
+    reads: Cell<u64>,
+    commits: Cell<u64>,
+    lists: Cell<u64>,
+    orders: Cell<u64>,
+    probes: Cell<u64>,
+}
+
+fn count(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
+
+/// The platform, counted.
+struct Store {
+    inner: LaneStore<Memory>,
+    calls: Rc<Calls>,
+}
+
+impl TableStore for Store {
+    async fn changes(&self, since: Revision) -> Result<Changes, PlatformError> {
+        count(&self.calls.reads);
+        self.inner.changes(since).await
+    }
+
+    async fn commit(&self, commit: Commit) -> Result<CommitAnswer, PlatformError> {
+        count(&self.calls.commits);
+        self.inner.commit(commit).await
+    }
+
+    async fn commit_checked(
+        &self,
+        commit: Commit,
+        checks: &[Check],
+    ) -> Result<CommitAnswer, PlatformError> {
+        count(&self.calls.commits);
+        self.inner.commit_checked(commit, checks).await
+    }
+
+    async fn history(
+        &self,
+        after: Revision,
+        limit: usize,
+    ) -> Result<Vec<HistoryEntry>, PlatformError> {
+        self.inner.history(after, limit).await
+    }
+}
+
+impl InstanceList for Store {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        count(&self.calls.lists);
+        InstanceList::list(&self.inner).await
+    }
+}
+
+/// Backend servers that accept every order, counted.
+struct Servers {
+    calls: Rc<Calls>,
+    clock: Instant,
+}
+
+impl Grants for Servers {
+    async fn order(
+        &self,
+        _: &ServerRow,
+        _: Option<Boot>,
+        grants: &[Grant],
+        _: Option<Lease>,
+    ) -> Result<GrantReply, PlatformError> {
+        count(&self.calls.orders);
+        Ok(GrantReply {
+            boot: Boot(1),
+            clock: self.clock.elapsed(),
+            results: vec![GrantResult::Accepted; grants.len()],
+        })
+    }
+}
+
+impl Probes for Servers {
+    async fn probe(&self, _: SocketAddr) -> Result<Probe, PlatformError> {
+        count(&self.calls.probes);
+        Ok(Probe::Up)
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let args: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let [instances, servers, seconds] = args[..] else {
+        return Err("usage: control_slopes INSTANCES SERVERS SECONDS".into());
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, measure(instances, servers, seconds))
+}
+
+async fn measure(instances: usize, servers: usize, seconds: usize) -> Result<(), Box<dyn Error>> {
+    let memory = Memory::default();
+    let calls = Rc::new(Calls::default());
+    let first = LaneStore::new(memory.clone(), "setup".to_string());
+    first.commit(rows(servers)?).await?;
+    let before = resident();
+    let mut controls = Vec::new();
+    for number in 0..instances {
+        controls.push(start(number, &memory, &calls).await?);
+    }
+    sleep(SETTLE).await;
+    let memory_each = (resident() - before) / instances as i64;
+    let cells = [
+        &calls.reads,
+        &calls.commits,
+        &calls.lists,
+        &calls.orders,
+        &calls.probes,
+    ];
+    let counted = cells.map(Cell::get);
+    let (cpu, begun) = (processor_seconds(), Instant::now());
+    sleep(Duration::from_secs(seconds as u64)).await;
+    let took = begun.elapsed().as_secs_f64();
+    let cpu = (processor_seconds() - cpu) / took * 100.0;
+    let each = |now: u64, then: u64| (now - then) as f64 / took / instances as f64;
+    let now = cells.map(Cell::get);
+    let rates: Vec<f64> = now
+        .iter()
+        .zip(counted)
+        .map(|(now, then)| each(*now, then))
+        .collect();
+    println!(
+        "instances {instances} servers {servers}: core {:.3}% an instance ({cpu:.1}% in all), \
+         {} KiB an instance; a second and instance: reads {:.2} commits {:.2} lists {:.2} \
+         orders {:.2} probes {:.2}",
+        cpu / instances as f64,
+        memory_each / 1024,
+        rates[0],
+        rates[1],
+        rates[2],
+        rates[3],
+        rates[4],
+    );
+    Ok(())
+}
+
+async fn start(
+    number: usize,
+    memory: &Memory,
+    calls: &Rc<Calls>,
+) -> Result<Control<Store>, Box<dyn Error>> {
+    let me = Member {
+        instance: format!("entry-{number:04}").parse()?,
+        incarnation: Incarnation(number as u64 + 1),
+    };
+    let any: SocketAddr = "127.0.0.1:0".parse()?;
+    let config = ControlConfig {
+        me,
+        domain: domain(number).parse()?,
+        traffic: any,
+        peer: any,
+        admin: any,
+        seeds: Vec::new(),
+    };
+    let store = Store {
+        inner: LaneStore::new(memory.clone(), format!("entry-{number}")),
+        calls: Rc::clone(calls),
+    };
+    let servers = Servers {
+        calls: Rc::clone(calls),
+        clock: Instant::now(),
+    };
+    let metrics = ControlMetrics::new(&Registry::new())?;
+    let handle = TrafficHandle::default();
+    let control = Control::start(config, (store, servers), handle, Clock::start(), metrics).await?;
+    Ok(control)
+}
+
+fn domain(number: usize) -> String {
+    format!("domain-{}", number % DOMAINS)
+}
+
+fn rows(servers: usize) -> Result<Commit, Box<dyn Error>> {
+    let shards = ShardBits::new(SHARD_BITS).ok_or("too many shards")?;
+    let name = |shard: u32| -> Result<ServerName, Box<dyn Error>> {
+        Ok(format!("server-{:04}", shard as usize % servers).parse()?)
+    };
+    let mut rows = vec![Row::Service(service(shards)?)];
+    for number in 0..DOMAINS {
+        rows.push(Row::Domain(DomainRow {
+            name: domain(number).parse()?,
+            state: DomainState::Live,
+            confirmers: Vec::new(),
+        }));
+    }
+    for number in 0..servers {
+        rows.push(Row::Server(server(number)?));
+    }
+    for block in 0..shards.shards() / BLOCK_SHARDS {
+        let first = block * BLOCK_SHARDS;
+        let owners = (first..first + BLOCK_SHARDS)
+            .map(|shard| Ok(Assignment::owned(name(shard)?, Epoch(1))))
+            .collect::<Result<_, Box<dyn Error>>>()?;
+        rows.push(Row::Block(BlockRow {
+            service: "balances".parse()?,
+            block: BlockId(block),
+            shards: owners,
+        }));
+    }
+    let writes = rows.into_iter().map(|row| Write {
+        key: row.key(),
+        expect: Revision(0),
+        row: Some(row),
+    });
+    Ok(Commit {
+        writes: writes.collect(),
+        history: None,
+    })
+}
+
+fn service(shards: ShardBits) -> Result<ServiceRow, Box<dyn Error>> {
+    Ok(ServiceRow {
+        name: "balances".parse()?,
+        operator: "authority".parse()?,
+        hosts: Vec::new(),
+        prefix: "/balances".to_string(),
+        key: KeyRule::Segment(1),
+        idempotent: vec!["GET".to_string()],
+        shards,
+        deadline: Duration::from_secs(2),
+        grace: Duration::from_secs(300),
+        moves: MoveBudget {
+            minute: 10,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1_000,
+            latency: Duration::from_millis(19),
+            slower: 10_000,
+        },
+    })
+}
+
+fn server(number: usize) -> Result<ServerRow, Box<dyn Error>> {
+    Ok(ServerRow {
+        name: format!("server-{number:04}").parse()?,
+        service: "balances".parse()?,
+        domain: domain(number).parse()?,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Checked,
+        state: ServerState::Active,
+    })
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> i64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| {
+        line.trim()
+            .trim_end_matches(" kB")
+            .trim()
+            .parse::<i64>()
+            .ok()
+    });
+    kib.unwrap_or(0) * 1024
+}
+
+/// Processor time of this process so far, in seconds.
+fn processor_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let ticks = after.split_whitespace().skip(11).take(2);
+    ticks
+        .filter_map(|text| text.parse::<f64>().ok())
+        .sum::<f64>()
+        / TICKS
+}
--- a/crates/citronproxy/src/control/granting.rs
+++ b/crates/citronproxy/src/control/granting.rs
@@ -65,9 +65,13 @@
         if let Ok(reply) = &answer {
             granter.answered(&order, reply, node.now());
         }
-        if answer.is_err() {
+        let (failed, known) = (answer.is_err(), order.boot.is_some());
+        // A first order names every scope of the service; kept for the pause by
+        // each server's task, it would be most of what control holds.
+        drop((order, answer));
+        if failed {
             sleep(RETRY_PAUSE).await;
-        } else if order.boot.is_none() {
+        } else if !known {
             // A new start gets grants only under a read begun after it was seen.
             node.wake();
             sleep(RETRY_PAUSE).await;
