Admin API sees the control thread: one copy of the table, edits in force at once

Why: the API kept its own copy of the table beside control's, and an accepted edit waited for the next read everywhere.

- ControlView (table, refresh, revision in force, accepted) is what the API needs of control; Node gives it.
The second copy is gone.
- After an edit is accepted, its instance reads it back and announces it to the others; the operator's answer does not wait for that.
- /v1/status no longer refreshes: asking would put a newer revision in force, and whoever waits for it would measure the asking.
- Test of an instance that reaches nobody: keeps its revision, then catches up.

Not weighed: at thousands of instances the announcement makes each of them read at once.

--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -2,21 +2,15 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use {
-    citron_core::{
-        membership::Confirmation,
-        routing::{RouteMap, Snapshot},
-        table::Table,
-    },
-    citron_platform::{LaneStore, Memory, TableStore},
-    citronproxy::{
-        admin::{Admin, AdminServer, serve},
-        traffic::TrafficHandle,
-    },
+    citron_core::{id::Revision, table::Table},
+    citron_platform::{LaneStore, Memory, PlatformError, TableStore},
+    citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     std::{
+        cell::RefCell,
         net::SocketAddr,
         process::{Command, Stdio},
         rc::Rc,
-        sync::{Arc, mpsc},
+        sync::mpsc,
         thread,
         time::Duration,
     },
@@ -86,28 +80,52 @@
 }
 
 async fn run(server: AdminServer, memory: Memory) {
-    let handle = TrafficHandle::default();
     let domain = "kingston-1".parse().unwrap();
     let store = LaneStore::new(memory.clone(), "admin".to_string());
-    let name = "entry-1".parse().unwrap();
-    let token = Some(TOKEN.to_string());
-    let admin = Admin::new(name, domain, store, handle.clone(), token);
-    spawn_local(serve(server, Rc::new(admin)));
-    let store = LaneStore::new(memory, "control".to_string());
-    follow(&store, &handle).await;
+    let control = View {
+        store: Rc::new(LaneStore::new(memory, "control".to_string())),
+        table: Rc::default(),
+    };
+    spawn_local(follow(control.clone()));
+    let admin = Admin {
+        instance: "entry-1".parse().unwrap(),
+        domain,
+        store,
+        control,
+        token: Some(TOKEN.to_string()),
+    };
+    serve(server, Rc::new(admin)).await;
 }
 
-/// Publishes each revision of the table, as an instance's control thread does.
-async fn follow(store: &impl TableStore, handle: &TrafficHandle) {
-    let mut table = Table::default();
+async fn follow(view: View) {
     loop {
-        let changes = store.changes(table.revision()).await.unwrap();
-        table.apply(changes).unwrap();
-        handle.publish(Snapshot {
-            map: Arc::new(RouteMap::build(&table)),
-            confirmation: Confirmation::default(),
-            domain: "kingston-1".parse().unwrap(),
-        });
+        view.refresh().await.unwrap();
         sleep(READ_PAUSE).await;
     }
 }
+
+/// Follows the table, and has each revision in force as soon as it is read.
+#[derive(Clone)]
+struct View {
+    store: Rc<LaneStore<Memory>>,
+    table: Rc<RefCell<Table>>,
+}
+
+impl ControlView for View {
+    fn in_force(&self) -> Revision {
+        self.table.borrow().revision()
+    }
+
+    fn table<T>(&self, look: impl FnOnce(&Table) -> T) -> T {
+        look(&self.table.borrow())
+    }
+
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        let since = self.in_force();
+        let changes = self.store.changes(since).await?;
+        self.table.borrow_mut().apply(changes).unwrap();
+        Ok(())
+    }
+
+    fn accepted(&self) {}
+}
--- a/crates/citronproxy/src/admin/editor.rs
+++ b/crates/citronproxy/src/admin/editor.rs
@@ -1,7 +1,7 @@
 //! Commits operators' edits.
 
 use {
-    super::{Admin, AdminError},
+    super::{Admin, AdminError, ControlView},
     citron_core::{
         id::{Revision, ServerName, ServiceName},
         ownership::{Scope, begin_move},
@@ -14,7 +14,7 @@
 /// How often an edit is planned anew because rows that it does not name changed.
 const PLANS: u32 = 5;
 
-impl<S: TableStore> Admin<S> {
+impl<S: TableStore, C: ControlView> Admin<S, C> {
     /// Takes an edit: plans it against the table as it is and commits it.
     ///
     /// # Errors
@@ -24,10 +24,13 @@
     pub async fn edit(&self, edit: Edit) -> Result<Revision, AdminError> {
         for _ in 0..PLANS {
             self.refresh().await?;
-            let plan = edit.clone().plan(&self.table())?;
+            let plan = self.control.table(|table| edit.clone().plan(table))?;
             let committed = self.store.commit_checked(plan.commit, &plan.checks).await;
             match committed.map_err(AdminError::unsettled)? {
-                CommitAnswer::Done(revision) => return Ok(revision),
+                CommitAnswer::Done(revision) => {
+                    self.control.accepted();
+                    return Ok(revision);
+                }
                 CommitAnswer::Lost { key, current } if names(&edit, &key) => {
                     return Err(AdminError::Lost { key, current });
                 }
@@ -49,15 +52,17 @@
     pub(super) to: ServerName,
 }
 
-impl<S: TableStore> Admin<S> {
+impl<S: TableStore, C: ControlView> Admin<S, C> {
     /// Begins a move; the control loops finish it. Accepted means that the old
     /// owner is being released, not that the new one owns the scope.
     pub(super) async fn begin(&self, moving: &Moving) -> Result<Revision, AdminError> {
         for _ in 0..PLANS {
             self.refresh().await?;
-            let (commit, checks) = plan_move(&self.table(), moving)?;
+            let planned = self.control.table(|table| plan_move(table, moving));
+            let (commit, checks) = planned?;
             let committed = self.store.commit_checked(commit, &checks).await;
             if let CommitAnswer::Done(revision) = committed.map_err(AdminError::unsettled)? {
+                self.control.accepted();
                 return Ok(revision);
             }
         }
--- a/crates/citronproxy/src/admin/inspect.rs
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -1,7 +1,7 @@
 //! Answers about the table and about this instance.
 
 use {
-    super::{Admin, AdminError},
+    super::{Admin, AdminError, ControlView},
     citron_core::{
         id::{KeyHash, Revision, ServiceName},
         ownership::{Assignment, Phase, Scope},
@@ -17,19 +17,20 @@
 /// The most history entries in one answer.
 const MAX_HISTORY: usize = 1_000;
 
-impl<S: TableStore> Admin<S> {
+impl<S: TableStore, C: ControlView> Admin<S, C> {
     /// Rows whose key begins with `prefix`.
     pub(super) async fn rows(&self, prefix: &str) -> RowsWire {
         let fresh = self.refresh().await.is_ok();
-        let table = self.table();
-        let rows = table
-            .rows()
-            .filter(|(key, _)| key.to_string().starts_with(prefix));
-        RowsWire {
-            revision: table.revision().0,
-            fresh,
-            rows: rows.map(VersionedRowWire::from).collect(),
-        }
+        self.control.table(|table| {
+            let rows = table
+                .rows()
+                .filter(|(key, _)| key.to_string().starts_with(prefix));
+            RowsWire {
+                revision: table.revision().0,
+                fresh,
+                rows: rows.map(VersionedRowWire::from).collect(),
+            }
+        })
     }
 
     /// One row.
@@ -37,28 +38,33 @@
         // Without the platform the last known row serves to look at; an edit
         // that names its version is still compared by the platform.
         let read = self.refresh().await;
-        match self.table().get(key) {
-            Some(row) => Ok((key, row).into()),
-            None => Err(read.err().unwrap_or(AdminError::NotFound(key.to_string()))),
-        }
+        let row = self
+            .control
+            .table(|table| Some((key, table.get(key)?).into()));
+        row.ok_or_else(|| read.err().unwrap_or(AdminError::NotFound(key.to_string())))
     }
 
     /// This instance, and those of the table.
     pub(super) async fn status(&self) -> StatusWire {
-        let fresh = self.refresh().await.is_ok();
-        let table = self.table();
-        let instances = table.rows().filter_map(|(_, row)| match &row.value {
-            Row::Instance(row) => Some(InstanceWire::from(row)),
-            _ => None,
-        });
-        StatusWire {
-            instance: self.instance.to_string(),
-            domain: self.domain.to_string(),
-            revision: self.in_force().0,
-            latest: table.revision().max(self.in_force()).0,
-            fresh,
-            instances: instances.collect(),
-        }
+        let in_force = self.control.in_force();
+        // Not a refresh: that would put a newer revision in force here, and
+        // whoever waits for it would see the effect of having asked.
+        let read = self.store.changes(in_force).await;
+        let known = read.as_ref().map_or(in_force, |changes| changes.revision);
+        self.control.table(|table| {
+            let instances = table.rows().filter_map(|(_, row)| match &row.value {
+                Row::Instance(row) => Some(InstanceWire::from(row)),
+                _ => None,
+            });
+            StatusWire {
+                instance: self.instance.to_string(),
+                domain: self.domain.to_string(),
+                revision: in_force.0,
+                latest: table.revision().max(known).0,
+                fresh: read.is_ok(),
+                instances: instances.collect(),
+            }
+        })
     }
 
     /// Accepted edits after a revision.
@@ -82,7 +88,8 @@
         key: &str,
     ) -> Result<OwnerWire, AdminError> {
         let read = self.refresh().await;
-        let found = owner(&self.table(), &service, KeyHash::of(key.as_bytes()));
+        let hash = KeyHash::of(key.as_bytes());
+        let found = self.control.table(|table| owner(table, &service, hash));
         found.ok_or_else(|| {
             let what = format!("an owner of '{key}' in service/{service}");
             read.err().unwrap_or(AdminError::NotFound(what))
--- a/crates/citronproxy/src/admin/mod.rs
+++ b/crates/citronproxy/src/admin/mod.rs
@@ -13,5 +13,5 @@
 pub use {
     error::AdminError,
     server::{AdminServer, serve},
-    state::Admin,
+    state::{Admin, ControlView},
 };
--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Admin, AdminError,
+        Admin, AdminError, ControlView,
         answer::{Answer, json, tagged},
         editor::{Moving, wall_clock},
     },
@@ -35,7 +35,7 @@
 /// History entries in one answer unless the caller says otherwise.
 const HISTORY: usize = 100;
 
-impl<S: TableStore + ObjectStore> Admin<S> {
+impl<S: TableStore + ObjectStore, C: ControlView> Admin<S, C> {
     /// Answers one call of somebody who may call.
     pub(super) async fn answer(&self, head: &Parts, body: &[u8]) -> Result<Answer, AdminError> {
         let path = head.uri.path();
--- a/crates/citronproxy/src/admin/server.rs
+++ b/crates/citronproxy/src/admin/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Admin, AdminError,
+        Admin, AdminError, ControlView,
         answer::{Answer, refusal},
         auth,
     },
@@ -53,10 +53,11 @@
 }
 
 /// Serves the API on a local task set; ends only with its task.
-pub async fn serve<S: TableStore + ObjectStore + 'static>(
-    server: AdminServer,
-    admin: Rc<Admin<S>>,
-) {
+pub async fn serve<S, C>(server: AdminServer, admin: Rc<Admin<S, C>>)
+where
+    S: TableStore + ObjectStore + 'static,
+    C: ControlView + 'static,
+{
     let slots = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
@@ -78,7 +79,10 @@
     }
 }
 
-async fn connection<S: TableStore + ObjectStore>(stream: TcpStream, admin: Rc<Admin<S>>) {
+async fn connection<S: TableStore + ObjectStore, C: ControlView>(
+    stream: TcpStream,
+    admin: Rc<Admin<S, C>>,
+) {
     let service = service_fn(|request| answer(&admin, request));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -89,8 +93,8 @@
     }
 }
 
-async fn answer<S: TableStore + ObjectStore>(
-    admin: &Admin<S>,
+async fn answer<S: TableStore + ObjectStore, C: ControlView>(
+    admin: &Admin<S, C>,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
     let (head, body) = request.into_parts();
@@ -99,8 +103,8 @@
 }
 
 /// The token comes first: whoever has none gets no body read into memory.
-async fn checked_answer<S: TableStore + ObjectStore>(
-    admin: &Admin<S>,
+async fn checked_answer<S: TableStore + ObjectStore, C: ControlView>(
+    admin: &Admin<S, C>,
     head: Parts,
     body: Incoming,
 ) -> Result<Answer, AdminError> {
--- a/crates/citronproxy/src/control/mod.rs
+++ b/crates/citronproxy/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod replica;
 mod tasks;
 mod thread;
+mod view;
 
 pub use {
     batch::Batch,
--- /dev/null
+++ b/crates/citronproxy/src/control/view.rs
@@ -0,0 +1,36 @@
+//! What the admin API sees of the control thread.
+
+use {
+    super::Node,
+    crate::admin::ControlView,
+    citron_core::{id::Revision, table::Table},
+    citron_platform::{PlatformError, TableStore},
+    tokio::task::spawn_local,
+};
+
+impl<S: TableStore + 'static> ControlView for Node<S> {
+    fn in_force(&self) -> Revision {
+        let snapshot = self.handle().snapshot();
+        let snapshot = snapshot.as_ref();
+        snapshot.map_or(Revision(0), |snapshot| snapshot.map.revision)
+    }
+
+    fn table<T>(&self, look: impl FnOnce(&Table) -> T) -> T {
+        Self::table(self, look)
+    }
+
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        Self::refresh(self).await
+    }
+
+    /// Reads the edit back, then tells the other instances. The operator's answer
+    /// does not wait for it: the edit is accepted whatever becomes of this.
+    fn accepted(&self) {
+        let node = self.clone();
+        spawn_local(async move {
+            if node.refresh().await.is_ok() {
+                node.announce_all();
+            }
+        });
+    }
+}
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -138,22 +138,32 @@
         incarnation: Incarnation(rand::random()),
     };
     start_recorder(&settings, &handle, clock);
-    let admin = start_admin(&settings, &me, &handle).await?;
+    let server = AdminServer::bind(settings.admin).await?;
+    say("admin", server.address);
+    let admin_store = admin_store(&settings, &me);
     // New at each start: the numbers of a writer's commits begin anew.
     let writer = format!("{}/{}", me.instance, me.incarnation);
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
     let config = ControlConfig {
         me,
-        domain: settings.domain,
+        domain: settings.domain.clone(),
         traffic,
         peer: settings.peer,
-        admin,
+        admin: server.address,
         seeds: settings.seeds,
     };
     let metrics = ControlMetrics::new(&Registry::new())?;
     let outside = (store, HttpServers::default());
     let mut control = Control::start(config, outside, handle, clock, metrics).await?;
     say("peer", control.address);
+    let admin = Admin {
+        instance: settings.instance,
+        domain: settings.domain,
+        store: admin_store,
+        control: control.node().clone(),
+        token: settings.token,
+    };
+    spawn_local(admin::serve(server, Rc::new(admin)));
     Err(control.failed().await.into())
 }
 
@@ -165,24 +175,9 @@
     spawn_local(recorder.run(store, clock));
 }
 
-/// Serves operators, with a writer of their own at the table.
-async fn start_admin(
-    settings: &Settings,
-    me: &Member,
-    handle: &TrafficHandle,
-) -> io::Result<SocketAddr> {
-    let server = AdminServer::bind(settings.admin).await?;
-    let address = server.address;
-    say("admin", address);
+/// The table as operators' edits are written to it: with a writer of their own,
+/// so that an edit being settled holds up no commit of control.
+fn admin_store(settings: &Settings, me: &Member) -> LaneStore<HttpPlatform> {
     let writer = format!("{}/{}/admin", me.instance, me.incarnation);
-    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let admin = Admin::new(
-        settings.instance.clone(),
-        settings.domain.clone(),
-        store,
-        handle.clone(),
-        settings.token.clone(),
-    );
-    spawn_local(admin::serve(server, Rc::new(admin)));
-    Ok(address)
+    LaneStore::new(HttpPlatform::new(settings.platform), writer)
 }
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -4,12 +4,10 @@
 
 use {
     bytes::Bytes,
+    citron_core::{id::Revision, table::Table},
     citron_fakes::platform::PlatformServer,
-    citron_platform::{LaneStore, Memory},
-    citronproxy::{
-        admin::{Admin, AdminServer, serve},
-        traffic::TrafficHandle,
-    },
+    citron_platform::{LaneStore, Memory, PlatformError},
+    citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     http::{Method, Request},
     http_body_util::Full,
     serde_json::{Value, json},
@@ -18,6 +16,25 @@
     tokio::task::{LocalSet, spawn_local},
 };
 
+/// A control thread that knows nothing.
+struct Nothing;
+
+impl ControlView for Nothing {
+    fn in_force(&self) -> Revision {
+        Revision(0)
+    }
+
+    fn table<T>(&self, look: impl FnOnce(&Table) -> T) -> T {
+        look(&Table::default())
+    }
+
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    fn accepted(&self) {}
+}
+
 /// The instance's own row is revision 1, the starting rows are revision 2.
 async fn start() -> (PlatformServer, Instance, Operator) {
     let any = "127.0.0.1:0".parse().unwrap();
@@ -142,7 +159,13 @@
         let store = LaneStore::new(Memory::default(), "test".to_string());
         let name = "entry-1".parse().unwrap();
         let domain = "harbour".parse().unwrap();
-        let admin = Admin::new(name, domain, store, TrafficHandle::default(), None);
+        let admin = Admin {
+            instance: name,
+            domain,
+            store,
+            control: Nothing,
+            token: None,
+        };
         spawn_local(serve(server, Rc::new(admin)));
         for token in ["Bearer ", "Bearer a-token-for-tests"] {
             let request = Request::get("/v1/status").header("authorization", token);
--- a/crates/citronproxy/tests/race.rs
+++ b/crates/citronproxy/tests/race.rs
@@ -10,7 +10,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    support::{Called, Gate, Instance, Operator, server_row, starting_rows},
+    support::{Called, Gate, Instance, Operator, commit, domain_row, server_row, starting_rows},
     tokio::time::sleep,
 };
 
@@ -274,6 +274,36 @@
     );
 }
 
+/// An instance that reaches neither the platform nor another instance keeps what
+/// it has, says that it is not fresh, and catches up by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_cut_off_from_all_keeps_its_revision_and_catches_up() {
+    let platform = platform().await;
+    let gate = Gate::start(platform.address).await;
+    let instance = Instance::start("entry-1", "harbour", gate.address);
+    let ann = Operator::new("ann", instance.admin);
+    let (_, made) = ann.edit(&starting_rows()).await.unwrap();
+    let first = made["revision"].as_u64().expect("accepted");
+    until_revision(&ann, first).await;
+
+    gate.set_open(false);
+    for number in 0..5 {
+        let row = domain_row(&format!("hills-{number}"));
+        commit(&platform.memory, &format!("other-{number}"), vec![row]).await;
+    }
+    for _ in 0..5 {
+        let (_, status) = ann.get("/v1/status").await.unwrap();
+        assert_eq!(
+            (&status["revision"], &status["fresh"]),
+            (&json!(first), &json!(false))
+        );
+        sleep(Duration::from_millis(100)).await;
+    }
+    gate.set_open(true);
+    let took = until_revision(&ann, first + 5).await;
+    println!("caught up from the platform in {took:?}");
+}
+
 /// Polls until a revision is in force, checking that it never goes back.
 async fn until_revision(operator: &Operator, wanted: u64) -> Duration {
     let begun = Instant::now();
