Requests that crash servers are refused on the real path

Reason: a request that kills its server, sent again by its caller, took down one server after the other. Change: a connection that dies while the server has the request is noted under the request's fingerprint on all threads; after three crashes such requests get 422 with Retry-After before they reach a server, others for the same key pass. While anything is noted, small bodies are read before they are sent, so that two requests of one path are told apart by their bodies. Control can exchange the counts (crash_report, CrashNote::Heard) and operators lift an entry; wiring them to peers and the admin API is not part of this commit. Shown by: tests/crashes.rs.

--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -1,9 +1,10 @@
 //! What control asks of a traffic thread.
 
 use {
-    super::{gates::Parts, load::LoadSample, state::State},
+    super::{crashes::CrashNote, gates::Parts, load::LoadSample, state::State},
     citron_core::{
         admission::Demand,
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName},
     },
     std::{rc::Rc, sync::Arc},
@@ -35,6 +36,18 @@
         /// Told when they are in force.
         reply: oneshot::Sender<()>,
     },
+    /// Notes a crash, an answer or what another instance or an operator says.
+    Crash(CrashNote),
+    /// What this instance knows of crashes, for the others.
+    CrashReport {
+        /// Takes the answer.
+        reply: oneshot::Sender<CrashReport>,
+    },
+    /// The requests that crashed servers, for operators.
+    CrashEntries {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<CrashEntry>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -58,6 +71,9 @@
                 state.gates.set_parts(parts);
                 let _ = reply.send(());
             }
+            Ask::Crash(note) => state.crashes.note(note),
+            Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
+            Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -4,6 +4,7 @@
     super::{
         answer::{from_verdict, mark, own},
         body::{AnswerBody, Streamed},
+        crashes::CrashNote,
         gates::{Denied, Slot},
         request::strip_hop_by_hop,
         tries::{Answered, Ended, Tries},
@@ -11,7 +12,7 @@
     citron_core::{
         admission::Release,
         id::ServiceName,
-        routing::{Attempt, Event, Outcome, RequestBody, RequestKind, Step, Try},
+        routing::{Attempt, Event, Outcome, Reason, RequestBody, RequestKind, Step, Try},
     },
     futures::stream::{FuturesUnordered, StreamExt},
     http::{Response, StatusCode},
@@ -60,17 +61,17 @@
     pub async fn run(mut self) -> Response<AnswerBody> {
         let tries = self.tries;
         let mut open = FuturesUnordered::new();
-        let admitted = match tries.admit().await {
-            Ok(slot) => {
-                self.slot = slot;
-                Event::Admitted
-            }
-            Err(Denied { reason, wait }) => Event::Denied { reason, wait },
-        };
+        let admitted = self.admit().await;
         let mut step = self.step(admitted);
         loop {
             match step {
-                Step::Send(send) => open.push(tries.run(send)),
+                Step::Send(send) => match self.quarantined() {
+                    Some(denied) => {
+                        step = self.step(denied);
+                        continue;
+                    }
+                    None => open.push(tries.run(send)),
+                },
                 Step::Forward(no) => return self.forward(no),
                 Step::Answer(verdict) => return from_verdict(&verdict),
                 Step::Wait => {}
@@ -88,10 +89,54 @@
             {
                 return answer;
             }
+            self.note_crash(event);
             step = self.step(event);
         }
     }
 
+    async fn admit(&mut self) -> Event {
+        if self.tries.state.crashes.noted() {
+            self.tries.source.fill().await;
+        }
+        if let Some(denied) = self.quarantined() {
+            return denied;
+        }
+        match self.tries.admit().await {
+            Ok(slot) => {
+                self.slot = slot;
+                Event::Admitted
+            }
+            Err(Denied { reason, wait }) => Event::Denied { reason, wait },
+        }
+    }
+
+    /// The refusal of a request like those that crashed servers: sent on, it
+    /// would take down one server after the other.
+    fn quarantined(&self) -> Option<Event> {
+        let crashes = &self.tries.state.crashes;
+        if !crashes.noted() {
+            return None;
+        }
+        let wait = crashes.refused(self.tries.fingerprint())?;
+        let reason = Reason::Quarantined;
+        Some(Event::Denied { reason, wait })
+    }
+
+    /// Notes a connection that died while the server had the request.
+    fn note_crash(&self, event: Event) {
+        let tries = self.tries;
+        if let Event::Lost(_, point) = event
+            && !point.is_clean()
+            && let Some(server) = tries.server.borrow().clone()
+        {
+            tries.state.handle.note_crash(&CrashNote::Crashed {
+                print: tries.fingerprint(),
+                label: format!("{} {}", tries.head.method, tries.head.uri),
+                server: server.name.clone(),
+            });
+        }
+    }
+
     fn step(&mut self, event: Event) -> Step {
         let state = &self.tries.state;
         let now = state.clock.now();
@@ -114,6 +159,13 @@
             }
             Ended::Answered(answered) => {
                 let no = answered.no;
+                if self.tries.state.crashes.noted() {
+                    let print = self.tries.fingerprint();
+                    self.tries
+                        .state
+                        .handle
+                        .note_crash(&CrashNote::Answered(print));
+                }
                 // The first answer is passed on; a later one ends here.
                 self.answer.get_or_insert(answered);
                 Event::Answered(no)
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ask::Ask,
+        crashes::CrashNote,
         gates::Parts,
         load::{LoadSample, merge},
         phase::Phase,
@@ -10,6 +11,7 @@
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
         admission::{Demand, Part},
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName},
         routing::Snapshot,
     },
@@ -138,6 +140,32 @@
         }
     }
 
+    /// Tells all threads of a crash, an answer, a lift or another instance's count.
+    /// Called only when a request failed that way, or by control.
+    pub fn note_crash(&self, note: &CrashNote) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner);
+        for thread in threads.iter() {
+            let _ = thread.send(Ask::Crash(note.clone()));
+        }
+    }
+
+    /// What this instance counted of crashes, for the others.
+    pub async fn crash_report(&self) -> Option<CrashReport> {
+        // All threads keep the same log.
+        let asked = self.ask(|reply| Ask::CrashReport { reply });
+        asked.into_iter().next()?.await.ok()
+    }
+
+    /// The requests that crashed servers, for operators.
+    pub async fn crash_entries(&self) -> Vec<CrashEntry> {
+        let asked = self.ask(|reply| Ask::CrashEntries { reply });
+        match asked.into_iter().next() {
+            Some(answer) => answer.await.unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod ask;
 mod body;
 mod call;
+mod crashes;
 mod deadline;
 mod exchange;
 mod flights;
@@ -24,6 +25,7 @@
 mod worker;
 
 pub use {
+    crashes::CrashNote,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
     limits::Limits,
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -21,7 +21,7 @@
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
-        cell::{Cell, OnceCell},
+        cell::{Cell, OnceCell, RefCell},
         convert::Infallible,
         rc::Rc,
         sync::Arc,
@@ -108,6 +108,7 @@
             source: Source::new(body, max),
             deadline,
             refused: Cell::new(None),
+            server: RefCell::default(),
             patient: Cell::new(None),
             reused: OnceCell::new(),
             noted: Notify::new(),
--- a/crates/citronproxy/src/traffic/state.rs
+++ b/crates/citronproxy/src/traffic/state.rs
@@ -1,7 +1,10 @@
 //! What the requests of one traffic thread share.
 
 use {
-    super::{flights::Flights, gates::Gates, handle::TrafficHandle, limits::Limits, pool::Pool},
+    super::{
+        crashes::Crashes, flights::Flights, gates::Gates, handle::TrafficHandle, limits::Limits,
+        pool::Pool,
+    },
     crate::clock::Clock,
     citron_core::{
         admission::OperatorRoom,
@@ -26,6 +29,8 @@
     pub flights: Rc<RefCell<Flights>>,
     /// The limits of backend servers.
     pub gates: Gates,
+    /// Requests that crashed servers.
+    pub crashes: Crashes,
     /// Room for requests in progress, by operator.
     pub room: RefCell<OperatorRoom>,
     /// Idle connections.
@@ -48,6 +53,7 @@
             handle,
             flights: Rc::new(RefCell::new(Flights::new(clock))),
             gates: Gates::new(clock),
+            crashes: Crashes::new(clock),
             room: RefCell::new(OperatorRoom::new(limits.room)),
             pool: Pool::new(clock),
             clock,
--- a/crates/citronproxy/src/traffic/tries.rs
+++ b/crates/citronproxy/src/traffic/tries.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        crashes::fingerprint,
         deadline,
         exchange::{Exchange, ExchangeError},
         gates::{Denied, Slot},
@@ -13,8 +14,10 @@
         wire::Wire,
     },
     citron_core::{
+        crash::Fingerprint,
         id::Revision,
         routing::{Event, Link, Point, Send, Try},
+        table::ServerRow,
         time::Time,
     },
     citron_wire::grant::HEADER_REFUSED,
@@ -84,6 +87,8 @@
     pub deadline: Time,
     /// The revision of the last route that was refused.
     pub refused: Cell<Option<Revision>>,
+    /// The server of the last try.
+    pub server: RefCell<Option<Arc<ServerRow>>>,
     /// Until when it waits for its key's owner to be certain.
     pub patient: Cell<Option<Time>>,
     /// Begin and address of the first write on a connection that was used before.
@@ -109,6 +114,11 @@
 }
 
 impl Tries {
+    /// What tells the request from others.
+    pub fn fingerprint(&self) -> Fingerprint {
+        fingerprint(&self.head, &self.source)
+    }
+
     /// Waits for a slot of the server that owns the key now.
     ///
     /// # Errors
@@ -151,6 +161,7 @@
         };
         let revision = target.leave.snapshot.map.revision;
         let address = target.server.address;
+        self.server.replace(Some(Arc::clone(&target.server)));
         let reuse = match send.link {
             Link::Any => Reuse::Any,
             Link::Trusted => Reuse::Fresh,
--- a/crates/citronproxy/src/traffic/upload.rs
+++ b/crates/citronproxy/src/traffic/upload.rs
@@ -6,6 +6,7 @@
     hyper::body::Incoming,
     std::{
         cell::RefCell,
+        future::poll_fn,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -102,6 +103,29 @@
         self.state.borrow().end == End::TooLarge
     }
 
+    /// The length that the caller told; 0 if it told none.
+    pub fn length(&self) -> u64 {
+        self.hint.exact().unwrap_or(0)
+    }
+
+    /// The body as far as it was read; empty once parts of it are kept no more.
+    pub fn kept(&self) -> Vec<u8> {
+        self.state.borrow().kept.concat()
+    }
+
+    /// Reads a small body whole, so that it is known before it is sent. One that
+    /// is large or of unknown length is left alone.
+    pub async fn fill(&self) {
+        let small = |length| length <= REPLAY_MAX as u64;
+        while self.hint.exact().is_some_and(small) && !self.ended() {
+            let _ = poll_fn(|cx| self.poll(cx)).await;
+        }
+    }
+
+    fn ended(&self) -> bool {
+        self.state.borrow().end != End::Open
+    }
+
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
         let mut state = self.state.borrow_mut();
         // After an error the library tells an ordinary end: a retry would pass a
--- /dev/null
+++ b/crates/citronproxy/tests/crashes.rs
@@ -0,0 +1,50 @@
+//! A request that crashes every server that runs it.
+
+mod support;
+
+use {
+    citron_fakes::raw::{Act, RawServer},
+    std::time::Duration,
+    support::{Path, post},
+    tokio::time::sleep,
+};
+
+/// The caller sends a request that makes its server drop the connection, and
+/// sends it again after each failure. After three crashes it is refused before it
+/// reaches a server, with the time to come back; another request for the same key
+/// is served; an operator lifts the entry, and the request goes through again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_servers_is_refused() {
+    let crash = vec![Act::Request, Act::Reset];
+    let fine = vec![
+        Act::Request,
+        Act::answer("fine"),
+        Act::Request,
+        Act::answer("fine"),
+    ];
+    let scripts = vec![crash.clone(), crash.clone(), crash, fine];
+    let server = RawServer::start(scripts).await.unwrap();
+    let path = Path::start(server.address);
+    for _ in 0..3 {
+        let reply = post(path.address, "/kegs/a", "", "bad").await.unwrap();
+        assert_eq!(reply.status.as_u16(), 502);
+        assert_eq!(reply.header("citron-outcome"), "unknown");
+        // Connections that die together count as one crash.
+        sleep(Duration::from_millis(550)).await;
+    }
+    let reply = post(path.address, "/kegs/a", "", "bad").await.unwrap();
+    assert_eq!(reply.status.as_u16(), 422);
+    assert_eq!(reply.header("citron-outcome"), "not-run");
+    assert_ne!(reply.header("retry-after"), "");
+    assert_eq!(server.runs(), 3);
+
+    let other = post(path.address, "/kegs/a", "", "gut").await.unwrap();
+    assert_eq!(other.body, "fine");
+    let entries = path.handle.crash_entries().await;
+    assert_eq!((entries.len(), entries[0].crashes), (1, 3));
+    assert_eq!(entries[0].label, "POST /kegs/a");
+    let lift = citronproxy::traffic::CrashNote::Lift(entries[0].fingerprint);
+    path.handle.note_crash(&lift);
+    let reply = post(path.address, "/kegs/a", "", "bad").await.unwrap();
+    assert_eq!(reply.body, "fine");
+}
