--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod dev;
 pub mod events;
+pub mod lifecycle;
 pub mod peer;
 pub mod settings;
 pub mod slo;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -7,7 +7,7 @@
         admin::{self, Admin, AdminServer},
         clock::Clock,
         control::{Control, ControlConfig, ControlMetrics},
-        dev, events,
+        dev, events, lifecycle,
         settings::Settings,
         slo::Recorder,
         traffic::{self, TrafficHandle},
@@ -118,7 +118,9 @@
     );
     say("traffic", workers.address);
     let control = run_control(settings, workers.address, handle, clock);
-    LocalSet::new().block_on(&runtime, control)
+    LocalSet::new().block_on(&runtime, control)?;
+    workers.close();
+    Ok(())
 }
 
 /// Tells an address, since whoever asked for port 0 learns the port here. That
@@ -154,7 +156,8 @@
     };
     let metrics = ControlMetrics::new(&Registry::new())?;
     let outside = (store, HttpServers::default());
-    let mut control = Control::start(config, outside, handle, clock, metrics).await?;
+    let start = Control::start(config, outside, handle.clone(), clock, metrics);
+    let mut control = start.await?;
     say("peer", control.address);
     let admin = Admin {
         instance: settings.instance,
@@ -164,7 +167,12 @@
         token: settings.token,
     };
     spawn_local(admin::serve(server, Rc::new(admin)));
-    Err(control.failed().await.into())
+    tokio::select! {
+        left = lifecycle::run(handle) => left?,
+        error = control.failed() => return Err(error.into()),
+    }
+    control.close().await;
+    Ok(())
 }
 
 /// Counts for service-level objectives.
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -4,12 +4,15 @@
     super::{
         answer::{from_verdict, mark, own},
         body::{AnswerBody, Streamed},
+        crashes::CrashNote,
+        gates::{Denied, Slot},
         request::strip_hop_by_hop,
         tries::{Answered, Ended, Tries},
     },
     citron_core::{
+        admission::Release,
         id::ServiceName,
-        routing::{Attempt, Event, Outcome, RequestBody, RequestKind, Step, Try},
+        routing::{Attempt, Event, Outcome, Reason, RequestBody, RequestKind, Step, Try},
     },
     futures::stream::{FuturesUnordered, StreamExt},
     http::{Response, StatusCode},
@@ -28,6 +31,7 @@
     service: &'a ServiceName,
     attempt: Attempt,
     answer: Option<Box<Answered>>,
+    slot: Option<Slot>,
 }
 
 impl<'a> Call<'a> {
@@ -48,6 +52,7 @@
             tries,
             service,
             answer: None,
+            slot: None,
         }
     }
 
@@ -56,12 +61,19 @@
     pub async fn run(mut self) -> Response<AnswerBody> {
         let tries = self.tries;
         let mut open = FuturesUnordered::new();
-        let mut step = self.step(Event::Admitted);
+        let admitted = self.admit().await;
+        let mut step = self.step(admitted);
         loop {
             match step {
-                Step::Send(send) => open.push(tries.run(send)),
+                Step::Send(send) => match self.quarantined() {
+                    Some(denied) => {
+                        step = self.step(denied);
+                        continue;
+                    }
+                    None => open.push(tries.run(send)),
+                },
                 Step::Forward(no) => return self.forward(no),
-                Step::Answer(verdict) => return self.give_up(from_verdict(&verdict)),
+                Step::Answer(verdict) => return from_verdict(&verdict),
                 Step::Wait => {}
                 Step::Abort | Step::Done | Step::Drop => return broken(),
             }
@@ -72,10 +84,59 @@
                 () = hedge_due(tries), if hedge => Event::HedgeDue,
                 else => return broken(),
             };
+            if self.answer.is_none()
+                && let Some(answer) = self.bad_body(event)
+            {
+                return answer;
+            }
+            self.note_crash(event);
             step = self.step(event);
         }
     }
 
+    async fn admit(&mut self) -> Event {
+        if self.tries.state.crashes.noted() {
+            self.tries.source.fill().await;
+        }
+        if let Some(denied) = self.quarantined() {
+            return denied;
+        }
+        match self.tries.admit().await {
+            Ok(slot) => {
+                self.slot = slot;
+                Event::Admitted
+            }
+            Err(Denied { reason, wait }) => Event::Denied { reason, wait },
+        }
+    }
+
+    /// The refusal of a request like those that crashed servers: sent on, it
+    /// would take down one server after the other.
+    fn quarantined(&self) -> Option<Event> {
+        let crashes = &self.tries.state.crashes;
+        if !crashes.noted() {
+            return None;
+        }
+        let wait = crashes.refused(self.tries.fingerprint())?;
+        let reason = Reason::Quarantined;
+        Some(Event::Denied { reason, wait })
+    }
+
+    /// Notes a connection that died while the server had the request.
+    fn note_crash(&self, event: Event) {
+        let tries = self.tries;
+        if let Event::Lost(_, point) = event
+            && !point.is_clean()
+            && let Some(server) = tries.server.borrow().clone()
+        {
+            tries.state.handle.note_crash(&CrashNote::Crashed {
+                print: tries.fingerprint(),
+                label: format!("{} {}", tries.head.method, tries.head.uri),
+                server: server.name.clone(),
+            });
+        }
+    }
+
     fn step(&mut self, event: Event) -> Step {
         let state = &self.tries.state;
         let now = state.clock.now();
@@ -93,10 +154,18 @@
         match ended {
             Ended::Failed(event) => {
                 self.note_silence(event);
+                self.note_release(event);
                 event
             }
             Ended::Answered(answered) => {
                 let no = answered.no;
+                if self.tries.state.crashes.noted() {
+                    let print = self.tries.fingerprint();
+                    self.tries
+                        .state
+                        .handle
+                        .note_crash(&CrashNote::Answered(print));
+                }
                 // The first answer is passed on; a later one ends here.
                 self.answer.get_or_insert(answered);
                 Event::Answered(no)
@@ -104,6 +173,18 @@
         }
     }
 
+    /// Tells the server's gate what a failure says of the server's load.
+    fn note_release(&mut self, event: Event) {
+        let release = match event {
+            Event::Refused { .. } => Release::Refused,
+            Event::TimedOut(..) => Release::TimedOut,
+            _ => Release::Other,
+        };
+        if let Some(slot) = &mut self.slot {
+            slot.note(release);
+        }
+    }
+
     /// Suspects the old connections of a server if a request on one of them got
     /// no sign of life until its time was up.
     fn note_silence(&self, event: Event) {
@@ -135,13 +216,14 @@
         }
         let (mut head, body) = answered.response.into_parts();
         strip_hop_by_hop(&mut head.headers);
-        let streamed = Streamed::new(body, answered.exchange);
+        let streamed = Streamed::new(body, answered.exchange, self.slot.take());
         let mut answer = Response::from_parts(head, AnswerBody::Streamed(Box::new(streamed)));
         mark(&mut answer, Outcome::Ran);
         answer
     }
 
-    fn give_up(&self, answer: Response<AnswerBody>) -> Response<AnswerBody> {
+    /// The answer to a caller whose body cannot be passed on whole.
+    fn bad_body(&self, event: Event) -> Option<Response<AnswerBody>> {
         let (status, reason) = if self.tries.source.too_large() {
             (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         } else if self.tries.source.cut() {
@@ -150,10 +232,16 @@
                 "the body is malformed or cut short",
             )
         } else {
-            return answer;
+            return None;
+        };
+        // Once a part is with the server, nobody knows what it makes of it.
+        let clean = matches!(event, Event::Lost(Try(1), point) if point.is_clean());
+        let outcome = if clean {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
         };
-        // A part of the body may be with the server, which was cut off.
-        own(status, Outcome::Unknown, None, reason)
+        Some(own(status, outcome, None, reason))
     }
 }
 
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -5,9 +5,12 @@
 mod body;
 mod burn;
 mod call;
+mod crashes;
 mod deadline;
 mod exchange;
 mod flights;
+mod gates;
+mod guard;
 mod handle;
 mod limits;
 mod load;
@@ -23,6 +26,7 @@
 mod worker;
 
 pub use {
+    crashes::CrashNote,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
     limits::Limits,
--- a/crates/citronproxy/src/traffic/tries.rs
+++ b/crates/citronproxy/src/traffic/tries.rs
@@ -2,8 +2,10 @@
 
 use {
     super::{
+        crashes::fingerprint,
         deadline,
         exchange::{Exchange, ExchangeError},
+        gates::{Denied, Slot},
         pool::Reuse,
         request::set_grant,
         state::State,
@@ -12,8 +14,10 @@
         wire::Wire,
     },
     citron_core::{
+        crash::Fingerprint,
         id::Revision,
         routing::{Event, Link, Point, Send, Try},
+        table::ServerRow,
         time::Time,
     },
     citron_wire::grant::HEADER_REFUSED,
@@ -23,6 +27,7 @@
         cell::{Cell, OnceCell, RefCell},
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -82,6 +87,8 @@
     pub deadline: Time,
     /// The revision of the last route that was refused.
     pub refused: Cell<Option<Revision>>,
+    /// The server of the last try.
+    pub server: RefCell<Option<Arc<ServerRow>>>,
     /// Until when it waits for its key's owner to be certain.
     pub patient: Cell<Option<Time>>,
     /// Begin and address of the first write on a connection that was used before.
@@ -107,6 +114,33 @@
 }
 
 impl Tries {
+    /// What tells the request from others.
+    pub fn fingerprint(&self) -> Fingerprint {
+        fingerprint(&self.head, &self.source)
+    }
+
+    /// Waits for a slot of the server that owns the key now.
+    ///
+    /// # Errors
+    /// [`Denied`], at once, if the request has to come back later.
+    pub async fn admit(&self) -> Result<Option<Slot>, Denied> {
+        let first = Send {
+            no: Try(0),
+            after: Duration::ZERO,
+            limit: self.deadline - self.state.clock.now(),
+            link: Link::Any,
+            reroute: false,
+        };
+        // Without an owner there is no server to wait for; the first try tells so.
+        let Ok(Ok(target)) = timeout(first.limit, self.target(first)).await else {
+            return Ok(None);
+        };
+        let server = Arc::clone(&target.server);
+        drop(target);
+        let slot = self.state.gates.enter(&server, self.deadline).await?;
+        Ok(Some(slot))
+    }
+
     /// Runs one try to the head of an answer.
     pub async fn run(&self, send: Send) -> Ended {
         let progress = Progress::default();
@@ -127,6 +161,7 @@
         };
         let revision = target.leave.snapshot.map.revision;
         let address = target.server.address;
+        self.server.replace(Some(Arc::clone(&target.server)));
         let reuse = match send.link {
             Link::Any => Reuse::Any,
             Link::Trusted => Reuse::Fresh,
