Requests that crash servers: shown and lifted through the admin API and citronctl

Why: operators need to see what is refused on whose account, and to let it through once the servers are mended. What an instance knows comes from the traffic threads' crash log; a lift is told to them. Edits, unknown outcomes, lifts and held records are numbered events.

Not there: a lift reaches other instances only once control passes crash reports on.

--- a/crates/citronctl/src/client.rs
+++ b/crates/citronctl/src/client.rs
@@ -5,8 +5,8 @@
     bytes::Bytes,
     citron_wire::{
         admin::{
-            EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, MoveWire, OwnerWire,
-            RevisionWire, RowEditWire, RowsWire, StatusWire,
+            EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, LiftWire, MoveWire, OwnerWire,
+            RefusedWire, RevisionWire, RowEditWire, RowsWire, StatusWire,
         },
         slo::BurnWire,
     },
@@ -86,6 +86,16 @@
         self.get("/v1/burn").await
     }
 
+    /// Requests that crashed servers, as one instance knows of them.
+    pub async fn refused(&self) -> Result<RefusedWire, CtlError> {
+        self.get("/v1/refused").await
+    }
+
+    /// Lets requests through that crashed servers.
+    pub async fn lift(&self, fingerprint: String) -> Result<LiftWire, CtlError> {
+        self.post("/v1/lifts", &LiftWire { fingerprint }).await
+    }
+
     /// Commits an edit.
     pub async fn edit(&self, rows: Vec<RowEditWire>) -> Result<u64, CtlError> {
         let accepted: RevisionWire = self.post("/v1/edits", &EditWire { rows }).await?;
--- a/crates/citronctl/src/commands/look.rs
+++ b/crates/citronctl/src/commands/look.rs
@@ -106,6 +106,32 @@
     }
 }
 
+/// `refused [--lift FINGERPRINT]`
+pub async fn refused(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
+    let lift: Option<String> = args.opt_value_from_str("--lift")?;
+    finish(args)?;
+    if let Some(fingerprint) = lift {
+        let lifted = client.lift(fingerprint).await?;
+        println!("{} is let through again", lifted.fingerprint);
+        return Ok(());
+    }
+    let refused = client.refused().await?;
+    let heads = ["fingerprint", "crashes", "refused s", "request"].map(str::to_string);
+    let lines = refused.requests.iter().map(|request| {
+        let seconds = request
+            .refused_ms
+            .map(|millis| (millis / 1_000).to_string());
+        vec![
+            request.fingerprint.clone(),
+            request.crashes.to_string(),
+            seconds.unwrap_or_else(|| "-".to_string()),
+            request.label.clone(),
+        ]
+    });
+    print!("{}", grid::layout(&heads, &lines.collect::<Vec<_>>()));
+    Ok(())
+}
+
 /// `report [--format text|json|html]`
 pub async fn report(mut args: Arguments, client: &Client) -> Result<(), CtlError> {
     let format: Option<String> = args.opt_value_from_str("--format")?;
--- a/crates/citronctl/src/commands/mod.rs
+++ b/crates/citronctl/src/commands/mod.rs
@@ -31,6 +31,7 @@
         Command::Status => look::status(args, client).await,
         Command::Owner => look::owner(args, client).await,
         Command::History => look::history(args, client).await,
+        Command::Refused => look::refused(args, client).await,
         Command::Report => look::report(args, client).await,
         Command::Help => Ok(()),
     }
--- a/crates/citronctl/src/help.rs
+++ b/crates/citronctl/src/help.rs
@@ -15,6 +15,7 @@
   status                instances, failure domains and revisions in force
   owner SERVICE KEY     who owns a key, and why
   history               accepted edits
+  refused               requests refused because they crash backend servers
   report                service-level burn, imbalance, churn, unavailable time
 'citronctl COMMAND --help' tells more.
 
@@ -92,6 +93,13 @@
   Accepted edits, oldest first: revision, time, who, and what changed.
 ";
 
+const REFUSED: &str = "\
+citronctl refused [--lift FINGERPRINT]
+  Requests that crashed backend servers, as the instance that is asked knows of
+  them: crashes, and for how many seconds more such requests are refused. --lift
+  lets them through until they crash servers again.
+";
+
 const REPORT: &str = "\
 citronctl report [--format text|json|html]
   Burn of each service's objectives over 5 min, 1 h, 30 min and 6 h: 1 spends a
@@ -115,6 +123,7 @@
         Command::Status => STATUS,
         Command::Owner => OWNER,
         Command::History => HISTORY,
+        Command::Refused => REFUSED,
         Command::Report => REPORT,
     }
 }
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -55,6 +55,7 @@
         "status",
         "owner",
         "history",
+        "refused",
         "report",
     ];
     let mut text = String::new();
@@ -185,3 +186,18 @@
     assert_eq!(ran.code, 4, "{ran:?}");
     assert!(ran.err.contains("outcome unknown"), "{ran:?}");
 }
+
+#[test]
+fn refused_requests_are_shown_and_lifted() {
+    let shell = Shell::start();
+    let before = ok(shell.run("refused"));
+    let first = before
+        .lines()
+        .find(|line| line.contains("/sets/666"))
+        .unwrap();
+    let print = first.split_whitespace().next().unwrap();
+    let lifted = ok(shell.run(&format!("refused --lift {print}")));
+    let after = ok(shell.run("refused"));
+    insta::assert_snapshot!(format!("{before}\n{lifted}\n{after}"));
+    assert_eq!(shell.run("refused --lift nonsense").code, 1);
+}
--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -2,7 +2,12 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use {
-    citron_core::{id::Revision, table::Table},
+    citron_core::{
+        crash::{CrashConfig, CrashEntry, CrashLog, Fingerprint},
+        id::Revision,
+        table::Table,
+        time::Time,
+    },
     citron_platform::{LaneStore, Memory, PlatformError, TableStore},
     citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     std::{
@@ -85,6 +90,7 @@
     let control = View {
         store: Rc::new(LaneStore::new(memory, "control".to_string())),
         table: Rc::default(),
+        crashes: Rc::new(RefCell::new(crashes())),
     };
     spawn_local(follow(control.clone()));
     let admin = Admin {
@@ -97,6 +103,19 @@
     serve(server, Rc::new(admin)).await;
 }
 
+/// A request that is refused, and one that may yet be.
+fn crashes() -> CrashLog {
+    let mut log = CrashLog::new(CrashConfig::STANDARD);
+    for (path, servers) in [("/sets/666", 3), ("/sets/7", 1)] {
+        let print = Fingerprint::of(&[b"GET", path.as_bytes()]);
+        for server in 0..servers {
+            let server = format!("catalogue-{server}").parse().unwrap();
+            log.crashed(print, &format!("GET {path}"), &server, Time::ZERO);
+        }
+    }
+    log
+}
+
 async fn follow(view: View) {
     loop {
         view.refresh().await.unwrap();
@@ -109,6 +128,7 @@
 struct View {
     store: Rc<LaneStore<Memory>>,
     table: Rc<RefCell<Table>>,
+    crashes: Rc<RefCell<CrashLog>>,
 }
 
 impl ControlView for View {
@@ -127,5 +147,13 @@
         Ok(())
     }
 
+    async fn crashes(&self) -> Vec<CrashEntry> {
+        self.crashes.borrow().entries(Time::ZERO)
+    }
+
+    fn lift(&self, print: Fingerprint) {
+        self.crashes.borrow_mut().lift(print, Time::ZERO);
+    }
+
     fn accepted(&self) {}
 }
--- a/crates/citronproxy/src/admin/editor.rs
+++ b/crates/citronproxy/src/admin/editor.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Admin, AdminError, ControlView},
+    crate::events,
     citron_core::{
         id::{Revision, ServerName, ServiceName},
         ownership::{Scope, begin_move},
@@ -27,10 +28,7 @@
             let plan = self.control.table(|table| edit.clone().plan(table))?;
             let committed = self.store.commit_checked(plan.commit, &plan.checks).await;
             match committed.map_err(AdminError::unsettled)? {
-                CommitAnswer::Done(revision) => {
-                    self.control.accepted();
-                    return Ok(revision);
-                }
+                CommitAnswer::Done(revision) => return Ok(self.accept(revision, &edit.by)),
                 CommitAnswer::Lost { key, current } if names(&edit, &key) => {
                     return Err(AdminError::Lost { key, current });
                 }
@@ -62,12 +60,17 @@
             let (commit, checks) = planned?;
             let committed = self.store.commit_checked(commit, &checks).await;
             if let CommitAnswer::Done(revision) = committed.map_err(AdminError::unsettled)? {
-                self.control.accepted();
-                return Ok(revision);
+                return Ok(self.accept(revision, &moving.by));
             }
         }
         Err(AdminError::Busy)
     }
+
+    fn accept(&self, revision: Revision, by: &str) -> Revision {
+        log::info!("{} {revision} by {by}", events::EDIT_ACCEPTED);
+        self.control.accepted();
+        revision
+    }
 }
 
 /// The commit of a move. It rests on the row of the new owner: an operator who
--- a/crates/citronproxy/src/admin/error.rs
+++ b/crates/citronproxy/src/admin/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the admin API, each with its status and word.
 
 use {
+    crate::events,
     citron_core::{
         ownership::MoveError,
         table::{Row, RowKey, TableError, Versioned},
@@ -68,6 +69,7 @@
 
     /// A commit that failed: whatever the reason, its effect is open.
     pub(super) fn unsettled(error: PlatformError) -> Self {
+        log::warn!("{} {error}", events::EDIT_UNKNOWN);
         Self::Unknown(error.to_string())
     }
 
--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -6,7 +6,7 @@
         answer::{Answer, json, tagged},
         editor::{Moving, wall_clock},
     },
-    crate::slo::gather,
+    crate::{events, slo::gather},
     citron_core::{
         id::{KeyHash, ParseIdError, Revision, ShardId},
         ownership::Scope,
@@ -14,7 +14,7 @@
     },
     citron_platform::{ObjectStore, TableStore},
     citron_wire::{
-        admin::{EditWire, HEADER_OPERATOR, MoveWire, RevisionWire},
+        admin::{EditWire, HEADER_OPERATOR, LiftWire, MoveWire, RefusedWire, RevisionWire},
         row::{RowWire, parse_row_key},
     },
     http::{HeaderMap, Method, StatusCode, header, request::Parts},
@@ -28,6 +28,8 @@
     "/v1/edits",
     "/v1/moves",
     "/v1/burn",
+    "/v1/refused",
+    "/v1/lifts",
     "/v1/status",
     "/v1/history",
     "/v1/owner",
@@ -56,6 +58,11 @@
                 self.take(&head.headers, rows).await
             }
             (&Method::POST, "/v1/moves") => self.move_call(&head.headers, read(body)?).await,
+            (&Method::GET, "/v1/refused") => {
+                let entries = self.control.crashes().await;
+                Ok(json(StatusCode::OK, &RefusedWire::from(entries.as_slice())))
+            }
+            (&Method::POST, "/v1/lifts") => self.lift_call(&head.headers, &read(body)?),
             (&Method::GET, "/v1/burn") => {
                 let burn = gather(&self.store).await.map_err(AdminError::unread)?;
                 Ok(json(StatusCode::OK, &burn))
@@ -116,6 +123,14 @@
         Ok(tagged(revision, &RevisionWire { revision }))
     }
 
+    fn lift_call(&self, headers: &HeaderMap, wire: &LiftWire) -> Result<Answer, AdminError> {
+        let by = operator(headers)?;
+        let print = wire.fingerprint.parse().map_err(bad_id)?;
+        self.control.lift(print);
+        log::info!("{} {print} by {by}", events::CRASH_LIFTED);
+        Ok(json(StatusCode::OK, wire))
+    }
+
     async fn take(&self, headers: &HeaderMap, rows: Vec<RowEdit>) -> Result<Answer, AdminError> {
         let by = text(headers, HEADER_OPERATOR);
         let by =
--- a/crates/citronproxy/src/admin/state.rs
+++ b/crates/citronproxy/src/admin/state.rs
@@ -3,6 +3,7 @@
 use {
     super::AdminError,
     citron_core::{
+        crash::{CrashEntry, Fingerprint},
         id::{DomainName, InstanceId, Revision},
         table::Table,
     },
@@ -24,6 +25,12 @@
     /// If the platform gives no answer; the older rows stay.
     fn refresh(&self) -> impl Future<Output = Result<(), PlatformError>>;
 
+    /// Requests that crashed servers.
+    fn crashes(&self) -> impl Future<Output = Vec<CrashEntry>>;
+
+    /// Lets requests through that crashed servers.
+    fn lift(&self, print: Fingerprint);
+
     /// Told after an edit was accepted, so that it need not wait for the next
     /// read to be in force.
     fn accepted(&self);
--- a/crates/citronproxy/src/control/view.rs
+++ b/crates/citronproxy/src/control/view.rs
@@ -2,8 +2,12 @@
 
 use {
     super::Node,
-    crate::admin::ControlView,
-    citron_core::{id::Revision, table::Table},
+    crate::{admin::ControlView, traffic::CrashNote},
+    citron_core::{
+        crash::{CrashEntry, Fingerprint},
+        id::Revision,
+        table::Table,
+    },
     citron_platform::{PlatformError, TableStore},
     tokio::task::spawn_local,
 };
@@ -23,6 +27,14 @@
         Self::refresh(self).await
     }
 
+    async fn crashes(&self) -> Vec<CrashEntry> {
+        self.handle().crash_entries().await
+    }
+
+    fn lift(&self, print: Fingerprint) {
+        self.handle().note_crash(&CrashNote::Lift(print));
+    }
+
     /// Reads the edit back, then tells the other instances. The operator's answer
     /// does not wait for it: the edit is accepted whatever becomes of this.
     fn accepted(&self) {
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -73,4 +73,14 @@
     MOVE_DONE = 132, "move-done";
     /// A traffic thread could not accept a connection.
     ACCEPT_FAILED = 200, "accept-failed";
+    /// An operator's edit or move was accepted.
+    EDIT_ACCEPTED = 300, "edit-accepted";
+    /// What became of an operator's edit or move is not known.
+    EDIT_UNKNOWN = 301, "edit-unknown";
+    /// An operator lets requests through that crashed servers.
+    CRASH_LIFTED = 310, "crash-lifted";
+    /// Counts for service-level objectives could not be written.
+    RECORDS_HELD = 320, "records-held";
+    /// They can be written again.
+    RECORDS_WRITTEN = 321, "records-written";
 }
--- a/crates/citronproxy/src/slo/recorder.rs
+++ b/crates/citronproxy/src/slo/recorder.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Page, wall_clock},
-    crate::{clock::Clock, traffic::TrafficHandle},
+    crate::{clock::Clock, events, traffic::TrafficHandle},
     citron_core::{
         id::{DomainName, InstanceId, ServiceName},
         routing::RouteMap,
@@ -31,6 +31,8 @@
     map: Arc<RouteMap>,
     reach: Reach,
     sampled: Option<Time>,
+    /// Whether the last write worked.
+    written: bool,
     pages: Vec<Page>,
 }
 
@@ -44,6 +46,7 @@
             map: Arc::default(),
             reach: Reach::default(),
             sampled: None,
+            written: true,
             pages: Vec::new(),
         }
     }
@@ -59,13 +62,23 @@
                 continue;
             }
             // After a failure it is tried again with the next sample.
-            match self.flush(&store).await {
-                Ok(()) => samples = 0,
-                Err(error) => log::debug!("records not written: {error}"),
+            let flushed = self.flush(&store).await;
+            if flushed.is_ok() {
+                samples = 0;
             }
+            self.note(flushed);
         }
     }
 
+    fn note(&mut self, flushed: Result<(), PlatformError>) {
+        match (&flushed, self.written) {
+            (Ok(()), false) => log::info!("{}", events::RECORDS_WRITTEN),
+            (Err(error), true) => log::warn!("{} {error}", events::RECORDS_HELD),
+            _ => {}
+        }
+        self.written = flushed.is_ok();
+    }
+
     /// Adds what happened since the last sample to a minute.
     pub async fn sample(&mut self, now: Time, minute: Minute) {
         let mut tallies = self.handle.tallies().await;
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -4,7 +4,11 @@
 
 use {
     bytes::Bytes,
-    citron_core::{id::Revision, table::Table},
+    citron_core::{
+        crash::{CrashEntry, Fingerprint},
+        id::Revision,
+        table::Table,
+    },
     citron_fakes::platform::PlatformServer,
     citron_platform::{LaneStore, Memory, PlatformError},
     citronproxy::admin::{Admin, AdminServer, ControlView, serve},
@@ -32,6 +36,12 @@
         Ok(())
     }
 
+    async fn crashes(&self) -> Vec<CrashEntry> {
+        Vec::new()
+    }
+
+    fn lift(&self, _: Fingerprint) {}
+
     fn accepted(&self) {}
 }
 
@@ -238,3 +248,15 @@
     assert_eq!(change["key"], "block/kegs/0");
     assert_eq!(change["after"]["shards"][2]["to"], "server-1");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_refused_at_first_and_a_lift_names_a_fingerprint() {
+    let (_platform, _instance, ann) = start().await;
+    let (status, body) = ann.get("/v1/refused").await.unwrap();
+    assert_eq!((status, body), (200, json!({ "requests": [] })));
+    for (print, wanted) in [("00aa11bb22cc33dd", 200), ("nonsense", 400)] {
+        let lift = json!({ "fingerprint": print });
+        let called = ann.send(Method::POST, "/v1/lifts", &[], Some(&lift)).await;
+        assert_eq!(called.unwrap().0, wanted, "{print}");
+    }
+}
