--- a/crates/citronproxy/src/lifecycle/run.rs
+++ b/crates/citronproxy/src/lifecycle/run.rs
@@ -16,11 +16,12 @@
 pub const LEAVE_TIME: Duration = Duration::from_secs(1);
 
 /// Waits for SIGTERM or SIGINT, then for the end of all requests under way,
-/// however long they take. Whatever requests need must go on meanwhile.
+/// however long they take. Whatever requests need must go on meanwhile;
+/// `on_leave` is called when the signal comes.
 ///
 /// # Errors
 /// If the signals cannot be caught.
-pub async fn run(handle: TrafficHandle) -> io::Result<()> {
+pub async fn run(handle: TrafficHandle, on_leave: impl FnOnce()) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut machine = Lifecycle::new(handle.clone()).state_machine();
@@ -29,6 +30,7 @@
         _ = interrupt.recv() => {}
     }
     machine.handle(&Change::Asked);
+    on_leave();
     sleep(LEAVE_TIME).await;
     machine.handle(&Change::Noticed);
     handle.drained().await;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -167,8 +167,9 @@
         token: settings.token,
     };
     spawn_local(admin::serve(server, Rc::new(admin)));
+    let node = control.node().clone();
     tokio::select! {
-        left = lifecycle::run(handle) => left?,
+        left = lifecycle::run(handle, move || node.leave()) => left?,
         error = control.failed() => return Err(error.into()),
     }
     control.close().await;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -115,13 +115,10 @@
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
-        let Some(_room) = Room::enter(&self.state, &row.operator) else {
-            let reason = "too many requests of this operator are in progress";
-            let answer = unavailable(reason);
-            self.count(row, &answer, Duration::ZERO);
-            return Err(Box::new(answer));
+        let answer = match Room::enter(&self.state, &row.operator) {
+            Some(_room) => Call::new(&tries, &row.name, idempotent).run().await,
+            None => unavailable("too many requests of this operator are in progress"),
         };
-        let answer = Call::new(&tries, &row.name, idempotent).run().await;
         self.count(row, &answer, self.state.clock.now() - now);
         Ok(answer)
     }
