--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -1,9 +1,10 @@
 //! What control asks of a traffic thread.
 
 use {
-    super::{gates::Parts, load::LoadSample, state::State},
+    super::{crashes::CrashNote, gates::Parts, load::LoadSample, state::State},
     citron_core::{
         admission::Demand,
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName, ServiceName},
         slo::Tally,
     },
@@ -24,6 +25,11 @@
         /// Takes the answer.
         reply: oneshot::Sender<bool>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Rates of requests by server since the last time it was asked for.
     Demand {
         /// Takes the answer.
@@ -36,10 +42,17 @@
         /// Told when they are in force.
         reply: oneshot::Sender<()>,
     },
-    /// Counts for service-level objectives since the last time they were asked for.
-    Burn {
+    /// Notes a crash, an answer or what another instance or an operator says.
+    Crash(CrashNote),
+    /// What this instance knows of crashes, for the others.
+    CrashReport {
         /// Takes the answer.
-        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+        reply: oneshot::Sender<CrashReport>,
+    },
+    /// The requests that crashed servers, for operators.
+    CrashEntries {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<CrashEntry>>,
     },
     /// Load since the last time it was asked for.
     Load {
@@ -59,12 +72,15 @@
                 below,
                 reply,
             } => drop(reply.send(flights.quiet(&server, below))),
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Demand { reply } => drop(reply.send(state.gates.demand())),
             Ask::Parts { parts, reply } => {
                 state.gates.set_parts(parts);
                 let _ = reply.send(());
             }
-            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
+            Ask::Crash(note) => state.crashes.note(note),
+            Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
+            Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod burn;
 mod call;
+mod crashes;
 mod deadline;
 mod exchange;
 mod flights;
@@ -25,6 +26,7 @@
 mod worker;
 
 pub use {
+    crashes::CrashNote,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
     limits::Limits,
