Model check of moves, leave and grants over the production transition functions

A lease renewed by an up-to-date instance revives a queued request unless the same order carries the revocation; hence Granter's deltas.

--- a/crates/core/src/membership/relays.rs
+++ b/crates/core/src/membership/relays.rs
@@ -79,6 +79,6 @@
     /// Whether nobody routes on leave from here under a revision before this.
     pub fn settled(&self, revision: Revision, now: Time) -> bool {
         let mut given = self.unlisted.values();
-        !given.any(|given| given.revision < revision && now < given.until)
+        !given.any(|given| R::holds_back(given.revision, revision, given.until, now))
     }
 }
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -18,7 +18,7 @@
 /// only go once it can route no more: it has stopped by itself, or it was
 /// marked as expelled and its leave has run out since. An expelled start that
 /// sees its row stops at once.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Roster<R: Rules = Strict> {
     spans: Spans,
     /// When each expulsion was first seen in the table.
--- a/crates/core/src/ownership/grant.rs
+++ b/crates/core/src/ownership/grant.rs
@@ -12,7 +12,7 @@
 pub struct Boot(pub u64);
 
 /// Whether a grant gives or takes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum GrantKind {
     /// The server owns the scope under this epoch.
     Own,
@@ -22,7 +22,7 @@
 
 /// One order to a backend server. It keeps the highest epoch it has seen of a
 /// scope, and refuses a grant below that.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Grant {
     /// The service.
     pub service: ServiceName,
@@ -38,7 +38,7 @@
 ///
 /// The end is a reading of the server's own clock, worked out from one that the
 /// server sent before: however long the order is under way, it ends no later.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Lease {
     /// The start of the server that the clock reading belongs to.
     pub boot: Boot,
--- a/crates/core/src/ownership/granter.rs
+++ b/crates/core/src/ownership/granter.rs
@@ -14,7 +14,7 @@
 };
 
 /// One order: the grants are taken before the lease, both in one step.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Order {
     /// The start of the server that it is meant for; `None` only asks for the
     /// server's clock.
@@ -120,17 +120,25 @@
         };
         Order {
             boot: Some(reading.boot),
-            grants: grants(table, server, reading.synced),
+            grants: self.due(table, server, reading.synced),
             lease: self.lease(&reading, leave),
             revision: table.revision(),
         }
     }
 
+    fn due(&self, table: &Table, server: &ServerRow, synced: Option<Revision>) -> Vec<Grant> {
+        let due = synced.is_none() || R::brings_up();
+        match due {
+            true => grants(table, server, synced),
+            false => Vec::new(),
+        }
+    }
+
     /// A lease that ends before the giver's own leave does, on any clock: the
     /// server's reading was taken before it was heard, and the span is cut by
     /// what the two clocks may run apart.
     fn lease(&self, reading: &Reading, leave: Time) -> Option<Lease> {
-        let span = R::cut((leave - reading.heard).min(self.spans.lease));
+        let span = R::cut(R::lease(leave - reading.heard, self.spans.lease));
         let until = reading.clock + span;
         let boot = reading.boot;
         (!span.is_zero()).then_some(Lease { boot, until })
--- a/crates/core/src/ownership/mover.rs
+++ b/crates/core/src/ownership/mover.rs
@@ -10,7 +10,7 @@
     },
     crate::{
         id::{Epoch, ServerName, ServiceName},
-        table::{Commit, Fencing, Row, RowKey, Table, Versioned},
+        table::{Commit, Row, RowKey, Table, Versioned},
         time::Time,
     },
     std::{marker::PhantomData, time::Duration},
@@ -22,7 +22,6 @@
     owner: ServerName,
     to: ServerName,
     epoch: Epoch,
-    fenced: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -71,8 +70,6 @@
             return None;
         };
         let row = server_row(table, &found.value.owner);
-        let fenced = row.is_some_and(|row| row.fencing == Fencing::Checked);
-        let domain = row.map(|row| row.domain.clone());
         let mut mover = Self {
             service: service.clone(),
             scope,
@@ -80,9 +77,8 @@
                 owner: found.value.owner,
                 to,
                 epoch: found.value.epoch,
-                fenced,
             },
-            waits: Waits::new::<R>(found.version, now, domain, limits(table, service, spans)),
+            waits: Waits::new::<R>(found.version, now, row, limits(table, service, spans)),
             stage: Stage::Waiting,
             rules: PhantomData,
         };
@@ -118,7 +114,7 @@
             MoveEvent::Tick => {}
             MoveEvent::Acked(ack) => self.waits.ack::<R>(&ack, now),
             MoveEvent::Revoked { epoch } => {
-                let counts = self.release.fenced && epoch >= self.release.epoch;
+                let counts = self.waits.fenced && epoch >= self.release.epoch;
                 self.waits.revoked |= counts;
             }
             MoveEvent::OwnerGone => self.waits.gone = true,
@@ -148,7 +144,7 @@
 
     /// Whether the old owner surely runs nothing more of the scope.
     fn is_free(&self, now: Time) -> bool {
-        self.waits.is_over::<R>(self.release.fenced, now)
+        self.waits.is_over::<R>(now)
     }
 
     fn commit(&mut self, table: &Table, found: &Versioned<Assignment>) -> Vec<MoveAction> {
@@ -187,7 +183,7 @@
     /// The orders to the old owner, if it checks epochs. The driver sends them
     /// again until they are accepted or the move is done.
     pub fn revoke(&self, table: &Table) -> Vec<MoveAction> {
-        if !self.release.fenced {
+        if !self.waits.fenced {
             return Vec::new();
         }
         let mut grants = vec![self.order(self.scope, self.release.epoch, GrantKind::Revoke)];
@@ -228,7 +224,7 @@
     /// When time alone may next bring the move on; `None` if it cannot.
     pub fn wakes_at(&self) -> Option<Time> {
         let waiting = self.stage == Stage::Waiting;
-        waiting.then(|| self.waits.end::<R>(self.release.fenced))
+        waiting.then(|| self.waits.end::<R>())
     }
 
     /// The listed instances that have not acknowledged.
--- a/crates/core/src/ownership/rules.rs
+++ b/crates/core/src/ownership/rules.rs
@@ -6,7 +6,7 @@
         id::{Epoch, Incarnation, Revision},
         time::Time,
     },
-    std::{fmt, time::Duration},
+    std::{fmt, hash::Hash, time::Duration},
 };
 
 /// Clocks may run apart by one part in this many while a wait lasts.
@@ -14,7 +14,7 @@
 
 /// The decisions that ownership rests on. The processes use [`Strict`]; the
 /// model check replaces one method at a time to show that it is needed.
-pub trait Rules: fmt::Debug + Clone + Eq {
+pub trait Rules: fmt::Debug + Clone + Eq + Hash {
     /// The epoch of a release. Raised, so that a request or a grant from before
     /// it can be told from one after the move.
     fn release_epoch(epoch: Epoch) -> Epoch {
@@ -78,6 +78,24 @@
         age
     }
 
+    /// Whether leave that was passed on to an unlisted start under an older
+    /// revision holds back an acknowledgement of `asked`.
+    fn holds_back(given: Revision, asked: Revision, until: Time, now: Time) -> bool {
+        given < asked && now < until
+    }
+
+    /// How long a lease may be, of what is left of the giver's leave. A longer
+    /// one would outlast the mover's wait for the giver.
+    fn lease(left: Duration, full: Duration) -> Duration {
+        left.min(full)
+    }
+
+    /// Whether every order with a lease brings the server up to date, and not
+    /// the first one only.
+    fn brings_up() -> bool {
+        true
+    }
+
     /// How long an expelled instance's row stays in the table.
     fn expulsion(longest: Duration) -> Duration {
         Self::wait(longest)
--- a/crates/core/src/ownership/waits.rs
+++ b/crates/core/src/ownership/waits.rs
@@ -4,7 +4,7 @@
     super::{Ack, Member, Rules, Spans},
     crate::{
         id::{DomainName, Revision},
-        table::{DomainState, Row, RowKey, Table},
+        table::{DomainState, Fencing, Row, RowKey, ServerRow, Table},
         time::Time,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -25,7 +25,8 @@
 struct Wait {
     /// When its leave to route under the old revision has surely run out.
     lapse: Time,
-    /// When its acknowledgement was heard.
+    /// When its acknowledgement was heard; for an owner that does not check
+    /// epochs it does not matter when, and it is the begin of the wait.
     acked: Option<Time>,
 }
 
@@ -39,7 +40,9 @@
 pub(super) struct Waits {
     /// The release: revisions from this one on show it.
     pub since: Revision,
-    /// The old owner checks epochs and runs nothing of the scope any more.
+    /// Whether the old owner checks epochs.
+    pub fenced: bool,
+    /// The old owner has accepted the revocation.
     pub revoked: bool,
     /// The old owner's process is surely gone.
     pub gone: bool,
@@ -52,12 +55,12 @@
 }
 
 impl Waits {
-    /// Waits from when the release was seen; `domain` is the old owner's, if
-    /// it is known.
+    /// Waits from when the release was seen; `owner` is the old owner's row, if
+    /// the table still has it.
     pub fn new<R: Rules>(
         since: Revision,
         seen: Time,
-        domain: Option<DomainName>,
+        owner: Option<&ServerRow>,
         limits: Limits,
     ) -> Self {
         Self {
@@ -65,7 +68,8 @@
             revoked: false,
             gone: false,
             seen,
-            domain,
+            fenced: owner.is_some_and(|row| row.fencing == Fencing::Checked),
+            domain: owner.map(|row| row.domain.clone()),
             limits,
             members: BTreeMap::new(),
             quiet: seen + R::wait(limits.spans.lease),
@@ -93,7 +97,8 @@
             let wait = self.members.remove(&member).unwrap_or(new);
             listed.insert(member, wait);
         }
-        if self.members.values().any(|wait| wait.acked.is_none()) {
+        let went = self.members.values().any(|wait| wait.acked.is_none());
+        if self.fenced && went {
             self.quiet = now + R::wait(self.limits.spans.lease);
         }
         self.members = listed;
@@ -112,10 +117,11 @@
 
     /// Counts an acknowledgement of a listed start of an instance.
     pub fn ack<R: Rules>(&mut self, ack: &Ack, now: Time) {
+        let at = if self.fenced { now } else { self.seen };
         for (member, wait) in &mut self.members {
             let same = member.instance == ack.instance;
             if same && R::acked(ack, member.incarnation, self.since) {
-                wait.acked.get_or_insert(now);
+                wait.acked.get_or_insert(at);
             }
         }
     }
@@ -127,18 +133,18 @@
     }
 
     /// Whether the old owner surely runs nothing more of the scope.
-    pub fn is_over<R: Rules>(&self, fenced: bool, now: Time) -> bool {
-        let stopped = fenced && (self.revoked || self.gone);
-        stopped || now >= self.end::<R>(fenced)
+    pub fn is_over<R: Rules>(&self, now: Time) -> bool {
+        let stopped = self.fenced && (self.revoked || self.gone);
+        stopped || now >= self.end::<R>()
     }
 
     /// When time alone ends the wait, given what was heard so far.
-    pub fn end<R: Rules>(&self, fenced: bool) -> Time {
-        let ends = self.members.values().map(|wait| match fenced {
+    pub fn end<R: Rules>(&self) -> Time {
+        let ends = self.members.values().map(|wait| match self.fenced {
             true => self.end_fenced::<R>(wait),
             false => self.end_unfenced::<R>(wait),
         });
-        let floor = if fenced { self.quiet } else { self.seen };
+        let floor = if self.fenced { self.quiet } else { self.seen };
         ends.max().unwrap_or(floor).max(floor)
     }
 
--- /dev/null
+++ b/crates/core/tests/model/main.rs
@@ -0,0 +1,14 @@
+//! A model of the processes around the ownership protocol. Every decision in it
+//! is the production code's; the model adds the platform, the servers' check of
+//! grants, messages that are late or lost, and time in ticks.
+
+mod check;
+mod checks;
+mod events;
+mod mutants;
+mod mutations;
+mod parties;
+mod servers;
+mod setup;
+mod state;
+mod world;
--- /dev/null
+++ b/crates/core/tests/model/world.rs
@@ -0,0 +1,202 @@
+//! Tables and commits, kept once and named by number in the states.
+
+use {
+    super::setup::{GRACE, Setup},
+    citron_core::{
+        id::{Epoch, Incarnation, Revision, ShardBits, ShardId},
+        ownership::{Assignment, Scope},
+        table::{
+            BlockId, BlockRow, Changes, Commit, DomainRow, DomainState, Fencing, InstanceRow,
+            InstanceState, KeyRule, MoveBudget, Objectives, Row, ServerRow, ServerState,
+            ServiceRow, Table, Write,
+        },
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// The scope that moves.
+pub const SCOPE: Scope = Scope::Shard(ShardId(0));
+/// The servers by number, the first owner first.
+pub const SERVERS: [&str; 2] = ["server-a", "server-b"];
+/// The instances by number.
+pub const INSTANCES: [&str; 2] = ["instance-0", "instance-1"];
+/// A version that the model's platform takes for "whatever is there".
+pub const ANY: Revision = Revision(u64::MAX);
+
+/// Number of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TableId(pub usize);
+
+/// Number of a commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct WriteId(pub usize);
+
+/// All tables and commits met so far.
+#[derive(Debug, Default)]
+pub struct World {
+    tables: Vec<Table>,
+    commits: Vec<Commit>,
+    known: HashMap<String, usize>,
+    after: HashMap<(TableId, WriteId), Option<TableId>>,
+}
+
+impl World {
+    /// A world with the first table as number 0.
+    pub fn new(setup: &Setup) -> Self {
+        let mut world = Self::default();
+        let rows = first_rows(setup).into_iter();
+        let rows = rows.map(|row| (row.key(), Revision(1), Some(row)));
+        let changes = Changes {
+            since: Revision(0),
+            revision: Revision(1),
+            rows: rows.collect(),
+        };
+        let mut table = Table::default();
+        table.apply(changes).unwrap();
+        world.keep_table(table);
+        world
+    }
+
+    /// A table by its number.
+    pub fn table(&self, id: TableId) -> &Table {
+        &self.tables[id.0]
+    }
+
+    /// Names a commit.
+    pub fn keep(&mut self, commit: Commit) -> WriteId {
+        let text = format!("{commit:?}");
+        if let Some(&id) = self.known.get(&text) {
+            return WriteId(id);
+        }
+        self.commits.push(commit);
+        self.known.insert(text, self.commits.len() - 1);
+        WriteId(self.commits.len() - 1)
+    }
+
+    fn keep_table(&mut self, table: Table) -> TableId {
+        let text = format!("{table:?}");
+        if let Some(&id) = self.known.get(&text) {
+            return TableId(id);
+        }
+        self.tables.push(table);
+        self.known.insert(text, self.tables.len() - 1);
+        TableId(self.tables.len() - 1)
+    }
+
+    /// The table after a commit; `None` if a version does not match.
+    pub fn commit(&mut self, at: TableId, write: WriteId) -> Option<TableId> {
+        if let Some(&after) = self.after.get(&(at, write)) {
+            return after;
+        }
+        let after = self.apply(at, write);
+        self.after.insert((at, write), after);
+        after
+    }
+
+    fn apply(&mut self, at: TableId, write: WriteId) -> Option<TableId> {
+        let table = &self.tables[at.0];
+        let commit = &self.commits[write.0];
+        let fits = |w: &Write| {
+            let found = table.get(&w.key).map(|found| found.version);
+            w.expect == ANY || w.expect == found.unwrap_or(Revision(0))
+        };
+        if !commit.writes.iter().all(fits) {
+            return None;
+        }
+        let revision = Revision(table.revision().0 + 1);
+        let rows = commit.writes.iter();
+        let rows = rows.map(|w| (w.key.clone(), revision, w.row.clone()));
+        let changes = Changes {
+            since: table.revision(),
+            revision,
+            rows: rows.collect(),
+        };
+        let mut next = table.clone();
+        next.apply(changes).unwrap();
+        Some(self.keep_table(next))
+    }
+}
+
+/// The row of one start of an instance.
+fn instance_row(setup: &Setup, number: usize, incarnation: u64) -> InstanceRow {
+    let far = number == 1 && !setup.near;
+    let address = "127.0.0.1:1".parse().unwrap();
+    InstanceRow {
+        id: INSTANCES[number].parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        domain: domain(far),
+        traffic: address,
+        peer: address,
+        admin: address,
+        state: InstanceState::Live,
+        revision: Revision(0),
+    }
+}
+
+fn domain(far: bool) -> citron_core::id::DomainName {
+    let name = if far { "domain-2" } else { "domain-1" };
+    name.parse().unwrap()
+}
+
+fn first_rows(setup: &Setup) -> Vec<Row> {
+    let block = BlockRow {
+        service: "balances".parse().unwrap(),
+        block: BlockId(0),
+        shards: vec![Assignment::owned(SERVERS[0].parse().unwrap(), Epoch(1))],
+    };
+    let mut rows = vec![Row::Service(service(setup)), Row::Block(block)];
+    for far in [false, true] {
+        rows.push(Row::Server(server(setup, far)));
+        rows.push(Row::Domain(DomainRow {
+            name: domain(far),
+            state: DomainState::Live,
+            confirmers: Vec::new(),
+        }));
+    }
+    for number in 0..setup.instances {
+        rows.push(Row::Instance(instance_row(setup, number, 1)));
+    }
+    rows
+}
+
+fn server(setup: &Setup, far: bool) -> ServerRow {
+    ServerRow {
+        name: SERVERS[usize::from(far)].parse().unwrap(),
+        service: "balances".parse().unwrap(),
+        domain: domain(far),
+        address: "127.0.0.1:1".parse().unwrap(),
+        weight: "1".parse().unwrap(),
+        cap: None,
+        slots: "4".parse().unwrap(),
+        connections: 4,
+        // The second owner runs whatever it is given, which is the worst.
+        fencing: match setup.fenced && !far {
+            true => Fencing::Checked,
+            false => Fencing::Unchecked,
+        },
+        state: ServerState::Active,
+    }
+}
+
+fn service(setup: &Setup) -> ServiceRow {
+    ServiceRow {
+        name: "balances".parse().unwrap(),
+        operator: "authority".parse().unwrap(),
+        hosts: Vec::new(),
+        prefix: "/".to_string(),
+        key: KeyRule::Segment(0),
+        idempotent: Vec::new(),
+        shards: ShardBits::new(0).unwrap(),
+        deadline: Duration::from_secs(setup.deadline.into()),
+        grace: GRACE,
+        moves: MoveBudget {
+            minute: 1,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1,
+            latency: Duration::from_millis(1),
+            slower: 1,
+        },
+    }
+}
