--- /dev/null
+++ b/crates/core/tests/ownership_rows.rs
@@ -0,0 +1,267 @@
+//! First commits of moves, the roster and the wait for owners, case by case.
+
+use {
+    citron_core::{
+        id::{Epoch, Incarnation, KeyHash, Revision, ShardBits, ShardId},
+        membership::{JoinError, Member, Roster},
+        ownership::{
+            Ack, Assignment, MoveAction, MoveEvent, Mover, Scope, Spans, Strict, begin_move,
+        },
+        table::*,
+        time::Time,
+    },
+    insta::assert_snapshot,
+    std::{fmt::Write as _, time::Duration},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn server(name: &str, service: &str, state: ServerState, fencing: Fencing) -> Row {
+    Row::Server(ServerRow {
+        name: name.parse().unwrap(),
+        service: service.parse().unwrap(),
+        domain: "domain-1".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        weight: "1".parse().unwrap(),
+        cap: None,
+        slots: "4".parse().unwrap(),
+        connections: 4,
+        fencing,
+        state,
+    })
+}
+
+fn instance(name: &str, domain: &str, incarnation: u64) -> InstanceRow {
+    let address = "127.0.0.1:1".parse().unwrap();
+    InstanceRow {
+        id: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        domain: domain.parse().unwrap(),
+        traffic: address,
+        peer: address,
+        admin: address,
+        state: InstanceState::Live,
+        revision: Revision(0),
+    }
+}
+
+fn service() -> Row {
+    Row::Service(ServiceRow {
+        name: "balances".parse().unwrap(),
+        operator: "authority".parse().unwrap(),
+        hosts: Vec::new(),
+        prefix: "/".to_string(),
+        key: KeyRule::Segment(0),
+        idempotent: Vec::new(),
+        shards: ShardBits::new(2).unwrap(),
+        deadline: 2 * SECOND,
+        grace: 5 * SECOND,
+        moves: MoveBudget {
+            minute: 1,
+            threshold: 110,
+        },
+        objectives: Objectives {
+            failures: 1,
+            latency: SECOND,
+            slower: 1,
+        },
+    })
+}
+
+/// Shard 0 owned by `a`, shard 1 on its way, shards 2 and 3 never owned.
+fn table(fencing: Fencing) -> Table {
+    let owned = Assignment::owned("a".parse().unwrap(), Epoch(4));
+    let moving = Assignment {
+        phase: citron_core::ownership::Phase::Releasing {
+            to: "b".parse().unwrap(),
+        },
+        ..owned.clone()
+    };
+    let rows = [
+        service(),
+        server("a", "balances", ServerState::Active, fencing),
+        server("b", "balances", ServerState::Active, fencing),
+        server("old", "balances", ServerState::Draining, fencing),
+        server("other", "pickups", ServerState::Active, fencing),
+        Row::Block(BlockRow {
+            service: "balances".parse().unwrap(),
+            block: BlockId(0),
+            shards: vec![owned, moving],
+        }),
+        Row::Instance(instance("near", "domain-1", 1)),
+        Row::Instance(instance("far", "domain-2", 1)),
+    ];
+    let mut table = Table::default();
+    apply(
+        &mut table,
+        rows.into_iter().map(|row| (row.key(), Some(row))),
+    );
+    table
+}
+
+fn apply(table: &mut Table, rows: impl Iterator<Item = (RowKey, Option<Row>)>) {
+    let revision = Revision(table.revision().0 + 1);
+    let rows = rows.map(|(key, row)| (key, revision, row)).collect();
+    let since = table.revision();
+    let changes = Changes {
+        since,
+        revision,
+        rows,
+    };
+    table.apply(changes).unwrap();
+}
+
+fn commit(table: &mut Table, commit: Commit) {
+    apply(table, commit.writes.into_iter().map(|w| (w.key, w.row)));
+}
+
+#[test]
+fn first_commits() {
+    let table = table(Fencing::Checked);
+    let shard = |n| Scope::Shard(ShardId(n));
+    let key = Scope::Key(KeyHash(7));
+    let cases = [
+        ("balances", shard(0), "b"),
+        ("balances", shard(2), "b"),
+        ("balances", key, "b"),
+        ("balances", shard(0), "a"),
+        ("balances", shard(1), "a"),
+        ("balances", shard(3), "b"),
+        ("balances", shard(4), "b"),
+        ("balances", shard(0), "old"),
+        ("balances", shard(0), "other"),
+        ("balances", shard(0), "nobody"),
+        ("nothing", shard(0), "b"),
+    ];
+    let mut report = String::new();
+    for (service, scope, to) in cases {
+        let begun = begin_move(
+            &table,
+            &service.parse().unwrap(),
+            scope,
+            &to.parse().unwrap(),
+        );
+        write!(report, "{service} {scope} to {to}: ").unwrap();
+        match begun {
+            Ok(commit) => writeln!(report, "{}", writes(&commit)).unwrap(),
+            Err(error) => writeln!(report, "{error}").unwrap(),
+        }
+    }
+    assert_snapshot!(report);
+}
+
+fn writes(commit: &Commit) -> String {
+    let mut text = String::new();
+    for write in &commit.writes {
+        let shards = match &write.row {
+            Some(Row::Block(row)) => row.shards.clone(),
+            Some(Row::Override(row)) => vec![row.owner.clone()],
+            _ => Vec::new(),
+        };
+        let shards = shards
+            .iter()
+            .map(|s| format!("{}@{} {:?}", s.owner, s.epoch, s.phase));
+        let shards: Vec<String> = shards.collect();
+        write!(
+            text,
+            "[{} if {}: {}]",
+            write.key,
+            write.expect,
+            shards.join(", ")
+        )
+        .unwrap();
+    }
+    text
+}
+
+/// How long a mover waits, from when it saw the release, for which instances
+/// and owners. An instance in the owner's domain may go on for the grace, one
+/// elsewhere for the confirmation; an owner that checks epochs for its lease;
+/// a silent one that does not gets the deadline for the last request.
+#[test]
+fn waits_of_a_mover() {
+    let cases: [(Fencing, &[&str]); 6] = [
+        (Fencing::Checked, &[]),
+        (Fencing::Checked, &["near"]),
+        (Fencing::Checked, &["near", "far"]),
+        (Fencing::Unchecked, &[]),
+        (Fencing::Unchecked, &["near"]),
+        (Fencing::Unchecked, &["near", "far"]),
+    ];
+    let mut report = String::new();
+    for (fencing, acks) in cases {
+        let table = table(fencing);
+        let seen = Time::from_micros(1_000_000);
+        let (mut mover, _) = take_up(&table, seen);
+        for name in acks {
+            let ack = Ack {
+                instance: name.parse().unwrap(),
+                incarnation: Incarnation(1),
+                revision: table.revision(),
+            };
+            mover.step(&table, MoveEvent::Acked(ack), seen);
+        }
+        let wait = mover.wakes_at().map(|at| at - seen);
+        writeln!(report, "{fencing:?}, acknowledged by {acks:?}: {wait:?}").unwrap();
+    }
+    assert_snapshot!(report);
+}
+
+fn take_up(table: &Table, now: Time) -> (Mover<Strict>, Vec<MoveAction>) {
+    let service = "balances".parse().unwrap();
+    let scope = Scope::Shard(ShardId(1));
+    Mover::take_up(table, &service, scope, Spans::default(), now).unwrap()
+}
+
+/// The caller's keys move although nobody answers: an operator states that the
+/// domain is lost. Its instances are not waited for and its server counts as
+/// gone, so that the move goes on at once, for a server that checks epochs.
+#[test]
+fn a_lost_domain_ends_the_wait() {
+    let mut table = table(Fencing::Checked);
+    let now = Time::from_micros(1);
+    let (mut mover, first) = take_up(&table, now);
+    let asked = |actions: &[MoveAction]| {
+        let asks = actions
+            .iter()
+            .filter(|a| matches!(a, MoveAction::AskAck { .. }));
+        asks.count()
+    };
+    assert_eq!(asked(&first), 2);
+    let lost = Row::Domain(DomainRow {
+        name: "domain-1".parse().unwrap(),
+        state: DomainState::Lost {
+            by: "operator".to_string(),
+        },
+        confirmers: Vec::new(),
+    });
+    apply(&mut table, [(lost.key(), Some(lost))].into_iter());
+    let actions = mover.step(&table, MoveEvent::Tick, now);
+    assert!(matches!(actions.as_slice(), [MoveAction::Commit(_)]));
+}
+
+/// A restarted instance finds its former start listed. It may join only once
+/// that one is expelled and its last leave has run out, however sure it is.
+#[test]
+fn joining_again() {
+    let mut table = table(Fencing::Checked);
+    let new = instance("near", "domain-1", 2);
+    let mut roster: Roster = Roster::new(Spans::default());
+    let now = Time::from_micros(1);
+    let taken = roster.join(&table, new.clone(), now);
+    assert!(matches!(taken, Err(JoinError::Taken { .. })));
+
+    let old = Member::of(&instance("near", "domain-1", 1));
+    let expel = Roster::<Strict>::expel(&table, &old).unwrap();
+    commit(&mut table, expel);
+    roster.see(&table, now);
+    let early = roster.join(&table, new.clone(), now + 5 * SECOND);
+    assert!(matches!(early, Err(JoinError::NotOver { .. })));
+    assert!(roster.clear(&table, now + 5 * SECOND).is_empty());
+    assert!(!Roster::<Strict>::is_listed(&table, &old));
+
+    let joined = roster.join(&table, new.clone(), now + 6 * SECOND).unwrap();
+    commit(&mut table, joined);
+    assert!(Roster::<Strict>::is_listed(&table, &Member::of(&new)));
+    assert!(Roster::<Strict>::expel(&table, &old).is_none());
+}
