--- a/crates/core/tests/model/main.rs
+++ b/crates/core/tests/model/main.rs
@@ -8,6 +8,7 @@
 mod mutants;
 mod mutations;
 mod parties;
+mod platform;
 mod servers;
 mod setup;
 mod state;
--- a/crates/core/tests/ownership_rows.rs
+++ b/crates/core/tests/ownership_rows.rs
@@ -3,9 +3,10 @@
 use {
     citron_core::{
         id::{Epoch, Incarnation, KeyHash, Revision, ShardBits, ShardId},
-        membership::{JoinError, Member, Roster},
+        membership::{Confirmation, JoinError, Member, Roster},
         ownership::{
-            Ack, Assignment, MoveAction, MoveEvent, Mover, Scope, Spans, Strict, begin_move,
+            Ack, Assignment, Boot, GrantReply, Granter, MoveAction, MoveEvent, Mover, Scope, Spans,
+            Strict, begin_move,
         },
         table::*,
         time::Time,
@@ -265,3 +266,41 @@
     assert!(Roster::<Strict>::is_listed(&table, &Member::of(&new)));
     assert!(Roster::<Strict>::expel(&table, &old).is_none());
 }
+
+/// The next owner would never run a request: while a shard is on its way to it,
+/// its granters bring it up to date, and a revocation under the epoch that it is
+/// about to own the shard under would make it refuse the grant for good.
+#[test]
+fn orders_leave_the_next_epoch_open() {
+    let table = table(Fencing::Checked);
+    let seen = Time::from_micros(1);
+    let read = seen + SECOND;
+    let confirmation = Confirmation::of_read(read, read, Spans::default());
+    let mut report = String::new();
+    for name in ["a", "b"] {
+        let key = RowKey::Server(name.parse().unwrap());
+        let Row::Server(row) = &table.get(&key).unwrap().value else {
+            panic!("not a server");
+        };
+        let mut granter: Granter = Granter::new(Spans::default());
+        let ask = granter.order(&table, row, &confirmation, read);
+        let reply = GrantReply {
+            boot: Boot(1),
+            clock: SECOND,
+            results: Vec::new(),
+        };
+        granter.answered(&ask, &reply, seen);
+        let leave = confirmation.end(true, 5 * SECOND);
+        let order = granter.order(&table, row, &confirmation, leave);
+        for grant in &order.grants {
+            writeln!(
+                report,
+                "{name}: {:?} {}@{}",
+                grant.kind, grant.scope, grant.epoch
+            )
+            .unwrap();
+        }
+        writeln!(report, "{name}: lease {:?}", order.lease.map(|l| l.until)).unwrap();
+    }
+    assert_snapshot!(report);
+}
