--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -7,7 +7,7 @@
         admin::{self, Admin, AdminServer},
         clock::Clock,
         control::{Control, ControlConfig, ControlMetrics},
-        dev, events,
+        dev, events, lifecycle,
         settings::Settings,
         traffic::{self, TrafficHandle},
     },
@@ -117,7 +117,9 @@
     );
     say("traffic", workers.address);
     let control = run_control(settings, workers.address, handle, clock);
-    LocalSet::new().block_on(&runtime, control)
+    LocalSet::new().block_on(&runtime, control)?;
+    workers.close();
+    Ok(())
 }
 
 /// Tells an address, since whoever asked for port 0 learns the port here. That
@@ -151,9 +153,14 @@
     };
     let metrics = ControlMetrics::new(&Registry::new())?;
     let outside = (store, HttpServers::default());
-    let mut control = Control::start(config, outside, handle, clock, metrics).await?;
+    let mut control = Control::start(config, outside, handle.clone(), clock, metrics).await?;
     say("peer", control.address);
-    Err(control.failed().await.into())
+    tokio::select! {
+        lived = lifecycle::run(handle) => lived?,
+        error = control.failed() => return Err(error.into()),
+    }
+    control.close().await;
+    Ok(())
 }
 
 /// Serves operators, with a writer of their own at the table.
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -3,15 +3,20 @@
 use {
     super::{
         ask::Ask,
+        crashes::CrashNote,
+        gates::Parts,
         load::{LoadSample, merge},
         phase::Phase,
     },
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
+        admission::{Demand, Part},
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName},
         routing::Snapshot,
     },
     std::{
+        collections::BTreeMap,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -104,6 +109,63 @@
         merge(samples)
     }
 
+    /// Rates of requests by server since this was last asked, for the exchange
+    /// with other instances.
+    pub async fn demand(&self) -> BTreeMap<ServerName, Demand> {
+        let mut sums = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Demand { reply }) {
+            for (server, demand) in answer.await.unwrap_or_default() {
+                let sum = sums.entry(server).or_insert(Demand::NONE);
+                sum.arrivals.0 += demand.arrivals.0;
+                sum.answers.0 += demand.answers.0;
+            }
+        }
+        sums
+    }
+
+    /// Sets what this instance may take of each server; of a server without a
+    /// part it takes all slots. Resolves when the parts are in force.
+    pub async fn set_parts(&self, parts: BTreeMap<ServerName, Part>) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner).len();
+        let parts = Arc::new(Parts { parts, threads });
+        let parts = || Arc::clone(&parts);
+        let asked = self.ask(|reply| Ask::Parts {
+            parts: parts(),
+            reply,
+        });
+        for answer in asked {
+            // A thread that has ended needs no part.
+            let _ = answer.await;
+        }
+    }
+
+    /// Tells all threads of a crash, an answer, a lift or another instance's count.
+    /// Called only when a request failed that way, or by control.
+    pub fn note_crash(&self, note: &CrashNote) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner);
+        for thread in threads.iter() {
+            let _ = thread.send(Ask::Crash(note.clone()));
+        }
+    }
+
+    /// What this instance counted of crashes, for the others.
+    pub async fn crash_report(&self) -> Option<CrashReport> {
+        // All threads keep the same log.
+        let asked = self.ask(|reply| Ask::CrashReport { reply });
+        asked.into_iter().next()?.await.ok()
+    }
+
+    /// The requests that crashed servers, for operators.
+    pub async fn crash_entries(&self) -> Vec<CrashEntry> {
+        let asked = self.ask(|reply| Ask::CrashEntries { reply });
+        match asked.into_iter().next() {
+            Some(answer) => answer.await.unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -4,9 +4,12 @@
 mod ask;
 mod body;
 mod call;
+mod crashes;
 mod deadline;
 mod exchange;
 mod flights;
+mod gates;
+mod guard;
 mod handle;
 mod limits;
 mod load;
@@ -22,6 +25,7 @@
 mod worker;
 
 pub use {
+    crashes::CrashNote,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
     limits::Limits,
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -6,17 +6,22 @@
         body::AnswerBody,
         call::Call,
         deadline,
+        guard::Refusal,
+        limits::Limits,
         phase::Phase,
         request::{host, prepare},
         state::State,
         tries::Tries,
         upload::Source,
     },
-    citron_core::routing::{Outcome, ServiceRoutes},
+    citron_core::{
+        id::OperatorName,
+        routing::{Outcome, ServiceRoutes},
+    },
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
-        cell::{Cell, OnceCell},
+        cell::{Cell, OnceCell, RefCell},
         convert::Infallible,
         rc::Rc,
         sync::Arc,
@@ -31,7 +36,7 @@
 }
 
 /// An answer of ours; boxed, since it is large and rare.
-type Refusal = Box<Response<AnswerBody>>;
+type Refused = Box<Response<AnswerBody>>;
 
 impl Proxy {
     /// A path that routes by what the handle publishes.
@@ -40,6 +45,11 @@
         Self { state }
     }
 
+    /// What callers may take up.
+    pub fn limits(&self) -> Limits {
+        self.state.limits
+    }
+
     /// Answers one request; whatever fails becomes an answer that says so.
     pub async fn serve(
         self,
@@ -66,11 +76,15 @@
             }
             "/readyz" if handle.snapshot().is_some() => Some(ok("ready")),
             "/readyz" => Some(unavailable("no table yet")),
-            _ => None,
+            _ => {
+                let refused = Refusal::of_path(path)?;
+                let (status, reason) = (refused.status(), refused.to_string());
+                Some(own(status, Outcome::NotRun, None, &reason))
+            }
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refused> {
         let (mut head, body) = request.into_parts();
         check(&head)?;
         let service = self.service(&head)?;
@@ -94,14 +108,19 @@
             source: Source::new(body, max),
             deadline,
             refused: Cell::new(None),
+            server: RefCell::default(),
             patient: Cell::new(None),
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
+        let Some(_room) = Room::enter(&self.state, &row.operator) else {
+            let reason = "too many requests of this operator are in progress";
+            return Err(Box::new(unavailable(reason)));
+        };
         Ok(Call::new(&tries, &row.name, idempotent).run().await)
     }
 
-    fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refusal> {
+    fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refused> {
         let snapshot = self.state.handle.snapshot();
         let Some(snapshot) = snapshot.as_ref() else {
             return Err(Box::new(unavailable("no table yet")));
@@ -119,21 +138,49 @@
     }
 }
 
+/// Room that a request takes up until the head of its answer.
+struct Room<'a> {
+    state: &'a State,
+    operator: &'a OperatorName,
+}
+
+impl<'a> Room<'a> {
+    fn enter(state: &'a State, operator: &'a OperatorName) -> Option<Self> {
+        let entered = state.room.borrow_mut().enter(operator);
+        entered.then_some(Self { state, operator })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.state.room.borrow_mut().leave(self.operator);
+    }
+}
+
 /// Refuses what cannot be passed on exactly.
-fn check(head: &Parts) -> Result<(), Refusal> {
+fn check(head: &Parts) -> Result<(), Refused> {
     // In HTTP/1.0 an answer without a length ends with its connection, so that
     // one cut short would look whole.
     if head.version != Version::HTTP_11 {
         let reason = "HTTP/1.1 is needed";
-        return Err(refusal(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
+        return Err(last(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
     }
     if matches!(head.method, Method::CONNECT | Method::TRACE) {
         let reason = "the method is not passed on";
-        return Err(refusal(StatusCode::METHOD_NOT_ALLOWED, reason));
+        return Err(last(StatusCode::METHOD_NOT_ALLOWED, reason));
     }
     Ok(())
 }
 
-fn refusal(status: StatusCode, reason: &str) -> Refusal {
+/// A refusal that ends the connection: what follows such a request on it may not
+/// be a request.
+fn last(status: StatusCode, reason: &str) -> Refused {
+    let mut refused = refusal(status, reason);
+    let close = HeaderValue::from_static("close");
+    refused.headers_mut().insert(header::CONNECTION, close);
+    refused
+}
+
+fn refusal(status: StatusCode, reason: &str) -> Refused {
     Box::new(own(status, Outcome::NotRun, None, reason))
 }
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ask::{self, Ask},
+        guard::GuardStream,
         handle::TrafficHandle,
         limits::Limits,
         phase::Phase,
@@ -23,17 +24,17 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        runtime::Builder,
+        runtime::{Builder, LocalOptions},
         sync::{mpsc, watch},
-        task::{LocalSet, spawn_local},
+        task::spawn_local,
         time::{sleep, timeout},
     },
 };
 
 /// Connections that wait to be accepted, per thread.
 const BACKLOG: i32 = 1_024;
-/// How long a caller may take to send the head of a request.
-const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Bytes that are buffered of one caller's connection, each way.
+const BUFFER_MAX: usize = 64 * 1_024;
 /// The pause after a failed accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -137,10 +138,14 @@
     }
 
     fn run(self, listener: std::net::TcpListener) {
-        let Ok(runtime) = Builder::new_current_thread().enable_all().build() else {
+        let options = LocalOptions::default();
+        let built = Builder::new_current_thread()
+            .enable_all()
+            .build_local(options);
+        let Ok(runtime) = built else {
             return;
         };
-        LocalSet::new().block_on(&runtime, async move {
+        runtime.block_on(async move {
             if let Ok(listener) = TcpListener::from_std(listener) {
                 self.serve(listener).await;
             }
@@ -152,7 +157,7 @@
         let seed = rand::random();
         let state = State::new(self.handle.clone(), self.clock, self.limits, seed);
         let proxy = Proxy::new(&state);
-        spawn_local(ask::answer(self.asks, Rc::clone(&state.flights)));
+        spawn_local(ask::answer(self.asks, Rc::clone(&state)));
         let (open, mut last) = mpsc::channel(1);
         let mut phases = self.handle.phases();
         let closing = phases.wait_for(|phase| *phase == Phase::Closing);
@@ -203,12 +208,15 @@
     _open: Open,
 ) {
     let _ = stream.set_nodelay(true);
+    let limits = proxy.limits();
+    let guarded = GuardStream::new(stream, limits);
     let service = service_fn(move |request| proxy.clone().serve(request));
     let mut served = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIME)
-            .serve_connection(TokioIo::new(stream), service)
+            .header_read_timeout(limits.idle)
+            .max_buf_size(BUFFER_MAX)
+            .serve_connection(TokioIo::new(guarded), service)
     );
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
