--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -62,6 +62,11 @@
         let running = self.abandoned.iter().any(|left| older(&left.entry));
         !waiting && !running
     }
+
+    /// When the last abandoned request can run no more; `None` if there is none.
+    pub fn abandoned_until(&self) -> Option<Time> {
+        self.abandoned.iter().map(|left| left.until).max()
+    }
 }
 
 /// One request's entry; taken out when dropped.
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -170,6 +170,12 @@
         drop(open);
         // Every connection holds a clone of `open`.
         let _: Option<()> = last.recv().await;
+        // While this thread lives, moves wait for what it has abandoned: such a
+        // request may still run at its server until its deadline.
+        let until = state.flights.borrow().abandoned_until();
+        if let Some(until) = until {
+            sleep(until - self.clock.now()).await;
+        }
     }
 }
 
--- a/crates/citronproxy/tests/faults.rs
+++ b/crates/citronproxy/tests/faults.rs
@@ -91,11 +91,11 @@
     // Two callers alone may just not ask for a key that moves.
     let more = Callers::start(&[addresses[number]; 8], KEYS);
     sleep(SECOND / 2).await;
-    instances[number].signal("STOP");
+    instances[number].pause();
     deployment.drain("server-1").await;
     let took = deployment.until_empty("server-1").await;
     sleep(SECOND / 2).await;
-    instances[number].signal("CONT");
+    instances[number].resume();
     sleep(SECOND).await;
     let mut told = callers.stop().await;
     let woken = more.stop().await;
--- a/crates/citronproxy/tests/listing.rs
+++ b/crates/citronproxy/tests/listing.rs
@@ -5,7 +5,7 @@
 use {
     citron_core::table::{Fencing, Row},
     std::time::{Duration, Instant},
-    support::{Deployment, Instance, get, until_serving},
+    support::{Callers, Deployment, Instance, check_told, get, until_serving},
     tokio::time::sleep,
 };
 
@@ -66,6 +66,39 @@
     until_serving(again.traffic).await;
 }
 
+/// An instance is asked to leave while callers use it. None of their requests is
+/// cut, and once it has ended its row is gone: moves need not wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_instance_takes_itself_off_the_list() {
+    let deployment = deployment(20 * SECOND).await;
+    let mut one = deployment.instance("entry-1", "harbour").await;
+    let _other = deployment.instance("entry-2", "harbour").await;
+    let callers = Callers::start(&[one.traffic], 48);
+    sleep(SECOND / 2).await;
+    one.terminate();
+    sleep(SECOND / 2).await;
+    let told = callers.stop().await;
+    let begun = Instant::now();
+    let code = loop {
+        if let Some(code) = one.exit_code() {
+            break code;
+        }
+        assert!(begun.elapsed() < 20 * SECOND, "it does not end");
+        sleep(SECOND / 50).await;
+    };
+    assert_eq!(code, 0);
+    assert_eq!(incarnation(&deployment, "entry-1").await, None);
+    check_told(&told, &deployment.runs());
+    let cut = told.iter().find(|one| one.status != 200);
+    assert!(cut.is_none(), "{cut:?}");
+    deployment.drain("server-1").await;
+    let took = deployment.until_empty("server-1").await;
+    assert!(
+        took < 10 * SECOND,
+        "a move waits for the one that left: {took:?}"
+    );
+}
+
 /// The platform is down when an instance starts. It learns table and leave from
 /// another instance that its settings name, and serves its domain's keys.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/citronproxy/tests/support/instance.rs
+++ b/crates/citronproxy/tests/support/instance.rs
@@ -51,15 +51,6 @@
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
         (output.status.code(), said)
     }
-
-    /// Sends the process a signal: STOP, CONT or TERM.
-    pub fn signal(&self, name: &str) {
-        let signal = format!("-{name}");
-        let sent = Command::new("kill")
-            .args([signal, self.pid().to_string()])
-            .status();
-        assert!(sent.expect("kill runs").success());
-    }
 }
 
 fn spawn(
@@ -96,11 +87,25 @@
 
     /// Asks the process to leave, as the platform does.
     pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    fn signal(&self, signal: libc::c_int) {
         let pid = libc::pid_t::try_from(self.pid()).expect("a process id");
         // SAFETY: it sends a signal to a process that this value owns and has
         // not waited for, so that the id cannot belong to another process.
-        #[allow(unsafe_code, reason = "the standard library sends no SIGTERM")]
-        let sent = unsafe { libc::kill(pid, libc::SIGTERM) };
+        #[allow(unsafe_code, reason = "the standard library sends no signals")]
+        let sent = unsafe { libc::kill(pid, signal) };
         assert_eq!(sent, 0);
     }
 
--- /dev/null
+++ b/crates/platform/tests/grants.rs
@@ -0,0 +1,200 @@
+//! Contract of grants to backend servers, with late and lost orders.
+
+use {
+    citron_core::{
+        id::{Epoch, ServerName, ShardId, Slots, Weight},
+        ownership::{Boot, Grant, GrantKind, GrantReply, GrantResult, Lease, Scope},
+        table::{Fencing, ServerRow, ServerState},
+    },
+    citron_fakes::{
+        backend::{BackendConfig, BackendServer},
+        link::Link,
+    },
+    citron_platform::{Grants, HttpServers, PlatformError, Probe, Probes},
+    std::{net::SocketAddr, time::Duration},
+};
+
+async fn server() -> BackendServer {
+    let config = BackendConfig {
+        name: "server-1".to_string(),
+        slots: 4,
+        work: Duration::ZERO,
+        fenced: true,
+    };
+    BackendServer::start("127.0.0.1:0".parse().unwrap(), config)
+        .await
+        .unwrap()
+}
+
+fn row(address: SocketAddr) -> ServerRow {
+    let name: ServerName = "server-1".parse().unwrap();
+    ServerRow {
+        name,
+        service: "kegs".parse().unwrap(),
+        domain: "harbour".parse().unwrap(),
+        address,
+        weight: Weight(100),
+        cap: None,
+        slots: Slots(4),
+        connections: 100,
+        fencing: Fencing::Checked,
+        state: ServerState::Active,
+    }
+}
+
+fn grant(kind: GrantKind, epoch: u64) -> Grant {
+    Grant {
+        service: "kegs".parse().unwrap(),
+        scope: Scope::Shard(ShardId(3)),
+        epoch: Epoch(epoch),
+        kind,
+    }
+}
+
+const OWN: GrantKind = GrantKind::Own;
+const REVOKE: GrantKind = GrantKind::Revoke;
+
+fn told(reply: &GrantReply) -> String {
+    let results = reply.results.iter().map(|result| match result {
+        GrantResult::Accepted => "accepted".to_string(),
+        GrantResult::Stale { seen } => format!("stale, seen {seen}"),
+    });
+    results.collect::<Vec<_>>().join("; ")
+}
+
+/// One sequence of orders for one shard.
+struct Case {
+    name: &'static str,
+    orders: &'static [(GrantKind, u64)],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "own",
+        orders: &[(OWN, 1)],
+    },
+    Case {
+        name: "own twice, as after a lost answer",
+        orders: &[(OWN, 1), (OWN, 1)],
+    },
+    Case {
+        name: "lower epoch arrives late",
+        orders: &[(OWN, 5), (OWN, 4)],
+    },
+    Case {
+        name: "revoke",
+        orders: &[(OWN, 1), (REVOKE, 2)],
+    },
+    Case {
+        name: "own of the revoked epoch arrives late",
+        orders: &[(OWN, 1), (REVOKE, 1), (OWN, 1)],
+    },
+    Case {
+        name: "own below the revocation arrives late",
+        orders: &[(OWN, 1), (REVOKE, 2), (OWN, 1)],
+    },
+    Case {
+        name: "revoked, then owner again under a later epoch",
+        orders: &[(OWN, 1), (REVOKE, 2), (OWN, 3)],
+    },
+    Case {
+        name: "told of a release that goes to this server, then owner",
+        orders: &[(REVOKE, 1), (OWN, 2)],
+    },
+    Case {
+        name: "late revocation after owner again",
+        orders: &[(OWN, 1), (OWN, 3), (REVOKE, 2)],
+    },
+];
+
+#[tokio::test]
+async fn the_highest_epoch_decides_in_whatever_order_orders_arrive() {
+    let mut lines = Vec::new();
+    for case in CASES {
+        let server = server().await;
+        let client = HttpServers::default();
+        let mut results = Vec::new();
+        for (kind, epoch) in case.orders {
+            let grants = [grant(*kind, *epoch)];
+            let reply = client
+                .order(&row(server.address), None, &grants, None)
+                .await;
+            results.push(told(&reply.unwrap()));
+        }
+        lines.push(format!("{}: {}", case.name, results.join(" | ")));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// An order to an older start of the server arrives late, after a restart. It
+/// is refused whole: its grants would give back what the earlier start had
+/// already given up, and its lease is a reading of another clock.
+#[tokio::test]
+async fn an_order_to_an_older_start_is_refused_whole() {
+    let server = server().await;
+    let client = HttpServers::default();
+    let row = row(server.address);
+    let asked = client.order(&row, None, &[], None).await.unwrap();
+    let older = Boot(asked.boot.0 - 1);
+    let lease = Lease {
+        boot: older,
+        until: asked.clock + Duration::from_secs(60),
+    };
+    let grants = [grant(OWN, 9)];
+    let late = client.order(&row, Some(older), &grants, Some(lease));
+    let late = late.await.unwrap();
+    assert_eq!(told(&late), "stale, seen 0");
+    assert_eq!(late.boot, asked.boot);
+    let grants = [grant(OWN, 1)];
+    let own = client.order(&row, Some(asked.boot), &grants, None).await;
+    assert_eq!(told(&own.unwrap()), "accepted");
+}
+
+/// The answer to an order is lost, or the server's connection goes silent. The
+/// order is not known to be in force, and the next one goes through.
+#[tokio::test]
+async fn a_lost_answer_is_an_error_and_the_next_order_goes_through() {
+    type Fault = fn(&Link);
+    let cases: [(&str, Fault, Fault); 3] = [
+        ("torn", |link| link.tear(1, 20), |_| {}),
+        ("cut", Link::cut, Link::heal),
+        ("silent connection", Link::silence_open, |_| {}),
+    ];
+    for (name, fault, mend) in cases {
+        let server = server().await;
+        let link = Link::start(server.address).await.unwrap();
+        let client = HttpServers::default();
+        let row = row(link.address);
+        // The connection of the first order is kept, but for the torn answer.
+        if name != "torn" {
+            client.order(&row, None, &[], None).await.unwrap();
+        }
+        fault(&link);
+        let lost = client.order(&row, None, &[grant(OWN, 1)], None).await;
+        assert!(
+            matches!(lost, Err(PlatformError::Unsettled(_))),
+            "{name}: {lost:?}"
+        );
+        mend(&link);
+        let again = client.order(&row, None, &[grant(OWN, 1)], None).await;
+        assert_eq!(told(&again.unwrap()), "accepted", "{name}");
+    }
+}
+
+/// A probe tells whether the server itself answers: a frozen one still accepts
+/// connections, and must not pass for alive.
+#[tokio::test]
+async fn probes_tell_up_draining_and_frozen() {
+    let server = server().await;
+    let client = HttpServers::default();
+    assert_eq!(client.probe(server.address).await.unwrap(), Probe::Up);
+    server.freeze();
+    assert!(client.probe(server.address).await.is_err(), "frozen");
+    server.thaw();
+    assert_eq!(client.probe(server.address).await.unwrap(), Probe::Up);
+    server.drain();
+    assert_eq!(client.probe(server.address).await.unwrap(), Probe::Draining);
+    server.crash();
+    assert!(client.probe(server.address).await.is_err(), "crashed");
+    assert!(server.runs.all().is_empty(), "a probe runs nothing");
+}
