Moves rest on the row of the new owner

Why: a move that was decided before a pause could be committed after an operator deleted or retired its target, which owned nothing when the operator looked; the shard would then have an owner that does not exist. The block's version alone does not show it. Every commit of control and of the admin API now carries the target's version as a check; a lost commit is decided anew.

Cost: an edit of a server's row makes a move to it that is committed at the same moment try again.

Safeguard switched off and seen to fail: tests/edit.rs, new owner not checked.

--- a/crates/citronproxy/src/admin/editor.rs
+++ b/crates/citronproxy/src/admin/editor.rs
@@ -73,9 +73,7 @@
     }
 }
 
-/// The commit of a move. It rests on the row of the new owner: an operator who
-/// deletes that server at the same moment would leave the scope with an owner
-/// that does not exist.
+/// The commit of a move; it rests on the row of the new owner.
 fn plan_move(table: &Table, moving: &Moving) -> Result<(Commit, Vec<Check>), AdminError> {
     let Moving {
         by,
@@ -94,12 +92,8 @@
         at: wall_clock(),
         changes: changes.collect(),
     });
-    let server = RowKey::Server(to.clone());
-    let checks = table.get(&server).map(|row| Check {
-        key: server.clone(),
-        expect: row.version,
-    });
-    Ok((commit, checks.into_iter().collect()))
+    let checks = commit.new_owners(table);
+    Ok((commit, checks))
 }
 
 fn names(edit: &Edit, key: &RowKey) -> bool {
--- a/crates/citronproxy/src/control/node.rs
+++ b/crates/citronproxy/src/control/node.rs
@@ -206,7 +206,8 @@
     /// Commits, then reads the table, whatever the answer; `reread` tells
     /// whether that worked.
     pub async fn commit(&self, commit: Commit) -> Committed {
-        let answer = self.inner.store.commit(commit).await;
+        let checks = self.table(|table| commit.new_owners(table));
+        let answer = self.inner.store.commit_checked(commit, &checks).await;
         self.inner.metrics.count_commit(&answer);
         let reread = self.refresh().await.is_ok();
         let done = matches!(answer, Ok(CommitAnswer::Done(_)));
--- a/crates/core/src/ownership/assignment.rs
+++ b/crates/core/src/ownership/assignment.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Who owns the scope once no move is under way.
+    pub fn next_owner(&self) -> &ServerName {
+        match &self.phase {
+            Phase::Owned => &self.owner,
+            Phase::Releasing { to } => to,
+        }
+    }
+
     /// Whether requests may be sent to the owner.
     pub fn is_open(&self) -> bool {
         self.phase == Phase::Owned
--- a/crates/core/src/table/commit.rs
+++ b/crates/core/src/table/commit.rs
@@ -1,9 +1,9 @@
 //! Changes to the table that take effect together or not at all.
 
 use {
-    super::{Row, RowKey, Versioned},
+    super::{Row, RowKey, Table, Versioned},
     crate::id::Revision,
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// One row of a commit.
@@ -58,6 +58,35 @@
     pub history: Option<HistoryRow>,
 }
 
+impl Commit {
+    /// The rows of servers that this commit makes owners, or owners to be, as
+    /// rows it rests on.
+    ///
+    /// The failure: a move is decided, its process is paused, an operator deletes
+    /// or retires the server that owned nothing yet, and the late commit gives it
+    /// shards that then nobody can reach. The version of the server's row has
+    /// changed by then, so that the commit is lost and the move decided anew.
+    pub fn new_owners(&self, table: &Table) -> Vec<Check> {
+        let mut servers = BTreeSet::new();
+        for write in &self.writes {
+            let before = table.get(&write.key).map(|row| row.value.assignments());
+            let before = before.unwrap_or_default();
+            let after = write.row.as_ref().map(Row::assignments).unwrap_or_default();
+            for (place, assignment) in after.iter().enumerate() {
+                if before.get(place) != Some(assignment) {
+                    servers.insert(assignment.next_owner());
+                }
+            }
+        }
+        let keys = servers.into_iter().cloned().map(RowKey::Server);
+        let checks = keys.filter_map(|key| {
+            let expect = table.get(&key)?.version;
+            Some(Check { key, expect })
+        });
+        checks.collect()
+    }
+}
+
 /// What became of a commit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitAnswer {
--- a/crates/core/src/table/row.rs
+++ b/crates/core/src/table/row.rs
@@ -3,6 +3,7 @@
 use {
     super::{BlockId, BlockRow, DomainRow, InstanceRow, OverrideRow, ServerRow, ServiceRow},
     crate::id::{DomainName, InstanceId, KeyHash, Revision, ServerName, ServiceName},
+    crate::ownership::Assignment,
     std::fmt,
 };
 
@@ -68,6 +69,17 @@
     }
 }
 
+impl Row {
+    /// The assignments of a block or an override; no other row has any.
+    pub fn assignments(&self) -> &[Assignment] {
+        match self {
+            Self::Block(row) => &row.shards,
+            Self::Override(row) => std::slice::from_ref(&row.owner),
+            _ => &[],
+        }
+    }
+}
+
 /// Something with the revision of the commit that wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Versioned<T> {
--- a/crates/core/src/table/view.rs
+++ b/crates/core/src/table/view.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         id::{DomainName, Revision, ServerName, ServiceName},
-        ownership::{Assignment, Phase},
+        ownership::Assignment,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -23,7 +23,7 @@
     pub(super) fn new(table: &'a Table, edits: &'a [RowEdit]) -> Self {
         let mut owners = BTreeSet::new();
         for (_, row) in table.rows() {
-            owners.extend(assignments(&row.value).iter().flat_map(named));
+            owners.extend(row.value.assignments().iter().flat_map(named));
         }
         let edits = edits.iter().map(|edit| (&edit.key, edit.row.as_ref()));
         Self {
@@ -138,18 +138,7 @@
     }
 }
 
-fn assignments(row: &Row) -> &[Assignment] {
-    match row {
-        Row::Block(row) => &row.shards,
-        Row::Override(row) => std::slice::from_ref(&row.owner),
-        _ => &[],
-    }
-}
-
-fn named(assignment: &Assignment) -> impl Iterator<Item = &ServerName> {
-    let next = match &assignment.phase {
-        Phase::Owned => None,
-        Phase::Releasing { to } => Some(to),
-    };
-    std::iter::once(&assignment.owner).chain(next)
+/// The owner, and the next one.
+fn named(assignment: &Assignment) -> [&ServerName; 2] {
+    [&assignment.owner, assignment.next_owner()]
 }
--- a/crates/core/tests/edit.rs
+++ b/crates/core/tests/edit.rs
@@ -2,10 +2,10 @@
 
 use {
     citron_core::{
-        id::{Epoch, Revision, ServerName, ShardBits, Slots, Weight},
-        ownership::{Assignment, Phase},
+        id::{Epoch, Revision, ServerName, ShardBits, ShardId, Slots, Weight},
+        ownership::{Assignment, Phase, Scope, begin_move},
         table::{
-            BlockRow, Changes, DomainRow, DomainState, Edit, EditPlan, Fencing, KeyRule,
+            BlockRow, Changes, Check, DomainRow, DomainState, Edit, EditPlan, Fencing, KeyRule,
             MoveBudget, Objectives, Row, RowEdit, RowKey, ServerRow, ServerState, ServiceRow,
             Table, TableError, initial_blocks,
         },
@@ -414,3 +414,26 @@
         }
     }
 }
+
+/// A move to an idle server is decided and its process is paused; an operator
+/// deletes that server; the process goes on. Without the check the shard would
+/// get an owner that does not exist, and nobody could reach its keys.
+#[test]
+fn a_late_move_to_a_deleted_server_is_lost() {
+    let mut table = deployment();
+    let service = "kegs".parse().unwrap();
+    let scope = Scope::Shard(ShardId(0));
+    let late = begin_move(&table, &service, scope, &"server-3".parse().unwrap()).unwrap();
+    let checks = late.new_owners(&table);
+    let rows = vec![delete(&table, "server/server-3")];
+    apply(&mut table, rows);
+    let lost = |check: &Check| table.get(&check.key).map(|row| row.version) != Some(check.expect);
+    assert!(checks.iter().any(lost), "{checks:?}");
+    let write = &late.writes[0];
+    let version = table.get(&write.key).map(|row| row.version);
+    assert_eq!(
+        version,
+        Some(write.expect),
+        "the block alone would let it pass"
+    );
+}
