--- a/crates/citronctl/src/wait.rs
+++ b/crates/citronctl/src/wait.rs
@@ -50,7 +50,11 @@
         .map(|admin| (admin.to_string(), *admin));
     waiting.extend(named);
     if let Ok(status) = client.any_status().await {
-        let listed = status.instances.iter().filter(|row| !row.leaving);
+        // Expelled and leaving instances route nothing new.
+        let listed = status
+            .instances
+            .iter()
+            .filter(|row| !row.leaving && !row.expelled);
         for row in listed {
             waiting.retain(|(_, admin)| *admin != row.admin);
             waiting.push((row.id.clone(), row.admin));
--- a/crates/citronproxy/tests/race.rs
+++ b/crates/citronproxy/tests/race.rs
@@ -14,7 +14,7 @@
     tokio::time::sleep,
 };
 
-/// What the brief of operations allows for an edit to be in force everywhere.
+/// An accepted edit is to be in force on every reachable instance by then.
 const EVERYWHERE: Duration = Duration::from_secs(7);
 /// Operators at once.
 const OPERATORS: u32 = 10;
