--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -206,6 +206,7 @@
         domain: domain(number).parse()?,
         traffic: any,
         peer: any,
+        advertise: None,
         admin: any,
         seeds: Vec::new(),
     };
