--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -9,6 +9,7 @@
         control::{Control, ControlConfig, ControlMetrics},
         dev, events, lifecycle,
         settings::Settings,
+        slo::Recorder,
         traffic::{self, TrafficHandle},
     },
     prometheus::Registry,
@@ -138,6 +139,7 @@
         instance: settings.instance.clone(),
         incarnation: Incarnation(rand::random()),
     };
+    start_recorder(&settings, &handle, clock);
     let admin = start_admin(&settings, &me, &handle).await?;
     // New at each start: the numbers of a writer's commits begin anew.
     let writer = format!("{}/{}", me.instance, me.incarnation);
@@ -155,14 +157,23 @@
     let outside = (store, HttpServers::default());
     let mut control = Control::start(config, outside, handle.clone(), clock, metrics).await?;
     say("peer", control.address);
+    let node = control.node().clone();
     tokio::select! {
-        lived = lifecycle::run(handle) => lived?,
+        lived = lifecycle::run(handle, move || node.leave()) => lived?,
         error = control.failed() => return Err(error.into()),
     }
     control.close().await;
     Ok(())
 }
 
+/// Counts for service-level objectives.
+fn start_recorder(settings: &Settings, handle: &TrafficHandle, clock: Clock) {
+    let store = HttpPlatform::new(settings.platform);
+    let (instance, domain) = (settings.instance.clone(), settings.domain.clone());
+    let recorder = Recorder::new(instance, domain, handle.clone());
+    spawn_local(recorder.run(store, clock));
+}
+
 /// Serves operators, with a writer of their own at the table.
 async fn start_admin(
     settings: &Settings,
--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -5,7 +5,8 @@
     citron_core::{
         admission::Demand,
         crash::{CrashEntry, CrashReport},
-        id::{Revision, ServerName},
+        id::{Revision, ServerName, ServiceName},
+        slo::Tally,
     },
     std::{rc::Rc, sync::Arc},
     tokio::sync::{mpsc, oneshot},
@@ -48,6 +49,11 @@
         /// Takes the answer.
         reply: oneshot::Sender<Vec<CrashEntry>>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -74,6 +80,7 @@
             Ask::Crash(note) => state.crashes.note(note),
             Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
             Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/core/tests/overload/limits.rs
+++ b/crates/core/tests/overload/limits.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        bench::{Bench, Plan},
+        bench::Bench,
+        plan::{Plan, Reports},
         stats::Stats,
     },
     citron_core::{
@@ -23,53 +24,63 @@
     least: 0.25,
     most: 10.0,
     rise: 0.05,
-    fall: 0.9,
+    fall: 0.95,
 };
 
 #[derive(Debug, Clone, Copy)]
 struct Way {
     name: &'static str,
     share: Option<f64>,
-    exchange: bool,
+    reports: Reports,
     limit: LimitConfig,
 }
 
-const WAYS: [Way; 5] = [
+const WAYS: [Way; 6] = [
     Way {
         name: "no limit",
         share: Some(1_000.0),
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "static split",
         share: None,
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "one each",
         share: Some(1.0),
-        exchange: false,
+        reports: Reports::Unused,
         limit: LimitConfig::FIXED,
     },
     Way {
         name: "adaptive alone",
         share: None,
-        exchange: false,
+        reports: Reports::Unused,
         limit: ALONE,
     },
+    Way {
+        name: "same, none heard",
+        reports: Reports::Lost,
+        ..CHOSEN
+    },
     CHOSEN,
 ];
 
 const CHOSEN: Way = Way {
     name: "adaptive, exchanged",
     share: None,
-    exchange: true,
+    reports: Reports::Heard,
     limit: LimitConfig::STANDARD,
 };
 
 fn run(way: Way, slots: u32, load: f64, seed: u64) -> Stats {
+    run_before(way, slots, slots as usize, load, seed)
+}
+
+/// The server refuses what exceeds its slots and its backlog.
+fn run_before(way: Way, slots: u32, backlog: usize, load: f64, seed: u64) -> Stats {
     Bench::run(Plan {
         slots,
         load,
@@ -78,9 +89,9 @@
             ..GateConfig::STANDARD
         },
         share: way.share,
-        exchange: way.exchange,
+        reports: way.reports,
         budget: BudgetConfig::STANDARD,
-        backlog: slots as usize,
+        backlog,
         progress: None,
         resends: 0,
         outage: None,
@@ -129,3 +140,28 @@
         assert!(mean(&runs, Stats::idle_share) <= 0.05);
     }
 }
+
+/// The same before servers that keep nobody waiting, a few, or many. A server
+/// without a backlog refuses what comes a moment too early, and its slots stay
+/// idle until the next one comes: there the aims are not met.
+#[test]
+fn the_chosen_way_before_other_servers() {
+    let mut table =
+        String::from("backlog  slots  load  goodput  idle&waiting  by server  fairness\n");
+    for backlog in [0, 2, 16] {
+        for slots in SLOTS {
+            for load in [0.9, 3.0] {
+                let runs = SEEDS.map(|seed| run_before(CHOSEN, slots, backlog, load, seed));
+                let _ = writeln!(
+                    table,
+                    "{backlog:>7}  {slots:>5}  {load:>4}  {:>7.3}  {:>12.3}  {:>9.3}  {:>8.4}",
+                    mean(&runs, Stats::goodput),
+                    mean(&runs, Stats::idle_share),
+                    mean(&runs, Stats::server_refused_share),
+                    mean(&runs, Stats::fairness),
+                );
+            }
+        }
+    }
+    assert_snapshot!(table);
+}
--- a/crates/core/tests/overload/outage.rs
+++ b/crates/core/tests/overload/outage.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        bench::{Bench, Plan},
+        bench::Bench,
+        plan::{Plan, Reports},
         stats::Stats,
     },
     citron_core::{
@@ -86,7 +87,10 @@
         load: case.load,
         gate,
         share: (!case.limited).then_some(1_000.0),
-        exchange: case.limited,
+        reports: match case.limited {
+            true => Reports::Heard,
+            false => Reports::Unused,
+        },
         budget: case.budget,
         backlog: 10_000,
         progress: Some(Duration::from_millis(250)),
