Replica of the table: tests in time of its own

Reads confirm a listed start only, nothing goes back, deletions are relayed, a lender answers for whom nobody lists, relayed leave counts from the platform read.

--- /dev/null
+++ b/crates/citronproxy/tests/replica.rs
@@ -0,0 +1,204 @@
+//! The copy of the table and its leave, step by step in time of its own.
+
+use {
+    citron_core::{
+        id::{Incarnation, Revision},
+        membership::{Member, Remaining},
+        ownership::Spans,
+        table::{
+            Changes, DomainRow, DomainState, InstanceRow, InstanceState, Row, RowKey, TableError,
+        },
+        time::Time,
+    },
+    citronproxy::control::Replica,
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time::from_micros(86_400_000_000);
+
+fn member(name: &str, incarnation: u64) -> Member {
+    Member {
+        instance: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn listed(name: &str, incarnation: u64, state: InstanceState) -> Row {
+    let any = "127.0.0.1:1".parse().unwrap();
+    Row::Instance(InstanceRow {
+        id: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        domain: "harbour".parse().unwrap(),
+        traffic: any,
+        peer: any,
+        admin: any,
+        state,
+        revision: Revision(0),
+    })
+}
+
+fn domain(name: &str) -> Row {
+    Row::Domain(DomainRow {
+        name: name.parse().unwrap(),
+        state: DomainState::Live,
+        confirmers: Vec::new(),
+    })
+}
+
+fn replica(name: &str) -> Replica {
+    let domain = "harbour".parse().unwrap();
+    Replica::new(member(name, 1), domain, Spans::default())
+}
+
+fn changes(since: u64, revision: u64, rows: Vec<Row>) -> Changes {
+    let rows = rows.into_iter();
+    let rows = rows.map(|row| (row.key(), Revision(revision), Some(row)));
+    Changes {
+        since: Revision(since),
+        revision: Revision(revision),
+        rows: rows.collect(),
+    }
+}
+
+fn read(replica: &mut Replica, at: Time, changes: Changes) {
+    replica.take_read(at, at + SECOND / 10, changes).unwrap();
+}
+
+/// An instance reads the platform while its row is missing, is another start's,
+/// or is marked as expelled. A mover would not wait for it, so none of these
+/// reads may let it route.
+#[test]
+fn reads_confirm_a_listed_start_only() {
+    let cases = [
+        ("absent", vec![domain("harbour")], false),
+        (
+            "listed",
+            vec![listed("entry-1", 1, InstanceState::Live)],
+            true,
+        ),
+        (
+            "leaving",
+            vec![listed("entry-1", 1, InstanceState::Leaving)],
+            true,
+        ),
+        (
+            "expelled",
+            vec![listed("entry-1", 1, InstanceState::Expelled)],
+            false,
+        ),
+        (
+            "another start",
+            vec![listed("entry-1", 2, InstanceState::Live)],
+            false,
+        ),
+        (
+            "another name",
+            vec![listed("entry-2", 1, InstanceState::Live)],
+            false,
+        ),
+    ];
+    for (name, rows, confirms) in cases {
+        let mut replica = replica("entry-1");
+        read(&mut replica, START, changes(0, 1, rows));
+        assert_eq!(replica.snapshot().is_some(), confirms, "{name}");
+        let end = replica.confirmation().end(false, Duration::ZERO);
+        let counted = if confirms {
+            START + Spans::default().confirm
+        } else {
+            Time::ZERO
+        };
+        assert_eq!(end, counted, "{name}: from the begin of the read");
+    }
+}
+
+/// Answers arrive late and out of order, and one starts beyond this copy. The
+/// copy never goes back and takes nothing that leaves a gap.
+#[test]
+fn a_copy_never_goes_back() {
+    let mut replica = replica("entry-1");
+    let me = listed("entry-1", 1, InstanceState::Live);
+    read(
+        &mut replica,
+        START,
+        changes(0, 5, vec![me, domain("harbour")]),
+    );
+    read(&mut replica, START, changes(0, 3, vec![domain("port")]));
+    assert_eq!(replica.table().revision(), Revision(5));
+    assert!(replica.table().get(&domain("port").key()).is_none());
+    let gap = replica.take_read(START, START, changes(7, 9, Vec::new()));
+    assert!(matches!(gap, Err(TableError::Gap { .. })), "{gap:?}");
+    assert_eq!(replica.table().revision(), Revision(5));
+}
+
+/// A row is deleted, and an instance that missed it learns of it by relay.
+#[test]
+fn deletions_are_relayed() {
+    let mut near = replica("entry-1");
+    let me = listed("entry-1", 1, InstanceState::Live);
+    read(&mut near, START, changes(0, 1, vec![me, domain("harbour")]));
+    let mut far = replica("entry-2");
+    let asker = member("entry-2", 1);
+    let (status, first) = near.relay(&asker, Revision(0), START);
+    far.take_relay((START, START), status.left, first).unwrap();
+    let key: RowKey = domain("harbour").key();
+    assert!(far.table().get(&key).is_some());
+    let gone = Changes {
+        since: Revision(1),
+        revision: Revision(2),
+        rows: vec![(key.clone(), Revision(2), None)],
+    };
+    read(&mut near, START, gone);
+    let (status, second) = near.relay(&asker, Revision(1), START);
+    far.take_relay((START, START), status.left, second).unwrap();
+    assert!(far.table().get(&key).is_none());
+    assert_eq!(far.table().revision(), Revision(2));
+}
+
+/// An instance that no row lists is lent leave under revision 1. Until that has
+/// run out the lender does not settle revision 2, as the borrower may still
+/// route by revision 1 and no mover asks it. A listed one is asked itself.
+#[test]
+fn a_lender_answers_for_whom_nobody_lists() {
+    for (borrower, holds_back) in [("entry-9", true), ("entry-2", false)] {
+        let mut lender = replica("entry-1");
+        let rows = ["entry-1", "entry-2"].map(|name| listed(name, 1, InstanceState::Live));
+        read(&mut lender, START, changes(0, 1, rows.to_vec()));
+        let now = START + SECOND / 2;
+        let (status, _) = lender.relay(&member(borrower, 1), Revision(0), now);
+        let left = Remaining {
+            anywhere: SECOND,
+            age: SECOND / 2,
+        };
+        assert_eq!(status.left, Some(left), "the rest only");
+        read(&mut lender, now, changes(1, 2, vec![domain("port")]));
+        assert!(lender.is_settled(Revision(1), now));
+        assert_eq!(
+            lender.is_settled(Revision(2), now),
+            !holds_back,
+            "{borrower}"
+        );
+        assert!(
+            lender.is_settled(Revision(2), START + 2 * SECOND),
+            "{borrower}"
+        );
+    }
+}
+
+/// A relay rests on a read that was begun before this instance started. It is
+/// counted from then and not from the start, where it would last for longer.
+#[test]
+fn relayed_leave_is_counted_from_the_platform_read() {
+    let mut replica = replica("entry-1");
+    let left = Remaining {
+        anywhere: SECOND / 4,
+        age: 20 * SECOND,
+    };
+    let times = (START + SECOND, START + 3 * SECOND);
+    let rows = changes(0, 1, vec![domain("harbour")]);
+    replica.take_relay(times, Some(left), rows).unwrap();
+    let confirmation = replica.confirmation();
+    assert_eq!(confirmation.end(false, SECOND), START + SECOND * 5 / 4);
+    let grace = 25 * SECOND;
+    assert_eq!(confirmation.end(true, grace), START + 6 * SECOND);
+}
