Metrics of the request path: counts of each thread, added up when they are read

Reason: operators need requests by outcome, tries, latency and requests under way. Change: /metrics on the traffic port by the prometheus library's local counters; a request touches only its own thread's. Shown by: limits.rs, metrics_count_outcomes.

--- a/crates/citronproxy/src/traffic/answer.rs
+++ b/crates/citronproxy/src/traffic/answer.rs
@@ -55,3 +55,10 @@
     let status = StatusCode::SERVICE_UNAVAILABLE;
     own(status, Outcome::NotRun, Some(RETRY_SOON), reason)
 }
+
+/// What the headers of an answer say of its request.
+pub fn outcome_of(response: &Response<AnswerBody>) -> Outcome {
+    let value = response.headers().get(HEADER_OUTCOME);
+    let outcome = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    outcome.unwrap_or(Outcome::Unknown)
+}
--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -48,6 +48,11 @@
         /// Takes the answer.
         reply: oneshot::Sender<Vec<CrashEntry>>,
     },
+    /// Adds this thread's counts to the shared metrics.
+    Metrics {
+        /// Takes the number of requests under way.
+        reply: oneshot::Sender<usize>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -74,6 +79,10 @@
             Ask::Crash(note) => state.crashes.note(note),
             Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
             Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
+            Ask::Metrics { reply } => {
+                state.metrics.borrow_mut().flush();
+                let _ = reply.send(flights.count());
+            }
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{from_verdict, mark, own},
+        answer::{from_verdict, mark, outcome_of, own},
         body::{AnswerBody, Streamed},
         crashes::CrashNote,
         gates::{Denied, Slot},
@@ -56,9 +56,16 @@
         }
     }
 
-    /// Runs it to the head of the answer. Dropping the future, as when the caller
-    /// leaves, ends all its exchanges with their connections.
-    pub async fn run(mut self) -> Response<AnswerBody> {
+    /// Runs it to the head of the answer; tells its outcome and how many tries it
+    /// took. Dropping the future, as when the caller leaves, ends all its
+    /// exchanges with their connections.
+    pub async fn run(mut self) -> (Response<AnswerBody>, Outcome, u32) {
+        let answer = self.drive().await;
+        let outcome = outcome_of(&answer);
+        (answer, outcome, self.attempt.tries())
+    }
+
+    async fn drive(&mut self) -> Response<AnswerBody> {
         let tries = self.tries;
         let mut open = FuturesUnordered::new();
         let admitted = self.admit().await;
--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -62,6 +62,11 @@
         let running = self.abandoned.iter().any(|left| older(&left.entry));
         !waiting && !running
     }
+
+    /// How many requests are under way.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
 }
 
 /// One request's entry; taken out when dropped.
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -6,6 +6,7 @@
         crashes::CrashNote,
         gates::Parts,
         load::{LoadSample, merge},
+        metrics::Metrics,
         phase::Phase,
     },
     arc_swap::{ArcSwapOption, Guard},
@@ -17,7 +18,7 @@
     },
     std::{
         collections::BTreeMap,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, OnceLock, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -42,6 +43,7 @@
     threads: Mutex<Vec<mpsc::UnboundedSender<Ask>>>,
     published: watch::Sender<Revision>,
     phase: watch::Sender<Phase>,
+    metrics: OnceLock<Metrics>,
 }
 
 impl TrafficHandle {
@@ -166,6 +168,23 @@
         }
     }
 
+    /// All metrics as text, in the format of Prometheus.
+    pub async fn metrics(&self) -> String {
+        let mut flights = 0;
+        for answer in self.ask(|reply| Ask::Metrics { reply }) {
+            flights += answer.await.unwrap_or(0);
+        }
+        let metrics = self.shared_metrics();
+        metrics.set_flights(flights);
+        metrics.text()
+    }
+
+    /// The metrics that the threads add to.
+    pub(super) fn shared_metrics(&self) -> &Metrics {
+        let new = || Metrics::new().expect("the names are valid");
+        self.shared.metrics.get_or_init(new)
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod handle;
 mod limits;
 mod load;
+mod metrics;
 mod phase;
 mod pool;
 mod proxy;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -29,6 +29,9 @@
     tokio::sync::Notify,
 };
 
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
+
 /// The request path of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct Proxy {
@@ -55,8 +58,13 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
-        let mut answer = match self.probe(request.uri().path()) {
+        let path = request.uri().path();
+        let mut answer = match self.probe(path) {
             Some(answer) => answer,
+            None if path == METRICS => {
+                let text = self.state.handle.metrics().await;
+                own(StatusCode::OK, Outcome::NotRun, None, text.trim_end())
+            }
             None => self.route(request).await.unwrap_or_else(|refusal| *refusal),
         };
         if self.state.handle.phase() > Phase::Serving {
@@ -117,7 +125,12 @@
             let reason = "too many requests of this operator are in progress";
             return Err(Box::new(unavailable(reason)));
         };
-        Ok(Call::new(&tries, &row.name, idempotent).run().await)
+        let call = Call::new(&tries, &row.name, idempotent);
+        let (answer, outcome, sent) = call.run().await;
+        let time = self.state.clock.now() - now;
+        let mut metrics = self.state.metrics.borrow_mut();
+        metrics.count(&row.name, outcome, sent, time);
+        Ok(answer)
     }
 
     fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refused> {
--- a/crates/citronproxy/src/traffic/state.rs
+++ b/crates/citronproxy/src/traffic/state.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         crashes::Crashes, flights::Flights, gates::Gates, handle::TrafficHandle, limits::Limits,
-        pool::Pool,
+        metrics::LocalMetrics, pool::Pool,
     },
     crate::clock::Clock,
     citron_core::{
@@ -29,6 +29,8 @@
     pub flights: Rc<RefCell<Flights>>,
     /// The limits of backend servers.
     pub gates: Gates,
+    /// Counts of this thread.
+    pub metrics: RefCell<LocalMetrics>,
     /// Requests that crashed servers.
     pub crashes: Crashes,
     /// Room for requests in progress, by operator.
@@ -50,10 +52,11 @@
     /// The state of a thread that has just started; `seed` is for the jitter.
     pub fn new(handle: TrafficHandle, clock: Clock, limits: Limits, seed: u64) -> Rc<Self> {
         Rc::new(Self {
-            handle,
             flights: Rc::new(RefCell::new(Flights::new(clock))),
             gates: Gates::new(clock),
+            metrics: RefCell::new(handle.shared_metrics().local()),
             crashes: Crashes::new(clock),
+            handle,
             room: RefCell::new(OperatorRoom::new(limits.room)),
             pool: Pool::new(clock),
             clock,
--- a/crates/citronproxy/tests/limits.rs
+++ b/crates/citronproxy/tests/limits.rs
@@ -14,7 +14,7 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
-    support::{LONG, Path, Reply, post},
+    support::{LONG, Path, Reply, get, post},
     tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinHandle, time::sleep},
 };
 
@@ -128,6 +128,25 @@
     assert_eq!(told(&replies(next).await[0]), (200, "ran", false));
 }
 
+/// A cap turns three of five requests away; the metrics of all threads tell so.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_outcomes() {
+    let server = slow(Duration::ZERO).await;
+    let path = path(&server, 4, Some(2));
+    replies(send(&path, 5)).await;
+    let text = get(path.address, "/metrics").await.unwrap().body;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    for line in [
+        r#"citron_requests_total{outcome="not-run",service="kegs"} 3"#,
+        r#"citron_requests_total{outcome="ran",service="kegs"} 2"#,
+        r#"citron_tries_total{service="kegs"} 2"#,
+        r#"citron_answer_seconds_count{service="kegs"} 5"#,
+        "citron_requests_in_flight 0",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in {text}");
+    }
+}
+
 /// Control gives this instance half of a server of four slots: it is kept to two.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_of_the_slots_is_kept_to() {
