--- /dev/null
+++ b/crates/citronproxy/examples/upload.rs
@@ -0,0 +1,98 @@
+//! Memory that a large upload takes: caller, instance and server in one process,
+//! none of which keeps the body.
+//! `cargo run --release --example upload [-- --mib N]`, 1024 MiB if not given.
+
+use {
+    citron_core::{
+        id::Revision,
+        membership::Confirmation,
+        routing::{RouteMap, Snapshot},
+        table::{Changes, Row, Table},
+    },
+    citron_fakes::raw::drain_server,
+    citronproxy::{clock::Clock, dev, traffic},
+    std::{
+        error::Error,
+        fs,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+const MIB: usize = 1_024 * 1_024;
+/// Long enough for any upload here.
+const HOUR: Duration = Duration::from_secs(3_600);
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let mut args = pico_args::Arguments::from_env();
+    let mib: usize = args.opt_value_from_str("--mib")?.unwrap_or(1_024);
+    // The server pauses a little after each MiB, so that the caller is faster.
+    let server = drain_server(Duration::from_millis(1)).await?;
+    let instance = instance(server)?;
+    let before = resident("VmRSS:")?;
+    let begun = Instant::now();
+    let answer = upload(instance, mib * MIB).await?;
+    let seconds = begun.elapsed().as_secs_f64();
+    let growth = resident("VmHWM:")? - before;
+    let last = answer.lines().last().unwrap_or_default();
+    println!("{last}: {mib} MiB in {seconds:.1} s, memory grew by {growth} KiB at most");
+    Ok(())
+}
+
+async fn upload(address: SocketAddr, size: usize) -> Result<String, Box<dyn Error>> {
+    let mut stream = TcpStream::connect(address).await?;
+    let head = "PUT /kegs/photos HTTP/1.1\r\nhost: kegs\r\nconnection: close\r\n";
+    let head = format!("{head}content-length: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let part = vec![b'x'; MIB / 4];
+    for _ in 0..size / part.len() {
+        stream.write_all(&part).await?;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+fn resident(name: &str) -> Result<u64, Box<dyn Error>> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    Ok(number.ok_or("no such line")?.parse()?)
+}
+
+fn instance(server: SocketAddr) -> Result<SocketAddr, Box<dyn Error>> {
+    let mut rows = dev::sample_rows(server)?;
+    for row in &mut rows {
+        if let Row::Service(row) = row {
+            row.deadline = HOUR;
+        }
+    }
+    let rows = rows
+        .into_iter()
+        .map(|row| (row.key(), Revision(1), Some(row)));
+    let mut table = Table::default();
+    table.apply(Changes {
+        since: Revision(0),
+        revision: Revision(1),
+        rows: rows.collect(),
+    })?;
+    let clock = Clock::start();
+    let handle = traffic::TrafficHandle::default();
+    let workers = traffic::start("127.0.0.1:0".parse()?, 1, &handle, clock)?;
+    handle.publish(Snapshot {
+        map: Arc::new(RouteMap::build(&table)),
+        confirmation: Confirmation {
+            anywhere: clock.now() + HOUR,
+            platform: clock.now(),
+            domain: clock.now() + HOUR,
+        },
+        domain: "dev".parse()?,
+    });
+    Ok(workers.address)
+}
--- a/crates/citronproxy/tests/exchange.rs
+++ b/crates/citronproxy/tests/exchange.rs
@@ -302,3 +302,23 @@
     path.handle.quiet(&server_1(), Revision(2)).await;
     assert!(begun.elapsed() >= Duration::from_millis(1_400));
 }
+
+/// The caller sends a request again under the same `Idempotency-Key`, through the
+/// same and through another instance. Each resend is a request of its own: it goes
+/// to the owner of its key with the header unchanged, and the server decides.
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotency_keys_are_passed_on_to_the_same_owner() {
+    let fine = vec![Act::Request, Act::answer("own")];
+    let server = RawServer::start(vec![fine]).await.unwrap();
+    let instances = [Path::start(server.address), Path::start(server.address)];
+    let keyed = String::from_utf8_lossy(POST).replace("host: a", "host: a\r\nidempotency-key: k-7");
+    for path in [&instances[0], &instances[0], &instances[1]] {
+        let answer = path.raw(keyed.as_bytes(), SHORT).await;
+        assert!(answer.contains("citron-outcome: ran"), "{answer}");
+    }
+    assert_eq!(server.runs(), 3);
+    for connection in 0..3 {
+        let text = server.text(connection);
+        assert_eq!(text.matches("idempotency-key: k-7").count(), 1, "{text}");
+    }
+}
