--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod lifecycle;
 pub mod peer;
 pub mod settings;
+pub mod slo;
 pub mod traffic;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -1,16 +1,26 @@
 //! The instance's binary.
 
 use {
-    citron_platform::{HttpPlatform, LaneStore},
+    citron_core::{id::Incarnation, membership::Member},
+    citron_platform::{HttpPlatform, HttpServers, LaneStore},
     citronproxy::{
         admin::{self, Admin, AdminServer},
         clock::Clock,
-        control::Follower,
+        control::{Control, ControlConfig, ControlMetrics},
         dev, events, lifecycle,
         settings::Settings,
+        slo::Recorder,
         traffic::{self, TrafficHandle},
     },
-    std::{error::Error, path::PathBuf, process::ExitCode, rc::Rc},
+    prometheus::Registry,
+    std::{
+        error::Error,
+        io::{self, Write},
+        net::SocketAddr,
+        path::PathBuf,
+        process::ExitCode,
+        rc::Rc,
+    },
     tokio::{
         runtime::Builder,
         task::{LocalSet, spawn_local},
@@ -106,37 +116,81 @@
         settings.instance,
         workers.address
     );
-    // Whoever asked for port 0 learns the port here.
-    println!("traffic {}", workers.address);
-    let writer = format!("{}/{}", settings.instance, std::process::id());
-    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let follower = Follower::new(store, handle.clone(), clock, settings.domain.clone());
-    LocalSet::new().block_on(&runtime, async move {
-        start_admin(settings, handle.clone()).await?;
-        tokio::select! {
-            lived = lifecycle::run(handle) => lived,
-            () = follower.run() => Ok(()),
-        }
-    })?;
+    say("traffic", workers.address);
+    let control = run_control(settings, workers.address, handle, clock);
+    LocalSet::new().block_on(&runtime, control)?;
     workers.close();
     Ok(())
 }
 
-/// Serves operators, with a writer of their own at the table. Its name is drawn
-/// anew at each start, since its commits are numbered anew.
-async fn start_admin(settings: Settings, handle: TrafficHandle) -> std::io::Result<()> {
+/// Tells an address, since whoever asked for port 0 learns the port here. That
+/// nobody reads it is no reason to stop.
+fn say(what: &str, address: SocketAddr) {
+    let _ = writeln!(io::stdout(), "{what} {address}");
+}
+
+async fn run_control(
+    settings: Settings,
+    traffic: SocketAddr,
+    handle: TrafficHandle,
+    clock: Clock,
+) -> Result<(), Box<dyn Error>> {
+    let me = Member {
+        instance: settings.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    start_recorder(&settings, &handle, clock);
+    let admin = start_admin(&settings, &me, &handle).await?;
+    // New at each start: the numbers of a writer's commits begin anew.
+    let writer = format!("{}/{}", me.instance, me.incarnation);
+    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
+    let config = ControlConfig {
+        me,
+        domain: settings.domain,
+        traffic,
+        peer: settings.peer,
+        admin,
+        seeds: settings.seeds,
+    };
+    let metrics = ControlMetrics::new(&Registry::new())?;
+    let outside = (store, HttpServers::default());
+    let mut control = Control::start(config, outside, handle.clone(), clock, metrics).await?;
+    say("peer", control.address);
+    let node = control.node().clone();
+    tokio::select! {
+        lived = lifecycle::run(handle, move || node.leave()) => lived?,
+        error = control.failed() => return Err(error.into()),
+    }
+    control.close().await;
+    Ok(())
+}
+
+/// Counts for service-level objectives.
+fn start_recorder(settings: &Settings, handle: &TrafficHandle, clock: Clock) {
+    let store = HttpPlatform::new(settings.platform);
+    let (instance, domain) = (settings.instance.clone(), settings.domain.clone());
+    let recorder = Recorder::new(instance, domain, handle.clone());
+    spawn_local(recorder.run(store, clock));
+}
+
+/// Serves operators, with a writer of their own at the table.
+async fn start_admin(
+    settings: &Settings,
+    me: &Member,
+    handle: &TrafficHandle,
+) -> io::Result<SocketAddr> {
     let server = AdminServer::bind(settings.admin).await?;
-    println!("admin {}", server.address);
-    let start: u64 = rand::random();
-    let writer = format!("{}/{start:016x}/admin", settings.instance);
+    let address = server.address;
+    say("admin", address);
+    let writer = format!("{}/{}/admin", me.instance, me.incarnation);
     let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
     let admin = Admin::new(
-        settings.instance,
-        settings.domain,
+        settings.instance.clone(),
+        settings.domain.clone(),
         store,
-        handle,
-        settings.token,
+        handle.clone(),
+        settings.token.clone(),
     );
     spawn_local(admin::serve(server, Rc::new(admin)));
-    Ok(())
+    Ok(address)
 }
--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -5,7 +5,8 @@
     citron_core::{
         admission::Demand,
         crash::{CrashEntry, CrashReport},
-        id::{Revision, ServerName},
+        id::{Revision, ServerName, ServiceName},
+        slo::Tally,
     },
     std::{rc::Rc, sync::Arc},
     tokio::sync::{mpsc, oneshot},
@@ -53,6 +54,11 @@
         /// Takes the number of requests under way.
         reply: oneshot::Sender<usize>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -83,6 +89,7 @@
                 state.metrics.borrow_mut().flush();
                 let _ = reply.send(flights.count());
             }
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{from_verdict, mark, outcome_of, own},
+        answer::{from_verdict, mark, own},
         body::{AnswerBody, Streamed},
         crashes::CrashNote,
         gates::{Denied, Slot},
@@ -56,13 +56,12 @@
         }
     }
 
-    /// Runs it to the head of the answer; tells its outcome and how many tries it
-    /// took. Dropping the future, as when the caller leaves, ends all its
-    /// exchanges with their connections.
-    pub async fn run(mut self) -> (Response<AnswerBody>, Outcome, u32) {
+    /// Runs it to the head of the answer; tells how many tries it took. Dropping
+    /// the future, as when the caller leaves, ends all its exchanges with their
+    /// connections.
+    pub async fn run(mut self) -> (Response<AnswerBody>, u32) {
         let answer = self.drive().await;
-        let outcome = outcome_of(&answer);
-        (answer, outcome, self.attempt.tries())
+        (answer, self.attempt.tries())
     }
 
     async fn drive(&mut self) -> Response<AnswerBody> {
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{own, unavailable},
+        answer::{outcome_of, own, unavailable},
         body::AnswerBody,
         call::Call,
         deadline,
@@ -17,6 +17,7 @@
     citron_core::{
         id::OperatorName,
         routing::{Outcome, ServiceRoutes},
+        table::ServiceRow,
     },
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
@@ -25,6 +26,7 @@
         convert::Infallible,
         rc::Rc,
         sync::Arc,
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -123,16 +125,27 @@
         };
         let Some(_room) = Room::enter(&self.state, &row.operator) else {
             let reason = "too many requests of this operator are in progress";
-            return Err(Box::new(unavailable(reason)));
+            let refused = unavailable(reason);
+            self.count(row, &refused, 0, Duration::ZERO);
+            return Err(Box::new(refused));
         };
         let call = Call::new(&tries, &row.name, idempotent);
-        let (answer, outcome, sent) = call.run().await;
-        let time = self.state.clock.now() - now;
-        let mut metrics = self.state.metrics.borrow_mut();
-        metrics.count(&row.name, outcome, sent, time);
+        let (answer, sent) = call.run().await;
+        self.count(row, &answer, sent, self.state.clock.now() - now);
         Ok(answer)
     }
 
+    /// Counts an answer for the metrics and for the service's objectives.
+    fn count(&self, row: &ServiceRow, answer: &Response<AnswerBody>, tries: u32, time: Duration) {
+        let outcome = outcome_of(answer);
+        let mut metrics = self.state.metrics.borrow_mut();
+        metrics.count(&row.name, outcome, tries, time);
+        let failed = outcome != Outcome::Ran || answer.status().is_server_error();
+        let slow = time > row.objectives.latency;
+        let mut flights = self.state.flights.borrow_mut();
+        flights.burn.answered(&row.name, failed, slow);
+    }
+
     fn service(&self, head: &Parts) -> Result<Arc<ServiceRoutes>, Refused> {
         let snapshot = self.state.handle.snapshot();
         let Some(snapshot) = snapshot.as_ref() else {
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -18,6 +18,7 @@
     tokio::task::{LocalSet, spawn_local},
 };
 
+/// The instance's own row is revision 1, the starting rows are revision 2.
 async fn start() -> (PlatformServer, Instance, Operator) {
     let any = "127.0.0.1:0".parse().unwrap();
     let platform = PlatformServer::start(any).await.unwrap();
@@ -49,8 +50,8 @@
     unknown["colour"] = json!("red");
     let heavy = server_row(1, 20_000);
     let cases = [
-        ("accepted", ann.put("server/server-1", 1, &row).await),
-        ("lost race", ann.put("server/server-1", 1, &row).await),
+        ("accepted", ann.put("server/server-1", 2, &row).await),
+        ("lost race", ann.put("server/server-1", 2, &row).await),
         ("added twice", ann.put("server/server-1", 0, &row).await),
         (
             "lost to a deletion",
@@ -58,23 +59,23 @@
         ),
         (
             "key of another row",
-            ann.put("server/server-2", 1, &row).await,
+            ann.put("server/server-2", 2, &row).await,
         ),
-        ("rule broken", ann.put("server/server-1", 2, &bad).await),
+        ("rule broken", ann.put("server/server-1", 3, &bad).await),
         (
             "unknown field",
-            ann.put("server/server-1", 2, &unknown).await,
+            ann.put("server/server-1", 3, &unknown).await,
         ),
         (
             "weight too large",
-            ann.put("server/server-1", 2, &heavy).await,
+            ann.put("server/server-1", 3, &heavy).await,
         ),
         (
             "no version",
             ann.send(Method::PUT, "/v1/rows/server/server-1", &[], Some(&row))
                 .await,
         ),
-        ("owner deleted", ann.delete("server/server-1", 2).await),
+        ("owner deleted", ann.delete("server/server-1", 3).await),
         ("row not there", ann.get("/v1/rows/server/server-9").await),
         ("no such call", ann.get("/v1/nothing").await),
         (
@@ -90,7 +91,7 @@
         (
             "nobody",
             Operator::new("", ann.admin)
-                .put("server/server-1", 2, &row)
+                .put("server/server-1", 3, &row)
                 .await,
         ),
     ];
@@ -98,7 +99,7 @@
         lines.push(line(case, &called.unwrap()));
     }
     platform.faults.set(|trouble| trouble.down = true);
-    let down = ann.put("server/server-1", 2, &row).await.unwrap();
+    let down = ann.put("server/server-1", 3, &row).await.unwrap();
     assert_eq!(
         (down.0, down.1["code"].as_str()),
         (503, Some("unavailable"))
@@ -159,7 +160,7 @@
     let edit = |version: u64| {
         let row = |number| server_row(number, 7);
         [
-            json!({ "key": "server/server-1", "version": 1, "row": row(1) }),
+            json!({ "key": "server/server-1", "version": 2, "row": row(1) }),
             json!({ "key": "server/server-2", "version": version, "row": row(2) }),
         ]
     };
@@ -170,9 +171,9 @@
     );
     let (_, first) = ann.get("/v1/rows/server/server-1").await.unwrap();
     assert_eq!(first["row"]["weight"], 100);
-    let (status, done) = ann.edit(&edit(1)).await.unwrap();
-    assert_eq!((status, done["revision"].as_u64()), (200, Some(2)));
-    let (_, page) = ann.get("/v1/history?after=1").await.unwrap();
+    let (status, done) = ann.edit(&edit(2)).await.unwrap();
+    assert_eq!((status, done["revision"].as_u64()), (200, Some(3)));
+    let (_, page) = ann.get("/v1/history?after=2").await.unwrap();
     insta::assert_json_snapshot!(page, { ".entries[].at_ms" => "[time]" });
 }
 
@@ -209,7 +210,7 @@
     assert_eq!((status, body["code"].as_str()), (400, Some("malformed")));
     let (status, _) = ask(json!({ "service": "kegs", "shard": 2, "to": "server-1" })).await;
     assert_eq!(status, 200);
-    let (_, page) = ann.get("/v1/history?after=1").await.unwrap();
+    let (_, page) = ann.get("/v1/history?after=2").await.unwrap();
     let change = &page["entries"][0]["changes"][0];
     assert_eq!(change["key"], "block/kegs/0");
     assert_eq!(change["after"]["shards"][2]["to"], "server-1");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod ownership;
 pub mod placement;
 pub mod routing;
+pub mod slo;
 pub mod table;
 pub mod time;
