--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -207,6 +207,7 @@
         traffic: any,
         peer: any,
         admin: any,
+        advertise: None,
         seeds: Vec::new(),
     };
     let store = Store {
--- a/crates/citronproxy/src/dev/sample.rs
+++ b/crates/citronproxy/src/dev/sample.rs
@@ -16,7 +16,6 @@
         },
     },
     citron_platform::{HttpServers, LaneStore, Memory, PlatformError, TableStore},
-    prometheus::Registry,
     std::{error::Error, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -62,7 +61,7 @@
         admin: ANY.parse()?,
         seeds: Vec::new(),
     };
-    let metrics = ControlMetrics::new(&Registry::new())?;
+    let metrics = ControlMetrics::new(handle.registry())?;
     let outside = (store, HttpServers::default());
     let mut control = Control::start(config, outside, handle, clock, metrics).await?;
     println!("try: curl -i http://{}/kegs/bar-7", workers.address);
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -12,7 +12,6 @@
         slo::Recorder,
         traffic::{self, TrafficHandle},
     },
-    prometheus::Registry,
     std::{
         error::Error,
         io::{self, Write},
@@ -153,7 +152,7 @@
         admin,
         seeds: settings.seeds,
     };
-    let metrics = ControlMetrics::new(&Registry::new())?;
+    let metrics = ControlMetrics::new(handle.registry())?;
     let outside = (store, HttpServers::default());
     let mut control = Control::start(config, outside, handle.clone(), clock, metrics).await?;
     say("peer", control.address);
--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -49,6 +49,11 @@
         /// Takes the answer.
         reply: oneshot::Sender<Vec<CrashEntry>>,
     },
+    /// Adds this thread's counts to the shared metrics.
+    Metrics {
+        /// Takes the number of requests under way.
+        reply: oneshot::Sender<usize>,
+    },
     /// Counts for service-level objectives since the last time they were asked for.
     Burn {
         /// Takes the answer.
@@ -80,6 +85,10 @@
             Ask::Crash(note) => state.crashes.note(note),
             Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
             Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
+            Ask::Metrics { reply } => {
+                state.metrics.borrow_mut().flush();
+                let _ = reply.send(flights.count());
+            }
             Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -56,9 +56,15 @@
         }
     }
 
-    /// Runs it to the head of the answer. Dropping the future, as when the caller
-    /// leaves, ends all its exchanges with their connections.
-    pub async fn run(mut self) -> Response<AnswerBody> {
+    /// Runs it to the head of the answer; tells how many tries it took. Dropping
+    /// the future, as when the caller leaves, ends all its exchanges with their
+    /// connections.
+    pub async fn run(mut self) -> (Response<AnswerBody>, u32) {
+        let answer = self.drive().await;
+        (answer, self.attempt.tries())
+    }
+
+    async fn drive(&mut self) -> Response<AnswerBody> {
         let tries = self.tries;
         let mut open = FuturesUnordered::new();
         let admitted = self.admit().await;
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -6,6 +6,7 @@
         crashes::CrashNote,
         gates::Parts,
         load::{LoadSample, merge},
+        metrics::Metrics,
         phase::Phase,
     },
     arc_swap::{ArcSwapOption, Guard},
@@ -16,9 +17,10 @@
         routing::Snapshot,
         slo::Tally,
     },
+    prometheus::Registry,
     std::{
         collections::BTreeMap,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, OnceLock, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -43,6 +45,7 @@
     threads: Mutex<Vec<mpsc::UnboundedSender<Ask>>>,
     published: watch::Sender<Revision>,
     phase: watch::Sender<Phase>,
+    metrics: OnceLock<Metrics>,
 }
 
 impl TrafficHandle {
@@ -167,6 +170,28 @@
         }
     }
 
+    /// All metrics as text, in the format of Prometheus.
+    pub async fn metrics(&self) -> String {
+        let mut flights = 0;
+        for answer in self.ask(|reply| Ask::Metrics { reply }) {
+            flights += answer.await.unwrap_or(0);
+        }
+        let metrics = self.shared_metrics();
+        metrics.set_flights(flights);
+        metrics.text()
+    }
+
+    /// Where the other parts of the instance add metrics of their own.
+    pub fn registry(&self) -> &Registry {
+        self.shared_metrics().registry()
+    }
+
+    /// The metrics that the threads add to.
+    pub(super) fn shared_metrics(&self) -> &Metrics {
+        let new = || Metrics::new().expect("the names are valid");
+        self.shared.metrics.get_or_init(new)
+    }
+
     /// Counts for service-level objectives since this was last asked.
     pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
         let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
--- /dev/null
+++ b/crates/citronproxy/tests/moves.rs
@@ -0,0 +1,133 @@
+//! Keys move between two backend servers that check nothing, under traffic.
+
+mod support;
+
+use {
+    citron_core::{
+        id::{Epoch, Revision, ServerName, Slots},
+        ownership::Phase,
+        table::{Fencing, Row},
+    },
+    citron_fakes::backend::{BackendConfig, BackendServer},
+    citronproxy::traffic::Limits,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, SystemTime},
+    },
+    support::{LONG, Path, Sample, post, sample},
+    tokio::time::sleep,
+};
+
+const CALLERS: usize = 8;
+const MOVES: u64 = 25;
+
+async fn backend(name: &str) -> BackendServer {
+    let config = BackendConfig {
+        name: name.to_string(),
+        slots: 64,
+        work: Duration::from_millis(4),
+        fenced: false,
+    };
+    let any = "127.0.0.1:0".parse().unwrap();
+    BackendServer::start(any, config).await.unwrap()
+}
+
+fn wall_micros() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.unwrap().as_micros() as u64
+}
+
+fn assign(path: &mut Path, owner: &ServerName, phase: &Phase, epoch: u64) {
+    for row in &mut path.rows {
+        if let Row::Block(block) = row {
+            for shard in &mut block.shards {
+                shard.owner = owner.clone();
+                shard.phase = phase.clone();
+                shard.epoch = Epoch(epoch);
+            }
+        }
+    }
+}
+
+async fn call_on(number: usize, address: SocketAddr, stop: Arc<AtomicBool>) -> Vec<String> {
+    let mut sent = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let id = format!("{number}-{}", sent.len());
+        let path = format!("/kegs/bar-{id}");
+        let reply = post(address, &path, &id, "pickup").await.unwrap();
+        let told = (reply.status.as_u16(), reply.header("citron-outcome"));
+        assert_eq!(told, (200, "ran"), "{id}");
+        sent.push(id);
+    }
+    sent
+}
+
+/// Eight callers send all the time while all keys move to and fro 25 times. For
+/// each move the old owner is released, and the next is named once traffic says
+/// that the old one is quiet. No request is refused, each runs once, and none
+/// begins at a server after that: it would run beside those of the next owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_reaches_an_owner_that_was_quiet() {
+    let servers = [backend("server-1").await, backend("server-2").await];
+    let names: [ServerName; 2] = ["server-1".parse().unwrap(), "server-2".parse().unwrap()];
+    let mut path = Path::start_with(servers[0].address, Limits::default(), |_| {});
+    let named = servers.iter().zip(&names);
+    path.rows = sample(&Sample {
+        servers: named
+            .map(|(server, name)| (name.to_string(), "harbour".to_string(), server.address))
+            .collect(),
+        fencing: Fencing::Unchecked,
+    });
+    for row in &mut path.rows {
+        if let Row::Server(row) = row {
+            row.slots = Slots(64);
+        }
+    }
+    assign(&mut path, &names[0], &Phase::Owned, 2);
+    path.publish(2, LONG);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLERS).map(|n| tokio::spawn(call_on(n, path.address, Arc::clone(&stop))));
+    let callers: Vec<_> = callers.collect();
+
+    // When the owner of each epoch was quiet.
+    let mut quiet = BTreeMap::new();
+    for number in 1..=MOVES {
+        sleep(Duration::from_millis(30)).await;
+        let [from, to] = [(number + 1) % 2, number % 2].map(|at| &names[at as usize]);
+        let releasing = Phase::Releasing { to: to.clone() };
+        assign(&mut path, from, &releasing, 2 * number + 1);
+        path.publish(2 * number + 1, LONG);
+        path.handle.quiet(from, Revision(2 * number + 1)).await;
+        quiet.insert(2 * number, wall_micros());
+        assign(&mut path, to, &Phase::Owned, 2 * number + 2);
+        path.publish(2 * number + 2, LONG);
+    }
+    sleep(Duration::from_millis(30)).await;
+    stop.store(true, Ordering::Relaxed);
+    let mut sent = BTreeSet::new();
+    for caller in callers {
+        sent.extend(caller.await.unwrap());
+    }
+
+    let runs: Vec<_> = servers
+        .iter()
+        .flat_map(|server| server.runs.all())
+        .collect();
+    assert!(sent.len() > 200, "too little traffic: {}", sent.len());
+    assert_eq!(runs.len(), sent.len(), "a request ran twice, or not at all");
+    let ran: BTreeSet<String> = runs.iter().map(|run| run.id.clone()).collect();
+    assert_eq!(ran, sent);
+    for run in &runs {
+        let late = quiet
+            .get(&run.epoch)
+            .is_some_and(|quiet| run.at_us > *quiet);
+        assert!(!late, "{run:?} began after its owner was quiet");
+    }
+    let epochs: BTreeSet<u64> = runs.iter().map(|run| run.epoch).collect();
+    assert!(epochs.len() > 20, "{epochs:?}");
+}
