Plans weigh shards by measured load

Balance took all shards for equally heavy, so that one server with all the load and its third of the shards stayed as it was.

Ruled out for now: exchanging load between instances, as the balancer already gives each a sample.

--- a/crates/citronproxy/src/control/mod.rs
+++ b/crates/citronproxy/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod granting;
 mod listing;
+mod loads;
 mod metrics;
 mod moving;
 mod node;
@@ -21,6 +22,7 @@
     batch::Batch,
     config::ControlConfig,
     error::ControlError,
+    loads::Loads,
     metrics::ControlMetrics,
     moving::Moves,
     node::{Committed, Node},
--- a/crates/citronproxy/src/control/planning.rs
+++ b/crates/citronproxy/src/control/planning.rs
@@ -1,7 +1,7 @@
 //! Begins moves: away from lost and leaving servers, and for balance.
 
 use {
-    super::{Batch, Health, Node, WATCHERS, tasks::service},
+    super::{Batch, Health, Loads, Node, WATCHERS, tasks::service},
     crate::events,
     citron_core::{
         id::{ServerName, ServiceName, ShardId},
@@ -12,11 +12,13 @@
     },
     citron_platform::TableStore,
     std::{collections::BTreeMap, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// The pause between two plans.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
+/// The span of one measurement of load.
+const LOAD_SPAN: Duration = Duration::from_secs(1);
 /// How much later the next instance acts than the one before it.
 const RANK_DELAY: Duration = Duration::from_millis(400);
 /// What a fully warm server gets of its share, in percent.
@@ -33,8 +35,16 @@
 /// Plans again and again; ends only with its task.
 pub async fn plan<S: TableStore + 'static>(node: Node<S>, health: Health) {
     let mut desks: BTreeMap<ServiceName, Desk> = BTreeMap::new();
+    let mut loads = Loads::default();
+    let mut measured = node.now();
     loop {
         sleep(PLAN_PAUSE).await;
+        let span = node.now() - measured;
+        if span >= LOAD_SPAN {
+            let sample = timeout(LOAD_SPAN, node.handle().load()).await;
+            loads.add(sample.unwrap_or_default(), span);
+            measured = node.now();
+        }
         node.metrics().lost.set(health.lost(node.now()) as i64);
         if !node.look(|replica| replica.is_listed()) {
             continue;
@@ -45,7 +55,7 @@
             let rank = node.rank(&name);
             if rank < WATCHERS {
                 let desk = desks.entry(name.clone()).or_default();
-                plan_service(&node, &health, desk, &name, rank).await;
+                plan_service(&node, (&health, &loads), desk, &name, rank).await;
             }
         }
     }
@@ -61,13 +71,15 @@
 
 async fn plan_service<S: TableStore + 'static>(
     node: &Node<S>,
-    health: &Health,
+    (health, loads): (&Health, &Loads),
     desk: &mut Desk,
     name: &ServiceName,
     rank: u32,
 ) {
     let now = node.now();
-    let view = node.table(|table| view(table, name, health, now));
+    let instances = node.others().len() as u32 + 1;
+    let load = |scope| loads.of(name, scope, instances);
+    let view = node.table(|table| view(table, name, health, load, now));
     let Some(view) = view else {
         return;
     };
@@ -113,7 +125,13 @@
 }
 
 /// The service as the planner sees it; `None` if there is no such service.
-fn view(table: &Table, name: &ServiceName, health: &Health, now: Time) -> Option<View> {
+fn view(
+    table: &Table,
+    name: &ServiceName,
+    health: &Health,
+    load: impl Fn(Scope) -> (Load, u32),
+    now: Time,
+) -> Option<View> {
     let row = service(table, name)?;
     let servers = table.rows().filter_map(|(_, row)| match &row.value {
         Row::Server(row) if row.service == *name => Some(row),
@@ -122,7 +140,7 @@
     let usable = servers.filter(|row| is_usable(row, health, now));
     Some(View {
         servers: usable.map(|row| candidate(row, health, now)).collect(),
-        scopes: scopes(table, row),
+        scopes: scopes(table, row, load),
         moves: row.moves,
     })
 }
@@ -142,22 +160,23 @@
     }
 }
 
-fn scopes(table: &Table, row: &ServiceRow) -> Vec<ScopeLoad> {
+fn scopes(table: &Table, row: &ServiceRow, load: impl Fn(Scope) -> (Load, u32)) -> Vec<ScopeLoad> {
     let shards = (0..row.shards.shards()).map(|shard| Scope::Shard(ShardId(shard)));
     let keys = table.rows().filter_map(|(_, found)| match &found.value {
         Row::Override(key) if key.service == row.name => Some(Scope::Key(key.key)),
         _ => None,
     });
-    let load = |scope| {
+    let scope_load = |scope| {
         let found = assignment(table, &row.name, scope).map(|found| found.value);
         let owner: Option<ServerName> = found.as_ref().map(|found| found.owner.clone());
+        let (load, rate) = load(scope);
         ScopeLoad {
             scope,
             owner,
-            load: Load(0),
-            rate: 0,
+            load,
+            rate,
             moving: found.is_some_and(|found| !found.is_open()),
         }
     };
-    shards.chain(keys).map(load).collect()
+    shards.chain(keys).map(scope_load).collect()
 }
--- a/crates/citronproxy/tests/leaving.rs
+++ b/crates/citronproxy/tests/leaving.rs
@@ -56,6 +56,39 @@
     println!("{case}: slowest answer {slowest:?}");
 }
 
+/// All load is on one of three servers. Once that has lasted, shards move to the
+/// others, and callers notice nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lasting_imbalance_is_mended_under_load() {
+    let work = Duration::from_millis(20);
+    let spans = [Duration::from_secs(3), Duration::from_secs(3), work];
+    let deployment = Deployment::start_with(&["harbour"; 3], Fencing::Checked, spans).await;
+    let one = deployment.instance("entry-1", "harbour").await;
+    let two = deployment.instance("entry-2", "harbour").await;
+    let before = deployment.keys_of("server-1", 48).await;
+    let callers = Callers::on(&[[one.traffic, two.traffic]; 2].concat(), &before);
+    let begun = Instant::now();
+    let mut left = before.clone();
+    while left.len() * 2 > before.len() {
+        assert!(begun.elapsed() < Duration::from_secs(40), "{left:?}");
+        sleep(Duration::from_millis(100)).await;
+        left = deployment.keys_of("server-1", 48).await;
+        left.retain(|key| before.contains(key));
+    }
+    let took = begun.elapsed();
+    sleep(Duration::from_millis(300)).await;
+    let told = callers.stop().await;
+    println!(
+        "{} of {} busy keys left after {took:?}",
+        left.len(),
+        before.len()
+    );
+    let refused: Vec<_> = told.iter().filter(|one| one.status != 200).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+    check_told(&told, &deployment.runs());
+    check_owners(&deployment.runs());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_server_that_checks_grants() {
     for word in [Word::Row, Word::List, Word::Own] {
--- a/crates/citronproxy/tests/support/callers.rs
+++ b/crates/citronproxy/tests/support/callers.rs
@@ -46,12 +46,18 @@
 impl Callers {
     /// Starts them; the keys are `bar-0` to `bar-(keys - 1)`.
     pub fn start(instances: &[SocketAddr], keys: u32) -> Self {
+        Self::on(instances, &(0..keys).collect::<Vec<_>>())
+    }
+
+    /// Starts them for the keys of these numbers.
+    pub fn on(instances: &[SocketAddr], keys: &[u32]) -> Self {
         let stop = watch::Sender::default();
         let mut tasks = JoinSet::new();
         for (number, instance) in instances.iter().enumerate() {
             for half in 0..2 {
                 let group = GROUPS.fetch_add(1, Ordering::Relaxed);
                 let name = format!("{group}-{number}-{half}");
+                let keys = keys.to_vec();
                 tasks.spawn(call_on(name, *instance, half, keys, stop.subscribe()));
             }
         }
@@ -68,14 +74,14 @@
 async fn call_on(
     name: String,
     instance: SocketAddr,
-    first: u32,
-    keys: u32,
+    first: usize,
+    keys: Vec<u32>,
     stop: watch::Receiver<bool>,
 ) -> Vec<Told> {
     let mut told = Vec::new();
     let mut number = first;
     while !*stop.borrow() {
-        let key = number % keys;
+        let key = keys[number % keys.len()];
         let id = format!("{name}-{number}");
         number += 2;
         let path = format!("/kegs/bar-{key}");
