--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -208,6 +208,7 @@
         peer: any,
         advertise: None,
         admin: any,
+        advertise: None,
         seeds: Vec::new(),
     };
     let store = Store {
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -12,7 +12,6 @@
         slo::Recorder,
         traffic::{self, TrafficHandle},
     },
-    prometheus::Registry,
     std::{
         error::Error,
         io::{self, Write},
@@ -155,7 +154,7 @@
         admin: server.address,
         seeds: settings.seeds,
     };
-    let metrics = ControlMetrics::new(&Registry::new())?;
+    let metrics = ControlMetrics::new(handle.registry())?;
     let outside = (store, HttpServers::default());
     let start = Control::start(config, outside, handle.clone(), clock, metrics);
     let mut control = start.await?;
--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -70,6 +70,11 @@
     pub fn abandoned_until(&self) -> Option<Time> {
         self.abandoned.iter().map(|left| left.until).max()
     }
+
+    /// How many requests are under way.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
 }
 
 /// One request's entry; taken out when dropped.
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod handle;
 mod limits;
 mod load;
+mod metrics;
 mod phase;
 mod pool;
 mod proxy;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{HEADER_OUTCOME, own, unavailable},
+        answer::{outcome_of, own, unavailable},
         body::AnswerBody,
         call::Call,
         deadline,
@@ -31,6 +31,9 @@
     tokio::sync::Notify,
 };
 
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
+
 /// The request path of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct Proxy {
@@ -57,8 +60,13 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
-        let mut answer = match self.probe(request.uri().path()) {
+        let path = request.uri().path();
+        let mut answer = match self.probe(path) {
             Some(answer) => answer,
+            None if path == METRICS => {
+                let text = self.state.handle.metrics().await;
+                own(StatusCode::OK, Outcome::NotRun, None, text.trim_end())
+            }
             None => self.route(request).await.unwrap_or_else(|refusal| *refusal),
         };
         if self.state.handle.phase() > Phase::Serving {
@@ -115,21 +123,24 @@
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
-        let answer = match Room::enter(&self.state, &row.operator) {
-            Some(_room) => Call::new(&tries, &row.name, idempotent).run().await,
-            None => unavailable("too many requests of this operator are in progress"),
+        let Some(_room) = Room::enter(&self.state, &row.operator) else {
+            let reason = "too many requests of this operator are in progress";
+            let refused = unavailable(reason);
+            self.count(row, &refused, 0, Duration::ZERO);
+            return Err(Box::new(refused));
         };
-        self.count(row, &answer, self.state.clock.now() - now);
+        let call = Call::new(&tries, &row.name, idempotent);
+        let (answer, sent) = call.run().await;
+        self.count(row, &answer, sent, self.state.clock.now() - now);
         Ok(answer)
     }
 
-    /// Counts an answer for the service's objectives.
-    fn count(&self, row: &ServiceRow, answer: &Response<AnswerBody>, time: Duration) {
-        let ran = answer
-            .headers()
-            .get(HEADER_OUTCOME)
-            .is_some_and(|outcome| outcome == "ran");
-        let failed = !ran || answer.status().is_server_error();
+    /// Counts an answer for the metrics and for the service's objectives.
+    fn count(&self, row: &ServiceRow, answer: &Response<AnswerBody>, tries: u32, time: Duration) {
+        let outcome = outcome_of(answer);
+        let mut metrics = self.state.metrics.borrow_mut();
+        metrics.count(&row.name, outcome, tries, time);
+        let failed = outcome != Outcome::Ran || answer.status().is_server_error();
         let slow = time > row.objectives.latency;
         let mut flights = self.state.flights.borrow_mut();
         flights.burn.answered(&row.name, failed, slow);
--- a/crates/citronproxy/tests/path.rs
+++ b/crates/citronproxy/tests/path.rs
@@ -75,6 +75,16 @@
         assert_eq!(owners.len(), 1, "key {key} has owners {owners:?}");
     }
 
+    let metrics = get(instances[0].traffic, "/metrics").await.unwrap();
+    let text = String::from_utf8(metrics.body.to_vec()).unwrap();
+    for name in [
+        "citron_revision",
+        "citron_servers_unreachable 0",
+        "citron_moves_open 0",
+    ] {
+        assert!(text.contains(name), "{name} is not in: {text}");
+    }
+
     instances[0].kill();
     for key in 0..40 {
         let first = owner(instances[1].traffic, key).await;
