--- a/crates/citronproxy/tests/limits.rs
+++ b/crates/citronproxy/tests/limits.rs
@@ -15,7 +15,12 @@
         time::{Duration, Instant},
     },
     support::{LONG, Path, Reply, get, post},
-    tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinHandle, time::sleep},
+    tokio::{
+        io::AsyncWriteExt,
+        net::TcpStream,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
 };
 
 async fn slow(work: Duration) -> RawServer {
@@ -44,7 +49,7 @@
 async fn replies(calls: Vec<JoinHandle<Reply>>) -> Vec<Reply> {
     let mut replies = Vec::new();
     for call in calls {
-        replies.push(call.await.unwrap());
+        replies.push(timeout(LONG, call).await.unwrap().unwrap());
     }
     replies
 }
