--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -1,9 +1,10 @@
 //! What control asks of a traffic thread.
 
 use {
-    super::{gates::Parts, load::LoadSample, state::State},
+    super::{crashes::CrashNote, gates::Parts, load::LoadSample, state::State},
     citron_core::{
         admission::Demand,
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName, ServiceName},
         slo::Tally,
     },
@@ -41,6 +42,23 @@
         /// Takes the answer.
         reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
     },
+    /// Notes a crash, an answer or what another instance or an operator says.
+    Crash(CrashNote),
+    /// What this instance knows of crashes, for the others.
+    CrashReport {
+        /// Takes the answer.
+        reply: oneshot::Sender<CrashReport>,
+    },
+    /// The requests that crashed servers, for operators.
+    CrashEntries {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<CrashEntry>>,
+    },
+    /// Adds this thread's counts to the shared metrics.
+    Metrics {
+        /// Takes the number of requests under way.
+        reply: oneshot::Sender<usize>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -65,6 +83,13 @@
                 let _ = reply.send(());
             }
             Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
+            Ask::Crash(note) => state.crashes.note(note),
+            Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
+            Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
+            Ask::Metrics { reply } => {
+                state.metrics.borrow_mut().flush();
+                let _ = reply.send(flights.count());
+            }
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -3,20 +3,23 @@
 use {
     super::{
         ask::Ask,
+        crashes::CrashNote,
         gates::Parts,
         load::{LoadSample, merge},
+        metrics::Metrics,
         phase::Phase,
     },
     arc_swap::{ArcSwapOption, Guard},
     citron_core::{
         admission::{Demand, Part},
+        crash::{CrashEntry, CrashReport},
         id::{Revision, ServerName, ServiceName},
         routing::Snapshot,
         slo::Tally,
     },
     std::{
         collections::BTreeMap,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, OnceLock, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -41,6 +44,7 @@
     threads: Mutex<Vec<mpsc::UnboundedSender<Ask>>>,
     published: watch::Sender<Revision>,
     phase: watch::Sender<Phase>,
+    metrics: OnceLock<Metrics>,
 }
 
 impl TrafficHandle {
@@ -150,6 +154,49 @@
         tallies
     }
 
+    /// Tells all threads of a crash, an answer, a lift or another instance's count.
+    /// Called only when a request failed that way, or by control.
+    pub fn note_crash(&self, note: &CrashNote) {
+        let threads = self.shared.threads.lock();
+        let threads = threads.unwrap_or_else(PoisonError::into_inner);
+        for thread in threads.iter() {
+            let _ = thread.send(Ask::Crash(note.clone()));
+        }
+    }
+
+    /// What this instance counted of crashes, for the others.
+    pub async fn crash_report(&self) -> Option<CrashReport> {
+        // All threads keep the same log.
+        let asked = self.ask(|reply| Ask::CrashReport { reply });
+        asked.into_iter().next()?.await.ok()
+    }
+
+    /// The requests that crashed servers, for operators.
+    pub async fn crash_entries(&self) -> Vec<CrashEntry> {
+        let asked = self.ask(|reply| Ask::CrashEntries { reply });
+        match asked.into_iter().next() {
+            Some(answer) => answer.await.unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+
+    /// All metrics as text, in the format of Prometheus.
+    pub async fn metrics(&self) -> String {
+        let mut flights = 0;
+        for answer in self.ask(|reply| Ask::Metrics { reply }) {
+            flights += answer.await.unwrap_or(0);
+        }
+        let metrics = self.shared_metrics();
+        metrics.set_flights(flights);
+        metrics.text()
+    }
+
+    /// The metrics that the threads add to.
+    pub(super) fn shared_metrics(&self) -> &Metrics {
+        let new = || Metrics::new().expect("the names are valid");
+        self.shared.metrics.get_or_init(new)
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod burn;
 mod call;
+mod crashes;
 mod deadline;
 mod exchange;
 mod flights;
@@ -13,6 +14,7 @@
 mod handle;
 mod limits;
 mod load;
+mod metrics;
 mod phase;
 mod pool;
 mod proxy;
@@ -25,6 +27,7 @@
 mod worker;
 
 pub use {
+    crashes::CrashNote,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
     limits::Limits,
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -22,7 +22,7 @@
     http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
-        cell::{Cell, OnceCell},
+        cell::{Cell, OnceCell, RefCell},
         convert::Infallible,
         rc::Rc,
         sync::Arc,
@@ -31,6 +31,9 @@
     tokio::sync::Notify,
 };
 
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
+
 /// The request path of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct Proxy {
@@ -57,8 +60,13 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
-        let mut answer = match self.probe(request.uri().path()) {
+        let path = request.uri().path();
+        let mut answer = match self.probe(path) {
             Some(answer) => answer,
+            None if path == METRICS => {
+                let text = self.state.handle.metrics().await;
+                own(StatusCode::OK, Outcome::NotRun, None, text.trim_end())
+            }
             None => self.route(request).await.unwrap_or_else(|refusal| *refusal),
         };
         if self.state.handle.phase() > Phase::Serving {
@@ -110,15 +118,22 @@
             source: Source::new(body, max),
             deadline,
             refused: Cell::new(None),
+            server: RefCell::default(),
             patient: Cell::new(None),
             reused: OnceCell::new(),
             noted: Notify::new(),
         };
-        let answer = match Room::enter(&self.state, &row.operator) {
+        let (answer, outcome, sent) = match Room::enter(&self.state, &row.operator) {
             Some(_room) => Call::new(&tries, &row.name, idempotent).run().await,
-            None => unavailable("too many requests of this operator are in progress"),
+            None => {
+                let reason = "too many requests of this operator are in progress";
+                (unavailable(reason), Outcome::NotRun, 0)
+            }
         };
-        self.count(row, &answer, self.state.clock.now() - now);
+        let time = self.state.clock.now() - now;
+        self.count(row, &answer, time);
+        let mut metrics = self.state.metrics.borrow_mut();
+        metrics.count(&row.name, outcome, sent, time);
         Ok(answer)
     }
 
