--- a/crates/citronproxy/src/traffic/ask.rs
+++ b/crates/citronproxy/src/traffic/ask.rs
@@ -37,11 +37,6 @@
         /// Told when they are in force.
         reply: oneshot::Sender<()>,
     },
-    /// Counts for service-level objectives since the last time they were asked for.
-    Burn {
-        /// Takes the answer.
-        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
-    },
     /// Notes a crash, an answer or what another instance or an operator says.
     Crash(CrashNote),
     /// What this instance knows of crashes, for the others.
@@ -59,6 +54,11 @@
         /// Takes the number of requests under way.
         reply: oneshot::Sender<usize>,
     },
+    /// Counts for service-level objectives since the last time they were asked for.
+    Burn {
+        /// Takes the answer.
+        reply: oneshot::Sender<Vec<(ServiceName, Tally)>>,
+    },
     /// Load since the last time it was asked for.
     Load {
         /// Takes the answer.
@@ -82,7 +82,6 @@
                 state.gates.set_parts(parts);
                 let _ = reply.send(());
             }
-            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Crash(note) => state.crashes.note(note),
             Ask::CrashReport { reply } => drop(reply.send(state.crashes.report())),
             Ask::CrashEntries { reply } => drop(reply.send(state.crashes.entries())),
@@ -90,6 +89,7 @@
                 state.metrics.borrow_mut().flush();
                 let _ = reply.send(flights.count());
             }
+            Ask::Burn { reply } => drop(reply.send(flights.burn.take())),
             Ask::Load { reply } => drop(reply.send(flights.load.take())),
         }
     }
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -143,17 +143,6 @@
         }
     }
 
-    /// Counts for service-level objectives since this was last asked.
-    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
-        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
-        for answer in self.ask(|reply| Ask::Burn { reply }) {
-            for (service, tally) in answer.await.unwrap_or_default() {
-                *tallies.entry(service).or_default() += &tally;
-            }
-        }
-        tallies
-    }
-
     /// Tells all threads of a crash, an answer, a lift or another instance's count.
     /// Called only when a request failed that way, or by control.
     pub fn note_crash(&self, note: &CrashNote) {
@@ -197,6 +186,17 @@
         self.shared.metrics.get_or_init(new)
     }
 
+    /// Counts for service-level objectives since this was last asked.
+    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
+        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Burn { reply }) {
+            for (service, tally) in answer.await.unwrap_or_default() {
+                *tallies.entry(service).or_default() += &tally;
+            }
+        }
+        tallies
+    }
+
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
