--- a/crates/citronproxy/src/control/mod.rs
+++ b/crates/citronproxy/src/control/mod.rs
@@ -5,9 +5,11 @@
 mod config;
 mod driven;
 mod error;
+mod exchanging;
 mod follower;
 mod granting;
 mod listing;
+mod loads;
 mod metrics;
 mod moving;
 mod node;
@@ -22,6 +24,7 @@
     batch::Batch,
     config::ControlConfig,
     error::ControlError,
+    loads::Loads,
     metrics::ControlMetrics,
     moving::Moves,
     node::{Committed, Node},
@@ -32,6 +35,7 @@
 
 use {
     driven::{Driven, Heard, ScopeKey},
+    exchanging::Exchange,
     probing::WATCHERS,
     tasks::Tasks,
 };
--- a/crates/citronproxy/src/control/node.rs
+++ b/crates/citronproxy/src/control/node.rs
@@ -1,7 +1,7 @@
 //! What the tasks of the control thread share.
 
 use {
-    super::{ControlConfig, ControlMetrics, Replica},
+    super::{ControlConfig, ControlMetrics, Exchange, Replica},
     crate::{
         clock::Clock,
         events,
@@ -10,7 +10,7 @@
     },
     citron_core::{
         id::{InstanceId, KeyHash, Revision, ServerName, ServiceName},
-        membership::{InstanceStatus, Member},
+        membership::{InstanceReport, InstanceStatus, Member},
         ownership::Spans,
         table::{
             Changes, Commit, CommitAnswer, InstanceRow, InstanceState, Row, RowKey, ServerRow,
@@ -35,6 +35,10 @@
 /// The pause between two looks at whether a revision is settled.
 const SETTLE_PAUSE: Duration = Duration::from_millis(5);
 
+/// How much earlier grants go out than traffic follows a newer revision. A new
+/// owner would otherwise be sent requests before its grant and refuse them.
+const GRANT_LEAD: Duration = Duration::from_millis(5);
+
 /// What became of a commit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Committed {
@@ -66,6 +70,7 @@
     clock: Clock,
     peers: Peers,
     metrics: ControlMetrics,
+    exchange: Exchange,
     /// Asks the follower to read at once.
     wake: Notify,
     /// The revision in force here.
@@ -90,6 +95,7 @@
             clock,
             peers: Peers::default(),
             metrics,
+            exchange: Exchange::default(),
             wake: Notify::new(),
             revision: watch::Sender::default(),
         };
@@ -128,6 +134,10 @@
         &self.inner.metrics
     }
 
+    pub(super) fn exchange(&self) -> &Exchange {
+        &self.inner.exchange
+    }
+
     /// The time now.
     pub fn now(&self) -> Time {
         self.inner.clock.now()
@@ -206,7 +216,8 @@
     /// Commits, then reads the table, whatever the answer; `reread` tells
     /// whether that worked.
     pub async fn commit(&self, commit: Commit) -> Committed {
-        let answer = self.inner.store.commit(commit).await;
+        let checks = self.table(|table| commit.new_owners(table));
+        let answer = self.inner.store.commit_checked(commit, &checks).await;
         self.inner.metrics.count_commit(&answer);
         let reread = self.refresh().await.is_ok();
         let done = matches!(answer, Ok(CommitAnswer::Done(_)));
@@ -252,14 +263,24 @@
     }
 
     fn published(&self, newer: bool) {
-        let (snapshot, revision) = self.look(|r| (r.snapshot(), r.table().revision()));
-        if let Some(snapshot) = snapshot {
-            self.inner.handle.publish(snapshot);
+        if !newer {
+            self.publish();
+            return;
         }
-        if newer {
-            log::info!("{} {revision}", events::REVISION);
-            self.inner.metrics.revision.set(revision.0 as i64);
-            self.inner.revision.send_replace(revision);
+        let revision = self.table(Table::revision);
+        log::info!("{} {revision}", events::REVISION);
+        self.inner.metrics.revision.set(revision.0 as i64);
+        self.inner.revision.send_replace(revision);
+        let node = self.clone();
+        spawn_local(async move {
+            sleep(GRANT_LEAD).await;
+            node.publish();
+        });
+    }
+
+    fn publish(&self) {
+        if let Some(snapshot) = self.look(Replica::snapshot) {
+            self.inner.handle.publish(snapshot);
         }
     }
 
@@ -321,4 +342,8 @@
             self.wake();
         }
     }
+
+    fn report(&self, report: InstanceReport) {
+        self.hear(report);
+    }
 }
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -12,7 +12,6 @@
         slo::Recorder,
         traffic::{self, TrafficHandle},
     },
-    prometheus::Registry,
     std::{
         error::Error,
         io::{self, Write},
@@ -49,7 +48,7 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::init();
+    env_logger::builder().format_timestamp_millis().init();
     let command = match parse_args() {
         Ok(command) => command,
         Err(error) => return usage_error(&error.to_string()),
@@ -151,10 +150,11 @@
         domain: settings.domain.clone(),
         traffic,
         peer: settings.peer,
+        advertise: settings.advertise,
         admin: server.address,
         seeds: settings.seeds,
     };
-    let metrics = ControlMetrics::new(&Registry::new())?;
+    let metrics = ControlMetrics::new(handle.registry())?;
     let outside = (store, HttpServers::default());
     let start = Control::start(config, outside, handle.clone(), clock, metrics);
     let mut control = start.await?;
