--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -208,7 +208,6 @@
         peer: any,
         advertise: None,
         admin: any,
-        advertise: None,
         seeds: Vec::new(),
     };
     let store = Store {
--- a/crates/citronproxy/tests/parts.rs
+++ b/crates/citronproxy/tests/parts.rs
@@ -61,7 +61,7 @@
         send(&calls).await;
     }
 
-    far.signal("STOP");
+    far.pause();
     let stopped = Instant::now();
     let mut even = false;
     loop {
@@ -84,5 +84,5 @@
         send(&calls[..1]).await;
     }
     assert!((3.5..=4.0).contains(&part()), "{}", part());
-    far.signal("CONT");
+    far.resume();
 }
--- a/crates/citronproxy/tests/support/inside.rs
+++ b/crates/citronproxy/tests/support/inside.rs
@@ -33,6 +33,7 @@
             domain: domain.parse().expect("a name"),
             traffic: workers.address,
             peer: any(),
+            advertise: None,
             admin: any(),
             seeds: Vec::new(),
         };
--- a/crates/core/tests/alternatives/main.rs
+++ b/crates/core/tests/alternatives/main.rs
@@ -96,7 +96,7 @@
 /// was cut off goes on with its keys while others have taken them over.
 #[test]
 fn a_mover_that_does_not_wait_makes_two_owners() {
-    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
     struct Hasty;
     impl Rules for Hasty {
         fn skips_wait() -> bool {
