--- a/crates/core/tests/model/main.rs
+++ b/crates/core/tests/model/main.rs
@@ -12,4 +12,5 @@
 mod servers;
 mod setup;
 mod state;
+mod walks;
 mod world;
--- a/crates/core/tests/model/platform.rs
+++ b/crates/core/tests/model/platform.rs
@@ -28,7 +28,7 @@
         // The first move is begun at once: only what follows it matters, and
         // within a tick everything may come in any order.
         let first = state.left.moves == self.setup.moves;
-        let late = first && state.now > START;
+        let late = first && state.now > START && !self.setup.late;
         if state.left.moves == 0 || state.begun.is_some() || late {
             return;
         }
--- a/crates/core/tests/model/setup.rs
+++ b/crates/core/tests/model/setup.rs
@@ -48,6 +48,8 @@
     /// Whether a mover may give up on its commit, which takes effect later, or
     /// not hear of one that has.
     pub lossy: bool,
+    /// Whether the first move may be begun later than at the first tick.
+    pub late: bool,
     /// Moves that operators may begin.
     pub moves: u8,
     /// Movers that work at once.
@@ -78,6 +80,7 @@
         relays: false,
         expel: false,
         revokes: false,
+        late: false,
         moves: 1,
         movers: 1,
         slips: 0,
