A shard's first owner gets an epoch above any former one of a service of that name

Cause: a service that was deleted and made anew would assign shards under epoch 1 again, so that an epoch is reused; initial_blocks already starts above the table's revision, begin_move's first assignment now does the same.

--- a/crates/core/src/ownership/begin.rs
+++ b/crates/core/src/ownership/begin.rs
@@ -151,7 +151,10 @@
             next,
         });
     }
-    let new = Assignment::owned(to.clone(), Epoch(1));
+    // Above every epoch that an earlier service of this name can have used, as
+    // each change of owner takes a commit.
+    let epoch = Epoch(table.revision().0 + 1);
+    let new = Assignment::owned(to.clone(), epoch);
     let scope = Scope::Shard(shard);
     let expect = version(table, &key);
     Ok(replace(table, service, scope, expect, new))
