Test that the copy of the table never goes back

Why: with the guard off, the races still passed: the order of answers that it protects against did not come up there. The test applies an overtaken answer after a newer one, and changes with a gap.

Safeguards switched off and seen to fail (tests/table.rs): older answer applied, gap taken.

--- /dev/null
+++ b/crates/core/tests/table.rs
@@ -0,0 +1,55 @@
+//! The copy of the table that an instance holds.
+
+use citron_core::{
+    id::Revision,
+    table::{Changes, DomainRow, DomainState, Row, Table, TableError},
+};
+
+fn domain(lost: bool) -> Row {
+    let state = match lost {
+        true => DomainState::Lost {
+            by: "ann".to_string(),
+        },
+        false => DomainState::Live,
+    };
+    Row::Domain(DomainRow {
+        name: "harbour".parse().unwrap(),
+        state,
+        confirmers: Vec::new(),
+    })
+}
+
+fn changes(since: u64, revision: u64, row: Option<Row>) -> Changes {
+    Changes {
+        since: Revision(since),
+        revision: Revision(revision),
+        rows: vec![(domain(false).key(), Revision(revision), row)],
+    }
+}
+
+/// Two answers cross on their way, one from the platform and one by relay, and
+/// the older one arrives last. Had it been applied, an accepted edit would be
+/// taken back here, and requests would follow an owner that has been replaced.
+#[test]
+fn an_answer_that_was_overtaken_changes_nothing() {
+    let newest = [Some(domain(true)), None];
+    for newer in newest {
+        let mut table = Table::default();
+        table.apply(changes(0, 2, newer.clone())).unwrap();
+        table.apply(changes(0, 1, Some(domain(false)))).unwrap();
+        let row = table.get(&domain(false).key());
+        let row = row.map(|row| row.value.clone());
+        assert_eq!((table.revision(), row), (Revision(2), newer));
+    }
+}
+
+/// Changes that begin after what the copy holds would leave out rows in between.
+#[test]
+fn changes_with_a_gap_are_refused() {
+    let mut table = Table::default();
+    table.apply(changes(0, 2, Some(domain(false)))).unwrap();
+    let gap = table.apply(changes(3, 4, Some(domain(true))));
+    let (have, found) = (Revision(2), Revision(3));
+    assert_eq!(gap, Err(TableError::Gap { have, found }));
+    assert_eq!(table.revision(), Revision(2));
+}
