--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -3,20 +3,19 @@
 
 use {
     citron_core::{
-        membership::Confirmation,
-        routing::{RouteMap, Snapshot},
+        crash::{CrashConfig, CrashEntry, CrashLog, Fingerprint},
+        id::Revision,
         table::Table,
+        time::Time,
     },
-    citron_platform::{LaneStore, Memory, TableStore},
-    citronproxy::{
-        admin::{Admin, AdminServer, serve},
-        traffic::TrafficHandle,
-    },
+    citron_platform::{LaneStore, Memory, PlatformError, TableStore},
+    citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     std::{
+        cell::RefCell,
         net::SocketAddr,
         process::{Command, Stdio},
         rc::Rc,
-        sync::{Arc, mpsc},
+        sync::mpsc,
         thread,
         time::Duration,
     },
@@ -86,28 +85,75 @@
 }
 
 async fn run(server: AdminServer, memory: Memory) {
-    let handle = TrafficHandle::default();
     let domain = "kingston-1".parse().unwrap();
     let store = LaneStore::new(memory.clone(), "admin".to_string());
-    let name = "entry-1".parse().unwrap();
-    let token = Some(TOKEN.to_string());
-    let admin = Admin::new(name, domain, store, handle.clone(), token);
-    spawn_local(serve(server, Rc::new(admin)));
-    let store = LaneStore::new(memory, "control".to_string());
-    follow(&store, &handle).await;
+    let control = View {
+        store: Rc::new(LaneStore::new(memory, "control".to_string())),
+        table: Rc::default(),
+        crashes: Rc::new(RefCell::new(crashes())),
+    };
+    spawn_local(follow(control.clone()));
+    let admin = Admin {
+        instance: "entry-1".parse().unwrap(),
+        domain,
+        store,
+        control,
+        token: Some(TOKEN.to_string()),
+    };
+    serve(server, Rc::new(admin)).await;
+}
+
+/// A request that is refused, and one that may yet be.
+fn crashes() -> CrashLog {
+    let mut log = CrashLog::new(CrashConfig::STANDARD);
+    for (path, servers) in [("/sets/666", 3), ("/sets/7", 1)] {
+        let print = Fingerprint::of(&[b"GET", path.as_bytes()]);
+        for server in 0..servers {
+            let server = format!("catalogue-{server}").parse().unwrap();
+            log.crashed(print, &format!("GET {path}"), &server, Time::ZERO);
+        }
+    }
+    log
 }
 
-/// Publishes each revision of the table, as an instance's control thread does.
-async fn follow(store: &impl TableStore, handle: &TrafficHandle) {
-    let mut table = Table::default();
+async fn follow(view: View) {
     loop {
-        let changes = store.changes(table.revision()).await.unwrap();
-        table.apply(changes).unwrap();
-        handle.publish(Snapshot {
-            map: Arc::new(RouteMap::build(&table)),
-            confirmation: Confirmation::default(),
-            domain: "kingston-1".parse().unwrap(),
-        });
+        view.refresh().await.unwrap();
         sleep(READ_PAUSE).await;
     }
 }
+
+/// Follows the table, and has each revision in force as soon as it is read.
+#[derive(Clone)]
+struct View {
+    store: Rc<LaneStore<Memory>>,
+    table: Rc<RefCell<Table>>,
+    crashes: Rc<RefCell<CrashLog>>,
+}
+
+impl ControlView for View {
+    fn in_force(&self) -> Revision {
+        self.table.borrow().revision()
+    }
+
+    fn table<T>(&self, look: impl FnOnce(&Table) -> T) -> T {
+        look(&self.table.borrow())
+    }
+
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        let since = self.in_force();
+        let changes = self.store.changes(since).await?;
+        self.table.borrow_mut().apply(changes).unwrap();
+        Ok(())
+    }
+
+    async fn crashes(&self) -> Vec<CrashEntry> {
+        self.crashes.borrow().entries(Time::ZERO)
+    }
+
+    fn lift(&self, print: Fingerprint) {
+        self.crashes.borrow_mut().lift(print, Time::ZERO);
+    }
+
+    fn accepted(&self) {}
+}
--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -70,6 +70,11 @@
     pub fn count(&self) -> usize {
         self.entries.len()
     }
+
+    /// When the last abandoned request can run no more; `None` if there is none.
+    pub fn abandoned_until(&self) -> Option<Time> {
+        self.abandoned.iter().map(|left| left.until).max()
+    }
 }
 
 /// One request's entry; taken out when dropped.
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod load;
 mod metrics;
+mod owner;
 mod phase;
 mod pool;
 mod proxy;
