--- a/crates/citronproxy/tests/support/callers.rs
+++ b/crates/citronproxy/tests/support/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that keep asking, and what they were told.
 
 use {
-    super::post,
+    super::{Reply, post},
     citron_fakes::backend::Run,
     std::{
         collections::BTreeMap,
@@ -35,6 +35,8 @@
     /// 0 if there was no answer.
     pub status: u16,
     pub outcome: String,
+    /// The answer's text, unless the request ran.
+    pub reason: String,
 }
 
 /// Two callers at each instance, each with one non-idempotent request at a time.
@@ -87,12 +89,13 @@
         let path = format!("/kegs/bar-{key}");
         let begun = Instant::now();
         let reply = timeout(PATIENCE, post(instance, &path, &id, "x")).await;
-        let (status, outcome) = match reply {
+        let (status, outcome, reason) = match reply {
             Ok(Ok(reply)) => (
                 reply.status.as_u16(),
                 reply.header("citron-outcome").to_string(),
+                reason(&reply),
             ),
-            _ => (0, "none".to_string()),
+            _ => (0, "none".to_string(), String::new()),
         };
         let took = begun.elapsed();
         told.push(Told {
@@ -103,12 +106,20 @@
             took,
             status,
             outcome,
+            reason,
         });
         sleep(PAUSE).await;
     }
     told
 }
 
+fn reason(reply: &Reply) -> String {
+    match reply.status.is_success() {
+        true => String::new(),
+        false => String::from_utf8_lossy(&reply.body).trim().to_string(),
+    }
+}
+
 /// Checks what the servers ran against what the callers were told: nothing ran
 /// twice, nothing that was told not to have run did, and all that was told to
 /// have run did.
