--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -206,8 +206,8 @@
         domain: domain(number).parse()?,
         traffic: any,
         peer: any,
-        admin: any,
         advertise: None,
+        admin: any,
         seeds: Vec::new(),
     };
     let store = Store {
--- a/crates/citronproxy/src/traffic/flights.rs
+++ b/crates/citronproxy/src/traffic/flights.rs
@@ -11,9 +11,13 @@
         time::Time,
     },
     rustc_hash::FxHashMap,
-    std::{cell::RefCell, rc::Rc, sync::Arc},
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
+/// How much later a server may read a request than it was written; the server
+/// counts the deadline from then.
+const READ_TIME: Duration = Duration::from_millis(100);
+
 #[derive(Debug)]
 struct Entry {
     server: Arc<ServerRow>,
@@ -142,6 +146,7 @@
             table.burn.busy(service, &entry.server.name, time);
         }
         if let Some(until) = self.until.filter(|until| *until > now) {
+            let until = until + READ_TIME;
             table.abandoned.push(Abandoned { entry, until });
         }
     }
--- a/crates/citronproxy/src/traffic/handle.rs
+++ b/crates/citronproxy/src/traffic/handle.rs
@@ -113,6 +113,17 @@
         merge(samples)
     }
 
+    /// Counts for service-level objectives since this was last asked.
+    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
+        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
+        for answer in self.ask(|reply| Ask::Burn { reply }) {
+            for (service, tally) in answer.await.unwrap_or_default() {
+                *tallies.entry(service).or_default() += &tally;
+            }
+        }
+        tallies
+    }
+
     /// Rates of requests by server since this was last asked, for the exchange
     /// with other instances.
     pub async fn demand(&self) -> BTreeMap<ServerName, Demand> {
@@ -192,17 +203,6 @@
         self.shared.metrics.get_or_init(new)
     }
 
-    /// Counts for service-level objectives since this was last asked.
-    pub async fn tallies(&self) -> BTreeMap<ServiceName, Tally> {
-        let mut tallies: BTreeMap<ServiceName, Tally> = BTreeMap::new();
-        for answer in self.ask(|reply| Ask::Burn { reply }) {
-            for (service, tally) in answer.await.unwrap_or_default() {
-                *tallies.entry(service).or_default() += &tally;
-            }
-        }
-        tallies
-    }
-
     fn ask<T>(&self, make: impl Fn(oneshot::Sender<T>) -> Ask) -> Vec<oneshot::Receiver<T>> {
         let threads = self.shared.threads.lock();
         let threads = threads.unwrap_or_else(PoisonError::into_inner);
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -4,12 +4,14 @@
 
 use {
     bytes::Bytes,
-    citron_fakes::platform::PlatformServer,
-    citron_platform::{LaneStore, Memory},
-    citronproxy::{
-        admin::{Admin, AdminServer, serve},
-        traffic::TrafficHandle,
+    citron_core::{
+        crash::{CrashEntry, Fingerprint},
+        id::Revision,
+        table::Table,
     },
+    citron_fakes::platform::PlatformServer,
+    citron_platform::{LaneStore, Memory, PlatformError},
+    citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     http::{Method, Request},
     http_body_util::Full,
     serde_json::{Value, json},
@@ -18,6 +20,31 @@
     tokio::task::{LocalSet, spawn_local},
 };
 
+/// A control thread that knows nothing.
+struct Nothing;
+
+impl ControlView for Nothing {
+    fn in_force(&self) -> Revision {
+        Revision(0)
+    }
+
+    fn table<T>(&self, look: impl FnOnce(&Table) -> T) -> T {
+        look(&Table::default())
+    }
+
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    async fn crashes(&self) -> Vec<CrashEntry> {
+        Vec::new()
+    }
+
+    fn lift(&self, _: Fingerprint) {}
+
+    fn accepted(&self) {}
+}
+
 /// The instance's own row is revision 1, the starting rows are revision 2.
 async fn start() -> (PlatformServer, Instance, Operator) {
     let any = "127.0.0.1:0".parse().unwrap();
@@ -142,7 +169,13 @@
         let store = LaneStore::new(Memory::default(), "test".to_string());
         let name = "entry-1".parse().unwrap();
         let domain = "harbour".parse().unwrap();
-        let admin = Admin::new(name, domain, store, TrafficHandle::default(), None);
+        let admin = Admin {
+            instance: name,
+            domain,
+            store,
+            control: Nothing,
+            token: None,
+        };
         spawn_local(serve(server, Rc::new(admin)));
         for token in ["Bearer ", "Bearer a-token-for-tests"] {
             let request = Request::get("/v1/status").header("authorization", token);
@@ -215,3 +248,15 @@
     assert_eq!(change["key"], "block/kegs/0");
     assert_eq!(change["after"]["shards"][2]["to"], "server-1");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_refused_at_first_and_a_lift_names_a_fingerprint() {
+    let (_platform, _instance, ann) = start().await;
+    let (status, body) = ann.get("/v1/refused").await.unwrap();
+    assert_eq!((status, body), (200, json!({ "requests": [] })));
+    for (print, wanted) in [("00aa11bb22cc33dd", 200), ("nonsense", 400)] {
+        let lift = json!({ "fingerprint": print });
+        let called = ann.send(Method::POST, "/v1/lifts", &[], Some(&lift)).await;
+        assert_eq!(called.unwrap().0, wanted, "{print}");
+    }
+}
--- a/crates/citronproxy/tests/faults.rs
+++ b/crates/citronproxy/tests/faults.rs
@@ -174,7 +174,8 @@
 /// A server freezes under traffic, its shards move, and it comes back at once
 /// after, with requests of the old epoch waiting. One that checks grants refuses
 /// them, as its lease ran out before the new owner began; one that does not
-/// finds that their senders have gone, which the move has waited for.
+/// finds that their senders have gone, which the move has waited for. What either
+/// had in the midst is past its deadline, which servers are relied on to keep.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_server_comes_back_as_if_nothing_had_happened() {
     for fencing in [Fencing::Checked, Fencing::Unchecked] {
--- a/crates/fakes/src/backend/server.rs
+++ b/crates/fakes/src/backend/server.rs
@@ -32,6 +32,9 @@
     },
 };
 
+/// Request header: milliseconds that the request may still take.
+const HEADER_TIMEOUT: &str = "citron-timeout-ms";
+
 /// How a stand-in backend server behaves.
 #[derive(Debug, Clone)]
 pub struct BackendConfig {
@@ -216,12 +219,15 @@
         let Some(number) = self.begin(path, headers) else {
             return refused("epoch");
         };
-        // What has begun goes on to its end, whether or not the caller waits.
+        // What has begun goes on to its end, whether or not the caller waits, but
+        // no longer than its deadline: a server that finds itself past that
+        // after a freeze gives the request up.
         let server = self.clone();
+        let last = wall_micros().saturating_add(time_left(headers));
         let work = tokio::spawn(async move {
             tokio::time::sleep(server.config.work).await;
             server.thawed().await;
-            server.runs.end(number, wall_micros());
+            server.runs.end(number, wall_micros().min(last));
         });
         let _ = work.await;
         let body = value!({ "server": self.config.name, "path": path, "received": size });
@@ -259,6 +265,12 @@
     }
 }
 
+/// How long a request may take, in microseconds.
+fn time_left(headers: &HeaderMap) -> u64 {
+    let millis: Option<u64> = text(headers, HEADER_TIMEOUT).parse().ok();
+    millis.map_or(u64::MAX, |millis| millis.saturating_mul(1_000))
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or("")
