--- /dev/null
+++ b/crates/core/tests/alternatives/main.rs
@@ -0,0 +1,112 @@
+//! Ways to decide ownership, weighed in focused scenarios in virtual time.
+//!
+//! One fixed-step loop drives the production decisions; see
+//! docs/design/ALTERNATIVES.md for what is measured and what was left out.
+
+mod cluster;
+mod driver;
+mod modulo;
+mod router;
+mod scenario;
+mod stats;
+mod task;
+mod ways;
+mod world;
+
+use {
+    citron_core::ownership::{Rules, Strict},
+    modulo::Modulo,
+    scenario::Scenario,
+    stats::Stats,
+    std::{thread, time::Duration},
+    ways::{Trial, Way},
+    world::World,
+};
+
+const HEAD: &str = "\
+| scenario                         | way                 | H, s  | worst, s | mean, s | moved | max/mean, % | overlaps |
+|----------------------------------|---------------------|------:|---------:|--------:|------:|------------:|---------:|";
+
+fn trials() -> Vec<Trial> {
+    let mut trials = Vec::new();
+    for scenario in Scenario::ALL {
+        for way in Way::ALL {
+            for grace in way.graces() {
+                let grace = Duration::from_secs(*grace);
+                trials.push(Trial {
+                    scenario,
+                    way,
+                    grace,
+                });
+            }
+        }
+    }
+    trials
+}
+
+fn run(trial: Trial) -> Stats {
+    match trial.way {
+        Way::Modulo => Modulo::run(trial),
+        _ => World::run::<Strict>(trial),
+    }
+}
+
+fn line(trial: &Trial, stats: &Stats) -> String {
+    let grace = match trial.grace.as_secs() {
+        0 => "-".to_string(),
+        seconds => seconds.to_string(),
+    };
+    format!(
+        "| {:32} | {:19} | {grace:>5} | {:8.1} | {:7.1} | {:5} | {:11} | {:8} |",
+        trial.scenario.title(),
+        trial.way.title(),
+        stats.worst(),
+        stats.mean(),
+        stats.moved,
+        stats.imbalance,
+        stats.overlaps(),
+    )
+}
+
+/// Every way in every scenario. No way that waits has a key with two owners
+/// that would run requests; the baseline has them whenever anything changes.
+#[test]
+fn ways_in_focused_scenarios() {
+    let trials = trials();
+    let results: Vec<Stats> = thread::scope(|scope| {
+        let spawn = |trial: &Trial| {
+            let trial = *trial;
+            scope.spawn(move || run(trial))
+        };
+        let threads: Vec<_> = trials.iter().map(spawn).collect();
+        let results = threads.into_iter().map(|thread| thread.join().unwrap());
+        results.collect()
+    });
+    let lines = trials.iter().zip(&results).map(|(t, s)| line(t, s));
+    let mut table = vec![HEAD.to_string()];
+    table.extend(lines);
+    insta::assert_snapshot!(table.join("\n"));
+    for (trial, stats) in trials.iter().zip(&results) {
+        let waits = trial.way != Way::Modulo;
+        assert!(!waits || stats.overlaps() == 0, "{trial:?}");
+    }
+}
+
+/// Shows that overlaps are counted: without the wait for routers, a domain that
+/// was cut off goes on with its keys while others have taken them over.
+#[test]
+fn a_mover_that_does_not_wait_makes_two_owners() {
+    #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+    struct Hasty;
+    impl Rules for Hasty {
+        fn skips_wait() -> bool {
+            true
+        }
+    }
+    let trial = Trial {
+        scenario: Scenario::DomainCut,
+        way: Way::Grace,
+        grace: Duration::from_secs(30),
+    };
+    assert!(World::run::<Hasty>(trial).overlaps() > 0);
+}
