Crashes add up over real instances; operators see and lift refused requests

Reason: a caller that sends a crashing request again through other instances was found by none of them alone, and operators could neither see nor lift an entry. Change: the counts of the traffic threads' logs go into the reports to the other instances and theirs into the logs; GET /v1/refused, DELETE /v1/refused/FINGERPRINT and 'citronctl refused [--lift FINGERPRINT]'; a lift reaches the others with the next report. An answer is told to the other threads, under a lock, only if such requests crashed a server: before, every request paid for it while any entry was noted. Shown by: refused.rs, two processes before a server that resets one path. Reports without crashes: it waits in vain for the second instance to know ('[] of 1'); no lifts in reports: the other one still counts 2; refusal off: the fourth request gets 502 unknown in place of 422. ctl.rs: requests_that_crash_servers_are_shown_and_lifted.

--- a/crates/citronctl/src/args.rs
+++ b/crates/citronctl/src/args.rs
@@ -98,6 +98,7 @@
     Status = "status",
     Owner = "owner",
     History = "history",
+    Refused = "refused",
     Report = "report",
 }
 
--- a/crates/citronctl/src/client.rs
+++ b/crates/citronctl/src/client.rs
@@ -6,7 +6,7 @@
     citron_wire::{
         admin::{
             EditWire, ErrorWire, HEADER_OPERATOR, HistoryPageWire, MoveWire, OwnerWire,
-            RevisionWire, RowEditWire, RowsWire, StatusWire,
+            RefusedWire, RevisionWire, RowEditWire, RowsWire, StatusWire,
         },
         slo::BurnWire,
     },
@@ -86,6 +86,19 @@
         self.get("/v1/burn").await
     }
 
+    /// Requests that crashed servers.
+    pub async fn refused(&self) -> Result<RefusedWire, CtlError> {
+        self.get("/v1/refused").await
+    }
+
+    /// Lets requests through again; gives those that are left.
+    pub async fn lift(&self, print: &str) -> Result<RefusedWire, CtlError> {
+        let path = format!("/v1/refused/{}", escape(print));
+        let (connection, admin) = self.connect().await?;
+        self.exchange(connection, admin, Method::DELETE, &path, &())
+            .await
+    }
+
     /// Commits an edit.
     pub async fn edit(&self, rows: Vec<RowEditWire>) -> Result<u64, CtlError> {
         let accepted: RevisionWire = self.post("/v1/edits", &EditWire { rows }).await?;
@@ -137,7 +150,7 @@
         body: &impl Serialize,
     ) -> Result<T, CtlError> {
         let body = serde_json::to_vec(body).map_err(failed)?;
-        let edits = method == Method::POST;
+        let edits = method != Method::GET;
         let open = |message: String| match edits {
             true => CtlError::Unknown(message),
             false => CtlError::Failed(message),
--- a/crates/citronctl/src/commands/look.rs
+++ b/crates/citronctl/src/commands/look.rs
@@ -1,7 +1,7 @@
 //! Commands that only look.
 
 use {
-    super::finish,
+    super::{finish, is_json, print_json},
     crate::{
         client::Client,
         diff::changes,
@@ -124,21 +124,3 @@
     }
     Ok(())
 }
-
-fn is_json(args: &mut Arguments) -> Result<bool, CtlError> {
-    let format: Option<String> = args.opt_value_from_str("--format")?;
-    match format.as_deref() {
-        None | Some("table") => Ok(false),
-        Some("json") => Ok(true),
-        Some(other) => {
-            let message = format!("--format is '{other}'; allowed: table, json");
-            Err(CtlError::Usage(message))
-        }
-    }
-}
-
-fn print_json(value: &impl serde::Serialize) -> Result<(), CtlError> {
-    let failed = |error: serde_json::Error| CtlError::Failed(error.to_string());
-    println!("{}", serde_json::to_string_pretty(value).map_err(failed)?);
-    Ok(())
-}
--- a/crates/citronctl/src/commands/mod.rs
+++ b/crates/citronctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod look;
 mod moves;
+mod refused;
 mod rows;
 mod table;
 
@@ -31,6 +32,7 @@
         Command::Status => look::status(args, client).await,
         Command::Owner => look::owner(args, client).await,
         Command::History => look::history(args, client).await,
+        Command::Refused => refused::run(args, client).await,
         Command::Report => look::report(args, client).await,
         Command::Help => Ok(()),
     }
@@ -47,3 +49,21 @@
         }
     }
 }
+
+fn is_json(args: &mut Arguments) -> Result<bool, CtlError> {
+    let format: Option<String> = args.opt_value_from_str("--format")?;
+    match format.as_deref() {
+        None | Some("table") => Ok(false),
+        Some("json") => Ok(true),
+        Some(other) => {
+            let message = format!("--format is '{other}'; allowed: table, json");
+            Err(CtlError::Usage(message))
+        }
+    }
+}
+
+fn print_json(value: &impl serde::Serialize) -> Result<(), CtlError> {
+    let failed = |error: serde_json::Error| CtlError::Failed(error.to_string());
+    println!("{}", serde_json::to_string_pretty(value).map_err(failed)?);
+    Ok(())
+}
--- a/crates/citronctl/src/help.rs
+++ b/crates/citronctl/src/help.rs
@@ -15,6 +15,7 @@
   status                instances, failure domains and revisions in force
   owner SERVICE KEY     who owns a key, and why
   history               accepted edits
+  refused               requests that crashed backend servers; lets them through
   report                service-level burn, imbalance, churn, unavailable time
 'citronctl COMMAND --help' tells more.
 
@@ -92,6 +93,13 @@
   Accepted edits, oldest first: revision, time, who, and what changed.
 ";
 
+const REFUSED: &str = "\
+citronctl refused [--lift FINGERPRINT] [--format table|json]
+  Requests that crashed backend servers, counted over all instances; those with
+  three crashes are refused with 422 for a while. --lift lets them through again
+  on all instances, until they crash servers three times more.
+";
+
 const REPORT: &str = "\
 citronctl report [--format text|json|html]
   Burn of each service's objectives over 5 min, 1 h, 30 min and 6 h: 1 spends a
@@ -115,6 +123,7 @@
         Command::Status => STATUS,
         Command::Owner => OWNER,
         Command::History => HISTORY,
+        Command::Refused => REFUSED,
         Command::Report => REPORT,
     }
 }
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -55,6 +55,7 @@
         "status",
         "owner",
         "history",
+        "refused",
         "report",
     ];
     let mut text = String::new();
@@ -185,3 +186,31 @@
     assert_eq!(ran.code, 4, "{ran:?}");
     assert!(ran.err.contains("outcome unknown"), "{ran:?}");
 }
+
+/// Four crashes of two requests: the one that crashed three servers is refused;
+/// lifted once it is gone, and there is nothing to lift a second time.
+#[test]
+fn requests_that_crash_servers_are_shown_and_lifted() {
+    const BAD: &str = "POST /kegs/a/poison";
+    let shell = Shell::start_crashed(&["GET /kegs/b", BAD, BAD, BAD]);
+    let shown = ok(shell.run("refused"));
+    let line = shown.lines().find(|line| line.contains(BAD)).unwrap();
+    let print = line.split_whitespace().next().unwrap();
+    let lift = format!("refused --lift {print}");
+    let lines = [
+        "refused",
+        &lift,
+        &lift,
+        "refused --lift zz",
+        "refused --all",
+    ];
+    let mut text = String::new();
+    for line in lines {
+        let Ran { code, out, err } = shell.run(line);
+        text.push_str(&format!("$ citronctl {line}\n{out}{err}exit {code}\n\n"));
+    }
+    // The seconds that are left.
+    insta::with_settings!({ filters => vec![(r"\b(5\d\d|600)\n", "[500..600]\n")] }, {
+        insta::assert_snapshot!(text);
+    });
+}
--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use {
     citron_core::{
+        crash::Fingerprint,
         membership::Confirmation,
         routing::{RouteMap, Snapshot},
         table::Table,
@@ -10,7 +11,8 @@
     citron_platform::{LaneStore, Memory, TableStore},
     citronproxy::{
         admin::{Admin, AdminServer, serve},
-        traffic::TrafficHandle,
+        clock::Clock,
+        traffic::{self, CrashNote, TrafficHandle, Workers},
     },
     std::{
         net::SocketAddr,
@@ -51,8 +53,18 @@
         Self::start_with(Memory::default())
     }
 
+    /// As [`Self::start`], with a traffic thread that saw these crash servers, a
+    /// different one each time.
+    pub fn start_crashed(crashes: &'static [&'static str]) -> Self {
+        Self::start_all(Memory::default(), crashes)
+    }
+
     /// As [`Self::start`], with what the platform holds.
     pub fn start_with(memory: Memory) -> Self {
+        Self::start_all(memory, &[])
+    }
+
+    fn start_all(memory: Memory, crashes: &'static [&'static str]) -> Self {
         let (sender, address) = mpsc::channel();
         thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
@@ -60,7 +72,9 @@
                 let any = "127.0.0.1:0".parse().unwrap();
                 let server = AdminServer::bind(any).await.unwrap();
                 sender.send(server.address).unwrap();
-                run(server, memory).await;
+                let handle = TrafficHandle::default();
+                let _workers = crash(&handle, crashes);
+                run(server, memory, handle).await;
             });
         });
         let admin = address.recv().unwrap();
@@ -85,8 +99,21 @@
     }
 }
 
-async fn run(server: AdminServer, memory: Memory) {
-    let handle = TrafficHandle::default();
+fn crash(handle: &TrafficHandle, labels: &[&str]) -> Option<Workers> {
+    labels.first()?;
+    let any = "127.0.0.1:0".parse().unwrap();
+    let workers = traffic::start(any, 1, handle, Clock::start()).unwrap();
+    for (number, label) in labels.iter().enumerate() {
+        handle.note_crash(&CrashNote::Crashed {
+            print: Fingerprint::of(&[label.as_bytes()]),
+            label: label.to_string(),
+            server: format!("server-{number}").parse().unwrap(),
+        });
+    }
+    Some(workers)
+}
+
+async fn run(server: AdminServer, memory: Memory, handle: TrafficHandle) {
     let domain = "kingston-1".parse().unwrap();
     let store = LaneStore::new(memory.clone(), "admin".to_string());
     let name = "entry-1".parse().unwrap();
--- a/crates/citronproxy/src/admin/mod.rs
+++ b/crates/citronproxy/src/admin/mod.rs
@@ -6,6 +6,7 @@
 mod editor;
 mod error;
 mod inspect;
+mod refused;
 mod routes;
 mod server;
 mod state;
--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -31,6 +31,7 @@
     "/v1/status",
     "/v1/history",
     "/v1/owner",
+    "/v1/refused",
 ];
 /// History entries in one answer unless the caller says otherwise.
 const HISTORY: usize = 100;
@@ -43,6 +44,9 @@
         if let Some(key) = path.strip_prefix("/v1/rows/") {
             return self.row_call(head, key, body).await;
         }
+        if let Some(print) = path.strip_prefix("/v1/refused/") {
+            return self.lift_call(head, print).await;
+        }
         match (&head.method, path) {
             (&Method::GET, "/v1/rows") => {
                 let kind = query.get("kind").map(|kind| format!("{kind}/"));
@@ -60,6 +64,7 @@
                 let burn = gather(&self.store).await.map_err(AdminError::unread)?;
                 Ok(json(StatusCode::OK, &burn))
             }
+            (&Method::GET, "/v1/refused") => Ok(json(StatusCode::OK, &self.refused().await)),
             (&Method::GET, "/v1/status") => Ok(json(StatusCode::OK, &self.status().await)),
             (&Method::GET, "/v1/history") => {
                 let after = query.number("after", Revision(0))?;
@@ -96,6 +101,19 @@
         self.take(&head.headers, vec![edit]).await
     }
 
+    async fn lift_call(&self, head: &Parts, print: &str) -> Result<Answer, AdminError> {
+        if head.method != Method::DELETE {
+            return Err(AdminError::Method(head.method.to_string()));
+        }
+        let bad = |_| {
+            let message = format!("fingerprint is '{print}'; allowed: 16 hexadecimal digits");
+            AdminError::Malformed(message)
+        };
+        let print = print.parse().map_err(bad)?;
+        let left = self.lift(print, &operator(&head.headers)?).await?;
+        Ok(json(StatusCode::OK, &left))
+    }
+
     async fn move_call(&self, headers: &HeaderMap, wire: MoveWire) -> Result<Answer, AdminError> {
         let scope = match (wire.shard, &wire.key) {
             (Some(shard), None) => Scope::Shard(ShardId(shard)),
--- a/crates/citronproxy/src/admin/state.rs
+++ b/crates/citronproxy/src/admin/state.rs
@@ -56,6 +56,10 @@
             .map_or(Revision(0), |snapshot| snapshot.map.revision)
     }
 
+    pub(super) fn handle(&self) -> &TrafficHandle {
+        &self.handle
+    }
+
     /// The last rows that were read.
     pub fn table(&self) -> Ref<'_, Table> {
         self.table.borrow()
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -71,6 +71,8 @@
     MOVE_REFUSED = 131, "move-refused";
     /// A scope has its new owner, read back from the table.
     MOVE_DONE = 132, "move-done";
+    /// An operator lets requests through again that crashed backend servers.
+    REFUSAL_LIFTED = 140, "refusal-lifted";
     /// A traffic thread could not accept a connection.
     ACCEPT_FAILED = 200, "accept-failed";
 }
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -128,6 +128,19 @@
         Some(Event::Denied { reason, wait })
     }
 
+    /// Clears crashes of such requests. All other threads are told, under a lock:
+    /// requests that crashed nothing must not pay for that.
+    fn note_answer(&self) {
+        let state = &self.tries.state;
+        if !state.crashes.noted() {
+            return;
+        }
+        let print = self.tries.fingerprint();
+        if state.crashes.knows(print) {
+            state.handle.note_crash(&CrashNote::Answered(print));
+        }
+    }
+
     /// Notes a connection that died while the server had the request.
     fn note_crash(&self, event: Event) {
         let tries = self.tries;
@@ -165,13 +178,7 @@
             }
             Ended::Answered(answered) => {
                 let no = answered.no;
-                if self.tries.state.crashes.noted() {
-                    let print = self.tries.fingerprint();
-                    self.tries
-                        .state
-                        .handle
-                        .note_crash(&CrashNote::Answered(print));
-                }
+                self.note_answer();
                 // The first answer is passed on; a later one ends here.
                 self.answer.get_or_insert(answered);
                 Event::Answered(no)
--- a/crates/citronproxy/src/traffic/crashes.rs
+++ b/crates/citronproxy/src/traffic/crashes.rs
@@ -67,6 +67,11 @@
         self.noted.get()
     }
 
+    /// Whether such requests crashed a server.
+    pub fn knows(&self, print: Fingerprint) -> bool {
+        self.noted() && self.log.borrow().knows(print, self.clock.now())
+    }
+
     /// Takes in news.
     pub fn note(&self, note: CrashNote) {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/citronproxy/tests/refused.rs
@@ -0,0 +1,114 @@
+//! Requests that crash servers, counted over instances, and what an operator
+//! sees and does.
+
+mod support;
+
+use {
+    citron_core::table::Fencing,
+    citron_fakes::platform::PlatformServer,
+    http::Method,
+    serde_json::Value,
+    std::time::{Duration, Instant},
+    support::{
+        Fragile, Instance, Operator, Reply, Sample, any, commit, domain_row, post, sample,
+        until_serving,
+    },
+    tokio::time::sleep,
+};
+
+const POISON: &str = "/kegs/a/poison";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn platform(server: &Fragile) -> PlatformServer {
+    let platform = PlatformServer::start(any()).await.unwrap();
+    let servers = vec![(
+        "server-1".to_string(),
+        "harbour".to_string(),
+        server.address,
+    )];
+    let fencing = Fencing::Unchecked;
+    let mut rows = sample(&Sample { servers, fencing });
+    rows.push(domain_row("harbour"));
+    commit(&platform.memory, "test", rows).await;
+    platform
+}
+
+async fn entries(operator: &Operator) -> Vec<Value> {
+    let (status, body) = operator.get("/v1/refused").await.unwrap();
+    assert_eq!(status, 200, "{body}");
+    body["entries"].as_array().unwrap().clone()
+}
+
+/// Waits until an instance knows of so many crashes of one fingerprint.
+async fn until(operator: &Operator, crashes: u64) -> Value {
+    let begun = Instant::now();
+    loop {
+        let found = entries(operator).await;
+        let counted = found.first().and_then(|entry| entry["crashes"].as_u64());
+        if counted.unwrap_or(0) == crashes {
+            return found.into_iter().next().unwrap_or_default();
+        }
+        assert!(begun.elapsed() < PATIENCE, "{found:?} of {crashes}");
+        sleep(Duration::from_millis(25)).await;
+    }
+}
+
+async fn send(instance: &Instance, path: &str) -> Reply {
+    post(instance.traffic, path, "", "").await.unwrap()
+}
+
+fn told(reply: &Reply) -> (u16, &str) {
+    (reply.status.as_u16(), reply.header("citron-outcome"))
+}
+
+/// A caller's request resets its server's connection, and the caller sends it
+/// again through another instance each time: neither alone sees three crashes.
+/// Then both refuse it at once and the server sees it no more, while another
+/// request for the same key is served. An operator lifts the entry at one
+/// instance; the other one hears of it and sends the request on again.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_add_up_over_instances_and_an_operator_lifts_them() {
+    let server = Fragile::start("poison").await;
+    let platform = platform(&server).await;
+    let one = Instance::start("entry-1", "harbour", platform.address);
+    let two = Instance::start("entry-2", "harbour", platform.address);
+    until_serving(one.traffic).await;
+    until_serving(two.traffic).await;
+    let ann = Operator::new("ann", one.admin);
+    let bob = Operator::new("bob", two.admin);
+    for (number, instance) in [&one, &two, &one].into_iter().enumerate() {
+        assert_eq!(told(&send(instance, POISON).await), (502, "unknown"));
+        let crashes = number as u64 + 1;
+        until(&ann, crashes).await;
+        until(&bob, crashes).await;
+        // Connections that die together count as one crash.
+        sleep(Duration::from_millis(550)).await;
+    }
+    assert_eq!(server.crashes(), 3);
+    for instance in [&one, &two] {
+        let refused = send(instance, POISON).await;
+        assert_eq!(told(&refused), (422, "not-run"));
+        assert_eq!(refused.header("retry-after"), "60");
+        assert_eq!(told(&send(instance, "/kegs/a/other").await), (200, "ran"));
+    }
+    assert_eq!(server.crashes(), 3);
+
+    let entry = until(&bob, 3).await;
+    assert_eq!(entry["label"], format!("POST {POISON}"));
+    assert!(entry["seconds"].as_u64().unwrap() > 500, "{entry}");
+    let path = format!("/v1/refused/{}", entry["fingerprint"].as_str().unwrap());
+    let lifted = bob.send(Method::DELETE, &path, &[], None).await.unwrap();
+    assert_eq!(
+        (lifted.0, lifted.1["entries"].as_array().unwrap().len()),
+        (200, 0)
+    );
+    let again = bob.send(Method::DELETE, &path, &[], None).await.unwrap();
+    assert_eq!((again.0, &again.1["code"]), (404, &"not-found".into()));
+    let wrong = bob.send(Method::PUT, &path, &[], None).await.unwrap();
+    assert_eq!(wrong.0, 405);
+    let bad = bob.send(Method::DELETE, "/v1/refused/zz", &[], None).await;
+    assert_eq!(bad.unwrap().0, 400);
+    until(&ann, 0).await;
+    assert_eq!(told(&send(&one, POISON).await), (502, "unknown"));
+    assert_eq!(server.crashes(), 4);
+}
--- /dev/null
+++ b/crates/citronproxy/tests/support/fragile.rs
@@ -0,0 +1,67 @@
+//! A backend server that drops the connection of some requests.
+
+use {
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfine";
+
+/// Answers every request, but resets the connection of those whose path ends so.
+pub struct Fragile {
+    pub address: SocketAddr,
+    crashes: Arc<AtomicUsize>,
+}
+
+impl Fragile {
+    pub async fn start(poison: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let crashes = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&crashes);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let crashes = Arc::clone(&counted);
+                tokio::spawn(async move {
+                    let _ = connection(stream, poison, &crashes).await;
+                });
+            }
+        });
+        Self { address, crashes }
+    }
+
+    /// Connections that were reset.
+    pub fn crashes(&self) -> usize {
+        self.crashes.load(Ordering::SeqCst)
+    }
+}
+
+/// The requests of these tests have no body.
+async fn connection(mut stream: TcpStream, poison: &str, crashes: &AtomicUsize) -> io::Result<()> {
+    let mut head = Vec::new();
+    loop {
+        let byte = stream.read_u8().await?;
+        head.push(byte);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let text = String::from_utf8_lossy(&head).into_owned();
+        head.clear();
+        let path = text.split(' ').nth(1).unwrap_or_default();
+        if path.ends_with(poison) {
+            crashes.fetch_add(1, Ordering::SeqCst);
+            return stream.set_zero_linger();
+        }
+        stream.write_all(ANSWER.as_bytes()).await?;
+    }
+}
--- a/crates/citronproxy/tests/support/mod.rs
+++ b/crates/citronproxy/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod callers;
 mod deployment;
+mod fragile;
 mod gate;
 mod inside;
 mod instance;
@@ -17,6 +18,7 @@
     call::{Reply, call, get, post},
     callers::{Callers, Told, check_owners, check_told, longest_gap},
     deployment::{Deployment, any, until_serving},
+    fragile::Fragile,
     gate::Gate,
     inside::Inside,
     instance::{Instance, TOKEN},
--- a/crates/core/src/crash/log.rs
+++ b/crates/core/src/crash/log.rs
@@ -118,11 +118,16 @@
     /// A request was answered whole: those like it do not crash servers, and the
     /// crashes so far had another cause.
     pub fn answered(&mut self, print: Fingerprint, now: Time) {
-        if self.counts(print, now).next().is_some() {
+        if self.knows(print, now) {
             self.lift(print, now);
         }
     }
 
+    /// Whether a crash of such requests still counts.
+    pub fn knows(&self, print: Fingerprint, now: Time) -> bool {
+        self.counts(print, now).next().is_some()
+    }
+
     /// How much longer the request is refused; `None` if it may be sent. To be
     /// asked before each try.
     pub fn refused(&self, print: Fingerprint, now: Time) -> Option<Duration> {
--- a/crates/wire/src/admin/mod.rs
+++ b/crates/wire/src/admin/mod.rs
@@ -2,11 +2,13 @@
 
 mod answers;
 mod edits;
+mod refused;
 mod status;
 
 pub use {
     answers::{ErrorWire, HistoryEntryWire, HistoryPageWire, RevisionWire, VersionedRowWire},
     edits::{EditWire, MoveWire, RowEditWire},
+    refused::{RefusedEntryWire, RefusedWire},
     status::{OwnerWire, RowsWire, StatusWire},
 };
 
