--- a/crates/citronctl/src/args.rs
+++ b/crates/citronctl/src/args.rs
@@ -26,6 +26,9 @@
     pub yes: bool,
 }
 
+/// Who makes an edit if nobody is named, as in a bare container.
+const UNNAMED: &str = "unnamed";
+
 impl Options {
     /// Takes the common options out of the arguments.
     pub fn read(args: &mut Arguments) -> Result<Self, CtlError> {
@@ -35,7 +38,9 @@
         let seconds: Option<u64> = args.opt_value_from_str("--wait-time")?;
         Ok(Self {
             admins: addresses(&admins.unwrap_or_default())?,
-            by: by.or_else(|| env::var("USER").ok()).unwrap_or_default(),
+            by: by
+                .or_else(|| env::var("USER").ok())
+                .filter(|by| !by.is_empty()),
             token_file: args.opt_value_from_str("--token-file")?,
             wait: args.contains("--wait"),
             wait_time: Duration::from_secs(seconds.unwrap_or(WAIT_SECONDS)),
--- /dev/null
+++ b/crates/citronproxy/src/cli.rs
@@ -0,0 +1,82 @@
+//! The command line.
+
+use {
+    pico_args::Arguments,
+    std::{convert::Infallible, ffi::OsStr, path::PathBuf},
+    thiserror::Error,
+};
+
+/// The text of `--help`.
+pub const HELP: &str = "\
+citronproxy: routes requests to backend servers that own keys exclusively
+
+usage:
+  citronproxy run FILE     run an instance with the settings in FILE
+  citronproxy check FILE   check settings and do nothing else
+  citronproxy dev          one process with a sample service, to try it out
+  citronproxy --help       this text
+
+exit codes: 0 done, 1 failed while running, 2 wrong usage or settings
+";
+
+/// What the process is to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Run an instance.
+    Run(PathBuf),
+    /// Check settings.
+    Check(PathBuf),
+    /// Run the sample.
+    Dev,
+    /// Print the help.
+    Help,
+}
+
+/// Why the arguments are refused.
+#[derive(Debug, Error)]
+pub enum UsageError {
+    /// Something is missing or does not parse.
+    #[error(transparent)]
+    Arguments(#[from] pico_args::Error),
+    /// No such command.
+    #[error("no command '{found}'; see citronproxy --help")]
+    Command {
+        /// What was given.
+        found: String,
+    },
+    /// More than the command takes.
+    #[error("'{found}' is one argument too many; see citronproxy --help")]
+    Surplus {
+        /// What was given.
+        found: String,
+    },
+}
+
+impl Command {
+    /// Reads the process's arguments.
+    pub fn parse(mut args: Arguments) -> Result<Self, UsageError> {
+        if args.contains(["-h", "--help"]) {
+            return Ok(Self::Help);
+        }
+        let command = match args.subcommand()?.as_deref() {
+            Some("run") => Self::Run(path(&mut args)?),
+            Some("check") => Self::Check(path(&mut args)?),
+            Some("dev") => Self::Dev,
+            None => Self::Help,
+            Some(other) => {
+                let found = other.to_string();
+                return Err(UsageError::Command { found });
+            }
+        };
+        match args.finish().first() {
+            None => Ok(command),
+            Some(more) => Err(UsageError::Surplus {
+                found: more.to_string_lossy().into_owned(),
+            }),
+        }
+    }
+}
+
+fn path(args: &mut Arguments) -> Result<PathBuf, pico_args::Error> {
+    args.free_from_os_str(|text: &OsStr| Ok::<_, Infallible>(PathBuf::from(text)))
+}
--- /dev/null
+++ b/crates/citronproxy/src/instance.rs
@@ -0,0 +1,113 @@
+//! One instance from its settings to a graceful exit.
+
+use {
+    citron_core::{id::Incarnation, membership::Member},
+    citron_platform::{HttpPlatform, HttpServers, LaneStore},
+    citronproxy::{
+        admin::{self, Admin, AdminServer},
+        clock::Clock,
+        control::{Control, ControlConfig, ControlMetrics},
+        events, lifecycle,
+        settings::Settings,
+        slo::Recorder,
+        traffic::{self, TrafficHandle},
+    },
+    std::{
+        error::Error,
+        io::{self, Write},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::{
+        runtime::Builder,
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Runs until a signal asks it to leave and the last request has ended.
+pub fn run(settings: Settings) -> Result<(), Box<dyn Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let clock = Clock::start();
+    let handle = TrafficHandle::default();
+    let workers = traffic::start(settings.traffic, settings.threads, &handle, clock)?;
+    log::info!(
+        "{} {} on {}",
+        events::STARTED,
+        settings.instance,
+        workers.address
+    );
+    say("traffic", workers.address);
+    let control = run_control(settings, workers.address, handle, clock);
+    LocalSet::new().block_on(&runtime, control)?;
+    workers.close();
+    Ok(())
+}
+
+/// Tells an address, since whoever asked for port 0 learns the port here. That
+/// nobody reads it is no reason to stop.
+fn say(what: &str, address: SocketAddr) {
+    let _ = writeln!(io::stdout(), "{what} {address}");
+}
+
+async fn run_control(
+    settings: Settings,
+    traffic: SocketAddr,
+    handle: TrafficHandle,
+    clock: Clock,
+) -> Result<(), Box<dyn Error>> {
+    let me = Member {
+        instance: settings.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    start_recorder(&settings, &handle, clock);
+    let server = AdminServer::bind(settings.admin).await?;
+    say("admin", server.address);
+    let admin_store = admin_store(&settings, &me);
+    // New at each start: the numbers of a writer's commits begin anew.
+    let writer = format!("{}/{}", me.instance, me.incarnation);
+    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
+    let config = ControlConfig {
+        me,
+        domain: settings.domain.clone(),
+        traffic,
+        peer: settings.peer,
+        advertise: settings.advertise,
+        admin: server.address,
+        seeds: settings.seeds,
+    };
+    let metrics = ControlMetrics::new(handle.registry())?;
+    let outside = (store, HttpServers::default());
+    let start = Control::start(config, outside, handle.clone(), clock, metrics);
+    let mut control = start.await?;
+    say("peer", control.address);
+    let admin = Admin {
+        instance: settings.instance,
+        domain: settings.domain,
+        store: admin_store,
+        control: control.node().clone(),
+        token: settings.token,
+    };
+    spawn_local(admin::serve(server, Rc::new(admin)));
+    let node = control.node().clone();
+    tokio::select! {
+        left = lifecycle::run(handle, move || node.leave()) => left?,
+        error = control.failed() => return Err(error.into()),
+    }
+    control.close().await;
+    Ok(())
+}
+
+/// Counts for service-level objectives.
+fn start_recorder(settings: &Settings, handle: &TrafficHandle, clock: Clock) {
+    let store = HttpPlatform::new(settings.platform);
+    let (instance, domain) = (settings.instance.clone(), settings.domain.clone());
+    let recorder = Recorder::new(instance, domain, handle.clone());
+    spawn_local(recorder.run(store, clock));
+}
+
+/// The table as operators' edits are written to it: with a writer of their own,
+/// so that an edit being settled holds up no commit of control.
+fn admin_store(settings: &Settings, me: &Member) -> LaneStore<HttpPlatform> {
+    let writer = format!("{}/{}/admin", me.instance, me.incarnation);
+    LaneStore::new(HttpPlatform::new(settings.platform), writer)
+}
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -1,101 +1,39 @@
 //! The instance's binary.
 
+mod cli;
+mod instance;
+
 use {
-    citron_core::{id::Incarnation, membership::Member},
-    citron_platform::{HttpPlatform, HttpServers, LaneStore},
-    citronproxy::{
-        admin::{self, Admin, AdminServer},
-        clock::Clock,
-        control::{Control, ControlConfig, ControlMetrics},
-        dev, events, lifecycle,
-        settings::Settings,
-        slo::Recorder,
-        traffic::{self, TrafficHandle},
-    },
-    std::{
-        error::Error,
-        io::{self, Write},
-        net::SocketAddr,
-        path::PathBuf,
-        process::ExitCode,
-        rc::Rc,
-    },
-    tokio::{
-        runtime::Builder,
-        task::{LocalSet, spawn_local},
-    },
+    citronproxy::{dev, settings::Settings},
+    cli::{Command, HELP},
+    std::{error::Error, fmt::Display, path::Path, process::ExitCode},
+    tokio::runtime::Builder,
 };
 
-const HELP: &str = "\
-citronproxy: routes requests to backend servers that own keys exclusively
-
-usage:
-  citronproxy run FILE     run an instance with the settings in FILE
-  citronproxy check FILE   check settings and do nothing else
-  citronproxy dev          one process with a sample service, to try it out
-  citronproxy --help       this text
-
-exit codes: 0 done, 1 failed while running, 2 wrong usage or settings
-";
 /// Wrong usage or settings.
 const EXIT_USAGE: u8 = 2;
 
-enum Command {
-    Run(PathBuf),
-    Check(PathBuf),
-    Dev,
-    Help,
-}
-
 fn main() -> ExitCode {
     env_logger::builder().format_timestamp_millis().init();
-    let command = match parse_args() {
-        Ok(command) => command,
-        Err(error) => return usage_error(&error.to_string()),
-    };
-    let ran = match command {
-        Command::Help => {
+    match Command::parse(pico_args::Arguments::from_env()) {
+        Ok(Command::Help) => {
             print!("{HELP}");
-            return ExitCode::SUCCESS;
-        }
-        Command::Dev => run_dev(),
-        Command::Check(file) | Command::Run(file) if !file.exists() => {
-            return usage_error(&format!("{}: no such file", file.display()));
-        }
-        Command::Check(file) => match Settings::load(&file) {
-            Ok(_) => Ok(()),
-            Err(error) => return usage_error(&error.to_string()),
-        },
-        Command::Run(file) => match Settings::load(&file) {
-            Ok(settings) => run(settings),
-            Err(error) => return usage_error(&error.to_string()),
-        },
-    };
-    match ran {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("citronproxy: {error}");
-            ExitCode::FAILURE
+            ExitCode::SUCCESS
         }
+        Ok(Command::Dev) => exit(run_dev()),
+        Ok(Command::Check(file)) => with_settings(&file, |_| Ok(())),
+        Ok(Command::Run(file)) => with_settings(&file, instance::run),
+        Err(error) => usage(error),
     }
 }
 
-fn usage_error(message: &str) -> ExitCode {
-    eprintln!("citronproxy: {message}");
-    ExitCode::from(EXIT_USAGE)
-}
-
-fn parse_args() -> Result<Command, pico_args::Error> {
-    let mut args = pico_args::Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        return Ok(Command::Help);
-    }
-    let path = |text: &std::ffi::OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(text));
-    match args.subcommand()?.as_deref() {
-        Some("run") => Ok(Command::Run(args.free_from_os_str(path)?)),
-        Some("check") => Ok(Command::Check(args.free_from_os_str(path)?)),
-        Some("dev") => Ok(Command::Dev),
-        _ => Ok(Command::Help),
+fn with_settings(
+    file: &Path,
+    run: impl FnOnce(Settings) -> Result<(), Box<dyn Error>>,
+) -> ExitCode {
+    match Settings::load(file) {
+        Ok(settings) => exit(run(settings)),
+        Err(error) => usage(error),
     }
 }
 
@@ -104,89 +42,17 @@
     runtime.block_on(dev::run())
 }
 
-fn run(settings: Settings) -> Result<(), Box<dyn Error>> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let clock = Clock::start();
-    let handle = TrafficHandle::default();
-    let workers = traffic::start(settings.traffic, settings.threads, &handle, clock)?;
-    log::info!(
-        "{} {} on {}",
-        events::STARTED,
-        settings.instance,
-        workers.address
-    );
-    say("traffic", workers.address);
-    let control = run_control(settings, workers.address, handle, clock);
-    LocalSet::new().block_on(&runtime, control)?;
-    workers.close();
-    Ok(())
-}
-
-/// Tells an address, since whoever asked for port 0 learns the port here. That
-/// nobody reads it is no reason to stop.
-fn say(what: &str, address: SocketAddr) {
-    let _ = writeln!(io::stdout(), "{what} {address}");
+fn usage(error: impl Display) -> ExitCode {
+    eprintln!("citronproxy: {error}");
+    ExitCode::from(EXIT_USAGE)
 }
 
-async fn run_control(
-    settings: Settings,
-    traffic: SocketAddr,
-    handle: TrafficHandle,
-    clock: Clock,
-) -> Result<(), Box<dyn Error>> {
-    let me = Member {
-        instance: settings.instance.clone(),
-        incarnation: Incarnation(rand::random()),
-    };
-    start_recorder(&settings, &handle, clock);
-    let server = AdminServer::bind(settings.admin).await?;
-    say("admin", server.address);
-    let admin_store = admin_store(&settings, &me);
-    // New at each start: the numbers of a writer's commits begin anew.
-    let writer = format!("{}/{}", me.instance, me.incarnation);
-    let store = LaneStore::new(HttpPlatform::new(settings.platform), writer);
-    let config = ControlConfig {
-        me,
-        domain: settings.domain.clone(),
-        traffic,
-        peer: settings.peer,
-        advertise: settings.advertise,
-        admin: server.address,
-        seeds: settings.seeds,
-    };
-    let metrics = ControlMetrics::new(handle.registry())?;
-    let outside = (store, HttpServers::default());
-    let start = Control::start(config, outside, handle.clone(), clock, metrics);
-    let mut control = start.await?;
-    say("peer", control.address);
-    let admin = Admin {
-        instance: settings.instance,
-        domain: settings.domain,
-        store: admin_store,
-        control: control.node().clone(),
-        token: settings.token,
-    };
-    spawn_local(admin::serve(server, Rc::new(admin)));
-    let node = control.node().clone();
-    tokio::select! {
-        left = lifecycle::run(handle, move || node.leave()) => left?,
-        error = control.failed() => return Err(error.into()),
+fn exit(ran: Result<(), Box<dyn Error>>) -> ExitCode {
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("citronproxy: {error}");
+            ExitCode::FAILURE
+        }
     }
-    control.close().await;
-    Ok(())
-}
-
-/// Counts for service-level objectives.
-fn start_recorder(settings: &Settings, handle: &TrafficHandle, clock: Clock) {
-    let store = HttpPlatform::new(settings.platform);
-    let (instance, domain) = (settings.instance.clone(), settings.domain.clone());
-    let recorder = Recorder::new(instance, domain, handle.clone());
-    spawn_local(recorder.run(store, clock));
-}
-
-/// The table as operators' edits are written to it: with a writer of their own,
-/// so that an edit being settled holds up no commit of control.
-fn admin_store(settings: &Settings, me: &Member) -> LaneStore<HttpPlatform> {
-    let writer = format!("{}/{}/admin", me.instance, me.incarnation);
-    LaneStore::new(HttpPlatform::new(settings.platform), writer)
 }
