--- a/crates/citronctl/src/args.rs
+++ b/crates/citronctl/src/args.rs
@@ -40,7 +40,7 @@
             admins: addresses(&admins.unwrap_or_default())?,
             by: by
                 .or_else(|| env::var("USER").ok())
-                .filter(|by| !by.is_empty()),
+                .unwrap_or_else(|| UNNAMED.to_string()),
             token_file: args.opt_value_from_str("--token-file")?,
             wait: args.contains("--wait"),
             wait_time: Duration::from_secs(seconds.unwrap_or(WAIT_SECONDS)),
--- a/crates/citronproxy/tests/proofs.rs
+++ b/crates/citronproxy/tests/proofs.rs
@@ -29,11 +29,9 @@
     let rows: Vec<&str> = page.lines().filter(|line| is_point(line)).collect();
     assert_eq!(rows.len(), POINTS);
     for row in rows {
-        let named: Vec<&str> = row.split('`').filter(|text| text.contains("/")).collect();
-        let tests: Vec<&str> = named
-            .into_iter()
-            .filter(|text| text.contains(": "))
-            .collect();
+        // Every other part of a line stands between backticks.
+        let quoted = row.split('`').skip(1).step_by(2);
+        let tests: Vec<&str> = quoted.filter(|text| text.contains(": ")).collect();
         assert!(!tests.is_empty(), "a point without a test: {row}");
         for test in tests {
             let (place, function) = test.split_once(": ").unwrap();
