--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! imbalance that has lasted. A lost owner's shards go by weighted rendezvous
 //! hashing with bounded load; balance takes the fewest shards that help.
 
+mod board;
 mod budget;
 mod hot;
 mod load;
