--- a/crates/citronproxy/src/control/mod.rs
+++ b/crates/citronproxy/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod node;
 mod planning;
 mod probing;
+mod releases;
 mod replica;
 mod tasks;
 mod thread;
@@ -37,5 +38,6 @@
     driven::{Driven, Heard, ScopeKey},
     exchanging::Exchange,
     probing::WATCHERS,
+    releases::Releases,
     tasks::Tasks,
 };
--- a/crates/citronproxy/src/control/moving.rs
+++ b/crates/citronproxy/src/control/moving.rs
@@ -2,13 +2,13 @@
 //! another one left.
 
 use {
-    super::{Batch, Driven, Heard, Node, ScopeKey, WATCHERS},
+    super::{Batch, Driven, Heard, Node, Releases, ScopeKey, WATCHERS},
     crate::{events, peer::PeerHost},
     citron_core::{
-        id::{Revision, ServerName, ShardId},
+        id::{Revision, ServerName},
         membership::Member,
-        ownership::{Ack, Grant, GrantResult, MoveAction, MoveEvent, Phase, Scope},
-        table::{Commit, Row, Table},
+        ownership::{Ack, Grant, GrantResult, MoveAction, MoveEvent},
+        table::Commit,
     },
     citron_platform::{Grants, TableStore},
     citron_wire::peer::AckAsk,
@@ -42,6 +42,7 @@
     node: Node<S>,
     servers: Rc<B>,
     driven: BTreeMap<ScopeKey, Driven>,
+    releases: Releases,
     asked: BTreeSet<Asked>,
     revoking: BTreeSet<ServerName>,
     heard: UnboundedReceiver<Heard>,
@@ -60,6 +61,7 @@
             node,
             servers,
             driven: BTreeMap::new(),
+            releases: Releases::default(),
             asked: BTreeSet::new(),
             revoking: BTreeSet::new(),
             heard,
@@ -91,22 +93,23 @@
     /// Takes up what the table shows as releasing. Instances whose turn has not
     /// come take it up too, so that their waits run meanwhile.
     fn take_up(&mut self) {
-        let shown = self.node.table(releasing);
+        self.node.table(|table| self.releases.refresh(table));
+        let shown = self.releases.scopes();
         let now = self.node.now();
         // Those whose turn has come hear of the end by their next step.
         self.driven
             .retain(|key, driven| now >= driven.turn || shown.contains(key));
         for key in shown {
             let rank = self.node.rank(&key.0);
-            if rank >= WATCHERS || self.driven.contains_key(&key) {
+            if rank >= WATCHERS || self.driven.contains_key(key) {
                 continue;
             }
             let turn = now + RANK_DELAY * rank;
             let taken = self
                 .node
-                .table(|table| Driven::take_up(table, &key, turn, now));
+                .table(|table| Driven::take_up(table, key, turn, now));
             if let Some(driven) = taken {
-                self.driven.insert(key, driven);
+                self.driven.insert(key.clone(), driven);
             }
         }
     }
@@ -346,25 +349,3 @@
         revision,
     })
 }
-
-fn releasing(table: &Table) -> Vec<ScopeKey> {
-    let mut keys = Vec::new();
-    for (_, row) in table.rows() {
-        match &row.value {
-            Row::Block(block) => {
-                let first = block.block.first_shard().0;
-                for (shard, owner) in (first..).zip(&block.shards) {
-                    if matches!(owner.phase, Phase::Releasing { .. }) {
-                        let scope = Scope::Shard(ShardId(shard));
-                        keys.push((block.service.clone(), scope));
-                    }
-                }
-            }
-            Row::Override(key) if !key.owner.is_open() => {
-                keys.push((key.service.clone(), Scope::Key(key.key)));
-            }
-            _ => {}
-        }
-    }
-    keys
-}
