Rows of one kind are asked of the table itself

Reading the whole change: some fifteen places in core and control picked typed rows out of the table by hand, and the look-up of a service stood in four files. Table offers them now (table/typed.rs); begin, mover, waits, roster and the tasks of control call it. Hashes in hexadecimal are read in one place too.

--- a/crates/citronproxy/src/admin/inspect.rs
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -52,10 +52,7 @@
         let read = self.store.changes(in_force).await;
         let known = read.as_ref().map_or(in_force, |changes| changes.revision);
         self.control.table(|table| {
-            let instances = table.rows().filter_map(|(_, row)| match &row.value {
-                Row::Instance(row) => Some(InstanceWire::from(row)),
-                _ => None,
-            });
+            let instances = table.instances().map(InstanceWire::from);
             StatusWire {
                 instance: self.instance.to_string(),
                 domain: self.domain.to_string(),
--- a/crates/citronproxy/src/control/exchanging.rs
+++ b/crates/citronproxy/src/control/exchanging.rs
@@ -7,7 +7,7 @@
         admission::{Demand, DemandBook, Part},
         id::ServerName,
         membership::{InstanceReport, Member},
-        table::{Row, ServerRow, ServerState},
+        table::{ServerRow, ServerState},
     },
     citron_platform::TableStore,
     std::{cell::RefCell, collections::BTreeMap, time::Duration},
@@ -69,17 +69,14 @@
     /// more than its slots.
     fn instances(&self) -> usize {
         let me = &self.config().me.instance;
-        let other = |row: &Row| matches!(row, Row::Instance(row) if row.id != *me);
-        self.table(|table| table.rows().filter(|(_, row)| other(&row.value)).count() + 1)
+        self.table(|table| table.instances().filter(|row| row.id != *me).count() + 1)
     }
 
     fn servers(&self) -> Vec<ServerRow> {
         self.table(|table| {
-            let rows = table.rows().filter_map(|(_, row)| match &row.value {
-                Row::Server(row) if row.state != ServerState::Retired => Some(row.clone()),
-                _ => None,
-            });
-            rows.collect()
+            let rows = table.servers();
+            let kept = rows.filter(|row| row.state != ServerState::Retired);
+            kept.cloned().collect()
         })
     }
 
--- a/crates/citronproxy/src/control/granting.rs
+++ b/crates/citronproxy/src/control/granting.rs
@@ -1,11 +1,11 @@
 //! Grants and leases of backend servers that check them.
 
 use {
-    super::{ControlMetrics, Node, Tasks, tasks::service},
+    super::{ControlMetrics, Node, Tasks},
     citron_core::{
         id::ServerName,
         ownership::{Granter, Order},
-        table::{Fencing, Row, ServerRow, ServerState},
+        table::{Fencing, ServerRow, ServerState},
     },
     citron_platform::{Grants, TableStore},
     std::{rc::Rc, time::Duration},
@@ -37,11 +37,8 @@
 
 fn fenced<S: TableStore + 'static>(node: &Node<S>) -> Vec<ServerName> {
     node.table(|table| {
-        let names = table.rows().filter_map(|(_, row)| match &row.value {
-            Row::Server(row) if is_granted(row) => Some(row.name.clone()),
-            _ => None,
-        });
-        names.collect()
+        let granted = table.servers().filter(|row| is_granted(row));
+        granted.map(|row| row.name.clone()).collect()
     })
 }
 
@@ -89,7 +86,10 @@
     node.look(|replica| {
         let confirmation = replica.confirmation();
         let own = row.domain == replica.domain;
-        let grace = service(replica.table(), &row.service).map_or(Duration::ZERO, |s| s.grace);
+        let grace = replica
+            .table()
+            .service(&row.service)
+            .map_or(Duration::ZERO, |s| s.grace);
         let leave = confirmation.end(own, grace);
         granter.order(replica.table(), row, &confirmation, leave)
     })
--- a/crates/citronproxy/src/control/listing.rs
+++ b/crates/citronproxy/src/control/listing.rs
@@ -4,9 +4,8 @@
     super::{ControlError, Node},
     crate::events,
     citron_core::{
-        id::InstanceId,
         membership::{JoinError, Member, Roster},
-        table::{InstanceRow, Row, RowKey, Table},
+        table::InstanceRow,
         time::Time,
     },
     citron_platform::TableStore,
@@ -62,7 +61,7 @@
     node: &Node<S>,
     former: &Member,
 ) -> Result<(), ControlError> {
-    let Some(row) = node.table(|table| instance(table, &former.instance)) else {
+    let Some(row) = node.table(|table| table.instance(&former.instance).cloned()) else {
         return Ok(());
     };
     let answer = node.peers().status(row.peer).await;
@@ -170,11 +169,3 @@
         .map(|(row, rank)| (Member::of(&row), row, rank.min(NEIGHBOURS as u32)))
         .collect()
 }
-
-fn instance(table: &Table, id: &InstanceId) -> Option<InstanceRow> {
-    let row = table.get(&RowKey::Instance(id.clone()))?;
-    match &row.value {
-        Row::Instance(row) => Some(row.clone()),
-        _ => None,
-    }
-}
--- a/crates/citronproxy/src/control/node.rs
+++ b/crates/citronproxy/src/control/node.rs
@@ -13,8 +13,7 @@
         membership::{InstanceReport, InstanceStatus, Member},
         ownership::Spans,
         table::{
-            Changes, Commit, CommitAnswer, InstanceRow, InstanceState, Row, RowKey, ServerRow,
-            Table, TableError,
+            Changes, Commit, CommitAnswer, InstanceRow, InstanceState, ServerRow, Table, TableError,
         },
         time::Time,
     },
@@ -240,10 +239,7 @@
     pub fn others(&self) -> Vec<InstanceRow> {
         let me = &self.inner.config.me.instance;
         self.table(|table| {
-            let rows = table.rows().filter_map(|(_, row)| match &row.value {
-                Row::Instance(row) => Some(row),
-                _ => None,
-            });
+            let rows = table.instances();
             let others = rows.filter(|row| row.id != *me && row.state != InstanceState::Expelled);
             others.cloned().collect()
         })
@@ -303,11 +299,7 @@
 
     /// The row of a server.
     pub fn server(&self, name: &ServerName) -> Option<ServerRow> {
-        let key = RowKey::Server(name.clone());
-        self.table(|table| match table.get(&key).map(|row| &row.value) {
-            Some(Row::Server(row)) => Some(row.clone()),
-            _ => None,
-        })
+        self.table(|table| table.server(name).cloned())
     }
 }
 
--- a/crates/citronproxy/src/control/planning.rs
+++ b/crates/citronproxy/src/control/planning.rs
@@ -1,7 +1,7 @@
 //! Begins moves: away from lost and leaving servers, and for balance.
 
 use {
-    super::{Batch, Health, Loads, Node, WATCHERS, tasks::service},
+    super::{Batch, Health, Loads, Node, WATCHERS},
     crate::events,
     citron_core::{
         id::{ServerName, ServiceName, ShardId},
@@ -62,11 +62,7 @@
 }
 
 fn services(table: &Table) -> Vec<ServiceName> {
-    let services = table.rows().filter_map(|(_, row)| match &row.value {
-        Row::Service(row) => Some(row.name.clone()),
-        _ => None,
-    });
-    services.collect()
+    table.services().map(|row| row.name.clone()).collect()
 }
 
 async fn plan_service<S: TableStore + 'static>(
@@ -132,11 +128,8 @@
     load: impl Fn(Scope) -> (Load, u32),
     now: Time,
 ) -> Option<View> {
-    let row = service(table, name)?;
-    let servers = table.rows().filter_map(|(_, row)| match &row.value {
-        Row::Server(row) if row.service == *name => Some(row),
-        _ => None,
-    });
+    let row = table.service(name)?;
+    let servers = table.servers().filter(|row| row.service == *name);
     let usable = servers.filter(|row| is_usable(row, health, now));
     Some(View {
         servers: usable.map(|row| candidate(row, health, now)).collect(),
--- a/crates/citronproxy/src/control/probing.rs
+++ b/crates/citronproxy/src/control/probing.rs
@@ -5,7 +5,7 @@
     crate::events,
     citron_core::{
         id::ServerName,
-        table::{Row, ServerRow, ServerState},
+        table::{ServerRow, ServerState},
         time::Time,
     },
     citron_platform::{InstanceList, ListedState, PlatformError, Probe, Probes, TableStore},
@@ -146,11 +146,9 @@
 
 fn watched<S: TableStore + 'static>(node: &Node<S>) -> Vec<ServerName> {
     let rows: Vec<ServerRow> = node.table(|table| {
-        let rows = table.rows().filter_map(|(_, row)| match &row.value {
-            Row::Server(row) if row.state != ServerState::Retired => Some(row.clone()),
-            _ => None,
-        });
-        rows.collect()
+        let rows = table.servers();
+        let kept = rows.filter(|row| row.state != ServerState::Retired);
+        kept.cloned().collect()
     });
     let mine = rows.iter().filter(|row| node.rank(&row.service) < WATCHERS);
     mine.map(|row| row.name.clone()).collect()
--- a/crates/citronproxy/src/control/tasks.rs
+++ b/crates/citronproxy/src/control/tasks.rs
@@ -1,10 +1,7 @@
 //! What several tasks of control need.
 
 use {
-    citron_core::{
-        id::{ServerName, ServiceName},
-        table::{Row, RowKey, ServiceRow, Table},
-    },
+    citron_core::id::ServerName,
     std::{collections::BTreeMap, future::Future},
     tokio::task::{JoinHandle, spawn_local},
 };
@@ -40,11 +37,3 @@
         }
     }
 }
-
-/// The row of a service.
-pub(super) fn service<'a>(table: &'a Table, name: &ServiceName) -> Option<&'a ServiceRow> {
-    match &table.get(&RowKey::Service(name.clone()))?.value {
-        Row::Service(row) => Some(row),
-        _ => None,
-    }
-}
--- a/crates/core/src/crash/fingerprint.rs
+++ b/crates/core/src/crash/fingerprint.rs
@@ -1,7 +1,7 @@
 //! What makes two requests the same request sent again.
 
 use {
-    crate::id::ParseIdError,
+    crate::id::{ParseIdError, parse_hash},
     std::{fmt, str::FromStr},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -42,11 +42,6 @@
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, ParseIdError> {
-        let parsed = u64::from_str_radix(text, 16);
-        parsed.map(Self).map_err(|_| ParseIdError::Number {
-            found: text.to_string(),
-            min: 0,
-            max: u64::MAX,
-        })
+        parse_hash(text).map(Self)
     }
 }
--- a/crates/core/src/id/key.rs
+++ b/crates/core/src/id/key.rs
@@ -34,15 +34,19 @@
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, ParseIdError> {
-        let parsed = u64::from_str_radix(text, 16);
-        parsed.map(Self).map_err(|_| ParseIdError::Number {
-            found: text.to_string(),
-            min: 0,
-            max: u64::MAX,
-        })
+        parse_hash(text).map(Self)
     }
 }
 
+/// Reads a 64-bit hash in hexadecimal digits, as hashes are displayed.
+pub(crate) fn parse_hash(text: &str) -> Result<u64, ParseIdError> {
+    u64::from_str_radix(text, 16).map_err(|_| ParseIdError::Number {
+        found: text.to_string(),
+        min: 0,
+        max: u64::MAX,
+    })
+}
+
 /// Number of a shard within its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ShardId(pub u32);
--- a/crates/core/src/id/mod.rs
+++ b/crates/core/src/id/mod.rs
@@ -5,6 +5,8 @@
 mod name;
 mod number;
 
+pub(crate) use key::parse_hash;
+
 pub use {
     error::ParseIdError,
     key::{KeyHash, ShardBits, ShardId},
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -39,7 +39,7 @@
     /// Notes which expulsions the table shows; call it with each newer table.
     pub fn see(&mut self, table: &Table, now: Time) {
         let mut seen = BTreeMap::new();
-        for row in instances(table) {
+        for row in table.instances() {
             if row.state == InstanceState::Expelled {
                 let member = Member::of(row);
                 let at = self.expelled.get(&member).copied().unwrap_or(now);
@@ -124,20 +124,10 @@
 
 /// The longest that any instance may route after its last read of the platform.
 pub fn longest_leave(table: &Table, spans: Spans) -> Duration {
-    let graces = table.rows().filter_map(|(_, row)| match &row.value {
-        Row::Service(row) => Some(row.grace),
-        _ => None,
-    });
+    let graces = table.services().map(|row| row.grace);
     graces.fold(spans.confirm, Duration::max)
 }
 
-fn instances(table: &Table) -> impl Iterator<Item = &InstanceRow> {
-    table.rows().filter_map(|(_, row)| match &row.value {
-        Row::Instance(row) => Some(row),
-        _ => None,
-    })
-}
-
 fn instance<'a>(table: &'a Table, id: &InstanceId) -> Option<(Revision, &'a InstanceRow)> {
     let found = table.get(&RowKey::Instance(id.clone()))?;
     match &found.value {
--- a/crates/core/src/ownership/begin.rs
+++ b/crates/core/src/ownership/begin.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         id::{Epoch, ServerName, ServiceName, ShardId},
-        table::{BlockId, Commit, Row, RowKey, ServerRow, ServerState, ServiceRow, Table, Write},
+        table::{BlockId, Commit, Row, ServerState, ServiceRow, Table, Write},
     },
 };
 
@@ -58,27 +58,15 @@
 }
 
 fn service_row<'a>(table: &'a Table, service: &ServiceName) -> Result<&'a ServiceRow, MoveError> {
-    let key = RowKey::Service(service.clone());
-    match table.get(&key).map(|found| &found.value) {
-        Some(Row::Service(row)) => Ok(row),
-        _ => Err(MoveError::UnknownService {
-            service: service.clone(),
-        }),
-    }
-}
-
-/// The row of a server, if the table has it.
-pub(super) fn server_row<'a>(table: &'a Table, server: &ServerName) -> Option<&'a ServerRow> {
-    let key = RowKey::Server(server.clone());
-    match table.get(&key).map(|found| &found.value) {
-        Some(Row::Server(row)) => Some(row),
-        _ => None,
-    }
+    let unknown = || MoveError::UnknownService {
+        service: service.clone(),
+    };
+    table.service(service).ok_or_else(unknown)
 }
 
 fn check_target(table: &Table, service: &ServiceName, to: &ServerName) -> Result<(), MoveError> {
     let server = to.clone();
-    let Some(row) = server_row(table, to) else {
+    let Some(row) = table.server(to) else {
         return Err(MoveError::UnknownServer { server });
     };
     if row.service != *service {
--- a/crates/core/src/ownership/mover.rs
+++ b/crates/core/src/ownership/mover.rs
@@ -4,13 +4,12 @@
     super::{
         Assignment, Grant, GrantKind, Member, MoveAction, MoveEvent, Phase, Rules, Scope, Spans,
         Strict,
-        begin::server_row,
         place::{assignment, replace},
         waits::{Limits, Waits},
     },
     crate::{
         id::{Epoch, ServerName, ServiceName},
-        table::{Commit, Row, RowKey, Table, Versioned},
+        table::{Commit, Table, Versioned},
         time::Time,
     },
     std::{marker::PhantomData, time::Duration},
@@ -69,7 +68,7 @@
         let Phase::Releasing { to } = found.value.phase else {
             return None;
         };
-        let row = server_row(table, &found.value.owner);
+        let row = table.server(&found.value.owner);
         let mut mover = Self {
             service: service.clone(),
             scope,
@@ -198,10 +197,7 @@
         let Scope::Key(key) = self.scope else {
             return None;
         };
-        let service = table.get(&RowKey::Service(self.service.clone()))?;
-        let Row::Service(service) = &service.value else {
-            return None;
-        };
+        let service = table.service(&self.service)?;
         let scope = Scope::Shard(service.shards.shard_of(key));
         let shard = assignment(table, &self.service, scope)?.value;
         let mine = shard.owner == self.release.owner;
@@ -240,10 +236,9 @@
 
 /// The spans that the service's row sets, beside the fixed ones.
 fn limits(table: &Table, service: &ServiceName, spans: Spans) -> Limits {
-    let key = RowKey::Service(service.clone());
-    let (grace, deadline) = match table.get(&key).map(|found| &found.value) {
-        Some(Row::Service(row)) => (row.grace, row.deadline),
-        _ => (Duration::ZERO, Duration::ZERO),
+    let (grace, deadline) = match table.service(service) {
+        Some(row) => (row.grace, row.deadline),
+        None => (Duration::ZERO, Duration::ZERO),
     };
     Limits {
         spans,
--- a/crates/core/src/ownership/waits.rs
+++ b/crates/core/src/ownership/waits.rs
@@ -4,7 +4,7 @@
     super::{Ack, Member, Rules, Spans},
     crate::{
         id::{DomainName, Revision},
-        table::{DomainState, Fencing, Row, RowKey, ServerRow, Table},
+        table::{DomainState, Fencing, ServerRow, Table},
         time::Time,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -82,10 +82,7 @@
     /// lost runs no more.
     pub fn list<R: Rules>(&mut self, table: &Table, now: Time) {
         let mut listed = BTreeMap::new();
-        for (_, row) in table.rows() {
-            let Row::Instance(row) = &row.value else {
-                continue;
-            };
+        for row in table.instances() {
             if is_lost(table, &row.domain) {
                 continue;
             }
@@ -167,9 +164,6 @@
 }
 
 fn is_lost(table: &Table, domain: &DomainName) -> bool {
-    let row = table.get(&RowKey::Domain(domain.clone()));
-    match row.map(|found| &found.value) {
-        Some(Row::Domain(row)) => matches!(row.state, DomainState::Lost { .. }),
-        _ => false,
-    }
+    let row = table.domain(domain);
+    row.is_some_and(|row| matches!(row.state, DomainState::Lost { .. }))
 }
--- a/crates/core/src/table/mod.rs
+++ b/crates/core/src/table/mod.rs
@@ -12,6 +12,7 @@
 mod server;
 mod service;
 mod store;
+mod typed;
 mod view;
 
 pub use {
