Rename the crate of ports so that nobody confuses it with the platform's adapter

crates/platform holds the traits of table, object store, list and grants and their clients; platform/ at the root will hold the users' platform. Only the name changes.

--- a/crates/citronctl/tests/report.rs
+++ b/crates/citronctl/tests/report.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    citron_platform::{Memory, ObjectStore},
+    citron_ports::{Memory, ObjectStore},
     citron_wire::slo::{PageWire, RecordWire, TallyWire, page_name},
     std::{collections::BTreeMap, time::SystemTime},
     support::Shell,
--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -8,7 +8,7 @@
         table::Table,
         time::Time,
     },
-    citron_platform::{LaneStore, Memory, PlatformError, TableStore},
+    citron_ports::{LaneStore, Memory, PlatformError, TableStore},
     citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     std::{
         cell::RefCell,
--- a/crates/citronproxy/examples/control_slopes.rs
+++ b/crates/citronproxy/examples/control_slopes.rs
@@ -16,7 +16,7 @@
             ServiceRow, Write,
         },
     },
-    citron_platform::{
+    citron_ports::{
         Grants, HistoryEntry, InstanceList, LaneStore, Listed, Memory, PlatformError, Probe,
         Probes, TableStore,
     },
--- a/crates/citronproxy/src/admin/editor.rs
+++ b/crates/citronproxy/src/admin/editor.rs
@@ -8,7 +8,7 @@
         ownership::{Scope, begin_move},
         table::{Check, Commit, CommitAnswer, Edit, HistoryRow, RowChange, RowKey, Table},
     },
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     std::time::{Duration, SystemTime},
 };
 
--- a/crates/citronproxy/src/admin/error.rs
+++ b/crates/citronproxy/src/admin/error.rs
@@ -6,7 +6,7 @@
         ownership::MoveError,
         table::{Row, RowKey, TableError, Versioned},
     },
-    citron_platform::PlatformError,
+    citron_ports::PlatformError,
     citron_wire::{
         WireError,
         admin::{ErrorWire, VersionedRowWire},
--- a/crates/citronproxy/src/admin/inspect.rs
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -7,7 +7,7 @@
         ownership::{Assignment, Phase, Scope},
         table::{BlockId, Row, RowKey, Table, Versioned},
     },
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     citron_wire::{
         admin::{HistoryPageWire, OwnerWire, RowsWire, StatusWire, VersionedRowWire},
         row::InstanceWire,
--- a/crates/citronproxy/src/admin/routes.rs
+++ b/crates/citronproxy/src/admin/routes.rs
@@ -12,7 +12,7 @@
         ownership::Scope,
         table::{Edit, Row, RowEdit},
     },
-    citron_platform::{ObjectStore, TableStore},
+    citron_ports::{ObjectStore, TableStore},
     citron_wire::{
         admin::{EditWire, HEADER_OPERATOR, LiftWire, MoveWire, RefusedWire, RevisionWire},
         row::{RowWire, parse_row_key},
--- a/crates/citronproxy/src/admin/server.rs
+++ b/crates/citronproxy/src/admin/server.rs
@@ -8,7 +8,7 @@
     },
     crate::events,
     bytes::Bytes,
-    citron_platform::{ObjectStore, TableStore},
+    citron_ports::{ObjectStore, TableStore},
     http::{Request, request::Parts},
     http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
--- a/crates/citronproxy/src/admin/state.rs
+++ b/crates/citronproxy/src/admin/state.rs
@@ -7,7 +7,7 @@
         id::{DomainName, InstanceId, Revision},
         table::Table,
     },
-    citron_platform::PlatformError,
+    citron_ports::PlatformError,
     std::future::Future,
 };
 
--- a/crates/citronproxy/src/control/exchanging.rs
+++ b/crates/citronproxy/src/control/exchanging.rs
@@ -9,7 +9,7 @@
         membership::{InstanceReport, Member},
         table::{ServerRow, ServerState},
     },
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     std::{cell::RefCell, collections::BTreeMap, time::Duration},
     tokio::{
         task::spawn_local,
--- a/crates/citronproxy/src/control/follower.rs
+++ b/crates/citronproxy/src/control/follower.rs
@@ -3,7 +3,7 @@
 use {
     super::{ControlMetrics, Node},
     crate::events,
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     futures::future::join_all,
     std::{net::SocketAddr, time::Duration},
     tokio::time::{sleep, timeout},
--- a/crates/citronproxy/src/control/granting.rs
+++ b/crates/citronproxy/src/control/granting.rs
@@ -7,7 +7,7 @@
         ownership::{Granter, Order},
         table::{Fencing, ServerRow, ServerState},
     },
-    citron_platform::{Grants, TableStore},
+    citron_ports::{Grants, TableStore},
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
--- a/crates/citronproxy/src/control/listing.rs
+++ b/crates/citronproxy/src/control/listing.rs
@@ -8,7 +8,7 @@
         table::InstanceRow,
         time::Time,
     },
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     std::{collections::BTreeMap, time::Duration},
     tokio::time::sleep,
 };
--- a/crates/citronproxy/src/control/metrics.rs
+++ b/crates/citronproxy/src/control/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::table::CommitAnswer,
-    citron_platform::PlatformError,
+    citron_ports::PlatformError,
     prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector},
 };
 
@@ -42,7 +42,7 @@
                 registry,
                 IntGauge::new("citron_revision", "Revision of the table in force")?,
             )?,
-            reads: by_result("citron_platform_reads_total", "Reads of the platform")?,
+            reads: by_result("citron_ports_reads_total", "Reads of the platform")?,
             commits: by_result("citron_commits_total", "Commits to the table")?,
             relays: add(
                 registry,
--- a/crates/citronproxy/src/control/moving.rs
+++ b/crates/citronproxy/src/control/moving.rs
@@ -10,7 +10,7 @@
         ownership::{Ack, Grant, GrantResult, MoveAction, MoveEvent},
         table::Commit,
     },
-    citron_platform::{Grants, TableStore},
+    citron_ports::{Grants, TableStore},
     citron_wire::peer::AckAsk,
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/crates/citronproxy/src/control/node.rs
+++ b/crates/citronproxy/src/control/node.rs
@@ -17,7 +17,7 @@
         },
         time::Time,
     },
-    citron_platform::{PlatformError, TableStore},
+    citron_ports::{PlatformError, TableStore},
     citron_wire::peer::{AckAnswer, AckAsk, Asker},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
--- a/crates/citronproxy/src/control/planning.rs
+++ b/crates/citronproxy/src/control/planning.rs
@@ -10,7 +10,7 @@
         table::{Row, ServerRow, ServerState, ServiceRow, Table},
         time::Time,
     },
-    citron_platform::TableStore,
+    citron_ports::TableStore,
     std::{collections::BTreeMap, time::Duration},
     tokio::time::{sleep, timeout},
 };
--- a/crates/citronproxy/src/control/probing.rs
+++ b/crates/citronproxy/src/control/probing.rs
@@ -8,7 +8,7 @@
         table::{ServerRow, ServerState},
         time::Time,
     },
-    citron_platform::{InstanceList, ListedState, PlatformError, Probe, Probes, TableStore},
+    citron_ports::{InstanceList, ListedState, PlatformError, Probe, Probes, TableStore},
     std::{
         cell::RefCell,
         collections::{BTreeMap, BTreeSet},
--- a/crates/citronproxy/src/control/thread.rs
+++ b/crates/citronproxy/src/control/thread.rs
@@ -6,7 +6,7 @@
         granting, listing, planning, probing,
     },
     crate::{clock::Clock, peer, traffic::TrafficHandle},
-    citron_platform::{Grants, InstanceList, Probes, TableStore},
+    citron_ports::{Grants, InstanceList, Probes, TableStore},
     std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::TcpListener,
--- a/crates/citronproxy/src/control/view.rs
+++ b/crates/citronproxy/src/control/view.rs
@@ -8,7 +8,7 @@
         id::Revision,
         table::Table,
     },
-    citron_platform::{PlatformError, TableStore},
+    citron_ports::{PlatformError, TableStore},
     tokio::task::spawn_local,
 };
 
--- a/crates/citronproxy/src/dev/sample.rs
+++ b/crates/citronproxy/src/dev/sample.rs
@@ -15,7 +15,7 @@
             Objectives, Row, ServerRow, ServerState, ServiceRow, Write,
         },
     },
-    citron_platform::{HttpServers, LaneStore, Memory, PlatformError, TableStore},
+    citron_ports::{HttpServers, LaneStore, Memory, PlatformError, TableStore},
     std::{error::Error, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/citronproxy/src/instance.rs
+++ b/crates/citronproxy/src/instance.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{id::Incarnation, membership::Member},
-    citron_platform::{HttpPlatform, HttpServers, LaneStore},
+    citron_ports::{HttpPlatform, HttpServers, LaneStore},
     citronproxy::{
         admin::{self, Admin, AdminServer},
         clock::Clock,
--- a/crates/citronproxy/src/slo/gather.rs
+++ b/crates/citronproxy/src/slo/gather.rs
@@ -3,7 +3,7 @@
 use {
     super::wall_clock,
     citron_core::slo::{Minute, Record, SLOW},
-    citron_platform::{ObjectStore, PlatformError},
+    citron_ports::{ObjectStore, PlatformError},
     citron_wire::slo::{BurnWire, PAGE_PREFIX, PageWire, RecordWire},
     std::collections::BTreeSet,
 };
--- a/crates/citronproxy/src/slo/page.rs
+++ b/crates/citronproxy/src/slo/page.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{id::InstanceId, slo::Record},
-    citron_platform::{ObjectStore, PlatformError},
+    citron_ports::{ObjectStore, PlatformError},
     citron_wire::slo::{PageWire, RecordWire, page_name},
 };
 
--- a/crates/citronproxy/src/slo/recorder.rs
+++ b/crates/citronproxy/src/slo/recorder.rs
@@ -9,7 +9,7 @@
         slo::{Minute, Reach, Tally, moved_shards},
         time::Time,
     },
-    citron_platform::{ObjectStore, PlatformError},
+    citron_ports::{ObjectStore, PlatformError},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
--- a/crates/citronproxy/tests/admin.rs
+++ b/crates/citronproxy/tests/admin.rs
@@ -10,7 +10,7 @@
         table::Table,
     },
     citron_fakes::platform::PlatformServer,
-    citron_platform::{LaneStore, Memory, PlatformError},
+    citron_ports::{LaneStore, Memory, PlatformError},
     citronproxy::admin::{Admin, AdminServer, ControlView, serve},
     http::{Method, Request},
     http_body_util::Full,
--- a/crates/citronproxy/tests/leaving.rs
+++ b/crates/citronproxy/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use {
     citron_core::table::Fencing,
-    citron_platform::ListedState,
+    citron_ports::ListedState,
     std::time::{Duration, Instant},
     support::{Callers, Deployment, check_owners, check_told},
     tokio::time::sleep,
--- a/crates/citronproxy/tests/slo.rs
+++ b/crates/citronproxy/tests/slo.rs
@@ -15,7 +15,7 @@
         backend::{BackendConfig, BackendServer},
         platform::PlatformServer,
     },
-    citron_platform::{HttpPlatform, LaneStore, Memory, ObjectStore, TableStore},
+    citron_ports::{HttpPlatform, LaneStore, Memory, ObjectStore, TableStore},
     citron_wire::slo::PAGE_PREFIX,
     citronproxy::{
         clock::Clock,
--- a/crates/citronproxy/tests/support/deployment.rs
+++ b/crates/citronproxy/tests/support/deployment.rs
@@ -11,7 +11,7 @@
         backend::{BackendConfig, BackendServer, Run},
         platform::PlatformServer,
     },
-    citron_platform::{LaneStore, TableService, TableStore},
+    citron_ports::{LaneStore, TableService, TableStore},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
--- a/crates/citronproxy/tests/support/inside.rs
+++ b/crates/citronproxy/tests/support/inside.rs
@@ -3,7 +3,7 @@
 use {
     super::any,
     citron_core::{id::Incarnation, membership::Member},
-    citron_platform::{HttpServers, LaneStore, Memory},
+    citron_ports::{HttpServers, LaneStore, Memory},
     citronproxy::{
         clock::Clock,
         control::{Control, ControlConfig, ControlMetrics},
--- a/crates/citronproxy/tests/support/rows.rs
+++ b/crates/citronproxy/tests/support/rows.rs
@@ -9,7 +9,7 @@
             MoveBudget, Objectives, Row, ServerRow, ServerState, ServiceRow, Write,
         },
     },
-    citron_platform::{LaneStore, Memory, TableStore},
+    citron_ports::{LaneStore, Memory, TableStore},
     std::{net::SocketAddr, time::Duration},
 };
 
--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -4,7 +4,7 @@
     super::Faults,
     crate::http::{Answer, json, plain, query},
     bytes::Bytes,
-    citron_platform::{InstanceList, ListedState, Memory, ObjectStore, TableService},
+    citron_ports::{InstanceList, ListedState, Memory, ObjectStore, TableService},
     http::{Method, Request, StatusCode},
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -149,7 +149,7 @@
     }
 }
 
-fn answer<T: serde::Serialize>(result: Result<T, citron_platform::PlatformError>) -> Answer {
+fn answer<T: serde::Serialize>(result: Result<T, citron_ports::PlatformError>) -> Answer {
     match result {
         Ok(body) => json(StatusCode::OK, &body),
         Err(error) => plain(StatusCode::BAD_GATEWAY, error.to_string().into_bytes()),
--- a/crates/platform/src/memory.rs
+++ b/crates/ports/src/memory.rs
@@ -23,7 +23,7 @@
 /// Table, object store and instance list in memory; clones share their state.
 ///
 /// ```
-/// use citron_platform::{Memory, TableService};
+/// use citron_ports::{Memory, TableService};
 /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
 /// let memory = Memory::default();
 /// assert_eq!(memory.changes(0).await.unwrap().revision, 0);
--- a/crates/platform/tests/checks.rs
+++ b/crates/ports/tests/checks.rs
@@ -5,7 +5,7 @@
         id::Revision,
         table::{Check, Commit, CommitAnswer, DomainRow, DomainState, Row, Write},
     },
-    citron_platform::{LaneStore, Memory, TableStore},
+    citron_ports::{LaneStore, Memory, TableStore},
 };
 
 fn write(name: &str, expect: u64) -> Commit {
--- a/crates/platform/tests/grants.rs
+++ b/crates/ports/tests/grants.rs
@@ -10,7 +10,7 @@
         backend::{BackendConfig, BackendServer},
         link::Link,
     },
-    citron_platform::{Grants, HttpServers, PlatformError, Probe, Probes},
+    citron_ports::{Grants, HttpServers, PlatformError, Probe, Probes},
     std::{net::SocketAddr, time::Duration},
 };
 
--- a/crates/platform/tests/table.rs
+++ b/crates/ports/tests/table.rs
@@ -6,7 +6,7 @@
         table::{Commit, CommitAnswer, DomainRow, DomainState, Row, RowKey, Write},
     },
     citron_fakes::{link::Link, platform::PlatformServer},
-    citron_platform::{HttpPlatform, LaneStore, Memory, PlatformError, TableService, TableStore},
+    citron_ports::{HttpPlatform, LaneStore, Memory, PlatformError, TableService, TableStore},
     std::time::Duration,
 };
 
