Placement: demand spread over neighbours, chance told from skew, several moves from one server

Cause: a donor gave one range at a time, each stopped for as long as its requests ran, and the busiest of 19 servers (8 times the mean) needs some fifteen moves. Small parts were never moved, so that a server with many of them kept them all. Single requests were taken for hot keys, and 90 slices were cut out of noise.

--- a/crates/citronproxy/src/edge/control/demands.rs
+++ b/crates/citronproxy/src/edge/control/demands.rs
@@ -49,16 +49,17 @@
         }
     }
 
-    /// Requests a second up to each key; all zero for a service never asked for.
-    pub fn sums(&self, service: &ServiceName, now: Time) -> Vec<f32> {
+    /// Requests a second up to each key, all zero for a service never asked for;
+    /// and the seconds of requests that this stands for.
+    pub fn sums(&self, service: &ServiceName, now: Time) -> (Vec<f32>, f64) {
         let Some(pair) = self.services.get(service) else {
-            return vec![0.0; usize::from(u16::MAX) + 2];
+            return (vec![0.0; usize::from(u16::MAX) + 2], 0.0);
         };
         let slow = pair.slow.sums(now);
         let fast = pair.fast.sums(now);
         match difference(&slow, &fast) > CHANGED {
-            true => fast,
-            false => slow,
+            true => (fast, pair.fast.span()),
+            false => (slow, pair.slow.span()),
         }
     }
 }
--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -58,7 +58,6 @@
         changed
     }
 
-
     /// All rows.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values()
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -27,7 +27,7 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Time between two plans for balance: the demand seen is some seconds old, and
 /// a move must show in it before the next one is planned.
-const EVEN: Duration = Duration::from_millis(600);
+const EVEN: Duration = Duration::from_millis(400);
 /// Run time that is assumed of servers before any was measured, in seconds.
 const RUN: f64 = 0.2;
 /// How far a server's speed may lie from its service's mean, as a factor: the
@@ -297,9 +297,24 @@
             let servers = state.registry.iter();
             let open = servers.filter(|known| known.is_open() && known.entry.service == *name);
             let capacities = capacities(open, &node.board.loads(), now);
-            let sums = node.demands.borrow().sums(name, now);
-            let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, &sums);
+            let (sums, span) = node.demands.borrow().sums(name, now);
+            let limits = BalanceLimits {
+                span,
+                ..BalanceLimits::STANDARD
+            };
+            let mut balance = Balance::new(limits, &capacities, &sums);
             let due = post.steward.tick(now, &state.registry, &mut balance, even);
+            if even {
+                log::info!(
+                    "{} service={name} highest={:.2} moves={} slices={} rate={:.0} loads={}",
+                    events::BALANCE,
+                    balance.highest(),
+                    post.steward.moves(),
+                    post.steward.map().slices().len(),
+                    sums[sums.len() - 1],
+                    balance
+                );
+            }
             orders.extend(due.into_iter().map(|order| (name.clone(), order)));
         }
         orders
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -101,6 +101,8 @@
     PLANNER = 430, "planner";
     /// A row of the product's own cannot be read; the last good one counts.
     MAP_REFUSED = 431, "own-row-refused";
+    /// How even the load of a service's servers is, while its keys move.
+    BALANCE = 432, "balance";
     /// Another instance was heard of for the first time, or again.
     PEER_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
--- a/crates/core/src/ranges/balance.rs
+++ b/crates/core/src/ranges/balance.rs
@@ -1,7 +1,7 @@
 //! Which keys should go from one server to another.
 
 use {
-    super::{KeyDemand, KeyRange, RangeKey, RangeMap},
+    super::{KeyDemand, KeyRange, RangeKey},
     crate::id::ServerName,
     std::collections::BTreeMap,
 };
@@ -19,7 +19,10 @@
     /// Load over the fair share above which even a server that is not busy
     /// gives keys away, as a rise of traffic would hit it first.
     pub skew: f64,
-    /// Moves planned at a time.
+    /// Seconds of requests that the demand given stands for.
+    pub span: f64,
+    /// Moves of a service under way at a time. Each stops a few keys for as long
+    /// as the requests on them last.
     pub moves: usize,
 }
 
@@ -29,7 +32,8 @@
         ratio: 1.2,
         busy: 0.5,
         skew: 1.6,
-        moves: 6,
+        span: 4.0,
+        moves: 24,
     };
 }
 
@@ -57,7 +61,6 @@
 struct Share {
     rate: f64,
     load: f64,
-    busy: bool,
 }
 
 /// The plan of one moment: servers' loads as they will be after the moves under
@@ -78,7 +81,6 @@
             let share = Share {
                 rate: capacity.rate.max(f64::MIN_POSITIVE),
                 load: 0.0,
-                busy: false,
             };
             (capacity.server.clone(), share)
         };
@@ -90,6 +92,11 @@
         }
     }
 
+    /// The limits in force.
+    pub fn limits(&self) -> &BalanceLimits {
+        &self.limits
+    }
+
     /// Adds the load of keys to the server that owns them, or will.
     pub fn load(&mut self, server: &ServerName, range: KeyRange) {
         let demand = self.demand(range);
@@ -100,11 +107,11 @@
         self.fair = load / rate;
     }
 
-    /// Leaves a server out of further moves: one of its own is under way.
-    pub fn occupy(&mut self, server: &ServerName) {
-        if let Some(share) = self.shares.get_mut(server) {
-            share.busy = true;
-        }
+    /// Load over the fair share of the server where it is highest.
+    pub fn highest(&self) -> f64 {
+        let relative = |share: &Share| share.load / (self.fair * share.rate);
+        let all = self.shares.values().map(relative);
+        all.filter(|value| value.is_finite()).fold(0.0, f64::max)
     }
 
     /// Shares keys that need a new owner out among all servers, in proportion
@@ -140,11 +147,23 @@
         parts
     }
 
-    /// Moves that make the loads more even, the most needed first.
-    pub fn shifts(&mut self, map: &RangeMap, free: impl Fn(KeyRange) -> bool) -> Vec<Shift> {
-        let mut shifts = Vec::new();
-        while shifts.len() < self.limits.moves {
-            let Some(shift) = self.next_shift(map, &free) else {
+    /// At most `most` moves that make the loads more even, the most needed first.
+    /// `parts` are the keys of a server that are not on their way.
+    pub fn shifts(
+        &mut self,
+        most: usize,
+        parts: impl Fn(&ServerName) -> Vec<KeyRange>,
+    ) -> Vec<Shift> {
+        let mut shifts: Vec<Shift> = Vec::new();
+        while shifts.len() < most {
+            let free = |server: &ServerName| {
+                let mut free = parts(server);
+                for shift in &shifts {
+                    free = cut_out(free, shift.range);
+                }
+                free
+            };
+            let Some(shift) = self.next_shift(free) else {
                 break;
             };
             shifts.push(shift);
@@ -152,32 +171,36 @@
         shifts
     }
 
-    fn next_shift(&mut self, map: &RangeMap, free: &impl Fn(KeyRange) -> bool) -> Option<Shift> {
+    fn next_shift(&mut self, parts: impl Fn(&ServerName) -> Vec<KeyRange>) -> Option<Shift> {
         let (from, donor) = self.most_loaded()?;
         let (to, taker) = self.least_loaded()?;
         let excess = donor.load - self.fair * donor.rate;
         let room = self.fair * taker.rate - taker.load;
         let amount = excess.min(room);
-        if !self.pays(donor) || amount <= 0.0 || from == to {
+        if !self.pays(donor, excess) || amount <= 0.0 || from == to {
             return None;
         }
+        // Up to here the taker is still less loaded than the donor was.
+        let most = donor.load * taker.rate / donor.rate - taker.load;
         let (from, to) = (from.clone(), to.clone());
-        let slices = map.owned(&from).map(|slice| slice.range);
-        let parts = slices.filter(|range| free(*range));
-        let best = parts.filter_map(|range| self.densest(range, amount));
-        let (range, moved) = best
-            .max_by(|a, b| (a.1 / f64::from(a.0.len())).total_cmp(&(b.1 / f64::from(b.0.len()))))?;
+        let parts = parts(&from).into_iter();
+        let candidates = parts.filter_map(|range| self.densest(range, amount, most));
+        let (range, moved) =
+            candidates.max_by(|a, b| worth(*a, amount).total_cmp(&worth(*b, amount)))?;
         for (server, change) in [(&from, -moved), (&to, moved)] {
             if let Some(share) = self.shares.get_mut(server) {
                 share.load += change;
-                share.busy = true;
             }
         }
         let from = Some(from);
         Some(Shift { range, from, to })
     }
 
-    fn pays(&self, donor: &Share) -> bool {
+    fn pays(&self, donor: &Share, excess: f64) -> bool {
+        let counted = donor.load * self.limits.span;
+        if excess * self.limits.span < CHANCE * counted.sqrt() {
+            return false;
+        }
         let relative = donor.load / (self.fair * donor.rate);
         let used = donor.load / donor.rate;
         let busy = relative > self.limits.ratio && used > self.limits.busy;
@@ -185,9 +208,14 @@
     }
 
     /// The shortest run of keys with about `amount` of demand: what moves is
-    /// paid by the key, and cold keys gain nothing.
-    fn densest(&self, range: KeyRange, amount: f64) -> Option<(KeyRange, f64)> {
+    /// paid by the key, and cold keys gain nothing. Less, if the range has less;
+    /// more only if it is a single key, up to `most`.
+    fn densest(&self, range: KeyRange, amount: f64, most: f64) -> Option<(KeyRange, f64)> {
         let sum = |key: usize| f64::from(self.sums[key]);
+        let whole = self.demand(range);
+        if whole < amount * PART_MIN {
+            return (whole > 0.0).then_some((range, whole));
+        }
         let end = usize::from(range.last.0) + 1;
         let mut best: Option<(KeyRange, f64)> = None;
         let mut last = usize::from(range.first.0);
@@ -200,10 +228,11 @@
             if moved < amount * PART_MIN {
                 break;
             }
-            if moved > amount * PART_MAX {
+            let keys = last - first;
+            let limit = if keys == 1 { most } else { amount * PART_MAX };
+            if moved > limit {
                 continue;
             }
-            let keys = last - first;
             if best.is_none_or(|(range, _)| keys < range.len() as usize) {
                 let first = RangeKey(first as u16);
                 let last = RangeKey((last - 1) as u16);
@@ -267,23 +296,53 @@
     }
 
     fn most_loaded(&self) -> Option<(&ServerName, &Share)> {
-        let free = self.shares.iter().filter(|(_, share)| !share.busy);
-        free.max_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
+        let shares = self.shares.iter();
+        shares.max_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
     }
 
     fn least_loaded(&self) -> Option<(&ServerName, &Share)> {
-        let free = self.shares.iter().filter(|(_, share)| !share.busy);
-        free.min_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
+        let shares = self.shares.iter();
+        shares.min_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
     }
 }
 
+/// Prefers what carries the wished amount in few keys; what carries less, by how
+/// much it carries.
+fn worth((range, moved): (KeyRange, f64), amount: f64) -> f64 {
+    match moved >= amount * PART_MIN {
+        true => 1.0 + moved / f64::from(range.len()),
+        false => moved / amount,
+    }
+}
+
+/// Ranges without the keys of another.
+pub fn cut_out(ranges: Vec<KeyRange>, cut: KeyRange) -> Vec<KeyRange> {
+    let without = |range: KeyRange| match range.common(cut) {
+        Some(common) => range.without(common).into_iter().flatten().collect(),
+        None => vec![range],
+    };
+    ranges.into_iter().flat_map(without).collect()
+}
+
 /// Requests a second that a key counts without any, when keys are shared out: a
 /// thousandth of a server's usual load over the whole space.
 const KEY_WEIGHT: f64 = 1e-6;
 /// A server with less room than this part of what is shared out gets none of
 /// it: each part is an order of its own.
 const LEAST_PART: f64 = 0.02;
+/// How far, in standard deviations, a load must lie over its fair share before
+/// it is taken for more than chance.
+const CHANCE: f64 = 2.0;
 /// How much of the wished amount a move must carry at least.
 const PART_MIN: f64 = 0.6;
 /// How much of it a move may carry at most; more would swap the roles.
 const PART_MAX: f64 = 1.25;
+
+impl std::fmt::Display for Balance<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for share in self.shares.values() {
+            write!(f, "{:.1}/{:.1} ", share.load, share.rate)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/ranges/demand.rs
+++ b/crates/core/src/ranges/demand.rs
@@ -50,21 +50,39 @@
         self.weights[usize::from(key.0)] += self.lives(now).exp2() as f32;
     }
 
-    /// Requests a second up to each key: entry `k` sums the keys below `k`.
+    /// Requests a second up to each key: entry `k` sums the keys below `k`. The
+    /// demand of keys that are not hot by themselves is spread over their
+    /// neighbours: busy keys lie close to one another, and single requests say
+    /// more of the neighbourhood than of their key.
     pub fn sums(&self, now: Time) -> Vec<f32> {
         // A steady rate r adds up to r * half-life / ln 2 decayed requests.
-        let span = self.half_life.as_secs_f64() / std::f64::consts::LN_2;
-        let scale = (-self.lives(now)).exp2() / span;
-        let mut sum = 0.0_f64;
+        let scale = (-self.lives(now)).exp2() / self.span();
+        let total: f64 = self.weights.iter().map(|weight| f64::from(*weight)).sum();
+        let hot = (total * HOT).max((HOT_COUNT / (scale * self.span())).min(f64::MAX));
+        let (mut cool, mut exact) = (0.0_f64, 0.0_f64);
+        let mut spread = Vec::with_capacity(KEYS + 1);
         let mut sums = Vec::with_capacity(KEYS + 1);
-        sums.push(0.0);
+        spread.push(0.0_f64);
+        sums.push(0.0_f32);
         for weight in &self.weights {
-            sum += f64::from(*weight) * scale;
-            sums.push(sum as f32);
+            let weight = f64::from(*weight);
+            let is_hot = weight > hot;
+            cool += if is_hot { 0.0 } else { weight };
+            exact += if is_hot { weight } else { 0.0 };
+            spread.push(cool);
+            sums.push((exact * scale) as f32);
+        }
+        for (key, sum) in sums.iter_mut().enumerate() {
+            *sum += (smooth(&spread, key) * scale) as f32;
         }
         sums
     }
 
+    /// Seconds of requests that the counts stand for.
+    pub fn span(&self) -> f64 {
+        self.half_life.as_secs_f64() / std::f64::consts::LN_2
+    }
+
     /// Requests a second for a range, from [`Self::sums`].
     pub fn of(sums: &[f32], range: KeyRange) -> f64 {
         let above = sums[usize::from(range.last.0) + 1];
@@ -83,3 +101,18 @@
         self.origin = now;
     }
 }
+
+/// Part of all requests from which a key is hot by itself.
+const HOT: f64 = 0.01;
+/// Requests, after decay, that a hot key must have had at least.
+const HOT_COUNT: f64 = 4.0;
+/// Keys on each side over which demand is spread.
+const NEAR: usize = 12;
+
+/// The mean of sums around a key, which spreads the demand evenly. At the ends of
+/// the space the window shrinks, so that nothing is lost.
+fn smooth(sums: &[f64], key: usize) -> f64 {
+    let near = NEAR.min(key).min(sums.len() - 1 - key);
+    let window = &sums[key - near..=key + near];
+    window.iter().sum::<f64>() / window.len() as f64
+}
--- a/crates/core/src/ranges/steward.rs
+++ b/crates/core/src/ranges/steward.rs
@@ -1,7 +1,7 @@
 //! Drives grants, releases and moves of one service's keys.
 
 use {
-    super::{Balance, KeyRange, LeaseBook, RangeMap, Slice},
+    super::{Balance, KeyRange, LeaseBook, RangeMap, Slice, balance::cut_out},
     crate::{
         id::{Epoch, ServerName},
         time::Time,
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Moves under way.
+    pub fn moves(&self) -> usize {
+        self.moves.len()
+    }
+
     /// Starts anew with the map as it lies in the store. What was sent to whom
     /// stays known.
     pub fn reload(&mut self, map: RangeMap) {
@@ -151,13 +156,6 @@
         &mut self.book
     }
 
-    /// Whether keys of a range are on their way.
-    pub fn moving(&self, range: KeyRange) -> bool {
-        self.moves
-            .iter()
-            .any(|under| under.range.common(range).is_some())
-    }
-
     /// What is to be done now. `even` says whether keys may move for balance.
     pub fn tick(
         &mut self,
@@ -182,18 +180,14 @@
 
     fn weigh(&self, balance: &mut Balance<'_>) {
         for slice in self.map.slices() {
-            if let Some(owner) = &slice.owner
-                && !self.moving(slice.range)
-            {
-                balance.load(owner, slice.range);
+            if let Some(owner) = &slice.owner {
+                for part in self.unmoved(slice.range) {
+                    balance.load(owner, part);
+                }
             }
         }
         for under in &self.moves {
             balance.load(&under.to, under.range);
-            balance.occupy(&under.to);
-            if let Some(from) = &under.from {
-                balance.occupy(from);
-            }
         }
     }
 
@@ -281,20 +275,17 @@
 
     /// The parts of a range that are not on their way yet.
     fn unmoved(&self, range: KeyRange) -> Vec<KeyRange> {
-        let mut parts = vec![range];
-        for under in &self.moves {
-            let cut = |part: KeyRange| match part.common(under.range) {
-                Some(common) => part.without(common).into_iter().flatten().collect(),
-                None => vec![part],
-            };
-            parts = parts.into_iter().flat_map(cut).collect();
-        }
-        parts
+        let cut = |parts, under: &Move| cut_out(parts, under.range);
+        self.moves.iter().fold(vec![range], cut)
     }
 
     fn even_out(&mut self, now: Time, balance: &mut Balance<'_>) {
-        let free = |range| !self.moving(range);
-        for shift in balance.shifts(&self.map, free) {
+        let most = balance.limits().moves.saturating_sub(self.moves.len());
+        let parts = |server: &ServerName| {
+            let slices = self.map.owned(server);
+            slices.flat_map(|slice| self.unmoved(slice.range)).collect()
+        };
+        for shift in balance.shifts(most, parts) {
             self.begin(shift.range, shift.from, shift.to, now);
         }
     }
