Keys are first dealt out in stripes, once the servers have shown up

Cause: the first server listed got every key, seconds before the others showed up, and the first two seconds of traffic went to it alone (97 of 373 refused). Busy keys also lie close together, so that equal parts give them to one server.

--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -13,7 +13,7 @@
         id::ServiceName,
         ranges::{
             Balance, BalanceLimits, Capacity, LeaseBook, LeaseTimes, Order, OrderEnd, RangeMap,
-            Steward,
+            Scope, Steward,
         },
         registry::Known,
         time::Time,
@@ -28,6 +28,10 @@
 /// Time between two plans for balance: the demand seen is some seconds old, and
 /// a move must show in it before the next one is planned.
 const EVEN: Duration = Duration::from_millis(400);
+/// Servers that start together are listed within this time of one another.
+const NEWEST: Duration = Duration::from_millis(1_000);
+/// How long keys wait for more servers at most.
+const OLDEST: Duration = Duration::from_millis(3_000);
 /// Run time that is assumed of servers before any was measured, in seconds.
 const RUN: f64 = 0.2;
 /// How far a server's speed may lie from its service's mean, as a factor: the
@@ -295,15 +299,20 @@
                 version: 0,
             });
             let servers = state.registry.iter();
-            let open = servers.filter(|known| known.is_open() && known.entry.service == *name);
-            let capacities = capacities(open, &node.board.loads(), now);
+            let open: Vec<&Known> = servers
+                .filter(|known| known.is_open() && known.entry.service == *name)
+                .collect();
+            let deal = have_shown_up(&open, now);
+            let capacities = capacities(&open, &node.board.loads(), now);
             let (sums, span) = node.demands.borrow().sums(name, now);
             let limits = BalanceLimits {
                 span,
                 ..BalanceLimits::STANDARD
             };
             let mut balance = Balance::new(limits, &capacities, &sums);
-            let due = post.steward.tick(now, &state.registry, &mut balance, even);
+            let due = post
+                .steward
+                .tick(now, &state.registry, &mut balance, Scope { deal, even });
             if even {
                 log::info!(
                     "{} service={name} highest={:.2} moves={} slices={} rate={:.0} loads={}",
@@ -321,14 +330,20 @@
     }
 }
 
+/// Whether a service's servers seem to be complete: none is new, or the first
+/// has waited long enough.
+fn have_shown_up(servers: &[&Known], now: Time) -> bool {
+    let ages = || servers.iter().map(|known| now - known.seen);
+    let newest = ages().min().unwrap_or_default();
+    let oldest = ages().max().unwrap_or_default();
+    newest > NEWEST || oldest > OLDEST
+}
+
 /// What servers can do, by the run times measured.
-fn capacities<'a>(
-    servers: impl Iterator<Item = &'a Known>,
-    loads: &LoadBook,
-    now: Time,
-) -> Vec<Capacity> {
+fn capacities(servers: &[&Known], loads: &LoadBook, now: Time) -> Vec<Capacity> {
     let servers: Vec<(&Known, Option<f64>)> = servers
-        .map(|known| (known, loads.get(&known.entry.name).run(now)))
+        .iter()
+        .map(|known| (*known, loads.get(&known.entry.name).run(now)))
         .collect();
     let runs: Vec<f64> = servers.iter().filter_map(|(_, run)| *run).collect();
     let mean = match runs.len() {
--- a/crates/core/src/ranges/balance.rs
+++ b/crates/core/src/ranges/balance.rs
@@ -61,6 +61,8 @@
 struct Share {
     rate: f64,
     load: f64,
+    /// The demand of its busiest key.
+    hottest: f64,
 }
 
 /// The plan of one moment: servers' loads as they will be after the moves under
@@ -81,6 +83,7 @@
             let share = Share {
                 rate: capacity.rate.max(f64::MIN_POSITIVE),
                 load: 0.0,
+                hottest: 0.0,
             };
             (capacity.server.clone(), share)
         };
@@ -98,13 +101,32 @@
     }
 
     /// Adds the load of keys to the server that owns them, or will.
+    /// [`Self::level`] follows.
     pub fn load(&mut self, server: &ServerName, range: KeyRange) {
         let demand = self.demand(range);
+        let hottest = self.hottest(range).map_or(0.0, |(_, demand)| demand);
         if let Some(share) = self.shares.get_mut(server) {
             share.load += demand;
+            share.hottest = share.hottest.max(hottest);
         }
-        let (load, rate) = self.totals();
-        self.fair = load / rate;
+    }
+
+    /// Works out the fair share, once all loads are known. A server with a key
+    /// that alone is more than that has its share already: the others divide
+    /// the rest.
+    pub fn level(&mut self) {
+        let (mut load, mut rate) = self.totals();
+        let mut shares: Vec<&Share> = self.shares.values().collect();
+        shares.sort_by(|a, b| (b.hottest / b.rate).total_cmp(&(a.hottest / a.rate)));
+        for share in shares {
+            let others = rate - share.rate;
+            if share.hottest <= load / rate * share.rate || others <= 0.0 {
+                break;
+            }
+            load -= share.hottest;
+            rate = others;
+        }
+        self.fair = load.max(0.0) / rate;
     }
 
     /// Load over the fair share of the server where it is highest.
@@ -147,6 +169,31 @@
         parts
     }
 
+    /// Deals keys that never had an owner out in stripes. Busy keys lie close to
+    /// one another, so that equal parts of the space would give all of them to
+    /// one server until the demand is known; of stripes several servers get a part.
+    pub fn deal(&mut self, range: KeyRange) -> Vec<(KeyRange, ServerName)> {
+        let servers: Vec<ServerName> = self.shares.keys().cloned().collect();
+        if servers.is_empty() {
+            return Vec::new();
+        }
+        let rounds = (STRIPES / servers.len()).clamp(1, ROUNDS);
+        let size = range.len().div_ceil((rounds * servers.len()) as u32).max(1);
+        let mut parts = Vec::new();
+        let mut next = Some(range.first);
+        while let Some(first) = next.filter(|first| *first <= range.last) {
+            let end = u32::from(first.0) + size - 1;
+            let last = RangeKey(end.min(u32::from(range.last.0)) as u16);
+            let part = KeyRange { first, last };
+            parts.push((part, servers[parts.len() % servers.len()].clone()));
+            next = part.above();
+        }
+        for (part, server) in &parts {
+            self.load(server, *part);
+        }
+        parts
+    }
+
     /// At most `most` moves that make the loads more even, the most needed first.
     /// `parts` are the keys of a server that are not on their way.
     pub fn shifts(
@@ -155,6 +202,9 @@
         parts: impl Fn(&ServerName) -> Vec<KeyRange>,
     ) -> Vec<Shift> {
         let mut shifts: Vec<Shift> = Vec::new();
+        if self.demand(KeyRange::ALL) * self.limits.span < TELLING {
+            return shifts;
+        }
         while shifts.len() < most {
             let free = |server: &ServerName| {
                 let mut free = parts(server);
@@ -172,31 +222,80 @@
     }
 
     fn next_shift(&mut self, parts: impl Fn(&ServerName) -> Vec<KeyRange>) -> Option<Shift> {
-        let (from, donor) = self.most_loaded()?;
+        let donors = self.donors();
+        let shift = donors.iter().find_map(|from| {
+            let parts = parts(from);
+            self.spread_shift(from, &parts)
+                .or_else(|| self.hot_shift(from, &parts))
+        });
+        let (shift, moved) = shift?;
+        for (server, change) in [(shift.from.as_ref(), -moved), (Some(&shift.to), moved)] {
+            if let Some(share) = server.and_then(|server| self.shares.get_mut(server)) {
+                share.load += change;
+            }
+        }
+        Some(shift)
+    }
+
+    /// Keys of a server that together make it as loaded as the others.
+    fn spread_shift(&self, from: &ServerName, parts: &[KeyRange]) -> Option<(Shift, f64)> {
+        let donor = self.shares.get(from)?;
         let (to, taker) = self.least_loaded()?;
         let excess = donor.load - self.fair * donor.rate;
-        let room = self.fair * taker.rate - taker.load;
-        let amount = excess.min(room);
-        if !self.pays(donor, excess) || amount <= 0.0 || from == to {
+        let amount = excess.min(self.fair * taker.rate - taker.load);
+        if amount <= 0.0 || from == to {
             return None;
         }
-        // Up to here the taker is still less loaded than the donor was.
-        let most = donor.load * taker.rate / donor.rate - taker.load;
-        let (from, to) = (from.clone(), to.clone());
-        let parts = parts(&from).into_iter();
-        let candidates = parts.filter_map(|range| self.densest(range, amount, most));
+        let found = parts
+            .iter()
+            .filter_map(|range| self.densest(*range, amount));
         let (range, moved) =
-            candidates.max_by(|a, b| worth(*a, amount).total_cmp(&worth(*b, amount)))?;
-        for (server, change) in [(&from, -moved), (&to, moved)] {
-            if let Some(share) = self.shares.get_mut(server) {
-                share.load += change;
-            }
-        }
-        let from = Some(from);
-        Some(Shift { range, from, to })
+            found.max_by(|a, b| worth(*a, amount).total_cmp(&worth(*b, amount)))?;
+        Some((shift(range, from, to), moved))
     }
 
-    fn pays(&self, donor: &Share, excess: f64) -> bool {
+    /// A key that alone is more than a server's share, to a server that is much
+    /// faster or has much less beside it. It cannot be divided; each move stops
+    /// it for a while, so that a small gain is not worth one.
+    fn hot_shift(&self, from: &ServerName, parts: &[KeyRange]) -> Option<(Shift, f64)> {
+        let donor = self.shares.get(from)?;
+        let hottest = parts.iter().filter_map(|range| self.hottest(*range));
+        let (range, moved) = hottest.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let after = |share: &Share| (share.load + moved) / share.rate;
+        let takers = self.shares.iter().filter(|(server, _)| *server != from);
+        let (to, taker) = takers.min_by(|a, b| after(a.1).total_cmp(&after(b.1)))?;
+        let gains = after(taker) < HOT_GAIN * donor.load / donor.rate;
+        (gains && moved > self.fair * taker.rate).then(|| (shift(range, from, to), moved))
+    }
+
+    fn hottest(&self, range: KeyRange) -> Option<(KeyRange, f64)> {
+        let keys = range.first.0..=range.last.0;
+        let demand = |key: u16| {
+            let one = KeyRange {
+                first: RangeKey(key),
+                last: RangeKey(key),
+            };
+            (one, self.demand(one))
+        };
+        keys.map(demand).max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Servers that should give keys away, the most loaded first.
+    fn donors(&self) -> Vec<ServerName> {
+        let mut donors: Vec<(&ServerName, &Share)> = self
+            .shares
+            .iter()
+            .filter(|(_, share)| self.pays(share))
+            .collect();
+        donors.sort_by(|a, b| (b.1.load / b.1.rate).total_cmp(&(a.1.load / a.1.rate)));
+        donors
+            .into_iter()
+            .map(|(server, _)| server.clone())
+            .collect()
+    }
+
+    fn pays(&self, donor: &Share) -> bool {
+        let excess = donor.load - self.fair * donor.rate;
         let counted = donor.load * self.limits.span;
         if excess * self.limits.span < CHANCE * counted.sqrt() {
             return false;
@@ -208,9 +307,8 @@
     }
 
     /// The shortest run of keys with about `amount` of demand: what moves is
-    /// paid by the key, and cold keys gain nothing. Less, if the range has less;
-    /// more only if it is a single key, up to `most`.
-    fn densest(&self, range: KeyRange, amount: f64, most: f64) -> Option<(KeyRange, f64)> {
+    /// paid by the key, and cold keys gain nothing. Less, if the range has less.
+    fn densest(&self, range: KeyRange, amount: f64) -> Option<(KeyRange, f64)> {
         let sum = |key: usize| f64::from(self.sums[key]);
         let whole = self.demand(range);
         if whole < amount * PART_MIN {
@@ -228,11 +326,10 @@
             if moved < amount * PART_MIN {
                 break;
             }
-            let keys = last - first;
-            let limit = if keys == 1 { most } else { amount * PART_MAX };
-            if moved > limit {
+            if moved > amount * PART_MAX {
                 continue;
             }
+            let keys = last - first;
             if best.is_none_or(|(range, _)| keys < range.len() as usize) {
                 let first = RangeKey(first as u16);
                 let last = RangeKey((last - 1) as u16);
@@ -295,17 +392,20 @@
         (load, rate.max(f64::MIN_POSITIVE))
     }
 
-    fn most_loaded(&self) -> Option<(&ServerName, &Share)> {
-        let shares = self.shares.iter();
-        shares.max_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
-    }
-
     fn least_loaded(&self) -> Option<(&ServerName, &Share)> {
         let shares = self.shares.iter();
         shares.min_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)))
     }
 }
 
+fn shift(range: KeyRange, from: &ServerName, to: &ServerName) -> Shift {
+    Shift {
+        range,
+        from: Some(from.clone()),
+        to: to.clone(),
+    }
+}
+
 /// Prefers what carries the wished amount in few keys; what carries less, by how
 /// much it carries.
 fn worth((range, moved): (KeyRange, f64), amount: f64) -> f64 {
@@ -330,6 +430,17 @@
 /// A server with less room than this part of what is shared out gets none of
 /// it: each part is an order of its own.
 const LEAST_PART: f64 = 0.02;
+/// Stripes that keys are first dealt out in, over all servers: each is renewed
+/// on its own, at some 60 orders a second in all.
+const STRIPES: usize = 120;
+/// Stripes of one server at most.
+const ROUNDS: usize = 6;
+/// Requests in the demand without which nothing is known of where keys should
+/// be: ten cuts made of two requests each would all be wrong.
+const TELLING: f64 = 60.0;
+/// Load after the move of a hot key, as a part of the load before, from which
+/// the move is worth its pause.
+const HOT_GAIN: f64 = 0.7;
 /// How far, in standard deviations, a load must lie over its fair share before
 /// it is taken for more than chance.
 const CHANCE: f64 = 2.0;
--- a/crates/core/src/ranges/demand.rs
+++ b/crates/core/src/ranges/demand.rs
@@ -59,21 +59,26 @@
         let scale = (-self.lives(now)).exp2() / self.span();
         let total: f64 = self.weights.iter().map(|weight| f64::from(*weight)).sum();
         let hot = (total * HOT).max((HOT_COUNT / (scale * self.span())).min(f64::MAX));
-        let (mut cool, mut exact) = (0.0_f64, 0.0_f64);
-        let mut spread = Vec::with_capacity(KEYS + 1);
+        let near = near(total * (-self.lives(now)).exp2());
+        // Sums of the cooler keys' weights, and sums of those sums: the mean of
+        // any window of sums is then one subtraction.
+        let (mut cool, mut cools, mut exact) = (0.0_f64, 0.0_f64, 0.0_f64);
+        let mut spread = Vec::with_capacity(KEYS + 2);
         let mut sums = Vec::with_capacity(KEYS + 1);
         spread.push(0.0_f64);
         sums.push(0.0_f32);
         for weight in &self.weights {
             let weight = f64::from(*weight);
             let is_hot = weight > hot;
+            cools += cool;
+            spread.push(cools);
             cool += if is_hot { 0.0 } else { weight };
             exact += if is_hot { weight } else { 0.0 };
-            spread.push(cool);
             sums.push((exact * scale) as f32);
         }
+        spread.push(cools + cool);
         for (key, sum) in sums.iter_mut().enumerate() {
-            *sum += (smooth(&spread, key) * scale) as f32;
+            *sum += (smooth(&spread, key, near) * scale) as f32;
         }
         sums
     }
@@ -106,13 +111,21 @@
 const HOT: f64 = 0.01;
 /// Requests, after decay, that a hot key must have had at least.
 const HOT_COUNT: f64 = 4.0;
-/// Keys on each side over which demand is spread.
-const NEAR: usize = 12;
+/// Requests for which the keys on each side over which demand is spread are
+/// enough to tell one neighbourhood from the next; more of them are needed the
+/// fewer requests there are.
+const TELLING: f64 = 8_000.0;
+/// Keys on each side at least and at most.
+const NEAR: [f64; 2] = [12.0, 400.0];
 
-/// The mean of sums around a key, which spreads the demand evenly. At the ends of
-/// the space the window shrinks, so that nothing is lost.
-fn smooth(sums: &[f64], key: usize) -> f64 {
-    let near = NEAR.min(key).min(sums.len() - 1 - key);
-    let window = &sums[key - near..=key + near];
-    window.iter().sum::<f64>() / window.len() as f64
+fn near(requests: f64) -> usize {
+    (TELLING / requests.max(1.0)).clamp(NEAR[0], NEAR[1]) as usize
+}
+
+/// The mean of the sums around a key, which spreads the demand evenly; `sums`
+/// are sums of sums. At the ends of the space the window shrinks, so that nothing
+/// is lost.
+fn smooth(sums: &[f64], key: usize, near: usize) -> f64 {
+    let near = near.min(key).min(KEYS - key);
+    (sums[key + near + 1] - sums[key - near]) / (2 * near + 1) as f64
 }
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -20,5 +20,5 @@
     error::RangeError,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
-    steward::{Order, OrderEnd, OwnerState, Owners, Steward},
+    steward::{Order, OrderEnd, OwnerState, Owners, Scope, Steward},
 };
--- a/crates/core/src/ranges/steward.rs
+++ b/crates/core/src/ranges/steward.rs
@@ -16,6 +16,20 @@
 /// an earlier guess gains nothing.
 const SUSPECT: Duration = Duration::from_millis(2_500);
 
+/// How long keys that are free wait for others of the same round: each commit
+/// is read by every instance, and most releases of a round end close together.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// What may be begun at a tick.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Scope {
+    /// Whether keys that never had an owner are dealt out: not before the
+    /// servers have all shown up, or the first one would get everything.
+    pub deal: bool,
+    /// Whether keys may move for balance.
+    pub even: bool,
+}
+
 /// What is known of the owner of keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerState {
@@ -70,7 +84,10 @@
     /// The release is under way, or is sent next at the given time.
     Releasing { next: Option<Time> },
     /// The keys are free, with what was handed over.
-    Free { handover: Option<String> },
+    Free {
+        since: Time,
+        handover: Option<String>,
+    },
 }
 
 /// Keys on their way from one server to another.
@@ -156,24 +173,24 @@
         &mut self.book
     }
 
-    /// What is to be done now. `even` says whether keys may move for balance.
+    /// What is to be done now.
     pub fn tick(
         &mut self,
         now: Time,
         owners: &impl Owners,
         balance: &mut Balance<'_>,
-        even: bool,
+        scope: Scope,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.weigh(balance);
         self.free_ended(now, owners);
         self.retarget(owners, balance);
-        self.vacate(now, owners, balance);
-        if even {
+        self.vacate(now, owners, balance, scope.deal);
+        if scope.even {
             self.even_out(now, balance);
         }
         self.release(now, &mut orders);
-        self.commit_free(&mut orders);
+        self.commit_free(now, &mut orders);
         self.renew(now, &mut orders);
         orders
     }
@@ -189,6 +206,7 @@
         for under in &self.moves {
             balance.load(&under.to, under.range);
         }
+        balance.level();
     }
 
     /// Frees keys whose owner's start has ended, or whose lease has run out.
@@ -205,7 +223,10 @@
                 }
             };
             if over {
-                under.phase = Phase::Free { handover: None };
+                under.phase = Phase::Free {
+                    since: now,
+                    handover: None,
+                };
             }
         }
     }
@@ -224,12 +245,12 @@
     }
 
     /// Moves keys away from servers that leave, are lost, or do not answer.
-    fn vacate(&mut self, now: Time, owners: &impl Owners, balance: &mut Balance<'_>) {
+    fn vacate(&mut self, now: Time, owners: &impl Owners, balance: &mut Balance<'_>, deal: bool) {
         let suspects = self.suspects(now);
         let slices = self.map.slices().iter();
         let homeless: Vec<(KeyRange, Option<ServerName>)> = slices
             .filter(|slice| match &slice.owner {
-                None => true,
+                None => deal,
                 Some(owner) => {
                     owners.state(owner) != OwnerState::Serving || suspects.contains(owner)
                 }
@@ -240,7 +261,11 @@
             })
             .collect();
         for (range, from) in homeless {
-            for (part, to) in balance.share_out(range) {
+            let parts = match from {
+                None => balance.deal(range),
+                Some(_) => balance.share_out(range),
+            };
+            for (part, to) in parts {
                 if from.as_ref() != Some(&to) {
                     self.begin(part, from.clone(), to, now);
                 }
@@ -293,7 +318,10 @@
     fn begin(&mut self, range: KeyRange, from: Option<ServerName>, to: ServerName, now: Time) {
         let phase = match from {
             Some(_) => Phase::Releasing { next: Some(now) },
-            None => Phase::Free { handover: None },
+            None => Phase::Free {
+                since: now,
+                handover: None,
+            },
         };
         let epoch = Epoch(self.map.epoch(range).0 + 1);
         let granted = from
@@ -325,8 +353,8 @@
         }
     }
 
-    fn commit_free(&mut self, orders: &mut Vec<Order>) {
-        if self.commit.is_some() {
+    fn commit_free(&mut self, now: Time, orders: &mut Vec<Order>) {
+        if self.commit.is_some() || self.gathers(now) {
             return;
         }
         let mut next = self.map.clone();
@@ -334,7 +362,7 @@
             raise(&mut next, range);
         }
         for under in &self.moves {
-            let Phase::Free { handover } = &under.phase else {
+            let Phase::Free { handover, .. } = &under.phase else {
                 continue;
             };
             next.assign(under.range, &under.to, handover.clone());
@@ -346,6 +374,17 @@
         }
     }
 
+    /// Whether more keys are expected to be free shortly.
+    fn gathers(&self, now: Time) -> bool {
+        let waits = |under: &Move| matches!(under.phase, Phase::Releasing { .. });
+        let free = |under: &Move| match under.phase {
+            Phase::Free { since, .. } => Some(since),
+            Phase::Releasing { .. } => None,
+        };
+        let first = self.moves.iter().filter_map(free).min();
+        self.moves.iter().any(waits) && first.is_some_and(|first| now - first < GATHER)
+    }
+
     /// Takes out the handovers that their owners have, so that slices join.
     fn use_handovers(&self, next: &mut RangeMap) {
         let held = |range| {
@@ -443,7 +482,10 @@
         let Some(under) = found else { return };
         if let Phase::Releasing { next } = &mut under.phase {
             match end {
-                OrderEnd::Done { handover } => under.phase = Phase::Free { handover },
+                OrderEnd::Done { handover } => {
+                    let since = now;
+                    under.phase = Phase::Free { since, handover };
+                }
                 OrderEnd::Outdated | OrderEnd::Unknown => *next = Some(now + AGAIN),
             }
         }
