Planner: demand is worked out when it plans; keys of a leaving server go undivided

It worked the demand out anew with each order's end, a hundred times a second, and cut each of a leaving server's slices into a part for every server: 608 moves at once; starved, it lost its seat to instances that starved in turn. Ruled out: the feed (others had the news within 30 ms of it), the relay.

--- a/crates/citronproxy/src/edge/control/demands.rs
+++ b/crates/citronproxy/src/edge/control/demands.rs
@@ -3,7 +3,7 @@
 use {
     citron_core::{
         id::ServiceName,
-        ranges::{KeyDemand, KeyRange, RangeKey},
+        ranges::{Demand, KeyDemand, RangeKey},
         time::Time,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -49,33 +49,16 @@
         }
     }
 
-    /// Requests a second up to each key, all zero for a service never asked for;
-    /// and the seconds of requests that this stands for.
-    pub fn sums(&self, service: &ServiceName, now: Time) -> (Vec<f32>, f64) {
+    /// The demand that plans go by.
+    pub fn seen(&self, service: &ServiceName, now: Time) -> Demand {
         let Some(pair) = self.services.get(service) else {
-            return (vec![0.0; usize::from(u16::MAX) + 2], 0.0);
+            return Demand::default();
         };
-        let slow = pair.slow.sums(now);
-        let fast = pair.fast.sums(now);
-        match difference(&slow, &fast) > CHANGED {
-            true => (fast, pair.fast.span()),
-            false => (slow, pair.slow.span()),
+        let slow = pair.slow.seen(now);
+        let fast = pair.fast.seen(now);
+        match slow.difference(&fast, PARTS) > CHANGED {
+            true => fast,
+            false => slow,
         }
     }
 }
-
-fn difference(one: &[f32], other: &[f32]) -> f64 {
-    let parts = (0..PARTS).map(|at| share(one, at) - share(other, at));
-    parts.map(f64::abs).sum()
-}
-
-/// Part of all requests that fall into one part of the key space.
-fn share(sums: &[f32], at: u16) -> f64 {
-    let size = u16::MAX / PARTS + 1;
-    let part = KeyRange {
-        first: RangeKey(at * size),
-        last: RangeKey(at * size + (size - 1)),
-    };
-    let whole = KeyDemand::of(sums, KeyRange::ALL).max(f64::MIN_POSITIVE);
-    KeyDemand::of(sums, part) / whole
-}
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -12,8 +12,8 @@
         dispatch::LoadBook,
         id::ServiceName,
         ranges::{
-            Balance, BalanceLimits, Capacity, LeaseBook, LeaseTimes, Order, OrderEnd, RangeMap,
-            Scope, Steward,
+            Balance, BalanceLimits, Capacity, Demand, KeyRange, LeaseBook, LeaseTimes, Order,
+            OrderEnd, RangeMap, Scope, Steward,
         },
         registry::Known,
         time::Time,
@@ -57,6 +57,7 @@
 struct Post {
     steward: Steward,
     version: u64,
+    demand: Demand,
 }
 
 /// The work of one term.
@@ -75,6 +76,7 @@
     let (ended, mut results) = mpsc::unbounded_channel::<Ended>();
     let mut chair = Chair::new(node.clock.now());
     let mut term: Option<Term> = None;
+    let mut next = node.clock.now();
     loop {
         let woken = async {
             tokio::select! {
@@ -82,18 +84,24 @@
                 () = node.wake.notified() => None,
             }
         };
-        let result = timeout(TICK, woken).await.ok().flatten();
+        let result = timeout(next - node.clock.now(), woken).await.ok().flatten();
         resign_if_lost(&node, &mut term);
         if term.is_none() && wants_seat(&node, &mut chair) {
             term = take_seat(&node, &mut chair, times).await;
         }
-        let Some(term) = &mut term else { continue };
+        let Some(term) = &mut term else {
+            next = node.clock.now() + TICK;
+            continue;
+        };
         if let Some(result) = result {
+            let renewal = matches!(result.order, Order::Grant(_));
             term.take(result, &node);
+            if renewal && node.clock.now() < next {
+                // Nothing is due: most orders are renewals, a hundred a second.
+                continue;
+            }
         }
-        while let Ok(result) = results.try_recv() {
-            term.take(result, &node);
-        }
+        next = node.clock.now() + TICK;
         term.settle_former(&node);
         for (service, order) in term.tick(&node, times) {
             let node = Rc::clone(&node);
@@ -221,7 +229,13 @@
         let book = LeaseBook::new(times, foreign);
         let steward = Steward::new(RangeMap::clone(map), book);
         let version = *version;
-        (service.clone(), Post { steward, version })
+        let demand = Demand::default();
+        let post = Post {
+            steward,
+            version,
+            demand,
+        };
+        (service.clone(), post)
     });
     let posts = posts.collect();
     state.planning = true;
@@ -297,6 +311,7 @@
             let post = self.posts.entry(name.clone()).or_insert_with(|| Post {
                 steward: Steward::new(RangeMap::new(), LeaseBook::new(times, now)),
                 version: 0,
+                demand: Demand::default(),
             });
             let servers = state.registry.iter();
             let open: Vec<&Known> = servers
@@ -304,24 +319,23 @@
                 .collect();
             let deal = have_shown_up(&open, now);
             let capacities = capacities(&open, &node.board.loads(), now);
-            let (sums, span) = node.demands.borrow().sums(name, now);
-            let limits = BalanceLimits {
-                span,
-                ..BalanceLimits::STANDARD
-            };
-            let mut balance = Balance::new(limits, &capacities, &sums);
+            if even {
+                // The work of a millisecond, and a tick may come with each order.
+                post.demand = node.demands.borrow().seen(name, now);
+            }
+            let limits = BalanceLimits::STANDARD;
+            let mut balance = Balance::new(limits, &capacities, &post.demand);
             let due = post
                 .steward
                 .tick(now, &state.registry, &mut balance, Scope { deal, even });
             if even {
                 log::info!(
-                    "{} service={name} highest={:.2} moves={} slices={} rate={:.0} loads={}",
+                    "{} service={name} highest={:.2} moves={} slices={} rate={:.0}",
                     events::BALANCE,
                     balance.highest(),
                     post.steward.moves(),
                     post.steward.map().slices().len(),
-                    sums[sums.len() - 1],
-                    balance
+                    post.demand.of(KeyRange::ALL),
                 );
             }
             orders.extend(due.into_iter().map(|order| (name.clone(), order)));
--- a/crates/core/src/ranges/balance.rs
+++ b/crates/core/src/ranges/balance.rs
@@ -1,7 +1,7 @@
 //! Which keys should go from one server to another.
 
 use {
-    super::{KeyDemand, KeyRange, RangeKey},
+    super::{Demand, KeyRange, RangeKey},
     crate::id::ServerName,
     std::collections::BTreeMap,
 };
@@ -19,8 +19,6 @@
     /// Load over the fair share above which even a server that is not busy
     /// gives keys away, as a rise of traffic would hit it first.
     pub skew: f64,
-    /// Seconds of requests that the demand given stands for.
-    pub span: f64,
     /// Moves of a service under way at a time. Each stops a few keys for as long
     /// as the requests on them last.
     pub moves: usize,
@@ -32,7 +30,6 @@
         ratio: 1.2,
         busy: 0.5,
         skew: 1.6,
-        span: 4.0,
         moves: 24,
     };
 }
@@ -70,15 +67,14 @@
 #[derive(Debug)]
 pub struct Balance<'a> {
     limits: BalanceLimits,
-    sums: &'a [f32],
+    demand: &'a Demand,
     shares: BTreeMap<ServerName, Share>,
     fair: f64,
 }
 
 impl<'a> Balance<'a> {
-    /// A plan for servers that may take keys. `sums` are requests a second up to
-    /// each key, from [`KeyDemand::sums`].
-    pub fn new(limits: BalanceLimits, capacities: &[Capacity], sums: &'a [f32]) -> Self {
+    /// A plan for servers that may take keys.
+    pub fn new(limits: BalanceLimits, capacities: &[Capacity], demand: &'a Demand) -> Self {
         let share = |capacity: &Capacity| {
             let share = Share {
                 rate: capacity.rate.max(f64::MIN_POSITIVE),
@@ -89,12 +85,17 @@
         };
         Self {
             limits,
-            sums,
+            demand,
             shares: capacities.iter().map(share).collect(),
             fair: 0.0,
         }
     }
 
+    /// Requests a second for a range.
+    pub fn demand(&self, range: KeyRange) -> f64 {
+        self.demand.of(range)
+    }
+
     /// The limits in force.
     pub fn limits(&self) -> &BalanceLimits {
         &self.limits
@@ -103,8 +104,8 @@
     /// Adds the load of keys to the server that owns them, or will.
     /// [`Self::level`] follows.
     pub fn load(&mut self, server: &ServerName, range: KeyRange) {
-        let demand = self.demand(range);
-        let hottest = self.hottest(range).map_or(0.0, |(_, demand)| demand);
+        let demand = self.weight(range);
+        let hottest = self.demand.hottest(range).map_or(0.0, |(_, demand)| demand);
         if let Some(share) = self.shares.get_mut(server) {
             share.load += demand;
             share.hottest = share.hottest.max(hottest);
@@ -136,36 +137,35 @@
         all.filter(|value| value.is_finite()).fold(0.0, f64::max)
     }
 
-    /// Shares keys that need a new owner out among all servers, in proportion
-    /// to the room they have; none if there is no server.
+    /// Finds new owners for keys, the least loaded servers first; none if there
+    /// is no server. Only a range with much demand is divided: each part is an
+    /// order of its own, and a renewal every other second from then on.
     pub fn share_out(&mut self, range: KeyRange) -> Vec<(KeyRange, ServerName)> {
-        let (load, rate) = self.totals();
-        let demand = self.demand(range);
-        let fair = (load + demand) / rate;
-        let mut rooms = self.rooms(|share| fair * share.rate - share.load);
-        rooms.retain(|(_, room)| *room > demand * LEAST_PART);
-        if rooms.is_empty() {
-            // Nobody asks for anything yet, or all are full alike.
-            rooms = self.rooms(|share| share.rate);
-        }
-        let total: f64 = rooms.iter().map(|(_, room)| room).sum();
+        let (load, _) = self.totals();
+        let demand = self.weight(range);
+        let part = (load + demand) / self.shares.len().max(1) as f64 * PART_OUT;
+        let count = (demand / part)
+            .ceil()
+            .clamp(1.0, self.shares.len().max(1) as f64);
         let mut parts = Vec::new();
         let mut rest = Some(range);
-        let mut given = 0.0;
-        for (server, room) in &rooms {
+        for number in 1..=count as u32 {
             let Some(left) = rest else { break };
-            given += room / total;
-            let (part, above) = self.split(range, left, given.min(1.0));
-            parts.push((part, server.clone()));
+            let (part, above) = self.split(range, left, f64::from(number) / count);
+            let after = |share: &Share| (share.load + self.weight(part)) / share.rate;
+            let takers = self.shares.iter();
+            let taker = takers.min_by(|a, b| after(a.1).total_cmp(&after(b.1)));
+            let Some(to) = taker.map(|(server, _)| server.clone()) else {
+                break;
+            };
+            self.load(&to, part);
+            parts.push((part, to));
             rest = above;
         }
         // What rounding left over goes with the last part.
         if let (Some(left), Some((part, _))) = (rest, parts.last_mut()) {
             part.last = left.last;
         }
-        for (part, server) in &parts {
-            self.load(server, *part);
-        }
         parts
     }
 
@@ -202,7 +202,7 @@
         parts: impl Fn(&ServerName) -> Vec<KeyRange>,
     ) -> Vec<Shift> {
         let mut shifts: Vec<Shift> = Vec::new();
-        if self.demand(KeyRange::ALL) * self.limits.span < TELLING {
+        if self.demand.of(KeyRange::ALL) * self.demand.span() < TELLING {
             return shifts;
         }
         while shifts.len() < most {
@@ -259,8 +259,12 @@
     /// it for a while, so that a small gain is not worth one.
     fn hot_shift(&self, from: &ServerName, parts: &[KeyRange]) -> Option<(Shift, f64)> {
         let donor = self.shares.get(from)?;
-        let hottest = parts.iter().filter_map(|range| self.hottest(*range));
-        let (range, moved) = hottest.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let hottest = parts.iter().filter_map(|range| self.demand.hottest(*range));
+        let (key, moved) = hottest.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let range = KeyRange {
+            first: key,
+            last: key,
+        };
         let after = |share: &Share| (share.load + moved) / share.rate;
         let takers = self.shares.iter().filter(|(server, _)| *server != from);
         let (to, taker) = takers.min_by(|a, b| after(a.1).total_cmp(&after(b.1)))?;
@@ -268,18 +272,6 @@
         (gains && moved > self.fair * taker.rate).then(|| (shift(range, from, to), moved))
     }
 
-    fn hottest(&self, range: KeyRange) -> Option<(KeyRange, f64)> {
-        let keys = range.first.0..=range.last.0;
-        let demand = |key: u16| {
-            let one = KeyRange {
-                first: RangeKey(key),
-                last: RangeKey(key),
-            };
-            (one, self.demand(one))
-        };
-        keys.map(demand).max_by(|a, b| a.1.total_cmp(&b.1))
-    }
-
     /// Servers that should give keys away, the most loaded first.
     fn donors(&self) -> Vec<ServerName> {
         let mut donors: Vec<(&ServerName, &Share)> = self
@@ -296,8 +288,8 @@
 
     fn pays(&self, donor: &Share) -> bool {
         let excess = donor.load - self.fair * donor.rate;
-        let counted = donor.load * self.limits.span;
-        if excess * self.limits.span < CHANCE * counted.sqrt() {
+        let counted = donor.load * self.demand.span();
+        if excess * self.demand.span() < CHANCE * counted.sqrt() {
             return false;
         }
         let relative = donor.load / (self.fair * donor.rate);
@@ -309,8 +301,8 @@
     /// The shortest run of keys with about `amount` of demand: what moves is
     /// paid by the key, and cold keys gain nothing. Less, if the range has less.
     fn densest(&self, range: KeyRange, amount: f64) -> Option<(KeyRange, f64)> {
-        let sum = |key: usize| f64::from(self.sums[key]);
-        let whole = self.demand(range);
+        let sum = |key: usize| self.demand.below(key);
+        let whole = self.demand.of(range);
         if whole < amount * PART_MIN {
             return (whole > 0.0).then_some((range, whole));
         }
@@ -371,19 +363,8 @@
         )
     }
 
-    fn rooms(&self, room: impl Fn(&Share) -> f64) -> Vec<(ServerName, f64)> {
-        let shares = self.shares.iter();
-        shares
-            .map(|(server, share)| (server.clone(), room(share)))
-            .collect()
-    }
-
     fn weight(&self, range: KeyRange) -> f64 {
-        self.demand(range) + f64::from(range.len()) * KEY_WEIGHT
-    }
-
-    fn demand(&self, range: KeyRange) -> f64 {
-        KeyDemand::of(self.sums, range)
+        self.demand.of(range) + f64::from(range.len()) * KEY_WEIGHT
     }
 
     fn totals(&self) -> (f64, f64) {
@@ -427,9 +408,6 @@
 /// Requests a second that a key counts without any, when keys are shared out: a
 /// thousandth of a server's usual load over the whole space.
 const KEY_WEIGHT: f64 = 1e-6;
-/// A server with less room than this part of what is shared out gets none of
-/// it: each part is an order of its own.
-const LEAST_PART: f64 = 0.02;
 /// Stripes that keys are first dealt out in, over all servers: each is renewed
 /// on its own, at some 60 orders a second in all.
 const STRIPES: usize = 120;
@@ -441,6 +419,8 @@
 /// Load after the move of a hot key, as a part of the load before, from which
 /// the move is worth its pause.
 const HOT_GAIN: f64 = 0.7;
+/// Part of a server's mean load up to which keys find a new owner undivided.
+const PART_OUT: f64 = 0.5;
 /// How far, in standard deviations, a load must lie over its fair share before
 /// it is taken for more than chance.
 const CHANCE: f64 = 2.0;
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -16,7 +16,7 @@
 pub use {
     balance::{Balance, BalanceLimits, Capacity, Shift},
     book::{LeaseBook, LeaseTimes},
-    demand::KeyDemand,
+    demand::{Demand, KeyDemand},
     error::RangeError,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
--- a/crates/core/src/ranges/steward.rs
+++ b/crates/core/src/ranges/steward.rs
@@ -20,6 +20,11 @@
 /// is read by every instance, and most releases of a round end close together.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Moves under way at which no more are begun for servers that leave: a few
+/// servers' worth, since each is an order that an instance with a fifth of a
+/// core has to send.
+const VACATE_MAX: usize = 200;
+
 /// What may be begun at a tick.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Scope {
@@ -248,7 +253,7 @@
     fn vacate(&mut self, now: Time, owners: &impl Owners, balance: &mut Balance<'_>, deal: bool) {
         let suspects = self.suspects(now);
         let slices = self.map.slices().iter();
-        let homeless: Vec<(KeyRange, Option<ServerName>)> = slices
+        let mut homeless: Vec<(KeyRange, Option<ServerName>)> = slices
             .filter(|slice| match &slice.owner {
                 None => deal,
                 Some(owner) => {
@@ -260,7 +265,12 @@
                 parts.into_iter().map(|range| (range, slice.owner.clone()))
             })
             .collect();
+        // The busiest first: orders beyond these wait for the next tick.
+        homeless.sort_by(|a, b| balance.demand(b.0).total_cmp(&balance.demand(a.0)));
         for (range, from) in homeless {
+            if self.moves.len() >= VACATE_MAX {
+                return;
+            }
             let parts = match from {
                 None => balance.deal(range),
                 Some(_) => balance.share_out(range),
@@ -400,8 +410,8 @@
     fn renew(&mut self, now: Time, orders: &mut Vec<Order>) {
         let due = self.held_parts();
         let listed = |range: &KeyRange, renewal: &Renewal| {
-            let part = due.iter().find(|part| part.range == *range);
-            part.is_some_and(|part| part.epoch == renewal.epoch)
+            let part = due.binary_search_by_key(range, |part| part.range);
+            part.is_ok_and(|at| due[at].epoch == renewal.epoch)
         };
         self.renewals
             .retain(|range, renewal| listed(range, renewal));
