Ranges: tests of placement, leases, dispatch and registry; a model with random walks; time to rejoin stays below the time to drain

The model (crates/core/tests/ranges_model) walks planners that are cut off, killed and replaced, servers that crash, leave and carry orders out late, lost answers and clocks 2% slow; no key may be held by two servers. An earlier one that was cut off, and still renewing, was forgotten when the one after it was killed, and its server kept keys that another was given.

On its return a server's entry was removed, and the instance alone gave it 2.2 s to rejoin, beyond its two seconds to drain. Ruled out: the feed (the news was there 4 ms after the others').

--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -27,8 +27,31 @@
         rejoin: Duration::from_millis(2_200),
         memory: Duration::from_secs(60),
     };
+
+    /// The defaults for servers that may get requests for `drain` after the news
+    /// that they leave. The store may have been away for this instance only, and
+    /// then a missing entry is a server that leaves: it must not get requests
+    /// for longer because of the time that is given to servers to rejoin.
+    ///
+    /// ```
+    /// use {citron_core::registry::RegistryTimes, std::time::Duration};
+    /// let times = RegistryTimes::for_drain(Duration::from_secs(2));
+    /// assert!(times.rejoin < Duration::from_secs(2));
+    /// ```
+    pub fn for_drain(drain: Duration) -> Self {
+        let rejoin = Self::STANDARD
+            .rejoin
+            .min(drain.saturating_sub(DRAIN_MARGIN));
+        Self {
+            rejoin,
+            ..Self::STANDARD
+        }
+    }
 }
 
+/// For requests that are on their way when a server's time is over.
+const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+
 /// A server, and since when it leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Known {
--- /dev/null
+++ b/crates/core/tests/dispatch.rs
@@ -0,0 +1,169 @@
+//! Which server a request goes to, and when its caller is told to come back.
+
+use {
+    citron_core::{
+        dispatch::{Ask, Candidate, Choice, Finish, LoadBook, PeerLoad, choose},
+        id::{ServerName, Slots},
+        registry::{Known, ServerEntry, ServerState},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+const NOW: Time = Time::from_micros(60_000_000);
+
+fn known(name: &str) -> Known {
+    Known {
+        entry: ServerEntry {
+            name: name.parse().unwrap(),
+            service: "balances".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "east".parse().unwrap(),
+            slots: Slots(4),
+            state: ServerState::Ready,
+            warm_up: Duration::ZERO,
+        },
+        left: None,
+        seen: Time::ZERO,
+        ended: false,
+    }
+}
+
+fn millis(objective: u64, deadline: u64) -> Ask {
+    Ask {
+        objective: Duration::from_millis(objective),
+        deadline: Duration::from_millis(deadline),
+    }
+}
+
+fn pick(book: &LoadBook, servers: &[Known], ask: Ask) -> Choice {
+    let candidates = servers
+        .iter()
+        .map(|server| Candidate { server, near: true });
+    choose(book, candidates, ask, NOW, || 0.5)
+}
+
+fn ran(book: &mut LoadBook, server: &ServerName, span: u64) {
+    book.begin(server);
+    let span = Duration::from_millis(span);
+    book.end(server, Finish::Ran, span, true, NOW);
+}
+
+fn peers(book: &mut LoadBook, server: &ServerName, busy: u32) {
+    let server = server.clone();
+    let load = PeerLoad {
+        server,
+        busy,
+        run: None,
+    };
+    book.report("peer-1".parse().unwrap(), vec![load], NOW);
+}
+
+/// A burst at one server of four slots, with 200 ms a request and an objective
+/// of 600 ms. Each instance alone sees two requests there and would send more;
+/// together they have twelve, and the thirteenth would end after 700 ms. It is
+/// refused while it can still go elsewhere, with the time until there is room.
+#[test]
+fn requests_of_other_instances_fill_a_server_too() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    for _ in 0..10 {
+        ran(&mut book, name, 200);
+    }
+    book.begin(name);
+    book.begin(name);
+    assert_eq!(
+        pick(&book, &servers, millis(600, 2_500)),
+        Choice::Send(name.clone())
+    );
+    peers(&mut book, name, 10);
+    let Choice::Full(again) = pick(&book, &servers, millis(600, 2_500)) else {
+        panic!("it was sent");
+    };
+    assert!(again >= Duration::from_millis(80) && again <= Duration::from_millis(900));
+}
+
+/// Servers differ in speed. The fast one gets the request although it is busier.
+#[test]
+fn the_earliest_end_counts_and_not_the_shortest_queue() {
+    let servers = [known("s-fast"), known("s-slow")];
+    let mut book = LoadBook::default();
+    for _ in 0..40 {
+        ran(&mut book, &servers[0].entry.name, 100);
+        ran(&mut book, &servers[1].entry.name, 400);
+    }
+    for _ in 0..5 {
+        book.begin(&servers[0].entry.name);
+    }
+    let chosen = pick(&book, &servers, millis(800, 3_000));
+    assert_eq!(chosen, Choice::Send(servers[0].entry.name.clone()));
+}
+
+/// A request that is late already gets a slot that is free, but no place in a
+/// queue: there it would make others late, and earn less than they do.
+#[test]
+fn what_is_late_anyway_does_not_queue() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    ran(&mut book, name, 200);
+    let late = millis(0, 1_500);
+    assert_eq!(pick(&book, &servers, late), Choice::Send(name.clone()));
+    peers(&mut book, name, 4);
+    assert!(matches!(pick(&book, &servers, late), Choice::Full(_)));
+}
+
+/// A faulty server answers at once, with failures. By its times alone it would
+/// look like the fastest and draw all requests.
+#[test]
+fn quick_failures_do_not_draw_requests() {
+    let servers = [known("s-faulty"), known("s-sound")];
+    let mut book = LoadBook::default();
+    for _ in 0..30 {
+        ran(&mut book, &servers[1].entry.name, 200);
+        let faulty = &servers[0].entry.name;
+        book.begin(faulty);
+        book.end(faulty, Finish::Failed, Duration::from_millis(1), true, NOW);
+    }
+    let chosen = pick(&book, &servers, millis(800, 3_000));
+    assert_eq!(chosen, Choice::Send(servers[1].entry.name.clone()));
+}
+
+/// A server that was slow for a while gets requests again although nobody has
+/// measured it since, and one that took no connection is left alone for a time.
+#[test]
+fn bad_times_are_forgotten_and_refused_connections_pause() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    ran(&mut book, name, 5_000);
+    assert!(matches!(
+        pick(&book, &servers, millis(600, 2_500)),
+        Choice::Full(_)
+    ));
+    let later = NOW + Duration::from_secs(5);
+    let candidates = || {
+        servers
+            .iter()
+            .map(|server| Candidate { server, near: true })
+    };
+    let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
+    assert_eq!(chosen, Choice::Send(name.clone()));
+    book.begin(name);
+    book.end(name, Finish::Lost, Duration::ZERO, true, later);
+    let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
+    assert!(matches!(chosen, Choice::Full(_)));
+}
+
+/// An instance that is gone leaves no requests behind in the others' counts.
+#[test]
+fn old_reports_count_for_nothing() {
+    let name: ServerName = "s-1".parse().unwrap();
+    let mut book = LoadBook::default();
+    peers(&mut book, &name, 10);
+    assert_eq!(book.get(&name).busy(), 10);
+    let later = NOW + Duration::from_secs(2);
+    book.report("peer-2".parse().unwrap(), Vec::new(), later);
+    assert_eq!(book.get(&name).busy(), 0);
+}
--- /dev/null
+++ b/crates/core/tests/ranges.rs
@@ -0,0 +1,268 @@
+//! Maps of keys, and where their load should lie.
+
+use {
+    citron_core::{
+        id::{Epoch, ServerName},
+        ranges::{
+            Balance, BalanceLimits, Capacity, Demand, KeyDemand, KeyRange, LeaseBook, LeaseTimes,
+            RangeKey, RangeMap, Slice,
+        },
+        time::Time,
+    },
+    proptest::prelude::*,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+fn server(number: usize) -> ServerName {
+    format!("s-{number:02}").parse().unwrap()
+}
+
+fn range(first: u16, last: u16) -> KeyRange {
+    KeyRange::new(RangeKey(first), RangeKey(last)).unwrap()
+}
+
+fn capacities(rates: &[f64]) -> Vec<Capacity> {
+    let capacity = |(number, rate): (usize, &f64)| Capacity {
+        server: server(number),
+        rate: *rate,
+    };
+    rates.iter().enumerate().map(capacity).collect()
+}
+
+proptest! {
+    /// Whatever is assigned in whatever order, each key has one slice, and its
+    /// epoch rises with each change: a server that is told of an older owner's
+    /// epoch later refuses it.
+    #[test]
+    fn slices_have_no_gap_and_epochs_rise(
+        moves in prop::collection::vec((any::<u16>(), any::<u16>(), 0_usize..4), 1..60),
+    ) {
+        let mut map = RangeMap::new();
+        for (one, other, to) in moves {
+            let cut = range(one.min(other), one.max(other));
+            let before = map.epoch(cut);
+            map.assign(cut, &server(to), None);
+            let slice = map.slice(cut.first);
+            prop_assert_eq!(slice.owner.as_ref(), Some(&server(to)));
+            prop_assert!(slice.epoch > before);
+            prop_assert!(RangeMap::from_slices(map.slices().to_vec()).is_ok());
+        }
+    }
+}
+
+#[test]
+fn a_map_with_a_gap_is_refused() {
+    let slice = |range| Slice {
+        range,
+        owner: None,
+        epoch: Epoch(0),
+        handover: None,
+    };
+    let error = RangeMap::from_slices(vec![slice(range(0, 9)), slice(range(11, u16::MAX))]);
+    insta::assert_snapshot!(error.unwrap_err(), @"slice 11-65535 does not begin where the one before it ends");
+    let mut map = RangeMap::new();
+    map.assign(range(0, 9), &server(0), None);
+    let error = map
+        .set(Slice {
+            epoch: Epoch(1),
+            ..slice(range(5, 20))
+        })
+        .unwrap_err();
+    insta::assert_snapshot!(error, @"epoch 1 of 5-20 is not above 1");
+}
+
+/// What a server hands over belongs to the keys it came with: a slice beside it,
+/// of the same owner, must not get it.
+#[test]
+fn slices_with_a_handover_are_not_joined() {
+    let mut map = RangeMap::new();
+    map.assign(range(0, 99), &server(0), Some("warm".to_string()));
+    map.assign(range(100, 199), &server(0), None);
+    assert_eq!(map.owned(&server(0)).count(), 2);
+    map.take_handovers(|_| true);
+    assert_eq!(map.owned(&server(0)).count(), 1);
+    assert_eq!(map.slice(RangeKey(0)).range, range(0, 199));
+}
+
+/// Demand that falls steeply with the key, as where the busiest keys lie at one
+/// end of the space: the first 5% of the keys get three eighths of the requests,
+/// and the first key alone a fortieth.
+fn steep(requests: u32, seed: u64) -> Demand {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut demand = KeyDemand::new(Duration::from_secs(3));
+    let mut now = Time::from_micros(0);
+    for _ in 0..requests {
+        now = now + Duration::from_micros(8_000);
+        let drawn: f64 = rng.random();
+        demand.add(RangeKey((drawn.powi(3) * 65_535.0) as u16), now);
+    }
+    demand.seen(now)
+}
+
+fn loads(map: &RangeMap, demand: &Demand) -> BTreeMap<ServerName, f64> {
+    let mut loads = BTreeMap::new();
+    for slice in map.slices() {
+        if let Some(owner) = &slice.owner {
+            *loads.entry(owner.clone()).or_insert(0.0) += demand.of(slice.range);
+        }
+    }
+    loads
+}
+
+/// Applies rounds of shifts; the busiest server's load over the mean after each.
+fn even_out(map: &mut RangeMap, demand: &Demand, rates: &[f64], rounds: usize) -> Vec<f64> {
+    let mut busiest = Vec::new();
+    for _ in 0..rounds {
+        let capacities = capacities(rates);
+        let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, demand);
+        for slice in map.slices() {
+            balance.load(slice.owner.as_ref().unwrap(), slice.range);
+        }
+        balance.level();
+        let parts = |server: &ServerName| map.owned(server).map(|slice| slice.range).collect();
+        for shift in balance.shifts(24, parts) {
+            map.assign(shift.range, &shift.to, None);
+        }
+        let loads = loads(map, demand);
+        let mean = loads.values().sum::<f64>() / rates.len() as f64;
+        busiest.push(loads.values().fold(0.0, |a: f64, b| a.max(*b)) / mean);
+    }
+    busiest
+}
+
+/// A calm day's start. Servers show up, and nobody knows which keys will be busy;
+/// then most requests are for keys beside one another. Equal parts of the space
+/// would give them to one of 19 servers, and its callers would wait or be
+/// refused until enough moves are through. Stripes spread them from the start.
+#[test]
+fn stripes_spread_busy_neighbours_before_anything_is_known() {
+    let rates = [20.0; 19];
+    let nothing = Demand::default();
+    let capacities = capacities(&rates);
+    let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, &nothing);
+    let mut map = RangeMap::new();
+    for (part, to) in balance.deal(KeyRange::ALL) {
+        map.assign(part, &to, None);
+    }
+    assert!(map.slices().iter().all(|slice| slice.owner.is_some()));
+    let demand = steep(500, 1);
+    let dealt = loads(&map, &demand);
+    let mean = dealt.values().sum::<f64>() / 19.0;
+    let striped = dealt.values().fold(0.0, |a: f64, b| a.max(*b)) / mean;
+    let equal = demand.of(range(0, u16::MAX / 19)) / mean;
+    assert!(equal > 6.0, "the pattern is not steep: {equal}");
+    assert!(striped < equal * 0.6, "striped {striped}, equal {equal}");
+}
+
+/// The same, a second later: the planner knows the demand, and needs few rounds,
+/// each as long as the requests on the keys that move.
+#[test]
+fn a_steep_demand_is_even_after_three_rounds() {
+    for seed in 0..10 {
+        let rates = [20.0; 19];
+        let demand = steep(500, seed);
+        let mut map = RangeMap::new();
+        for (at, first) in (0..19_u16).map(|at| (usize::from(at), at * 3_450)) {
+            map.assign(range(first, u16::MAX), &server(at), None);
+        }
+        let busiest = even_out(&mut map, &demand, &rates, 3);
+        assert!(busiest[2] < 1.7, "seed {seed}: {busiest:?}");
+        let moved = map.slices().iter().filter(|slice| slice.epoch.0 > 19);
+        let moved: u32 = moved.map(|slice| slice.range.len()).sum();
+        assert!(moved < 13_000, "seed {seed}: {moved} keys moved");
+    }
+}
+
+/// One key gets more than any server can run. It cannot be divided: it belongs
+/// on the fastest server, what lies beside it goes elsewhere, and then it stays,
+/// as each move stops it. The other servers are evened out as if it were not there.
+#[test]
+fn a_hot_key_goes_to_the_fastest_server_and_stays() {
+    let mut demand = KeyDemand::new(Duration::from_secs(3));
+    let mut now = Time::ZERO;
+    for number in 0..1_200_u32 {
+        now = now + Duration::from_micros(8_000);
+        let key = if number % 5 < 2 {
+            700
+        } else {
+            (number * 7_919) as u16
+        };
+        demand.add(RangeKey(key), now);
+    }
+    let demand = demand.seen(now);
+    let mut rates = [18.0; 12];
+    rates[7] = 36.0;
+    let mut map = RangeMap::new();
+    for (at, first) in (0..12_u16).map(|at| (usize::from(at), at * 5_462)) {
+        map.assign(range(first, u16::MAX), &server(at), None);
+    }
+    even_out(&mut map, &demand, &rates, 6);
+    let hot = map.slice(RangeKey(700)).clone();
+    assert_eq!(hot.owner, Some(server(7)));
+    let beside = loads(&map, &demand)[&server(7)] - demand.of(range(700, 700));
+    assert!(
+        beside < 4.0,
+        "{beside} requests a second beside the hot key"
+    );
+    even_out(&mut map, &demand, &rates, 6);
+    assert_eq!(
+        map.slice(RangeKey(700)).epoch,
+        hot.epoch,
+        "it was moved again"
+    );
+}
+
+/// Forty requests on 19 servers differ by chance. Moves on such grounds cut the
+/// space into pieces that are all wrong.
+#[test]
+fn few_requests_move_nothing() {
+    let rates = [20.0; 19];
+    let demand = steep(40, 3);
+    let mut map = RangeMap::new();
+    for (at, first) in (0..19_u16).map(|at| (usize::from(at), at * 3_450)) {
+        map.assign(range(first, u16::MAX), &server(at), None);
+    }
+    let before = map.clone();
+    even_out(&mut map, &demand, &rates, 1);
+    assert_eq!(map, before);
+}
+
+/// Two servers leave, each with many small slices. Cut into a part for each of
+/// the others they made six hundred orders at once, which a small instance cannot
+/// send in time: the keys stayed away for seconds.
+#[test]
+fn small_slices_find_new_owners_undivided() {
+    let rates = [20.0; 19];
+    let demand = steep(500, 5);
+    let capacities = capacities(&rates);
+    let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, &demand);
+    let mut parts = 0;
+    for number in 0..34_u16 {
+        let slice = range(number * 1_900, number * 1_900 + 600);
+        let shared = balance.share_out(slice);
+        assert_eq!(shared.first().unwrap().0.first, slice.first);
+        assert_eq!(shared.last().unwrap().0.last, slice.last);
+        parts += shared.len();
+    }
+    assert!(parts < 100, "{parts} parts of 34 slices");
+}
+
+/// A grant was sent, and nothing was heard since. It may have been on its way for
+/// as long as an order may be, and the server's clock may run 2% slow: given to
+/// another server earlier, its keys would have two owners.
+#[test]
+fn a_lease_ends_only_after_transit_and_the_slowest_clock() {
+    let times = LeaseTimes::STANDARD;
+    let server = server(1);
+    let mut book = LeaseBook::new(times, Time::ZERO);
+    let sent = Time::from_micros(90_000_000);
+    book.sent(&server, sent);
+    let latest = sent + times.order + times.hold.mul_f64(1.02);
+    assert!(book.ends(book.last(&server)) > latest);
+    // A planner before this one may have sent until later.
+    let foreign = sent + times.blind;
+    let book = LeaseBook::new(times, foreign);
+    assert!(book.ends(sent) > foreign + times.order + times.hold.mul_f64(1.02));
+}
--- /dev/null
+++ b/crates/core/tests/ranges_model/planner.rs
@@ -0,0 +1,26 @@
+//! A planner: the product's steward, and what it knows of the store.
+
+use citron_core::{
+    id::ServerName,
+    ranges::{Order, OrderEnd, Steward},
+    time::Time,
+};
+
+/// One term of one instance.
+#[derive(Debug)]
+pub struct Planner {
+    pub number: u64,
+    pub steward: Steward,
+    /// Version of the map's row that the steward goes by.
+    pub version: u64,
+    /// Whether the store reaches it.
+    pub connected: bool,
+    /// When the store last answered it.
+    pub confirmed: Time,
+    /// Whether it has read that another has the seat.
+    pub stopped: bool,
+    /// Servers that it does not reach.
+    pub cut: Vec<ServerName>,
+    /// Ends that are still on their way to it.
+    pub ends: Vec<(Time, Order, OrderEnd)>,
+}
--- /dev/null
+++ b/crates/core/tests/ranges_model/world.rs
@@ -0,0 +1,488 @@
+//! Everything around the planners.
+
+use {
+    crate::{planner::Planner, server::Server},
+    citron_core::{
+        id::ServerName,
+        ranges::{
+            Balance, BalanceLimits, Capacity, Demand, LeaseBook, LeaseTimes, Order, OrderEnd,
+            OwnerState, Owners, RangeMap, Scope, Steward,
+        },
+        time::Time,
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::time::Duration,
+};
+
+const STEP: Duration = Duration::from_millis(50);
+const SERVERS: usize = 5;
+
+/// A safeguard that is taken away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// A new planner does not wait for what the former one may have sent.
+    NoForeign,
+    /// A new planner knows of the one just before it only: an earlier one that
+    /// was cut off may still renew when the one after it is killed.
+    NoChain,
+    /// A planner without the store renews for ever.
+    NeverBlind,
+    /// Leases are thought to be shorter than granted.
+    ShortLease,
+    /// A release that was not answered counts as done.
+    LostRelease,
+    /// A server that leaves counts as ended.
+    LeavingEnded,
+    /// Maps are written whoever has the seat.
+    NoSeat,
+    /// A commit that was not answered counts as done.
+    LostCommit,
+    /// A planner that is killed and replaced counts as never having sent: the
+    /// span for leases given by instances that are listed no more is zero.
+    NoQuiet,
+}
+
+impl Flaw {
+    pub const ALL: [Self; 9] = [
+        Self::NoForeign,
+        Self::NoChain,
+        Self::NeverBlind,
+        Self::ShortLease,
+        Self::LostRelease,
+        Self::LeavingEnded,
+        Self::NoSeat,
+        Self::LostCommit,
+        Self::NoQuiet,
+    ];
+}
+
+/// An order on its way to a server.
+#[derive(Debug)]
+struct Sent {
+    arrives: Time,
+    /// When it is carried out; later than it arrives if the server is late.
+    done: Time,
+    planner: u64,
+    order: Order,
+    answered: bool,
+}
+
+#[derive(Debug)]
+pub struct World {
+    now: Time,
+    rng: ChaCha8Rng,
+    flaw: Option<Flaw>,
+    times: LeaseTimes,
+    servers: Vec<Server>,
+    /// Starts that have ended for certain, by name.
+    ended: Vec<ServerName>,
+    planners: Vec<Planner>,
+    seat: u64,
+    map: RangeMap,
+    version: u64,
+    sent: Vec<Sent>,
+    births: usize,
+    pub commits: u64,
+}
+
+struct Listed<'a> {
+    servers: &'a [Server],
+    ended: &'a [ServerName],
+    flaw: Option<Flaw>,
+}
+
+impl Owners for Listed<'_> {
+    fn state(&self, server: &ServerName) -> OwnerState {
+        if self.ended.contains(server) {
+            return OwnerState::Ended;
+        }
+        let found = self.servers.iter().find(|known| known.name == *server);
+        match found {
+            Some(known) if known.up && !known.leaving => OwnerState::Serving,
+            _ if self.flaw == Some(Flaw::LeavingEnded) => OwnerState::Ended,
+            _ => OwnerState::Leaving,
+        }
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, flaw: Option<Flaw>) -> Self {
+        let mut world = Self {
+            now: Time::ZERO + Duration::from_secs(100),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            flaw,
+            times: LeaseTimes::STANDARD,
+            servers: Vec::new(),
+            ended: Vec::new(),
+            planners: Vec::new(),
+            seat: 0,
+            map: RangeMap::new(),
+            version: 0,
+            sent: Vec::new(),
+            births: 0,
+            commits: 0,
+        };
+        for _ in 0..SERVERS {
+            world.start_server();
+        }
+        world.take_over(false);
+        world
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.disturb();
+        self.deliver();
+        for at in 0..self.planners.len() {
+            self.plan(at);
+        }
+    }
+
+    /// No two servers hold a key.
+    pub fn check(&self) -> Result<(), String> {
+        let held = |server: &Server| {
+            let live = server.holds.iter().filter(|hold| hold.until > self.now);
+            live.cloned().collect::<Vec<_>>()
+        };
+        let up: Vec<&Server> = self.servers.iter().filter(|server| server.up).collect();
+        for (at, one) in up.iter().enumerate() {
+            for other in &up[at + 1..] {
+                for (a, b) in held(one)
+                    .iter()
+                    .flat_map(|a| held(other).into_iter().map(move |b| (a.clone(), b)))
+                {
+                    if let Some(range) = a.range.common(b.range) {
+                        return Err(format!(
+                            "{range} is held by {} under {} and {} under {} at {}",
+                            one.name, a.epoch, other.name, b.epoch, self.now
+                        ));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether every key is held by its owner.
+    pub fn all_held(&self) -> bool {
+        let live = self.servers.iter().filter(|server| server.up);
+        let holds = live.flat_map(|server| &server.holds);
+        let keys: u32 = holds
+            .filter(|hold| hold.until > self.now)
+            .map(|hold| hold.range.len())
+            .sum();
+        keys == 65_536
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.rng.random_range(0..1_000) < per_mille
+    }
+
+    fn disturb(&mut self) {
+        if self.chance(6) {
+            self.crash_server();
+        }
+        if self.chance(5) {
+            let at = self.rng.random_range(0..self.servers.len());
+            self.servers[at].leaving = true;
+            self.start_server();
+        }
+        if self.chance(6) {
+            // The planner is cut off; another takes over, and it does not know.
+            let seat = self.seat;
+            if let Some(planner) = self
+                .planners
+                .iter_mut()
+                .find(|planner| planner.number == seat)
+            {
+                planner.connected = false;
+            }
+            self.take_over(false);
+        }
+        if self.chance(4) {
+            self.take_over(true);
+        }
+        if self.chance(5) {
+            self.cut_links();
+        }
+        if self.chance(1) {
+            for planner in &mut self.planners {
+                planner.connected = true;
+            }
+        }
+    }
+
+    /// Each planner reaches other servers from now on.
+    fn cut_links(&mut self) {
+        let names: Vec<ServerName> = self
+            .servers
+            .iter()
+            .map(|server| server.name.clone())
+            .collect();
+        for at in 0..self.planners.len() {
+            let mut cut = names.clone();
+            cut.retain(|_| self.chance(300));
+            self.planners[at].cut = cut;
+        }
+    }
+
+    fn crash_server(&mut self) {
+        let at = self.rng.random_range(0..self.servers.len());
+        let restarts = self.chance(600);
+        let server = &mut self.servers[at];
+        server.up = false;
+        let name = server.name.clone();
+        if restarts {
+            // Its address shows another start: this one has surely ended.
+            self.ended.push(name);
+        }
+        self.start_server();
+    }
+
+    fn start_server(&mut self) {
+        self.births += 1;
+        let name = format!("s-{}", self.births).parse().unwrap();
+        let slow = self.chance(500);
+        self.servers.push(Server::new(name, slow));
+        if self.servers.len() > SERVERS + 6 {
+            let gone = self.servers.iter().position(|server| {
+                let held = server.holds.iter().any(|hold| hold.until > self.now);
+                (!server.up || server.leaving) && !held
+            });
+            if let Some(at) = gone {
+                self.servers.remove(at);
+            }
+        }
+    }
+
+    /// Another instance gets the seat; `killed` if the former one's process has ended.
+    fn take_over(&mut self, killed: bool) {
+        if killed {
+            let seat = self.seat;
+            self.planners.retain(|planner| planner.number != seat);
+        }
+        self.planners
+            .retain(|planner| self.now - planner.confirmed < Duration::from_secs(60));
+        let former = self.seat;
+        self.seat += 1;
+        let doubtful = self.planners.iter().any(|planner| {
+            let known = self.flaw != Some(Flaw::NoChain) || planner.number == former;
+            known && !planner.stopped
+        });
+        let foreign = match (self.flaw, doubtful) {
+            (Some(Flaw::NoForeign), _) => self.now,
+            (Some(Flaw::NoQuiet), false) => Time::ZERO,
+            (_, false) => self.now,
+            (_, true) => self.now + self.times.blind,
+        };
+        let mut times = self.times;
+        if self.flaw == Some(Flaw::ShortLease) {
+            times.hold /= 2;
+        }
+        let book = LeaseBook::new(times, foreign);
+        self.planners.push(Planner {
+            number: self.seat,
+            steward: Steward::new(self.map.clone(), book),
+            version: self.version,
+            connected: true,
+            confirmed: self.now,
+            ends: Vec::new(),
+            cut: Vec::new(),
+            stopped: false,
+        });
+    }
+
+    fn plan(&mut self, at: usize) {
+        let now = self.now;
+        let capacities = self.capacities();
+        let planner = &mut self.planners[at];
+        if planner.stopped {
+            return;
+        }
+        if planner.connected {
+            planner.confirmed = now;
+            if planner.number != self.seat && self.flaw != Some(Flaw::NoSeat) {
+                // It reads that another has the seat, and plans no more.
+                planner.stopped = true;
+                return;
+            }
+        }
+        let blind = now - planner.confirmed > self.times.blind;
+        if blind && self.flaw != Some(Flaw::NeverBlind) {
+            return;
+        }
+        let (due, later): (Vec<_>, Vec<_>) = planner.ends.drain(..).partition(|end| end.0 <= now);
+        planner.ends = later;
+        for (_, order, end) in due {
+            planner.steward.ended(&order, end, now);
+        }
+        let listed = Listed {
+            servers: &self.servers,
+            ended: &self.ended,
+            flaw: self.flaw,
+        };
+        let demand = Demand::default();
+        let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, &demand);
+        let scope = Scope {
+            deal: true,
+            even: true,
+        };
+        let orders = planner.steward.tick(now, &listed, &mut balance, scope);
+        for order in orders {
+            match order {
+                Order::Commit(map) => self.commit(at, map),
+                order => self.send(at, order),
+            }
+        }
+    }
+
+    fn capacities(&self) -> Vec<Capacity> {
+        let open = self
+            .servers
+            .iter()
+            .filter(|server| server.up && !server.leaving);
+        let capacity = |server: &Server| Capacity {
+            server: server.name.clone(),
+            rate: 20.0,
+        };
+        open.map(capacity).collect()
+    }
+
+    fn commit(&mut self, at: usize, map: RangeMap) {
+        let lost = self.chance(150);
+        let flaw = self.flaw;
+        let planner = &mut self.planners[at];
+        let order = Order::Commit(map.clone());
+        let seated = planner.number == self.seat || flaw == Some(Flaw::NoSeat);
+        let fits = planner.version == self.version || flaw == Some(Flaw::NoSeat);
+        if !planner.connected || (lost && flaw != Some(Flaw::LostCommit)) {
+            planner
+                .ends
+                .push((self.now + STEP, order, OrderEnd::Unknown));
+            return;
+        }
+        if lost {
+            // Not done, and taken for done.
+            planner
+                .ends
+                .push((self.now, order, OrderEnd::Done { handover: None }));
+            return;
+        }
+        if !seated || !fits {
+            planner.steward.reload(self.map.clone());
+            planner.version = self.version;
+            return;
+        }
+        self.map = map;
+        self.version += 1;
+        self.commits += 1;
+        planner.version = self.version;
+        planner
+            .ends
+            .push((self.now, order, OrderEnd::Done { handover: None }));
+    }
+
+    fn send(&mut self, at: usize, order: Order) {
+        // What is not there within the time of an order is reset and never arrives.
+        let most = self.times.order.as_millis() as u64;
+        let delay = match self.chance(850) {
+            true => self.rng.random_range(1..10),
+            false => self.rng.random_range(10..most),
+        };
+        let arrives = self.now + Duration::from_millis(delay);
+        let late = self.chance(60);
+        let done = match late {
+            true => arrives + Duration::from_millis(self.rng.random_range(2_000..12_000)),
+            false => arrives,
+        };
+        let to = match &order {
+            Order::Grant(slice) => slice.owner.clone(),
+            Order::Release { server, .. } => Some(server.clone()),
+            Order::Commit(_) => None,
+        };
+        let cut = to.is_some_and(|to| self.planners[at].cut.contains(&to));
+        let lost = cut || self.chance(50);
+        if lost || late {
+            let over = self.now + self.times.order;
+            let end = self.unanswered(&order);
+            self.planners[at].ends.push((over, order.clone(), end));
+        }
+        if lost {
+            return;
+        }
+        self.sent.push(Sent {
+            arrives,
+            done,
+            planner: self.planners[at].number,
+            order,
+            answered: !late,
+        });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Sent>, Vec<Sent>) =
+            self.sent.drain(..).partition(|sent| sent.done <= now);
+        self.sent = later;
+        for sent in due {
+            let end = self.carry_out(&sent);
+            self.tell(&sent, end);
+        }
+    }
+
+    fn carry_out(&mut self, sent: &Sent) -> OrderEnd {
+        let hold = self.times.hold;
+        let name = match &sent.order {
+            Order::Grant(slice) => slice.owner.clone().unwrap(),
+            Order::Release { server, .. } => server.clone(),
+            Order::Commit(_) => return OrderEnd::Unknown,
+        };
+        let found = self
+            .servers
+            .iter_mut()
+            .find(|server| server.name == name && server.up);
+        let Some(server) = found else {
+            return OrderEnd::Unknown;
+        };
+        match &sent.order {
+            Order::Grant(slice) => match server.grant(slice, hold, sent.arrives) {
+                true => OrderEnd::Done { handover: None },
+                false => OrderEnd::Outdated,
+            },
+            Order::Release { range, epoch, .. } => {
+                server.release(*range, *epoch);
+                OrderEnd::Done {
+                    handover: Some("warm".to_string()),
+                }
+            }
+            Order::Commit(_) => OrderEnd::Unknown,
+        }
+    }
+
+    fn unanswered(&self, order: &Order) -> OrderEnd {
+        let release = matches!(order, Order::Release { .. });
+        match release && self.flaw == Some(Flaw::LostRelease) {
+            true => OrderEnd::Done { handover: None },
+            false => OrderEnd::Unknown,
+        }
+    }
+
+    fn tell(&mut self, sent: &Sent, end: OrderEnd) {
+        if !sent.answered {
+            return;
+        }
+        let end = match self.chance(60) {
+            true => self.unanswered(&sent.order),
+            false => end,
+        };
+        let at = self.now;
+        let planner = self
+            .planners
+            .iter_mut()
+            .find(|planner| planner.number == sent.planner);
+        if let Some(planner) = planner {
+            planner.ends.push((at, sent.order.clone(), end));
+        }
+    }
+}
