One reader of the store a failure domain; planners name all that may still act before them

One instance of a failure domain reads the store; others hear of changes by beats and fetch the table from it, from another domain after 250 ms.

--- a/crates/citronproxy/src/edge/control/chair.rs
+++ b/crates/citronproxy/src/edge/control/chair.rs
@@ -6,7 +6,8 @@
 
 use {
     super::{
-        node::{Seat, State},
+        beat::Beat,
+        node::{Holder, State},
         peers::LOST,
     },
     citron_core::{id::InstanceId, time::Time},
@@ -53,13 +54,14 @@
 
     fn is_vacant(&self, state: &State, me: &InstanceId, start: u64, now: Time) -> bool {
         let Some(seat) = &state.seat else { return true };
-        if seat.instance == *me {
-            return seat.start != start;
+        let holder = &seat.holder;
+        if holder.instance == *me {
+            return holder.start != start;
         }
-        if has_ended(state, seat) {
+        if has_ended(state, holder) {
             return true;
         }
-        let Some(peer) = state.peers.get(&seat.instance) else {
+        let Some(peer) = state.peers.get(&holder.instance) else {
             return now - self.begun > LOST;
         };
         let heard = peer.heard.unwrap_or(self.begun);
@@ -71,20 +73,20 @@
     }
 }
 
-/// Whether the start that has the seat has surely ended.
-pub fn has_ended(state: &State, seat: &Seat) -> bool {
-    let peer = state.peers.get(&seat.instance);
+/// Whether a start has surely ended.
+pub fn has_ended(state: &State, holder: &Holder) -> bool {
+    let peer = state.peers.get(&holder.instance);
     let beat = peer.and_then(|peer| peer.beat.as_ref());
-    beat.is_some_and(|beat| beat.start != seat.start)
+    beat.is_some_and(|beat| beat.start != holder.start)
 }
 
 /// Whether a former planner has surely stopped, now that `version` of the row
 /// names another.
-pub fn has_stopped(state: &State, seat: &Seat, version: u64) -> bool {
-    let peer = state.peers.get(&seat.instance);
+pub fn has_stopped(state: &State, holder: &Holder, version: u64) -> bool {
+    let peer = state.peers.get(&holder.instance);
     let beat = peer.and_then(|peer| peer.beat.as_ref());
-    let stopped = |beat: &super::beat::Beat| !beat.planning && beat.seat >= version;
-    has_ended(state, seat) || beat.is_some_and(stopped)
+    let stopped = |beat: &Beat| !beat.planning && beat.seat >= version;
+    has_ended(state, holder) || beat.is_some_and(stopped)
 }
 
 /// Live instances that come before this one.
--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -1,6 +1,7 @@
 //! The product's own rows and messages between instances.
 
 use {
+    super::mirror::Mirror,
     citron_core::{
         id::{Epoch, ServerName},
         ranges::{KeyRange, RangeKey, RangeMap, Slice},
@@ -22,6 +23,9 @@
     pub instance: String,
     /// Its start.
     pub start: u64,
+    /// Planners before it that may not have stopped yet: name and start.
+    #[serde(default)]
+    pub before: Vec<(String, u64)>,
 }
 
 /// Where an instance reaches others.
@@ -99,6 +103,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct TableWire {
     version: u64,
+    /// Version of the newest change.
+    pub changed: u64,
     rows: Vec<TableRowWire>,
 }
 
@@ -111,14 +117,15 @@
 
 impl TableWire {
     /// A table's rows.
-    pub fn new<'a>(version: u64, rows: impl Iterator<Item = &'a Row>) -> Self {
-        let rows = rows.map(|row| TableRowWire {
+    pub fn new(mirror: &Mirror) -> Self {
+        let rows = mirror.rows().map(|row| TableRowWire {
             key: row.key.clone(),
             value: row.value.clone().unwrap_or_default(),
             version: row.version,
         });
         Self {
-            version,
+            version: mirror.version,
+            changed: mirror.changed,
             rows: rows.collect(),
         }
     }
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -100,7 +100,7 @@
     let planner = {
         let state = node.state.borrow();
         let seat = state.seat.as_ref();
-        seat.and_then(|seat| state.peers.get(&seat.instance))
+        seat.and_then(|seat| state.peers.get(&seat.holder.instance))
             .map(|peer| peer.address)
     };
     let Some(planner) = planner else { return };
--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -8,8 +8,10 @@
 /// Rows of a table as of a version; never goes back.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    /// The version; 0 before the first read.
+    /// The version that questions go on from; 0 before the first read.
     pub version: u64,
+    /// The version of the newest change known: instances compare it.
+    pub changed: u64,
     rows: BTreeMap<String, Row>,
 }
 
@@ -24,6 +26,7 @@
         let newer = set.rows.into_iter().filter(|row| row.version > known(row));
         let newer: Vec<Row> = newer.collect();
         for row in &newer {
+            self.changed = self.changed.max(row.version);
             match row.value {
                 Some(_) => self.rows.insert(row.key.clone(), row.clone()),
                 None => self.rows.remove(&row.key),
@@ -32,12 +35,13 @@
         newer
     }
 
-    /// Replaces all rows by a newer reading; the changed rows, the removed ones
-    /// among them.
-    pub fn replace(&mut self, set: RowSet) -> Vec<Row> {
+    /// Replaces all rows by a newer reading, in which the newest change is
+    /// `newest`; the changed rows, the removed ones among them.
+    pub fn replace(&mut self, set: RowSet, newest: u64) -> Vec<Row> {
         if set.version < self.version {
             return Vec::new();
         }
+        self.changed = self.changed.max(newest);
         let listed: Vec<&str> = set.rows.iter().map(|row| row.key.as_str()).collect();
         let gone = self
             .rows
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         beat::Beat,
-        codec::{MAP, MapWire, PLANNER, SeatWire},
+        codec::{MAP, MapWire, PLANNER, SeatWire, TableWire},
         demands::Demands,
         gossip,
         mirror::Mirror,
@@ -38,13 +38,22 @@
 /// given time to write themselves anew.
 const OUTAGE: Duration = Duration::from_millis(800);
 
-/// Who plans, and the version of the row that says so.
+/// One start of an instance that plans, or planned.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Seat {
+pub struct Holder {
     /// The instance.
     pub instance: InstanceId,
     /// Its start.
     pub start: u64,
+}
+
+/// Who plans, and the version of the row that says so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seat {
+    /// The planner.
+    pub holder: Holder,
+    /// Those before it that may not have stopped yet.
+    pub before: Vec<Holder>,
     /// Version of the row.
     pub version: u64,
 }
@@ -90,8 +99,8 @@
     pub store: latest::Sender<bool>,
     /// What callers ask for, if this instance plans.
     pub demands: RefCell<Demands>,
-    /// Whether tables are being asked for.
-    pub pulling: relay::Pulling,
+    /// Tables asked for from others.
+    pub relay: relay::Relay,
     /// Wakes the planner.
     pub wake: Notify,
     /// Wakes the sender of beats.
@@ -137,7 +146,7 @@
     fn new(adapter: A, settings: EdgeSettings, clock: Clock, board: Arc<Board>) -> Self {
         let state = State {
             mirrors: Default::default(),
-            registry: Registry::new(RegistryTimes::STANDARD),
+            registry: Registry::new(RegistryTimes::for_drain(settings.drain)),
             config: None,
             maps: BTreeMap::new(),
             seat: None,
@@ -155,7 +164,7 @@
             state: RefCell::new(state),
             store: latest::Sender::new(false),
             demands: RefCell::default(),
-            pulling: relay::Pulling::default(),
+            relay: relay::Relay::default(),
             wake: Notify::new(),
             hurry: Notify::new(),
         }
@@ -195,18 +204,37 @@
             .send_if_modified(|answers| std::mem::replace(answers, false));
     }
 
-    /// Takes in rows of a watched table; `whole` if they are all there are.
+    /// Takes in what the store said of a watched table; `whole` if these are all
+    /// rows there are. Other instances hear of changes at once.
     pub fn take(&self, at: usize, set: RowSet, whole: bool) {
-        let mut state = self.state.borrow_mut();
-        let mirror = &mut state.mirrors[at];
-        let changed = match whole {
-            true => mirror.replace(set),
-            false => mirror.apply(set),
+        let newest = set.version;
+        let changed = {
+            let mirror = &mut self.state.borrow_mut().mirrors[at];
+            match whole {
+                true => mirror.replace(set, newest),
+                false => mirror.apply(set),
+            }
         };
+        if self.take_rows(at, &changed) {
+            self.hurry.notify_one();
+        }
+    }
+
+    /// Takes in a table that another instance handed over.
+    pub fn take_over(&self, at: usize, table: TableWire) {
+        let newest = table.changed;
+        let changed = self.state.borrow_mut().mirrors[at].replace(table.into(), newest);
+        self.take_rows(at, &changed);
+    }
+
+    /// Whether there was anything to take in.
+    fn take_rows(&self, at: usize, changed: &[Row]) -> bool {
         if changed.is_empty() {
-            return;
+            return false;
         }
-        for row in &changed {
+        self.relay.caught_up(at);
+        let mut state = self.state.borrow_mut();
+        for row in changed {
             match WATCHED[at] {
                 RowTable::Config => self.take_config(&mut state, row),
                 RowTable::Servers => self.take_server(&mut state, row),
@@ -216,6 +244,7 @@
         drop(state);
         self.publish();
         self.wake.notify_one();
+        true
     }
 
     /// The newest configuration counts, whatever comes in which order; one that
@@ -326,7 +355,7 @@
             leaving: self.leaving(),
             planning: state.planning,
             store: *self.store.borrow(),
-            versions: [0, 1, 2].map(|at: usize| state.mirrors[at].version),
+            versions: [0, 1, 2].map(|at: usize| state.mirrors[at].changed),
             seat: state.seat.as_ref().map_or(0, |seat| seat.version),
             loads: loads.into_iter().map(Into::into).collect(),
         }
@@ -337,9 +366,16 @@
     let wire: SeatWire = serde_json::from_slice(value)
         .inspect_err(|error| log::error!("{} {PLANNER}: {error}", events::MAP_REFUSED))
         .ok()?;
+    let holder = |instance: &str, start| {
+        let instance = instance.parse().ok()?;
+        Some(Holder { instance, start })
+    };
+    let before = wire.before.iter();
     Some(Seat {
-        instance: wire.instance.parse().ok()?,
-        start: wire.start,
+        holder: holder(&wire.instance, wire.start)?,
+        before: before
+            .filter_map(|(name, start)| holder(name, *start))
+            .collect(),
         version,
     })
 }
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -4,7 +4,7 @@
     super::{
         chair::{Chair, has_ended, has_stopped},
         codec::{MAP, MapWire, PLANNER, SeatWire},
-        node::{Node, Seat},
+        node::{Holder, Node, Seat},
         orders::Orders,
     },
     crate::events,
@@ -63,8 +63,8 @@
 /// The work of one term.
 struct Term {
     seat: Seat,
-    /// The planner before, while it may still act.
-    former: Option<Seat>,
+    /// Planners before, while they may still act.
+    before: Vec<Holder>,
     posts: BTreeMap<ServiceName, Post>,
     evened: Time,
 }
@@ -170,9 +170,14 @@
     times: LeaseTimes,
 ) -> Option<Term> {
     let former = node.state.borrow().seat.clone();
+    let before = still_acting(node, former.as_ref());
     let wire = SeatWire {
         instance: node.settings.instance.to_string(),
         start: node.start,
+        before: before
+            .iter()
+            .map(|holder| (holder.instance.to_string(), holder.start))
+            .collect(),
     };
     let commit = RowCommit {
         expected: vec![(
@@ -208,21 +213,33 @@
             return None;
         }
     }
-    begin_term(node, former, times)
+    begin_term(node, before, times)
 }
 
-fn begin_term<A: Adapter>(node: &Node<A>, former: Option<Seat>, times: LeaseTimes) -> Option<Term> {
+/// Planners that may not know yet that another has the seat. Not only the last
+/// one: an earlier one that is cut off may still renew when the last has ended.
+fn still_acting<A: Adapter>(node: &Node<A>, former: Option<&Seat>) -> Vec<Holder> {
+    let Some(former) = former else {
+        return Vec::new();
+    };
+    let state = node.state.borrow();
+    let me = &node.settings.instance;
+    let mut before = former.before.clone();
+    before.push(former.holder.clone());
+    before.retain(|holder| holder.instance != *me && !has_ended(&state, holder));
+    before
+}
+
+fn begin_term<A: Adapter>(node: &Node<A>, before: Vec<Holder>, times: LeaseTimes) -> Option<Term> {
     let mut state = node.state.borrow_mut();
     let seat = state.seat.clone()?;
-    if seat.instance != node.settings.instance || seat.start != node.start {
+    if seat.holder.instance != node.settings.instance || seat.holder.start != node.start {
         return None;
     }
     let now = node.clock.now();
-    let me = &node.settings.instance;
-    let former = former.filter(|former| former.instance != *me && !has_ended(&state, former));
-    let foreign = match former {
-        Some(_) => now + times.blind,
-        None => now,
+    let foreign = match before.is_empty() {
+        true => now,
+        false => now + times.blind,
     };
     let maps = state.maps.iter();
     let posts = maps.map(|(service, (map, version))| {
@@ -247,7 +264,7 @@
     node.hurry.notify_one();
     Some(Term {
         seat,
-        former,
+        before,
         posts,
         evened: now,
     })
@@ -279,12 +296,16 @@
         post.steward.ended(&result.order, result.end, now);
     }
 
-    /// Once the planner before has stopped, leases of its need no longer wait.
+    /// Once the planners before have stopped, leases of theirs need no longer wait.
     fn settle_former<A: Adapter>(&mut self, node: &Node<A>) {
+        if self.before.is_empty() {
+            return;
+        }
         let state = node.state.borrow();
-        let stopped = |former: &Seat| has_stopped(&state, former, self.seat.version);
-        if self.former.as_ref().is_some_and(stopped) {
-            self.former = None;
+        let version = self.seat.version;
+        self.before
+            .retain(|holder| !has_stopped(&state, holder, version));
+        if self.before.is_empty() {
             for post in self.posts.values_mut() {
                 post.steward.book().settle_foreign(node.clock.now());
             }
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -1,19 +1,30 @@
-//! Tables handed from one instance to another that the store does not answer.
+//! Tables handed from one instance to another.
 //!
-//! The store may turn a few instances away while it serves the others and the
-//! operators: without help these would route by an old configuration, and send
-//! requests to servers that have long said they leave.
+//! One instance of a failure domain reads the store and hands what has changed
+//! to the others: each question to the store is paid for, and with a hundred
+//! instances that ask it would be overrun. It also helps where the store turns
+//! a few instances away while it serves the others and the operators: these
+//! would go on by an old configuration, and send requests to servers that have
+//! long said they leave.
 
 use {
     super::{beat::Beat, codec::TableWire, node::Node},
-    crate::edge::EdgeError,
+    crate::{edge::EdgeError, events},
     bytes::Bytes,
+    citron_core::time::Time,
     citron_ports::{Adapter, KeptClient},
     http::{Request, Response, StatusCode},
     http_body_util::Full,
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        convert::Infallible,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{net::TcpListener, task::spawn_local, time::sleep},
 };
 
@@ -21,13 +32,31 @@
 const PULL_TIME: Duration = Duration::from_millis(800);
 /// The largest table that is read.
 const TABLE_MAX: usize = 8 << 20;
-/// Pause before a table is asked for again.
+/// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
+/// How long an instance that reads the store itself, or hears of a change from
+/// another failure domain, waits for its own news: the store's answer is some
+/// milliseconds away, and bytes between failure domains are paid for.
+const BEHIND: Duration = Duration::from_millis(250);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Whether tables are being asked for; one question at a time.
-pub type Pulling = Cell<bool>;
+/// Tables asked for from others.
+#[derive(Debug, Default)]
+pub struct Relay {
+    /// Whether a question is open; one at a time.
+    open: Cell<bool>,
+    /// Since when each table is known to be behind.
+    behind: RefCell<[Option<Time>; 3]>,
+    clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
+}
+
+impl Relay {
+    /// A table has taken changes in.
+    pub fn caught_up(&self, at: usize) {
+        self.behind.borrow_mut()[at] = None;
+    }
+}
 
 /// Listens for other instances.
 ///
@@ -69,7 +98,7 @@
         .and_then(|place| place.parse::<usize>().ok())
         .and_then(|at| state.mirrors.get(at));
     let json = mirror.and_then(|mirror| {
-        let wire = TableWire::new(mirror.version, mirror.rows());
+        let wire = TableWire::new(mirror);
         serde_json::to_vec(&wire).ok()
     });
     let mut answer = Response::new(Full::new(json.clone().unwrap_or_default().into()));
@@ -79,44 +108,70 @@
     answer
 }
 
-/// Asks another instance for tables that are newer there, while the store does
-/// not answer this one.
+/// Asks another instance for tables that are newer there, unless this one should
+/// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, beat: &Beat) {
-    if *node.store.borrow() || !beat.store || node.pulling.replace(true) {
+    let due = due(node, beat);
+    if due.is_empty() || node.relay.open.replace(true) {
         return;
     }
+    let node = Rc::clone(node);
+    spawn_local(async move {
+        for at in due {
+            pull(&node, from, at).await;
+        }
+        node.relay.open.set(false);
+    });
+}
+
+fn due<A: Adapter>(node: &Node<A>, beat: &Beat) -> Vec<usize> {
+    let now = node.clock.now();
     let known = node
         .state
         .borrow()
         .mirrors
         .each_ref()
-        .map(|mirror| mirror.version);
-    let newer: Vec<usize> = (0..known.len())
-        .filter(|at| beat.versions[*at] > known[*at])
-        .collect();
-    let node = Rc::clone(node);
-    spawn_local(async move {
-        for at in newer {
-            pull(&node, from, at).await;
+        .map(|mirror| mirror.changed);
+    let near = beat.domain == node.settings.domain.as_str();
+    let mut behind = node.relay.behind.borrow_mut();
+    let mut due = Vec::new();
+    for at in 0..known.len() {
+        if beat.versions[at] <= known[at] {
+            // Others may be ahead still; their own beats tell.
+            continue;
         }
-        sleep(PAUSE).await;
-        node.pulling.set(false);
-    });
+        let since = *behind[at].get_or_insert(now);
+        let waits = !near || (node.reads(at) && *node.store.borrow());
+        if !waits || now - since > BEHIND {
+            due.push(at);
+        }
+    }
+    due
 }
 
 async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, at: usize) {
     let mut request = Request::new(Bytes::new());
     *request.uri_mut() = format!("/tables/{at}").parse().unwrap_or_default();
-    let client = KeptClient::new(from, TABLE_MAX);
+    let client = {
+        let mut clients = node.relay.clients.borrow_mut();
+        let client = clients.entry(from);
+        client
+            .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
+            .clone()
+    };
     let answer = match client.call(request, PULL_TIME).await {
         Ok(answer) => answer,
-        Err(error) => return log::debug!("table {at} of {from}: {error}"),
+        Err(error) => {
+            log::debug!("table {at} of {from}: {error}");
+            sleep(PAUSE).await;
+            return;
+        }
     };
     match serde_json::from_slice::<TableWire>(answer.body()) {
-        Ok(wire) => node.take(at, wire.into(), true),
-        Err(error) => log::warn!(
-            "{} table {at} of {from}: {error}",
-            crate::events::DATAGRAM_REFUSED
-        ),
+        Ok(wire) => {
+            node.relay.caught_up(at);
+            node.take_over(at, wire);
+        }
+        Err(error) => log::warn!("{} table {at} of {from}: {error}", events::DATAGRAM_REFUSED),
     }
 }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -1,7 +1,7 @@
 //! Follows the store's tables.
 
 use {
-    super::{codec::MemberWire, node::Node},
+    super::{beat::Beat, codec::MemberWire, node::Node},
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     rand::Rng,
     std::{rc::Rc, time::Duration},
@@ -17,6 +17,8 @@
 /// How long for the planner: with it, its knowledge is a third as old as its
 /// silence after which others may take over.
 const WAIT_PLANNING: Duration = Duration::from_secs(4);
+/// How often an instance that does not read looks whether it should.
+const ROLE: Duration = Duration::from_millis(200);
 /// Pause between two questions: changes come in groups, and one question for
 /// all of a group is enough.
 const PAUSE: Duration = Duration::from_millis(60);
@@ -30,6 +32,10 @@
 pub async fn follow<A: Adapter>(node: Rc<Node<A>>, at: usize, table: RowTable) {
     let mut whole = true;
     loop {
+        if !whole && !node.reads(at) {
+            sleep(ROLE).await;
+            continue;
+        }
         let begun = node.clock.now();
         let after = node.state.borrow().mirrors[at].version;
         let store = node.adapter.store();
@@ -53,6 +59,25 @@
     }
 }
 
+impl<A: Adapter> Node<A> {
+    /// Whether this instance reads a table from the store, or hears of changes
+    /// from another one of its failure domain. The planner follows the maps
+    /// itself: it must know that it still has the seat.
+    pub fn reads(&self, at: usize) -> bool {
+        let state = self.state.borrow();
+        if state.planning && WATCHED[at] == RowTable::Ranges {
+            return true;
+        }
+        let now = self.clock.now();
+        let mut before = state.peers.live(now).filter(|(name, peer)| {
+            let able = |beat: &Beat| beat.store && !beat.leaving;
+            let near = peer.domain.as_ref() == Some(&self.settings.domain);
+            near && **name < self.settings.instance && peer.beat.as_ref().is_some_and(able)
+        });
+        before.next().is_none()
+    }
+}
+
 /// A planner that does not hear of the store must stop in time, so that it asks
 /// more often.
 fn wait<A: Adapter>(node: &Node<A>) -> Duration {
