Beats by failure domain where instances are many; loads of others kept up step by step

Cause: at 84 instances of a tenth of a core each everyone sent its beats, with all loads, to everyone: 1.06 GB between failure domains and the processors full; each beat was summed up over all reports anew. With sixteen others and more, instances hear those of their own domain, the planner hears all, and one instance of each other domain hears without loads.

--- a/crates/citronproxy/src/edge/control/chair.rs
+++ b/crates/citronproxy/src/edge/control/chair.rs
@@ -8,9 +8,12 @@
     super::{
         beat::Beat,
         node::{Holder, State},
-        peers::LOST,
+        peers::{LOST, Peer},
+    },
+    citron_core::{
+        id::{DomainName, InstanceId},
+        time::Time,
     },
-    citron_core::{id::InstanceId, time::Time},
     std::time::Duration,
 };
 
@@ -38,11 +41,21 @@
     }
 
     /// Whether this instance should claim the seat now.
-    pub fn claims(&mut self, state: &State, me: &InstanceId, start: u64, now: Time) -> bool {
+    pub fn claims(
+        &mut self,
+        state: &State,
+        me: &InstanceId,
+        domain: &DomainName,
+        start: u64,
+        now: Time,
+    ) -> bool {
         if !self.is_vacant(state, me, start, now) {
             self.vacant = None;
             return false;
         }
+        if !hears_planner(state, me, domain, now) {
+            return false;
+        }
         let since = *self.vacant.get_or_insert(now);
         now - since >= RANK * rank(state, me, now)
     }
@@ -89,6 +102,19 @@
     has_ended(state, holder) || beat.is_some_and(stopped)
 }
 
+/// Whether a planner's beats reach this instance: with many instances only in
+/// its failure domain, and the first one of each other.
+fn hears_planner(state: &State, me: &InstanceId, domain: &DomainName, now: Time) -> bool {
+    let near = |peer: &Peer| peer.domain.as_ref() == Some(domain);
+    let mut before = state.peers.live(now);
+    let first = !before.any(|(name, peer)| name < me && near(peer));
+    let planner = state
+        .seat
+        .as_ref()
+        .and_then(|seat| state.peers.get(&seat.holder.instance));
+    first || state.peers.hears_all() || planner.is_some_and(near)
+}
+
 /// Live instances that come before this one.
 fn rank(state: &State, me: &InstanceId, now: Time) -> u32 {
     let live = state.peers.live(now);
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -4,6 +4,7 @@
     super::{
         beat::{Beat, DATAGRAM_MAX, Datagram, KeysWire},
         node::Node,
+        peers::Round,
         relay,
     },
     crate::{edge::EdgeError, events},
@@ -13,11 +14,11 @@
     tokio::{net::UdpSocket, time::timeout},
 };
 
-/// Time between two beats with few instances.
+/// Time between two beats if few instances hear each other.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Added for each instance beyond a dozen, so that beats take the same part of
-/// a small processor at any number.
-const MORE: Duration = Duration::from_millis(8);
+/// So many are few. With a multiple of them the time is that multiple: beats
+/// then take the same part of a small processor at any number.
+const FEW: usize = 7;
 /// Keys in one datagram at most.
 const KEYS: usize = 400;
 
@@ -39,40 +40,52 @@
 }
 
 async fn send<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket) {
-    let mut round = 0;
+    let mut number = 0;
     loop {
         let now = node.clock.now();
-        let due = node
+        send_beats(node, socket, number).await;
+        send_keys(node, socket).await;
+        number += 1;
+        let reporting = node
             .state
             .borrow()
             .peers
-            .due(&node.settings.domain, round, now);
-        if !due.is_empty() {
-            let bytes = encode_beat(node.beat());
-            for address in due {
-                send_to(socket, &bytes, address).await;
-            }
-        }
-        send_keys(node, socket).await;
-        round += 1;
-        let count = node.state.borrow().peers.count(now);
-        let period = PERIOD + MORE * u32::try_from(count.saturating_sub(12)).unwrap_or(0);
+            .reporting(&node.settings.domain, now);
+        let period = PERIOD * u32::try_from(reporting / FEW).unwrap_or(1).max(1);
         if timeout(period, node.hurry.notified()).await.is_ok() {
             // Something that all should know at once.
-            round = 0;
+            number = 0;
         }
     }
 }
 
-/// A beat as bytes; without loads if it would not fit.
-fn encode_beat(beat: Beat) -> Vec<u8> {
-    let whole = Datagram::Beat(beat.clone()).encode();
-    whole.unwrap_or_else(|| {
-        let loads = Vec::new();
-        Datagram::Beat(Beat { loads, ..beat })
-            .encode()
-            .unwrap_or_default()
-    })
+async fn send_beats<A: Adapter>(node: &Node<A>, socket: &UdpSocket, number: u64) {
+    let due = {
+        let state = node.state.borrow();
+        let round = Round {
+            number,
+            domain: &node.settings.domain,
+            planner: state.seat.as_ref().map(|seat| &seat.holder.instance),
+            planning: state.planning,
+        };
+        state.peers.due(&round, node.clock.now())
+    };
+    if due.is_empty() {
+        return;
+    }
+    let beat = node.beat();
+    let short = Datagram::Beat(Beat {
+        loads: Vec::new(),
+        ..beat.clone()
+    });
+    let short = short.encode().unwrap_or_default();
+    let whole = Datagram::Beat(beat)
+        .encode()
+        .unwrap_or_else(|| short.clone());
+    for to in due {
+        let bytes = if to.loads { &whole } else { &short };
+        send_to(socket, bytes, to.address).await;
+    }
 }
 
 async fn send_to(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
@@ -145,13 +158,12 @@
         return;
     }
     let now = node.clock.now();
-    let loads = beat
-        .loads
-        .iter()
-        .filter_map(|load| load.clone().try_into().ok());
-    node.board
-        .loads()
-        .report(name.clone(), loads.collect(), now);
+    if node.hears_loads(&beat) {
+        let loads = beat.loads.iter();
+        let loads = loads.filter_map(|load| load.clone().try_into().ok());
+        let mut book = node.board.loads();
+        book.report(name.clone(), loads.collect(), now);
+    }
     relay::catch_up(node, from, &beat);
     let new = node.state.borrow_mut().peers.heard(&name, from, beat, now);
     if new {
@@ -162,6 +174,15 @@
 }
 
 impl<A: Adapter> Node<A> {
+    /// Whether a beat tells its sender's loads. Without any it may say that there
+    /// are none, or only that this instance is not told.
+    fn hears_loads(&self, beat: &Beat) -> bool {
+        if !beat.loads.is_empty() {
+            return true;
+        }
+        beat.domain == self.settings.domain.as_str() || self.state.borrow().peers.hears_all()
+    }
+
     /// Counts requests for keys, if this instance plans.
     fn note_keys(&self, service: &str, keys: &[u16]) {
         let Ok(service) = service.parse() else { return };
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -328,6 +328,7 @@
         if state.mirrors[1].version == 0 {
             return;
         }
+        let now = self.clock.now();
         let mut servers: BTreeMap<ServiceName, Vec<Known>> = BTreeMap::new();
         for known in state.registry.iter() {
             let of_service = servers.entry(known.entry.service.clone()).or_default();
@@ -340,7 +341,8 @@
             maps: maps
                 .map(|(service, (map, _))| (service.clone(), Arc::clone(map)))
                 .collect(),
-            instances: state.peers.count(self.clock.now()),
+            instances: state.peers.count(&self.settings.domain, now),
+            reporting: state.peers.reporting(&self.settings.domain, now),
         });
     }
 
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -15,6 +15,9 @@
 /// After so long it is left alone but for a beat now and then.
 const SILENT: Duration = Duration::from_secs(10);
 
+/// From so many others on beats go by failure domain.
+const MANY: usize = 16;
+
 /// Another instance.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -82,28 +85,88 @@
             .filter(move |(_, peer)| is_live(peer, now))
     }
 
-    /// Those to send a beat to: in the own failure domain each time, in others
-    /// every third time, and those that are silent every twentieth.
-    pub fn due(&self, domain: &DomainName, round: u64, now: Time) -> Vec<SocketAddr> {
-        let due = |peer: &&Peer| {
+    /// Where beats go now. With few instances everyone hears everyone, those in
+    /// other failure domains every third time. With many, a failure domain's
+    /// instances hear each other, the planner hears all, and one instance of each
+    /// other domain hears without loads: what an instance sends and takes in must
+    /// not grow with the number of all.
+    pub fn due(&self, round: &Round<'_>, now: Time) -> Vec<Recipient> {
+        let many = self.peers.len() >= MANY;
+        let leads = self.leads(round.domain, now);
+        let due = |(name, peer): (&InstanceId, &Peer)| {
+            let near = peer.domain.as_ref() == Some(round.domain);
+            let planner = round.planner == Some(name);
             let known = peer.heard.unwrap_or(peer.added);
-            let near = peer.domain.as_ref() == Some(domain);
-            match (now - known > SILENT, near) {
-                (true, _) => round.is_multiple_of(20),
-                (false, true) => true,
-                (false, false) => round.is_multiple_of(3),
-            }
+            let silent = now - known > SILENT && (near || !many);
+            let often = match (silent, near) {
+                (true, _) => 20,
+                (false, true) => 1,
+                (false, false) => 3,
+            };
+            let listens = !many || near || planner || round.planning || leads.contains(&name);
+            (listens && round.number.is_multiple_of(often)).then_some(Recipient {
+                address: peer.address,
+                loads: !many || near || planner,
+            })
         };
-        let peers = self.peers.values().filter(due);
-        peers.map(|peer| peer.address).collect()
+        self.peers.iter().filter_map(due).collect()
+    }
+
+    /// The first instance of each other failure domain.
+    fn leads(&self, domain: &DomainName, now: Time) -> Vec<&InstanceId> {
+        let mut leads: BTreeMap<&DomainName, &InstanceId> = BTreeMap::new();
+        for (name, peer) in &self.peers {
+            let gone = peer.heard.is_some_and(|heard| now - heard > SILENT);
+            if let Some(of) = peer.domain.as_ref().filter(|of| *of != domain && !gone) {
+                leads.entry(of).or_insert(name);
+            }
+        }
+        leads.into_values().collect()
+    }
+
+    /// Whether beats of all instances reach this one.
+    pub fn hears_all(&self) -> bool {
+        self.peers.len() < MANY
     }
 
-    /// How many instances there are, this one included, by those that are live
-    /// and those that were not heard yet.
-    pub fn count(&self, now: Time) -> usize {
-        let counted = |peer: &&Peer| now - peer.heard.unwrap_or(peer.added) < SILENT;
+    /// How many instances there are, this one included: those that are live or
+    /// were not heard yet, and with many those of other failure domains.
+    pub fn count(&self, domain: &DomainName, now: Time) -> usize {
+        let counted = |peer: &&Peer| {
+            let far = peer.domain.as_ref() != Some(domain);
+            let lately = now - peer.heard.unwrap_or(peer.added) < SILENT;
+            lately || (far && !self.hears_all())
+        };
         1 + self.peers.values().filter(counted).count()
     }
+
+    /// How many instances report their loads to this one, itself included.
+    pub fn reporting(&self, domain: &DomainName, now: Time) -> usize {
+        let near = |peer: &Peer| peer.domain.as_ref() == Some(domain) || self.hears_all();
+        1 + self.live(now).filter(|(_, peer)| near(peer)).count()
+    }
+}
+
+/// One round of beats.
+#[derive(Debug)]
+pub struct Round<'a> {
+    /// Its number.
+    pub number: u64,
+    /// The sender's failure domain.
+    pub domain: &'a DomainName,
+    /// The instance that plans.
+    pub planner: Option<&'a InstanceId>,
+    /// Whether that is the sender.
+    pub planning: bool,
+}
+
+/// Where a beat goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recipient {
+    /// The address.
+    pub address: SocketAddr,
+    /// Whether it is told of loads.
+    pub loads: bool,
 }
 
 fn is_live(peer: &Peer, now: Time) -> bool {
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -161,7 +161,14 @@
     let ready =
         *node.store.borrow() && !node.leaving() && state.mirrors.iter().all(|m| m.version > 0);
     let now = node.clock.now();
-    ready && chair.claims(&state, &node.settings.instance, node.start, now)
+    ready
+        && chair.claims(
+            &state,
+            &node.settings.instance,
+            &node.settings.domain,
+            node.start,
+            now,
+        )
 }
 
 async fn take_seat<A: Adapter>(
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -246,16 +246,16 @@
     }
 
     fn log_try(&self, server: &Known, end: &TryEnd) {
-        let name = &server.entry.name;
-        let what = match end {
-            TryEnd::Answered(answer) if !answer.status().is_server_error() => return,
-            TryEnd::Answered(answer) => answer.status().to_string(),
-            other => format!("{other:?}"),
-        };
+        if let TryEnd::Answered(answer) = end
+            && !answer.status().is_server_error()
+        {
+            return;
+        }
         log::info!(
-            "{} id={} server={name} epoch={} waited={:?}: {what}",
+            "{} id={} server={} epoch={} waited={:?}: {end}",
             events::TRY_FAILED,
             self.id,
+            server.entry.name,
             self.epoch(),
             self.waited()
         );
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -19,7 +19,7 @@
     http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{rc::Rc, sync::Arc, time::Duration},
+    std::{fmt, rc::Rc, sync::Arc, time::Duration},
     tokio::{sync::Notify, time::timeout},
 };
 
@@ -50,6 +50,18 @@
     Lost(String),
 }
 
+impl fmt::Display for TryEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered(answer) => write!(f, "answered {}", answer.status()),
+            Self::Refused => f.write_str("refused, not run"),
+            Self::Misdirected => f.write_str("not the owner, not run"),
+            Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::Lost(reason) => write!(f, "lost: {reason}"),
+        }
+    }
+}
+
 /// A request's place at a server, counted until it is dropped.
 #[derive(Debug)]
 pub struct Slot {
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -82,7 +82,7 @@
     {
         return Target::None;
     }
-    pick(front, wish, [known].into_iter())
+    pick(front, view, wish, [known].into_iter())
 }
 
 fn find_any(front: &Front, view: &View, wish: &Wish<'_>) -> Target {
@@ -94,13 +94,14 @@
     let fresh = |known: &&Known| !wish.tried.contains(&known.entry.name);
     let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
     match untried.is_empty() {
-        true => pick(front, wish, open.into_iter()),
-        false => pick(front, wish, untried.into_iter()),
+        true => pick(front, view, wish, open.into_iter()),
+        false => pick(front, view, wish, untried.into_iter()),
     }
 }
 
 fn pick<'a>(
     front: &Front,
+    view: &View,
     wish: &Wish<'_>,
     servers: impl Iterator<Item = &'a Known> + Clone,
 ) -> Target {
@@ -109,9 +110,20 @@
         objective: wish.objective - now,
         deadline: wish.deadline - now,
     };
-    let candidates = servers.clone().map(|server| Candidate {
-        server,
-        near: server.entry.domain == front.settings.domain,
+    // Owners of keys, and servers of other failure domains, get requests from
+    // instances that do not report here.
+    let unheard = view.instances as f64 / view.reporting.max(1) as f64;
+    let candidates = servers.clone().map(|server| {
+        let near = server.entry.domain == front.settings.domain;
+        let scale = match near && wish.key.is_none() {
+            true => 1.0,
+            false => unheard.max(1.0),
+        };
+        Candidate {
+            server,
+            near,
+            scale,
+        }
     });
     let loads = front.board.loads();
     let mut rng = rand::rng();
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -21,6 +21,8 @@
     pub maps: BTreeMap<ServiceName, Arc<RangeMap>>,
     /// Instances that share the retry budget.
     pub instances: usize,
+    /// Those of them whose loads this instance hears of.
+    pub reporting: usize,
 }
 
 impl View {
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -78,33 +78,33 @@
 
     /// Replaces what another instance says of servers.
     pub fn report(&mut self, from: InstanceId, loads: Vec<PeerLoad>, now: Time) {
-        let heard = now;
-        self.reports.insert(from, Report { heard, loads });
-        self.reports
-            .retain(|_, report| now - report.heard < REPORT_TIME);
-        self.sum_up();
-    }
-
-    fn sum_up(&mut self) {
-        for load in self.servers.values_mut() {
-            load.peers = 0;
-            load.peer_run = None;
-        }
-        let mut samples: BTreeMap<&ServerName, u32> = BTreeMap::new();
-        for said in self.reports.values().flat_map(|report| &report.loads) {
+        for said in &loads {
             let load = self.servers.entry(said.server.clone()).or_default();
             load.peers += said.busy;
             if let Some(run) = said.run {
-                let count = samples.entry(&said.server).or_default();
-                *count += 1;
-                let former = load.peer_run.unwrap_or(run);
-                load.peer_run = Some(former + (run - former) / f64::from(*count));
+                load.note_peer_run(run, now);
+            }
+        }
+        let heard = now;
+        let former = self.reports.insert(from, Report { heard, loads });
+        self.take_back(former);
+        let old = |report: &Report| now - report.heard >= REPORT_TIME;
+        let gone = self.reports.iter().find(|(_, report)| old(report));
+        if let Some(name) = gone.map(|(name, _)| name.clone()) {
+            let report = self.reports.remove(&name);
+            self.take_back(report);
+        }
+    }
+
+    fn take_back(&mut self, report: Option<Report>) {
+        for said in report.into_iter().flat_map(|report| report.loads) {
+            if let Some(load) = self.servers.get_mut(&said.server) {
+                load.peers = load.peers.saturating_sub(said.busy);
             }
         }
     }
 
-    /// What this instance says of servers; those it has nothing to say of are
-    /// left out.
+    /// What this instance says of servers; those without a request are left out.
     pub fn own(&self, now: Time) -> Vec<PeerLoad> {
         let said = self.servers.iter().map(|(server, load)| PeerLoad {
             server: server.clone(),
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -33,6 +33,9 @@
     pub server: &'a Known,
     /// Whether it is in this instance's failure domain.
     pub near: bool,
+    /// All requests at the server for each that this instance knows of; above 1
+    /// where only some of the other instances report to it.
+    pub scale: f64,
 }
 
 /// What a request needs.
@@ -71,7 +74,7 @@
         let entry = &candidate.server.entry;
         let load = book.get(&entry.name);
         let run = run_time(load, candidate.server, now);
-        let wait = waiting(load, entry.slots.0, run);
+        let wait = waiting(load, candidate.scale, entry.slots.0, run);
         if load.is_down(now) || load.is_full(now) || run + wait > limit(ask, run) {
             room = room.min(Duration::from_secs_f64(
                 wait + run / f64::from(entry.slots.0),
@@ -112,7 +115,8 @@
 }
 
 /// How long a request waits for a slot.
-fn waiting(load: &ServerLoad, slots: u32, run: f64) -> f64 {
-    let ahead = (load.busy() + 1).saturating_sub(slots);
-    f64::from(ahead) * run / f64::from(slots)
+fn waiting(load: &ServerLoad, scale: f64, slots: u32, run: f64) -> f64 {
+    let slots = f64::from(slots);
+    let ahead = f64::from(load.busy()) * scale + 1.0 - slots;
+    ahead.max(0.0) * run / slots
 }
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -42,7 +42,8 @@
     run: Option<f64>,
     sampled: Time,
     /// The same, as other instances see it.
-    pub peer_run: Option<f64>,
+    peer_run: Option<f64>,
+    peer_sampled: Time,
     /// Part of the latest tries that were refused or failed.
     refused: f64,
     full_until: Time,
@@ -63,7 +64,8 @@
 
     /// The run time over all instances, in seconds.
     pub fn run(&self, now: Time) -> Option<f64> {
-        match (self.own_run(now), self.peer_run) {
+        let peers = self.peer_run.filter(|_| now - self.peer_sampled < STALE);
+        match (self.own_run(now), peers) {
             (Some(own), Some(peer)) => Some((own + 2.0 * peer) / 3.0),
             (own, peer) => own.or(peer),
         }
@@ -84,6 +86,14 @@
         self.refused
     }
 
+    /// Learns from another instance's run time, in seconds.
+    pub fn note_peer_run(&mut self, run: f64, now: Time) {
+        let former = self.peer_run.filter(|_| now - self.peer_sampled < STALE);
+        let former = former.unwrap_or(run);
+        self.peer_run = Some(former + (run - former) * NEW);
+        self.peer_sampled = now;
+    }
+
     /// Learns from a try that took `span`; `alone` if a slot was free at its
     /// begin, so that the span is all run time.
     pub fn note(&mut self, finish: Finish, span: Duration, alone: bool, now: Time) {
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -37,9 +37,11 @@
 }
 
 fn pick(book: &LoadBook, servers: &[Known], ask: Ask) -> Choice {
-    let candidates = servers
-        .iter()
-        .map(|server| Candidate { server, near: true });
+    let candidates = servers.iter().map(|server| Candidate {
+        server,
+        near: true,
+        scale: 1.0,
+    });
     choose(book, candidates, ask, NOW, || 0.5)
 }
 
@@ -144,9 +146,11 @@
     ));
     let later = NOW + Duration::from_secs(5);
     let candidates = || {
-        servers
-            .iter()
-            .map(|server| Candidate { server, near: true })
+        servers.iter().map(|server| Candidate {
+            server,
+            near: true,
+            scale: 1.0,
+        })
     };
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
     assert_eq!(chosen, Choice::Send(name.clone()));
@@ -165,5 +169,13 @@
     assert_eq!(book.get(&name).busy(), 10);
     let later = NOW + Duration::from_secs(2);
     book.report("peer-2".parse().unwrap(), Vec::new(), later);
+    // Reports replace one another, and never add up.
+    let load = |busy| PeerLoad {
+        server: name.clone(),
+        busy,
+        run: None,
+    };
+    book.report("peer-2".parse().unwrap(), vec![load(3)], later);
+    book.report("peer-2".parse().unwrap(), Vec::new(), later);
     assert_eq!(book.get(&name).busy(), 0);
 }
