--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -5,7 +5,7 @@
         answer::{AnswerBody, come_back, own},
         exchange::{Message, TryEnd, send},
         front::Front,
-        target::{Target, Wish, find},
+        target::{Stale, Target, Wish, find},
     },
     crate::{edge::view::View, events},
     citron_core::{
@@ -30,6 +30,11 @@
 const MOVE_AGAIN: Duration = Duration::from_millis(300);
 /// When a caller comes back that was refused by servers, not by this instance.
 const REFUSED_AGAIN: Duration = Duration::from_millis(200);
+/// How long a new owner's grant may be behind the map that names it, halved: the
+/// planner sends it some milliseconds after the commit.
+const GRANT_WAIT: Duration = Duration::from_millis(20);
+/// Owners that did not have the key, after which the caller comes back later.
+const MISDIRECTED: u32 = 3;
 /// Less than this is no time for another try.
 const TRY_MIN: Duration = Duration::from_millis(60);
 
@@ -52,8 +57,10 @@
     pub id: &'a str,
     /// Servers that have had it.
     pub tried: Vec<ServerName>,
-    /// The owner and epoch that proved wrong.
-    pub stale: Option<(ServerName, Epoch)>,
+    /// The owner that did not have the key.
+    pub stale: Option<Stale>,
+    /// How often an owner did not.
+    pub misdirected: u32,
     /// Whether it may be running, or have run.
     pub doubtful: bool,
 }
@@ -98,8 +105,7 @@
             }
             TryEnd::Misdirected => {
                 self.doubtful = doubtful;
-                self.stale = Some((name.clone(), self.epoch()));
-                self.may_retry(name)
+                self.may_ask_owner(name)
             }
             TryEnd::Lost(_) => {
                 let retry = self.may_retry(name);
@@ -136,6 +142,21 @@
         self.tried.len() < self.tries() && left > TRY_MIN && self.front.take_retry(self.service)
     }
 
+    /// Whether an owner is asked again after one that did not have the key. It has
+    /// not run, and does not count as one of the tries: a move takes a release, a
+    /// commit and a grant, and each of them may be overtaken by a request.
+    fn may_ask_owner(&mut self, owner: ServerName) -> bool {
+        self.misdirected += 1;
+        let now = self.front.clock.now();
+        self.stale = Some(Stale {
+            owner,
+            epoch: self.epoch(),
+            until: now + GRANT_WAIT * (1 << self.misdirected.min(4)),
+        });
+        let left = self.message.deadline - now;
+        self.misdirected <= MISDIRECTED && left > TRY_MIN && self.front.take_retry(self.service)
+    }
+
     fn tries(&self) -> usize {
         self.rule.attempts as usize
     }
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -114,6 +114,7 @@
         id: id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
         tried: Vec::new(),
         stale: None,
+        misdirected: 0,
         doubtful: false,
     };
     call.run().await
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -44,8 +44,20 @@
     pub deadline: Time,
     /// Servers that have had it.
     pub tried: &'a [ServerName],
-    /// The owner and the epoch that proved wrong.
-    pub stale: Option<&'a (ServerName, Epoch)>,
+    /// The owner that did not have the key.
+    pub stale: Option<&'a Stale>,
+}
+
+/// An owner that did not have the key: it has given it up, or was not granted it
+/// yet.
+#[derive(Debug)]
+pub struct Stale {
+    /// The owner.
+    pub owner: ServerName,
+    /// The epoch under which it should have had the key.
+    pub epoch: Epoch,
+    /// When it may be asked again under that epoch.
+    pub until: Time,
 }
 
 /// Finds the server for a request.
@@ -64,16 +76,15 @@
     let Some(owner) = &slice.owner else {
         return Target::None;
     };
-    if wish
-        .stale
-        .is_some_and(|(name, epoch)| name == owner && *epoch >= slice.epoch)
-    {
+    let now = front.clock.now();
+    let is_stale =
+        |stale: &Stale| stale.owner == *owner && stale.epoch >= slice.epoch && now < stale.until;
+    if wish.stale.is_some_and(is_stale) {
         return Target::Moving;
     }
     let Some(known) = view.server(wish.service, owner) else {
         return Target::None;
     };
-    let now = front.clock.now();
     if known.ended {
         return Target::Moving;
     }
