--- a/crates/citronproxy/src/edge/control/orders.rs
+++ b/crates/citronproxy/src/edge/control/orders.rs
@@ -2,6 +2,7 @@
 
 use {
     super::node::Node,
+    crate::events,
     bytes::Bytes,
     citron_core::{
         id::ServerName,
@@ -64,13 +65,19 @@
             Ok(StatusCode::OK) => OrderEnd::Done { handover: None },
             Ok(StatusCode::CONFLICT) => {
                 log::info!(
-                    "grant of {} to {owner}: a higher epoch was seen",
-                    slice.range
+                    "{} {} at {owner}, epoch {}: a higher one was seen",
+                    events::GRANT_REFUSED,
+                    slice.range,
+                    slice.epoch
                 );
                 OrderEnd::Outdated
             }
             Ok(status) => {
-                log::warn!("grant of {} to {owner}: {status}", slice.range);
+                log::warn!(
+                    "{} {} at {owner}: {status}",
+                    events::GRANT_REFUSED,
+                    slice.range
+                );
                 OrderEnd::Unknown
             }
             Err(error) => {
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -288,7 +288,17 @@
         };
         if matches!(result.order, Order::Commit(_)) {
             match result.end {
-                OrderEnd::Done { .. } => post.version = result.version,
+                OrderEnd::Done { .. } => {
+                    post.version = result.version;
+                    log::info!(
+                        "{} service={} version={} slices={} moves={}",
+                        events::KEYS_MOVED,
+                        result.service,
+                        post.version,
+                        post.steward.map().slices().len(),
+                        post.steward.moves()
+                    );
+                }
                 OrderEnd::Outdated => {
                     // Something else lies in the store: it counts.
                     let state = node.state.borrow();
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -103,6 +103,10 @@
     MAP_REFUSED = 431, "own-row-refused";
     /// How even the load of a service's servers is, while its keys move.
     BALANCE = 432, "balance";
+    /// A server did not take a grant.
+    GRANT_REFUSED = 433, "grant-refused";
+    /// A map with new owners was written.
+    KEYS_MOVED = 434, "keys-moved";
     /// Another instance was heard of for the first time, or again.
     PEER_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
