Requests that crash servers are kept from them, over all instances

A lost try counts as a crash only if nobody listens at the server's address right after it, and once for each start of a server; counts travel with beats. Tests in crates/core/tests/crash.rs.

--- a/crates/citronproxy/src/edge/board.rs
+++ b/crates/citronproxy/src/edge/board.rs
@@ -3,7 +3,12 @@
 use {
     super::view::View,
     arc_swap::ArcSwapOption,
-    citron_core::{dispatch::LoadBook, id::ServiceName, ranges::RangeKey},
+    citron_core::{
+        crash::{CrashConfig, CrashLog},
+        dispatch::LoadBook,
+        id::ServiceName,
+        ranges::RangeKey,
+    },
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::watch,
 };
@@ -19,6 +24,7 @@
     published: watch::Sender<u64>,
     loads: Mutex<LoadBook>,
     keys: Mutex<Vec<(ServiceName, RangeKey)>>,
+    crashes: Mutex<CrashLog>,
     leaving: watch::Sender<bool>,
 }
 
@@ -29,6 +35,7 @@
             published: watch::Sender::new(0),
             loads: Mutex::default(),
             keys: Mutex::default(),
+            crashes: Mutex::new(CrashLog::new(CrashConfig::STARTS)),
             leaving: watch::Sender::new(false),
         }
     }
@@ -70,6 +77,11 @@
         std::mem::take(&mut *keys)
     }
 
+    /// Requests that crash servers.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashLog> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The instance was asked to leave.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -8,7 +8,10 @@
         relay,
     },
     crate::{edge::EdgeError, events},
-    citron_core::{id::InstanceId, ranges::RangeKey},
+    citron_core::{
+        id::{Incarnation, InstanceId},
+        ranges::RangeKey,
+    },
     citron_ports::Adapter,
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::timeout},
@@ -164,6 +167,10 @@
         let mut book = node.board.loads();
         book.report(name.clone(), loads.collect(), now);
     }
+    if let Some(crashes) = beat.crashes.clone() {
+        let sender = (name.clone(), Incarnation(beat.start));
+        node.board.crashes().merge(sender, crashes.into(), now);
+    }
     relay::catch_up(node, from, &beat);
     let new = node.state.borrow_mut().peers.heard(&name, from, beat, now);
     if new {
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        beat::Beat,
+        beat::{Beat, CrashesWire},
         codec::{MAP, MapWire, PLANNER, SeatWire, TableWire},
         demands::Demands,
         gossip,
@@ -346,6 +346,14 @@
         });
     }
 
+    fn crashes(&self) -> Option<CrashesWire> {
+        let mut crashes = self.board.crashes();
+        let report = (!crashes.is_empty()).then(|| crashes.report(self.clock.now()));
+        report
+            .filter(|report| !report.counts.is_empty() || !report.lifts.is_empty())
+            .map(Into::into)
+    }
+
     /// What this instance tells others now.
     pub fn beat(&self) -> Beat {
         let loads = self.board.loads().own(self.clock.now());
@@ -360,6 +368,7 @@
             versions: [0, 1, 2].map(|at: usize| state.mirrors[at].changed),
             seat: state.seat.as_ref().map_or(0, |seat| seat.version),
             loads: loads.into_iter().map(Into::into).collect(),
+            crashes: self.crashes(),
         }
     }
 }
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -3,12 +3,14 @@
 use {
     super::{
         answer::{AnswerBody, come_back, own},
+        crash,
         exchange::{Message, TryEnd, send},
         front::Front,
         target::{Stale, Target, Wish, find},
     },
     crate::{edge::view::View, events},
     citron_core::{
+        crash::Fingerprint,
         id::{Epoch, ServerName, ServiceName},
         ranges::RangeKey,
         registry::Known,
@@ -79,6 +81,9 @@
                 Ok(server) => server,
                 Err(answer) => return answer,
             };
+            if let Some(again) = self.quarantined() {
+                return self.refuse(again, "requests like it crash servers");
+            }
             // Until it ends, this try may be running.
             let doubtful = std::mem::replace(&mut self.doubtful, true);
             let end = send(self.front, &server, &self.message).await;
@@ -91,7 +96,7 @@
 
     /// Learns from a try; the answer if it is the last one.
     fn take(&mut self, server: Known, end: TryEnd, doubtful: bool) -> Option<Response<AnswerBody>> {
-        let name = server.entry.name;
+        let name = server.entry.name.clone();
         let retry = match end {
             TryEnd::Answered(answer) => return self.answered(name, answer),
             TryEnd::NotSent(_) => {
@@ -108,6 +113,7 @@
                 self.may_ask_owner(name)
             }
             TryEnd::Lost(_) => {
+                crash::look(self.front, &server.entry, self.print(), &self.message);
                 let retry = self.may_retry(name);
                 retry && self.message.repeat == Repeat::Idempotent
             }
@@ -125,6 +131,11 @@
         answer: Response<AnswerBody>,
     ) -> Option<Response<AnswerBody>> {
         let failed = answer.status().is_server_error();
+        let mut crashes = self.front.board.crashes();
+        if !failed && !crashes.is_empty() {
+            crashes.answered(self.print(), self.front.clock.now());
+        }
+        drop(crashes);
         if failed && self.message.repeat == Repeat::Idempotent && self.may_retry(server) {
             return None;
         }
@@ -135,6 +146,23 @@
         })
     }
 
+    /// What the same request sent again has in common with this one.
+    fn print(&self) -> Fingerprint {
+        let head = self.message.head;
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let body = self.message.source.kept();
+        Fingerprint::of(&[head.method.as_str().as_bytes(), path.as_bytes(), &body])
+    }
+
+    /// How much longer requests like this one are kept from servers.
+    fn quarantined(&self) -> Option<Duration> {
+        let crashes = self.front.board.crashes();
+        if crashes.is_empty() {
+            return None;
+        }
+        crashes.refused(self.print(), self.front.clock.now())
+    }
+
     /// Counts a try, and takes another from the budget.
     fn may_retry(&mut self, server: ServerName) -> bool {
         self.tried.push(server);
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod crash;
 mod exchange;
 mod front;
 mod hold;
--- a/crates/core/src/crash/log.rs
+++ b/crates/core/src/crash/log.rs
@@ -18,6 +18,9 @@
     pub hold: Duration,
     /// Fingerprints that one instance counts; the oldest give way.
     pub entries: usize,
+    /// Whether servers are named by their starts, each of which crashes once at
+    /// most: more losses at one of them are a cut, and no crash.
+    pub starts: bool,
 }
 
 impl CrashConfig {
@@ -26,6 +29,16 @@
         crashes: 3,
         hold: Duration::from_secs(600),
         entries: 256,
+        starts: false,
+    };
+
+    /// For servers that are named by their starts. Half a minute outlasts three
+    /// crashes of one server after the other, each away for some seconds; a
+    /// request refused without reason should not be for long.
+    pub const STARTS: Self = Self {
+        hold: Duration::from_secs(30),
+        starts: true,
+        ..Self::STANDARD
     };
 }
 
@@ -93,6 +106,11 @@
         }
     }
 
+    /// Whether there is nothing to compare requests with.
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.peers.is_empty() && self.lifts.is_empty()
+    }
+
     /// A connection died after a part of the request was written to it. Timeouts
     /// and refused connections are no crashes.
     pub fn crashed(&mut self, print: Fingerprint, label: &str, server: &ServerName, now: Time) {
@@ -104,7 +122,9 @@
             ends,
             last: None,
         });
-        let same = |(name, at): &(ServerName, Time)| name == server && now - *at < SAME_CRASH;
+        let starts = self.config.starts;
+        let same =
+            |(name, at): &(ServerName, Time)| name == server && (starts || now - *at < SAME_CRASH);
         if !count.last.as_ref().is_some_and(same) {
             count.crashes += 1;
         }
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -185,3 +185,23 @@
     other.report(at(600));
     assert_eq!(other.entries(at(600)).len(), 0);
 }
+
+/// Servers are named by their starts. A failure domain is cut off, and requests
+/// for one busy key are lost at its owner again and again: a start crashes once,
+/// so that all these losses are one crash at most, and callers of the key are not
+/// refused for it. The same request at three starts is another matter.
+#[test]
+fn a_start_crashes_once() {
+    let mut log = CrashLog::new(CrashConfig::STARTS);
+    let print = Fingerprint::of(&[b"GET", b"/bars/7"]);
+    let at = |second| Time::ZERO + Duration::from_secs(second);
+    for second in 0..6 {
+        log.crashed(print, "GET /bars/7", &"i-1".parse().unwrap(), at(second));
+    }
+    assert_eq!(log.refused(print, at(6)), None);
+    for (second, name) in [(7, "i-2"), (8, "i-3")] {
+        log.crashed(print, "GET /bars/7", &name.parse().unwrap(), at(second));
+    }
+    assert!(log.refused(print, at(9)).is_some());
+    assert_eq!(log.refused(print, at(39)), None);
+}
