--- /dev/null
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -0,0 +1,145 @@
+//! Rows from outside, and the product's own, taken in one by one.
+
+use {
+    super::{
+        codec::{MAP, MapWire, PLANNER, SeatWire, TableWire},
+        node::{Holder, Node, Seat, State},
+        watch::WATCHED,
+    },
+    crate::events,
+    citron_core::ranges::RangeMap,
+    citron_ports::{Adapter, Row, RowSet, RowTable},
+    std::sync::Arc,
+};
+
+impl<A: Adapter> Node<A> {
+    /// Takes in what the store said of a watched table; `whole` if these are all
+    /// rows there are. Other instances hear of changes at once.
+    pub fn take(&self, at: usize, set: RowSet, whole: bool) {
+        let changed = {
+            let mirror = &mut self.state.borrow_mut().mirrors[at];
+            match whole {
+                true => mirror.replace(set),
+                false => mirror.apply(set, 0),
+            }
+        };
+        if self.take_rows(at, &changed) {
+            self.hurry.notify_one();
+        }
+    }
+
+    /// Takes in what has changed by another instance's word.
+    pub fn take_over(&self, at: usize, table: TableWire) {
+        let newest = table.changed;
+        let changed = self.state.borrow_mut().mirrors[at].apply(table.into(), newest);
+        self.take_rows(at, &changed);
+    }
+
+    /// Whether there was anything to take in.
+    fn take_rows(&self, at: usize, changed: &[Row]) -> bool {
+        if changed.is_empty() {
+            return false;
+        }
+        self.relay.caught_up(at);
+        let mut state = self.state.borrow_mut();
+        for row in changed {
+            match WATCHED[at] {
+                RowTable::Config => self.take_config(&mut state, row),
+                RowTable::Servers => self.take_server(&mut state, row),
+                RowTable::Ranges | RowTable::Members => self.take_range(&mut state, row),
+            }
+        }
+        drop(state);
+        self.publish();
+        self.wake.notify_one();
+        true
+    }
+
+    /// The newest configuration counts, whatever comes in which order; one that
+    /// cannot be read leaves the last good one in force.
+    fn take_config(&self, state: &mut State, row: &Row) {
+        let config = match self.adapter.config(row) {
+            Ok(Some(config)) => config,
+            Ok(None) => return,
+            Err(error) => {
+                log::error!("{} {error}", events::CONFIG_REFUSED);
+                return;
+            }
+        };
+        let known = state.config.as_ref().map(|config| config.version);
+        if known.is_none_or(|known| config.version > known) {
+            log::info!("{} version {}", events::CONFIG, config.version);
+            state.config = Some(Arc::new(config));
+        }
+    }
+
+    fn take_server(&self, state: &mut State, row: &Row) {
+        let now = self.clock.now();
+        if row.value.is_none() {
+            if let Ok(name) = row.key.parse() {
+                log::info!("{} {name}: listed no more", events::SERVER_STATE);
+                state.registry.removed(&name, now);
+            }
+            return;
+        }
+        match self.adapter.server(row) {
+            Ok(entry) => {
+                log::info!("{} {}: {:?}", events::SERVER_STATE, entry.name, entry.state);
+                state.registry.listed(entry, now);
+            }
+            Err(error) => log::error!("{} {error}", events::SERVER_REFUSED),
+        }
+    }
+
+    fn take_range(&self, state: &mut State, row: &Row) {
+        if row.key == PLANNER {
+            state.seat = row
+                .value
+                .as_deref()
+                .and_then(|value| seat(value, row.version));
+            log::info!("{} {:?}", events::PLANNER, state.seat);
+        }
+        let Some(service) = row.key.strip_prefix(MAP) else {
+            return;
+        };
+        let (Ok(service), Some(value)) = (service.parse(), row.value.as_deref()) else {
+            return;
+        };
+        match decode_map(value) {
+            Ok(map) => {
+                let known = state.maps.get(&service).map_or(0, |(_, version)| *version);
+                if row.version > known {
+                    state.maps.insert(service, (Arc::new(map), row.version));
+                }
+            }
+            Err(error) => log::error!("{} {}: {error}", events::MAP_REFUSED, row.key),
+        }
+    }
+}
+
+fn seat(value: &[u8], version: u64) -> Option<Seat> {
+    let wire: SeatWire = serde_json::from_slice(value)
+        .inspect_err(|error| log::error!("{} {PLANNER}: {error}", events::MAP_REFUSED))
+        .ok()?;
+    let holder = |instance: &str, start| {
+        let instance = instance.parse().ok()?;
+        Some(Holder { instance, start })
+    };
+    let before = wire.before.iter();
+    Some(Seat {
+        holder: holder(&wire.instance, wire.start)?,
+        before: before
+            .filter_map(|(name, start)| holder(name, *start))
+            .collect(),
+        version,
+    })
+}
+
+/// A map from the value of its row.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn decode_map(value: &[u8]) -> Result<RangeMap, String> {
+    let wire: MapWire = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    RangeMap::try_from(wire)
+}
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod demands;
 mod gossip;
+mod intake;
 mod mirror;
 mod node;
 mod orders;
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -6,18 +6,15 @@
         clock::Clock,
         edge::{EdgeError, EdgeSettings, board::Board},
         events,
-        traffic::{Limits, guard::GuardStream, pool::Pool},
+        traffic::{Limits, connection, pool::Pool},
     },
     citron_core::{
         id::ServiceName,
         routing::{BudgetConfig, RetryBudget},
     },
     citron_ports::HeaderNames,
-    hyper::{server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
     std::{
-        cell::RefCell, collections::BTreeMap, net::SocketAddr, pin::pin, rc::Rc, sync::Arc,
-        time::Duration,
+        cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -34,8 +31,6 @@
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Read buffer of a caller's connection, in bytes.
-const BUFFER_MAX: usize = 64 * 1_024;
 /// A caller's connection without a request is kept for longer than callers are
 /// told, so that none is closed while a request crosses.
 const IDLE_FACTOR: u32 = 3;
@@ -183,39 +178,19 @@
     closing: &watch::Receiver<bool>,
 ) {
     let front = Rc::clone(front);
-    spawn_local(connection(front, stream, open.clone(), closing.clone()));
+    spawn_local(serve_caller(front, stream, open.clone(), closing.clone()));
 }
 
-async fn connection(
+async fn serve_caller(
     front: Rc<Front>,
     stream: TcpStream,
     _open: mpsc::Sender<()>,
     mut closing: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("a caller's connection: {error}");
-        return;
-    }
     let limits = limits(&front);
-    let guarded = GuardStream::new(stream, limits);
-    let service = service_fn(move |request| proxy::serve(Rc::clone(&front), request));
-    let mut served = pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle)
-            .max_buf_size(BUFFER_MAX)
-            .serve_connection(TokioIo::new(guarded), service)
-    );
-    let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
-            served.as_mut().graceful_shutdown();
-            served.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("caller's connection ended: {error}");
-    }
+    let closing = closing.wait_for(|closing| *closing);
+    let answer = |request| proxy::serve(Rc::clone(&front), request);
+    connection::serve(stream, limits, closing, answer).await;
 }
 
 /// What a caller may take up, by the configuration at its connection's begin.
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod burn;
 mod call;
+pub(crate) mod connection;
 mod crashes;
 mod deadline;
 mod exchange;
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ask::{self, Ask},
-        guard::GuardStream,
+        connection,
         handle::TrafficHandle,
         limits::Limits,
         phase::Phase,
@@ -11,13 +11,10 @@
         state::State,
     },
     crate::{clock::Clock, events},
-    hyper::{server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
     socket2::{Domain, Socket, Type},
     std::{
         io,
         net::SocketAddr,
-        pin::pin,
         rc::Rc,
         thread::{self, JoinHandle},
         time::Duration,
@@ -33,8 +30,6 @@
 
 /// Connections that wait to be accepted, per thread.
 const BACKLOG: i32 = 1_024;
-/// Bytes that are buffered of one caller's connection, each way.
-const BUFFER_MAX: usize = 64 * 1_024;
 /// Shorter than the timers of requests; 50 wakes a second cost an idle thread
 /// next to nothing.
 const TICK: Duration = Duration::from_millis(20);
@@ -217,34 +212,17 @@
 
 fn start_connection(stream: TcpStream, proxy: &Proxy, handle: &TrafficHandle, open: &Open) {
     let phases = handle.phases();
-    spawn_local(connection(stream, proxy.clone(), phases, open.clone()));
+    spawn_local(serve_caller(stream, proxy.clone(), phases, open.clone()));
 }
 
-async fn connection(
+async fn serve_caller(
     stream: TcpStream,
     proxy: Proxy,
     mut phases: watch::Receiver<Phase>,
     _open: Open,
 ) {
-    let _ = stream.set_nodelay(true);
     let limits = proxy.limits();
-    let guarded = GuardStream::new(stream, limits);
-    let service = service_fn(move |request| proxy.clone().serve(request));
-    let mut served = pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle)
-            .max_buf_size(BUFFER_MAX)
-            .serve_connection(TokioIo::new(guarded), service)
-    );
-    let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
-            served.as_mut().graceful_shutdown();
-            served.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("caller's connection ended: {error}");
-    }
+    let closing = phases.wait_for(|phase| *phase == Phase::Closing);
+    let answer = |request| proxy.clone().serve(request);
+    connection::serve(stream, limits, closing, answer).await;
 }
