An order that waited too long is not sent; a call's time covers its connection

Found in reading the change: a grant counted from when it was decided, but could wait 1.2 s for its connection beyond the 0.7 s that leases allow for, and a process that stood still could send it when it went on. A server would then have held keys for longer than the planner waits before it gives them to another. Orders that are not begun within 0.5 s are dropped, a call's time includes the connection, and both are in the reach of a lease.

--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -103,32 +103,57 @@
         }
         next = node.clock.now() + TICK;
         term.settle_former(&node);
+        let begun = node.clock.now();
         for (service, order) in term.tick(&node, times) {
-            let node = Rc::clone(&node);
-            let orders = Rc::clone(&orders);
-            let ended = ended.clone();
-            let seat = term.seat.version;
-            let version = term.posts.get(&service).map_or(0, |post| post.version);
-            spawn_local(async move {
-                let (end, version) = match &order {
-                    Order::Commit(map) => commit(&node, &service, map, seat, version).await,
-                    order => (orders.send(&node, order, &times).await, 0),
-                };
-                let result = Ended {
-                    service,
-                    seat,
-                    order,
-                    end,
-                    version,
-                };
-                // The planner's loop never ends before its tasks.
-                let _ = ended.send(result);
-            });
+            let task = Task {
+                node: Rc::clone(&node),
+                orders: Rc::clone(&orders),
+                seat: term.seat.version,
+                version: term.posts.get(&service).map_or(0, |post| post.version),
+                begun,
+            };
+            spawn_local(task.carry_out(service, order, times, ended.clone()));
         }
         drop_unused(&node, &orders);
     }
 }
 
+/// One order under way.
+struct Task<A> {
+    node: Rc<Node<A>>,
+    orders: Rc<Orders>,
+    seat: u64,
+    version: u64,
+    begun: Time,
+}
+
+impl<A: Adapter> Task<A> {
+    async fn carry_out(
+        self,
+        service: ServiceName,
+        order: Order,
+        times: LeaseTimes,
+        ended: mpsc::UnboundedSender<Ended>,
+    ) {
+        let (end, version) = match &order {
+            // The process stood still since the order was decided. Leases are
+            // counted from then: sent now, a grant would outlast its count.
+            _ if self.node.clock.now() - self.begun > times.start => (OrderEnd::Unknown, 0),
+            Order::Commit(map) => commit(&self.node, &service, map, self.seat, self.version).await,
+            order => (self.orders.send(&self.node, order, &times).await, 0),
+        };
+        let result = Ended {
+            service,
+            seat: self.seat,
+            order,
+            end,
+            version,
+        };
+        // The planner's loop never ends before its tasks.
+        let _ = ended.send(result);
+    }
+}
+
 fn drop_unused<A: Adapter>(node: &Node<A>, orders: &Orders) {
     let state = node.state.borrow();
     orders.retain(|address| {
--- a/crates/core/src/ranges/book.rs
+++ b/crates/core/src/ranges/book.rs
@@ -12,6 +12,8 @@
     pub hold: Duration,
     /// How often a grant is renewed.
     pub renew: Duration,
+    /// How long an order may wait to be begun; then it is not sent any more.
+    pub start: Duration,
     /// How long an order may be under way. After it the connection is reset, so
     /// that the order cannot arrive later.
     pub order: Duration,
@@ -26,6 +28,7 @@
     pub const STANDARD: Self = Self {
         hold: Duration::from_secs(9),
         renew: Duration::from_millis(2_500),
+        start: Duration::from_millis(500),
         order: Duration::from_millis(700),
         blind: Duration::from_secs(15),
     };
@@ -52,7 +55,7 @@
     /// The longest time from the sending of a grant to its end. A server's clock
     /// may run 2% slow, and a tenth of a second covers what the network held.
     pub fn reach(&self) -> Duration {
-        self.order + self.hold.mul_f64(1.02) + Duration::from_millis(100)
+        self.start + self.order + self.hold.mul_f64(1.02) + Duration::from_millis(100)
     }
 }
 
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -11,7 +11,7 @@
         fmt::Display,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     thiserror::Error,
     tokio::{net::TcpStream, task::AbortHandle, time::timeout},
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Sends a request and reads its whole answer within `span`.
+    /// Sends a request and reads its whole answer, all within `span`: what is not
+    /// sent by then is never sent, and what is under way is reset.
     ///
     /// # Errors
     /// [`CallError::NotSent`] only if the other side has surely seen nothing.
@@ -83,10 +84,12 @@
     ) -> Result<Response<Bytes>, CallError> {
         let host = HeaderValue::from_str(&self.address.to_string()).map_err(not_sent)?;
         request.headers_mut().insert(header::HOST, host);
-        let line = self.line().await?;
+        let begun = Instant::now();
+        let line = timeout(span, self.line()).await.map_err(not_sent)??;
+        let left = span.saturating_sub(begun.elapsed());
         let exchange = exchange(line, request.map(Full::new), self.most);
         let late = |_| CallError::Unknown(format!("not within {span:?}"));
-        let (line, response) = timeout(span, exchange).await.map_err(late)??;
+        let (line, response) = timeout(left, exchange).await.map_err(late)??;
         let mut kept = self.kept();
         if kept.len() < KEPT && !line.sender.is_closed() {
             kept.push(line);
