--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -114,8 +114,8 @@
             }
             TryEnd::Lost(_) => {
                 crash::look(self.front, &server.entry, self.print(), &self.message);
-                let retry = self.may_retry(name);
-                retry && self.message.repeat == Repeat::Idempotent
+                // What may run once only takes nothing from the budget.
+                self.message.repeat == Repeat::Idempotent && self.may_retry(name)
             }
         };
         match retry {
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -70,20 +70,16 @@
     }
 
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        if !budgets.contains_key(service) {
+        let new = || {
             let instances = self.board.view().map_or(1, |view| view.instances);
             let retries = self.settings.retries;
-            let budget = RetryBudget::new(BudgetConfig {
+            RetryBudget::new(BudgetConfig {
                 share: retries.ratio * BUDGET_PART,
                 burst: (retries.extra * BUDGET_PART / instances as f64).max(1.0),
-            });
-            budgets.insert(service.clone(), budget);
-        }
-        match budgets.get_mut(service) {
-            Some(budget) => f(budget),
-            None => unreachable!("it was put in above"),
-        }
+            })
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        f(budgets.entry(service.clone()).or_insert_with(new))
     }
 }
 
