Loads of servers that are long gone are forgotten; connections of the planner looked up in a set

Found on reading the change: LoadBook::retain was never called, so that each start of a server left an entry behind for good; the planner compared every kept connection with every server at each tick. The place of the maps among the tables has a name.

--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -16,7 +16,7 @@
         events,
     },
     citron_core::{
-        id::{InstanceId, ServiceName},
+        id::{InstanceId, ServerName, ServiceName},
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
         routes::RouteConfig,
@@ -136,6 +136,12 @@
         sleep(TICK).await;
         let changed = node.state.borrow_mut().registry.tick(node.clock.now());
         if changed {
+            // Each start of a server has a name of its own: kept for ever, their
+            // loads would add up.
+            let state = node.state.borrow();
+            let known = |name: &ServerName| state.registry.get(name).is_some();
+            node.board.loads().retain(known);
+            drop(state);
             node.publish();
         }
     }
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -6,6 +6,7 @@
         codec::{MAP, MapWire, PLANNER, SeatWire},
         node::{Holder, Node, Seat},
         orders::Orders,
+        watch::RANGES,
     },
     crate::events,
     citron_core::{
@@ -19,7 +20,12 @@
         time::Time,
     },
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
-    std::{collections::BTreeMap, rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{sync::mpsc, task::spawn_local, time::timeout},
 };
 
@@ -156,12 +162,9 @@
 
 fn drop_unused<A: Adapter>(node: &Node<A>, orders: &Orders) {
     let state = node.state.borrow();
-    orders.retain(|address| {
-        state
-            .registry
-            .iter()
-            .any(|known| known.entry.address == *address)
-    });
+    let known = state.registry.iter().map(|known| known.entry.address);
+    let known: BTreeSet<SocketAddr> = known.collect();
+    orders.retain(|address| known.contains(address));
 }
 
 /// Gives up once another start has the seat, or this one leaves.
@@ -231,7 +234,7 @@
     match node.adapter.store().rows(RowTable::Ranges).await {
         Ok(set) => {
             node.store_answered(begun);
-            node.take(2, set, true);
+            node.take(RANGES, set, true);
         }
         Err(error) => {
             node.store_failed("maps", &error);
@@ -478,7 +481,7 @@
 /// without an answer.
 async fn settle<A: Adapter>(node: &Node<A>, service: &ServiceName, map: &RangeMap) -> Committed {
     match node.adapter.store().rows(RowTable::Ranges).await {
-        Ok(set) => node.take(2, set, true),
+        Ok(set) => node.take(RANGES, set, true),
         Err(error) => {
             node.store_failed("maps", &error);
             return (OrderEnd::Unknown, 0);
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -11,6 +11,9 @@
 /// Tables that are followed.
 pub const WATCHED: [RowTable; 3] = [RowTable::Config, RowTable::Servers, RowTable::Ranges];
 
+/// The place of the maps and the planner's seat among them.
+pub const RANGES: usize = 2;
+
 /// How long the store keeps a question open. Each question is paid for, and the
 /// connection's own probes tell when it is dead.
 const WAIT: Duration = Duration::from_secs(12);
