Better of two drawn servers where reports are old; a limit by answers' times for services without keys

Instances hear of each other's requests every 0.4 s, as long as a request takes, and all chose the servers that the last reports showed free. Beyond capacity they also saw room at servers of other domains, of whose requests they hear nothing. Ruled out: slow servers (the same share late at all), priorities, connection caps.

--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -54,14 +54,21 @@
             .borrow()
             .peers
             .reporting(&node.settings.domain, now);
-        let period = PERIOD * u32::try_from(reporting / FEW).unwrap_or(1).max(1);
-        if timeout(period, node.hurry.notified()).await.is_ok() {
+        if timeout(period(reporting), node.hurry.notified())
+            .await
+            .is_ok()
+        {
             // Something that all should know at once.
             number = 0;
         }
     }
 }
 
+/// Time between two beats of an instance that hears so many.
+pub fn period(reporting: usize) -> Duration {
+    PERIOD * u32::try_from(reporting / FEW).unwrap_or(1).max(1)
+}
+
 async fn send_beats<A: Adapter>(node: &Node<A>, socket: &UdpSocket, number: u64) {
     let due = {
         let state = node.state.borrow();
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -236,6 +236,7 @@
             of_service.push(known.clone());
         }
         let maps = state.maps.iter();
+        let reporting = state.peers.reporting(&self.settings.domain, now);
         self.board.publish(View {
             config: Arc::clone(config),
             servers: Arc::new(servers),
@@ -243,7 +244,8 @@
                 .map(|(service, (map, _))| (service.clone(), Arc::clone(map)))
                 .collect(),
             instances: state.peers.count(&self.settings.domain, now),
-            reporting: state.peers.reporting(&self.settings.domain, now),
+            reporting,
+            reports: gossip::period(reporting),
         });
     }
 
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -239,7 +239,7 @@
         let wish = Wish {
             service: self.service,
             key: self.key,
-            objective: self.begun + self.rule.objective,
+            objective: self.message.objective,
             deadline: self.message.deadline,
             tried: &self.tried,
             stale: self.stale.as_ref(),
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -5,6 +5,7 @@
         answer::{AnswerBody, Streamed},
         front::Front,
         hold::Kept,
+        paces::Paced,
     },
     crate::{
         edge::board::Board,
@@ -15,7 +16,13 @@
         },
     },
     bytes::BytesMut,
-    citron_core::{dispatch::Finish, id::ServerName, registry::Known, routes::Repeat, time::Time},
+    citron_core::{
+        dispatch::{Finish, PLANNED, Speed},
+        id::ServerName,
+        registry::Known,
+        routes::Repeat,
+        time::Time,
+    },
     http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
@@ -72,19 +79,28 @@
     alone: bool,
     finish: Finish,
     clock: crate::clock::Clock,
+    /// Where any server of the service would do.
+    paced: Option<Paced>,
+    /// How long it was planned to take; nothing if it was sent late.
+    planned: Option<Duration>,
 }
 
 impl Slot {
-    fn new(front: &Front, server: &Known) -> Self {
+    fn new(front: &Front, server: &Known, message: &Message<'_>) -> Self {
         let mut loads = front.board.loads();
         let name = &server.entry.name;
         let alone = loads.get(name).busy() < server.entry.slots.0;
         loads.begin(name);
+        let begun = front.clock.now();
+        let paced = (!message.keyed).then(|| front.paces.begin(&server.entry.service));
+        let left = message.objective - begun;
         Self {
             board: Arc::clone(&front.board),
             room: Rc::clone(&front.room),
             server: name.clone(),
-            begun: front.clock.now(),
+            begun,
+            paced,
+            planned: (!left.is_zero()).then(|| left.mul_f64(PLANNED)),
             alone,
             finish: Finish::Other,
             clock: front.clock,
@@ -95,12 +111,28 @@
     pub fn ran(mut self) {
         self.finish = Finish::Ran;
     }
+
+    /// What its end tells of the service's room.
+    fn speed(&self, span: Duration) -> Speed {
+        let late = self.planned.map(|planned| span > planned);
+        match (self.finish, late) {
+            (Finish::Full, _) => Speed::Late,
+            (Finish::Ran, Some(false)) => Speed::InTime,
+            // No answer by then, or given up by the caller, tells the same.
+            (Finish::Ran | Finish::Other, Some(true)) => Speed::Late,
+            _ => Speed::Unknown,
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.clock.now();
         let span = now - self.begun;
+        let speed = self.speed(span);
+        if let Some(paced) = &mut self.paced {
+            paced.speed = speed;
+        }
         let mut loads = self.board.loads();
         loads.end(&self.server, self.finish, span, self.alone, now);
         drop(loads);
@@ -117,13 +149,17 @@
     pub source: &'a Rc<Source>,
     /// How often it may run.
     pub repeat: Repeat,
+    /// When its answer loses worth.
+    pub objective: Time,
     /// When the caller waits no longer.
     pub deadline: Time,
+    /// Whether it goes to the owner of its key.
+    pub keyed: bool,
 }
 
 /// Sends a message to a server and reads its answer.
 pub async fn send(front: &Front, server: &Known, message: &Message<'_>) -> TryEnd {
-    let mut slot = Slot::new(front, server);
+    let mut slot = Slot::new(front, server, message);
     let end = exchange(front, server, message, &mut slot).await;
     slot.finish = match &end {
         // A streamed answer has taken the slot over, and this one counts nothing.
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -1,7 +1,7 @@
 //! The thread's state, its listener, and its end.
 
 use {
-    super::{proxy, ready},
+    super::{paces::Paces, proxy, ready},
     crate::{
         clock::Clock,
         edge::{EdgeError, EdgeSettings, board::Board},
@@ -55,6 +55,8 @@
     pub room: Rc<Notify>,
     /// Whether the instance leaves.
     pub leaving: watch::Receiver<bool>,
+    /// Limits at services whose servers share the work.
+    pub paces: Rc<Paces>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
 }
 
@@ -105,6 +107,7 @@
         headers,
         pool: Pool::new(clock),
         room: Rc::default(),
+        paces: Rc::default(),
         budgets: RefCell::default(),
     });
     log::info!("{} at {}", events::STARTED, front.settings.traffic);
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -4,7 +4,7 @@
     super::front::Front,
     crate::edge::view::View,
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, choose},
+        dispatch::{Ask, Candidate, Choice, choose, compared},
         id::{Epoch, ServerName, ServiceName},
         ranges::RangeKey,
         registry::Known,
@@ -18,6 +18,10 @@
 /// for what is still on its way.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
+/// When a caller comes back whose request was over the limit of its service:
+/// about the time in which one of those under way ends.
+const PACED_AGAIN: Duration = Duration::from_millis(250);
+
 /// Where to.
 #[derive(Debug)]
 pub enum Target {
@@ -102,6 +106,9 @@
     if open.is_empty() {
         return Target::None;
     }
+    if !front.paces.admits(wish.service) {
+        return Target::Full(PACED_AGAIN);
+    }
     let fresh = |known: &&Known| !wish.tried.contains(&known.entry.name);
     let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
     match untried.is_empty() {
@@ -120,6 +127,7 @@
     let ask = Ask {
         objective: wish.objective - now,
         deadline: wish.deadline - now,
+        compared: compared(view.reports),
     };
     // Owners of keys, and servers of other failure domains, get requests from
     // instances that do not report here.
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -7,7 +7,7 @@
         registry::Known,
         routes::RouteConfig,
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// All that control knows, as of one moment.
@@ -23,6 +23,8 @@
     pub instances: usize,
     /// Those of them whose loads this instance hears of.
     pub reporting: usize,
+    /// Time between two reports of each of them.
+    pub reports: Duration,
 }
 
 impl View {
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -14,7 +14,7 @@
 const COLD: f64 = 2.0;
 /// Part of the time up to the objective that a request is planned to take:
 /// run times vary, and a plan that uses all of it is late half of the time.
-const PLANNED: f64 = 0.85;
+pub const PLANNED: f64 = 0.85;
 /// Part of the time up to the deadline that a request may be planned to take
 /// that is late anyway.
 const PLANNED_LATE: f64 = 0.5;
@@ -45,6 +45,32 @@
     pub objective: Duration,
     /// Time left to the deadline.
     pub deadline: Duration,
+    /// Servers that are compared; see [`compared`].
+    pub compared: usize,
+}
+
+/// Reports younger than this tell which server is the best.
+const FRESH: Duration = Duration::from_millis(150);
+/// Servers compared where reports are older.
+const FEW: usize = 2;
+
+/// How many servers are compared where reports of other instances come every
+/// `period`; all if they are young.
+///
+/// Instances that see the same old reports would all choose the same few servers
+/// until the next ones: with 28 instances that report every 0.4 s, a tenth of
+/// the requests at 0.7 of the capacity waited beyond a second. The better one of
+/// two drawn at random leaves 1 in 100 (`tests/stale`).
+///
+/// ```
+/// use {citron_core::dispatch::compared, std::time::Duration};
+/// assert_eq!(compared(Duration::from_millis(400)), 2);
+/// ```
+pub fn compared(period: Duration) -> usize {
+    match period > FRESH {
+        true => FEW,
+        false => usize::MAX,
+    }
 }
 
 /// Where to.
@@ -68,7 +94,8 @@
     now: Time,
     mut drawn: impl FnMut() -> f64,
 ) -> Choice {
-    let mut best: Option<(f64, &ServerName)> = None;
+    let mut near: Vec<Offer<'a>> = Vec::new();
+    let mut far: Vec<Offer<'a>> = Vec::new();
     let mut room = AGAIN[1];
     for candidate in candidates {
         let entry = &candidate.server.entry;
@@ -81,21 +108,57 @@
             ));
             continue;
         }
-        let far = if candidate.near { 1.0 } else { FAR };
+        let (offers, distance) = match candidate.near {
+            true => (&mut near, 1.0),
+            false => (&mut far, FAR),
+        };
         let refusing = 1.0 + load.refused() * REFUSING;
         // Instances that see the same loads must not all choose the same server.
         let spread = 0.9 + 0.2 * drawn();
-        let score = (run + wait) * far * refusing * spread;
-        if best.is_none_or(|(least, _)| score < least) {
-            best = Some((score, &entry.name));
-        }
+        offers.push(Offer {
+            score: (run + wait) * distance * refusing * spread,
+            wait,
+            server: &entry.name,
+        });
     }
-    match best {
-        Some((_, server)) => Choice::Send(server.clone()),
+    let mut offers = draw(near, ask.compared, &mut drawn);
+    if offers.iter().all(|offer| offer.wait > 0.0) {
+        offers.extend(draw(far, ask.compared, &mut drawn));
+    }
+    match offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
+        Some(offer) => Choice::Send(offer.server.clone()),
         None => Choice::Full(room.clamp(AGAIN[0], AGAIN[1])),
     }
 }
 
+/// A server that should answer in time.
+struct Offer<'a> {
+    /// The lower, the better.
+    score: f64,
+    /// How long a request waits there, in seconds.
+    wait: f64,
+    server: &'a ServerName,
+}
+
+/// `count` of the offers at random.
+fn draw<'a>(
+    mut offers: Vec<Offer<'a>>,
+    count: usize,
+    drawn: &mut impl FnMut() -> f64,
+) -> Vec<Offer<'a>> {
+    if offers.len() <= count {
+        return offers;
+    }
+    for place in 0..count {
+        let left = offers.len() - place;
+        // A number just below 1 may round up to the length.
+        let other = ((drawn() * left as f64) as usize).min(left - 1);
+        offers.swap(place, place + other);
+    }
+    offers.truncate(count);
+    offers
+}
+
 /// The longest time that a request may be planned to take.
 fn limit(ask: Ask, run: f64) -> f64 {
     let objective = ask.objective.as_secs_f64() * PLANNED;
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -4,9 +4,11 @@
 mod book;
 mod choice;
 mod load;
+mod pace;
 
 pub use {
     book::{LoadBook, PeerLoad},
-    choice::{Ask, Candidate, Choice, choose},
+    choice::{Ask, Candidate, Choice, PLANNED, choose, compared},
     load::{Finish, ServerLoad},
+    pace::{Pace, Speed},
 };
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -33,6 +33,7 @@
     Ask {
         objective: Duration::from_millis(objective),
         deadline: Duration::from_millis(deadline),
+        compared: usize::MAX,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/stale/main.rs
@@ -0,0 +1,90 @@
+//! Many instances before the servers of a service without keys, in virtual time.
+//! Each instance knows what the others of its failure domain have at servers only
+//! from reports, the newest of which is as old as a request is long; of the other
+//! domains it knows nothing.
+
+mod world;
+
+use {
+    citron_core::dispatch::compared,
+    std::time::Duration,
+    world::{Figures, Shape, World},
+};
+
+/// 84 instances before 57 servers, whose reports come every 0.4 s.
+const LARGE: Shape = Shape {
+    domains: 3,
+    instances: 28,
+    servers: 19,
+    slots: 4,
+    run: Duration::from_millis(300),
+    report: Duration::from_millis(400),
+    demand: 0.7,
+    compared: 0,
+    paced: true,
+};
+
+/// Nine instances before six servers, with ten reports a second.
+const SMALL: Shape = Shape {
+    domains: 3,
+    instances: 3,
+    servers: 2,
+    report: Duration::from_millis(100),
+    ..LARGE
+};
+
+fn played(shape: Shape) -> Figures {
+    let shape = Shape {
+        compared: match shape.compared {
+            0 => compared(shape.report),
+            set => set,
+        },
+        ..shape
+    };
+    World::new(shape, 7).play(Duration::from_secs(40))
+}
+
+/// Callers ask for 0.7 of what the servers can run, and a tenth of them waits
+/// beyond a second: all instances of a domain see the same server with free
+/// slots, and send there until the next reports come 0.4 s later. With the better
+/// one of two drawn at random they spread.
+#[test]
+fn old_reports_do_not_make_all_instances_choose_the_same_server() {
+    let all = played(Shape {
+        compared: usize::MAX,
+        ..LARGE
+    });
+    let few = played(LARGE);
+    assert!(all.served() < 0.95, "the pattern is gone: {all}");
+    assert!(few.served() > 0.98, "{few}");
+}
+
+/// Callers ask for 1.3 times what the servers can run. Every instance sees room
+/// at servers of other domains, where the instances there fill it. All queues are
+/// full, and most answers are late. The limit follows the answers' times.
+#[test]
+fn demand_beyond_capacity_is_refused_and_the_rest_is_in_time() {
+    for shape in [LARGE, SMALL] {
+        let shape = Shape {
+            demand: 1.3,
+            ..shape
+        };
+        let unpaced = played(Shape {
+            paced: false,
+            ..shape
+        });
+        let paced = played(shape);
+        assert!(unpaced.served() < 0.45, "the pattern is gone: {unpaced}");
+        assert!(paced.served() > 0.6, "{paced}");
+        assert!(paced.late() < 0.12, "{paced}");
+    }
+}
+
+/// The limit must not cost anything while there is room for all.
+#[test]
+fn the_limit_refuses_next_to_nothing_below_capacity() {
+    for shape in [LARGE, SMALL] {
+        let figures = played(shape);
+        assert!(figures.refused() < 0.01, "{figures}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/stale/world.rs
@@ -0,0 +1,356 @@
+//! Instances, servers and what passes between them.
+
+use {
+    citron_core::{
+        dispatch::{Ask, Candidate, Choice, Finish, LoadBook, PLANNED, Pace, Speed, choose},
+        id::{InstanceId, Slots},
+        registry::{Known, ServerEntry, ServerState},
+        time::Time,
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, VecDeque},
+        fmt,
+        time::Duration,
+    },
+};
+
+/// One way between an instance and a server.
+const WAY: Duration = Duration::from_millis(1);
+/// Requests that wait at a server beyond its slots.
+const QUEUE: usize = 16;
+/// The latency objective.
+const OBJECTIVE: Duration = Duration::from_millis(1_000);
+/// Callers wait for so long.
+const DEADLINE: Duration = Duration::from_millis(4_000);
+/// Time until instances have measured servers.
+const WARM: Duration = Duration::from_secs(10);
+
+/// Sizes of a deployment, and its load.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    pub domains: usize,
+    /// Instances of a domain.
+    pub instances: usize,
+    /// Servers of a domain.
+    pub servers: usize,
+    pub slots: u32,
+    /// Mean run time.
+    pub run: Duration,
+    /// Time between two reports of an instance.
+    pub report: Duration,
+    /// Demand over what the servers can run.
+    pub demand: f64,
+    /// Servers that an instance compares.
+    pub compared: usize,
+    /// Whether instances limit themselves.
+    pub paced: bool,
+}
+
+/// What became of the requests.
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    /// Refused by a server whose queue was full.
+    pub overflown: u32,
+    /// Told to come back without having been sent.
+    pub refused: u32,
+}
+
+impl Figures {
+    fn part(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.asked)
+    }
+
+    /// Part of the requests that ended within the objective.
+    pub fn served(&self) -> f64 {
+        self.part(self.in_time)
+    }
+
+    /// Part of them that ended later.
+    pub fn late(&self) -> f64 {
+        self.part(self.late)
+    }
+
+    /// Part of them that was told to come back at once.
+    pub fn refused(&self) -> f64 {
+        self.part(self.refused)
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let parts = [self.in_time, self.late, self.overflown, self.refused];
+        let [in_time, late, overflown, refused] = parts.map(|count| self.part(count));
+        write!(
+            f,
+            "in time {in_time:.3}, late {late:.3}, overflown {overflown:.3}, refused {refused:.3}"
+        )
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Reach(usize),
+    Ran(usize),
+    Answered(usize),
+    Report(usize),
+}
+
+struct Request {
+    instance: usize,
+    server: usize,
+    begun: Time,
+    sent: Time,
+    alone: bool,
+    refused: bool,
+}
+
+struct Instance {
+    name: InstanceId,
+    domain: usize,
+    book: LoadBook,
+    pace: Pace,
+}
+
+struct Server {
+    known: Known,
+    domain: usize,
+    speed: f64,
+    running: usize,
+    waiting: VecDeque<usize>,
+}
+
+pub struct World {
+    shape: Shape,
+    now: Time,
+    rng: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    order: u64,
+    instances: Vec<Instance>,
+    servers: Vec<Server>,
+    requests: Vec<Request>,
+    figures: Figures,
+}
+
+impl World {
+    pub fn new(shape: Shape, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let instances = (0..shape.domains * shape.instances).map(|number| Instance {
+            name: format!("n-{number}").parse().unwrap(),
+            domain: number % shape.domains,
+            book: LoadBook::default(),
+            pace: Pace::default(),
+        });
+        let servers = (0..shape.domains * shape.servers).map(|number| Server {
+            known: known(number, number % shape.domains, shape.slots),
+            domain: number % shape.domains,
+            speed: rng.random_range(0.7..1.4),
+            running: 0,
+            waiting: VecDeque::new(),
+        });
+        let servers = servers.collect();
+        let mut world = Self {
+            shape,
+            now: Time::ZERO,
+            rng,
+            events: BinaryHeap::new(),
+            order: 0,
+            instances: instances.collect(),
+            servers,
+            requests: Vec::new(),
+            figures: Figures::default(),
+        };
+        for instance in 0..world.instances.len() {
+            let first = shape.report.mul_f64(world.rng.random());
+            world.after(first, Event::Report(instance));
+            world.next_arrival(instance);
+        }
+        world
+    }
+
+    pub fn play(mut self, span: Duration) -> Figures {
+        let end = Time::ZERO + span;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            match event {
+                Event::Arrive(instance) => self.arrive(instance),
+                Event::Reach(request) => self.reach(request),
+                Event::Ran(request) => self.ran(request),
+                Event::Answered(request) => self.answered(request),
+                Event::Report(instance) => self.report(instance),
+            }
+        }
+        self.figures
+    }
+
+    fn after(&mut self, span: Duration, event: Event) {
+        self.order += 1;
+        self.events
+            .push(Reverse((self.now + span, self.order, event)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> Duration {
+        Duration::from_secs_f64(-mean * (1.0 - self.rng.random::<f64>()).ln())
+    }
+
+    fn next_arrival(&mut self, instance: usize) {
+        let shape = &self.shape;
+        let slots = shape.servers as f64 * f64::from(shape.slots);
+        let rate = shape.demand * slots / shape.run.as_secs_f64() / shape.instances as f64;
+        let span = self.exponential(1.0 / rate);
+        self.after(span, Event::Arrive(instance));
+    }
+
+    fn counts(&self) -> bool {
+        self.now > Time::ZERO + WARM
+    }
+
+    fn arrive(&mut self, instance: usize) {
+        self.next_arrival(instance);
+        let (shape, now) = (self.shape, self.now);
+        let from = &self.instances[instance];
+        let candidates = self.servers.iter().map(|server| Candidate {
+            server: &server.known,
+            near: server.domain == from.domain,
+            scale: match server.domain == from.domain {
+                true => 1.0,
+                false => shape.domains as f64,
+            },
+        });
+        let ask = Ask {
+            objective: OBJECTIVE,
+            deadline: DEADLINE,
+            compared: shape.compared,
+        };
+        let rng = &mut self.rng;
+        let counts = now > Time::ZERO + WARM;
+        self.figures.asked += u32::from(counts);
+        if shape.paced && !from.pace.admits(rng.random()) {
+            self.figures.refused += u32::from(counts);
+            return;
+        }
+        let choice = choose(&from.book, candidates, ask, now, || rng.random());
+        let Choice::Send(name) = choice else {
+            self.figures.refused += u32::from(counts);
+            return;
+        };
+        let server = self
+            .servers
+            .iter()
+            .position(|server| server.known.entry.name == name)
+            .unwrap();
+        let from = &mut self.instances[instance];
+        let alone = from.book.get(&name).busy() < shape.slots;
+        from.book.begin(&name);
+        from.pace.begin();
+        self.requests.push(Request {
+            instance,
+            server,
+            begun: now,
+            sent: now,
+            alone,
+            refused: false,
+        });
+        self.after(WAY, Event::Reach(self.requests.len() - 1));
+    }
+
+    fn reach(&mut self, request: usize) {
+        let server = &mut self.servers[self.requests[request].server];
+        if server.running < server.known.entry.slots.0 as usize {
+            server.running += 1;
+            self.run(request);
+        } else if server.waiting.len() < QUEUE {
+            server.waiting.push_back(request);
+        } else {
+            self.requests[request].refused = true;
+            self.after(WAY, Event::Answered(request));
+        }
+    }
+
+    fn run(&mut self, request: usize) {
+        let speed = self.servers[self.requests[request].server].speed;
+        // Half of the run time is the same for all requests.
+        let mean = self.shape.run.as_secs_f64() / speed / 2.0;
+        let span = Duration::from_secs_f64(mean) + self.exponential(mean);
+        self.after(span, Event::Ran(request));
+    }
+
+    fn ran(&mut self, request: usize) {
+        self.after(WAY, Event::Answered(request));
+        let server = &mut self.servers[self.requests[request].server];
+        match server.waiting.pop_front() {
+            Some(next) => self.run(next),
+            None => server.running -= 1,
+        }
+    }
+
+    fn answered(&mut self, request: usize) {
+        let now = self.now;
+        let counts = self.counts();
+        let request = &self.requests[request];
+        let name = &self.servers[request.server].known.entry.name;
+        let finish = match request.refused {
+            true => Finish::Full,
+            false => Finish::Ran,
+        };
+        let instance = &mut self.instances[request.instance];
+        let span = now - request.sent;
+        instance
+            .pace
+            .end(match request.refused || span > OBJECTIVE.mul_f64(PLANNED) {
+                true => Speed::Late,
+                false => Speed::InTime,
+            });
+        instance.book.end(name, finish, span, request.alone, now);
+        if !counts {
+            return;
+        }
+        let late = now - request.begun > OBJECTIVE;
+        match (request.refused, late) {
+            (true, _) => self.figures.overflown += 1,
+            (false, true) => self.figures.late += 1,
+            (false, false) => self.figures.in_time += 1,
+        }
+    }
+
+    fn report(&mut self, instance: usize) {
+        self.after(self.shape.report, Event::Report(instance));
+        let now = self.now;
+        let (name, domain) = {
+            let from = &self.instances[instance];
+            (from.name.clone(), from.domain)
+        };
+        let loads = self.instances[instance].book.own(now);
+        for (number, to) in self.instances.iter_mut().enumerate() {
+            if number != instance && to.domain == domain {
+                to.book.report(name.clone(), loads.clone(), now);
+            }
+        }
+    }
+}
+
+fn known(number: usize, domain: usize, slots: u32) -> Known {
+    Known {
+        entry: ServerEntry {
+            name: format!("s-{number}").parse().unwrap(),
+            service: "postings".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: format!("d-{domain}").parse().unwrap(),
+            slots: Slots(slots),
+            state: ServerState::Ready,
+            warm_up: Duration::ZERO,
+        },
+        left: None,
+        seen: Time::ZERO,
+        ended: false,
+    }
+}
