citronctl explain: one request's story from the log files of several instances

An on-call engineer has the id of a request and files of many instances. The command prints what became of it, its lines in order of time, and the last that was known before of the servers and the service they name. It asks no instance. Test: a refusal by an instance that had lost the store, with the commit that it missed in another instance's file; a missing file, id or request.

--- a/crates/citronctl/src/args.rs
+++ b/crates/citronctl/src/args.rs
@@ -105,6 +105,7 @@
     History = "history",
     Refused = "refused",
     Report = "report",
+    Explain = "explain",
 }
 
 impl Command {
--- a/crates/citronctl/src/commands/mod.rs
+++ b/crates/citronctl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One file per group of commands.
 
+pub mod explain;
 mod look;
 mod moves;
 mod rows;
@@ -33,7 +34,8 @@
         Command::History => look::history(args, client).await,
         Command::Refused => look::refused(args, client).await,
         Command::Report => look::report(args, client).await,
-        Command::Help => Ok(()),
+        // Neither of them asks an instance.
+        Command::Explain | Command::Help => Ok(()),
     }
 }
 
--- a/crates/citronctl/src/help.rs
+++ b/crates/citronctl/src/help.rs
@@ -17,6 +17,7 @@
   history               accepted edits
   refused               requests refused because they crash backend servers
   report                service-level burn, imbalance, churn, unavailable time
+  explain ID FILE...    one request's story, from instances' log files
 'citronctl COMMAND --help' tells more.
 
 options:
@@ -110,6 +111,13 @@
   'html' is one page that needs nothing else: citronctl report --format html > burn.html
 ";
 
+const EXPLAIN: &str = "\
+citronctl explain ID FILE...
+  What became of a request and why: its lines in the log files of all instances,
+  in order of time, and the last that was known before of the servers and the
+  service that they name. Asks no instance and needs no token.
+";
+
 /// The help of a command.
 pub fn text(command: &Command) -> &'static str {
     match command {
@@ -125,5 +133,6 @@
         Command::History => HISTORY,
         Command::Refused => REFUSED,
         Command::Report => REPORT,
+        Command::Explain => EXPLAIN,
     }
 }
--- a/crates/citronctl/src/main.rs
+++ b/crates/citronctl/src/main.rs
@@ -40,6 +40,9 @@
         print!("{}", help::text(&command));
         return Ok(());
     }
+    if command == Command::Explain {
+        return commands::explain::run(args);
+    }
     let client = Client::new(&options)?;
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| CtlError::Failed(error.to_string()))?;
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -57,6 +57,7 @@
         "history",
         "refused",
         "report",
+        "explain",
     ];
     let mut text = String::new();
     for command in commands {
@@ -201,3 +202,37 @@
     insta::assert_snapshot!(format!("{before}\n{lifted}\n{after}"));
     assert_eq!(shell.run("refused --lift nonsense").code, 1);
 }
+
+const FIRST_LOG: &str = "\
+[2026-12-02T10:00:01.000Z INFO  citronproxy::edge] C0434 keys-moved service=balances version=130 slices=12 moves=1
+[2026-12-02T10:00:02.000Z INFO  citronproxy::edge] C0434 keys-moved service=balances version=131 slices=12 moves=0
+[2026-12-02T10:00:02.100Z INFO  citronproxy::edge] C0434 keys-moved service=pickups version=132 slices=1 moves=0
+thread 'main' panicked
+[2026-12-02T10:00:09.000Z INFO  citronproxy::edge] C0434 keys-moved service=balances version=140 slices=12 moves=0
+";
+const SECOND_LOG: &str = "\
+[2026-12-02T10:00:01.500Z INFO  citronproxy::edge] C0420 server-entry i-7f: Leaving
+[2026-12-02T10:00:01.600Z WARN  citronproxy::edge] C0400 store-lost Servers: no answer
+[2026-12-02T10:00:03.000Z INFO  citronproxy::edge] C0502 try-failed id=ab12 server=i-7f epoch=4 waited=3ms: not the owner, not run
+[2026-12-02T10:00:03.000Z INFO  citronproxy::edge] C0502 try-failed id=ab123 server=i-80 epoch=4 waited=3ms: refused, not run
+[2026-12-02T10:00:03.300Z INFO  citronproxy::edge] C0500 request-refused id=ab12 route=r-1 service=balances waited=300ms tried=[] again=300ms: the key is changing hands
+";
+
+/// An operator has the id of a request that was refused, and the files of two
+/// instances. The one that refused it had lost the store, and so did not hear of
+/// the commit that the other one had made before.
+#[test]
+fn a_request_is_explained_from_the_logs_of_all_instances() {
+    let shell = Shell {
+        admin: "127.0.0.1:1".parse().unwrap(),
+    };
+    let first = File::write("first.log", FIRST_LOG);
+    let second = File::write("second.log", SECOND_LOG);
+    let files = format!("{} {}", first.path(), second.path());
+    let text = ok(shell.run(&format!("explain ab12 {files}")));
+    let pid = format!("citronctl-{}-", std::process::id());
+    insta::assert_snapshot!("explained", text.replace(&pid, ""));
+    assert_eq!(shell.run(&format!("explain none {files}")).code, 1);
+    assert_eq!(shell.run("explain ab12 missing.log").code, 1);
+    assert_eq!(shell.run("explain ab12").code, 2);
+}
