Counters and latency histograms of an instance on an outside platform

The instance counts requests by outcome, tries, times, store calls, key orders, the version in force and who plans, and serves them at the address of its settings. Readiness, tables and metrics had three copies of one small server: edge/pages is the only one now. Control's and traffic's metrics share register. Test: the counts follow what callers see, with three real processes.

--- a/crates/citronproxy/src/control/metrics.rs
+++ b/crates/citronproxy/src/control/metrics.rs
@@ -1,9 +1,10 @@
 //! Counters and gauges of control.
 
 use {
+    crate::metrics::register,
     citron_core::table::CommitAnswer,
     citron_ports::PlatformError,
-    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector},
+    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry},
 };
 
 /// What control counts.
@@ -35,29 +36,29 @@
     pub fn new(registry: &Registry) -> prometheus::Result<Self> {
         let by_result = |name: &str, help: &str| {
             let counter = IntCounterVec::new(Opts::new(name, help), &["result"])?;
-            add(registry, counter)
+            register(registry, counter)
         };
         Ok(Self {
-            revision: add(
+            revision: register(
                 registry,
                 IntGauge::new("citron_revision", "Revision of the table in force")?,
             )?,
             reads: by_result("citron_ports_reads_total", "Reads of the platform")?,
             commits: by_result("citron_commits_total", "Commits to the table")?,
-            relays: add(
+            relays: register(
                 registry,
                 IntCounter::new("citron_relays_total", "Relayed confirmations taken")?,
             )?,
             orders: by_result("citron_grant_orders_total", "Orders to backend servers")?,
-            moves: add(
+            moves: register(
                 registry,
                 IntCounter::new("citron_moves_total", "Moves ended by this instance")?,
             )?,
-            moving: add(
+            moving: register(
                 registry,
                 IntGauge::new("citron_moves_open", "Moves under way")?,
             )?,
-            lost: add(
+            lost: register(
                 registry,
                 IntGauge::new("citron_servers_unreachable", "Servers that do not answer")?,
             )?,
@@ -80,8 +81,3 @@
         counter.with_label_values(&[result]).inc();
     }
 }
-
-fn add<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> prometheus::Result<C> {
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
--- /dev/null
+++ b/crates/citronproxy/src/edge/control/counts.rs
@@ -0,0 +1,73 @@
+//! What control counts.
+
+use {
+    crate::metrics::register,
+    citron_core::ranges::Order,
+    prometheus::{IntCounterVec, IntGauge, Opts, Registry},
+};
+
+/// Counters and gauges of control, registered with those of traffic.
+#[derive(Debug)]
+pub struct Counts {
+    /// Calls to the store, by result.
+    store: IntCounterVec,
+    /// Orders, by kind and result.
+    orders: IntCounterVec,
+    /// The version of the configuration in force.
+    pub version: IntGauge,
+    /// 1 while this instance plans.
+    pub planning: IntGauge,
+    /// Instances heard of lately, this one included.
+    pub instances: IntGauge,
+}
+
+impl Counts {
+    /// All at zero.
+    ///
+    /// # Errors
+    /// If one of the names is taken.
+    pub fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            register(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
+        };
+        let gauge = |name: &str, help: &str| register(registry, IntGauge::new(name, help)?);
+        Ok(Self {
+            store: counter(
+                "citron_store_calls_total",
+                "Calls to the outside platform's store.",
+                &["result"],
+            )?,
+            orders: counter(
+                "citron_key_orders_total",
+                "Grants, releases and commits of the planner.",
+                &["order", "result"],
+            )?,
+            version: gauge(
+                "citron_configuration_version",
+                "Version of the configuration in force.",
+            )?,
+            planning: gauge("citron_planning", "1 while this instance plans.")?,
+            instances: gauge(
+                "citron_instances",
+                "Instances heard of lately, this one included.",
+            )?,
+        })
+    }
+
+    /// Counts a call to the store.
+    pub fn count_call(&self, answered: bool) {
+        let result = if answered { "ok" } else { "failed" };
+        self.store.with_label_values(&[result]).inc();
+    }
+
+    /// Counts an order.
+    pub fn count_order(&self, order: &Order, done: bool) {
+        let kind = match order {
+            Order::Grant(_) => "grant",
+            Order::Release { .. } => "release",
+            Order::Commit(_) => "commit",
+        };
+        let result = if done { "ok" } else { "failed" };
+        self.orders.with_label_values(&[kind, result]).inc();
+    }
+}
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -3,6 +3,7 @@
 mod beat;
 mod chair;
 mod codec;
+mod counts;
 mod demands;
 mod gossip;
 mod intake;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         beat::{Beat, CrashesWire},
+        counts::Counts,
         demands::Demands,
         gossip,
         mirror::Mirror,
@@ -12,7 +13,7 @@
     },
     crate::{
         clock::Clock,
-        edge::{EdgeError, EdgeSettings, board::Board, view::View},
+        edge::{EdgeError, EdgeSettings, board::Board, pages, view::View},
         events,
     },
     citron_core::{
@@ -23,6 +24,7 @@
         time::Time,
     },
     citron_ports::{Adapter, StoreError},
+    http::Request,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{Notify, watch as latest},
@@ -104,6 +106,8 @@
     pub wake: Notify,
     /// Wakes the sender of beats.
     pub hurry: Notify,
+    /// What is counted.
+    pub counts: Counts,
 }
 
 /// Runs control until the process ends.
@@ -115,8 +119,10 @@
     settings: EdgeSettings,
     clock: Clock,
     board: Arc<Board>,
+    registry: &prometheus::Registry,
 ) -> Result<(), EdgeError> {
-    let node = Rc::new(Node::new(adapter, settings, clock, board));
+    let counts = Counts::new(registry)?;
+    let node = Rc::new(Node::new(adapter, settings, clock, board, counts));
     let local = LocalSet::new();
     for (at, table) in WATCHED.into_iter().enumerate() {
         local.spawn_local(watch::follow(Rc::clone(&node), at, table));
@@ -124,8 +130,10 @@
     local.spawn_local(watch::enlist(Rc::clone(&node)));
     local.spawn_local(expire(Rc::clone(&node)));
     local.spawn_local(planner::run(Rc::clone(&node)));
-    let relay = relay::listen(node.settings.peer).await?;
-    local.spawn_local(relay::serve(Rc::clone(&node), relay));
+    let listener = pages::listen(node.settings.peer).await?;
+    let tables = Rc::clone(&node);
+    let answer = move |request: &Request<_>| relay::table(&tables, request.uri().path());
+    local.spawn_local(pages::serve(listener, answer));
     let socket = gossip::bind(node.settings.peer).await?;
     local.run_until(gossip::run(node, socket)).await;
     Ok(())
@@ -148,7 +156,13 @@
 }
 
 impl<A: Adapter> Node<A> {
-    fn new(adapter: A, settings: EdgeSettings, clock: Clock, board: Arc<Board>) -> Self {
+    fn new(
+        adapter: A,
+        settings: EdgeSettings,
+        clock: Clock,
+        board: Arc<Board>,
+        counts: Counts,
+    ) -> Self {
         let state = State {
             mirrors: Default::default(),
             registry: Registry::new(RegistryTimes::for_drain(settings.drain)),
@@ -172,6 +186,7 @@
             relay: relay::Relay::default(),
             wake: Notify::new(),
             hurry: Notify::new(),
+            counts,
         }
     }
 
@@ -182,6 +197,7 @@
 
     /// The store answered a call that began at `begun`.
     pub fn store_answered(&self, begun: Time) {
+        self.counts.count_call(true);
         let mut state = self.state.borrow_mut();
         state.confirmed = state.confirmed.max(begun);
         let now = self.clock.now();
@@ -198,6 +214,7 @@
 
     /// A call to the store failed.
     pub fn store_failed(&self, what: &str, error: &StoreError) {
+        self.counts.count_call(false);
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if state.failing.is_none() {
@@ -237,6 +254,12 @@
         }
         let maps = state.maps.iter();
         let reporting = state.peers.reporting(&self.settings.domain, now);
+        let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
+        self.counts.version.set(version);
+        self.counts
+            .instances
+            .set(1 + state.peers.live(now).count() as i64);
+        self.counts.planning.set(i64::from(state.planning));
         self.board.publish(View {
             config: Arc::clone(config),
             servers: Arc::new(servers),
--- a/crates/citronproxy/src/edge/control/planner.rs
+++ b/crates/citronproxy/src/edge/control/planner.rs
@@ -148,6 +148,8 @@
             Order::Commit(map) => commit(&self.node, &service, map, self.seat, self.version).await,
             order => (self.orders.send(&self.node, order, &times).await, 0),
         };
+        let done = matches!(end, OrderEnd::Done { .. });
+        self.node.counts.count_order(&order, done);
         let result = Ended {
             service,
             seat: self.seat,
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -9,23 +9,22 @@
 
 use {
     super::{beat::Beat, codec::TableWire, node::Node},
-    crate::{edge::EdgeError, events},
+    crate::{
+        edge::pages::{Page, page},
+        events,
+    },
     bytes::Bytes,
     citron_core::time::Time,
     citron_ports::{Adapter, KeptClient},
-    http::{Request, Response, StatusCode},
-    http_body_util::Full,
-    hyper::{server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioIo,
+    http::{Request, StatusCode},
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
-        convert::Infallible,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// How long a table may be on its way.
@@ -38,8 +37,6 @@
 /// another failure domain, waits for its own news: the store's answer is some
 /// milliseconds away, and bytes between failure domains are paid for.
 const BEHIND: Duration = Duration::from_millis(250);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Tables asked for from others.
 #[derive(Debug, Default)]
@@ -58,57 +55,23 @@
     }
 }
 
-/// Listens for other instances.
-///
-/// # Errors
-/// If the address is taken.
-pub async fn listen(address: SocketAddr) -> Result<TcpListener, EdgeError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| EdgeError::Listen {
-        address: address.to_string(),
-        source,
-    })
-}
-
-/// Hands out tables for good.
-pub async fn serve<A: Adapter>(node: Rc<Node<A>>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let node = Rc::clone(&node);
-        spawn_local(async move {
-            let service = service_fn(move |request| {
-                let answer = table(&node, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("an instance's connection ended: {error}");
-            }
-        });
-    }
-}
-
 /// The table and the version that a path names.
 fn asked(path: &str) -> Option<(usize, u64)> {
     let (table, after) = path.strip_prefix("/tables/")?.split_once('/')?;
     Some((table.parse().ok()?, after.parse().ok()?))
 }
 
-fn table<A: Adapter, B>(node: &Node<A>, request: &Request<B>) -> Response<Full<Bytes>> {
+/// Hands out a table.
+pub fn table<A: Adapter>(node: &Node<A>, path: &str) -> Page {
     let state = node.state.borrow();
-    let bytes = asked(request.uri().path()).and_then(|(at, after)| {
+    let bytes = asked(path).and_then(|(at, after)| {
         let wire = TableWire::new(state.mirrors.get(at)?, after);
         postcard::to_stdvec(&wire).ok()
     });
-    let known = bytes.is_some();
-    let mut answer = Response::new(Full::new(bytes.unwrap_or_default().into()));
-    if !known {
-        *answer.status_mut() = StatusCode::NOT_FOUND;
+    match bytes {
+        Some(bytes) => page(StatusCode::OK, bytes),
+        None => page(StatusCode::NOT_FOUND, ""),
     }
-    answer
 }
 
 /// Asks another instance for tables that are newer there, unless this one should
--- a/crates/citronproxy/src/edge/error.rs
+++ b/crates/citronproxy/src/edge/error.rs
@@ -16,6 +16,9 @@
     /// A thread or its runtime cannot be started.
     #[error("start a thread: {0}")]
     Thread(io::Error),
+    /// A metric's name is taken twice.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
     /// Signals cannot be caught.
     #[error("catch signals: {0}")]
     Signals(io::Error),
--- a/crates/citronproxy/src/edge/mod.rs
+++ b/crates/citronproxy/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod board;
 mod control;
 mod error;
+mod pages;
 mod run;
 mod settings;
 mod traffic;
--- a/crates/citronproxy/src/edge/run.rs
+++ b/crates/citronproxy/src/edge/run.rs
@@ -1,8 +1,13 @@
 //! The threads of an instance, and its end.
 
 use {
-    super::{EdgeError, EdgeSettings, board::Board, control, traffic},
-    crate::{clock::Clock, events},
+    super::{
+        EdgeError, EdgeSettings,
+        board::Board,
+        control,
+        traffic::{self, Wire},
+    },
+    crate::{clock::Clock, events, traffic::metrics::Metrics},
     citron_ports::Adapter,
     std::{
         path::{Path, PathBuf},
@@ -30,6 +35,8 @@
     A: Adapter + Send,
 {
     let clock = Clock::start();
+    let metrics = Metrics::new()?;
+    let registry = metrics.registry().clone();
     let board = Arc::new(Board::default());
     let headers = adapter.headers().clone();
     let ready_path = adapter.ready_path().to_string();
@@ -39,14 +46,18 @@
         .name("control".to_string())
         .stack_size(STACK);
     let control = builder.spawn(move || {
-        let controlled = control::run(adapter, known, clock, shared);
+        let controlled = control::run(adapter, known, clock, shared, &registry);
         let ended = runtime().and_then(|runtime| runtime.block_on(controlled));
         // The receiver is gone only if traffic has ended before.
         let _ = failed.send(ended);
     });
     control.map_err(EdgeError::Thread)?;
     runtime()?.block_on(LocalSet::new().run_until(async move {
-        let served = traffic::run(Arc::clone(&board), settings, clock, headers, ready_path);
+        let wire = Wire {
+            headers,
+            ready: ready_path,
+        };
+        let served = traffic::run(Arc::clone(&board), settings, clock, wire, metrics);
         tokio::select! {
             served = served => served,
             ended = &mut failure => ended.unwrap_or(Ok(())),
--- a/crates/citronproxy/src/edge/settings.rs
+++ b/crates/citronproxy/src/edge/settings.rs
@@ -38,6 +38,8 @@
     pub drain: Duration,
     /// What retries may add.
     pub retries: RetrySettings,
+    /// Where metrics are read; nowhere if it is not set.
+    pub metrics: Option<SocketAddr>,
     /// The longest lease that servers take.
     pub lease: Duration,
     /// Its part of a processor, in percent: the planner and the readers of the
@@ -59,6 +61,8 @@
     retries: RetrySettings,
     lease_max_s: f64,
     cpu_share: f64,
+    #[serde(default)]
+    metrics: Option<SocketAddr>,
 }
 
 impl EdgeSettings {
@@ -79,6 +83,7 @@
             leave: parse::seconds(path, "leave_s", raw.leave_s)?,
             drain: parse::seconds(path, "drain_s", raw.drain_s)?,
             retries: raw.retries,
+            metrics: raw.metrics,
             lease: parse::seconds(path, "lease_max_s", raw.lease_max_s)?,
             cpu: (raw.cpu_share * 100.0) as u32,
         })
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -15,10 +15,11 @@
         ranges::RangeKey,
         registry::Known,
         routes::{Repeat, Rule},
+        routing::Outcome,
         time::Time,
     },
     http::{Response, StatusCode},
-    std::{sync::Arc, time::Duration},
+    std::{cell::Cell, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -65,6 +66,10 @@
     pub misdirected: u32,
     /// Whether it may be running, or have run.
     pub doubtful: bool,
+    /// How often it was sent.
+    pub sent: u32,
+    /// What its caller is told.
+    pub outcome: Cell<Outcome>,
 }
 
 impl Call<'_> {
@@ -72,7 +77,10 @@
     pub async fn run(mut self) -> Response<AnswerBody> {
         let left = self.message.deadline - self.front.clock.now();
         let driven = timeout(left, self.drive()).await;
-        driven.unwrap_or_else(|_| self.give_up("the deadline passed"))
+        let answer = driven.unwrap_or_else(|_| self.give_up("the deadline passed"));
+        let mut counts = self.front.counts.borrow_mut();
+        counts.count(self.service, self.outcome.get(), self.sent, self.waited());
+        answer
     }
 
     async fn drive(&mut self) -> Response<AnswerBody> {
@@ -84,6 +92,7 @@
             if let Some(again) = self.quarantined() {
                 return self.refuse(again, "requests like it crash servers");
             }
+            self.sent += 1;
             // Until it ends, this try may be running.
             let doubtful = std::mem::replace(&mut self.doubtful, true);
             let end = send(self.front, &server, &self.message).await;
@@ -262,6 +271,7 @@
         if self.doubtful {
             return self.give_up(reason);
         }
+        self.outcome.set(Outcome::NotRun);
         log::info!(
             "{} id={} route={} service={} waited={:?} tried={:?} again={again:?}: {reason}",
             events::REFUSED,
@@ -278,6 +288,7 @@
         if !self.doubtful {
             return self.refuse(REFUSED_AGAIN, reason);
         }
+        self.outcome.set(Outcome::Unknown);
         log::info!(
             "{} id={} route={} service={} waited={:?} tried={:?}: {reason}",
             events::UNKNOWN,
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -4,18 +4,25 @@
     super::{paces::Paces, proxy, ready},
     crate::{
         clock::Clock,
-        edge::{EdgeError, EdgeSettings, board::Board},
-        events,
-        traffic::{Limits, connection, pool::Pool},
+        edge::{
+            EdgeError, EdgeSettings,
+            board::Board,
+            pages::{self, Page, page},
+        },
+        events, logs,
+        traffic::{
+            Limits, connection,
+            metrics::{LocalMetrics, Metrics},
+            pool::Pool,
+        },
     },
     citron_core::{
         id::ServiceName,
         routing::{BudgetConfig, RetryBudget},
     },
     citron_ports::HeaderNames,
-    std::{
-        cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
-    },
+    http::{Request, StatusCode},
+    std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Notify, mpsc, watch},
@@ -24,6 +31,8 @@
     },
 };
 
+/// Where metrics are read.
+const METRICS_PATH: &str = "/metrics";
 /// How long a leaving instance takes new connections: balancers ask once a
 /// second and go by two answers in a row.
 const NOTICED: Duration = Duration::from_millis(2_700);
@@ -57,10 +66,31 @@
     pub leaving: watch::Receiver<bool>,
     /// Limits at services whose servers share the work.
     pub paces: Rc<Paces>,
+    /// Requests counted since the metrics were last read.
+    pub counts: RefCell<LocalMetrics>,
+    metrics: Metrics,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
 }
 
+/// What the platform calls things that traffic deals with.
+#[derive(Debug)]
+pub struct Wire {
+    /// Headers of callers and servers.
+    pub headers: HeaderNames,
+    /// The path that balancers ask for.
+    pub ready: String,
+}
+
 impl Front {
+    fn metrics_page(&self, path: &str) -> Page {
+        if path != METRICS_PATH {
+            return page(StatusCode::NOT_FOUND, "");
+        }
+        self.counts.borrow_mut().flush();
+        self.metrics.set_lost_lines(logs::lost());
+        page(StatusCode::OK, self.metrics.text())
+    }
+
     /// Counts a request for the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::deposit);
@@ -93,36 +123,39 @@
     board: Arc<Board>,
     settings: EdgeSettings,
     clock: Clock,
-    headers: HeaderNames,
-    ready_path: String,
+    wire: Wire,
+    metrics: Metrics,
 ) -> Result<(), EdgeError> {
-    let listener = bind(settings.traffic).await?;
-    let balancers = bind(settings.ready).await?;
-    spawn_local(ready::serve(balancers, Arc::clone(&board), ready_path));
+    let listener = pages::listen(settings.traffic).await?;
+    let balancers = pages::listen(settings.ready).await?;
+    let shared = Arc::clone(&board);
+    let is_ready =
+        move |request: &Request<_>| ready::answer(&shared, &wire.ready, request.uri().path());
+    spawn_local(pages::serve(balancers, is_ready));
     let front = Rc::new(Front {
         leaving: board.leaving(),
         board,
         settings,
         clock,
-        headers,
+        headers: wire.headers,
         pool: Pool::new(clock),
         room: Rc::default(),
         paces: Rc::default(),
+        counts: RefCell::new(metrics.local()),
+        metrics,
         budgets: RefCell::default(),
     });
+    if let Some(address) = front.settings.metrics {
+        let listener = pages::listen(address).await?;
+        let counted = Rc::clone(&front);
+        let answer = move |request: &Request<_>| counted.metrics_page(request.uri().path());
+        spawn_local(pages::serve(listener, answer));
+    }
     log::info!("{} at {}", events::STARTED, front.settings.traffic);
     serve(&front, listener).await;
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, EdgeError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| EdgeError::Listen {
-        address: address.to_string(),
-        source,
-    })
-}
-
 async fn serve(front: &Rc<Front>, listener: TcpListener) {
     let (open, mut last) = mpsc::channel::<()>(1);
     let (close, closing) = watch::channel(false);
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -11,4 +11,4 @@
 mod ready;
 mod target;
 
-pub use front::run;
+pub use front::{Wire, run};
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -15,12 +15,13 @@
     citron_core::{
         ranges::RangeKey,
         routes::{RouteConfig, Rule},
+        routing::Outcome,
         time::Time,
     },
     http::{HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts},
     hyper::body::Incoming,
     rand::Rng,
-    std::{convert::Infallible, rc::Rc, str::FromStr, time::Duration},
+    std::{cell::Cell, convert::Infallible, rc::Rc, str::FromStr, time::Duration},
 };
 
 /// How much of a body is read before anything is sent, so that it can be sent
@@ -118,6 +119,8 @@
         stale: None,
         misdirected: 0,
         doubtful: false,
+        sent: 0,
+        outcome: Cell::new(Outcome::Ran),
     };
     call.run().await
 }
--- a/crates/citronproxy/src/lib.rs
+++ b/crates/citronproxy/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod edge;
 pub mod events;
 pub mod lifecycle;
+pub mod logs;
+mod metrics;
 pub mod peer;
 pub mod settings;
 pub mod slo;
--- a/crates/citronproxy/src/logs.rs
+++ b/crates/citronproxy/src/logs.rs
@@ -5,7 +5,6 @@
     std::{
         io::{self, Write},
         sync::{
-            Arc,
             atomic::{AtomicU64, Ordering},
             mpsc::{Receiver, SyncSender, sync_channel},
         },
@@ -19,17 +18,25 @@
 /// Stack of the writing thread, in bytes.
 const STACK: usize = 64 * 1_024;
 
+/// Lines lost since the start.
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// How many lines were lost since the start, for want of room in the buffer.
+///
+/// ```
+/// assert_eq!(citronproxy::logs::lost(), 0);
+/// ```
+pub fn lost() -> u64 {
+    LOST.load(Ordering::Relaxed)
+}
+
 /// Starts logging, at level `info` unless `RUST_LOG` says otherwise.
 pub fn start() {
     let (lines, waiting) = sync_channel(WAITING);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let writer = {
-        let dropped = Arc::clone(&dropped);
-        let builder = thread::Builder::new()
-            .name("logs".to_string())
-            .stack_size(STACK);
-        builder.spawn(move || write_lines(&waiting, &dropped))
-    };
+    let builder = thread::Builder::new()
+        .name("logs".to_string())
+        .stack_size(STACK);
+    let writer = builder.spawn(move || write_lines(&waiting));
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
     builder.format_timestamp_millis();
     if let Err(error) = writer {
@@ -38,20 +45,16 @@
         log::warn!("logs: {error}");
         return;
     }
-    let lines = Lines { lines, dropped };
-    builder.target(Target::Pipe(Box::new(lines))).init();
+    builder.target(Target::Pipe(Box::new(Lines(lines)))).init();
 }
 
 /// Hands lines to the writing thread, or counts those it has no room for.
-struct Lines {
-    lines: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
-}
+struct Lines(SyncSender<Vec<u8>>);
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(line.to_vec()).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        if self.0.try_send(line.to_vec()).is_err() {
+            LOST.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -61,12 +64,16 @@
     }
 }
 
-fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(waiting: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
+    let mut told = 0;
     while let Ok(line) = waiting.recv() {
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 && writeln!(out, "{lost} log lines were dropped here").is_err() {
-            return;
+        let lost = lost();
+        if lost > told {
+            if writeln!(out, "{} log lines were lost here", lost - told).is_err() {
+                return;
+            }
+            told = lost;
         }
         if out.write_all(&line).is_err() {
             return;
--- a/crates/citronproxy/src/main.rs
+++ b/crates/citronproxy/src/main.rs
@@ -2,13 +2,13 @@
 
 mod cli;
 mod instance;
-mod logs;
 
 use {
     citron_adapter::UserPlatform,
     citronproxy::{
         dev,
         edge::{self, EdgeSettings},
+        logs,
         settings::Settings,
     },
     cli::{Command, HELP},
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the request path.
 
 use {
+    crate::metrics::register,
     citron_core::{id::ServiceName, routing::Outcome},
     prometheus::{
         HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -22,6 +23,7 @@
     tries: IntCounterVec,
     seconds: HistogramVec,
     flights: IntGauge,
+    lost_lines: IntGauge,
 }
 
 impl Metrics {
@@ -41,16 +43,17 @@
         );
         let seconds = HistogramVec::new(seconds.buckets(BUCKETS.to_vec()), &["service"])?;
         let flights = IntGauge::new("citron_requests_in_flight", "Requests under way.")?;
-        registry.register(Box::new(requests.clone()))?;
-        registry.register(Box::new(tries.clone()))?;
-        registry.register(Box::new(seconds.clone()))?;
-        registry.register(Box::new(flights.clone()))?;
+        let lost_lines = IntGauge::new(
+            "citron_log_lines_lost",
+            "Log lines for which there was no room since the start.",
+        )?;
         Ok(Self {
+            requests: register(&registry, requests)?,
+            tries: register(&registry, tries)?,
+            seconds: register(&registry, seconds)?,
+            flights: register(&registry, flights)?,
+            lost_lines: register(&registry, lost_lines)?,
             registry,
-            requests,
-            tries,
-            seconds,
-            flights,
         })
     }
 
@@ -68,6 +71,12 @@
         self.flights.set(i64::try_from(flights).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of log lines lost since the start.
+    pub fn set_lost_lines(&self, lines: u64) {
+        self.lost_lines
+            .set(i64::try_from(lines).unwrap_or(i64::MAX));
+    }
+
     /// Where the other parts of the instance add metrics of their own.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -15,7 +15,7 @@
 mod handle;
 mod limits;
 mod load;
-mod metrics;
+pub(crate) mod metrics;
 mod owner;
 mod phase;
 pub(crate) mod pool;
