--- a/crates/fakes/src/link/relay.rs
+++ b/crates/fakes/src/link/relay.rs
@@ -23,8 +23,14 @@
     /// Nothing passes; what was sent passes once the link is whole again, as
     /// TCP sends again what was not acknowledged.
     cut: bool,
+    /// Nothing comes back.
+    mute: bool,
+    /// How long bytes are held up on their way there.
+    delay: Duration,
     /// Connections opened before this many silencings carry nothing any more.
     silenced: u64,
+    /// Connections opened before this many closings are closed.
+    closed: u64,
     /// The answers on the next so many connections are torn.
     torn: u32,
     /// After so many bytes.
@@ -53,7 +59,10 @@
             state: watch::Sender::new(State {
                 target,
                 cut: false,
+                mute: false,
+                delay: Duration::ZERO,
                 silenced: 0,
+                closed: 0,
                 torn: 0,
                 after: 0,
             }),
@@ -72,9 +81,28 @@
         self.state.send_modify(|state| state.cut = true);
     }
 
-    /// Makes the link whole.
+    /// What is sent arrives, and nothing comes back.
+    pub fn mute(&self) {
+        self.state.send_modify(|state| state.mute = true);
+    }
+
+    /// Holds everything up that is sent.
+    pub fn delay(&self, span: Duration) {
+        self.state.send_modify(|state| state.delay = span);
+    }
+
+    /// Makes the link whole and quick.
     pub fn heal(&self) {
-        self.state.send_modify(|state| state.cut = false);
+        self.state.send_modify(|state| {
+            state.cut = false;
+            state.mute = false;
+            state.delay = Duration::ZERO;
+        });
+    }
+
+    /// Closes all connections open now; new ones work.
+    pub fn close_open(&self) {
+        self.state.send_modify(|state| state.closed += 1);
     }
 
     /// All connections open now go silent for good; new ones work.
@@ -118,8 +146,10 @@
 }
 
 async fn connection(near: TcpStream, mut state: watch::Receiver<State>, limit: usize) {
-    let born = state.borrow().silenced;
-    if !open(&mut state, born).await {
+    let (born, closed) = (state.borrow().silenced, state.borrow().closed);
+    let there = |state: &State| !state.cut && state.silenced == born;
+    let back = |state: &State| there(state) && !state.mute;
+    if state.wait_for(there).await.is_err() {
         return;
     }
     let target = state.borrow().target;
@@ -130,9 +160,10 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pump(near_read, far_write, state.clone(), born, usize::MAX);
-    let back = pump(far_read, near_write, state, born, limit);
+    let there = pump(near_read, far_write, state.clone(), there, usize::MAX);
+    let back = pump(far_read, near_write, state.clone(), back, limit);
     tokio::select! {
+        _ = state.wait_for(|state| state.closed != closed) => {}
         // The end of an answer ends both directions; a caller's half-close does
         // not.
         () = back => {}
@@ -140,17 +171,24 @@
     }
 }
 
-/// Waits until bytes may pass; `false` if the link is gone.
-async fn open(state: &mut watch::Receiver<State>, born: u64) -> bool {
-    let passes = |state: &State| !state.cut && state.silenced == born;
-    state.wait_for(passes).await.is_ok()
+/// Waits until bytes may pass; `false` if the link is gone, or if the sender has
+/// reset its connection meanwhile: a network then loses what it had held up.
+async fn passes(
+    from: &OwnedReadHalf,
+    state: &mut watch::Receiver<State>,
+    open: impl Fn(&State) -> bool,
+) -> bool {
+    let delay = state.borrow().delay;
+    sleep(delay).await;
+    let open = state.wait_for(|state| open(state)).await.is_ok();
+    open && matches!(from.as_ref().take_error(), Ok(None))
 }
 
 async fn pump(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<State>,
-    born: u64,
+    open: impl Fn(&State) -> bool,
     mut limit: usize,
 ) {
     let mut buffer = vec![0; 16 << 10];
@@ -158,7 +196,7 @@
         let Ok(read) = from.read(&mut buffer).await else {
             return;
         };
-        if !open(&mut state, born).await {
+        if !passes(&from, &mut state, &open).await {
             return;
         }
         if read == 0 {
