Instances hand over a whole table to one whose version they do not reach back to

Trace: the store was down for most; one instance that had been restarted read the servers' table whole and told the others what had changed since their version. Entries removed before its reading had left no trace with it, so the others kept a lost server listed as ready for good, one of them as planner. Ruled out: the lease, the seat, the links (new connections to the server failed at once, C0502 of i-5 for 30 s, no C0420 for it anywhere). Change: a mirror knows how far back its changes reach; below that it hands over all rows, which the receiver takes as a replacement. Also: a server that nobody has measured lately is tried though others have kept connections, and is taken to need as long as the others.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -103,6 +103,11 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct TableWire {
     version: u64,
+    /// Whether these are all rows there are. The sender has read them all after
+    /// the version asked for, and does not know what was removed before that:
+    /// with the changes alone, a server whose entry was removed would stay listed
+    /// for the receiver and get requests for good.
+    pub whole: bool,
     /// Version of the newest change.
     pub changed: u64,
     rows: Vec<TableRowWire>,
@@ -119,15 +124,26 @@
 impl TableWire {
     /// What has changed after a version.
     pub fn new(mirror: &Mirror, after: u64) -> Self {
-        let rows = mirror.after(after).map(|row| TableRowWire {
-            key: row.key.clone(),
-            value: row.value.clone(),
-            version: row.version,
-        });
+        let whole = !mirror.reaches(after);
+        let rows = match whole {
+            true => mirror.live().map(TableRowWire::from).collect(),
+            false => mirror.after(after).map(TableRowWire::from).collect(),
+        };
         Self {
             version: mirror.version,
+            whole,
             changed: mirror.changed,
-            rows: rows.collect(),
+            rows,
+        }
+    }
+}
+
+impl From<&Row> for TableRowWire {
+    fn from(row: &Row) -> Self {
+        Self {
+            key: row.key.clone(),
+            value: row.value.clone(),
+            version: row.version,
         }
     }
 }
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -19,7 +19,10 @@
         let changed = {
             let mirror = &mut self.state.borrow_mut().mirrors[at];
             match whole {
-                true => mirror.replace(set),
+                true => {
+                    let newest = set.version;
+                    mirror.replace(set, newest)
+                }
                 false => mirror.apply(set, 0),
             }
         };
@@ -30,8 +33,14 @@
 
     /// Takes in what has changed by another instance's word.
     pub fn take_over(&self, at: usize, table: TableWire) {
-        let newest = table.changed;
-        let changed = self.state.borrow_mut().mirrors[at].apply(table.into(), newest);
+        let (newest, whole) = (table.changed, table.whole);
+        let changed = {
+            let mirror = &mut self.state.borrow_mut().mirrors[at];
+            match whole {
+                true => mirror.replace(table.into(), newest),
+                false => mirror.apply(table.into(), newest),
+            }
+        };
         self.take_rows(at, &changed);
     }
 
--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -13,6 +13,9 @@
     pub version: u64,
     /// The version of the newest change known: instances compare it.
     pub changed: u64,
+    /// The version of the last reading of all rows: a row that was removed before
+    /// it may have left no trace here.
+    base: u64,
     rows: BTreeMap<String, Row>,
 }
 
@@ -35,9 +38,13 @@
         newer
     }
 
-    /// Replaces all rows by a newer reading; the changed rows, the removed ones
-    /// among them.
-    pub fn replace(&mut self, mut set: RowSet) -> Vec<Row> {
+    /// Replaces all rows by a newer reading, the newest change being `newest`; the
+    /// changed rows, the removed ones among them.
+    pub fn replace(&mut self, mut set: RowSet, newest: u64) -> Vec<Row> {
+        if set.version < self.version {
+            return Vec::new();
+        }
+        self.base = set.version;
         let listed: Vec<&str> = set.rows.iter().map(|row| row.key.as_str()).collect();
         let live = self.rows.values().filter(|row| row.value.is_some());
         let gone = live.filter(|row| !listed.contains(&row.key.as_str()));
@@ -48,12 +55,21 @@
         });
         let gone: Vec<Row> = gone.collect();
         set.rows.extend(gone);
-        let newest = set.version;
         self.apply(set, newest)
     }
 
+    /// Whether all that has changed after a version is known.
+    pub fn reaches(&self, version: u64) -> bool {
+        version >= self.base
+    }
+
     /// What has changed after a version, in the order of keys.
     pub fn after(&self, version: u64) -> impl Iterator<Item = &Row> {
         self.rows.values().filter(move |row| row.version > version)
     }
+
+    /// The rows that there are, in the order of keys.
+    pub fn live(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter(|row| row.value.is_some())
+    }
 }
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -6,8 +6,8 @@
     std::time::Duration,
 };
 
-/// Run time of a request of which nothing is known yet, in seconds: between the
-/// means of the services seen so far.
+/// Run time of a request while no server of the service was measured, in seconds:
+/// between the means of the services seen so far.
 const RUN: f64 = 0.2;
 /// How much longer a server that has just started, or got keys without a
 /// handover, takes for a request.
@@ -96,7 +96,7 @@
 /// should not end in time is not sent, and the caller is told at once.
 pub fn choose<'a>(
     book: &LoadBook,
-    candidates: impl Iterator<Item = Candidate<'a>>,
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
     ask: Ask,
     now: Time,
     mut drawn: impl FnMut() -> f64,
@@ -104,10 +104,11 @@
     let mut near: Vec<Offer<'a>> = Vec::new();
     let mut far: Vec<Offer<'a>> = Vec::new();
     let mut room = AGAIN[1];
+    let usual = usual_run(book, candidates.clone(), now);
     for candidate in candidates {
         let entry = &candidate.server.entry;
         let load = book.get(&entry.name);
-        let run = run_time(load, candidate.server, now);
+        let run = run_time(load, candidate.server, usual, now);
         let wait = waiting(load, candidate.scale, entry.slots.0, run);
         if load.is_down(now) || load.is_full(now) || run + wait > limit(ask, run) {
             room = room.min(Duration::from_secs_f64(
@@ -119,7 +120,10 @@
             true => (&mut near, 1.0),
             false => (&mut far, FAR),
         };
-        let connection = match candidate.kept {
+        // One that nobody has measured lately may have joined just now, and would
+        // stay without a request as long as others have room.
+        let unknown = load.run(now).is_none();
+        let connection = match candidate.kept || unknown {
             true => 1.0,
             false => FRESH_CONNECTION,
         };
@@ -129,7 +133,7 @@
         offers.push(Offer {
             score: (run + wait) * distance * connection * refusing * spread,
             wait,
-            kept: candidate.kept,
+            kept: candidate.kept || unknown,
             server: &entry.name,
         });
     }
@@ -150,7 +154,7 @@
 struct Offer<'a> {
     /// The lower, the better.
     score: f64,
-    /// Whether a connection to it is kept.
+    /// Whether a connection to it is kept, or nothing is known of it.
     kept: bool,
     /// How long a request waits there, in seconds.
     wait: f64,
@@ -186,8 +190,19 @@
     run.min(ask.deadline.as_secs_f64() * PLANNED_LATE)
 }
 
-fn run_time(load: &ServerLoad, server: &Known, now: Time) -> f64 {
-    let run = load.run(now).unwrap_or(RUN);
+/// What a server is taken to need that nobody has measured: as much as the others.
+fn usual_run<'a>(
+    book: &LoadBook,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    now: Time,
+) -> f64 {
+    let runs = candidates.filter_map(|candidate| book.get(&candidate.server.entry.name).run(now));
+    let (sum, count) = runs.fold((0.0, 0.0), |(sum, count), run| (sum + run, count + 1.0));
+    if count > 0.0 { sum / count } else { RUN }
+}
+
+fn run_time(load: &ServerLoad, server: &Known, usual: f64, now: Time) -> f64 {
+    let run = load.run(now).unwrap_or(usual);
     match server.warm_up(now).is_zero() {
         true => run,
         false => run * COLD,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -163,6 +163,34 @@
     assert!(matches!(chosen, Choice::Full(_)));
 }
 
+/// A server has joined, and callers get nothing of it: a connection to the other
+/// one is kept, which has room for all there is. It has to be tried once to be
+/// known, and from then on the connection decides.
+#[test]
+fn a_server_that_nobody_has_measured_is_tried() {
+    let servers = [known("s-1"), known("s-joined")];
+    let mut book = LoadBook::default();
+    ran(&mut book, &servers[0].entry.name, 30);
+    let candidates = |book: &LoadBook| {
+        // Chance favours the one that has joined.
+        let mut draws = [0.9, 0.1].into_iter().cycle();
+        let candidates = servers.iter().map(|server| Candidate {
+            server,
+            near: true,
+            kept: server.entry.name == servers[0].entry.name,
+            scale: 1.0,
+        });
+        choose(book, candidates, millis(800, 3_000), NOW, || {
+            draws.next().unwrap()
+        })
+    };
+    let joined = &servers[1].entry.name;
+    assert_eq!(candidates(&book), Choice::Send(joined.clone()));
+    ran(&mut book, joined, 30);
+    let first = Choice::Send(servers[0].entry.name.clone());
+    assert_eq!(candidates(&book), first);
+}
+
 /// An instance that is gone leaves no requests behind in the others' counts.
 #[test]
 fn old_reports_count_for_nothing() {
