Planner split by task; terms of the field for heartbeats, election, leadership and reconciler

Chair, seat, steward and beat were words of our own: election, leadership, reconciler and heartbeat are what a reader expects. No behaviour is changed; no row or log event is renamed.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -11,14 +11,14 @@
     std::net::SocketAddr,
 };
 
-/// Row key of the planner's seat.
+/// Row key of the planner's leadership.
 pub const PLANNER: &str = "planner";
 /// Begin of the row keys of maps; the service's name follows.
 pub const MAP: &str = "map.";
 
 /// Who plans.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SeatWire {
+pub struct LeadershipWire {
     /// Name of the instance.
     pub instance: String,
     /// Its start.
--- a/crates/citronproxy/src/edge/control/chair.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        beat::Beat,
+        heartbeat::Heartbeat,
         node::{Holder, State},
         peers::{LOST, Peer},
     },
@@ -18,18 +18,18 @@
 /// Pause between the claims of two instances, by their rank: the first one's is
 /// written and known to all meanwhile.
 const RANK: Duration = Duration::from_millis(150);
-/// How long a planner that the store does not answer is left its seat: it may
+/// How long a planner that the store does not answer is left its leadership: it may
 /// still renew, and only lacks moves.
 const STORELESS: Duration = Duration::from_secs(2);
 
-/// Watches the seat.
+/// Watches the leadership.
 #[derive(Debug)]
-pub struct Chair {
+pub struct Election {
     begun: Time,
     vacant: Option<Time>,
 }
 
-impl Chair {
+impl Election {
     /// For an instance that started now.
     pub fn new(now: Time) -> Self {
         Self {
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Whether this instance should claim the seat now.
+    /// Whether this instance should claim the leadership now.
     pub fn claims(&mut self, state: &State, me: &EdgeSettings, start: u64, now: Time) -> bool {
         if !self.is_vacant(state, &me.instance, start, now) {
             self.vacant = None;
@@ -57,8 +57,10 @@
     }
 
     fn is_vacant(&self, state: &State, me: &InstanceId, start: u64, now: Time) -> bool {
-        let Some(seat) = &state.seat else { return true };
-        let holder = &seat.holder;
+        let Some(leadership) = &state.leadership else {
+            return true;
+        };
+        let holder = &leadership.holder;
         if holder.instance == *me {
             return holder.start != start;
         }
@@ -72,37 +74,39 @@
         if now - heard > LOST {
             return true;
         }
-        let Some(beat) = &peer.beat else { return false };
-        beat.leaving || (!beat.store && now - self.begun > STORELESS)
+        let Some(heartbeat) = &peer.heartbeat else {
+            return false;
+        };
+        heartbeat.leaving || (!heartbeat.store && now - self.begun > STORELESS)
     }
 }
 
 /// Whether a start has surely ended.
 pub fn has_ended(state: &State, holder: &Holder) -> bool {
     let peer = state.peers.get(&holder.instance);
-    let beat = peer.and_then(|peer| peer.beat.as_ref());
-    beat.is_some_and(|beat| beat.start != holder.start)
+    let heartbeat = peer.and_then(|peer| peer.heartbeat.as_ref());
+    heartbeat.is_some_and(|heartbeat| heartbeat.start != holder.start)
 }
 
 /// Whether a former planner has surely stopped, now that `version` of the row
 /// names another.
 pub fn has_stopped(state: &State, holder: &Holder, version: u64) -> bool {
     let peer = state.peers.get(&holder.instance);
-    let beat = peer.and_then(|peer| peer.beat.as_ref());
-    let stopped = |beat: &Beat| !beat.planning && beat.seat >= version;
-    has_ended(state, holder) || beat.is_some_and(stopped)
+    let heartbeat = peer.and_then(|peer| peer.heartbeat.as_ref());
+    let stopped = |heartbeat: &Heartbeat| !heartbeat.planning && heartbeat.leadership >= version;
+    has_ended(state, holder) || heartbeat.is_some_and(stopped)
 }
 
-/// Whether a planner's beats reach this instance: with many instances only in
+/// Whether a planner's heartbeats reach this instance: with many instances only in
 /// its failure domain, and the first one of each other.
 fn hears_planner(state: &State, me: &EdgeSettings, now: Time) -> bool {
     let near = |peer: &Peer| peer.domain.as_ref() == Some(&me.domain);
     let mut live = state.peers.live(now);
     let first = !live.any(|(name, peer)| *name < me.instance && near(peer));
     let planner = state
-        .seat
+        .leadership
         .as_ref()
-        .and_then(|seat| state.peers.get(&seat.holder.instance));
+        .and_then(|leadership| state.peers.get(&leadership.holder.instance));
     first || state.peers.hears_all() || planner.is_some_and(near)
 }
 
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        beat::{Beat, DATAGRAM_MAX, Datagram, KeysWire},
+        heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat, KeysWire},
         node::Node,
         peers::Round,
         relay,
@@ -17,9 +17,9 @@
     tokio::{net::UdpSocket, time::timeout},
 };
 
-/// Time between two beats if few instances hear each other.
+/// Time between two heartbeats if few instances hear each other.
 const PERIOD: Duration = Duration::from_millis(100);
-/// So many are few. With a multiple of them the time is that multiple: beats
+/// So many are few. With a multiple of them the time is that multiple: heartbeats
 /// then take the same part of a small processor at any number.
 const FEW: usize = 7;
 /// Keys in one datagram at most.
@@ -46,7 +46,7 @@
     let mut number = 0;
     loop {
         let now = node.clock.now();
-        send_beats(node, socket, number).await;
+        send_heartbeats(node, socket, number).await;
         send_keys(node, socket).await;
         number += 1;
         let reporting = node
@@ -64,18 +64,21 @@
     }
 }
 
-/// Time between two beats of an instance that hears so many.
+/// Time between two heartbeats of an instance that hears so many.
 pub fn period(reporting: usize) -> Duration {
     PERIOD * u32::try_from(reporting / FEW).unwrap_or(1).max(1)
 }
 
-async fn send_beats<A: Adapter>(node: &Node<A>, socket: &UdpSocket, number: u64) {
+async fn send_heartbeats<A: Adapter>(node: &Node<A>, socket: &UdpSocket, number: u64) {
     let due = {
         let state = node.state.borrow();
         let round = Round {
             number,
             domain: &node.settings.domain,
-            planner: state.seat.as_ref().map(|seat| &seat.holder.instance),
+            planner: state
+                .leadership
+                .as_ref()
+                .map(|leadership| &leadership.holder.instance),
             planning: state.planning,
         };
         state.peers.due(&round, node.clock.now())
@@ -83,13 +86,13 @@
     if due.is_empty() {
         return;
     }
-    let beat = node.beat();
-    let short = Datagram::Beat(Beat {
+    let heartbeat = node.heartbeat();
+    let short = Datagram::Heartbeat(Heartbeat {
         loads: Vec::new(),
-        ..beat.clone()
+        ..heartbeat.clone()
     });
     let short = short.encode().unwrap_or_default();
-    let whole = Datagram::Beat(beat)
+    let whole = Datagram::Heartbeat(heartbeat)
         .encode()
         .unwrap_or_else(|| short.clone());
     for to in due {
@@ -122,8 +125,9 @@
     }
     let planner = {
         let state = node.state.borrow();
-        let seat = state.seat.as_ref();
-        seat.and_then(|seat| state.peers.get(&seat.holder.instance))
+        let leadership = state.leadership.as_ref();
+        leadership
+            .and_then(|leadership| state.peers.get(&leadership.holder.instance))
             .map(|peer| peer.address)
     };
     let Some(planner) = planner else { return };
@@ -149,7 +153,7 @@
             }
         };
         match Datagram::decode(&buffer[..size]) {
-            Some(Datagram::Beat(beat)) => hear(node, from, beat),
+            Some(Datagram::Heartbeat(heartbeat)) => hear(node, from, heartbeat),
             Some(Datagram::Keys(keys)) => {
                 for part in keys {
                     node.note_keys(&part.service, &part.keys);
@@ -160,26 +164,30 @@
     }
 }
 
-fn hear<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, beat: Beat) {
-    let Ok(name) = beat.instance.parse::<InstanceId>() else {
+fn hear<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: Heartbeat) {
+    let Ok(name) = heartbeat.instance.parse::<InstanceId>() else {
         return;
     };
     if name == node.settings.instance {
         return;
     }
     let now = node.clock.now();
-    if node.hears_loads(&beat) {
-        let loads = beat.loads.iter();
+    if node.hears_loads(&heartbeat) {
+        let loads = heartbeat.loads.iter();
         let loads = loads.filter_map(|load| load.clone().try_into().ok());
         let mut book = node.board.loads();
         book.report(name.clone(), loads.collect(), now);
     }
-    if let Some(crashes) = beat.crashes.clone() {
-        let sender = (name.clone(), Incarnation(beat.start));
+    if let Some(crashes) = heartbeat.crashes.clone() {
+        let sender = (name.clone(), Incarnation(heartbeat.start));
         node.board.crashes().merge(sender, crashes.into(), now);
     }
-    relay::catch_up(node, from, &beat);
-    let new = node.state.borrow_mut().peers.heard(&name, from, beat, now);
+    relay::catch_up(node, from, &heartbeat);
+    let new = node
+        .state
+        .borrow_mut()
+        .peers
+        .heard(&name, from, heartbeat, now);
     if new {
         log::info!("{} {name} at {from}", events::PEER_HEARD);
         node.hurry.notify_one();
@@ -188,13 +196,13 @@
 }
 
 impl<A: Adapter> Node<A> {
-    /// Whether a beat tells its sender's loads. Without any it may say that there
+    /// Whether a heartbeat tells its sender's loads. Without any it may say that there
     /// are none, or only that this instance is not told.
-    fn hears_loads(&self, beat: &Beat) -> bool {
-        if !beat.loads.is_empty() {
+    fn hears_loads(&self, heartbeat: &Heartbeat) -> bool {
+        if !heartbeat.loads.is_empty() {
             return true;
         }
-        beat.domain == self.settings.domain.as_str() || self.state.borrow().peers.hears_all()
+        heartbeat.domain == self.settings.domain.as_str() || self.state.borrow().peers.hears_all()
     }
 
     /// Counts requests for keys, if this instance plans.
--- a/crates/citronproxy/src/edge/control/beat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -17,14 +17,14 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// A sign of life.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// Keys that callers asked for, to the planner.
     Keys(Vec<KeysWire>),
 }
 
 /// A sign of life, with what others need to know.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Name of the sender.
     pub instance: String,
     /// Its start.
@@ -42,7 +42,7 @@
     /// Versions of its tables, in the order of [`super::watch::WATCHED`].
     pub versions: [u64; 3],
     /// Version of the row that names the planner it follows; 0 for none.
-    pub seat: u64,
+    pub leadership: u64,
     /// What it has at servers.
     pub loads: Vec<LoadWire>,
     /// Requests that crashed servers, if it knows of any.
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        codec::{MAP, MapWire, PLANNER, SeatWire, TableWire},
-        node::{Holder, Node, Seat, State},
+        codec::{LeadershipWire, MAP, MapWire, PLANNER, TableWire},
+        node::{Holder, Leadership, Node, State},
         watch::WATCHED,
     },
     crate::events,
@@ -102,11 +102,11 @@
 
     fn take_range(&self, state: &mut State, row: &Row) {
         if row.key == PLANNER {
-            state.seat = row
+            state.leadership = row
                 .value
                 .as_deref()
-                .and_then(|value| seat(value, row.version));
-            log::info!("{} {:?}", events::PLANNER, state.seat);
+                .and_then(|value| leadership(value, row.version));
+            log::info!("{} {:?}", events::PLANNER, state.leadership);
         }
         let Some(service) = row.key.strip_prefix(MAP) else {
             return;
@@ -126,8 +126,8 @@
     }
 }
 
-fn seat(value: &[u8], version: u64) -> Option<Seat> {
-    let wire: SeatWire = serde_json::from_slice(value)
+fn leadership(value: &[u8], version: u64) -> Option<Leadership> {
+    let wire: LeadershipWire = serde_json::from_slice(value)
         .inspect_err(|error| log::error!("{} {PLANNER}: {error}", events::MAP_REFUSED))
         .ok()?;
     let holder = |instance: &str, start| {
@@ -135,7 +135,7 @@
         Some(Holder { instance, start })
     };
     let before = wire.before.iter();
-    Some(Seat {
+    Some(Leadership {
         holder: holder(&wire.instance, wire.start)?,
         before: before
             .filter_map(|(name, start)| holder(name, *start))
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -1,15 +1,14 @@
 //! The control thread: the store, other instances, and the planner.
 
-mod beat;
-mod chair;
 mod codec;
 mod counts;
 mod demands;
+mod election;
 mod gossip;
+mod heartbeat;
 mod intake;
 mod mirror;
 mod node;
-mod orders;
 mod peers;
 mod planner;
 mod relay;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        beat::{Beat, CrashesWire},
         counts::Counts,
         demands::Demands,
         gossip,
+        heartbeat::{CrashesWire, Heartbeat},
         mirror::Mirror,
         peers::Peers,
         planner, relay,
@@ -50,7 +50,7 @@
 
 /// Who plans, and the version of the row that says so.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Seat {
+pub struct Leadership {
     /// The planner.
     pub holder: Holder,
     /// Those before it that may not have stopped yet.
@@ -71,7 +71,7 @@
     /// Owners of keys, and the version of their row.
     pub maps: BTreeMap<ServiceName, (Arc<RangeMap>, u64)>,
     /// Who plans.
-    pub seat: Option<Seat>,
+    pub leadership: Option<Leadership>,
     /// Other instances.
     pub peers: Peers,
     /// Whether this instance acts as the planner.
@@ -104,7 +104,7 @@
     pub relay: relay::Relay,
     /// Wakes the planner.
     pub wake: Notify,
-    /// Wakes the sender of beats.
+    /// Wakes the sender of heartbeats.
     pub hurry: Notify,
     /// What is counted.
     pub counts: Counts,
@@ -168,7 +168,7 @@
             registry: Registry::new(RegistryTimes::for_drain(settings.drain)),
             config: None,
             maps: BTreeMap::new(),
-            seat: None,
+            leadership: None,
             peers: Peers::default(),
             planning: false,
             confirmed: Time::ZERO,
@@ -281,10 +281,10 @@
     }
 
     /// What this instance tells others now.
-    pub fn beat(&self) -> Beat {
+    pub fn heartbeat(&self) -> Heartbeat {
         let loads = self.board.loads().own(self.clock.now());
         let state = self.state.borrow();
-        Beat {
+        Heartbeat {
             instance: self.settings.instance.to_string(),
             start: self.start,
             domain: self.settings.domain.to_string(),
@@ -293,7 +293,10 @@
             planning: state.planning,
             store: *self.store.borrow(),
             versions: [0, 1, 2].map(|at: usize| state.mirrors[at].changed),
-            seat: state.seat.as_ref().map_or(0, |seat| seat.version),
+            leadership: state
+                .leadership
+                .as_ref()
+                .map_or(0, |leadership| leadership.version),
             loads: loads.into_iter().map(Into::into).collect(),
             crashes: self.crashes(),
         }
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -1,7 +1,7 @@
 //! Other instances, as their signs of life tell.
 
 use {
-    super::beat::Beat,
+    super::heartbeat::Heartbeat,
     citron_core::{
         id::{DomainName, InstanceId},
         time::Time,
@@ -10,12 +10,12 @@
 };
 
 /// After so long without a sign of life an instance counts as lost: a dozen
-/// beats, so that a slowed instance or a lossy link is no reason.
+/// heartbeats, so that a slowed instance or a lossy link is no reason.
 pub const LOST: Duration = Duration::from_millis(1_500);
-/// After so long it is left alone but for a beat now and then.
+/// After so long it is left alone but for a heartbeat now and then.
 const SILENT: Duration = Duration::from_secs(10);
 
-/// From so many others on beats go by failure domain.
+/// From so many others on heartbeats go by failure domain.
 const MANY: usize = 16;
 
 /// Another instance.
@@ -28,7 +28,7 @@
     /// When it was last heard.
     pub heard: Option<Time>,
     /// The last it said.
-    pub beat: Option<Beat>,
+    pub heartbeat: Option<Heartbeat>,
     added: Time,
 }
 
@@ -51,7 +51,7 @@
             address,
             domain: None,
             heard: None,
-            beat: None,
+            heartbeat: None,
             added: now,
         });
         peer.address = address;
@@ -60,16 +60,22 @@
 
     /// Takes in a sign of life; whether the sender was lost, unknown or another
     /// start before.
-    pub fn heard(&mut self, name: &InstanceId, from: SocketAddr, beat: Beat, now: Time) -> bool {
-        let domain = beat.domain.parse().ok();
+    pub fn heard(
+        &mut self,
+        name: &InstanceId,
+        from: SocketAddr,
+        heartbeat: Heartbeat,
+        now: Time,
+    ) -> bool {
+        let domain = heartbeat.domain.parse().ok();
         self.add(name.clone(), from, domain, now);
         let Some(peer) = self.peers.get_mut(name) else {
             return false;
         };
-        let former = peer.beat.as_ref().map(|beat| beat.start);
-        let new = former != Some(beat.start) || !is_live(peer, now);
+        let former = peer.heartbeat.as_ref().map(|heartbeat| heartbeat.start);
+        let new = former != Some(heartbeat.start) || !is_live(peer, now);
         peer.heard = Some(now);
-        peer.beat = Some(beat);
+        peer.heartbeat = Some(heartbeat);
         new
     }
 
@@ -85,7 +91,7 @@
             .filter(move |(_, peer)| is_live(peer, now))
     }
 
-    /// Where beats go now. With few instances everyone hears everyone, those in
+    /// Where heartbeats go now. With few instances everyone hears everyone, those in
     /// other failure domains every third time. With many, a failure domain's
     /// instances hear each other, the planner hears all, and one instance of each
     /// other domain hears without loads: what an instance sends and takes in must
@@ -133,14 +139,14 @@
         now: Time,
     ) -> impl Iterator<Item = (&InstanceId, &Peer)> {
         self.live(now).filter(move |(name, peer)| {
-            peer.beat.as_ref().is_some_and(|beat| {
-                let first = beat.cpu > cpu || (beat.cpu == cpu && *name < me);
-                first && beat.store && !beat.leaving
+            peer.heartbeat.as_ref().is_some_and(|heartbeat| {
+                let first = heartbeat.cpu > cpu || (heartbeat.cpu == cpu && *name < me);
+                first && heartbeat.store && !heartbeat.leaving
             })
         })
     }
 
-    /// Whether beats of all instances reach this one.
+    /// Whether heartbeats of all instances reach this one.
     pub fn hears_all(&self) -> bool {
         self.peers.len() < MANY
     }
@@ -163,7 +169,7 @@
     }
 }
 
-/// One round of beats.
+/// One round of heartbeats.
 #[derive(Debug)]
 pub struct Round<'a> {
     /// Its number.
@@ -176,7 +182,7 @@
     pub planning: bool,
 }
 
-/// Where a beat goes.
+/// Where a heartbeat goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Recipient {
     /// The address.
--- /dev/null
+++ b/crates/citronproxy/src/edge/control/planner/mod.rs
@@ -0,0 +1,10 @@
+//! The planner: one instance that grants, renews and moves keys.
+
+mod capacity;
+mod claim;
+mod commit;
+mod orders;
+mod run;
+mod term;
+
+pub use run::run;
--- a/crates/citronproxy/src/edge/control/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -1,8 +1,7 @@
 //! Orders to backend servers that hold keys.
 
 use {
-    super::node::Node,
-    crate::events,
+    crate::{edge::control::node::Node, events},
     bytes::Bytes,
     citron_core::{
         id::ServerName,
--- /dev/null
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -0,0 +1,180 @@
+//! The work of one term.
+
+use {
+    super::capacity::{capacities, have_shown_up},
+    crate::{
+        edge::control::{
+            election::has_stopped,
+            node::{Holder, Leadership, Node},
+        },
+        events,
+    },
+    citron_core::{
+        id::ServiceName,
+        ranges::{
+            Balance, BalanceLimits, Demand, KeyRange, LeaseBook, LeaseTimes, Order, OrderEnd,
+            RangeMap, Reconciler, Scope,
+        },
+        registry::Known,
+        time::Time,
+    },
+    citron_ports::Adapter,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Time between two plans for balance: the demand seen is some seconds old, and
+/// a move must show in it before the next one is planned.
+const EVEN: Duration = Duration::from_millis(400);
+
+/// What became of an order of one service.
+#[derive(Debug)]
+pub struct Ended {
+    /// The service.
+    pub service: ServiceName,
+    /// Version of the planner's row under which it was given.
+    pub leadership: u64,
+    /// The order.
+    pub order: Order,
+    /// What became of it.
+    pub end: OrderEnd,
+    /// Version of the map's row after a commit that was done.
+    pub version: u64,
+}
+
+/// A reconciler, and the version of the row that its map came from.
+#[derive(Debug)]
+pub struct ServicePlan {
+    /// Grants, releases and moves.
+    pub reconciler: Reconciler,
+    /// Version of the map's row.
+    pub version: u64,
+    /// What callers ask for, as of the last plan for balance.
+    pub demand: Demand,
+}
+
+/// The work of one term.
+#[derive(Debug)]
+pub struct Term {
+    /// The planner's row.
+    pub leadership: Leadership,
+    /// Planners before, while they may still act.
+    pub before: Vec<Holder>,
+    /// By service.
+    pub plans: BTreeMap<ServiceName, ServicePlan>,
+    /// When keys were last moved for balance.
+    pub evened: Time,
+}
+
+impl Term {
+    /// Takes in what became of an order.
+    pub fn take<A: Adapter>(&mut self, result: Ended, node: &Node<A>) {
+        if result.leadership != self.leadership.version {
+            return;
+        }
+        let now = node.clock.now();
+        let Some(plan) = self.plans.get_mut(&result.service) else {
+            return;
+        };
+        if matches!(result.order, Order::Commit(_)) {
+            match result.end {
+                OrderEnd::Done { .. } => {
+                    plan.version = result.version;
+                    log::info!(
+                        "{} service={} version={} slices={} moves={}",
+                        events::KEYS_MOVED,
+                        result.service,
+                        plan.version,
+                        plan.reconciler.map().slices().len(),
+                        plan.reconciler.moves()
+                    );
+                }
+                OrderEnd::Outdated => {
+                    // Something else lies in the store: it counts.
+                    let state = node.state.borrow();
+                    if let Some((map, version)) = state.maps.get(&result.service) {
+                        plan.reconciler.reload(RangeMap::clone(map));
+                        plan.version = *version;
+                    }
+                }
+                OrderEnd::Unknown | OrderEnd::NotSent => {}
+            }
+        }
+        plan.reconciler.ended(&result.order, result.end, now);
+    }
+
+    /// Once the planners before have stopped, leases of theirs need no longer wait.
+    pub fn settle_former<A: Adapter>(&mut self, node: &Node<A>) {
+        if self.before.is_empty() {
+            return;
+        }
+        let state = node.state.borrow();
+        let version = self.leadership.version;
+        self.before
+            .retain(|holder| !has_stopped(&state, holder, version));
+        if self.before.is_empty() {
+            for plan in self.plans.values_mut() {
+                plan.reconciler.book().settle_foreign(node.clock.now());
+            }
+        }
+    }
+
+    /// The orders that are due.
+    pub fn tick<A: Adapter>(
+        &mut self,
+        node: &Node<A>,
+        times: LeaseTimes,
+    ) -> Vec<(ServiceName, Order)> {
+        let now = node.clock.now();
+        let state = node.state.borrow();
+        if now - state.confirmed > times.blind {
+            // Another may have the leadership by now, and counts on this one's silence.
+            return Vec::new();
+        }
+        let Some(config) = &state.config else {
+            return Vec::new();
+        };
+        let even = now - self.evened > EVEN;
+        if even {
+            self.evened = now;
+        }
+        let mut orders = Vec::new();
+        for service in config.services().filter(|service| service.keyed) {
+            let name = &service.name;
+            let plan = self
+                .plans
+                .entry(name.clone())
+                .or_insert_with(|| ServicePlan {
+                    reconciler: Reconciler::new(RangeMap::new(), LeaseBook::new(times, now)),
+                    version: 0,
+                    demand: Demand::default(),
+                });
+            let servers = state.registry.iter();
+            let open: Vec<&Known> = servers
+                .filter(|known| known.is_open() && known.entry.service == *name)
+                .collect();
+            let deal = have_shown_up(&open, now);
+            let capacities = capacities(&open, &node.board.loads(), now);
+            if even {
+                // The work of a millisecond, and a tick may come with each order.
+                plan.demand = node.demands.borrow().seen(name, now);
+            }
+            let limits = BalanceLimits::STANDARD;
+            let mut balance = Balance::new(limits, &capacities, &plan.demand);
+            let due =
+                plan.reconciler
+                    .tick(now, &state.registry, &mut balance, Scope { deal, even });
+            if even {
+                log::info!(
+                    "{} service={name} highest={:.2} moves={} slices={} rate={:.0}",
+                    events::BALANCE,
+                    balance.highest(),
+                    plan.reconciler.moves(),
+                    plan.reconciler.map().slices().len(),
+                    plan.demand.of(KeyRange::ALL),
+                );
+            }
+            orders.extend(due.into_iter().map(|order| (name.clone(), order)));
+        }
+        orders
+    }
+}
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,7 +8,7 @@
 //! long said they leave.
 
 use {
-    super::{beat::Beat, codec::TableWire, node::Node},
+    super::{codec::TableWire, heartbeat::Heartbeat, node::Node},
     crate::{
         edge::pages::{Page, page},
         events,
@@ -76,8 +76,8 @@
 
 /// Asks another instance for tables that are newer there, unless this one should
 /// hear of the change by itself in time.
-pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, beat: &Beat) {
-    let due = due(node, beat);
+pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
+    let due = due(node, heartbeat);
     if due.is_empty() || node.relay.open.replace(true) {
         return;
     }
@@ -90,7 +90,7 @@
     });
 }
 
-fn due<A: Adapter>(node: &Node<A>, beat: &Beat) -> Vec<usize> {
+fn due<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat) -> Vec<usize> {
     let now = node.clock.now();
     let known = node
         .state
@@ -98,12 +98,12 @@
         .mirrors
         .each_ref()
         .map(|mirror| mirror.changed);
-    let near = beat.domain == node.settings.domain.as_str();
+    let near = heartbeat.domain == node.settings.domain.as_str();
     let mut behind = node.relay.behind.borrow_mut();
     let mut due = Vec::new();
     for at in 0..known.len() {
-        if beat.versions[at] <= known[at] {
-            // Others may be ahead still; their own beats tell.
+        if heartbeat.versions[at] <= known[at] {
+            // Others may be ahead still; their own heartbeats tell.
             continue;
         }
         let since = *behind[at].get_or_insert(now);
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -11,7 +11,7 @@
 /// Tables that are followed.
 pub const WATCHED: [RowTable; 3] = [RowTable::Config, RowTable::Servers, RowTable::Ranges];
 
-/// The place of the maps and the planner's seat among them.
+/// The place of the maps and the planner's leadership among them.
 pub const RANGES: usize = 2;
 
 /// How long the store keeps a question open. Each question is paid for, and the
@@ -76,7 +76,7 @@
 
     /// Whether this instance reads a table from the store, or hears of changes
     /// from another one of its failure domain. The planner follows the maps
-    /// itself: it must know that it still has the seat.
+    /// itself: it must know that it still has the leadership.
     pub fn reads(&self, at: usize) -> bool {
         let state = self.state.borrow();
         if state.planning && WATCHED[at] == RowTable::Ranges {
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -11,7 +11,7 @@
 mod error;
 mod key;
 mod map;
-mod steward;
+mod reconciler;
 
 pub use {
     balance::{Balance, BalanceLimits, Capacity, Shift},
@@ -20,5 +20,5 @@
     error::RangeError,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
-    steward::{Order, OrderEnd, OwnerState, Owners, Scope, Steward},
+    reconciler::{Order, OrderEnd, OwnerState, Owners, Reconciler, Scope},
 };
--- a/crates/core/src/ranges/steward.rs
+++ b/crates/core/src/ranges/reconciler.rs
@@ -63,7 +63,7 @@
     fn state(&self, server: &ServerName) -> OwnerState;
 }
 
-/// Something to be done outside; each is answered with [`Steward::ended`].
+/// Something to be done outside; each is answered with [`Reconciler::ended`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Order {
     /// Let a server hold keys for the span of a lease.
@@ -143,7 +143,7 @@
 /// Where the release stays unanswered, the keys wait until the old owner's
 /// last lease has run out, unless its start has surely ended.
 #[derive(Debug)]
-pub struct Steward {
+pub struct Reconciler {
     map: RangeMap,
     book: LeaseBook,
     moves: Vec<Move>,
@@ -153,7 +153,7 @@
     commit: Option<RangeMap>,
 }
 
-impl Steward {
+impl Reconciler {
     /// Takes over the map as it lies in the store.
     pub fn new(map: RangeMap, book: LeaseBook) -> Self {
         Self {
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -296,7 +296,7 @@
 
 /// A day with many busy ranges at 167 servers cut the space into a thousand
 /// slices, and renewing them took all of the planner's small machine: it lost its
-/// seat, and its successors theirs. Once there are enough slices, whole ones move.
+/// leadership, and its successors theirs. Once there are enough slices, whole ones move.
 #[test]
 fn with_enough_slices_none_is_cut() {
     let rates = [20.0; 19];
--- a/crates/core/tests/ranges_model/planner.rs
+++ b/crates/core/tests/ranges_model/planner.rs
@@ -1,8 +1,8 @@
-//! A planner: the product's steward, and what it knows of the store.
+//! A planner: the product's reconciler, and what it knows of the store.
 
 use citron_core::{
     id::ServerName,
-    ranges::{Order, OrderEnd, Steward},
+    ranges::{Order, OrderEnd, Reconciler},
     time::Time,
 };
 
@@ -10,14 +10,14 @@
 #[derive(Debug)]
 pub struct Planner {
     pub number: u64,
-    pub steward: Steward,
-    /// Version of the map's row that the steward goes by.
+    pub reconciler: Reconciler,
+    /// Version of the map's row that the reconciler goes by.
     pub version: u64,
     /// Whether the store reaches it.
     pub connected: bool,
     /// When the store last answered it.
     pub confirmed: Time,
-    /// Whether it has read that another has the seat.
+    /// Whether it has read that another leads.
     pub stopped: bool,
     /// Servers that it does not reach.
     pub cut: Vec<ServerName>,
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -6,7 +6,7 @@
         id::ServerName,
         ranges::{
             Balance, BalanceLimits, Capacity, Demand, LeaseBook, LeaseTimes, Order, OrderEnd,
-            OwnerState, Owners, RangeMap, Scope, Steward,
+            OwnerState, Owners, RangeMap, Reconciler, Scope,
         },
         time::Time,
     },
@@ -34,8 +34,8 @@
     LostRelease,
     /// A server that leaves counts as ended.
     LeavingEnded,
-    /// Maps are written whoever has the seat.
-    NoSeat,
+    /// Maps are written whoever leads.
+    NoLeadership,
     /// A commit that was not answered counts as done.
     LostCommit,
     /// A planner that is killed and replaced counts as never having sent: the
@@ -53,7 +53,7 @@
         Self::ShortLease,
         Self::LostRelease,
         Self::LeavingEnded,
-        Self::NoSeat,
+        Self::NoLeadership,
         Self::LostCommit,
         Self::NoQuiet,
         Self::LostGrant,
@@ -81,7 +81,7 @@
     /// Starts that have ended for certain, by name.
     ended: Vec<ServerName>,
     planners: Vec<Planner>,
-    seat: u64,
+    leader: u64,
     map: RangeMap,
     version: u64,
     sent: Vec<Sent>,
@@ -121,7 +121,7 @@
             servers: Vec::new(),
             ended: Vec::new(),
             planners: Vec::new(),
-            seat: 0,
+            leader: 0,
             map: RangeMap::new(),
             version: 0,
             sent: Vec::new(),
@@ -205,11 +205,11 @@
         }
         if self.chance(6) {
             // The planner is cut off; another takes over, and it does not know.
-            let seat = self.seat;
+            let leader = self.leader;
             if let Some(planner) = self
                 .planners
                 .iter_mut()
-                .find(|planner| planner.number == seat)
+                .find(|planner| planner.number == leader)
             {
                 planner.connected = false;
             }
@@ -276,16 +276,16 @@
         }
     }
 
-    /// Another instance gets the seat; `killed` if the former one's process has ended.
+    /// Another instance leads from now on; `killed` if the former one's process has ended.
     fn take_over(&mut self, killed: bool) {
         if killed {
-            let seat = self.seat;
-            self.planners.retain(|planner| planner.number != seat);
+            let leader = self.leader;
+            self.planners.retain(|planner| planner.number != leader);
         }
         self.planners
             .retain(|planner| self.now - planner.confirmed < Duration::from_secs(60));
-        let former = self.seat;
-        self.seat += 1;
+        let former = self.leader;
+        self.leader += 1;
         let doubtful = self.planners.iter().any(|planner| {
             let known = self.flaw != Some(Flaw::NoChain) || planner.number == former;
             known && !planner.stopped
@@ -302,8 +302,8 @@
         }
         let book = LeaseBook::new(times, foreign);
         self.planners.push(Planner {
-            number: self.seat,
-            steward: Steward::new(self.map.clone(), book),
+            number: self.leader,
+            reconciler: Reconciler::new(self.map.clone(), book),
             version: self.version,
             connected: true,
             confirmed: self.now,
@@ -323,8 +323,8 @@
         }
         if planner.connected {
             planner.confirmed = now;
-            if planner.number != self.seat && self.flaw != Some(Flaw::NoSeat) {
-                // It reads that another has the seat, and plans no more.
+            if planner.number != self.leader && self.flaw != Some(Flaw::NoLeadership) {
+                // It reads that another leads, and plans no more.
                 planner.stopped = true;
                 return;
             }
@@ -336,7 +336,7 @@
         let (due, later): (Vec<_>, Vec<_>) = planner.ends.drain(..).partition(|end| end.0 <= now);
         planner.ends = later;
         for (_, order, end) in due {
-            planner.steward.ended(&order, end, now);
+            planner.reconciler.ended(&order, end, now);
         }
         let listed = Listed {
             servers: &self.servers,
@@ -349,7 +349,7 @@
             deal: true,
             even: true,
         };
-        let orders = planner.steward.tick(now, &listed, &mut balance, scope);
+        let orders = planner.reconciler.tick(now, &listed, &mut balance, scope);
         for order in orders {
             match order {
                 Order::Commit(map) => self.commit(at, map),
@@ -375,8 +375,8 @@
         let flaw = self.flaw;
         let planner = &mut self.planners[at];
         let order = Order::Commit(map.clone());
-        let seated = planner.number == self.seat || flaw == Some(Flaw::NoSeat);
-        let fits = planner.version == self.version || flaw == Some(Flaw::NoSeat);
+        let leading = planner.number == self.leader || flaw == Some(Flaw::NoLeadership);
+        let fits = planner.version == self.version || flaw == Some(Flaw::NoLeadership);
         if !planner.connected || (lost && flaw != Some(Flaw::LostCommit)) {
             planner
                 .ends
@@ -390,8 +390,8 @@
                 .push((self.now, order, OrderEnd::Done { handover: None }));
             return;
         }
-        if !seated || !fits {
-            planner.steward.reload(self.map.clone());
+        if !leading || !fits {
+            planner.reconciler.reload(self.map.clone());
             planner.version = self.version;
             return;
         }
