Connections are used again as long as the server tells that it keeps them

Cause: with 73 instances before 155 servers each pair meets every 7 s, and connections were given up after 6 s though servers keep them 10 s: two of five keyed requests needed a new one. On the other side a server that keeps them for a second only would have got postings on connections that it was closing. Change: the time of Keep-Alive less a second decides, 6 s where none is told; at most 1.5 s for what may run once. A leaving owner of keys gets nothing for the last 0.8 s of its drain time, where it was 0.5 s: the news alone may have taken that long.

--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -11,7 +11,7 @@
         edge::board::Board,
         traffic::{
             pool::Reuse,
-            request::strip_hop_by_hop,
+            request::{kept_for, strip_hop_by_hop},
             upload::{Source, Upload},
         },
     },
@@ -33,8 +33,8 @@
 /// How long a new connection may take: servers are a millisecond away, and one
 /// that is overloaded or dark takes none.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
-/// How long a kept connection may have been quiet for a request that may be
-/// sent again. Servers close theirs after some ten seconds.
+/// How long a kept connection may have been quiet for a request that may be sent
+/// again, if the server does not tell how long it keeps it.
 const IDLE: Duration = Duration::from_secs(6);
 /// For one that may run once only.
 const IDLE_ONCE: Duration = Duration::from_millis(1_500);
@@ -214,7 +214,7 @@
 /// Which kept connections a request may go on.
 pub fn reuse(repeat: Repeat) -> Reuse {
     match repeat {
-        Repeat::Idempotent => Reuse::Within(IDLE),
+        Repeat::Idempotent => Reuse::Told(IDLE),
         Repeat::Once => Reuse::Within(IDLE_ONCE),
     }
 }
@@ -243,10 +243,11 @@
 async fn read(
     front: &Front,
     message: &Message<'_>,
-    kept: Kept,
+    mut kept: Kept,
     response: Response<Incoming>,
 ) -> Ended {
     let (mut head, body) = response.into_parts();
+    kept.connection().told = kept_for(&head.headers);
     if !is_answer_to(front, message, &head) {
         // A late or doubled answer to an earlier request: this one's may come
         // after it, or never.
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -16,8 +16,10 @@
 };
 
 /// How long before the end of its drain time a leaving owner gets nothing more:
-/// for what is still on its way.
-const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+/// the news has taken up to 0.5 s from the store to this instance where one
+/// instance reads for many, and the request is still on its way. By then the
+/// owner has long been told to give its keys up.
+const DRAIN_MARGIN: Duration = Duration::from_millis(800);
 
 /// When a caller comes back whose request was over the limit of its service:
 /// about the time in which one of those under way ends.
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -24,6 +24,9 @@
 const IDLE_MAX: usize = 32;
 /// How long a connection may stay idle.
 const IDLE_TIME: Duration = Duration::from_secs(30);
+/// How long before the end that a server has told a connection is used no more:
+/// it tells whole seconds, and a request must arrive before it closes.
+const TOLD_MARGIN: Duration = Duration::from_secs(1);
 /// How recent a sign of life a request needs that may run only once. Younger
 /// than the time after which middle boxes forget a connection, by far.
 const FRESH_TIME: Duration = Duration::from_secs(1);
@@ -55,15 +58,20 @@
     pub wire: Rc<Wire>,
     /// Whether it has carried an exchange before.
     pub reused: bool,
+    /// How long the server keeps it open while it is idle, by its own word.
+    pub told: Option<Duration>,
     driver: AbortHandle,
 }
 
 impl Connection {
     fn is_usable(&self, reuse: Reuse, now: Time) -> bool {
-        match reuse {
-            Reuse::Within(limit) => self.sender.is_ready() && now - self.wire.heard() < limit,
-            Reuse::Never => false,
-        }
+        let told = self.told.map(|told| told.saturating_sub(TOLD_MARGIN));
+        let limit = match reuse {
+            Reuse::Within(limit) => limit.min(told.unwrap_or(limit)),
+            Reuse::Told(otherwise) => told.unwrap_or(otherwise),
+            Reuse::Never => return false,
+        };
+        self.sender.is_ready() && now - self.wire.heard() < limit
     }
 }
 
@@ -78,8 +86,12 @@
 /// Which idle connections a request may go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
-    /// Those that showed a sign of life within this time.
+    /// Those that showed a sign of life within this time, or within the time that
+    /// the server keeps them if that is shorter.
     Within(Duration),
+    /// Those that the server still keeps by its own word; without any, those that
+    /// showed a sign of life within this time.
+    Told(Duration),
     /// None.
     Never,
 }
@@ -142,6 +154,7 @@
             sender,
             wire,
             reused: false,
+            told: None,
             driver: driver.abort_handle(),
         })
     }
--- a/crates/citronproxy/src/traffic/request.rs
+++ b/crates/citronproxy/src/traffic/request.rs
@@ -8,6 +8,7 @@
     },
     citron_wire::grant::{HEADER_EPOCH, HEADER_SCOPE, HEADER_SERVICE},
     http::{HeaderMap, HeaderName, HeaderValue, Uri, header, request::Parts, uri::PathAndQuery},
+    std::time::Duration,
 };
 
 /// Headers that concern one connection and are never passed on (RFC 9110, 7.6.1).
@@ -64,6 +65,15 @@
     headers.remove(KEEP_ALIVE);
 }
 
+/// How long the sender of a head keeps its connection open while it is idle, if
+/// it says so: `Keep-Alive: timeout=10`.
+pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parameters = text.split(',');
+    let timeout = parameters.find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Makes a head ready to be passed on: the path alone, whatever form the caller
 /// named it in, and nothing that concerns the caller's connection only.
 pub fn prepare(head: &mut Parts) {
