Choice of a server in two steps; means are averaged when reports are taken back, too

What a server is worth for a request, and which of those drawn is taken, are two functions now. A count that falls because a report is replaced or forgotten was not integrated until then: the mean took the new count for the whole time before.

--- a/crates/citronproxy/src/edge/run.rs
+++ b/crates/citronproxy/src/edge/run.rs
@@ -5,7 +5,7 @@
         EdgeError, EdgeSettings,
         board::Board,
         control,
-        traffic::{self, Wire},
+        traffic::{self, Names},
     },
     crate::{clock::Clock, events, traffic::metrics::Metrics},
     citron_ports::Adapter,
@@ -53,11 +53,11 @@
     });
     control.map_err(EdgeError::Thread)?;
     runtime()?.block_on(LocalSet::new().run_until(async move {
-        let wire = Wire {
+        let names = Names {
             headers,
             ready: ready_path,
         };
-        let served = traffic::run(Arc::clone(&board), settings, clock, wire, metrics);
+        let served = traffic::run(Arc::clone(&board), settings, clock, names, metrics);
         tokio::select! {
             served = served => served,
             ended = &mut failure => ended.unwrap_or(Ok(())),
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -74,7 +74,7 @@
 
 /// What the platform calls things that traffic deals with.
 #[derive(Debug)]
-pub struct Wire {
+pub struct Names {
     /// Headers of callers and servers.
     pub headers: HeaderNames,
     /// The path that balancers ask for.
@@ -123,21 +123,21 @@
     board: Arc<Board>,
     settings: EdgeSettings,
     clock: Clock,
-    wire: Wire,
+    names: Names,
     metrics: Metrics,
 ) -> Result<(), EdgeError> {
     let listener = pages::listen(settings.traffic).await?;
     let balancers = pages::listen(settings.ready).await?;
     let shared = Arc::clone(&board);
     let is_ready =
-        move |request: &Request<_>| ready::answer(&shared, &wire.ready, request.uri().path());
+        move |request: &Request<_>| ready::answer(&shared, &names.ready, request.uri().path());
     spawn_local(pages::serve(balancers, is_ready));
     let front = Rc::new(Front {
         leaving: board.leaving(),
         board,
         settings,
         clock,
-        headers: wire.headers,
+        headers: names.headers,
         pool: Pool::new(clock),
         room: Rc::default(),
         paces: Rc::default(),
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -11,4 +11,4 @@
 mod ready;
 mod target;
 
-pub use front::{Wire, run};
+pub use front::{Names, run};
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -91,18 +91,19 @@
         }
         let heard = now;
         let former = self.reports.insert(from, Report { heard, loads });
-        self.take_back(former);
+        self.take_back(former, now);
         let old = |report: &Report| now - report.heard >= REPORT_TIME;
         let gone = self.reports.iter().find(|(_, report)| old(report));
         if let Some(name) = gone.map(|(name, _)| name.clone()) {
             let report = self.reports.remove(&name);
-            self.take_back(report);
+            self.take_back(report, now);
         }
     }
 
-    fn take_back(&mut self, report: Option<Report>) {
+    fn take_back(&mut self, report: Option<Report>, now: Time) {
         for said in report.into_iter().flat_map(|report| report.loads) {
             if let Some(load) = self.servers.get_mut(&said.server) {
+                load.average(now);
                 load.peers = load.peers.saturating_sub(said.busy);
             }
         }
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -103,41 +103,19 @@
     now: Time,
     mut drawn: impl FnMut() -> f64,
 ) -> Choice {
-    let mut near: Vec<Offer<'a>> = Vec::new();
-    let mut far: Vec<Offer<'a>> = Vec::new();
+    let view = Outlook {
+        book,
+        usual: usual_run(book, candidates.clone(), now),
+        now,
+    };
+    let (mut near, mut far) = (Vec::new(), Vec::new());
     let mut room = AGAIN[1];
-    let usual = usual_run(book, candidates.clone(), now);
     for candidate in candidates {
-        let entry = &candidate.server.entry;
-        let load = book.get(&entry.name);
-        let run = run_time(load, candidate.server, usual, now);
-        let wait = waiting(load.expected(candidate.scale, now), entry.slots.0, run);
-        if load.is_down(now) || load.is_full(now) || run + wait > limit(ask, run) {
-            room = room.min(Duration::from_secs_f64(
-                wait + run / f64::from(entry.slots.0),
-            ));
-            continue;
+        match (view.offer(&candidate, ask, drawn()), candidate.near) {
+            (Ok(offer), true) => near.push(offer),
+            (Ok(offer), false) => far.push(offer),
+            (Err(wait), _) => room = room.min(wait),
         }
-        let (offers, distance) = match candidate.near {
-            true => (&mut near, 1.0),
-            false => (&mut far, FAR),
-        };
-        // One that nobody has measured lately may have joined just now, and would
-        // stay without a request as long as others have room.
-        let unknown = load.run(now).is_none();
-        let connection = match candidate.kept || unknown {
-            true => 1.0,
-            false => FRESH_CONNECTION,
-        };
-        let refusing = 1.0 + load.refused() * REFUSING;
-        // Instances that see the same loads must not all choose the same server.
-        let spread = 0.9 + 0.2 * drawn();
-        offers.push(Offer {
-            score: (run + wait) * distance * connection * refusing * spread,
-            wait,
-            kept: candidate.kept || unknown,
-            server: &entry.name,
-        });
     }
     let kept = near.iter().filter(|offer| offer.kept).copied().collect();
     let mut offers = draw(near, ask.compared, &mut drawn);
@@ -151,6 +129,49 @@
     }
 }
 
+/// What servers are weighed by.
+struct Outlook<'a> {
+    book: &'a LoadBook,
+    /// Run time of a server that nobody has measured.
+    usual: f64,
+    now: Time,
+}
+
+impl Outlook<'_> {
+    /// How good a server is for a request; when it should have room if it has none.
+    fn offer<'s>(
+        &self,
+        candidate: &Candidate<'s>,
+        ask: Ask,
+        drawn: f64,
+    ) -> Result<Offer<'s>, Duration> {
+        let entry = &candidate.server.entry;
+        let load = self.book.get(&entry.name);
+        let run = run_time(load, candidate.server, self.usual, self.now);
+        let busy = load.expected(candidate.scale, self.now);
+        let wait = waiting(busy, entry.slots.0, run);
+        let shut = load.is_down(self.now) || load.is_full(self.now);
+        if shut || run + wait > limit(ask, run) {
+            let slots = f64::from(entry.slots.0);
+            return Err(Duration::from_secs_f64(wait + run / slots));
+        }
+        // One that nobody has measured lately may have joined just now, and would
+        // stay without a request as long as others have room.
+        let kept = candidate.kept || load.run(self.now).is_none();
+        let distance = if candidate.near { 1.0 } else { FAR };
+        let connection = if kept { 1.0 } else { FRESH_CONNECTION };
+        let refusing = 1.0 + load.refused() * REFUSING;
+        // Instances that see the same loads must not all choose the same server.
+        let spread = 0.9 + 0.2 * drawn;
+        Ok(Offer {
+            score: (run + wait) * distance * connection * refusing * spread,
+            kept,
+            wait,
+            server: &entry.name,
+        })
+    }
+}
+
 /// A server that should answer in time.
 #[derive(Clone, Copy)]
 struct Offer<'a> {
