--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -145,17 +145,28 @@
         metrics,
         budgets: RefCell::default(),
     });
-    if let Some(address) = front.settings.metrics {
-        let listener = pages::listen(address).await?;
-        let counted = Rc::clone(&front);
-        let answer = move |request: &Request<_>| counted.metrics_page(request.uri().path());
-        spawn_local(pages::serve(listener, answer));
-    }
+    serve_metrics(&front).await;
     log::info!("{} at {}", events::STARTED, front.settings.traffic);
     serve(&front, listener).await;
     Ok(())
 }
 
+/// Callers matter more than counts: without the address for metrics the instance
+/// runs on.
+async fn serve_metrics(front: &Rc<Front>) {
+    let Some(address) = front.settings.metrics else {
+        return;
+    };
+    match pages::listen(address).await {
+        Ok(listener) => {
+            let counted = Rc::clone(front);
+            let answer = move |request: &Request<_>| counted.metrics_page(request.uri().path());
+            spawn_local(pages::serve(listener, answer));
+        }
+        Err(error) => log::error!("{} {error}", events::METRICS),
+    }
+}
+
 async fn serve(front: &Rc<Front>, listener: TcpListener) {
     let (open, mut last) = mpsc::channel::<()>(1);
     let (close, closing) = watch::channel(false);
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -47,6 +47,8 @@
     STOPPED = 3, "stopped";
     /// The settings file was read again after SIGHUP.
     RELOADED = 4, "settings-read-again";
+    /// Metrics cannot be served; callers are.
+    METRICS = 5, "metrics-not-served";
     /// A newer revision of the table is in force here.
     REVISION = 100, "revision-in-force";
     /// The platform could not be read.
