Candidates are worked out once a choice; one way to bring a table's copy up to date

The mean run time made each choice walk its candidates twice, and with them the look into the connection pool for each server. take and take_over chose between replace and apply each for itself. Pace::limit was called by nobody. No behaviour is changed.

--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -16,16 +16,8 @@
     /// Takes in what the store said of a watched table; `whole` if these are all
     /// rows there are. Other instances hear of changes at once.
     pub fn take(&self, at: usize, set: RowSet, whole: bool) {
-        let changed = {
-            let mirror = &mut self.state.borrow_mut().mirrors[at];
-            match whole {
-                true => {
-                    let newest = set.version;
-                    mirror.replace(set, newest)
-                }
-                false => mirror.apply(set, 0),
-            }
-        };
+        let newest = if whole { set.version } else { 0 };
+        let changed = self.merge(at, set, newest, whole);
         if self.take_rows(at, &changed) {
             self.hurry.notify_one();
         }
@@ -34,16 +26,19 @@
     /// Takes in what has changed by another instance's word.
     pub fn take_over(&self, at: usize, table: TableWire) {
         let (newest, whole) = (table.changed, table.whole);
-        let changed = {
-            let mirror = &mut self.state.borrow_mut().mirrors[at];
-            match whole {
-                true => mirror.replace(table.into(), newest),
-                false => mirror.apply(table.into(), newest),
-            }
-        };
+        let changed = self.merge(at, table.into(), newest, whole);
         self.take_rows(at, &changed);
     }
 
+    /// Brings the copy of a table up to date; the changed rows.
+    fn merge(&self, at: usize, set: RowSet, newest: u64, whole: bool) -> Vec<Row> {
+        let mirror = &mut self.state.borrow_mut().mirrors[at];
+        match whole {
+            true => mirror.replace(set, newest),
+            false => mirror.apply(set, newest),
+        }
+    }
+
     /// Whether there was anything to take in.
     fn take_rows(&self, at: usize, changed: &[Row]) -> bool {
         if changed.is_empty() {
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -98,20 +98,21 @@
 /// should not end in time is not sent, and the caller is told at once.
 pub fn choose<'a>(
     book: &LoadBook,
-    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    candidates: impl Iterator<Item = Candidate<'a>>,
     ask: Ask,
     now: Time,
     mut drawn: impl FnMut() -> f64,
 ) -> Choice {
+    let candidates: Vec<Candidate<'a>> = candidates.collect();
     let view = Outlook {
         book,
-        usual: usual_run(book, candidates.clone(), now),
+        usual: usual_run(book, &candidates, now),
         now,
     };
     let (mut near, mut far) = (Vec::new(), Vec::new());
     let mut room = AGAIN[1];
-    for candidate in candidates {
-        match (view.offer(&candidate, ask, drawn()), candidate.near) {
+    for candidate in &candidates {
+        match (view.offer(candidate, ask, drawn()), candidate.near) {
             (Ok(offer), true) => near.push(offer),
             (Ok(offer), false) => far.push(offer),
             (Err(wait), _) => room = room.min(wait),
@@ -214,12 +215,10 @@
 }
 
 /// What a server is taken to need that nobody has measured: as much as the others.
-fn usual_run<'a>(
-    book: &LoadBook,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-    now: Time,
-) -> f64 {
-    let runs = candidates.filter_map(|candidate| book.get(&candidate.server.entry.name).run(now));
+fn usual_run(book: &LoadBook, candidates: &[Candidate<'_>], now: Time) -> f64 {
+    let runs = candidates
+        .iter()
+        .filter_map(|candidate| book.get(&candidate.server.entry.name).run(now));
     let (sum, count) = runs.fold((0.0, 0.0), |(sum, count), run| (sum + run, count + 1.0));
     if count > 0.0 { sum / count } else { RUN }
 }
--- a/crates/core/src/dispatch/pace.rs
+++ b/crates/core/src/dispatch/pace.rs
@@ -90,9 +90,4 @@
             Speed::InTime | Speed::Unknown => {}
         }
     }
-
-    /// Requests at a time.
-    pub fn limit(&self) -> f64 {
-        self.limit
-    }
 }
