A start of a server has an identity of its own; what proves that one has ended

Cause: an entry with a server's address under another name counted as proof that the server had ended, whichever was heard last.

Ruled out: the wait for leases and the order of release, commit and grant; the walks of core/tests/ranges_model hold with proofs that are true.

Change: ServerName is the id and, where told, the moment of the start. An older start under the same id changes nothing; a later one, under the id or at the address, proves the end. Without moments an entry proves nothing: the start heard of first is used no more, and its keys are freed by the answer to the release, which comes from whoever listens at the address (200, or 421 as the order names the start), or by the end of the lease.

Not done yet: the walks do not play late entries.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -51,11 +51,11 @@
 
 impl From<&RangeMap> for MapWire {
     fn from(map: &RangeMap) -> Self {
-        let mut servers: Vec<String> = Vec::new();
-        let mut place = |owner: &ServerName| {
-            let found = servers.iter().position(|name| name == owner.as_str());
+        let mut servers: Vec<&ServerName> = Vec::new();
+        let mut place = |owner| {
+            let found = servers.iter().position(|name| *name == owner);
             found.unwrap_or_else(|| {
-                servers.push(owner.to_string());
+                servers.push(owner);
                 servers.len() - 1
             })
         };
@@ -69,6 +69,7 @@
             )
         });
         let slices = slices.collect();
+        let servers = servers.iter().map(ToString::to_string).collect();
         Self { servers, slices }
     }
 }
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -80,10 +80,8 @@
     fn take_server(&self, state: &mut State, row: &Row) {
         let now = self.clock.now();
         if row.value.is_none() {
-            if let Ok(name) = row.key.parse() {
-                log::info!("{} {name}: listed no more", events::SERVER_STATE);
-                state.registry.removed(&name, now);
-            }
+            log::info!("{} {}: listed no more", events::SERVER_STATE, row.key);
+            state.registry.removed(&row.key, now);
             return;
         }
         match self.adapter.server(row) {
@@ -91,7 +89,10 @@
                 log::info!("{} {}: {:?}", events::SERVER_STATE, entry.name, entry.state);
                 state.registry.listed(entry, now);
             }
-            Err(error) => log::error!("{} {error}", events::SERVER_REFUSED),
+            Err(error) => {
+                log::error!("{} {error}", events::SERVER_REFUSED);
+                state.registry.unreadable(&row.key, now);
+            }
         }
     }
 
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -103,7 +103,7 @@
         let Some(address) = address else {
             return Err(CallError::NotSent("the server is not known".to_string()));
         };
-        if let Ok(name) = HeaderValue::from_str(server.as_str()) {
+        if let Ok(name) = HeaderValue::from_str(server.id()) {
             let header = node.adapter.headers().instance.clone();
             request.headers_mut().insert(header, name);
         }
@@ -128,6 +128,12 @@
         Ok(answer) if answer.status() == StatusCode::OK => OrderEnd::Done {
             handover: node.adapter.handover(answer.headers()),
         },
+        // The order names the start that it is for, and another one has answered
+        // at the address: a process listens there that is not the one released,
+        // which therefore has ended and holds nothing.
+        Ok(answer) if answer.status() == StatusCode::MISDIRECTED_REQUEST => {
+            OrderEnd::Done { handover: None }
+        }
         _ => OrderEnd::Unknown,
     }
 }
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -234,7 +234,7 @@
         front.headers.deadline.clone(),
         HeaderValue::from(left as u64),
     );
-    if let Ok(name) = HeaderValue::from_str(server.entry.name.as_str()) {
+    if let Ok(name) = HeaderValue::from_str(server.entry.name.id()) {
         headers.insert(front.headers.instance.clone(), name);
     }
     request
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -94,7 +94,7 @@
     let Some(known) = view.server(wish.service, owner) else {
         return Target::None;
     };
-    if known.ended {
+    if known.is_displaced() {
         return Target::Moving;
     }
     if let Some(left) = known.left
--- a/crates/core/src/id/mod.rs
+++ b/crates/core/src/id/mod.rs
@@ -4,12 +4,14 @@
 mod key;
 mod name;
 mod number;
+mod server;
 
 pub(crate) use key::parse_hash;
 
 pub use {
     error::ParseIdError,
     key::{KeyHash, ShardBits, ShardId},
-    name::{DomainName, InstanceId, OperatorName, ServerName, ServiceName},
-    number::{CommitId, Epoch, Incarnation, Revision, Slots, Weight},
+    name::{DomainName, InstanceId, OperatorName, ServiceName},
+    number::{Born, CommitId, Epoch, Incarnation, Revision, Slots, Weight},
+    server::ServerName,
 };
--- a/crates/core/src/id/name.rs
+++ b/crates/core/src/id/name.rs
@@ -8,7 +8,8 @@
 /// The longest name, in bytes; the limit of a DNS label.
 const MAX_NAME: usize = 63;
 
-fn check_name(text: &str) -> Result<String, ParseIdError> {
+/// Checks a name that an operator, or a server, gives.
+pub fn check_name(text: &str) -> Result<String, ParseIdError> {
     let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-._".contains(c);
     let valid = !text.is_empty() && text.len() <= MAX_NAME && text.chars().all(allowed);
     if !valid {
@@ -58,10 +59,6 @@
     /// Name of a service.
     ServiceName
 );
-name_type!(
-    /// Name of a backend server.
-    ServerName
-);
 name_type!(
     /// Name of a failure domain.
     DomainName
--- a/crates/core/src/id/number.rs
+++ b/crates/core/src/id/number.rs
@@ -53,6 +53,11 @@
     /// Tells two starts of the same instance apart; drawn at each process start.
     Incarnation, u64, 0, u64::MAX
 );
+number_type!(
+    /// When a backend server started, in Unix milliseconds by its own clock. The
+    /// most is the year 2286: what lies beyond is another unit, not a moment.
+    Born, u64, 0, 10_000_000_000_000_u64
+);
 number_type!(
     /// Number of a commit among those of one writer.
     CommitId, u64, 0, u64::MAX
--- a/crates/core/src/placement/score.rs
+++ b/crates/core/src/placement/score.rs
@@ -15,7 +15,7 @@
         Scope::Shard(shard) => u64::from(shard.0),
         Scope::Key(key) => !key.0,
     };
-    let hash = xxh3_64_with_seed(server.as_str().as_bytes(), seed);
+    let hash = xxh3_64_with_seed(server.id().as_bytes(), seed);
     // The hash as a number strictly between 0 and 1.
     let unit = ((hash >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
     -(weight as f64) / unit.ln()
--- a/crates/core/src/ranges/reconciler.rs
+++ b/crates/core/src/ranges/reconciler.rs
@@ -53,7 +53,8 @@
     Serving,
     /// It is listed as leaving, or listed no more; it may still run requests.
     Leaving,
-    /// This start of it has surely ended: its address belongs to another.
+    /// This start of it has surely ended: a later one is known, by the moments
+    /// that both tell, under its id or at its address.
     Ended,
 }
 
--- a/crates/core/src/registry/entry.rs
+++ b/crates/core/src/registry/entry.rs
@@ -17,7 +17,7 @@
 /// One start of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
-    /// The name of this start; another start has another name.
+    /// The name of this start; another start has another name, or its moment.
     pub name: ServerName,
     /// Its service.
     pub service: ServiceName,
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     entry::{ServerEntry, ServerState},
-    servers::{Known, Registry, RegistryTimes},
+    servers::{Known, Place, Registry, RegistryTimes},
 };
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -7,7 +7,10 @@
         ranges::{OwnerState, Owners},
         time::Time,
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// How long an entry that vanished still counts.
@@ -61,8 +64,19 @@
     pub left: Option<Time>,
     /// When it was first heard of.
     pub seen: Time,
-    /// Whether its address now belongs to another start.
-    pub ended: bool,
+    /// What other entries say of its address.
+    pub place: Place,
+}
+
+/// Whose a server's address is, as far as entries tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// No other start is known there.
+    Own,
+    /// An entry names another start there, without proof of which one lives.
+    Disputed,
+    /// A later start is there: this one has surely ended.
+    Passed,
 }
 
 impl Known {
@@ -71,6 +85,18 @@
         self.left.is_none()
     }
 
+    /// Whether requests to its address may reach another start.
+    pub fn is_displaced(&self) -> bool {
+        self.place != Place::Own
+    }
+
+    fn displaced(&mut self, place: Place, now: Time) {
+        if self.place != Place::Passed {
+            self.place = place;
+        }
+        self.left.get_or_insert(now);
+    }
+
     /// How much longer it is slow after its start.
     pub fn warm_up(&self, now: Time) -> Duration {
         self.entry.warm_up.saturating_sub(now - self.seen)
@@ -109,57 +135,110 @@
         self.rejoin = now + self.times.rejoin;
     }
 
-    /// A server wrote its entry.
+    /// A server wrote its entry. One that is older than a start known under its
+    /// id comes late, or from somewhere else, and changes nothing.
     pub fn listed(&mut self, entry: ServerEntry, now: Time) {
-        self.missing.remove(&entry.name);
-        for (name, other) in &mut self.servers {
-            if other.entry.address == entry.address && *name != entry.name {
-                other.ended = true;
-                other.left.get_or_insert(now);
-            }
+        let name = entry.name.clone();
+        let newer = |known: &Known| starts_after(&known.entry, &entry) == Some(true);
+        if self.with_id(name.id()).any(newer) {
+            return;
         }
-        let known = self.servers.get(&entry.name);
-        let left = match entry.state {
-            ServerState::Ready => None,
-            ServerState::Leaving => Some(known.and_then(|known| known.left).unwrap_or(now)),
+        self.missing.remove(&name);
+        let place = self.displace(&entry, now);
+        let known = self.servers.get(&name);
+        let left = known.and_then(|known| known.left);
+        let left = match (entry.state, place) {
+            (ServerState::Ready, Place::Own) => None,
+            _ => Some(left.unwrap_or(now)),
         };
         let seen = known.map_or(now, |known| known.seen);
-        let name = entry.name.clone();
-        self.servers.insert(
-            name,
-            Known {
-                entry,
-                left,
-                seen,
-                ended: false,
-            },
-        );
-    }
-
-    /// An entry vanished.
-    pub fn removed(&mut self, name: &ServerName, now: Time) {
-        if now < self.rejoin {
-            self.missing.insert(name.clone(), self.rejoin);
-            return;
+        let known = Known {
+            entry,
+            left,
+            seen,
+            place,
+        };
+        self.servers.insert(name, known);
+    }
+
+    /// Marks the starts that an entry takes the place of, and tells whether
+    /// another one has taken its own.
+    ///
+    /// A server that crashes and starts again within the span of its heartbeats
+    /// is listed twice for a while, and a heartbeat of the former start may be
+    /// written after the first one of the new start. Taken for proof of which one
+    /// lives, it would free the keys of the living one while it runs requests on
+    /// them. Only the moments of the starts prove it; without them the one heard
+    /// of first is not used any more, and what it holds waits as for any server
+    /// that does not answer.
+    fn displace(&mut self, entry: &ServerEntry, now: Time) -> Place {
+        let seen = self.servers.get(&entry.name).map_or(now, |own| own.seen);
+        let mut place = Place::Own;
+        for other in self.servers.values_mut() {
+            let same = other.entry.name == entry.name;
+            let rival = other.entry.address == entry.address
+                || other.entry.name.id() == entry.name.id();
+            if same || !rival {
+                continue;
+            }
+            match starts_after(entry, &other.entry) {
+                Some(true) => other.displaced(Place::Passed, now),
+                Some(false) => place = Place::Passed,
+                None if other.seen <= seen => other.displaced(Place::Disputed, now),
+                None if place == Place::Own && other.is_open() => place = Place::Disputed,
+                None => {}
+            }
         }
-        if let Some(known) = self.servers.get_mut(name) {
-            known.left.get_or_insert(now);
+        place
+    }
+
+    fn with_id<'a>(&'a self, id: &'a str) -> impl Iterator<Item = &'a Known> {
+        let own = move |known: &&Known| known.entry.name.id() == id;
+        self.servers.values().filter(own)
+    }
+
+    /// The entry under a server's id vanished.
+    pub fn removed(&mut self, id: &str, now: Time) {
+        let missing = now < self.rejoin;
+        for name in self.open_starts(id) {
+            match self.servers.get_mut(&name) {
+                Some(_) if missing => {
+                    self.missing.insert(name, self.rejoin);
+                }
+                Some(known) => known.left = Some(now),
+                None => {}
+            }
         }
     }
 
+    /// The entry under a server's id cannot be read. It names no server to use,
+    /// but the server that wrote it before need not have ended: another writer
+    /// may have overwritten the entry, and the server's next heartbeat mends it.
+    /// Until then it counts as one that rejoins; taken for gone at once, it would
+    /// lose its keys and each request on them its place.
+    pub fn unreadable(&mut self, id: &str, now: Time) {
+        for name in self.open_starts(id) {
+            self.missing.entry(name).or_insert(now + self.times.rejoin);
+        }
+    }
+
+    fn open_starts(&self, id: &str) -> Vec<ServerName> {
+        let open = self.with_id(id).filter(|known| known.is_open());
+        open.map(|known| known.entry.name.clone()).collect()
+    }
+
     /// The whole list was read: what is not in it has vanished.
     pub fn replaced(&mut self, entries: Vec<ServerEntry>, now: Time) {
-        let listed: Vec<ServerName> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let listed = entries.iter().map(|entry| entry.name.id().to_string());
+        let listed: BTreeSet<String> = listed.collect();
         for entry in entries {
             self.listed(entry, now);
         }
-        let open = self.servers.iter().filter(|(_, known)| known.is_open());
-        let vanished: Vec<ServerName> = open
-            .map(|(name, _)| name.clone())
-            .filter(|name| !listed.contains(name))
-            .collect();
-        for name in vanished {
-            self.removed(&name, now);
+        let open = self.servers.values().filter(|known| known.is_open());
+        let ids = open.map(|known| known.entry.name.id().to_string());
+        let vanished: Vec<String> = ids.filter(|id| !listed.contains(id)).collect();
+        for id in vanished {
+            self.removed(&id, now);
         }
     }
 
@@ -196,11 +275,23 @@
     }
 }
 
+/// Whether one of two starts that cannot both live, as they have an id or an
+/// address in common, is the later one; `None` if their entries do not tell.
+fn starts_after(one: &ServerEntry, other: &ServerEntry) -> Option<bool> {
+    let (one, other) = (&one.name, &other.name);
+    match (one.born(), other.born()) {
+        (Some(a), Some(b)) if a != b => Some(a > b),
+        (Some(_), None) if one.id() == other.id() => Some(true),
+        (None, Some(_)) if one.id() == other.id() => Some(false),
+        _ => None,
+    }
+}
+
 impl Owners for Registry {
     fn state(&self, server: &ServerName) -> OwnerState {
         match self.servers.get(server) {
             None => OwnerState::Leaving,
-            Some(known) if known.ended => OwnerState::Ended,
+            Some(known) if known.place == Place::Passed => OwnerState::Ended,
             Some(known) if known.is_open() => OwnerState::Serving,
             Some(_) => OwnerState::Leaving,
         }
--- a/crates/wire/src/peer/ask.rs
+++ b/crates/wire/src/peer/ask.rs
@@ -66,7 +66,7 @@
 impl AckAsk {
     /// Writes the question into a message.
     pub fn write(&self, mut builder: peer_capnp::peer::acknowledge_params::Builder<'_>) {
-        builder.set_server(self.server.as_str());
+        builder.set_server(self.server.to_string());
         builder.set_revision(self.revision.0);
     }
 }
--- a/crates/wire/src/peer/report.rs
+++ b/crates/wire/src/peer/report.rs
@@ -22,7 +22,7 @@
     let mut demands = builder.reborrow().init_demands(core.demands.len() as u32);
     for (number, (server, demand)) in (0..).zip(&core.demands) {
         let mut builder = demands.reborrow().get(number);
-        builder.set_server(server.as_str());
+        builder.set_server(server.to_string());
         builder.set_arrivals(demand.arrivals.0);
         builder.set_answers(demand.answers.0);
     }
