Keys do not wait for a lease where another server says that it has the address

Cause: without moments of the starts, an entry with the same address proves nothing any more, and a server of another service refuses releases with 400.

Ruled out: taking the 400 as proof: it says what the server understands, not who it is.

Change: a release that is answered and not carried out is followed by the question after health at the address; an answer under another id proves that the start released has ended.

Test: keys_of_a_server_whose_address_went_elsewhere_do_not_wait, with processes; it failed without the question (12.5 s, lease run out).

--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -15,6 +15,9 @@
 /// How long a server may take to give keys up: it answers when the requests on
 /// them have ended, and they take up to two seconds.
 const RELEASE_TIME: Duration = Duration::from_secs(3);
+/// How long an answer to the question of who listens at an address may take: it
+/// waits for a slot as requests do.
+const HEALTH_TIME: Duration = Duration::from_millis(700);
 /// The largest answer that is read.
 const ANSWER_MAX: usize = 64 * 1_024;
 
@@ -41,7 +44,11 @@
             } => {
                 let request = node.adapter.release(*range, *epoch);
                 let answer = self.call(node, server, request, RELEASE_TIME).await;
-                let end = released(node, &answer);
+                let mut end = released(node, &answer);
+                if answer.is_ok() && end == OrderEnd::Unknown && self.is_passed(node, server).await
+                {
+                    end = OrderEnd::Done { handover: None };
+                }
                 log::debug!("release {range} at {server}, epoch {epoch}: {end:?}");
                 end
             }
@@ -49,6 +56,31 @@
         }
     }
 
+    /// Whether another start answers at a server's address. The process that
+    /// listened there has ended then, and holds nothing. An address may go to a
+    /// server of another service, which understands no orders: without asking who
+    /// it is, the keys of the one before would wait for the end of their lease.
+    async fn is_passed<A: Adapter>(&self, node: &Node<A>, server: &ServerName) -> bool {
+        let Some((address, path)) = health_page(node, server) else {
+            return false;
+        };
+        let Ok(request) = Request::get(path).body(Bytes::new()) else {
+            return false;
+        };
+        let answer = self.client(address).call(request, HEALTH_TIME).await;
+        let Ok(answer) = answer else { return false };
+        let answering = answer.headers().get(&node.adapter.headers().answering);
+        answering.is_some_and(|id| id.as_bytes() != server.id().as_bytes())
+    }
+
+    fn client(&self, address: SocketAddr) -> KeptClient {
+        let mut clients = self.clients.borrow_mut();
+        let client = clients.entry(address);
+        client
+            .or_insert_with(|| KeptClient::new(address, ANSWER_MAX))
+            .clone()
+    }
+
     async fn grant<A: Adapter>(
         &self,
         node: &Node<A>,
@@ -107,14 +139,7 @@
             let header = node.adapter.headers().instance.clone();
             request.headers_mut().insert(header, name);
         }
-        let client = {
-            let mut clients = self.clients.borrow_mut();
-            let client = clients.entry(address);
-            client
-                .or_insert_with(|| KeptClient::new(address, ANSWER_MAX))
-                .clone()
-        };
-        client.call(request, span).await
+        self.client(address).call(request, span).await
     }
 
     /// Drops the connections to servers that hold nothing.
@@ -123,6 +148,21 @@
     }
 }
 
+/// Where to ask who listens at a server's address: by the service of the start
+/// that is listed there now, or by its own.
+fn health_page<A: Adapter>(node: &Node<A>, server: &ServerName) -> Option<(SocketAddr, String)> {
+    let state = node.state.borrow();
+    let address = state.registry.get(server)?.entry.address;
+    let listed = state.registry.iter();
+    let mut listed = listed.filter(|known| known.entry.address == address);
+    let there = listed
+        .find(|known| known.is_open())
+        .or(state.registry.get(server))?;
+    let config = state.config.as_ref()?;
+    let service = config.service(&there.entry.service)?;
+    Some((address, service.health.clone()))
+}
+
 fn released<A: Adapter>(node: &Node<A>, answer: &Result<Response<Bytes>, CallError>) -> OrderEnd {
     match answer {
         Ok(answer) if answer.status() == StatusCode::OK => OrderEnd::Done {
--- a/crates/core/src/routes/service.rs
+++ b/crates/core/src/routes/service.rs
@@ -11,6 +11,8 @@
     pub keyed: bool,
     /// Connections that one server takes from all instances together.
     pub connections: u32,
+    /// The path at which a server tells whether it is well, and which one it is.
+    pub health: String,
     /// How long keys are slow at a server that got them without a handover.
     pub warm_up: Duration,
 }
--- a/crates/ports/src/adapter.rs
+++ b/crates/ports/src/adapter.rs
@@ -23,6 +23,8 @@
     pub deadline: HeaderName,
     /// The start of a server that alone may run the request.
     pub instance: HeaderName,
+    /// The start of a server that answers a question after its health.
+    pub answering: HeaderName,
     /// A server's promise that it has not run the request.
     pub not_run: HeaderName,
     /// The key, as a number.
