Reads that a caller sends behind one another are begun as they come

Hypothesis: the new customer's enquiries come in rows on one connection, and the HTTP library takes them one by one.

Change: the guard tells of whole heads without a body that came behind the request under way; safe requests on routes that may repeat are begun at once (`traffic/early.rs`), and their answers wait for their turn. The guard also sees the caller's end while an answer is worked out, so that all are given up.

--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -1,7 +1,7 @@
 //! The thread's state, its listener, and its end.
 
 use {
-    super::{paces::Paces, proxy, ready},
+    super::{answer::AnswerBody, paces::Paces, proxy, ready},
     crate::{
         clock::Clock,
         edge::{
@@ -21,7 +21,8 @@
         routing::{BudgetConfig, RetryBudget},
     },
     citron_ports::HeaderNames,
-    http::{Request, StatusCode},
+    http::{Request, Response, StatusCode, request::Parts},
+    hyper::body::Incoming,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -232,8 +233,23 @@
 ) {
     let limits = limits(&front);
     let closing = closing.wait_for(|closing| *closing);
-    let answer = |request| proxy::serve(Rc::clone(&front), request);
-    connection::serve(stream, limits, closing, answer).await;
+    connection::serve(stream, limits, closing, Answers(front)).await;
+}
+
+/// Answers callers.
+#[derive(Clone)]
+struct Answers(Rc<Front>);
+
+impl connection::Service for Answers {
+    type Body = AnswerBody;
+
+    async fn answer(self, head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
+        proxy::serve(self.0, head, body).await
+    }
+
+    fn may_begin(&self, head: &Parts) -> bool {
+        proxy::may_begin(&self.0, head)
+    }
 }
 
 /// What a caller may take up, by the configuration at its connection's begin.
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -14,14 +14,14 @@
     },
     citron_core::{
         ranges::RangeKey,
-        routes::{RouteConfig, Rule},
+        routes::{Repeat, RouteConfig, Rule},
         routing::Outcome,
         time::Time,
     },
-    http::{HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts},
+    http::{HeaderName, HeaderValue, Response, StatusCode, header, request::Parts},
     hyper::body::Incoming,
     rand::Rng,
-    std::{cell::Cell, convert::Infallible, rc::Rc, str::FromStr, time::Duration},
+    std::{cell::Cell, rc::Rc, str::FromStr, time::Duration},
 };
 
 /// How much of a body is read before anything is sent, so that it can be sent
@@ -34,21 +34,29 @@
 const START_AGAIN: Duration = Duration::from_millis(500);
 
 /// Answers a caller's request.
-pub async fn serve(
-    front: Rc<Front>,
-    request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
-    let mut answer = route(&front, request).await;
+pub async fn serve(front: Rc<Front>, head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
+    let mut answer = route(&front, head, body).await;
     if *front.leaving.borrow() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(answer)
+    answer
 }
 
-async fn route(front: &Front, request: Request<Incoming>) -> Response<AnswerBody> {
+/// Whether a request may be answered while one before it on its connection is not:
+/// it may run again where a connection ends before its answer, and the instance
+/// does not leave, which ends connections soon.
+pub fn may_begin(front: &Front, head: &Parts) -> bool {
+    let view = front.board.view();
+    let rule = view
+        .as_ref()
+        .and_then(|view| view.config.rule(host(head), head.uri.path()));
+    let idempotent = rule.is_some_and(|rule| rule.repeat == Repeat::Idempotent);
+    idempotent && !*front.leaving.borrow()
+}
+
+async fn route(front: &Front, mut head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
     let begun = front.clock.now();
-    let (mut head, body) = request.into_parts();
     if let Some(refusal) = Refusal::of_path(head.uri.path()) {
         return own(refusal.status(), &refusal.to_string());
     }
--- a/crates/citronproxy/src/traffic/guard/mod.rs
+++ b/crates/citronproxy/src/traffic/guard/mod.rs
@@ -7,6 +7,7 @@
 //! and a caller would get an answer to a request that it never sent. Refusing
 //! such messages leaves nothing to disagree on.
 
+mod ahead;
 mod chunks;
 mod head;
 mod refusal;
--- a/crates/citronproxy/src/traffic/guard/stream.rs
+++ b/crates/citronproxy/src/traffic/guard/stream.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         Refusal,
+        ahead::{self, Ahead},
         chunks::Chunks,
-        head::{self, Framing},
+        head::Framing,
     },
     crate::traffic::Limits,
-    bytes::{Buf, BytesMut},
+    bytes::{Buf, Bytes, BytesMut},
     std::{
         io::{self, ErrorKind, IoSlice},
         pin::Pin,
@@ -24,6 +25,8 @@
 
 /// Bytes read at a time while a head is looked for.
 const READ: usize = 8 * 1_024;
+/// Bytes of further requests that are read while one is answered.
+const READ_AHEAD: usize = 16 * 1_024;
 /// How long unread bytes of a caller are thrown away before its connection is
 /// closed: a close with bytes unread resets it, and the answer could be lost.
 const LINGER: Duration = Duration::from_secs(1);
@@ -53,6 +56,13 @@
     unread: BytesMut,
     /// How many of the unread bytes are checked.
     checked: usize,
+    /// Whether a request is being answered.
+    busy: bool,
+    /// The caller has closed its side, or the connection broke.
+    over: bool,
+    ahead: Ahead,
+    /// Whether the head that had its turn last was told ahead of it.
+    told: bool,
     slow: Timer,
     stall: Timer,
     linger: Timer,
@@ -67,12 +77,60 @@
             mode: Mode::Head(0),
             unread: BytesMut::new(),
             checked: 0,
+            busy: false,
+            over: false,
+            ahead: Ahead::default(),
+            told: false,
             slow: None,
             stall: None,
             linger: None,
         }
     }
 
+    /// The answer to a request begins to be worked out; whether the request was
+    /// told ahead of its turn. Until [`Self::answered`] no further head is passed
+    /// on; heads are told by [`Self::poll_ahead`] if `ahead` allows it.
+    pub fn begin(&mut self, ahead: bool) -> bool {
+        self.busy = true;
+        if !ahead {
+            self.ahead.stop();
+        }
+        std::mem::take(&mut self.told)
+    }
+
+    /// The answer is known.
+    pub fn answered(&mut self) {
+        self.busy = false;
+    }
+
+    /// The next head without a body that came while a request is being answered.
+    /// `None` if the caller has gone: its requests are to be given up.
+    pub fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        while self.is_held() && !self.over {
+            if let Some(head) = self.ahead.next(&self.unread, self.limits.head) {
+                return Poll::Ready(Some(head));
+            }
+            if self.unread.len() >= READ_AHEAD {
+                return Poll::Pending;
+            }
+            self.unread.reserve(READ);
+            let read = poll_read_buf(Pin::new(&mut self.stream), cx, &mut self.unread);
+            match ready!(read) {
+                Ok(read) if read > 0 => {}
+                Ok(_) | Err(_) => {
+                    self.over = true;
+                    return Poll::Ready(None);
+                }
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Whether the next head waits for the answer to the one before it.
+    fn is_held(&self) -> bool {
+        self.busy && self.checked == 0 && matches!(self.mode, Mode::Head(_))
+    }
+
     fn pass(&mut self, out: &mut ReadBuf<'_>) {
         let taken = self.checked.min(out.remaining());
         out.put_slice(&self.unread[..taken]);
@@ -83,7 +141,7 @@
     /// Checks the unread bytes as far as they go.
     fn check(&mut self) -> io::Result<()> {
         match &mut self.mode {
-            Mode::Head(scanned) => match find_head(&self.unread, *scanned, self.limits.head) {
+            Mode::Head(scanned) => match ahead::find(&self.unread, *scanned, self.limits.head) {
                 Ok(None) => *scanned = self.unread.len(),
                 Ok(Some((end, framing))) => self.begin_body(end, framing),
                 Err(refusal) => self.refuse(refusal),
@@ -97,6 +155,7 @@
     fn begin_body(&mut self, end: usize, framing: Framing) {
         self.slow = None;
         self.checked = end;
+        self.told = self.ahead.turn(end);
         self.mode = match framing {
             Framing::Length(0) => Mode::Head(0),
             Framing::Length(length) => Mode::Body(length),
@@ -186,19 +245,6 @@
     }
 }
 
-fn find_head(
-    unread: &[u8],
-    scanned: usize,
-    max: usize,
-) -> Result<Option<(usize, Framing)>, Refusal> {
-    let end = head::end(&unread[..unread.len().min(max)], scanned)?;
-    match end {
-        Some(end) => Ok(Some((end, head::check(&unread[..end])?))),
-        None if unread.len() >= max => Err(Refusal::Large),
-        None => Ok(None),
-    }
-}
-
 fn bad_chunk() -> io::Error {
     io::Error::new(ErrorKind::InvalidData, "a malformed chunk")
 }
@@ -210,6 +256,13 @@
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        if this.is_held() {
+            // `poll_ahead` reads meanwhile, and sees the end.
+            return match this.over {
+                true => Poll::Ready(Ok(())),
+                false => Poll::Pending,
+            };
+        }
         loop {
             if this.checked == 0 && !this.unread.is_empty() {
                 this.check()?;
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod connection;
 mod crashes;
 mod deadline;
+mod early;
 mod exchange;
 mod flights;
 mod gates;
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -19,11 +19,10 @@
         routing::{Outcome, ServiceRoutes},
         table::ServiceRow,
     },
-    http::{HeaderValue, Method, Request, Response, StatusCode, Version, header, request::Parts},
+    http::{HeaderValue, Method, Response, StatusCode, Version, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
         cell::{Cell, OnceCell, RefCell},
-        convert::Infallible,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -56,24 +55,31 @@
     }
 
     /// Answers one request; whatever fails becomes an answer that says so.
-    pub async fn serve(
-        self,
-        request: Request<Incoming>,
-    ) -> Result<Response<AnswerBody>, Infallible> {
-        let path = request.uri().path();
+    pub async fn serve(self, head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
+        let path = head.uri.path();
         let mut answer = match self.probe(path) {
             Some(answer) => answer,
             None if path == METRICS => {
                 let text = self.state.handle.metrics().await;
                 own(StatusCode::OK, Outcome::NotRun, None, text.trim_end())
             }
-            None => self.route(request).await.unwrap_or_else(|refusal| *refusal),
+            None => self
+                .route(head, body)
+                .await
+                .unwrap_or_else(|refusal| *refusal),
         };
         if self.state.handle.phase() > Phase::Serving {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
-        Ok(answer)
+        answer
+    }
+
+    /// Whether a request may run again, and connections do not end soon.
+    pub fn may_repeat(&self, head: &Parts) -> bool {
+        let service = self.service(head);
+        let idempotent = service.is_ok_and(|service| is_idempotent(&service.row, head));
+        idempotent && self.state.handle.phase() <= Phase::Serving
     }
 
     fn probe(&self, path: &str) -> Option<Response<AnswerBody>> {
@@ -94,8 +100,11 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Refused> {
-        let (mut head, body) = request.into_parts();
+    async fn route(
+        &self,
+        mut head: Parts,
+        body: Option<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refused> {
         check(&head)?;
         let service = self.service(&head)?;
         let row = &service.row;
@@ -106,12 +115,15 @@
             refusal(StatusCode::BAD_REQUEST, reason)
         })?;
         let max = self.state.limits.body;
-        if body.size_hint().lower() > max {
+        if body
+            .as_ref()
+            .is_some_and(|body| body.size_hint().lower() > max)
+        {
             let reason = "the body is too large";
             return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, reason));
         }
         prepare(&mut head);
-        let idempotent = row.idempotent.iter().any(|m| m == head.method.as_str());
+        let idempotent = is_idempotent(row, &head);
         let tries = Tries {
             state: Rc::clone(&self.state),
             head,
@@ -164,6 +176,10 @@
     }
 }
 
+fn is_idempotent(row: &ServiceRow, head: &Parts) -> bool {
+    row.idempotent.iter().any(|m| m == head.method.as_str())
+}
+
 /// Room that a request takes up until the head of its answer.
 struct Room<'a> {
     state: &'a State,
--- a/crates/citronproxy/src/traffic/upload.rs
+++ b/crates/citronproxy/src/traffic/upload.rs
@@ -55,7 +55,7 @@
 
 #[derive(Debug)]
 struct State {
-    incoming: Incoming,
+    incoming: Option<Incoming>,
     kept: Vec<Bytes>,
     size: u64,
     /// Parts were passed on that are kept no more.
@@ -65,10 +65,13 @@
 
 impl Source {
     /// The source of a body of at most `max` bytes, of which up to `keep` are
-    /// kept.
-    pub fn new(incoming: Incoming, max: u64, keep: usize) -> Rc<Self> {
-        let hint = incoming.size_hint();
-        let end = match incoming.is_end_stream() {
+    /// kept; `None` for an empty one.
+    pub fn new(incoming: Option<Incoming>, max: u64, keep: usize) -> Rc<Self> {
+        let hint = match &incoming {
+            Some(incoming) => incoming.size_hint(),
+            None => SizeHint::with_exact(0),
+        };
+        let end = match incoming.as_ref().is_none_or(Body::is_end_stream) {
             true => End::Whole,
             false => End::Open,
         };
@@ -145,7 +148,10 @@
             return Poll::Ready(Some(Err(UploadError::Ended)));
         }
         loop {
-            let frame = ready!(Pin::new(&mut state.incoming).poll_frame(cx));
+            let frame = match &mut state.incoming {
+                Some(incoming) => ready!(Pin::new(incoming).poll_frame(cx)),
+                None => None,
+            };
             let data = match frame {
                 None => {
                     state.end = End::Whole;
@@ -172,7 +178,7 @@
             self.end = End::TooLarge;
             return Err(UploadError::TooLarge { max });
         }
-        if self.incoming.is_end_stream() {
+        if self.incoming.as_ref().is_none_or(Body::is_end_stream) {
             self.end = End::Whole;
         }
         if self.size > keep as u64 {
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ask::{self, Ask},
+        body::AnswerBody,
         connection,
         handle::TrafficHandle,
         limits::Limits,
@@ -11,6 +12,8 @@
         state::State,
     },
     crate::{clock::Clock, events},
+    http::{Response, request::Parts},
+    hyper::body::Incoming,
     socket2::{Domain, Socket, Type},
     std::{
         io,
@@ -223,6 +226,17 @@
 ) {
     let limits = proxy.limits();
     let closing = phases.wait_for(|phase| *phase == Phase::Closing);
-    let answer = |request| proxy.clone().serve(request);
-    connection::serve(stream, limits, closing, answer).await;
+    connection::serve(stream, limits, closing, proxy).await;
+}
+
+impl connection::Service for Proxy {
+    type Body = AnswerBody;
+
+    async fn answer(self, head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
+        self.serve(head, body).await
+    }
+
+    fn may_begin(&self, head: &Parts) -> bool {
+        self.may_repeat(head)
+    }
 }
--- /dev/null
+++ b/crates/citronproxy/tests/ahead.rs
@@ -0,0 +1,96 @@
+//! Requests that a caller sends before the one in front of them is answered.
+
+mod support;
+
+use {
+    citron_fakes::raw::{Act, RawServer},
+    std::time::{Duration, Instant},
+    support::{LONG, Path, read_all},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+const SHORT: Duration = Duration::from_millis(300);
+
+fn get(path: &str) -> String {
+    format!("GET /kegs/{path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < LONG, "{what} did not come");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn send(path: &Path, text: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(path.address).await.unwrap();
+    caller.write_all(text.as_bytes()).await.unwrap();
+    caller
+}
+
+/// A caller sends three reads in a row, and the first one takes long. The others
+/// run meanwhile, each at its server; the answers still come in the order of the
+/// requests, as the caller tells them apart by nothing else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_request_does_not_hold_up_those_behind_it() {
+    let slow = vec![
+        Act::Request,
+        Act::Pause(Duration::from_secs(2)),
+        Act::answer("first"),
+    ];
+    let fine = vec![Act::Request, Act::answer("other")];
+    let server = RawServer::start(vec![slow, fine]).await.unwrap();
+    let path = Path::start(server.address);
+    let mut caller = send(&path, &get("bar-1")).await;
+    until("the first request", || server.runs() == 1).await;
+    let more = [get("bar-2"), get("bar-3")].concat();
+    caller.write_all(more.as_bytes()).await.unwrap();
+    until("the other requests", || server.runs() == 3).await;
+    let early = timeout(Duration::ZERO, caller.read_u8()).await;
+    assert!(early.is_err(), "the first answer was waited for");
+    let answers = read_all(&mut caller, LONG / 4).await;
+    let places: Vec<_> = answers
+        .match_indices("first")
+        .chain(answers.match_indices("other"))
+        .collect();
+    let first = answers.find("first").unwrap();
+    assert_eq!(places.len(), 3, "{answers}");
+    assert!(places[1..].iter().all(|(at, _)| *at > first), "{answers}");
+}
+
+/// The caller leaves while its requests run: the servers see their connections end
+/// and stop, for those behind the first one, too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_frees_all_its_servers() {
+    let hang = vec![Act::Request, Act::Hang];
+    let server = RawServer::start(vec![hang]).await.unwrap();
+    let path = Path::start(server.address);
+    let caller = send(&path, &[get("bar-1"), get("bar-2")].concat()).await;
+    until("both requests", || server.runs() == 2).await;
+    drop(caller);
+    until("the end of both connections", || server.closed() == 2).await;
+}
+
+/// A read behind a request that changes something may depend on it, and a request
+/// that changes something may depend on a read in front of it: both wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_changes_something_is_not_overtaken() {
+    let post = "POST /kegs/bar-2 HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi";
+    for pair in [
+        [get("bar-1"), post.to_string()],
+        [post.to_string(), get("bar-1")],
+    ] {
+        let hang = vec![Act::Request, Act::Hang];
+        let server = RawServer::start(vec![hang]).await.unwrap();
+        let path = Path::start(server.address);
+        let _caller = send(&path, &pair.concat()).await;
+        until("the first request", || server.runs() == 1).await;
+        sleep(SHORT).await;
+        assert_eq!(server.runs(), 1);
+    }
+}
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -176,8 +176,8 @@
         let mut place = Place::Own;
         for other in self.servers.values_mut() {
             let same = other.entry.name == entry.name;
-            let rival = other.entry.address == entry.address
-                || other.entry.name.id() == entry.name.id();
+            let rival =
+                other.entry.address == entry.address || other.entry.name.id() == entry.name.id();
             if same || !rival {
                 continue;
             }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -104,7 +104,12 @@
     registry.listed(entry("s-1", 1, ServerState::Ready), at(9_420));
     assert_eq!(state(&registry, "s-2"), OwnerState::Serving);
     assert_eq!(state(&registry, "s-1"), OwnerState::Leaving);
-    assert!(registry.get(&"s-1".parse().unwrap()).unwrap().is_displaced());
+    assert!(
+        registry
+            .get(&"s-1".parse().unwrap())
+            .unwrap()
+            .is_displaced()
+    );
 }
 
 /// Another writer puts an entry with a living server's address into the list.
