Refusals tell why there was no room; citronctl sums up what requests were lost for

"All servers are full" was said of a server that took no connection, of one that had refused a request and of one with a long queue: three causes with three remedies. The choice now says which, and the line names the key's owner.

--- a/crates/citronctl/src/commands/explain.rs
+++ b/crates/citronctl/src/commands/explain.rs
@@ -1,10 +1,13 @@
 //! One request's story, from the log lines of several instances.
 
 use {
-    super::finish,
+    super::{
+        log_lines::{Line, read_all},
+        summary,
+    },
     crate::error::CtlError,
     pico_args::Arguments,
-    std::{collections::BTreeMap, fs, path::Path},
+    std::collections::BTreeMap,
 };
 
 /// Events of a request, by the beginning of their number.
@@ -20,61 +23,18 @@
 /// are its background.
 const BACKGROUND: [&str; 6] = ["C0400", "C0401", "C0410", "C0420", "C0430", "C0434"];
 
-/// A line of a log, with what is needed of it.
-struct Line {
-    time: String,
-    file: String,
-    event: String,
-    text: String,
-}
-
 /// Prints the lines of a request in order of time, and what was known then.
 pub fn run(mut args: Arguments) -> Result<(), CtlError> {
-    let id: String = args.free_from_str()?;
-    let mut files = Vec::new();
-    while let Some(file) = args.opt_free_from_str::<String>()? {
-        files.push(file);
+    if args.contains("--all") {
+        return summary::run(args);
     }
-    finish(args)?;
-    if files.is_empty() {
-        return Err(CtlError::Usage("name the log files to read".to_string()));
-    }
-    let mut lines = Vec::new();
-    for file in &files {
-        read(file, &mut lines)?;
-    }
-    // Times are written alike, so that text sorts as they do.
-    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let id: String = args.free_from_str()?;
+    let lines = read_all(args)?;
     let story = lines.iter().filter(|line| is_of(line, &id)).collect();
     print!("{}", told(&id, story, &lines)?);
     Ok(())
 }
 
-fn read(file: &str, lines: &mut Vec<Line>) -> Result<(), CtlError> {
-    let bytes = fs::read(file).map_err(|error| CtlError::Failed(format!("{file}: {error}")))?;
-    let name = Path::new(file).file_name();
-    let name = name.map_or(file.to_string(), |name| name.to_string_lossy().into_owned());
-    let text = String::from_utf8_lossy(&bytes);
-    lines.extend(text.lines().filter_map(|line| parse(&name, line)));
-    Ok(())
-}
-
-/// `[time level module] C0500 request-refused id=…`; nothing for other lines, as
-/// those of a process that crashed.
-fn parse(file: &str, line: &str) -> Option<Line> {
-    let (head, text) = line.strip_prefix('[')?.split_once("] ")?;
-    let event = text.split(' ').next()?;
-    event.strip_prefix('C')?.parse::<u16>().ok()?;
-    Some(Line {
-        time: head.split(' ').next()?.to_string(),
-        file: file.to_string(),
-        event: event.to_string(),
-        // A request's id and path are the caller's: nothing of them may reach a
-        // terminal as a command.
-        text: text.escape_debug().to_string().replace("\\\"", "\""),
-    })
-}
-
 fn is_of(line: &Line, id: &str) -> bool {
     let named = |word: &str| word.strip_prefix("id=") == Some(id);
     line.event.starts_with(OF_REQUEST) && line.text.split(' ').any(named)
--- a/crates/citronctl/src/commands/mod.rs
+++ b/crates/citronctl/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! One file per group of commands.
 
 pub mod explain;
+mod log_lines;
 mod look;
 mod moves;
 mod rows;
+mod summary;
 mod table;
 
 use {
--- a/crates/citronctl/src/help.rs
+++ b/crates/citronctl/src/help.rs
@@ -18,6 +18,7 @@
   refused               requests refused because they crash backend servers
   report                service-level burn, imbalance, churn, unavailable time
   explain ID FILE...    one request's story, from instances' log files
+  explain --all FILE... what all requests were refused or lost for, and when
 'citronctl COMMAND --help' tells more.
 
 options:
@@ -116,6 +117,9 @@
   What became of a request and why: its lines in the log files of all instances,
   in order of time, and the last that was known before of the servers and the
   service that they name. Asks no instance and needs no token.
+citronctl explain --all [--every SECS] FILE...
+  How many requests were refused, lost or tried again, by reason (the words after
+  the last colon of a line) and time, a row for every 2 s unless given.
 ";
 
 /// The help of a command.
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -215,7 +215,7 @@
 [2026-12-02T10:00:01.600Z WARN  citronproxy::edge] C0400 store-lost Servers: no answer
 [2026-12-02T10:00:03.000Z INFO  citronproxy::edge] C0502 try-failed id=ab12 server=i-7f epoch=4 waited=3ms: not the owner, not run
 [2026-12-02T10:00:03.000Z INFO  citronproxy::edge] C0502 try-failed id=ab123 server=i-80 epoch=4 waited=3ms: refused, not run
-[2026-12-02T10:00:03.300Z INFO  citronproxy::edge] C0500 request-refused id=ab12 route=r-1 service=balances waited=300ms tried=[] again=300ms: the key is changing hands
+[2026-12-02T10:00:03.300Z INFO  citronproxy::edge] C0500 request-refused id=ab12 route=r-1 service=balances server=i-7f waited=300ms tried=0 again=300ms: the key is changing hands
 ";
 
 /// An operator has the id of a request that was refused, and the files of two
@@ -236,3 +236,21 @@
     assert_eq!(shell.run("explain ab12 missing.log").code, 1);
     assert_eq!(shell.run("explain ab12").code, 2);
 }
+
+/// A service refuses many requests for a while. The operator has the files of two
+/// instances and asks what for, and since when.
+#[test]
+fn refusals_are_summed_up_by_reason_and_time() {
+    let shell = Shell {
+        admin: "127.0.0.1:1".parse().unwrap(),
+    };
+    let first = File::write("sum-first.log", FIRST_LOG);
+    let second = File::write("sum-second.log", SECOND_LOG);
+    let files = format!("{} {}", first.path(), second.path());
+    insta::assert_snapshot!(ok(shell.run(&format!("explain --all {files}"))));
+    assert_eq!(
+        shell.run(&format!("explain --all --every 0 {files}")).code,
+        2
+    );
+    assert_eq!(shell.run("explain --all").code, 2);
+}
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -12,7 +12,7 @@
     citron_core::{
         crash::Fingerprint,
         id::{Epoch, ServerName, ServiceName},
-        ranges::RangeKey,
+        ranges::{RangeKey, Slice},
         registry::Known,
         routes::{Repeat, Rule},
         routing::Outcome,
@@ -199,12 +199,19 @@
     }
 
     fn epoch(&self) -> Epoch {
-        let view = self.front.board.view();
-        let map = view.as_ref().and_then(|view| view.maps.get(self.service));
-        match (map, self.key) {
-            (Some(map), Some(key)) => map.slice(key).epoch,
-            _ => Epoch(0),
-        }
+        self.slice().map_or(Epoch(0), |slice| slice.epoch)
+    }
+
+    /// The owner of the key, for logs; `-` if there is none.
+    fn owner(&self) -> String {
+        let owner = self.slice().and_then(|slice| slice.owner);
+        owner.map_or("-".to_string(), |owner| owner.to_string())
+    }
+
+    fn slice(&self) -> Option<Slice> {
+        let view = self.front.board.view()?;
+        let map = view.maps.get(self.service)?;
+        Some(map.slice(self.key?).clone())
     }
 
     /// Waits for a server with room.
@@ -219,9 +226,9 @@
             let room = front.room.notified();
             match self.find(&view) {
                 Target::Server(server) => return Ok(server),
-                Target::Full(again) => {
+                Target::Full(again, full) => {
                     if self.waited() > self.rule.objective / ROOM_PART {
-                        return Err(self.refuse(again, "all servers are full"));
+                        return Err(self.refuse(again, &full.to_string()));
                     }
                     let _ = timeout(ROOM_LOOK, room).await;
                 }
@@ -274,13 +281,14 @@
         }
         self.outcome.set(Outcome::NotRun);
         log::info!(
-            "{} id={} route={} service={} waited={:?} tried={:?} again={again:?}: {reason}",
+            "{} id={} route={} service={} server={} waited={:?} tried={} again={again:?}: {reason}",
             events::REFUSED,
             self.id,
             self.rule.name,
             self.service,
+            self.owner(),
             self.waited(),
-            self.tried
+            self.tried.len()
         );
         come_back(again, reason)
     }
@@ -291,13 +299,14 @@
         }
         self.outcome.set(Outcome::Unknown);
         log::info!(
-            "{} id={} route={} service={} waited={:?} tried={:?}: {reason}",
+            "{} id={} route={} service={} server={} waited={:?} tried={}: {reason}",
             events::UNKNOWN,
             self.id,
             self.rule.name,
             self.service,
+            self.owner(),
             self.waited(),
-            self.tried
+            self.tried.len()
         );
         let late = self.front.clock.now() >= self.message.deadline;
         match late {
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -4,7 +4,7 @@
     super::{exchange::reuse, front::Front},
     crate::edge::view::View,
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, choose, compared},
+        dispatch::{Ask, Candidate, Choice, Lack, choose, compared},
         id::{Epoch, ServerName, ServiceName},
         ranges::RangeKey,
         registry::Known,
@@ -12,7 +12,7 @@
         time::Time,
     },
     rand::Rng,
-    std::time::Duration,
+    std::{fmt, time::Duration},
 };
 
 /// How long before the end of its drain time a leaving owner gets nothing more:
@@ -30,14 +30,32 @@
 pub enum Target {
     /// To this server.
     Server(Known),
-    /// Nowhere now; there should be room after this time.
-    Full(Duration),
+    /// Nowhere now: the caller may come back after this time; and why.
+    Full(Duration, Full),
     /// The key is changing hands.
     Moving,
     /// No server can have the key soon, or there is none at all.
     None,
 }
 
+/// Why there is no room.
+#[derive(Debug, Clone, Copy)]
+pub enum Full {
+    /// At the servers.
+    Servers(Lack),
+    /// Within this instance's limit of requests at the service.
+    Limit,
+}
+
+impl fmt::Display for Full {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Servers(lack) => lack.fmt(f),
+            Self::Limit => f.write_str("over the limit that late answers set"),
+        }
+    }
+}
+
 /// A request's wishes.
 #[derive(Debug)]
 pub struct Wish<'a> {
@@ -112,7 +130,7 @@
         return Target::None;
     }
     if !front.paces.admits(wish.service) {
-        return Target::Full(PACED_AGAIN);
+        return Target::Full(PACED_AGAIN, Full::Limit);
     }
     let fresh = |known: &&Known| !wish.tried.contains(&known.entry.name);
     let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
@@ -154,7 +172,7 @@
     let loads = front.board.loads();
     let mut rng = rand::rng();
     match choose(&loads, candidates, ask, now, || rng.random()) {
-        Choice::Full(again) => Target::Full(again),
+        Choice::Full { again, lack } => Target::Full(again, Full::Servers(lack)),
         Choice::Send(name) => {
             let mut servers = servers;
             let chosen = servers.find(|known| known.entry.name == name);
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -3,7 +3,7 @@
 use {
     super::{LoadBook, ServerLoad},
     crate::{id::ServerName, registry::Known, time::Time},
-    std::time::Duration,
+    std::{fmt, time::Duration},
 };
 
 /// Run time of a request while no server of the service was measured, in seconds:
@@ -30,8 +30,8 @@
 const FRESH_CONNECTION: f64 = 2.0;
 /// How much a server that refuses all tries is avoided, in run times.
 const REFUSING: f64 = 4.0;
-/// Shortest and longest time after which a caller is asked to come back.
-const AGAIN: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(900)];
+/// Shortest and longest time after which a caller is asked to come back, in seconds.
+const AGAIN: [f64; 2] = [0.08, 0.9];
 
 /// A server that a request may go to.
 #[derive(Debug, Clone, Copy)]
@@ -87,8 +87,34 @@
 pub enum Choice {
     /// To this server.
     Send(ServerName),
-    /// Nowhere now; there should be room after this time.
-    Full(Duration),
+    /// Nowhere now.
+    Full {
+        /// After which time there should be room.
+        again: Duration,
+        /// Why there is none at the server that has some first.
+        lack: Lack,
+    },
+}
+
+/// Why a server has no room for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// It took no connection, or broke one off, a short while ago.
+    Unreachable,
+    /// It refused a request for want of room a short while ago.
+    Refusing,
+    /// Its answer would come too late, by the requests that are there.
+    Queue,
+}
+
+impl fmt::Display for Lack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreachable => "no server could be reached lately",
+            Self::Refusing => "all servers have refused requests lately",
+            Self::Queue => "no server would answer in time",
+        })
+    }
 }
 
 /// Chooses the server that should answer first, if it should in time.
@@ -110,12 +136,13 @@
         now,
     };
     let (mut near, mut far) = (Vec::new(), Vec::new());
-    let mut room = AGAIN[1];
+    let mut room = (f64::INFINITY, Lack::Unreachable);
     for candidate in &candidates {
         match (view.offer(candidate, ask, drawn()), candidate.near) {
             (Ok(offer), true) => near.push(offer),
             (Ok(offer), false) => far.push(offer),
-            (Err(wait), _) => room = room.min(wait),
+            (Err(full), _) if full.0 < room.0 => room = full,
+            (Err(_), _) => {}
         }
     }
     let kept = near.iter().filter(|offer| offer.kept).copied().collect();
@@ -126,7 +153,10 @@
     }
     match offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
         Some(offer) => Choice::Send(offer.server.clone()),
-        None => Choice::Full(room.clamp(AGAIN[0], AGAIN[1])),
+        None => Choice::Full {
+            again: Duration::from_secs_f64(room.0.clamp(AGAIN[0], AGAIN[1])),
+            lack: room.1,
+        },
     }
 }
 
@@ -139,22 +169,27 @@
 }
 
 impl Outlook<'_> {
-    /// How good a server is for a request; when it should have room if it has none.
+    /// How good a server is for a request; in how many seconds it should have room if
+    /// it has none, and why it has none.
     fn offer<'s>(
         &self,
         candidate: &Candidate<'s>,
         ask: Ask,
         drawn: f64,
-    ) -> Result<Offer<'s>, Duration> {
+    ) -> Result<Offer<'s>, (f64, Lack)> {
         let entry = &candidate.server.entry;
         let load = self.book.get(&entry.name);
         let run = run_time(load, candidate.server, self.usual, self.now);
         let busy = load.expected(candidate.scale, self.now);
         let wait = waiting(busy, entry.slots.0, run);
-        let shut = load.is_down(self.now) || load.is_full(self.now);
-        if shut || run + wait > limit(ask, run) {
-            let slots = f64::from(entry.slots.0);
-            return Err(Duration::from_secs_f64(wait + run / slots));
+        let lack = match () {
+            () if load.is_down(self.now) => Some(Lack::Unreachable),
+            () if load.is_full(self.now) => Some(Lack::Refusing),
+            () if run + wait > limit(ask, run) => Some(Lack::Queue),
+            () => None,
+        };
+        if let Some(lack) = lack {
+            return Err((wait + run / f64::from(entry.slots.0), lack));
         }
         // One that nobody has measured lately may have joined just now, and would
         // stay without a request as long as others have room.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     book::{LoadBook, PeerLoad},
-    choice::{Ask, Candidate, Choice, choose, compared},
+    choice::{Ask, Candidate, Choice, Lack, choose, compared},
     load::{Finish, ServerLoad},
     pace::{PROMPT, Pace, Speed},
 };
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Finish, LoadBook, PeerLoad, choose},
+        dispatch::{Ask, Candidate, Choice, Finish, Lack, LoadBook, PeerLoad, choose},
         id::{ServerName, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
         time::Time,
@@ -82,10 +82,11 @@
         Choice::Send(name.clone())
     );
     peers(&mut book, name, 10);
-    let Choice::Full(again) = pick(&book, &servers, millis(600, 2_500)) else {
+    let Choice::Full { again, lack } = pick(&book, &servers, millis(600, 2_500)) else {
         panic!("it was sent");
     };
     assert!(again >= Duration::from_millis(80) && again <= Duration::from_millis(900));
+    assert_eq!(lack, Lack::Queue);
 }
 
 /// Servers differ in speed. The fast one gets the request although it is busier.
@@ -115,7 +116,7 @@
     let late = millis(0, 1_500);
     assert_eq!(pick(&book, &servers, late), Choice::Send(name.clone()));
     peers(&mut book, name, 4);
-    assert!(matches!(pick(&book, &servers, late), Choice::Full(_)));
+    assert!(matches!(pick(&book, &servers, late), Choice::Full { .. }));
 }
 
 /// A faulty server answers at once, with failures. By its times alone it would
@@ -144,7 +145,7 @@
     ran(&mut book, name, 5_000);
     assert!(matches!(
         pick(&book, &servers, millis(600, 2_500)),
-        Choice::Full(_)
+        Choice::Full { .. }
     ));
     let later = NOW + Duration::from_secs(5);
     let candidates = || {
@@ -160,7 +161,7 @@
     book.begin(name, NOW);
     book.end(name, Finish::Lost, Duration::ZERO, true, later);
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
-    assert!(matches!(chosen, Choice::Full(_)));
+    assert!(matches!(chosen, Choice::Full { .. }));
 }
 
 /// A server has joined, and callers get nothing of it: a connection to the other
