--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -137,7 +137,11 @@
             Finish::Failed => self.refused += (1.0 - self.refused) * NEW,
             Finish::Full => {
                 self.refused += (1.0 - self.refused) * NEW;
-                self.full_until = now + FULL_TIME;
+                // With a slot free it did not refuse for want of room, and the
+                // next request may be taken.
+                if !alone {
+                    self.full_until = now + FULL_TIME;
+                }
             }
             Finish::Lost => {
                 let factor = 1 << self.down.min(4);
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -211,3 +211,32 @@
     book.report("peer-2".parse().unwrap(), Vec::new(), later);
     assert_eq!(book.get(&name).busy(), 0);
 }
+
+/// Servers refuse part of their requests at random, with slots free, for a while.
+/// Each refusal used to close its server to callers for a run time, so that as
+/// many requests were refused untried as by the servers themselves. One that
+/// refuses with its slots taken has a full queue, and is left alone.
+#[test]
+fn a_refusal_with_a_slot_free_closes_no_server() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    let refuse = |book: &mut LoadBook, alone| {
+        book.begin(name, NOW);
+        book.end(name, Finish::Full, Duration::from_millis(2), alone, NOW);
+    };
+    refuse(&mut book, true);
+    assert_eq!(
+        pick(&book, &servers, millis(600, 2_500)),
+        Choice::Send(name.clone())
+    );
+    refuse(&mut book, false);
+    let chosen = pick(&book, &servers, millis(600, 2_500));
+    assert!(matches!(
+        chosen,
+        Choice::Full {
+            lack: Lack::Refusing,
+            ..
+        }
+    ));
+}
