--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -17,7 +17,7 @@
     },
     bytes::BytesMut,
     citron_core::{
-        dispatch::{Finish, PROMPT, Speed},
+        dispatch::{Finish, PROMPT, Speed, run_share},
         id::ServerName,
         registry::Known,
         routes::Repeat,
@@ -76,7 +76,8 @@
     room: Rc<Notify>,
     server: ServerName,
     begun: Time,
-    alone: bool,
+    /// The part of its time there that it runs.
+    share: f64,
     finish: Finish,
     clock: crate::clock::Clock,
     /// Where any server of the service would do.
@@ -89,7 +90,7 @@
     fn new(front: &Front, server: &Known, message: &Message<'_>) -> Self {
         let mut loads = front.board.loads();
         let name = &server.entry.name;
-        let alone = loads.get(name).busy() < server.entry.slots.0;
+        let share = run_share(loads.get(name).busy(), server.entry.slots);
         loads.begin(name, front.clock.now());
         let begun = front.clock.now();
         let paced = (!message.keyed).then(|| front.paces.begin(&server.entry.service));
@@ -101,7 +102,7 @@
             begun,
             paced,
             planned: (!left.is_zero()).then(|| left.mul_f64(PROMPT)),
-            alone,
+            share,
             finish: Finish::Other,
             clock: front.clock,
         }
@@ -134,7 +135,7 @@
             paced.speed = speed;
         }
         let mut loads = self.board.loads();
-        loads.end(&self.server, self.finish, span, self.alone, now);
+        loads.end(&self.server, self.finish, span, self.share, now);
         drop(loads);
         self.room.notify_waiters();
     }
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -40,7 +40,7 @@
 /// let load = PeerLoad { server: server.clone(), busy: 2, run: None };
 /// book.report("peer-1".parse().unwrap(), vec![load], Time::ZERO);
 /// assert_eq!(book.get(&server).busy(), 3);
-/// book.end(&server, Finish::Ran, Duration::from_millis(200), true, Time::ZERO);
+/// book.end(&server, Finish::Ran, Duration::from_millis(200), 1.0, Time::ZERO);
 /// assert_eq!(book.get(&server).busy(), 2);
 /// ```
 #[derive(Debug, Default)]
@@ -69,13 +69,13 @@
         server: &ServerName,
         finish: Finish,
         span: Duration,
-        alone: bool,
+        share: f64,
         now: Time,
     ) {
         if let Some(load) = self.servers.get_mut(server) {
             load.average(now);
             load.own = load.own.saturating_sub(1);
-            load.note(finish, span, alone, now);
+            load.note(finish, span, share, now);
         }
     }
 
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -1,6 +1,9 @@
 //! What an instance knows of one server's load.
 
-use {crate::time::Time, std::time::Duration};
+use {
+    crate::{id::Slots, time::Time},
+    std::time::Duration,
+};
 
 /// Weight of a new sample of a server's run time: the last ten or so count.
 const NEW: f64 = 0.1;
@@ -120,19 +123,18 @@
         self.peer_sampled = now;
     }
 
-    /// Learns from a try that took `span`; `alone` if a slot was free at its
-    /// begin, so that the span is all run time.
-    pub fn note(&mut self, finish: Finish, span: Duration, alone: bool, now: Time) {
+    /// Learns from a try that took `span`, of which it ran for a part `share`; see
+    /// [`run_share`].
+    pub fn note(&mut self, finish: Finish, span: Duration, share: f64, now: Time) {
+        let alone = share >= 1.0;
         match finish {
             Finish::Ran => {
                 self.down = 0;
                 self.refused -= self.refused * NEW;
-                if alone {
-                    let sample = span.as_secs_f64();
-                    let former = self.own_run(now).unwrap_or(sample);
-                    self.run = Some(former + (sample - former) * NEW);
-                    self.sampled = now;
-                }
+                let sample = span.as_secs_f64() * share;
+                let former = self.own_run(now).unwrap_or(sample);
+                self.run = Some(former + (sample - former) * NEW);
+                self.sampled = now;
             }
             Finish::Failed => self.refused += (1.0 - self.refused) * NEW,
             Finish::Full => {
@@ -152,3 +154,17 @@
         }
     }
 }
+
+/// The part of a request's time at a server that it runs, where `busy` others are
+/// there when it comes: each waits for the slots in turn. Without those that wait
+/// the busiest server's time would not be known, and a server that is slow would be
+/// taken for an average one as soon as it is overloaded.
+///
+/// ```
+/// use citron_core::{dispatch::run_share, id::Slots};
+/// assert_eq!(run_share(1, Slots(2)), 1.0);
+/// assert_eq!(run_share(3, Slots(2)), 0.5);
+/// ```
+pub fn run_share(busy: u32, slots: Slots) -> f64 {
+    (f64::from(slots.0) / f64::from(busy + 1)).min(1.0)
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -9,6 +9,6 @@
 pub use {
     book::{LoadBook, PeerLoad},
     choice::{Ask, Candidate, Choice, Lack, choose, compared},
-    load::{Finish, ServerLoad},
+    load::{Finish, ServerLoad, run_share},
     pace::{PROMPT, Pace, Speed},
 };
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Finish, Lack, LoadBook, PeerLoad, choose},
+        dispatch::{Ask, Candidate, Choice, Finish, Lack, LoadBook, PeerLoad, choose, run_share},
         id::{ServerName, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
         time::Time,
@@ -50,7 +50,7 @@
 fn ran(book: &mut LoadBook, server: &ServerName, span: u64) {
     book.begin(server, NOW);
     let span = Duration::from_millis(span);
-    book.end(server, Finish::Ran, span, true, NOW);
+    book.end(server, Finish::Ran, span, 1.0, NOW);
 }
 
 fn peers(book: &mut LoadBook, server: &ServerName, busy: u32) {
@@ -129,7 +129,7 @@
         ran(&mut book, &servers[1].entry.name, 200);
         let faulty = &servers[0].entry.name;
         book.begin(faulty, NOW);
-        book.end(faulty, Finish::Failed, Duration::from_millis(1), true, NOW);
+        book.end(faulty, Finish::Failed, Duration::from_millis(1), 1.0, NOW);
     }
     let chosen = pick(&book, &servers, millis(800, 3_000));
     assert_eq!(chosen, Choice::Send(servers[1].entry.name.clone()));
@@ -159,7 +159,7 @@
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
     assert_eq!(chosen, Choice::Send(name.clone()));
     book.begin(name, NOW);
-    book.end(name, Finish::Lost, Duration::ZERO, true, later);
+    book.end(name, Finish::Lost, Duration::ZERO, 1.0, later);
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
     assert!(matches!(chosen, Choice::Full { .. }));
 }
@@ -221,16 +221,22 @@
     let servers = [known("s-1")];
     let name = &servers[0].entry.name;
     let mut book = LoadBook::default();
-    let refuse = |book: &mut LoadBook, alone| {
+    let refuse = |book: &mut LoadBook, busy| {
         book.begin(name, NOW);
-        book.end(name, Finish::Full, Duration::from_millis(2), alone, NOW);
+        book.end(
+            name,
+            Finish::Full,
+            Duration::from_millis(2),
+            run_share(busy, Slots(4)),
+            NOW,
+        );
     };
-    refuse(&mut book, true);
+    refuse(&mut book, 3);
     assert_eq!(
         pick(&book, &servers, millis(600, 2_500)),
         Choice::Send(name.clone())
     );
-    refuse(&mut book, false);
+    refuse(&mut book, 4);
     let chosen = pick(&book, &servers, millis(600, 2_500));
     assert!(matches!(
         chosen,
@@ -240,3 +246,23 @@
         }
     ));
 }
+
+/// A slow server's slots are always taken, as it holds busy keys. If only requests
+/// that find a slot free told its time, nothing would be known of it, and it would
+/// be taken for one like the others: its callers would wait for answers that come
+/// late, and its keys would stay.
+#[test]
+fn the_time_of_a_server_that_is_never_free_is_known() {
+    let mut book = LoadBook::default();
+    let name: ServerName = "s-slow".parse().unwrap();
+    let run = 0.15;
+    for _ in 0..60 {
+        let (busy, slots) = (5, Slots(2));
+        let waits = f64::from(busy + 1 - slots.0) * run / f64::from(slots.0);
+        let span = Duration::from_secs_f64(waits + run);
+        book.begin(&name, NOW);
+        book.end(&name, Finish::Ran, span, run_share(busy, slots), NOW);
+    }
+    let known = book.get(&name).run(NOW).unwrap();
+    assert!((known - run).abs() < 0.01, "{known}");
+}
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -2,7 +2,9 @@
 
 use {
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Finish, LoadBook, PROMPT, Pace, Speed, choose},
+        dispatch::{
+            Ask, Candidate, Choice, Finish, LoadBook, PROMPT, Pace, Speed, choose, run_share,
+        },
         id::{InstanceId, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
         time::Time,
@@ -127,7 +129,7 @@
     server: usize,
     begun: Time,
     sent: Time,
-    alone: bool,
+    share: f64,
     refused: bool,
 }
 
@@ -282,7 +284,7 @@
             .position(|server| server.known.entry.name == name)
             .unwrap();
         let from = &mut self.instances[instance];
-        let alone = from.book.get(&name).busy() < shape.slots;
+        let share = run_share(from.book.get(&name).busy(), Slots(shape.slots));
         from.book.begin(&name, now);
         let idle = &mut from.idle[server];
         idle.retain(fresh);
@@ -294,7 +296,7 @@
             server,
             begun: now,
             sent: now,
-            alone,
+            share,
             refused: false,
         });
         self.after(WAY, Event::Reach(self.requests.len() - 1));
@@ -350,7 +352,7 @@
                 false => Speed::InTime,
             },
         );
-        instance.book.end(name, finish, span, request.alone, now);
+        instance.book.end(name, finish, span, request.share, now);
         if !counts {
             return;
         }
