--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -5,6 +5,7 @@
         answer::{AnswerBody, Streamed},
         front::Front,
         hold::Kept,
+        idles::Reused,
         paces::Paced,
     },
     crate::{
@@ -18,7 +19,7 @@
     bytes::BytesMut,
     citron_core::{
         dispatch::{Finish, PROMPT, Speed, run_share},
-        id::ServerName,
+        id::{ServerName, ServiceName},
         registry::Known,
         routes::Repeat,
         time::Time,
@@ -36,8 +37,6 @@
 /// How long a kept connection may have been quiet for a request that may be sent
 /// again, if the server does not tell how long it keeps it.
 const IDLE: Duration = Duration::from_secs(6);
-/// For one that may run once only.
-const IDLE_ONCE: Duration = Duration::from_millis(1_500);
 /// Answers up to this size are read whole before anything of them is passed on,
 /// so that one that breaks off can be asked for again.
 const WHOLE_MAX: usize = 64 * 1_024;
@@ -188,7 +187,10 @@
 
 async fn exchange(front: &Front, server: &Known, message: &Message<'_>, slot: &mut Slot) -> Ended {
     let address = server.entry.address;
-    let taken = front.pool.take(address, reuse(message.repeat));
+    let service = &server.entry.service;
+    let taken = front
+        .pool
+        .take(address, reuse(front, service, message.repeat));
     let connected = timeout(CONNECT_TIME, taken).await;
     let connection = match connected {
         Ok(Ok(connection)) => connection,
@@ -198,11 +200,18 @@
     slot.begun = front.clock.now();
     let mut kept = Kept::new(&front.pool, address, connection);
     let before = kept.connection().wire.written();
+    let idle = front.clock.now() - kept.connection().wire.heard();
+    let reused = kept.connection().reused;
+    let reused = reused.then(|| Reused::begin(&front.idles, service, idle, front.clock));
     let request = request(front, server, message);
     let sent = kept.connection().sender.try_send_request(request).await;
     match sent {
-        Ok(response) => read(front, message, kept, response).await,
+        Ok(response) => {
+            reused.into_iter().for_each(Reused::answered);
+            read(front, message, kept, response).await
+        }
         Err(error) => {
+            reused.into_iter().for_each(Reused::broke);
             let reason = error.into_error().to_string();
             match kept.connection().wire.written() > before {
                 true => Ended::Not(TryEnd::Lost(reason)),
@@ -213,10 +222,10 @@
 }
 
 /// Which kept connections a request may go on.
-pub fn reuse(repeat: Repeat) -> Reuse {
+pub fn reuse(front: &Front, service: &ServiceName, repeat: Repeat) -> Reuse {
     match repeat {
         Repeat::Idempotent => Reuse::Told(IDLE),
-        Repeat::Once => Reuse::Within(IDLE_ONCE),
+        Repeat::Once => Reuse::Within(front.idles.bound(service)),
     }
 }
 
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -1,7 +1,7 @@
 //! The thread's state, its listener, and its end.
 
 use {
-    super::{answer::AnswerBody, paces::Paces, proxy, ready},
+    super::{answer::AnswerBody, idles::Idles, paces::Paces, proxy, ready},
     crate::{
         clock::Clock,
         edge::{
@@ -67,6 +67,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Limits at services whose servers share the work.
     pub paces: Rc<Paces>,
+    /// How long idle connections are trusted.
+    pub idles: Rc<Idles>,
     /// Requests counted since the metrics were last read.
     pub counts: RefCell<LocalMetrics>,
     metrics: Metrics,
@@ -142,6 +144,7 @@
         pool: Pool::new(clock),
         room: Rc::default(),
         paces: Rc::default(),
+        idles: Rc::default(),
         counts: RefCell::new(metrics.local()),
         metrics,
         budgets: RefCell::default(),
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod front;
 mod hold;
+mod idles;
 mod paces;
 mod proxy;
 mod ready;
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -155,7 +155,7 @@
     // Owners of keys, and servers of other failure domains, get requests from
     // instances that do not report here.
     let unheard = view.instances as f64 / view.reporting.max(1) as f64;
-    let reuse = reuse(wish.repeat);
+    let reuse = reuse(front, wish.service, wish.repeat);
     let candidates = servers.clone().map(|server| {
         let near = server.entry.domain == front.settings.domain;
         let scale = match near && wish.key.is_none() {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -3,12 +3,14 @@
 
 mod book;
 mod choice;
+mod idle;
 mod load;
 mod pace;
 
 pub use {
     book::{LoadBook, PeerLoad},
     choice::{Ask, Candidate, Choice, Lack, choose, compared},
+    idle::IdleTrust,
     load::{Finish, ServerLoad, run_share},
     pace::{PROMPT, Pace, Speed},
 };
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,7 +2,9 @@
 
 use {
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Finish, Lack, LoadBook, PeerLoad, choose, run_share},
+        dispatch::{
+            Ask, Candidate, Choice, Finish, IdleTrust, Lack, LoadBook, PeerLoad, choose, run_share,
+        },
         id::{ServerName, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
         time::Time,
@@ -266,3 +268,25 @@
     let known = book.get(&name).run(NOW).unwrap();
     assert!((known - run).abs() < 0.01, "{known}");
 }
+
+/// Something between an instance and its servers forgets connections that are idle
+/// for 5 s, and requests on them are lost. Requests that may run again find it out;
+/// one that may run only once must not go on such a connection, as it could not be
+/// sent again. Where idle connections work, it need not open a new one each time.
+#[test]
+fn what_may_run_once_goes_on_connections_that_others_found_alive() {
+    let mut trust = IdleTrust::default();
+    let seconds = Duration::from_secs;
+    assert!(trust.bound() < seconds(2));
+    for _ in 0..7 {
+        trust.worked(seconds(4));
+    }
+    assert!(trust.bound() < seconds(2), "too few have told");
+    for _ in 0..40 {
+        trust.worked(seconds(1));
+        trust.worked(seconds(4));
+    }
+    assert!(trust.bound() > seconds(3) && trust.bound() < seconds(5));
+    trust.was_dead();
+    assert!(trust.bound() < seconds(2));
+}
