--- /dev/null
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -0,0 +1,123 @@
+//! Drives grants, releases and moves of one service's keys.
+
+mod commits;
+mod moves;
+mod order;
+mod renewals;
+
+use {
+    super::{Balance, KeyRange, LeaseBook, RangeMap},
+    crate::time::{StoreClock, Time},
+    moves::Move,
+    renewals::Renewal,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+pub use order::{Order, OrderEnd, OwnerState, Owners, Scope};
+
+/// First pause before an order is sent again.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// The planner's work on one service.
+///
+/// Keys change hands in this order: release at the old owner, commit of the
+/// new one, grant. A planner that is lost in between leaves nothing dangerous
+/// behind: before the commit the old owner refuses renewals under its old epoch
+/// and gets a higher one from the next planner; after it the new owner does.
+/// Where the release stays unanswered, the keys wait until the old owner's
+/// last lease has run out, unless its start has surely ended.
+#[derive(Debug)]
+pub struct Reconciler {
+    map: RangeMap,
+    book: LeaseBook,
+    moves: Vec<Move>,
+    renewals: BTreeMap<KeyRange, Renewal>,
+    /// Slices whose server has seen a higher epoch than theirs.
+    outdated: Vec<KeyRange>,
+    commit: Option<RangeMap>,
+}
+
+impl Reconciler {
+    /// Takes over the map as it lies in the store.
+    pub fn new(map: RangeMap, book: LeaseBook) -> Self {
+        Self {
+            map,
+            book,
+            moves: Vec::new(),
+            renewals: BTreeMap::new(),
+            outdated: Vec::new(),
+            commit: None,
+        }
+    }
+
+    /// Moves under way.
+    pub fn moves(&self) -> usize {
+        self.moves.len()
+    }
+
+    /// Starts anew with the map as it lies in the store. What was sent to whom
+    /// stays known.
+    pub fn reload(&mut self, map: RangeMap) {
+        self.map = map;
+        self.moves.clear();
+        self.renewals.clear();
+        self.outdated.clear();
+        self.commit = None;
+    }
+
+    /// The map as last committed.
+    pub fn map(&self) -> &RangeMap {
+        &self.map
+    }
+
+    /// The book of leases.
+    pub fn book(&mut self) -> &mut LeaseBook {
+        &mut self.book
+    }
+
+    /// What is to be done now.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        clock: &StoreClock,
+        owners: &impl Owners,
+        balance: &mut Balance<'_>,
+        scope: Scope,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.weigh(balance);
+        self.free_ended(now, clock, owners);
+        self.retarget(owners, balance);
+        self.vacate(now, owners, balance, scope.deal);
+        if scope.even {
+            self.even_out(now, balance);
+        }
+        self.release(now, &mut orders);
+        self.commit_free(now, clock, owners, &mut orders);
+        self.renew(now, &mut orders);
+        orders
+    }
+
+    fn weigh(&self, balance: &mut Balance<'_>) {
+        for slice in self.map.slices() {
+            if let Some(owner) = &slice.owner {
+                for part in self.unmoved(slice.range) {
+                    balance.load(owner, part);
+                }
+            }
+        }
+        for under in &self.moves {
+            balance.load(&under.to, under.range);
+        }
+        balance.level();
+    }
+
+    /// Takes in what became of an order.
+    pub fn ended(&mut self, order: &Order, end: OrderEnd, now: Time) {
+        match order {
+            Order::Grant(slice) => self.granted(slice, end, now),
+            Order::Release { range, epoch, .. } => self.released(*range, *epoch, end, now),
+            Order::Commit(map) => self.committed(map, &end),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -0,0 +1,233 @@
+//! Moves: which are begun, and how far they have got.
+
+use {
+    super::{AGAIN, Order, OrderEnd, OwnerState, Owners, Reconciler},
+    crate::{
+        id::{Epoch, ServerName},
+        ranges::{Balance, KeyRange, balance::cut_out},
+        time::{StoreClock, Time},
+    },
+    std::time::Duration,
+};
+
+/// Grants that stay unanswered for so long make their server suspect. A server
+/// that was lost is listed for about as long after its last heartbeat, so that
+/// an earlier guess gains nothing.
+const SUSPECT: Duration = Duration::from_millis(2_500);
+/// Slices of a service for each of its servers from which none is cut for the
+/// sake of balance: each costs the planner an order every other second, and with
+/// six for each of 167 servers a tenth of a core did nothing else.
+const SLICES: usize = 3;
+/// Slices of a service up to which they may be cut in any case.
+const SLICES_MIN: usize = 240;
+/// Moves under way at which no more are begun for servers that leave: a few
+/// servers' worth, since each is an order that an instance with a fifth of a
+/// core has to send.
+const VACATE_MAX: usize = 200;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Phase {
+    /// The release is under way, or is sent next at the given time.
+    Releasing { next: Option<Time> },
+    /// The keys are free, with what was handed over.
+    Free {
+        since: Time,
+        handover: Option<String>,
+    },
+}
+
+/// Keys on their way from one server to another.
+#[derive(Debug, Clone)]
+pub struct Move {
+    pub range: KeyRange,
+    pub from: Option<ServerName>,
+    pub to: ServerName,
+    pub epoch: Epoch,
+    /// When the old owner was last sent a grant that covers the keys.
+    pub granted: Time,
+    pub begun: Time,
+    pub phase: Phase,
+}
+
+impl Reconciler {
+    /// Frees keys whose owner's start has ended, or whose lease has run out.
+    pub(super) fn free_ended(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) {
+        for under in &mut self.moves {
+            let Phase::Releasing { .. } = under.phase else {
+                continue;
+            };
+            let over = match &under.from {
+                None => true,
+                Some(from) => {
+                    let ended = owners.state(from) == OwnerState::Ended;
+                    let slice = self.map.slice(under.range.first);
+                    let expired = slice.expiry.is_some_and(|end| clock.is_past(end, now));
+                    ended || expired || now >= self.book.ends(under.granted)
+                }
+            };
+            if over {
+                under.phase = Phase::Free {
+                    since: now,
+                    handover: None,
+                };
+            }
+        }
+    }
+
+    /// Finds another taker for keys whose taker has gone meanwhile.
+    pub(super) fn retarget(&mut self, owners: &impl Owners, balance: &mut Balance<'_>) {
+        for under in &mut self.moves {
+            if owners.state(&under.to) == OwnerState::Serving {
+                continue;
+            }
+            let shared = balance.share_out(under.range);
+            if let Some((_, to)) = shared.into_iter().next() {
+                under.to = to;
+            }
+        }
+    }
+
+    /// Moves keys away from servers that leave, are lost, or do not answer.
+    pub(super) fn vacate(
+        &mut self,
+        now: Time,
+        owners: &impl Owners,
+        balance: &mut Balance<'_>,
+        deal: bool,
+    ) {
+        let suspects = self.suspects(now);
+        let slices = self.map.slices().iter();
+        let mut homeless: Vec<(KeyRange, Option<ServerName>)> = slices
+            .filter(|slice| match &slice.owner {
+                None => deal,
+                Some(owner) => {
+                    let serves = owners.state(owner) == OwnerState::Serving;
+                    !serves || slice.expiry.is_some() || suspects.contains(owner)
+                }
+            })
+            .flat_map(|slice| {
+                let parts = self.unmoved(slice.range);
+                parts.into_iter().map(|range| (range, slice.owner.clone()))
+            })
+            .collect();
+        // The busiest first: orders beyond these wait for the next tick.
+        homeless.sort_by(|a, b| balance.demand(b.0).total_cmp(&balance.demand(a.0)));
+        for (range, from) in homeless {
+            if self.moves.len() >= VACATE_MAX {
+                return;
+            }
+            let parts = match from {
+                None => balance.deal(range),
+                Some(_) => balance.share_out(range),
+            };
+            for (part, to) in parts {
+                if from.as_ref() != Some(&to) {
+                    self.begin(part, from.clone(), to, now);
+                }
+            }
+        }
+    }
+
+    /// Servers whose grants have long been unanswered. If those are most of
+    /// them, the planner itself is cut off, and moves would help nobody.
+    fn suspects(&self, now: Time) -> Vec<ServerName> {
+        let mut suspects = Vec::new();
+        let mut sound = Vec::new();
+        for slice in self.map.slices() {
+            let (Some(owner), Some(renewal)) = (&slice.owner, self.renewals.get(&slice.range))
+            else {
+                continue;
+            };
+            match renewal.failing.is_some_and(|since| now - since > SUSPECT) {
+                true => suspects.push(owner.clone()),
+                false => sound.push(owner.clone()),
+            }
+        }
+        suspects.sort();
+        suspects.dedup();
+        sound.sort();
+        sound.dedup();
+        if suspects.len() * 3 > sound.len() {
+            suspects.clear();
+        }
+        suspects
+    }
+
+    /// The parts of a range that are not on their way yet.
+    pub(super) fn unmoved(&self, range: KeyRange) -> Vec<KeyRange> {
+        let cut = |parts, under: &Move| cut_out(parts, under.range);
+        let within = |under: &&Move| under.range.common(range).is_some();
+        self.moves.iter().filter(within).fold(vec![range], cut)
+    }
+
+    pub(super) fn even_out(&mut self, now: Time, balance: &mut Balance<'_>) {
+        let most = balance.limits().moves.saturating_sub(self.moves.len());
+        let parts = |server: &ServerName| {
+            let slices = self.map.owned(server);
+            slices.flat_map(|slice| self.unmoved(slice.range)).collect()
+        };
+        let slices = self.map.slices().len();
+        let cut = slices < SLICES_MIN.max(balance.servers() * SLICES);
+        for shift in balance.shifts(most, cut, parts) {
+            self.begin(shift.range, shift.from, shift.to, now);
+        }
+    }
+
+    fn begin(&mut self, range: KeyRange, from: Option<ServerName>, to: ServerName, now: Time) {
+        let phase = match from {
+            Some(_) => Phase::Releasing { next: Some(now) },
+            None => Phase::Free {
+                since: now,
+                handover: None,
+            },
+        };
+        let epoch = Epoch(self.map.epoch(range).0 + 1);
+        let granted = from
+            .as_ref()
+            .map_or(Time::ZERO, |from| self.book.last(from));
+        self.moves.push(Move {
+            range,
+            from,
+            to,
+            epoch,
+            granted,
+            begun: now,
+            phase,
+        });
+    }
+
+    pub(super) fn release(&mut self, now: Time, orders: &mut Vec<Order>) {
+        for under in &mut self.moves {
+            let (Some(server), Phase::Releasing { next }) = (&under.from, &mut under.phase) else {
+                continue;
+            };
+            if next.is_some_and(|next| next <= now) {
+                *next = None;
+                orders.push(Order::Release {
+                    server: server.clone(),
+                    range: under.range,
+                    epoch: under.epoch,
+                });
+            }
+        }
+    }
+
+    pub(super) fn released(&mut self, range: KeyRange, epoch: Epoch, end: OrderEnd, now: Time) {
+        let found = self
+            .moves
+            .iter_mut()
+            .find(|under| under.range == range && under.epoch == epoch);
+        let Some(under) = found else { return };
+        if let Phase::Releasing { next } = &mut under.phase {
+            match end {
+                OrderEnd::Done { handover } => {
+                    let since = now;
+                    under.phase = Phase::Free { since, handover };
+                }
+                OrderEnd::Outdated | OrderEnd::Unknown | OrderEnd::NotSent => {
+                    *next = Some(now + AGAIN);
+                }
+            }
+        }
+    }
+}
