--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -182,6 +182,13 @@
         let sender = (name.clone(), Incarnation(heartbeat.start));
         node.board.crashes().merge(sender, crashes.into(), now);
     }
+    let former = node.state.borrow().peers.get(&name).cloned();
+    let answered = former
+        .and_then(|peer| peer.heartbeat)
+        .is_some_and(|last| last.store);
+    if answered && !heartbeat.store {
+        node.doubt_store();
+    }
     relay::catch_up(node, from, &heartbeat);
     let new = node
         .state
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -103,6 +103,8 @@
     pub state: RefCell<State>,
     /// Whether the store answers.
     pub store: latest::Sender<bool>,
+    /// Counts the times that the store began to fail, here or at an instance heard.
+    pub doubts: latest::Sender<u64>,
     /// What callers ask for, if this instance plans.
     pub demands: RefCell<Demands>,
     /// Tables asked for from others.
@@ -189,6 +191,7 @@
             start: rand::random(),
             state: RefCell::new(state),
             store: latest::Sender::new(false),
+            doubts: latest::Sender::new(0),
             demands: RefCell::default(),
             relay: relay::Relay::default(),
             wake: Notify::new(),
@@ -236,12 +239,18 @@
         if state.failing.is_none() {
             state.failing = Some(now);
             log::warn!("{} {what}: {error}", events::STORE_LOST);
+            self.doubt_store();
         }
         drop(state);
         self.store
             .send_if_modified(|answers| std::mem::replace(answers, false));
     }
 
+    /// Open questions to the store may have been swallowed.
+    pub fn doubt_store(&self) {
+        self.doubts.send_modify(|count| *count += 1);
+    }
+
     /// Takes in a map that this instance has just written.
     pub fn committed(&self, service: &ServiceName, map: &RangeMap, version: u64) {
         let mut state = self.state.borrow_mut();
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -17,9 +17,15 @@
 /// How long the store keeps a question open. Each question is paid for, and the
 /// connection's own probes tell when it is dead.
 const WAIT: Duration = Duration::from_secs(12);
-/// How long for the planner: with it, its knowledge is a third as old as its
-/// silence after which others may take over.
-const WAIT_PLANNING: Duration = Duration::from_secs(4);
+/// How long for the planner, which so is the first to find that the store is silent,
+/// and tells the others.
+const WAIT_PLANNING: Duration = Duration::from_secs(2);
+/// How long once a call has failed, here or at another instance. A store that went
+/// silent has swallowed the questions that were open, and answers none of them when
+/// it is back: they are asked anew at once, and until one is answered a question
+/// that is swallowed is found out after this and the time of a call. Otherwise a
+/// change would be heard of as late as the longest question is open.
+const WAIT_DOUBTED: Duration = Duration::from_millis(500);
 /// The same where many instances fetch each change from the one that reads: with
 /// twenty servers that start, each of which writes its entry every second, there
 /// would be as many changes a second, times the instances.
@@ -38,6 +44,8 @@
 /// Follows one table for good.
 pub async fn follow<A: Adapter>(node: Rc<Node<A>>, at: usize, table: RowTable) {
     let mut whole = true;
+    let mut doubted = false;
+    let mut doubts = node.doubts.subscribe();
     loop {
         if !whole && !node.reads(at) {
             sleep(ROLE).await;
@@ -46,10 +54,18 @@
         let begun = node.clock.now();
         let after = node.state.borrow().mirrors[at].version;
         let store = node.adapter.store();
+        doubts.borrow_and_update();
         let read = match whole {
             true => store.rows(table).await,
-            false => store.changes(table, after, wait(&node)).await,
+            false => tokio::select! {
+                read = store.changes(table, after, wait(&node, doubted)) => read,
+                Ok(()) = doubts.changed(), if !doubted => {
+                    doubted = true;
+                    continue;
+                }
+            },
         };
+        doubted = read.is_err();
         match read {
             Ok(set) => {
                 node.store_answered(begun, set.now);
@@ -95,8 +111,9 @@
 
 /// A planner that does not hear of the store must stop in time, so that it asks
 /// more often.
-fn wait<A: Adapter>(node: &Node<A>) -> Duration {
+fn wait<A: Adapter>(node: &Node<A>, doubted: bool) -> Duration {
     match node.state.borrow().planning {
+        _ if doubted => WAIT_DOUBTED,
         true => WAIT_PLANNING,
         false => WAIT,
     }
--- a/crates/core/src/time/store.rs
+++ b/crates/core/src/time/store.rs
@@ -60,7 +60,7 @@
 ///
 /// ```
 /// use {citron_core::time::{StoreClock, StoreTime, Time}, std::time::Duration};
-/// let at = |millis| Time::from_micros(millis * 1_000);
+/// let at = |millis: u64| Time::from_micros(millis * 1_000);
 /// let mut clock = StoreClock::default();
 /// clock.heard(at(100), at(110), StoreTime(5_000));
 /// assert_eq!(clock.after(at(90)), Some(StoreTime(5_000)));
