Sight: the line of a server's entry gives its row version, and how long one that vanished is kept

With the row version, lines of different instances about one change can be laid side by side; with the time kept, a removal taken for a lapse shows by itself. No logic changes.

--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -80,13 +80,15 @@
     fn take_server(&self, state: &mut State, row: &Row) {
         let now = self.clock.now();
         if row.value.is_none() {
-            log::info!("{} {}: listed no more", events::SERVER_STATE, row.key);
-            state.registry.removed(&row.key, now);
+            let kept = state.registry.removed(&row.key, now);
+            let (event, id, version) = (events::SERVER_STATE, &row.key, row.version);
+            log::info!("{event} {id}: listed no more, row {version}, kept for {kept:?}");
             return;
         }
         match self.adapter.server(row) {
             Ok(entry) => {
-                log::info!("{} {}: {:?}", events::SERVER_STATE, entry.name, entry.state);
+                let (event, version) = (events::SERVER_STATE, row.version);
+                log::info!("{event} {}: {:?}, row {version}", entry.name, entry.state);
                 state.registry.listed(entry, now);
             }
             Err(error) => {
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -197,8 +197,8 @@
         self.servers.values().filter(own)
     }
 
-    /// The entry under a server's id vanished.
-    pub fn removed(&mut self, id: &str, now: Time) {
+    /// The entry under a server's id vanished; how much longer it counts all the same.
+    pub fn removed(&mut self, id: &str, now: Time) -> Duration {
         let missing = now < self.rejoin;
         for name in self.open_starts(id) {
             match self.servers.get_mut(&name) {
@@ -209,6 +209,7 @@
                 None => {}
             }
         }
+        self.rejoin - now
     }
 
     /// The entry under a server's id cannot be read. It names no server to use,
