--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -1,8 +1,9 @@
 //! The product's own rows and messages between instances.
 
 use {
-    super::mirror::Mirror,
+    super::{heartbeat::AgeWire, mirror::Mirror},
     citron_core::{
+        freshness::Age,
         id::{Epoch, ServerName},
         ranges::{KeyRange, RangeKey, RangeMap, Slice},
         time::StoreTime,
@@ -127,6 +128,8 @@
     pub whole: bool,
     /// Version of the newest change.
     pub changed: u64,
+    /// How old it is.
+    pub age: AgeWire,
     rows: Vec<TableRowWire>,
 }
 
@@ -140,7 +143,7 @@
 
 impl TableWire {
     /// What has changed after a version.
-    pub fn new(mirror: &Mirror, after: u64) -> Self {
+    pub fn new(mirror: &Mirror, after: u64, age: Age) -> Self {
         let whole = !mirror.reaches(after);
         let rows = match whole {
             true => mirror.live().map(TableRowWire::from).collect(),
@@ -150,6 +153,7 @@
             version: mirror.version,
             whole,
             changed: mirror.changed,
+            age: age.into(),
             rows,
         }
     }
--- a/crates/citronproxy/src/edge/control/counts.rs
+++ b/crates/citronproxy/src/edge/control/counts.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::metrics::register,
-    citron_core::ranges::Order,
-    prometheus::{IntCounterVec, IntGauge, Opts, Registry},
+    citron_core::{freshness::Age, ranges::Order},
+    prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry},
+    std::time::Duration,
 };
 
 /// Counters and gauges of control, registered with those of traffic.
@@ -13,6 +14,8 @@
     store: IntCounterVec,
     /// Orders, by kind and result.
     orders: IntCounterVec,
+    /// Seconds since the moment as of which the oldest watched table is known.
+    age: Gauge,
     /// The version of the configuration in force.
     pub version: IntGauge,
     /// 1 while this instance plans.
@@ -42,6 +45,13 @@
                 "Grants, releases and commits of the planner.",
                 &["order", "result"],
             )?,
+            age: register(
+                registry,
+                Gauge::new(
+                    "citron_table_age_seconds",
+                    "Seconds since the moment as of which the oldest table is known.",
+                )?,
+            )?,
             version: gauge(
                 "citron_configuration_version",
                 "Version of the configuration in force.",
@@ -60,6 +70,12 @@
         self.store.with_label_values(&[result]).inc();
     }
 
+    /// Shows how old the watched tables are.
+    pub fn count_ages(&self, ages: &[Age]) {
+        let oldest = ages.iter().flatten().max();
+        self.age.set(oldest.map_or(0.0, Duration::as_secs_f64));
+    }
+
     /// Counts an order.
     pub fn count_order(&self, order: &Order, done: bool) {
         let kind = match order {
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -5,10 +5,11 @@
         heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat, KeysWire},
         node::Node,
         peers::Round,
-        relay,
+        refresh, relay,
     },
     crate::{edge::EdgeError, events},
     citron_core::{
+        freshness::HearTimes,
         id::{Incarnation, InstanceId},
         ranges::RangeKey,
     },
@@ -18,7 +19,7 @@
 };
 
 /// Time between two heartbeats if few instances hear each other.
-const PERIOD: Duration = Duration::from_millis(100);
+const PERIOD: Duration = HearTimes::STANDARD.heartbeat;
 /// So many are few. With a multiple of them the time is that multiple: heartbeats
 /// then take the same part of a small processor at any number.
 const FEW: usize = 7;
@@ -182,13 +183,7 @@
         let sender = (name.clone(), Incarnation(heartbeat.start));
         node.board.crashes().merge(sender, crashes.into(), now);
     }
-    let former = node.state.borrow().peers.get(&name).cloned();
-    let answered = former
-        .and_then(|peer| peer.heartbeat)
-        .is_some_and(|last| last.store);
-    if answered && !heartbeat.store {
-        node.doubt_store();
-    }
+    refresh::hear_ages(node, &heartbeat);
     relay::catch_up(node, from, &heartbeat);
     let new = node
         .state
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -7,7 +7,10 @@
         watch::WATCHED,
     },
     crate::events,
-    citron_core::{ranges::RangeMap, time::StoreTime},
+    citron_core::{
+        ranges::RangeMap,
+        time::{StoreTime, Time},
+    },
     citron_ports::{Adapter, Row, RowSet, RowTable},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -23,11 +26,15 @@
         }
     }
 
-    /// Takes in what has changed by another instance's word.
-    pub fn take_over(&self, at: usize, table: TableWire) {
+    /// Takes in what has changed by another instance's word, in an answer to a call
+    /// that began at `begun`.
+    pub fn take_over(&self, at: usize, table: TableWire, begun: Time) {
         let (newest, whole) = (table.changed, table.whole);
+        self.known_elsewhere(at, table.age.into(), begun);
         let changed = self.merge(at, table.into(), newest, whole);
-        self.take_rows(at, &changed);
+        if self.take_rows(at, &changed) {
+            self.questions.missed(at, begun);
+        }
     }
 
     /// Brings the copy of a table up to date; the changed rows.
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -11,6 +11,7 @@
 mod node;
 mod peers;
 mod planner;
+mod refresh;
 mod relay;
 mod watch;
 
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -5,11 +5,11 @@
         counts::Counts,
         demands::Demands,
         gossip,
-        heartbeat::{CrashesWire, Heartbeat},
+        heartbeat::{AgeWire, CrashesWire, Heartbeat},
         mirror::Mirror,
         peers::Peers,
-        planner, relay,
-        watch::{self, WATCHED},
+        planner, refresh, relay,
+        watch::{self, RANGES, SERVERS, WATCHED},
     },
     crate::{
         clock::Clock,
@@ -17,13 +17,14 @@
         events,
     },
     citron_core::{
+        freshness::{Freshness, FreshnessTimes, Gap},
         id::{InstanceId, ServerName, ServiceName},
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
         routes::RouteConfig,
         time::{StoreClock, StoreTime, Time},
     },
-    citron_ports::{Adapter, StoreError},
+    citron_ports::{Adapter, RowSet, StoreError},
     http::Request,
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
     tokio::{
@@ -35,10 +36,6 @@
 
 /// How often entries whose time is over are looked for.
 const TICK: Duration = Duration::from_millis(200);
-/// Failures of the store for so long are an outage, after which servers are
-/// given time to write themselves anew.
-const OUTAGE: Duration = Duration::from_millis(800);
-
 /// One start of an instance that plans, or planned.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Holder {
@@ -83,7 +80,8 @@
     pub formers: BTreeMap<Holder, StoreTime>,
     /// The store's clock.
     pub times: StoreClock,
-    failing: Option<Time>,
+    /// As of when the watched tables are known.
+    pub fresh: Freshness<{ WATCHED.len() }>,
 }
 
 /// The control thread's centre.
@@ -103,8 +101,8 @@
     pub state: RefCell<State>,
     /// Whether the store answers.
     pub store: latest::Sender<bool>,
-    /// Counts the times that the store began to fail, here or at an instance heard.
-    pub doubts: latest::Sender<u64>,
+    /// Questions to the store that are open.
+    pub questions: refresh::Questions,
     /// What callers ask for, if this instance plans.
     pub demands: RefCell<Demands>,
     /// Tables asked for from others.
@@ -134,6 +132,7 @@
     for (at, table) in WATCHED.into_iter().enumerate() {
         local.spawn_local(watch::follow(Rc::clone(&node), at, table));
     }
+    local.spawn_local(refresh::run(Rc::clone(&node)));
     local.spawn_local(watch::enlist(Rc::clone(&node)));
     local.spawn_local(expire(Rc::clone(&node)));
     local.spawn_local(planner::run(Rc::clone(&node)));
@@ -181,7 +180,7 @@
             confirmed: Time::ZERO,
             formers: BTreeMap::new(),
             times: StoreClock::default(),
-            failing: None,
+            fresh: Freshness::new(FreshnessTimes::STANDARD),
         };
         Self {
             adapter,
@@ -191,7 +190,7 @@
             start: rand::random(),
             state: RefCell::new(state),
             store: latest::Sender::new(false),
-            doubts: latest::Sender::new(0),
+            questions: refresh::Questions::default(),
             demands: RefCell::default(),
             relay: relay::Relay::default(),
             wake: Notify::new(),
@@ -220,35 +219,58 @@
         if let Some(told) = told {
             state.times.heard(begun, now, told);
         }
-        if let Some(since) = state.failing.take()
-            && now - since > OUTAGE
-        {
-            state.registry.store_back(now);
-            log::info!("{} away for {:?}", events::STORE_BACK, now - since);
-        }
         drop(state);
         self.store
             .send_if_modified(|answers| !std::mem::replace(answers, true));
     }
 
+    /// The store answered a question about a table that began at `begun`; `whole` if
+    /// it told all rows there are.
+    pub fn told(&self, at: usize, set: RowSet, whole: bool, begun: Time) {
+        self.store_answered(begun, set.now);
+        if at == RANGES {
+            self.confirmed(begun);
+        }
+        self.known_as_of(at, begun);
+        for other in 0..WATCHED.len() {
+            // Nothing at all was written since that one was read.
+            if self.state.borrow().mirrors[other].version == set.version {
+                self.known_as_of(other, begun);
+            }
+        }
+        self.take(at, set, whole);
+    }
+
+    /// A table is known as of a moment. To be called before what it tells is taken in:
+    /// entries that are missing after an outage may have lapsed in it.
+    pub fn known_as_of(&self, at: usize, moment: Time) {
+        let gap = self.state.borrow_mut().fresh.told(at, moment);
+        self.outage_over(at, gap);
+    }
+
+    /// Another instance, whose table is the same, says how old it is.
+    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, now: Time) {
+        let gap = self.state.borrow_mut().fresh.heard(at, age, now);
+        self.outage_over(at, gap);
+    }
+
+    fn outage_over(&self, at: usize, gap: Option<Gap>) {
+        let Some(gap) = gap.filter(|_| at == SERVERS) else {
+            return;
+        };
+        self.state.borrow_mut().registry.store_back(gap.end);
+        log::info!("{} nothing heard for {:?}", events::STORE_BACK, gap.span);
+    }
+
     /// A call to the store failed.
     pub fn store_failed(&self, what: &str, error: &StoreError) {
         self.counts.count_call(false);
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        if state.failing.is_none() {
-            state.failing = Some(now);
+        let answered = self
+            .store
+            .send_if_modified(|answers| std::mem::replace(answers, false));
+        if answered {
             log::warn!("{} {what}: {error}", events::STORE_LOST);
-            self.doubt_store();
         }
-        drop(state);
-        self.store
-            .send_if_modified(|answers| std::mem::replace(answers, false));
-    }
-
-    /// Open questions to the store may have been swallowed.
-    pub fn doubt_store(&self) {
-        self.doubts.send_modify(|count| *count += 1);
     }
 
     /// Takes in a map that this instance has just written.
@@ -307,8 +329,11 @@
 
     /// What this instance tells others now.
     pub fn heartbeat(&self) -> Heartbeat {
-        let loads = self.board.loads().own(self.clock.now());
+        let now = self.clock.now();
+        let loads = self.board.loads().own(now);
         let state = self.state.borrow();
+        let ages = state.fresh.ages(now);
+        self.counts.count_ages(&ages);
         Heartbeat {
             instance: self.settings.instance.to_string(),
             start: self.start,
@@ -318,6 +343,7 @@
             planning: state.planning,
             store: *self.store.borrow(),
             versions: [0, 1, 2].map(|at: usize| state.mirrors[at].changed),
+            ages: ages.map(AgeWire::from),
             leadership: state
                 .leadership
                 .as_ref()
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -3,6 +3,7 @@
 use {
     super::heartbeat::Heartbeat,
     citron_core::{
+        freshness::HearTimes,
         id::{DomainName, InstanceId},
         time::Time,
     },
@@ -107,7 +108,7 @@
             let often = match (silent, near) {
                 (true, _) => 20,
                 (false, true) => 1,
-                (false, false) => 3,
+                (false, false) => u64::from(HearTimes::STANDARD.far),
             };
             let listens = !many || near || planner || round.planning || leads.contains(&name);
             (listens && round.number.is_multiple_of(often)).then_some(Recipient {
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -71,9 +71,7 @@
     let begun = node.clock.now();
     match node.adapter.store().rows(RowTable::Ranges).await {
         Ok(set) => {
-            node.store_answered(begun, set.now);
-            node.confirmed(begun);
-            node.take(RANGES, set, true);
+            node.told(RANGES, set, true, begun);
         }
         Err(error) => {
             node.store_failed("maps", &error);
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -60,8 +60,9 @@
 /// After a conflict: an earlier try of the same write may have been done
 /// without an answer.
 async fn settle<A: Adapter>(node: &Node<A>, service: &ServiceName, map: &RangeMap) -> Committed {
+    let begun = node.clock.now();
     match node.adapter.store().rows(RowTable::Ranges).await {
-        Ok(set) => node.take(RANGES, set, true),
+        Ok(set) => node.told(RANGES, set, true, begun),
         Err(error) => {
             node.store_failed("maps", &error);
             return (OrderEnd::Unknown, 0);
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,13 +8,16 @@
 //! long said they leave.
 
 use {
-    super::{codec::TableWire, heartbeat::Heartbeat, node::Node},
+    super::{codec::TableWire, heartbeat::Heartbeat, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
     },
     bytes::Bytes,
-    citron_core::time::Time,
+    citron_core::{
+        freshness::{Behind, HearTimes},
+        time::Time,
+    },
     citron_ports::{Adapter, KeptClient},
     http::{Request, StatusCode},
     std::{
@@ -33,25 +36,43 @@
 const TABLE_MAX: usize = 8 << 20;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
-/// How long an instance that reads the store itself, or hears of a change from
-/// another failure domain, waits for its own news: the store's answer is some
-/// milliseconds away, and bytes between failure domains are paid for.
-const BEHIND: Duration = Duration::from_millis(250);
+/// An instance that was asked for a table and has not answered for so long may have
+/// ended or stand still: another one is asked beside it. Otherwise it would hold news
+/// up for all of [`PULL_TIME`].
+const HEDGE: Duration = HearTimes::STANDARD.call;
 
 /// Tables asked for from others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Relay {
-    /// Whether a question is open; one at a time.
-    open: Cell<bool>,
-    /// Since when each table is known to be behind.
-    behind: RefCell<[Option<Time>; 3]>,
+    /// When the question was asked that is open, if one is.
+    open: Cell<Option<Time>>,
+    behind: RefCell<Behind<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
 }
 
+impl Default for Relay {
+    fn default() -> Self {
+        Self {
+            open: Cell::default(),
+            behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
+            clients: RefCell::default(),
+        }
+    }
+}
+
 impl Relay {
     /// A table has taken changes in.
     pub fn caught_up(&self, at: usize) {
-        self.behind.borrow_mut()[at] = None;
+        self.behind.borrow_mut().caught_up(at);
+    }
+
+    /// Whether another question may be asked now; it counts as open from then on.
+    fn begins(&self, now: Time) -> bool {
+        let begins = self.open.get().is_none_or(|asked| now - asked > HEDGE);
+        if begins {
+            self.open.set(Some(now));
+        }
+        begins
     }
 }
 
@@ -65,7 +86,8 @@
 pub fn table<A: Adapter>(node: &Node<A>, path: &str) -> Page {
     let state = node.state.borrow();
     let bytes = asked(path).and_then(|(at, after)| {
-        let wire = TableWire::new(state.mirrors.get(at)?, after);
+        let age = state.fresh.age(at, node.clock.now());
+        let wire = TableWire::new(state.mirrors.get(at)?, after, age);
         postcard::to_stdvec(&wire).ok()
     });
     match bytes {
@@ -78,7 +100,7 @@
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
     let due = due(node, heartbeat);
-    if due.is_empty() || node.relay.open.replace(true) {
+    if due.is_empty() || !node.relay.begins(node.clock.now()) {
         return;
     }
     let node = Rc::clone(node);
@@ -86,7 +108,7 @@
         for at in due {
             pull(&node, from, at).await;
         }
-        node.relay.open.set(false);
+        node.relay.open.set(None);
     });
 }
 
@@ -101,14 +123,13 @@
     let near = heartbeat.domain == node.settings.domain.as_str();
     let mut behind = node.relay.behind.borrow_mut();
     let mut due = Vec::new();
-    for at in 0..known.len() {
-        if heartbeat.versions[at] <= known[at] {
+    for (at, known) in known.into_iter().enumerate() {
+        if heartbeat.versions[at] <= known {
             // Others may be ahead still; their own heartbeats tell.
             continue;
         }
-        let since = *behind[at].get_or_insert(now);
         let waits = !near || (node.reads(at) && *node.store.borrow());
-        if !waits || now - since > BEHIND {
+        if behind.is_due(at, waits, now) {
             due.push(at);
         }
     }
@@ -116,6 +137,7 @@
 }
 
 async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, at: usize) {
+    let begun = node.clock.now();
     let after = node.state.borrow().mirrors[at].changed;
     let mut request = Request::new(Bytes::new());
     *request.uri_mut() = format!("/tables/{at}/{after}").parse().unwrap_or_default();
@@ -137,7 +159,7 @@
     match postcard::from_bytes::<TableWire>(answer.body()) {
         Ok(wire) => {
             node.relay.caught_up(at);
-            node.take_over(at, wire);
+            node.take_over(at, wire, begun);
         }
         Err(error) => log::warn!("{} table {at} of {from}: {error}", events::DATAGRAM_REFUSED),
     }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{codec::MemberWire, node::Node},
+    citron_core::freshness::FreshnessTimes,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     rand::Rng,
     std::{rc::Rc, time::Duration},
@@ -11,21 +12,15 @@
 /// Tables that are followed.
 pub const WATCHED: [RowTable; 3] = [RowTable::Config, RowTable::Servers, RowTable::Ranges];
 
-/// The place of the maps and the planner's leadership among them.
+/// The place of the servers' entries among them.
+pub const SERVERS: usize = 1;
+/// The place of the maps and the planner's leadership.
 pub const RANGES: usize = 2;
 
-/// How long the store keeps a question open. Each question is paid for, and the
-/// connection's own probes tell when it is dead.
+/// How long the store keeps a question open. Each question is paid for, the
+/// connection's own probes tell when it is dead, and the age of a table when a
+/// question was swallowed.
 const WAIT: Duration = Duration::from_secs(12);
-/// How long for the planner, which so is the first to find that the store is silent,
-/// and tells the others.
-const WAIT_PLANNING: Duration = Duration::from_secs(2);
-/// How long once a call has failed, here or at another instance. A store that went
-/// silent has swallowed the questions that were open, and answers none of them when
-/// it is back: they are asked anew at once, and until one is answered a question
-/// that is swallowed is found out after this and the time of a call. Otherwise a
-/// change would be heard of as late as the longest question is open.
-const WAIT_DOUBTED: Duration = Duration::from_millis(500);
 /// The same where many instances fetch each change from the one that reads: with
 /// twenty servers that start, each of which writes its entry every second, there
 /// would be as many changes a second, times the instances.
@@ -35,17 +30,15 @@
 /// Pause between two questions: changes come in groups, and one question for
 /// all of a group is enough.
 const PAUSE: Duration = Duration::from_millis(60);
-/// Pause after a failure, on average. Only one table's follower asks while the
-/// store is away.
-const AGAIN: Duration = Duration::from_millis(350);
-/// How long the others wait for its success at most.
+/// Pause after a failure to enter this instance, on average.
+const AGAIN: Duration = FreshnessTimes::STANDARD.again;
+/// How long questions wait at most, after one has failed, until another call of
+/// this instance is answered: tables that grow old are asked for anyway.
 const OTHERS: Duration = Duration::from_secs(3);
 
 /// Follows one table for good.
 pub async fn follow<A: Adapter>(node: Rc<Node<A>>, at: usize, table: RowTable) {
     let mut whole = true;
-    let mut doubted = false;
-    let mut doubts = node.doubts.subscribe();
     loop {
         if !whole && !node.reads(at) {
             sleep(ROLE).await;
@@ -54,32 +47,26 @@
         let begun = node.clock.now();
         let after = node.state.borrow().mirrors[at].version;
         let store = node.adapter.store();
-        doubts.borrow_and_update();
         let read = match whole {
             true => store.rows(table).await,
-            false => tokio::select! {
-                read = store.changes(table, after, wait(&node, doubted)) => read,
-                Ok(()) = doubts.changed(), if !doubted => {
-                    doubted = true;
+            false => {
+                let question = store.changes(table, after, WAIT);
+                let Some(read) = node.questions.ask(at, begun, question).await else {
                     continue;
-                }
-            },
+                };
+                read
+            }
         };
-        doubted = read.is_err();
         match read {
             Ok(set) => {
-                node.store_answered(begun, set.now);
-                if at == RANGES {
-                    node.confirmed(begun);
-                }
-                node.take(at, set, whole);
+                node.told(at, set, whole, begun);
                 whole = false;
                 sleep(node.pause()).await;
             }
             Err(StoreError::Forgotten) => whole = true,
             Err(error) => {
                 node.store_failed(&format!("{table:?}"), &error);
-                pause(&node, at).await;
+                pause(&node).await;
             }
         }
     }
@@ -109,20 +96,7 @@
     }
 }
 
-/// A planner that does not hear of the store must stop in time, so that it asks
-/// more often.
-fn wait<A: Adapter>(node: &Node<A>, doubted: bool) -> Duration {
-    match node.state.borrow().planning {
-        _ if doubted => WAIT_DOUBTED,
-        true => WAIT_PLANNING,
-        false => WAIT,
-    }
-}
-
-async fn pause<A: Adapter>(node: &Node<A>, at: usize) {
-    if at == 0 {
-        return sleep(AGAIN.mul_f64(jitter())).await;
-    }
+async fn pause<A: Adapter>(node: &Node<A>) {
     let mut store = node.store.subscribe();
     // Either the store answers again, or it is time to ask all the same.
     let _ = timeout(OTHERS, store.wait_for(|answers| *answers)).await;
@@ -180,6 +154,6 @@
 }
 
 /// A factor around 1, so that instances do not ask in step.
-fn jitter() -> f64 {
+pub fn jitter() -> f64 {
     rand::rng().random_range(0.7..1.3)
 }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -91,6 +91,8 @@
     STORE_LOST = 400, "store-lost";
     /// It answers again after an outage.
     STORE_BACK = 401, "store-back";
+    /// The answer to a question to the store was lost.
+    SWALLOWED = 402, "question-swallowed";
     /// A newer configuration is in force here.
     CONFIG = 410, "configuration-in-force";
     /// A configuration cannot be read; the last good one stays in force.
--- /dev/null
+++ b/crates/core/src/freshness/mod.rs
@@ -0,0 +1,16 @@
+//! How old what an instance knows of the store's tables is, and who asks anew.
+//!
+//! A question to the store stays open until there is news. That it is open is no
+//! sign that there is none: its answer may have been lost. So each table has an
+//! age, which only an answer resets, and which instances tell each other; whoever
+//! finds it too high asks a question that is answered at once.
+
+mod behind;
+mod book;
+mod times;
+
+pub use {
+    behind::Behind,
+    book::{Age, Freshness, Gap},
+    times::{FreshnessTimes, HearTimes, Role},
+};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod crash;
 pub mod dispatch;
+pub mod freshness;
 pub mod health;
 pub mod id;
 pub mod membership;
