The gauge of who plans is set with each heartbeat

Cause: it was set when something was published only, and a planner that had just taken over showed 0 until the next change; found while the incident's tests waited for it.

--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -306,7 +306,6 @@
         self.counts
             .instances
             .set(1 + state.peers.live(now).count() as i64);
-        self.counts.planning.set(i64::from(state.planning));
         self.board.publish(View {
             config: Arc::clone(config),
             servers: Arc::new(servers),
@@ -334,6 +333,7 @@
         let state = self.state.borrow();
         let ages = state.fresh.ages(now);
         self.counts.count_ages(&ages);
+        self.counts.planning.set(i64::from(state.planning));
         Heartbeat {
             instance: self.settings.instance.to_string(),
             start: self.start,
