The allowance for retries is divided by the instances heard of, at each request

Cause: a service's retry budget was made at its first request and kept its size. An instance that had heard of no other by then (all had lost power, and the store lost answers about members) took the allowance of all for good. A restart also filled the budget that the process before had just spent.

Change: the size follows the instances heard of; a start begins with one retry.

--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -105,16 +105,15 @@
     }
 
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let new = || {
-            let instances = self.board.view().map_or(1, |view| view.instances);
-            let retries = self.settings.retries;
-            RetryBudget::new(BudgetConfig {
-                share: retries.ratio * BUDGET_PART,
-                burst: (retries.extra * BUDGET_PART / instances as f64).max(1.0),
-            })
-        };
+        let instances = self.board.view().map_or(1, |view| view.instances);
+        let retries = self.settings.retries;
+        let burst = (retries.extra * BUDGET_PART / instances as f64).max(1.0);
+        let share = retries.ratio * BUDGET_PART;
+        let new = || RetryBudget::of_start(BudgetConfig { share, burst });
         let mut budgets = self.budgets.borrow_mut();
-        f(budgets.entry(service.clone()).or_insert_with(new))
+        let budget = budgets.entry(service.clone()).or_insert_with(new);
+        budget.set_burst(burst);
+        f(budget)
     }
 }
 
--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -53,6 +53,33 @@
         }
     }
 
+    /// A bucket of a process that has just started, with one retry in it. The process
+    /// before may have spent a full one a moment ago, and when all processes start at
+    /// once a full one for each would double what they may add together.
+    pub fn of_start(config: BudgetConfig) -> Self {
+        Self {
+            tokens: config.burst.min(1.0),
+            config,
+        }
+    }
+
+    /// Sets how many retries may be saved up; what is beyond that is lost.
+    ///
+    /// Processes that share an allowance learn of each other one by one. One that
+    /// knew of no other would keep the allowance of all.
+    ///
+    /// ```
+    /// use citron_core::routing::{BudgetConfig, RetryBudget};
+    /// let mut budget = RetryBudget::new(BudgetConfig { share: 0.2, burst: 9.0 });
+    /// budget.set_burst(1.0);
+    /// assert!(budget.take());
+    /// assert!(!budget.take());
+    /// ```
+    pub fn set_burst(&mut self, burst: f64) {
+        self.config.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts a request that a caller sent.
     pub fn deposit(&mut self) {
         self.tokens = (self.tokens + self.config.share).min(self.config.burst);
