An instance whose version the store has forgotten reads the table whole

Cause: one that hears of changes from others keeps the version of the last of them, which may be older than the store's history though nothing changed since. Its own question, asked because all that read hear nothing, was then answered "forgotten" only, and waited until it counted as a reader. Found by reading the sum of the worst case against the code, not seen to break a rule.

Change: the call reads all rows then. The places of the tables have names.

--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -243,7 +243,7 @@
 
     /// A table is known as of a moment. To be called before what it tells is taken in:
     /// entries that are missing after an outage may have lapsed in it.
-    pub fn known_as_of(&self, at: usize, moment: Time) {
+    fn known_as_of(&self, at: usize, moment: Time) {
         let gap = self.state.borrow_mut().fresh.told(at, moment);
         self.outage_over(at, gap);
     }
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -4,7 +4,7 @@
     super::{
         heartbeat::Heartbeat,
         node::Node,
-        watch::{RANGES, SERVERS, WATCHED, jitter},
+        watch::{CONFIG, RANGES, SERVERS, WATCHED, jitter},
     },
     crate::events,
     citron_core::{
@@ -44,7 +44,7 @@
     asked: Cell<Option<Time>>,
     /// When news came that it should have told.
     missed: Cell<Option<Time>>,
-    again: Notify,
+    dropped: Notify,
 }
 
 impl Questions {
@@ -60,7 +60,7 @@
         open.missed.set(None);
         let answer = tokio::select! {
             answer = question => Some(answer),
-            () = open.again.notified() => None,
+            () = open.dropped.notified() => None,
         };
         open.asked.set(None);
         answer
@@ -84,12 +84,9 @@
             }
             open.missed.set(None);
             if let Some(asked) = open.asked.get() {
-                log::warn!(
-                    "{} {table:?}, asked {:?} ago",
-                    events::SWALLOWED,
-                    now - asked
-                );
-                open.again.notify_one();
+                let open_for = now - asked;
+                log::warn!("{} {table:?}, asked {open_for:?} ago", events::SWALLOWED);
+                open.dropped.notify_one();
             }
         }
     }
@@ -138,52 +135,53 @@
             ask(node, at).await;
         }
     };
-    tokio::join!(ask_if(0), ask_if(SERVERS));
+    tokio::join!(ask_if(CONFIG), ask_if(SERVERS));
     // Others are told at once how old their tables are.
     node.hurry.notify_one();
 }
 
-/// Asks what has changed in a table, and waits for no change; the store's version.
+/// Brings a table up to date, and waits for no change; the store's version.
 async fn ask<A: Adapter>(node: &Rc<Node<A>>, at: usize) -> Option<u64> {
     let begun = node.clock.now();
-    let after = node.state.borrow().mirrors[at].version;
-    let question = node
-        .adapter
-        .store()
-        .changes(WATCHED[at], after, Duration::ZERO);
-    let late = |_| Err(StoreError::Unknown(format!("not within {CALL_TIME:?}")));
-    match timeout(CALL_TIME, question).await.unwrap_or_else(late) {
-        Ok(set) => Some(answered(node, at, set, begun)),
-        Err(StoreError::Forgotten) => {
-            // The question that is open is asked anew, and then the whole table read.
-            // The other tables may have changed as well.
-            node.questions.missed(at, begun);
-            node.failed_to_ask();
-            Some(u64::MAX)
-        }
-        Err(error) => {
-            node.failed_to_ask();
-            node.store_failed(&format!("{:?}", WATCHED[at]), &error);
-            None
+    match timeout(CALL_TIME, read(node, at)).await {
+        Ok(Ok((set, whole))) => Some(answered(node, at, set, whole, begun)),
+        Ok(Err(error)) => failed(node, at, &error),
+        Err(_) => {
+            let late = StoreError::Unknown(format!("not within {CALL_TIME:?}"));
+            failed(node, at, &late)
         }
     }
 }
 
-fn answered<A: Adapter>(node: &Node<A>, at: usize, set: RowSet, begun: Time) -> u64 {
+/// What has changed in a table, or all there is, if so. What an instance knows that
+/// hears of changes from others may be older than the store's history, though nothing
+/// has changed since.
+async fn read<A: Adapter>(node: &Node<A>, at: usize) -> Result<(RowSet, bool), StoreError> {
+    let store = node.adapter.store();
+    let after = node.state.borrow().mirrors[at].version;
+    match store.changes(WATCHED[at], after, Duration::ZERO).await {
+        Err(StoreError::Forgotten) => Ok((store.rows(WATCHED[at]).await?, true)),
+        changes => Ok((changes?, false)),
+    }
+}
+
+fn answered<A: Adapter>(node: &Node<A>, at: usize, set: RowSet, whole: bool, begun: Time) -> u64 {
     let version = set.version;
-    if !set.rows.is_empty() {
+    if !whole && !set.rows.is_empty() {
         node.questions.missed(at, begun);
     }
-    node.told(at, set, false, begun);
+    node.told(at, set, whole, begun);
     version
 }
 
-impl<A: Adapter> Node<A> {
-    fn failed_to_ask(&self) {
-        let now = self.clock.now();
-        self.state.borrow_mut().fresh.failed(jitter(), now);
-    }
+fn failed<A: Adapter>(node: &Node<A>, at: usize, error: &StoreError) -> Option<u64> {
+    let now = node.clock.now();
+    node.state.borrow_mut().fresh.failed(jitter(), now);
+    node.store_failed(&format!("{:?}", WATCHED[at]), error);
+    None
+}
 
+impl<A: Adapter> Node<A> {
     fn role(&self) -> Role {
         if self.state.borrow().planning {
             return Role::Planner;
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -12,7 +12,9 @@
 /// Tables that are followed.
 pub const WATCHED: [RowTable; 3] = [RowTable::Config, RowTable::Servers, RowTable::Ranges];
 
-/// The place of the servers' entries among them.
+/// The place of the configuration among them.
+pub const CONFIG: usize = 0;
+/// The place of the servers' entries.
 pub const SERVERS: usize = 1;
 /// The place of the maps and the planner's leadership.
 pub const RANGES: usize = 2;
--- a/crates/core/src/freshness/times.rs
+++ b/crates/core/src/freshness/times.rs
@@ -17,7 +17,9 @@
 /// At which age of a table an instance asks the store itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FreshnessTimes {
-    /// The planner: two calls a second, a third of what the fleet asks otherwise.
+    /// The planner: two calls a second while nothing changes. All calls of ten
+    /// instances to the store became more by a fifth to two thirds, counted over five
+    /// runs of 46 seconds.
     pub planner: Duration,
     /// A reader: by then the planner's answer would have been heard of, a lost
     /// datagram and a busy processor allowed for.
