--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -18,6 +18,8 @@
 const BOUND: Duration = Duration::from_secs(2);
 const INSTANCES: usize = 10;
 const DOMAINS: usize = 4;
+/// After so long a call without an answer is given up.
+const GIVEN_UP: Duration = Duration::from_millis(600);
 /// One way between two instances, or to the store.
 const WAY: Duration = Duration::from_millis(2);
 
@@ -146,15 +148,10 @@
             return;
         }
         self.calls += 1;
-        // One that does not hear asks again once it has given the call up.
-        let asleep = if instance.hears {
-            HEAR.call
-        } else {
-            6 * HEAR.call
-        };
-        instance.look = now + asleep;
+        let call = if instance.hears { HEAR.call } else { GIVEN_UP };
+        instance.look = now + call;
         if !instance.hears {
-            return instance.fresh.failed(1.0, now + asleep);
+            return instance.fresh.failed(1.0, now + call);
         }
         let slow = Duration::from_millis(self.rng.random_range(4..HEAR.call.as_millis() as u64));
         let (begun, version) = (now, self.version);
@@ -192,7 +189,6 @@
     }
 
     fn take(&mut self, event: Event) {
-        let now = self.now;
         match event {
             Event::Answer { to, begun, version } => {
                 let instance = &mut self.instances[to];
@@ -218,7 +214,6 @@
                 instance.behind.caught_up(0);
             }
         }
-        self.now = now;
     }
 
     fn hear(&mut self, to: usize, from: usize, version: u64, age: Age) {
