--- a/crates/core/src/freshness/book.rs
+++ b/crates/core/src/freshness/book.rs
@@ -83,7 +83,7 @@
 
     /// How old all of them are.
     pub fn ages(&self, now: Time) -> [Age; N] {
-        self.known.map(|known| known.map(|known| now - known))
+        std::array::from_fn(|table| self.age(table, now))
     }
 
     /// Whether the store should be asked: a table is too old for this role, and the
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// One that ran for a while, until the store answers only some of the instances.
+    fn deafened(seed: u64, loss: u32) -> Self {
+        let mut world = Self::new(seed, loss);
+        let deaf = deaf(seed, &mut world.rng);
+        world.run(Duration::from_secs(3), |_| false);
+        for (instance, deaf) in world.instances.iter_mut().zip(deaf) {
+            instance.hears = !deaf;
+        }
+        world
+    }
+
     fn role(&self, me: usize) -> Role {
         match me {
             0 => Role::Planner,
@@ -258,12 +269,7 @@
     assert!(worst < BOUND);
     let mut longest = Duration::ZERO;
     for seed in 0..400 {
-        let mut world = World::new(seed, 0);
-        let deaf = deaf(seed, &mut world.rng);
-        world.run(Duration::from_secs(3), |_| false);
-        for (instance, deaf) in world.instances.iter_mut().zip(deaf) {
-            instance.hears = !deaf;
-        }
+        let mut world = World::deafened(seed, 0);
         let phase = world.rng.random_range(0..3_000);
         world.run(Duration::from_millis(phase), |_| false);
         let late = world.change();
@@ -292,12 +298,7 @@
 #[test]
 fn lost_datagrams_are_made_up_for_in_time() {
     for seed in 0..200 {
-        let mut world = World::new(seed, 5);
-        let deaf = deaf(seed, &mut world.rng);
-        world.run(Duration::from_secs(3), |_| false);
-        for (instance, deaf) in world.instances.iter_mut().zip(deaf) {
-            instance.hears = !deaf;
-        }
+        let mut world = World::deafened(seed, 5);
         let late = world.change();
         assert!(late <= HEAR.worst(&TIMES), "seed {seed}: {late:?}");
     }
