An instance counts as lost after a multiple of the period at which it is heard

Cause: heartbeats become rarer with the instances of a failure domain (39: 500 ms, 1.5 s between domains), and the time after which one counts as lost was fixed at 1.5 s. Instances of other domains were lost and found again between any two heartbeats, each finding made its hearer tell all at once, and whether the planner seemed lost was chance.

Change: freshness::Beats in core tells the period and the time for a sender near, far or planning; the planner sends to all at least every 400 ms.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -8,10 +8,10 @@
     super::{
         heartbeat::Heartbeat,
         node::{Holder, State},
-        peers::{LOST, Peer},
+        peers::Peer,
     },
     crate::edge::EdgeSettings,
-    citron_core::{id::InstanceId, time::Time},
+    citron_core::{freshness::LOST, id::InstanceId, time::Time},
     std::time::Duration,
 };
 
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -17,7 +17,7 @@
         events,
     },
     citron_core::{
-        freshness::{Freshness, FreshnessTimes, Gap},
+        freshness::{Beats, Freshness, FreshnessTimes, Gap, Sender},
         id::{InstanceId, ServerName, ServiceName},
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
@@ -26,7 +26,13 @@
     },
     citron_ports::{Adapter, RowSet, StoreError},
     http::Request,
-    std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         sync::{Notify, watch as latest},
         task::LocalSet,
@@ -101,6 +107,8 @@
     pub state: RefCell<State>,
     /// Whether the store answers.
     pub store: latest::Sender<bool>,
+    /// When this instance was entered among the members, and knew them.
+    pub enlisted: Cell<Option<Time>>,
     /// Questions to the store that are open.
     pub questions: refresh::Questions,
     /// What callers ask for, if this instance plans.
@@ -175,7 +183,7 @@
             config: None,
             maps: BTreeMap::new(),
             leadership: None,
-            peers: Peers::default(),
+            peers: Peers::new(settings.domain.clone()),
             planning: false,
             confirmed: Time::ZERO,
             formers: BTreeMap::new(),
@@ -190,6 +198,7 @@
             start: rand::random(),
             state: RefCell::new(state),
             store: latest::Sender::new(false),
+            enlisted: Cell::default(),
             questions: refresh::Questions::default(),
             demands: RefCell::default(),
             relay: relay::Relay::default(),
@@ -314,7 +323,7 @@
                 .collect(),
             instances: state.peers.count(&self.settings.domain, now),
             reporting,
-            reports: gossip::period(reporting),
+            reports: Beats::among(reporting).period(Sender::Near),
         });
     }
 
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -3,16 +3,13 @@
 use {
     super::heartbeat::Heartbeat,
     citron_core::{
-        freshness::HearTimes,
+        freshness::{Beats, HearTimes, Sender},
         id::{DomainName, InstanceId},
         time::Time,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
-/// After so long without a sign of life an instance counts as lost: a dozen
-/// heartbeats, so that a slowed instance or a lossy link is no reason.
-pub const LOST: Duration = Duration::from_millis(1_500);
 /// After so long it is left alone but for a heartbeat now and then.
 const SILENT: Duration = Duration::from_secs(10);
 
@@ -34,12 +31,22 @@
 }
 
 /// All others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    /// The failure domain of this instance.
+    domain: DomainName,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
 impl Peers {
+    /// None is known yet to an instance of a failure domain.
+    pub fn new(domain: DomainName) -> Self {
+        Self {
+            domain,
+            peers: BTreeMap::new(),
+        }
+    }
+
     /// Learns of an instance from the store.
     pub fn add(
         &mut self,
@@ -70,11 +77,13 @@
     ) -> bool {
         let domain = heartbeat.domain.parse().ok();
         self.add(name.clone(), from, domain, now);
+        let known = self.peers.get(name);
+        let live = known.is_some_and(|peer| self.spans().is_live(peer, now));
         let Some(peer) = self.peers.get_mut(name) else {
             return false;
         };
         let former = peer.heartbeat.as_ref().map(|heartbeat| heartbeat.start);
-        let new = former != Some(heartbeat.start) || !is_live(peer, now);
+        let new = former != Some(heartbeat.start) || !live;
         peer.heard = Some(now);
         peer.heartbeat = Some(heartbeat);
         new
@@ -87,9 +96,25 @@
 
     /// Those that were heard of lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let spans = self.spans();
         self.peers
             .iter()
-            .filter(move |(_, peer)| is_live(peer, now))
+            .filter(move |(_, peer)| spans.is_live(peer, now))
+    }
+
+    /// After which silence others count as lost.
+    fn spans(&self) -> Spans<'_> {
+        let near = |peer: &&Peer| peer.domain.as_ref() == Some(&self.domain);
+        let heard = match self.hears_all() {
+            true => self.peers.len(),
+            false => self.peers.values().filter(near).count(),
+        };
+        let beats = Beats::among(1 + heard);
+        Spans {
+            domain: (!self.hears_all()).then_some(&self.domain),
+            near: beats.lost_after(Sender::Near),
+            far: beats.lost_after(Sender::Far),
+        }
     }
 
     /// Where heartbeats go now. With few instances everyone hears everyone, those in
@@ -105,10 +130,10 @@
             let planner = round.planner == Some(name);
             let known = peer.heard.unwrap_or(peer.added);
             let silent = now - known > SILENT && (near || !many);
-            let often = match (silent, near) {
-                (true, _) => 20,
-                (false, true) => 1,
-                (false, false) => u64::from(HearTimes::STANDARD.far),
+            let often = match silent {
+                true => 20,
+                false if near || round.planning => 1,
+                false => u64::from(HearTimes::STANDARD.far),
             };
             let listens = !many || near || planner || round.planning || leads.contains(&name);
             (listens && round.number.is_multiple_of(often)).then_some(Recipient {
@@ -147,6 +172,12 @@
         })
     }
 
+    /// Whether others of a failure domain are known.
+    pub fn has_any_in(&self, domain: &DomainName) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.domain.as_ref() == Some(domain))
+    }
+
     /// Whether heartbeats of all instances reach this one.
     pub fn hears_all(&self) -> bool {
         self.peers.len() < MANY
@@ -192,6 +223,20 @@
     pub loads: bool,
 }
 
-fn is_live(peer: &Peer, now: Time) -> bool {
-    peer.heard.is_some_and(|heard| now - heard < LOST)
+/// After which silence others count as lost.
+struct Spans<'a> {
+    /// This instance's failure domain, if heartbeats go by them.
+    domain: Option<&'a DomainName>,
+    /// In the same failure domain.
+    near: Duration,
+    /// In others, whose heartbeats are rarer.
+    far: Duration,
+}
+
+impl Spans<'_> {
+    fn is_live(&self, peer: &Peer, now: Time) -> bool {
+        let near = self.domain.is_none() || peer.domain.as_ref() == self.domain;
+        let span = if near { self.near } else { self.far };
+        peer.heard.is_some_and(|heard| now - heard < span)
+    }
 }
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -5,11 +5,13 @@
 //! age, which only an answer resets, and which instances tell each other; whoever
 //! finds it too high asks a question that is answered at once.
 
+mod beats;
 mod behind;
 mod book;
 mod times;
 
 pub use {
+    beats::{Beats, LOST, Sender},
     behind::Behind,
     book::{Age, Freshness, Gap},
     times::{FreshnessTimes, HearTimes, Role},
