A hot range is divided among its takers in one step; none is begun without the store

Pattern: a range of keys turns hot. One owner has it, 24 moves of a service were under way at a time, each batch after the releases of the one before, and the range was noticed by a window of 700 ms against a fixed threshold.

Change: windows of 200 and 700 ms against chance (core/ranges/windows); a change begins a window of its own, and is planned for once that tells enough; as many moves from overloaded servers as three quarters of the takers; keys fill takers up to their fair share first, and up to what they can run where a key is busier than that; small slices are joined with a neighbour again; results of orders are taken in together, with a rest after each look; keys are reported every 150 ms, whatever the time between heartbeats; at most 48 releases at one server.

--- a/crates/citronproxy/src/edge/control/demands.rs
+++ b/crates/citronproxy/src/edge/control/demands.rs
@@ -3,62 +3,52 @@
 use {
     citron_core::{
         id::ServiceName,
-        ranges::{Demand, KeyDemand, RangeKey},
+        ranges::{Demand, DemandWindows, RangeKey},
         time::Time,
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
 };
 
-/// Half-life of the demand that plans go by: some hundred requests of a small
-/// service, so that chance is a tenth of a server's load.
-const SLOW: Duration = Duration::from_secs(3);
-/// Half-life of the demand that shows a sudden change.
-const FAST: Duration = Duration::from_millis(700);
-/// Parts of the key space in which the two are compared.
-const PARTS: u16 = 16;
-/// Sum of the differences, of 2 at most, above which the slow demand is out of
-/// date. A hundred requests differ from their mean by 0.3 by chance; a key that
-/// draws a third of all requests moves 0.6.
-const CHANGED: f64 = 0.55;
-
 /// Demand of each service whose servers hold keys.
 #[derive(Debug, Default)]
 pub struct Demands {
-    services: BTreeMap<ServiceName, Pair>,
-}
-
-#[derive(Debug)]
-struct Pair {
-    slow: KeyDemand,
-    fast: KeyDemand,
+    services: BTreeMap<ServiceName, DemandWindows>,
+    sudden: bool,
 }
 
 impl Demands {
     /// Counts a request.
     pub fn add(&mut self, service: &ServiceName, key: RangeKey, now: Time) {
         if !self.services.contains_key(service) {
-            let pair = Pair {
-                slow: KeyDemand::new(SLOW),
-                fast: KeyDemand::new(FAST),
-            };
-            self.services.insert(service.clone(), pair);
+            self.services
+                .insert(service.clone(), DemandWindows::default());
         }
-        if let Some(pair) = self.services.get_mut(service) {
-            pair.slow.add(key, now);
-            pair.fast.add(key, now);
+        if let Some(windows) = self.services.get_mut(service) {
+            windows.add(key, now);
         }
     }
 
+    /// Looks whether other keys of a service are asked for all of a sudden.
+    pub fn look(&mut self, service: &ServiceName, now: Time) -> bool {
+        let windows = self.services.get_mut(service);
+        let sudden = windows.is_some_and(|windows| windows.look(now));
+        self.sudden |= sudden;
+        sudden
+    }
+
+    /// Whether that was so since the last call.
+    pub fn take_sudden(&mut self) -> bool {
+        std::mem::take(&mut self.sudden)
+    }
+
+    /// Whether too little is known yet of a change.
+    pub fn is_settling(&self) -> bool {
+        self.services.values().any(DemandWindows::is_settling)
+    }
+
     /// The demand that plans go by.
     pub fn seen(&self, service: &ServiceName, now: Time) -> Demand {
-        let Some(pair) = self.services.get(service) else {
-            return Demand::default();
-        };
-        let slow = pair.slow.seen(now);
-        let fast = pair.fast.seen(now);
-        match slow.difference(&fast, PARTS) > CHANGED {
-            true => fast,
-            false => slow,
-        }
+        let windows = self.services.get(service);
+        windows.map_or_else(Demand::default, |windows| windows.seen(now))
     }
 }
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -2,30 +2,22 @@
 
 use {
     super::{
-        heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat, KeysWire},
+        heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat},
+        keys,
         node::Node,
         peers::Round,
         refresh, relay,
     },
     crate::{edge::EdgeError, events},
     citron_core::{
-        freshness::HearTimes,
+        freshness::{Beats, Sender},
         id::{Incarnation, InstanceId},
-        ranges::RangeKey,
     },
     citron_ports::Adapter,
-    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc},
     tokio::{net::UdpSocket, time::timeout},
 };
 
-/// Time between two heartbeats if few instances hear each other.
-const PERIOD: Duration = HearTimes::STANDARD.heartbeat;
-/// So many are few. With a multiple of them the time is that multiple: heartbeats
-/// then take the same part of a small processor at any number.
-const FEW: usize = 7;
-/// Keys in one datagram at most.
-const KEYS: usize = 400;
-
 /// Listens for datagrams.
 ///
 /// # Errors
@@ -40,7 +32,11 @@
 
 /// Sends and takes datagrams for good.
 pub async fn run<A: Adapter>(node: Rc<Node<A>>, socket: UdpSocket) {
-    tokio::join!(send(&node, &socket), receive(&node, &socket));
+    tokio::join!(
+        send(&node, &socket),
+        keys::report(&node, &socket),
+        receive(&node, &socket)
+    );
 }
 
 async fn send<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket) {
@@ -48,28 +44,23 @@
     loop {
         let now = node.clock.now();
         send_heartbeats(node, socket, number).await;
-        send_keys(node, socket).await;
         number += 1;
-        let reporting = node
-            .state
-            .borrow()
-            .peers
-            .reporting(&node.settings.domain, now);
-        if timeout(period(reporting), node.hurry.notified())
-            .await
-            .is_ok()
-        {
+        let pause = {
+            let state = node.state.borrow();
+            let reporting = state.peers.reporting(&node.settings.domain, now);
+            let sender = match state.planning {
+                true => Sender::Planner,
+                false => Sender::Near,
+            };
+            Beats::among(reporting).period(sender)
+        };
+        if timeout(pause, node.hurry.notified()).await.is_ok() {
             // Something that all should know at once.
             number = 0;
         }
     }
 }
 
-/// Time between two heartbeats of an instance that hears so many.
-pub fn period(reporting: usize) -> Duration {
-    PERIOD * u32::try_from(reporting / FEW).unwrap_or(1).max(1)
-}
-
 async fn send_heartbeats<A: Adapter>(node: &Node<A>, socket: &UdpSocket, number: u64) {
     let due = {
         let state = node.state.borrow();
@@ -102,47 +93,13 @@
     }
 }
 
-async fn send_to(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
+/// Sends a datagram; what is lost is sent again with the next one.
+pub async fn send_to(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
     if let Err(error) = socket.send_to(bytes, address).await {
         log::debug!("a datagram to {address}: {error}");
     }
 }
 
-/// Sends the keys that callers asked for to the planner.
-async fn send_keys<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket) {
-    let keys = node.board.take_keys();
-    if keys.is_empty() {
-        return;
-    }
-    let mut services: BTreeMap<String, Vec<u16>> = BTreeMap::new();
-    for (service, key) in keys {
-        services.entry(service.to_string()).or_default().push(key.0);
-    }
-    if node.state.borrow().planning {
-        for (service, keys) in services {
-            node.note_keys(&service, &keys);
-        }
-        return;
-    }
-    let planner = {
-        let state = node.state.borrow();
-        let leadership = state.leadership.as_ref();
-        leadership
-            .and_then(|leadership| state.peers.get(&leadership.holder.instance))
-            .map(|peer| peer.address)
-    };
-    let Some(planner) = planner else { return };
-    for (service, keys) in services {
-        for part in keys.chunks(KEYS) {
-            let service = service.clone();
-            let keys = part.to_vec();
-            if let Some(bytes) = Datagram::Keys(vec![KeysWire { service, keys }]).encode() {
-                send_to(socket, &bytes, planner).await;
-            }
-        }
-    }
-}
-
 async fn receive<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket) {
     let mut buffer = [0; DATAGRAM_MAX + 1];
     loop {
@@ -206,14 +163,4 @@
         }
         heartbeat.domain == self.settings.domain.as_str() || self.state.borrow().peers.hears_all()
     }
-
-    /// Counts requests for keys, if this instance plans.
-    fn note_keys(&self, service: &str, keys: &[u16]) {
-        let Ok(service) = service.parse() else { return };
-        let now = self.clock.now();
-        let mut demands = self.demands.borrow_mut();
-        for key in keys {
-            demands.add(&service, RangeKey(*key), now);
-        }
-    }
 }
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -7,6 +7,7 @@
 mod gossip;
 mod heartbeat;
 mod intake;
+mod keys;
 mod mirror;
 mod node;
 mod peers;
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -14,7 +14,7 @@
         },
         events,
     },
-    citron_core::ranges::{Demand, LeaseBook, LeaseTimes, RangeMap, Reconciler},
+    citron_core::ranges::{Demand, EvenClock, LeaseBook, LeaseTimes, RangeMap, Reconciler},
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     std::rc::Rc,
     tokio::task::spawn_local,
@@ -121,6 +121,6 @@
         leadership,
         before,
         plans,
-        evened: now,
+        even: EvenClock::new(now),
     })
 }
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -9,7 +9,8 @@
     },
     citron_ports::{Adapter, CallError, KeptClient},
     http::{HeaderValue, Request, Response, StatusCode},
-    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::sync::Semaphore,
 };
 
 /// How long a server may take to give keys up: it answers when the requests on
@@ -21,10 +22,22 @@
 /// The largest answer that is read.
 const ANSWER_MAX: usize = 64 * 1_024;
 
+/// Releases under way at one server at most. Each needs a connection until the
+/// requests on its keys have ended, and a server whose keys are divided among
+/// hundreds of others would reset what is over its limit of them.
+const RELEASES: usize = 48;
+
 /// Sends orders, on connections that are kept.
 #[derive(Debug, Default)]
 pub struct Orders {
-    clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
+    lines: RefCell<BTreeMap<SocketAddr, Line>>,
+}
+
+/// What leads to one server.
+#[derive(Debug, Clone)]
+struct Line {
+    client: KeptClient,
+    releases: Rc<Semaphore>,
 }
 
 impl Orders {
@@ -43,6 +56,12 @@
                 epoch,
             } => {
                 let request = node.adapter.release(*range, *epoch);
+                let line = self.line_to(node, server);
+                // Nothing closes the semaphore.
+                let _lane = match &line {
+                    Some(line) => line.releases.acquire().await.ok(),
+                    None => None,
+                };
                 let answer = self.call(node, server, request, RELEASE_TIME).await;
                 let mut end = released(node, &answer);
                 if answer.is_ok() && end == OrderEnd::Unknown && self.is_passed(node, server).await
@@ -67,18 +86,25 @@
         let Ok(request) = Request::get(path).body(Bytes::new()) else {
             return false;
         };
-        let answer = self.client(address).call(request, HEALTH_TIME).await;
+        let answer = self.line(address).client.call(request, HEALTH_TIME).await;
         let Ok(answer) = answer else { return false };
         let answering = answer.headers().get(&node.adapter.headers().answering);
         answering.is_some_and(|id| id.as_bytes() != server.id().as_bytes())
     }
 
-    fn client(&self, address: SocketAddr) -> KeptClient {
-        let mut clients = self.clients.borrow_mut();
-        let client = clients.entry(address);
-        client
-            .or_insert_with(|| KeptClient::new(address, ANSWER_MAX))
-            .clone()
+    fn line(&self, address: SocketAddr) -> Line {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.entry(address).or_insert_with(|| Line {
+            client: KeptClient::new(address, ANSWER_MAX),
+            releases: Rc::new(Semaphore::new(RELEASES)),
+        });
+        line.clone()
+    }
+
+    fn line_to<A: Adapter>(&self, node: &Node<A>, server: &ServerName) -> Option<Line> {
+        let state = node.state.borrow();
+        let known = state.registry.get(server)?;
+        Some(self.line(known.entry.address))
     }
 
     async fn grant<A: Adapter>(
@@ -128,23 +154,19 @@
         mut request: Request<Bytes>,
         span: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        let address = {
-            let state = node.state.borrow();
-            state.registry.get(server).map(|known| known.entry.address)
-        };
-        let Some(address) = address else {
+        let Some(line) = self.line_to(node, server) else {
             return Err(CallError::NotSent("the server is not known".to_string()));
         };
         if let Ok(name) = HeaderValue::from_str(server.id()) {
             let header = node.adapter.headers().instance.clone();
             request.headers_mut().insert(header, name);
         }
-        self.client(address).call(request, span).await
+        line.client.call(request, span).await
     }
 
     /// Drops the connections to servers that hold nothing.
     pub fn retain(&self, used: impl Fn(&SocketAddr) -> bool) {
-        self.clients.borrow_mut().retain(|address, _| used(address));
+        self.lines.borrow_mut().retain(|address, _| used(address));
     }
 }
 
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -23,6 +23,12 @@
 
 /// Time between two looks at everything, if nothing happens.
 const TICK: Duration = Duration::from_millis(200);
+/// Pause after a look, as a multiple of what it took. Each looks at every slice, and
+/// where a hot range is divided hundreds of orders end within some milliseconds: a look
+/// after each of them would take a small processor for seconds.
+const REST: u32 = 3;
+/// The longest such pause: callers wait for keys on their way.
+const REST_MOST: Duration = Duration::from_millis(25);
 
 /// Watches the leadership, and plans while this instance has it.
 pub async fn run<A: Adapter>(node: Rc<Node<A>>) {
@@ -31,6 +37,7 @@
     let (ended, mut results) = mpsc::unbounded_channel::<Ended>();
     let mut election = Election::new(node.clock.now());
     let mut term: Option<Term> = None;
+    let mut rested = Time::ZERO;
     let mut next = node.clock.now();
     loop {
         let woken = async {
@@ -49,16 +56,24 @@
             continue;
         };
         if let Some(result) = result {
-            let renewal = matches!(result.order, Order::Grant(_));
-            term.take(result, &node);
-            if renewal && node.clock.now() < next {
+            let mut renewals = true;
+            let more = std::iter::from_fn(|| results.try_recv().ok());
+            for result in std::iter::once(result).chain(more) {
+                renewals &= matches!(result.order, Order::Grant(_));
+                term.take(result, &node);
+            }
+            if renewals && node.clock.now() < next {
                 // Nothing is due: most orders are renewals, a hundred a second.
                 continue;
             }
         }
-        next = node.clock.now() + TICK;
-        term.settle_former(&node);
         let begun = node.clock.now();
+        if begun < rested {
+            next = next.min(rested);
+            continue;
+        }
+        next = begun + TICK;
+        term.settle_former(&node);
         for (service, order) in term.tick(&node, times) {
             let task = Task {
                 node: Rc::clone(&node),
@@ -70,6 +85,8 @@
             spawn_local(task.carry_out(service, order, times, ended.clone()));
         }
         drop_unused(&node, &orders);
+        let now = node.clock.now();
+        rested = now + ((now - begun) * REST).min(REST_MOST);
     }
 }
 
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -12,20 +12,15 @@
     citron_core::{
         id::ServiceName,
         ranges::{
-            Balance, BalanceLimits, Demand, KeyRange, LeaseBook, LeaseTimes, Order, OrderEnd,
-            RangeMap, Reconciler, Scope,
+            Balance, BalanceLimits, Demand, EvenClock, KeyRange, LeaseBook, LeaseTimes, Order,
+            OrderEnd, RangeMap, Reconciler, Scope,
         },
         registry::Known,
-        time::Time,
     },
     citron_ports::Adapter,
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
 };
 
-/// Time between two plans for balance: the demand seen is some seconds old, and
-/// a move must show in it before the next one is planned.
-const EVEN: Duration = Duration::from_millis(400);
-
 /// What became of an order of one service.
 #[derive(Debug)]
 pub struct Ended {
@@ -61,8 +56,8 @@
     pub before: Vec<Holder>,
     /// By service.
     pub plans: BTreeMap<ServiceName, ServicePlan>,
-    /// When keys were last moved for balance.
-    pub evened: Time,
+    /// When keys are moved for balance.
+    pub even: EvenClock,
 }
 
 impl Term {
@@ -133,10 +128,9 @@
         let Some(config) = &state.config else {
             return Vec::new();
         };
-        let even = now - self.evened > EVEN;
-        if even {
-            self.evened = now;
-        }
+        let sudden = node.demands.borrow_mut().take_sudden();
+        let may = *node.store.borrow() && !node.demands.borrow().is_settling();
+        let even = self.even.is_due(sudden, may, now);
         let mut orders = Vec::new();
         for service in config.services().filter(|service| service.keyed) {
             let name = &service.name;
--- a/crates/core/src/ranges/demand.rs
+++ b/crates/core/src/ranges/demand.rs
@@ -8,6 +8,15 @@
 
 /// Keys of the space.
 const KEYS: usize = 65_536;
+/// Parts of the key space in which one demand is compared with another.
+pub const PARTS: usize = 16;
+/// Keys of a part.
+const PART: usize = KEYS / PARTS;
+/// Bounds of the factor by which demand outside of what has changed is scaled: the
+/// few requests left there tell little.
+const SCALES: [f64; 2] = [0.25, 4.0];
+/// A window counts as at least so old.
+const AGE_MIN: Duration = Duration::from_millis(100);
 /// Half-lives after which the weights are scaled back, well within `f32`.
 const RESCALE: f64 = 40.0;
 
@@ -41,21 +50,36 @@
         self.span
     }
 
-    /// How differently requests spread over the key space, in `parts` equal
-    /// parts: 0 for alike, 2 for nothing in common.
-    pub fn difference(&self, other: &Self, parts: u16) -> f64 {
-        let at = |part: u16| self.share(part, parts) - other.share(part, parts);
-        (0..parts).map(|part| at(part).abs()).sum()
-    }
-
-    fn share(&self, part: u16, parts: u16) -> f64 {
-        let size = u16::MAX / parts + 1;
-        let first = part * size;
-        let range = KeyRange {
-            first: RangeKey(first),
-            last: RangeKey(first + (size - 1)),
+    /// This demand with what a newer one says of the parts of the key space that
+    /// have `changed`. The other parts are scaled to what is left of the newer one.
+    pub fn updated(&self, newer: &Self, changed: &[bool; PARTS]) -> Self {
+        let rest = |demand: &Self| -> f64 {
+            let kept = (0..PARTS).filter(|part| !changed[*part]);
+            kept.map(|part| demand.of(part_range(part))).sum()
         };
-        self.of(range) / self.of(KeyRange::ALL).max(f64::MIN_POSITIVE)
+        let scale = rest(newer) / rest(self).max(f64::MIN_POSITIVE);
+        let scale = scale.clamp(SCALES[0], SCALES[1]);
+        let mut sum = 0.0;
+        let mut sums = Vec::with_capacity(KEYS + 1);
+        sums.push(0.0);
+        for key in 0..KEYS {
+            let (demand, scale) = match changed[key / PART] {
+                true => (newer, 1.0),
+                false => (self, scale),
+            };
+            sum += (demand.below(key + 1) - demand.below(key)) * scale;
+            sums.push(sum as f32);
+        }
+        let has_changed = |key: RangeKey| changed[usize::from(key.0) / PART];
+        let new = newer.hot.iter().copied();
+        let new = new.filter(|(key, _)| has_changed(*key));
+        let old = self.hot.iter().map(|(key, rate)| (*key, rate * scale));
+        let hot = new.chain(old.filter(|(key, _)| !has_changed(*key)));
+        Self {
+            sums,
+            hot: hot.collect(),
+            span: newer.span,
+        }
     }
 }
 
@@ -76,8 +100,12 @@
 #[derive(Debug)]
 pub struct KeyDemand {
     half_life: Duration,
+    /// When the first request was counted.
+    begun: Option<Time>,
     origin: Time,
     weights: Vec<f32>,
+    /// Sums of the weights, by part of the key space.
+    parts: [f64; PARTS],
 }
 
 impl KeyDemand {
@@ -85,27 +113,43 @@
     pub fn new(half_life: Duration) -> Self {
         Self {
             half_life,
+            begun: None,
             origin: Time::ZERO,
             weights: vec![0.0; KEYS],
+            parts: [0.0; PARTS],
         }
     }
 
     /// Counts a request.
     pub fn add(&mut self, key: RangeKey, now: Time) {
+        self.begun.get_or_insert(now);
         if self.lives(now) > RESCALE {
             self.rescale(now);
         }
-        self.weights[usize::from(key.0)] += self.lives(now).exp2() as f32;
+        let weight = self.lives(now).exp2();
+        self.weights[usize::from(key.0)] += weight as f32;
+        self.parts[usize::from(key.0) / PART] += weight;
+    }
+
+    /// How many requests this stands for.
+    pub fn count(&self, now: Time) -> f64 {
+        self.parts.iter().sum::<f64>() * (-self.lives(now)).exp2()
+    }
+
+    /// The part of all requests that goes to each part of the key space.
+    pub fn spread(&self) -> [f64; PARTS] {
+        let total = self.parts.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        self.parts.map(|part| part / total)
     }
 
     /// The demand now. That of keys that are not hot by themselves is spread over
     /// their neighbours: busy keys lie close to one another, and single requests
     /// say more of the neighbourhood than of their key.
     pub fn seen(&self, now: Time) -> Demand {
-        // A steady rate r adds up to r * half-life / ln 2 decayed requests.
-        let scale = (-self.lives(now)).exp2() / self.span();
+        let span = self.span(now);
+        let scale = (-self.lives(now)).exp2() / span;
         let total: f64 = self.weights.iter().map(|weight| f64::from(*weight)).sum();
-        let hot = (total * HOT).max(HOT_COUNT / (scale * self.span()));
+        let hot = (total * HOT).max(HOT_COUNT / (scale * span));
         let near = near(total * (-self.lives(now)).exp2());
         // Sums of the cooler keys' weights, and sums of those sums: the mean of
         // any window of sums is then one subtraction.
@@ -134,12 +178,18 @@
         Demand {
             sums,
             hot: hots,
-            span: self.span(),
+            span,
         }
     }
 
-    fn span(&self) -> f64 {
-        self.half_life.as_secs_f64() / std::f64::consts::LN_2
+    /// Seconds of requests: a steady rate r adds up to r * half-life / ln 2 decayed
+    /// requests in the end, and to fewer while the window is young.
+    fn span(&self, now: Time) -> f64 {
+        let age = self
+            .begun
+            .map_or(AGE_MIN, |begun| (now - begun).max(AGE_MIN));
+        let lives = age.as_secs_f64() / self.half_life.as_secs_f64();
+        self.half_life.as_secs_f64() / std::f64::consts::LN_2 * (1.0 - (-lives).exp2())
     }
 
     fn lives(&self, now: Time) -> f64 {
@@ -151,6 +201,7 @@
         for weight in &mut self.weights {
             *weight *= scale;
         }
+        self.parts = self.parts.map(|part| part * f64::from(scale));
         self.origin = now;
     }
 }
@@ -166,6 +217,14 @@
 /// Keys on each side at least and at most.
 const NEAR: [f64; 2] = [12.0, 400.0];
 
+fn part_range(part: usize) -> KeyRange {
+    let first = part * PART;
+    KeyRange {
+        first: RangeKey(first as u16),
+        last: RangeKey((first + PART - 1) as u16),
+    }
+}
+
 fn near(requests: f64) -> usize {
     (TELLING / requests.max(1.0)).clamp(NEAR[0], NEAR[1]) as usize
 }
--- a/crates/core/src/ranges/key.rs
+++ b/crates/core/src/ranges/key.rs
@@ -109,6 +109,15 @@
     }
 }
 
+/// Ranges without the keys of another.
+pub fn cut_out(ranges: Vec<KeyRange>, cut: KeyRange) -> Vec<KeyRange> {
+    let without = |range: KeyRange| match range.common(cut) {
+        Some(common) => range.without(common).into_iter().flatten().collect(),
+        None => vec![range],
+    };
+    ranges.into_iter().flat_map(without).collect()
+}
+
 impl fmt::Display for KeyRange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.first, self.last)
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -9,16 +9,20 @@
 mod book;
 mod demand;
 mod error;
+mod even;
 mod key;
 mod map;
 mod reconciler;
+mod windows;
 
 pub use {
     balance::{Balance, BalanceLimits, Capacity, Shift},
     book::{LeaseBook, LeaseTimes},
     demand::{Demand, KeyDemand},
     error::RangeError,
+    even::EvenClock,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
     reconciler::{Order, OrderEnd, OwnerState, Owners, Reconciler, Scope},
+    windows::DemandWindows,
 };
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -4,7 +4,7 @@
     super::{AGAIN, Order, OrderEnd, OwnerState, Owners, Reconciler},
     crate::{
         id::{Epoch, ServerName},
-        ranges::{Balance, KeyRange, balance::cut_out},
+        ranges::{Balance, KeyRange, Shift, key::cut_out},
         time::{StoreClock, Time},
     },
     std::time::Duration,
@@ -18,8 +18,13 @@
 /// sake of balance: each costs the planner an order every other second, and with
 /// six for each of 167 servers a tenth of a core did nothing else.
 const SLICES: usize = 3;
+/// The same where servers are overloaded: a map with so many slices still fits into
+/// a row of the store.
+const SURGE_SLICES: usize = 4;
 /// Slices of a service up to which they may be cut in any case.
 const SLICES_MIN: usize = 240;
+/// Slices for each server above which small ones are joined with a neighbour.
+const JOIN_SLICES: f64 = 1.5;
 /// Moves under way at which no more are begun for servers that leave: a few
 /// servers' worth, since each is an order that an instance with a fifth of a
 /// core has to send.
@@ -161,18 +166,40 @@
     }
 
     pub(super) fn even_out(&mut self, now: Time, balance: &mut Balance<'_>) {
-        let most = balance.limits().moves.saturating_sub(self.moves.len());
         let parts = |server: &ServerName| {
             let slices = self.map.owned(server);
             slices.flat_map(|slice| self.unmoved(slice.range)).collect()
         };
         let slices = self.map.slices().len();
-        let cut = slices < SLICES_MIN.max(balance.servers() * SLICES);
-        for shift in balance.shifts(most, cut, parts) {
+        let most = match balance.has_overload() {
+            true => SURGE_SLICES,
+            false => SLICES,
+        };
+        let cut = slices < SLICES_MIN.max(balance.servers() * most);
+        let mut shifts = balance.shifts(self.moves.len(), cut, parts);
+        if slices as f64 > (balance.servers() as f64 * JOIN_SLICES).max(SLICES_MIN as f64) {
+            let under = self.moves.len() + shifts.len();
+            shifts.extend(balance.joins(under, &self.still(&shifts)));
+        }
+        for shift in shifts {
             self.begin(shift.range, shift.from, shift.to, now);
         }
     }
 
+    /// Slices in order that are not on their way, and are not about to be.
+    fn still(&self, shifts: &[Shift]) -> Vec<(KeyRange, ServerName)> {
+        let moves = |range: KeyRange| {
+            let mut under = self.moves.iter().map(|under| under.range);
+            let mut next = shifts.iter().map(|shift| shift.range);
+            let common = |other: KeyRange| other.common(range).is_some();
+            under.any(common) || next.any(common)
+        };
+        let slices = self.map.slices().iter();
+        let held = slices.filter(|slice| slice.expiry.is_none() && !moves(slice.range));
+        let owned = held.filter_map(|slice| Some((slice.range, slice.owner.clone()?)));
+        owned.collect()
+    }
+
     fn begin(&mut self, range: KeyRange, from: Option<ServerName>, to: ServerName, now: Time) {
         let phase = match from {
             Some(_) => Phase::Releasing { next: Some(now) },
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -127,7 +127,7 @@
         }
         balance.level();
         let parts = |server: &ServerName| map.owned(server).map(|slice| slice.range).collect();
-        for shift in balance.shifts(24, cut, parts) {
+        for shift in balance.shifts(0, cut, parts) {
             map.assign(shift.range, &shift.to, None);
         }
         let loads = loads(map, demand);
--- /dev/null
+++ b/crates/core/tests/surge/main.rs
@@ -0,0 +1,170 @@
+//! Ranges of keys that turn hot, before hundreds of servers and few, in virtual time.
+//!
+//! The planner's own code hears of requests, plans, and gives orders that servers
+//! carry out as they do under load: keys with requests on them are given up only
+//! when these have ended. Callers of an owner that is asked for more than it can run
+//! are refused, so what counts is how long that lasts, and for how many.
+
+mod world;
+
+use {
+    citron_core::ranges::BalanceLimits,
+    std::time::Duration,
+    world::{Shape, World},
+};
+
+/// 413 servers; 200 of 60,000 things draw 44 in 100 requests.
+const LARGE: Shape = Shape {
+    servers: 413,
+    slots: 4,
+    run: Duration::from_millis(520),
+    requests: 2_110,
+    things: 60_000,
+    hot: 200,
+    share: 0.44,
+    limits: BalanceLimits::STANDARD,
+};
+
+/// 19 servers; six of 4,000 things draw 35 in 100 requests.
+const SMALL: Shape = Shape {
+    servers: 19,
+    slots: 4,
+    run: Duration::from_millis(220),
+    requests: 173,
+    things: 4_000,
+    hot: 6,
+    share: 0.35,
+    limits: BalanceLimits::STANDARD,
+};
+
+/// Callers of a key should be served again within this time, whatever has happened.
+const SERVED_AGAIN: Duration = Duration::from_secs(2);
+
+/// Plays one shape with several seeds; the times until the hot range is spread, the
+/// shortest first.
+fn spread(shape: Shape, seeds: u64) -> Vec<Duration> {
+    let play = |seed| World::new(shape, seed).hot_range();
+    let mut times: Vec<Duration> = (0..seeds).map(play).collect();
+    times.sort();
+    times
+}
+
+/// Callers of 200 things that turn hot are refused for all of the five seconds that
+/// it lasts: the things lie side by side, one server owns them, and only 24 moves are
+/// begun at a time, each batch after the releases of the one before. As many moves as
+/// there are servers to share the range are begun at once.
+#[test]
+fn a_hot_range_is_divided_among_hundreds_of_servers_in_one_step() {
+    let few = Shape {
+        limits: BalanceLimits {
+            surge: 0.0,
+            ..BalanceLimits::STANDARD
+        },
+        ..LARGE
+    };
+    let before = spread(few, 2);
+    assert!(
+        before[0] > Duration::from_secs(3),
+        "the pattern is gone: {before:?}"
+    );
+    let after = spread(LARGE, 20);
+    assert!(after[9] <= Duration::from_millis(1_000), "{after:?}");
+    assert!(after[18] <= Duration::from_millis(1_500), "{after:?}");
+}
+
+/// The same with few servers, whose planner hears of 173 requests a second: a range
+/// that turns hot shows within some dozen of them.
+#[test]
+fn a_hot_range_is_noticed_where_requests_are_few() {
+    let times = spread(SMALL, 9);
+    assert!(times[4] <= SERVED_AGAIN, "{times:?}");
+}
+
+/// Deployments of other sizes: slots, speeds and shares differ, and so do the numbers
+/// of servers and things.
+#[test]
+fn hot_ranges_of_other_deployments_are_spread() {
+    let shapes = [
+        (60, 2, 110, 500, 20, 0.4),
+        (155, 3, 190, 1_300, 60, 0.35),
+        (167, 4, 230, 1_900, 80, 0.35),
+        (211, 2, 110, 2_400, 100, 0.4),
+        (300, 8, 400, 3_000, 150, 0.3),
+        (600, 4, 520, 3_000, 250, 0.4),
+    ];
+    for (servers, slots, run, requests, hot, share) in shapes {
+        let shape = Shape {
+            servers,
+            slots,
+            run: Duration::from_millis(run),
+            requests,
+            hot,
+            share,
+            ..LARGE
+        };
+        let times = spread(shape, 3);
+        assert!(times[1] <= SERVED_AGAIN, "{servers}: {times:?}");
+    }
+}
+
+/// A range that was hot leaves as many slices behind as servers shared it. Each one
+/// is renewed on its own, and after three such ranges there was no room for the cuts
+/// of the fourth: they are joined again once nobody asks for them.
+#[test]
+fn slices_of_a_range_that_was_hot_are_joined_again() {
+    let mut world = World::new(LARGE, 3);
+    let calm = world.slices();
+    for _ in 0..3 {
+        world.hot_range();
+        world.calm(Duration::from_secs(12));
+    }
+    let after = world.slices();
+    assert!(
+        after < LARGE.servers * 2,
+        "{calm} slices at first, {after} after three ranges"
+    );
+}
+
+/// A range turns hot, and a moment later a single key as well, which no server can run.
+/// Its owner is overloaded whatever is done, and must not keep the range from others.
+#[test]
+fn a_hot_range_is_spread_though_a_key_turns_hot_besides() {
+    let play = |seed| World::new(LARGE, seed).hot_range_and_key();
+    let mut times: Vec<Duration> = (0..9).map(play).collect();
+    times.sort();
+    assert!(times[4] <= Duration::from_millis(1_500), "{times:?}");
+}
+
+/// Without a range that turns hot next to nothing moves: what differs between short
+/// windows is chance.
+#[test]
+fn chance_moves_next_to_nothing() {
+    for shape in [LARGE, SMALL] {
+        let mut world = World::new(shape, 5);
+        let before = world.moved();
+        world.calm(Duration::from_secs(20));
+        let moved = world.moved() - before;
+        assert!(moved < 20_000, "{moved} of 65,536 keys within 20 s");
+    }
+}
+
+/// Callers are refused whose keys are on their way to another server, for as long as
+/// the store is away: the old owner has given them up, and the move cannot be written
+/// down. A range that turns hot meanwhile stays where it is.
+#[test]
+fn nothing_is_released_for_balance_while_the_store_is_away() {
+    let mut world = World::new(LARGE, 4);
+    world.calm(Duration::from_secs(1));
+    world.answers = false;
+    world.calm(Duration::from_secs(2));
+    let before = world.moved();
+    world.hot_range();
+    assert_eq!(world.moved(), before);
+    world.answers = true;
+    let spread = world.hot_range();
+    assert!(
+        spread <= SERVED_AGAIN,
+        "{spread:?}, {} moves",
+        world.moved() - before
+    );
+}
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -26,8 +26,9 @@
 /// no change until its own time is over.
 const PROBE: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
-/// Idle connections kept to one address.
-const KEPT: usize = 4;
+/// Idle connections kept to one address: as many orders as go to one backend server
+/// at a time when many of its keys move.
+const KEPT: usize = 16;
 
 /// Why a call has no answer.
 #[derive(Debug, Error)]
