The planner reads the store for all; who starts takes the tables from its neighbours

Change: the planner asks for the changes of all tables; one instance of each other domain fetches them from it at once and tells its own; it asks the store itself where the planner was not heard for 1.1 s or has lost the store. Ages still decide when anybody asks anew. Who starts waits for what neighbours know, for 2 s at most, and is counted as answered by the store once it is entered.

--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -34,6 +34,9 @@
         let changed = self.merge(at, table.into(), newest, whole);
         if self.take_rows(at, &changed) {
             self.questions.missed(at, begun);
+            if self.leads() {
+                self.hurry.notify_one();
+            }
         }
     }
 
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -186,7 +186,7 @@
         if self.state.borrow().planning {
             return Role::Planner;
         }
-        match self.reads(SERVERS) {
+        match self.leads() {
             true => Role::Reader,
             false => Role::Other,
         }
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -121,6 +121,9 @@
         .each_ref()
         .map(|mirror| mirror.changed);
     let near = heartbeat.domain == node.settings.domain.as_str();
+    let reads = node.reads() && *node.store.borrow();
+    // The planner tells one instance of each failure domain.
+    let told = heartbeat.planning && node.leads() && node.hears_planner();
     let mut behind = node.relay.behind.borrow_mut();
     let mut due = Vec::new();
     for (at, known) in known.into_iter().enumerate() {
@@ -128,7 +131,7 @@
             // Others may be ahead still; their own heartbeats tell.
             continue;
         }
-        let waits = !near || (node.reads(at) && *node.store.borrow());
+        let waits = !told && (!near || reads);
         if behind.is_due(at, waits, now) {
             due.push(at);
         }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -27,6 +27,9 @@
 /// twenty servers that start, each of which writes its entry every second, there
 /// would be as many changes a second, times the instances.
 const PAUSE_MANY: Duration = Duration::from_millis(250);
+/// So lately the planner must have been heard to be relied on for changes: two of its
+/// heartbeats at the size where they are rarest.
+const TELLS: Duration = Duration::from_millis(1_100);
 /// How often an instance that does not read looks whether it should.
 const ROLE: Duration = Duration::from_millis(200);
 /// Pause between two questions: changes come in groups, and one question for
@@ -38,11 +41,34 @@
 /// this instance is answered: tables that grow old are asked for anyway.
 const OTHERS: Duration = Duration::from_secs(3);
 
+/// How long an instance that has started waits for what its neighbours know. With
+/// hundreds of them that start at the same moment the store would turn some away.
+const LISTEN_MOST: Duration = Duration::from_secs(2);
+/// How long it takes until neighbours that are there have been heard.
+const LISTEN: Duration = Duration::from_millis(150);
+/// How often it looks for either.
+const LISTEN_LOOK: Duration = Duration::from_millis(20);
+
+/// Waits until a neighbour has handed a table over, or it is this instance's turn to
+/// ask the store.
+async fn listen<A: Adapter>(node: &Node<A>, at: usize) {
+    let begun = node.clock.now();
+    while node.state.borrow().mirrors[at].version == 0 && node.clock.now() - begun < LISTEN_MOST {
+        let now = node.clock.now();
+        let heard = |enlisted| now - enlisted > LISTEN || !node.has_neighbours();
+        if node.enlisted.get().is_some_and(heard) && node.leads() {
+            return;
+        }
+        sleep(LISTEN_LOOK).await;
+    }
+}
+
 /// Follows one table for good.
 pub async fn follow<A: Adapter>(node: Rc<Node<A>>, at: usize, table: RowTable) {
-    let mut whole = true;
+    listen(&node, at).await;
+    let mut whole = node.state.borrow().mirrors[at].version == 0;
     loop {
-        if !whole && !node.reads(at) {
+        if !whole && !node.reads() {
             sleep(ROLE).await;
             continue;
         }
@@ -82,20 +108,39 @@
         }
     }
 
-    /// Whether this instance reads a table from the store, or hears of changes
-    /// from another one of its failure domain. The planner follows the maps
-    /// itself: it must know that it still has the leadership.
-    pub fn reads(&self, at: usize) -> bool {
+    /// Whether this instance asks the store for the changes of tables. The planner does,
+    /// as it must know that it still has the leadership, and tells all others; one of
+    /// each failure domain does where the planner is not heard.
+    pub fn reads(&self) -> bool {
+        self.state.borrow().planning || (self.leads() && !self.hears_planner())
+    }
+
+    /// Whether this instance is the one of its failure domain that others hear of
+    /// changes from.
+    pub fn leads(&self) -> bool {
         let state = self.state.borrow();
-        if state.planning && WATCHED[at] == RowTable::Ranges {
-            return true;
-        }
         let now = self.clock.now();
         let me = &self.settings;
         let before = state.peers.before(&me.instance, me.cpu, now);
         let mut before = before.filter(|(_, peer)| peer.domain.as_ref() == Some(&me.domain));
         before.next().is_none()
     }
+
+    /// Whether the planner was heard lately, and the store answers it.
+    pub fn hears_planner(&self) -> bool {
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        let holder = state.leadership.as_ref().map(|row| &row.holder.instance);
+        let planner = holder.and_then(|name| state.peers.get(name));
+        let heard = planner.is_some_and(|peer| peer.heard.is_some_and(|heard| now - heard < TELLS));
+        let said = planner.and_then(|peer| peer.heartbeat.as_ref());
+        heard && said.is_some_and(|said| said.planning && said.store && !said.leaving)
+    }
+
+    fn has_neighbours(&self) -> bool {
+        let state = self.state.borrow();
+        state.peers.has_any_in(&self.settings.domain)
+    }
 }
 
 async fn pause<A: Adapter>(node: &Node<A>) {
@@ -121,14 +166,21 @@
         writes: vec![(RowTable::Members, key, value)],
         ..RowCommit::default()
     };
-    while let Err(error) = node.adapter.store().commit(&commit).await {
-        node.store_failed("enlist", &error);
+    loop {
+        let begun = node.clock.now();
+        match node.adapter.store().commit(&commit).await {
+            Ok(_) => break node.store_answered(begun, None),
+            Err(error) => node.store_failed("enlist", &error),
+        }
         sleep(AGAIN.mul_f64(jitter())).await;
     }
     loop {
+        let begun = node.clock.now();
         match node.adapter.store().rows(RowTable::Members).await {
             Ok(set) => {
+                node.store_answered(begun, set.now);
                 add(&node, set.rows);
+                node.enlisted.set(Some(node.clock.now()));
                 node.hurry.notify_one();
                 return;
             }
