A server that closes new connections is full, not gone; callers come back when few are let in

Those who were refused came back within 0.9 s and were refused again.

A reset of a new connection closes the server for 300 ms as full. The time to come back is that in which a slot becomes free, times the callers for each that is let in, 3 s at most and spread. After three owners that did not have the key a request waits for news of another one instead of being given up.

Tests: core/tests/dispatch, two.

--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -19,7 +19,8 @@
         time::Time,
     },
     http::{Response, StatusCode},
-    std::{cell::Cell, sync::Arc, time::Duration},
+    rand::Rng,
+    std::{cell::Cell, ops::Range, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -33,6 +34,10 @@
 const MOVE_AGAIN: Duration = Duration::from_millis(300);
 /// When a caller comes back that was refused by servers, not by this instance.
 const REFUSED_AGAIN: Duration = Duration::from_millis(200);
+/// The same for servers that have refused all requests for long.
+const REFUSED_AGAIN_MOST: Duration = Duration::from_secs(3);
+/// Factor that spreads callers who are refused together: they would meet again.
+const AGAIN_SPREAD: Range<f64> = 0.85..1.15;
 /// How long a new owner's grant may be behind the map that names it, halved: the
 /// planner sends it some milliseconds after the commit.
 const GRANT_WAIT: Duration = Duration::from_millis(20);
@@ -108,7 +113,7 @@
         let name = server.entry.name.clone();
         let retry = match end {
             TryEnd::Answered(answer) => return self.answered(name, answer),
-            TryEnd::NotSent(_) => {
+            TryEnd::NotSent(_) | TryEnd::Closed => {
                 self.doubtful = doubtful;
                 self.tried.push(name);
                 self.tried.len() < self.tries()
@@ -185,13 +190,18 @@
     fn may_ask_owner(&mut self, owner: ServerName) -> bool {
         self.misdirected += 1;
         let now = self.front.clock.now();
+        // In the end only news of another owner helps.
+        let until = match self.misdirected <= MISDIRECTED {
+            true => now + GRANT_WAIT * (1 << self.misdirected.min(4)),
+            false => self.message.deadline,
+        };
         self.stale = Some(Stale {
             owner,
             epoch: self.epoch(),
-            until: now + GRANT_WAIT * (1 << self.misdirected.min(4)),
+            until,
         });
         let left = self.message.deadline - now;
-        self.misdirected <= MISDIRECTED && left > TRY_MIN && self.front.take_retry(self.service)
+        self.misdirected <= MISDIRECTED + 1 && left > TRY_MIN && self.front.take_retry(self.service)
     }
 
     fn tries(&self) -> usize {
@@ -228,6 +238,7 @@
                 Target::Server(server) => return Ok(server),
                 Target::Full(again, full) => {
                     if self.waited() > self.rule.objective / ROOM_PART {
+                        self.turn_away();
                         return Err(self.refuse(again, &full.to_string()));
                     }
                     let _ = timeout(ROOM_LOOK, room).await;
@@ -251,6 +262,14 @@
         }
     }
 
+    /// Notes that the owner had no room.
+    fn turn_away(&self) {
+        let owner = self.slice().and_then(|slice| slice.owner);
+        if let Some(owner) = owner {
+            self.front.board.loads().turn_away(&owner);
+        }
+    }
+
     fn find(&self, view: &Arc<View>) -> Target {
         let wish = Wish {
             service: self.service,
@@ -293,9 +312,19 @@
         come_back(again, reason)
     }
 
+    /// When a caller comes back that servers have refused.
+    fn refused_again(&self) -> Duration {
+        let loads = self.front.board.loads();
+        let last = self.tried.last();
+        let callers = last.map_or(1.0, |last| loads.get(last).callers());
+        let spread = rand::rng().random_range(AGAIN_SPREAD);
+        let again = REFUSED_AGAIN.mul_f64(callers * spread);
+        again.min(REFUSED_AGAIN_MOST)
+    }
+
     fn give_up(&self, reason: &str) -> Response<AnswerBody> {
         if !self.doubtful {
-            return self.refuse(REFUSED_AGAIN, reason);
+            return self.refuse(self.refused_again(), reason);
         }
         self.outcome.set(Outcome::Unknown);
         log::info!(
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -11,7 +11,7 @@
     crate::{
         edge::board::Board,
         traffic::{
-            pool::Reuse,
+            pool::{Connection, Reuse},
             request::{kept_for, strip_hop_by_hop},
             upload::{Source, Upload},
         },
@@ -28,12 +28,21 @@
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     std::{fmt, rc::Rc, sync::Arc, time::Duration},
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
 /// How long a new connection may take: servers are a millisecond away, and one
 /// that is overloaded or dark takes none.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// How long a request waits on a new connection to a server that may close it at once:
+/// a round trip between failure domains, and some.
+const SETTLE: Duration = Duration::from_millis(4);
+/// A new connection that breaks so soon tells of a server with no room for it; one
+/// that is gone takes none at all.
+const SOON: Duration = Duration::from_millis(20);
 /// How long a kept connection may have been quiet for a request that may be sent
 /// again, if the server does not tell how long it keeps it.
 const IDLE: Duration = Duration::from_secs(6);
@@ -52,6 +61,8 @@
     Misdirected,
     /// The server has surely seen nothing.
     NotSent(String),
+    /// It closed a new connection before anything was sent: it has as many as it takes.
+    Closed,
     /// The request may have run.
     Lost(String),
 }
@@ -63,6 +74,7 @@
             Self::Refused => f.write_str("refused, not run"),
             Self::Misdirected => f.write_str("not the owner, not run"),
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::Closed => f.write_str("not sent: a new connection was closed"),
             Self::Lost(reason) => write!(f, "lost: {reason}"),
         }
     }
@@ -75,6 +87,8 @@
     room: Rc<Notify>,
     server: ServerName,
     begun: Time,
+    /// Whether its connection is a new one.
+    fresh: bool,
     /// The part of its time there that it runs.
     share: f64,
     finish: Finish,
@@ -99,6 +113,7 @@
             room: Rc::clone(&front.room),
             server: name.clone(),
             begun,
+            fresh: false,
             paced,
             planned: (!left.is_zero()).then(|| left.mul_f64(PROMPT)),
             share,
@@ -116,7 +131,7 @@
     fn speed(&self, span: Duration) -> Speed {
         let late = self.planned.map(|planned| span > planned);
         match (self.finish, late) {
-            (Finish::Full, _) => Speed::Late,
+            (Finish::Full | Finish::Closed, _) => Speed::Late,
             (Finish::Ran, Some(false)) => Speed::InTime,
             // No answer by then, or given up by the caller, tells the same.
             (Finish::Ran | Finish::Other, Some(true)) => Speed::Late,
@@ -166,6 +181,11 @@
         Ended::Passed(answer) if answer.status().is_server_error() => Finish::Failed,
         Ended::Passed(_) => Finish::Ran,
         Ended::Not(TryEnd::Refused) => Finish::Full,
+        Ended::Not(TryEnd::Closed) => Finish::Closed,
+        // A server that takes connections and closes them at once is there, and full.
+        Ended::Not(TryEnd::Lost(_)) if slot.fresh && front.clock.now() - slot.begun < SOON => {
+            Finish::Closed
+        }
         Ended::Not(TryEnd::NotSent(_) | TryEnd::Lost(_)) => Finish::Lost,
         Ended::Not(_) | Ended::Streaming(..) => Finish::Other,
     };
@@ -194,10 +214,15 @@
     let connected = timeout(CONNECT_TIME, taken).await;
     let connection = match connected {
         Ok(Ok(connection)) => connection,
+        Ok(Err(error)) if error.is_reset() => return Ended::Not(TryEnd::Closed),
         Ok(Err(error)) => return not_sent(error.to_string()),
         Err(_) => return not_sent("no connection in time".to_string()),
     };
     slot.begun = front.clock.now();
+    slot.fresh = !connection.reused;
+    if slot.fresh && is_refused_soon(front, server, &connection).await {
+        return Ended::Not(TryEnd::Closed);
+    }
     let mut kept = Kept::new(&front.pool, address, connection);
     let before = kept.connection().wire.written();
     let idle = front.clock.now() - kept.connection().wire.heard();
@@ -221,6 +246,18 @@
     }
 }
 
+/// Whether a server that has refused or lost requests lately closes a new connection
+/// before the request goes out. A server with all the connections that it takes
+/// accepts one more and resets it within a round trip: what was written by then may
+/// have run, for all that is known, and could not be tried elsewhere.
+async fn is_refused_soon(front: &Front, server: &Known, connection: &Connection) -> bool {
+    let doubted = front.board.loads().get(&server.entry.name).is_doubted();
+    if doubted {
+        sleep(SETTLE).await;
+    }
+    doubted && connection.sender.is_closed()
+}
+
 /// Which kept connections a request may go on.
 pub fn reuse(front: &Front, service: &ServiceName, repeat: Repeat) -> Reuse {
     match repeat {
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -11,7 +11,7 @@
     hyper_util::rt::TokioIo,
     rustc_hash::FxHashMap,
     socket2::SockRef,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     thiserror::Error,
     tokio::{
         net::TcpStream,
@@ -49,6 +49,13 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether the server is there, and reset the connection.
+    pub fn is_reset(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == ErrorKind::ConnectionReset)
+    }
+}
+
 /// A connection that carries one exchange at a time; closed at once when dropped.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// A request for a server was turned away without being sent.
+    pub fn turn_away(&mut self, server: &ServerName) {
+        self.servers.entry(server.clone()).or_default().turn_away();
+    }
+
     /// Replaces what another instance says of servers.
     pub fn report(&mut self, from: InstanceId, loads: Vec<PeerLoad>, now: Time) {
         for said in &loads {
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -31,7 +31,13 @@
 /// How much a server that refuses all tries is avoided, in run times.
 const REFUSING: f64 = 4.0;
 /// Shortest and longest time after which a caller is asked to come back, in seconds.
-const AGAIN: [f64; 2] = [0.08, 0.9];
+const AGAIN: [f64; 2] = [0.08, 3.0];
+/// The longest for a server whose queue is known: it is shorter than what it takes
+/// for requests that end in time.
+const AGAIN_QUEUE: f64 = 0.9;
+/// How far the times of callers that are refused together are spread, as a part:
+/// they would all meet again.
+const AGAIN_SPREAD: f64 = 0.3;
 
 /// A server that a request may go to.
 #[derive(Debug, Clone, Copy)]
@@ -154,7 +160,10 @@
     match offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
         Some(offer) => Choice::Send(offer.server.clone()),
         None => Choice::Full {
-            again: Duration::from_secs_f64(room.0.clamp(AGAIN[0], AGAIN[1])),
+            again: {
+                let spread = 1.0 + AGAIN_SPREAD * (drawn() - 0.5);
+                Duration::from_secs_f64((room.0 * spread).clamp(AGAIN[0], AGAIN[1]))
+            },
             lack: room.1,
         },
     }
@@ -189,7 +198,8 @@
             () => None,
         };
         if let Some(lack) = lack {
-            return Err((wait + run / f64::from(entry.slots.0), lack));
+            let queue = (wait + run / f64::from(entry.slots.0)).min(AGAIN_QUEUE);
+            return Err((queue * load.callers(), lack));
         }
         // One that nobody has measured lately may have joined just now, and would
         // stay without a request as long as others have room.
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -14,6 +14,14 @@
 /// How long one refusal for want of room counts: about one run time, after
 /// which a slot has become free.
 const FULL_TIME: Duration = Duration::from_millis(150);
+/// How long a server is left alone that closed a new connection: others have to give
+/// theirs up first.
+const CLOSED_TIME: Duration = Duration::from_millis(300);
+/// The least part of callers that counts as let in.
+const CALLERS_LEAST: f64 = 0.05;
+/// Part of the latest tries that must have been refused or failed for a server to be
+/// asked with care.
+const DOUBTED: f64 = 0.05;
 /// Time over which requests are averaged that others have at a server unheard:
 /// some hundred requests of a service, and shorter than a burst.
 const MEAN_TIME: Duration = Duration::from_secs(1);
@@ -31,6 +39,8 @@
     Failed,
     /// It refused the request for want of room.
     Full,
+    /// It took a connection and closed it at once: it has as many as it takes.
+    Closed,
     /// It could not be reached, or broke off.
     Lost,
     /// Nothing can be learned: the caller left, or the owner was another.
@@ -55,6 +65,8 @@
     peer_sampled: Time,
     /// Part of the latest tries that were refused or failed.
     refused: f64,
+    /// Part of the latest requests for it that it or this instance turned away.
+    turned: f64,
     full_until: Time,
     down: u32,
     down_until: Time,
@@ -110,6 +122,23 @@
         now < self.full_until
     }
 
+    /// How many callers come for each that is let in. Those that are told to come back
+    /// after so many times the time in which a slot becomes free are about as many as
+    /// there is room for; if they came sooner, they would be turned away again.
+    pub fn callers(&self) -> f64 {
+        1.0 / (1.0 - self.turned).max(CALLERS_LEAST)
+    }
+
+    /// A request for it was turned away, here or there.
+    pub fn turn_away(&mut self) {
+        self.turned += (1.0 - self.turned) * NEW;
+    }
+
+    /// Whether it refused, failed or broke off some of the latest tries.
+    pub fn is_doubted(&self) -> bool {
+        self.refused > DOUBTED || self.down > 0
+    }
+
     /// Part of the latest tries that it refused or failed, from 0 to 1.
     pub fn refused(&self) -> f64 {
         self.refused
@@ -130,6 +159,7 @@
         match finish {
             Finish::Ran => {
                 self.down = 0;
+                self.turned -= self.turned * NEW;
                 self.refused -= self.refused * NEW;
                 let sample = span.as_secs_f64() * share;
                 let former = self.own_run(now).unwrap_or(sample);
@@ -139,12 +169,18 @@
             Finish::Failed => self.refused += (1.0 - self.refused) * NEW,
             Finish::Full => {
                 self.refused += (1.0 - self.refused) * NEW;
+                self.turn_away();
                 // With a slot free it did not refuse for want of room, and the
                 // next request may be taken.
                 if !alone {
                     self.full_until = now + FULL_TIME;
                 }
             }
+            Finish::Closed => {
+                self.refused += (1.0 - self.refused) * NEW;
+                self.turn_away();
+                self.full_until = now + CLOSED_TIME;
+            }
             Finish::Lost => {
                 let factor = 1 << self.down.min(4);
                 self.down += 1;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -249,6 +249,65 @@
     ));
 }
 
+/// All instances send to one owner whose keys have turned hot. It takes a connection
+/// more than it may have from each and closes it at once, and each of them took it for
+/// gone: all its callers were told that nothing can be reached, longer with each time.
+/// It is there, and full.
+#[test]
+fn a_server_that_closes_new_connections_is_full_and_not_gone() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    for _ in 0..5 {
+        book.begin(name, NOW);
+        book.end(name, Finish::Closed, Duration::from_millis(2), 1.0, NOW);
+    }
+    let lack = |book: &LoadBook, now| {
+        let candidates = servers.iter().map(|server| Candidate {
+            server,
+            near: true,
+            kept: false,
+            scale: 1.0,
+        });
+        match choose(book, candidates, millis(600, 2_500), now, || 0.5) {
+            Choice::Full { lack, .. } => Some(lack),
+            Choice::Send(_) => None,
+        }
+    };
+    assert_eq!(lack(&book, NOW), Some(Lack::Refusing));
+    assert!(book.get(name).is_doubted());
+    assert_eq!(lack(&book, NOW + Duration::from_millis(301)), None);
+}
+
+/// A key draws many times what its owner can run, for seconds. Callers who were told
+/// to come back within 0.9 s were refused a second time, and had no third try. Where
+/// one in ten is let in, they come back after ten times the time.
+#[test]
+fn callers_of_an_owner_that_lets_few_in_come_back_later() {
+    let servers = [known("s-1")];
+    let name = &servers[0].entry.name;
+    let mut book = LoadBook::default();
+    ran(&mut book, name, 200);
+    let again = |book: &LoadBook| match pick(book, &servers, millis(600, 8_000)) {
+        Choice::Full { again, .. } => again,
+        Choice::Send(name) => panic!("sent to {name}"),
+    };
+    peers(&mut book, name, 13);
+    let first = again(&book);
+    assert!(first < Duration::from_secs(1), "{first:?}");
+    for request in 0..60 {
+        match request % 10 {
+            0 => ran(&mut book, name, 200),
+            _ => book.turn_away(name),
+        }
+    }
+    let later = again(&book);
+    assert!(later > Duration::from_secs(2), "{later:?}");
+    (0..40).for_each(|_| ran(&mut book, name, 200));
+    let calm = again(&book);
+    assert!(calm < Duration::from_secs(1), "{calm:?}");
+}
+
 /// A slow server's slots are always taken, as it holds busy keys. If only requests
 /// that find a slot free told its time, nothing would be known of it, and it would
 /// be taken for one like the others: its callers would wait for answers that come
