A leaving instance ends an eighth of its time before it is killed

What is known: 0.3 s were left for the end, which a tenth of a core has 30 ms of processor time for. An eighth of the time to leave lies within the span in which requests may be cut off.

--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -37,8 +37,10 @@
 /// How long a leaving instance takes new connections: balancers ask once a
 /// second and go by two answers in a row.
 const NOTICED: Duration = Duration::from_millis(2_700);
-/// What is left of the time to leave for the end of the process.
-const LEAVE_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the time to leave that is kept for the end of the process: a tenth of a
+/// core needs some hundred milliseconds to close what is open, and to notice the time.
+/// A process that is not gone by then is killed, and its last answers with it.
+const LEAVE_MARGIN: u32 = 8;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A caller's connection without a request is kept for longer than callers are
@@ -191,7 +193,8 @@
     drop(listener);
     drop(open);
     close.send_replace(true);
-    let left = front.settings.leave.saturating_sub(NOTICED + LEAVE_MARGIN);
+    let leave = front.settings.leave;
+    let left = leave.saturating_sub(NOTICED + leave / LEAVE_MARGIN);
     if timeout(left, last.recv()).await.is_err() {
         log::warn!(
             "{} requests are cut off at the end of the time to leave",
