Maps in the store leave out what is missing at the end of a slice

A row holds 64 KiB, in base64; with 1,652 slices and their owners a map came near that. The nulls were 10 of some 25 bytes a slice. Older processes read the shorter form.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -9,7 +9,7 @@
         time::StoreTime,
     },
     citron_ports::{Row, RowSet},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, Serializer},
     std::net::SocketAddr,
 };
 
@@ -55,7 +55,7 @@
 
 /// First key, place of the owner, epoch, handover, and the store's milliseconds at
 /// which the lease has run out. A slice ends where the next one begins.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Deserialize)]
 struct SliceWire(
     u16,
     Option<usize>,
@@ -64,6 +64,19 @@
     #[serde(default)] Option<u64>,
 );
 
+/// Without what is missing at the end: a row holds little, and most slices carry
+/// neither a handover nor an end.
+impl Serialize for SliceWire {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let Self(first, owner, epoch, handover, expiry) = self;
+        match (handover, expiry) {
+            (None, None) => (first, owner, epoch).serialize(serializer),
+            (handover, None) => (first, owner, epoch, handover).serialize(serializer),
+            (handover, expiry) => (first, owner, epoch, handover, expiry).serialize(serializer),
+        }
+    }
+}
+
 impl From<&RangeMap> for MapWire {
     fn from(map: &RangeMap) -> Self {
         let mut servers: Vec<&ServerName> = Vec::new();
