--- a/crates/citronproxy/src/edge/control/demands.rs
+++ b/crates/citronproxy/src/edge/control/demands.rs
@@ -42,8 +42,9 @@
     }
 
     /// Whether too little is known yet of a change.
-    pub fn is_settling(&self) -> bool {
-        self.services.values().any(DemandWindows::is_settling)
+    pub fn is_settling(&self, now: Time) -> bool {
+        let mut services = self.services.values();
+        services.any(|windows| windows.is_settling(now))
     }
 
     /// The demand that plans go by.
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -129,7 +129,7 @@
             return Vec::new();
         };
         let sudden = node.demands.borrow_mut().take_sudden();
-        let may = *node.store.borrow() && !node.demands.borrow().is_settling();
+        let may = *node.store.borrow() && !node.demands.borrow().is_settling(now);
         let even = self.even.is_due(sudden, may, now);
         let mut orders = Vec::new();
         for service in config.services().filter(|service| service.keyed) {
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -6,16 +6,12 @@
     std::{fmt, time::Duration},
 };
 
-/// Run time of a request while no server of the service was measured, in seconds:
-/// between the means of the services seen so far.
+/// Run time of a request while no server of the service was measured, in seconds.
 const RUN: f64 = 0.2;
 /// How much longer a server that has just started, or got keys without a
 /// handover, takes for a request.
 const COLD: f64 = 2.0;
-/// Part of the time up to the objective that a request may be planned to take. With
-/// less of it more are refused that would have been in time: at 0.85 of it 36 and at
-/// all of it 24 in 1,000 before owners of keys at 0.55 of their capacity, with 13 and
-/// 15 late (`tests/stale`).
+/// Part of the time up to the objective that a request may be planned to take.
 const PLANNED: f64 = 1.0;
 /// Part of the time up to the deadline that a request may be planned to take
 /// that is late anyway.
@@ -25,15 +21,14 @@
 const FAR: f64 = 1.1;
 /// How much servers are preferred to which a connection is kept: a new one costs
 /// the server a slot for a moment. As each instance keeps others, this also keeps
-/// them from choosing the same server. With 28 instances before 19 servers 9
-/// instead of 65 in 100 requests need a new one (`tests/stale`).
+/// them from choosing the same server.
 const FRESH_CONNECTION: f64 = 2.0;
 /// How much a server that refuses all tries is avoided, in run times.
 const REFUSING: f64 = 4.0;
 /// Shortest and longest time after which a caller is asked to come back, in seconds.
 const AGAIN: [f64; 2] = [0.08, 3.0];
-/// The longest for a server whose queue is known: it is shorter than what it takes
-/// for requests that end in time.
+/// The longest time until there is room, in seconds, at a server that lets all of its
+/// callers in.
 const AGAIN_QUEUE: f64 = 0.9;
 /// How far the times of callers that are refused together are spread, as a part:
 /// they would all meet again.
@@ -72,10 +67,9 @@
 /// How many servers are compared where reports of other instances come every
 /// `period`; all if they are young.
 ///
-/// Instances that see the same old reports would all choose the same few servers
-/// until the next ones: with 28 instances that report every 0.4 s, a tenth of
-/// the requests at 0.7 of the capacity waited beyond a second. The better one of
-/// two drawn at random leaves 1 in 100 (`tests/stale`).
+/// Instances that see the same old reports would all choose the same few servers until
+/// the next ones come, and requests there would wait. The better one of two drawn at
+/// random spreads them.
 ///
 /// ```
 /// use {citron_core::dispatch::compared, std::time::Duration};
@@ -157,15 +151,14 @@
     if offers.iter().all(|offer| offer.wait > 0.0) {
         offers.extend(draw(far, ask.compared, &mut drawn));
     }
-    match offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
-        Some(offer) => Choice::Send(offer.server.clone()),
-        None => Choice::Full {
-            again: {
-                let spread = 1.0 + AGAIN_SPREAD * (drawn() - 0.5);
-                Duration::from_secs_f64((room.0 * spread).clamp(AGAIN[0], AGAIN[1]))
-            },
-            lack: room.1,
-        },
+    if let Some(offer) = offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
+        return Choice::Send(offer.server.clone());
+    }
+    let spread = 1.0 + AGAIN_SPREAD * (drawn() - 0.5);
+    let again = (room.0 * spread).clamp(AGAIN[0], AGAIN[1]);
+    Choice::Full {
+        again: Duration::from_secs_f64(again),
+        lack: room.1,
     }
 }
 
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -79,9 +79,9 @@
     }
 
     /// Requests that are there, where each known one stands for `scale`, as other
-    /// instances do not report here. These are there on average: at five times
-    /// the known ones a second request that happens to be under way would count
-    /// as five more, and one in ten was refused for nothing (`tests/stale`).
+    /// instances do not report here. The unknown ones are there on average: otherwise a
+    /// request that happens to be under way would count as several, and others would be
+    /// refused for nothing.
     pub fn expected(&self, scale: f64, now: Time) -> f64 {
         f64::from(self.busy()) + (scale - 1.0) * self.mean_at(now)
     }
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -15,8 +15,8 @@
 /// an earlier guess gains nothing.
 const SUSPECT: Duration = Duration::from_millis(2_500);
 /// Slices of a service for each of its servers from which none is cut for the
-/// sake of balance: each costs the planner an order every other second, and with
-/// six for each of 167 servers a tenth of a core did nothing else.
+/// sake of balance: each costs the planner an order every other second, which is most
+/// of what a small processor can do.
 const SLICES: usize = 3;
 /// The same where servers are overloaded: a map with so many slices still fits into
 /// a row of the store.
--- a/crates/core/src/ranges/windows.rs
+++ b/crates/core/src/ranges/windows.rs
@@ -24,6 +24,9 @@
 /// made on the first few of them would give servers several times what they can run.
 const SETTLED_COUNT: f64 = 300.0;
 const SETTLED_TIME: Duration = Duration::from_millis(300);
+/// After so long a change of which too little is known is none: callers have left, and
+/// plans would wait for them for good.
+const SETTLED_MOST: Duration = Duration::from_secs(1);
 /// Half-lives after a change by which a short window holds next to nothing from before
 /// it. Until then it differs from what has come since, though nothing changes.
 const FLUSHED: u32 = 3;
@@ -112,16 +115,13 @@
 
     /// Compares the windows; whether plans are out of date all of a sudden.
     pub fn look(&mut self, now: Time) -> bool {
-        if let Some(next) = self.next.take() {
-            let settled = next.tells(now);
-            let place = if settled {
-                &mut self.change
-            } else {
-                &mut self.next
-            };
-            *place = Some(next);
-            return settled;
+        if self.is_settling(now) {
+            let settled = self.next.take_if(|next| next.tells(now));
+            let any = settled.is_some();
+            self.change = settled.or(self.change.take());
+            return any;
         }
+        self.next = None;
         let (parts, before) = self.sudden(now);
         if parts.contains(&true) {
             self.next = Some(Change {
@@ -137,8 +137,9 @@
 
     /// Whether other keys are asked for and too little is known of them: a plan made now
     /// would divide what is hot by a fraction of what is asked for.
-    pub fn is_settling(&self) -> bool {
-        self.next.is_some()
+    pub fn is_settling(&self, now: Time) -> bool {
+        let next = self.next.as_ref();
+        next.is_some_and(|next| now - next.begun < SETTLED_MOST)
     }
 
     /// Parts in which a short window differs from what is known, and those that have
--- a/crates/core/tests/surge/main.rs
+++ b/crates/core/tests/surge/main.rs
@@ -8,7 +8,10 @@
 mod world;
 
 use {
-    citron_core::ranges::BalanceLimits,
+    citron_core::{
+        ranges::{BalanceLimits, DemandWindows, RangeKey},
+        time::Time,
+    },
     std::time::Duration,
     world::{Shape, World},
 };
@@ -135,6 +138,32 @@
     assert!(times[4] <= Duration::from_millis(1_500), "{times:?}");
 }
 
+/// Nothing is planned while too little is known of a change. If its callers leave right
+/// then, there is never more to know, and a plan that waited for it would never be made.
+#[test]
+fn a_change_whose_callers_leave_holds_no_plan_up() {
+    let mut demand = DemandWindows::default();
+    let mut now = Time::from_micros(1_000_000);
+    let mut ask = |demand: &mut DemandWindows, key: u16| {
+        now = now + Duration::from_millis(5);
+        demand.add(RangeKey(key), now);
+        demand.look(now);
+        now
+    };
+    for number in 0..2_000_u16 {
+        ask(&mut demand, number.wrapping_mul(40_503));
+    }
+    let mut last = Time::ZERO;
+    for _ in 0..200 {
+        last = ask(&mut demand, 7);
+        if demand.is_settling(last) {
+            break;
+        }
+    }
+    assert!(demand.is_settling(last));
+    assert!(!demand.is_settling(last + Duration::from_secs(1)));
+}
+
 /// Without a range that turns hot next to nothing moves: what differs between short
 /// windows is chance.
 #[test]
--- a/crates/core/tests/surge/world.rs
+++ b/crates/core/tests/surge/world.rs
@@ -258,7 +258,7 @@
     fn tick(&mut self) {
         self.ticked = self.now;
         let sudden = std::mem::take(&mut self.sudden);
-        let may = self.answers && !self.windows.is_settling();
+        let may = self.answers && !self.windows.is_settling(self.now);
         let even = self.even.is_due(sudden, may, self.now);
         if even {
             self.plan = self.windows.seen(self.now);
