Few instances that start ask the store at once

Cause: where all instances are lost together, callers waited for the first table some tenths of a second longer than before, as each one listened for neighbours first.

Change: only from sixteen others on does an instance take the tables from its neighbours. The start at 195 instances is as it was; what it costs there after the loss of all is not measured by itself.

--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -47,16 +47,15 @@
 /// How long it takes until neighbours that are there have been heard.
 const LISTEN: Duration = Duration::from_millis(150);
 /// How often it looks for either.
-const LISTEN_LOOK: Duration = Duration::from_millis(20);
+const LISTEN_LOOK: Duration = Duration::from_millis(10);
 
 /// Waits until a neighbour has handed a table over, or it is this instance's turn to
-/// ask the store.
+/// ask the store. Few instances ask at once: where all were lost together, callers wait
+/// for the first table.
 async fn listen<A: Adapter>(node: &Node<A>, at: usize) {
     let begun = node.clock.now();
     while node.state.borrow().mirrors[at].version == 0 && node.clock.now() - begun < LISTEN_MOST {
-        let now = node.clock.now();
-        let heard = |enlisted| now - enlisted > LISTEN || !node.has_neighbours();
-        if node.enlisted.get().is_some_and(heard) && node.leads() {
+        if node.is_turn() {
             return;
         }
         sleep(LISTEN_LOOK).await;
@@ -137,9 +136,16 @@
         heard && said.is_some_and(|said| said.planning && said.store && !said.leaving)
     }
 
-    fn has_neighbours(&self) -> bool {
+    /// Whether this instance, which has started, should read tables itself.
+    fn is_turn(&self) -> bool {
+        let Some(enlisted) = self.enlisted.get() else {
+            return false;
+        };
         let state = self.state.borrow();
-        state.peers.has_any_in(&self.settings.domain)
+        let alone = !state.peers.has_any_in(&self.settings.domain);
+        let few = state.peers.hears_all();
+        drop(state);
+        few || alone || (self.clock.now() - enlisted > LISTEN && self.leads())
     }
 }
 
