A heartbeat that tells nothing newer no longer works out who reads

Each heartbeat went over all other instances up to three times for that, though most tell nothing newer. has_overload stands beside what it calls. Behaviour is as it was.

--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -120,23 +120,20 @@
         .mirrors
         .each_ref()
         .map(|mirror| mirror.changed);
+    // Others may be ahead still where this one is not; their own heartbeats tell.
+    let is_newer = |at: &usize| heartbeat.versions[*at] > known[*at];
+    let newer: Vec<usize> = (0..known.len()).filter(is_newer).collect();
+    if newer.is_empty() {
+        return newer;
+    }
     let near = heartbeat.domain == node.settings.domain.as_str();
     let reads = node.reads() && *node.store.borrow();
     // The planner tells one instance of each failure domain.
     let told = heartbeat.planning && node.leads() && node.hears_planner();
+    let waits = !told && (!near || reads);
     let mut behind = node.relay.behind.borrow_mut();
-    let mut due = Vec::new();
-    for (at, known) in known.into_iter().enumerate() {
-        if heartbeat.versions[at] <= known {
-            // Others may be ahead still; their own heartbeats tell.
-            continue;
-        }
-        let waits = !told && (!near || reads);
-        if behind.is_due(at, waits, now) {
-            due.push(at);
-        }
-    }
-    due
+    let is_due = |at: &usize| behind.is_due(*at, waits, now);
+    newer.into_iter().filter(is_due).collect()
 }
 
 async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, at: usize) {
--- a/crates/core/src/ranges/balance/joins.rs
+++ b/crates/core/src/ranges/balance/joins.rs
@@ -62,9 +62,4 @@
             demand < fair * SMALL && taker.load + demand < fair * self.limits.ratio
         })
     }
-
-    /// Whether a server is asked for more than it can run.
-    pub fn has_overload(&self) -> bool {
-        self.shares.values().any(|share| self.is_overloaded(share))
-    }
 }
--- a/crates/core/src/ranges/balance/shifts.rs
+++ b/crates/core/src/ranges/balance/shifts.rs
@@ -163,7 +163,12 @@
             .collect()
     }
 
-    pub(super) fn is_overloaded(&self, share: &Share) -> bool {
+    /// Whether a server is asked for more than it can run.
+    pub fn has_overload(&self) -> bool {
+        self.shares.values().any(|share| self.is_overloaded(share))
+    }
+
+    fn is_overloaded(&self, share: &Share) -> bool {
         share.load > share.rate * self.limits.overload
     }
 
