Answers of the instance's own tell their cause and the ages of what decided; lost fetches are lines

C0500 and C0501 carry the ages of what decided them; refusals before the first configuration and failures of servers that are passed on as ours leave a line, too. citron_denied_total and citron_table_fetches_total count both.

--- a/crates/citronctl/src/commands/explain.rs
+++ b/crates/citronctl/src/commands/explain.rs
@@ -13,9 +13,13 @@
 /// Events of a request, by the beginning of their number.
 const OF_REQUEST: &str = "C05";
 /// Events that end a request, and what they mean for its caller.
-const ENDS: [(&str, &str); 2] = [
+const ENDS: [(&str, &str); 3] = [
     ("C0500", "refused: it has not run, and never will"),
     ("C0501", "its outcome is not known: it may have run"),
+    (
+        "C0503",
+        "denied: it has not run, and its caller was told not to try again",
+    ),
 ];
 /// Without an end of its own, some try was answered in the end.
 const ANSWERED: &str = "answered by a server after the tries below";
--- a/crates/citronctl/src/commands/summary.rs
+++ b/crates/citronctl/src/commands/summary.rs
@@ -8,10 +8,11 @@
 };
 
 /// Events that count, and how their reasons are told apart.
-const COUNTED: [(&str, &str); 3] = [
+const COUNTED: [(&str, &str); 4] = [
     ("C0500", "refused"),
     ("C0501", "unknown"),
     ("C0502", "try failed"),
+    ("C0503", "denied"),
 ];
 /// Seconds of one row, unless given.
 const EVERY: u32 = 2;
--- a/crates/citronproxy/src/edge/board.rs
+++ b/crates/citronproxy/src/edge/board.rs
@@ -1,7 +1,7 @@
 //! What the threads of an instance share.
 
 use {
-    super::view::View,
+    super::{as_of::AsOf, view::View},
     arc_swap::ArcSwapOption,
     citron_core::{
         crash::{CrashConfig, CrashLog},
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct Board {
     view: ArcSwapOption<View>,
+    as_of: AsOf,
     published: watch::Sender<u64>,
     loads: Mutex<LoadBook>,
     keys: Mutex<Vec<(ServiceName, RangeKey)>>,
@@ -32,6 +33,7 @@
     fn default() -> Self {
         Self {
             view: ArcSwapOption::empty(),
+            as_of: AsOf::default(),
             published: watch::Sender::new(0),
             loads: Mutex::default(),
             keys: Mutex::default(),
@@ -53,6 +55,11 @@
         self.view.load_full()
     }
 
+    /// As of when the tables behind the view are known.
+    pub fn as_of(&self) -> &AsOf {
+        &self.as_of
+    }
+
     /// Tells every publication of a view.
     pub fn published(&self) -> watch::Receiver<u64> {
         self.published.subscribe()
--- a/crates/citronproxy/src/edge/control/counts.rs
+++ b/crates/citronproxy/src/edge/control/counts.rs
@@ -12,6 +12,8 @@
 pub struct Counts {
     /// Calls to the store, by result.
     store: IntCounterVec,
+    /// Tables fetched from other instances, by result.
+    fetches: IntCounterVec,
     /// Orders, by kind and result.
     orders: IntCounterVec,
     /// Seconds since the moment as of which the oldest watched table is known.
@@ -40,6 +42,11 @@
                 "Calls to the outside platform's store.",
                 &["result"],
             )?,
+            fetches: counter(
+                "citron_table_fetches_total",
+                "Tables fetched from other instances.",
+                &["result"],
+            )?,
             orders: counter(
                 "citron_key_orders_total",
                 "Grants, releases and commits of the planner.",
@@ -66,8 +73,12 @@
 
     /// Counts a call to the store.
     pub fn count_call(&self, answered: bool) {
-        let result = if answered { "ok" } else { "failed" };
-        self.store.with_label_values(&[result]).inc();
+        self.store.with_label_values(&[result(answered)]).inc();
+    }
+
+    /// Counts a table that was asked for at another instance.
+    pub fn count_fetch(&self, fetched: bool) {
+        self.fetches.with_label_values(&[result(fetched)]).inc();
     }
 
     /// Shows how old the watched tables are.
@@ -83,7 +94,10 @@
             Order::Release { .. } => "release",
             Order::Commit(_) => "commit",
         };
-        let result = if done { "ok" } else { "failed" };
-        self.orders.with_label_values(&[kind, result]).inc();
+        self.orders.with_label_values(&[kind, result(done)]).inc();
     }
 }
+
+fn result(done: bool) -> &'static str {
+    if done { "ok" } else { "failed" }
+}
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -254,15 +254,23 @@
     /// entries that are missing after an outage may have lapsed in it.
     fn known_as_of(&self, at: usize, moment: Time) {
         let gap = self.state.borrow_mut().fresh.told(at, moment);
+        self.note_known(at);
         self.outage_over(at, gap);
     }
 
     /// Another instance, whose table is the same, says how old it is.
     pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, now: Time) {
         let gap = self.state.borrow_mut().fresh.heard(at, age, now);
+        self.note_known(at);
         self.outage_over(at, gap);
     }
 
+    fn note_known(&self, at: usize) {
+        if let Some(moment) = self.state.borrow().fresh.known(at) {
+            self.board.as_of().note(at, moment);
+        }
+    }
+
     fn outage_over(&self, at: usize, gap: Option<Gap>) {
         let Some(gap) = gap.filter(|_| at == SERVERS) else {
             return;
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -177,7 +177,9 @@
 fn failed<A: Adapter>(node: &Node<A>, at: usize, error: &StoreError) -> Option<u64> {
     let now = node.clock.now();
     node.state.borrow_mut().fresh.failed(jitter(), now);
-    node.store_failed(&format!("{:?}", WATCHED[at]), error);
+    let table = WATCHED[at];
+    log::warn!("{} {table:?} of the store: {error}", events::TABLE_LOST);
+    node.store_failed(&format!("{table:?}"), error);
     None
 }
 
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -148,10 +148,16 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let answer = match client.call(request, PULL_TIME).await {
+    let called = client.call(request, PULL_TIME).await;
+    node.counts.count_fetch(called.is_ok());
+    let answer = match called {
         Ok(answer) => answer,
         Err(error) => {
-            log::debug!("table {at} of {from}: {error}");
+            log::warn!(
+                "{} {:?} of {from}: {error}",
+                events::TABLE_LOST,
+                WATCHED[at]
+            );
             sleep(PAUSE).await;
             return;
         }
--- a/crates/citronproxy/src/edge/mod.rs
+++ b/crates/citronproxy/src/edge/mod.rs
@@ -5,6 +5,7 @@
 //! of them, plans who owns which keys. One traffic thread serves callers by the
 //! last view that control has published.
 
+mod as_of;
 mod board;
 mod control;
 mod error;
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -155,7 +155,7 @@
         }
         Some(match is_promise(answer.status()) {
             // Without the server's word these would promise what nobody knows.
-            true => own(StatusCode::BAD_GATEWAY, "the server failed"),
+            true => self.unknown("the server failed"),
             false => answer,
         })
     }
@@ -300,14 +300,15 @@
         }
         self.outcome.set(Outcome::NotRun);
         log::info!(
-            "{} id={} route={} service={} server={} waited={:?} tried={} again={again:?}: {reason}",
+            "{} id={} route={} service={} server={} waited={:?} tried={} {} again={again:?}: {reason}",
             events::REFUSED,
             self.id,
             self.rule.name,
             self.service,
             self.owner(),
             self.waited(),
-            self.tried.len()
+            self.tried.len(),
+            self.front.ages()
         );
         come_back(again, reason)
     }
@@ -327,15 +328,21 @@
             return self.refuse(self.refused_again(), reason);
         }
         self.outcome.set(Outcome::Unknown);
+        self.unknown(reason)
+    }
+
+    /// Told to the caller of a request that may have run.
+    fn unknown(&self, reason: &str) -> Response<AnswerBody> {
         log::info!(
-            "{} id={} route={} service={} server={} waited={:?} tried={}: {reason}",
+            "{} id={} route={} service={} server={} waited={:?} tried={} {}: {reason}",
             events::UNKNOWN,
             self.id,
             self.rule.name,
             self.service,
             self.owner(),
             self.waited(),
-            self.tried.len()
+            self.tried.len(),
+            self.front.ages()
         );
         let late = self.front.clock.now() >= self.message.deadline;
         match late {
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -6,6 +6,7 @@
         clock::Clock,
         edge::{
             EdgeError, EdgeSettings,
+            as_of::Ages,
             board::Board,
             pages::{self, Page, page},
         },
@@ -96,6 +97,17 @@
         page(StatusCode::OK, self.metrics.text())
     }
 
+    /// How old what requests are decided by is.
+    pub fn ages(&self) -> Ages {
+        self.board.as_of().ages(self.clock.now())
+    }
+
+    /// The id of a request, for logs; `-` if it has none.
+    pub fn id<'a>(&self, head: &'a Parts) -> &'a str {
+        let id = head.headers.get(&self.headers.request_id);
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Counts a request for the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::deposit);
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod crash;
+mod denial;
 mod exchange;
 mod front;
 mod hold;
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -2,15 +2,19 @@
 
 use {
     super::{
-        answer::{AnswerBody, come_back, own},
+        answer::{AnswerBody, come_back},
         call::Call,
+        denial::Denial,
         exchange::Message,
         front::Front,
     },
-    crate::traffic::{
-        guard::Refusal,
-        request::{host, prepare},
-        upload::Source,
+    crate::{
+        events,
+        traffic::{
+            guard::Refusal,
+            request::{host, prepare},
+            upload::Source,
+        },
     },
     citron_core::{
         ranges::RangeKey,
@@ -18,7 +22,7 @@
         routing::Outcome,
         time::Time,
     },
-    http::{HeaderName, HeaderValue, Response, StatusCode, header, request::Parts},
+    http::{HeaderName, HeaderValue, Response, header, request::Parts},
     hyper::body::Incoming,
     rand::Rng,
     std::{cell::Cell, rc::Rc, str::FromStr, time::Duration},
@@ -58,29 +62,29 @@
 async fn route(front: &Front, mut head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
     let begun = front.clock.now();
     if let Some(refusal) = Refusal::of_path(head.uri.path()) {
-        return own(refusal.status(), &refusal.to_string());
+        return Denial::Message(refusal).answer(front, &head, None);
     }
     let Some(view) = front.board.view() else {
-        return come_back(START_AGAIN, "no configuration is known yet");
+        return unconfigured(front, &head);
     };
     let config = &view.config;
-    let found = head.headers.get(header::HOST).cloned();
+    let deny = |denial: Denial, head| denial.answer(front, head, Some(config.version));
     let Some(rule) = config.rule(host(&head), head.uri.path()) else {
-        return unknown_route(config, found.as_ref());
+        return deny(Denial::Route, &head);
     };
     let deadline = begun + patience(front, &head).min(rule.timeout);
     let source = Source::new(body, config.limits.body, KEEP);
     if source.length() > config.limits.body {
-        return own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        return deny(Denial::Large, &head);
     }
     source.fill_kept().await;
-    if let Some(answer) = bad_body(&source) {
-        return answer;
+    if let Some(denial) = bad_body(&source) {
+        return deny(denial, &head);
     }
     prepare(&mut head);
     let answer = call(front, config, rule, &head, &source, begun, deadline).await;
     match bad_body(&source) {
-        Some(bad) => bad,
+        Some(denial) => deny(denial, &head),
         None => answer,
     }
 }
@@ -99,7 +103,7 @@
     let key = match keyed {
         true => match number::<u16>(head, &front.headers.key) {
             Some(key) => Some(RangeKey(key)),
-            None => return own(StatusCode::BAD_REQUEST, "the request has no key"),
+            None => return Denial::Key.answer(front, head, Some(config.version)),
         },
         false => None,
     };
@@ -107,7 +111,6 @@
         front.board.note_key(service, key);
     }
     front.count_request(service);
-    let id = head.headers.get(&front.headers.request_id);
     let call = Call {
         front,
         rule,
@@ -122,7 +125,7 @@
             keyed,
         },
         begun,
-        id: id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+        id: front.id(head),
         tried: Vec::new(),
         stale: None,
         misdirected: 0,
@@ -133,9 +136,11 @@
     call.run().await
 }
 
-fn unknown_route(config: &RouteConfig, host: Option<&HeaderValue>) -> Response<AnswerBody> {
-    log::debug!("no route for {host:?} in version {}", config.version);
-    own(StatusCode::NOT_FOUND, "no route")
+fn unconfigured(front: &Front, head: &Parts) -> Response<AnswerBody> {
+    let reason = "no configuration is known yet";
+    let (id, again) = (front.id(head), START_AGAIN);
+    log::info!("{} id={id} again={again:?}: {reason}", events::REFUSED);
+    come_back(again, reason)
 }
 
 /// How long the caller goes on waiting.
@@ -148,10 +153,9 @@
     head.headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-fn bad_body(source: &Source) -> Option<Response<AnswerBody>> {
-    if source.too_large() {
-        return Some(own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+fn bad_body(source: &Source) -> Option<Denial> {
+    match source.too_large() {
+        true => Some(Denial::Large),
+        false => source.cut().then_some(Denial::Cut),
     }
-    let reason = "the body is malformed or cut short";
-    source.cut().then(|| own(StatusCode::BAD_REQUEST, reason))
 }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -93,6 +93,8 @@
     STORE_BACK = 401, "store-back";
     /// The answer to a question to the store was lost.
     SWALLOWED = 402, "question-swallowed";
+    /// A table could not be fetched.
+    TABLE_LOST = 403, "table-not-fetched";
     /// A newer configuration is in force here.
     CONFIG = 410, "configuration-in-force";
     /// A configuration cannot be read; the last good one stays in force.
@@ -121,4 +123,6 @@
     UNKNOWN = 501, "request-outcome-unknown";
     /// One try of a request gave no answer to pass on.
     TRY_FAILED = 502, "try-failed";
+    /// A request was denied with a final answer of this instance.
+    DENIED = 503, "request-denied";
 }
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -3,6 +3,7 @@
 use {
     crate::metrics::register,
     citron_core::{id::ServiceName, routing::Outcome},
+    http::StatusCode,
     prometheus::{
         HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
         local::{LocalHistogramVec, LocalIntCounterVec},
@@ -21,6 +22,7 @@
     registry: Registry,
     requests: IntCounterVec,
     tries: IntCounterVec,
+    denied: IntCounterVec,
     seconds: HistogramVec,
     flights: IntGauge,
     lost_lines: IntGauge,
@@ -37,6 +39,11 @@
         let requests = IntCounterVec::new(requests, &["service", "outcome"])?;
         let tries = Opts::new("citron_tries_total", "Tries, retries and hedges included.");
         let tries = IntCounterVec::new(tries, &["service"])?;
+        let denied = Opts::new(
+            "citron_denied_total",
+            "Requests denied for good, by status.",
+        );
+        let denied = IntCounterVec::new(denied, &["status"])?;
         let seconds = HistogramOpts::new(
             "citron_answer_seconds",
             "Time to the head of the answer, in seconds.",
@@ -50,6 +57,7 @@
         Ok(Self {
             requests: register(&registry, requests)?,
             tries: register(&registry, tries)?,
+            denied: register(&registry, denied)?,
             seconds: register(&registry, seconds)?,
             flights: register(&registry, flights)?,
             lost_lines: register(&registry, lost_lines)?,
@@ -62,6 +70,7 @@
         LocalMetrics {
             requests: self.requests.local(),
             tries: self.tries.local(),
+            denied: self.denied.local(),
             seconds: self.seconds.local(),
         }
     }
@@ -94,6 +103,7 @@
 pub struct LocalMetrics {
     requests: LocalIntCounterVec,
     tries: LocalIntCounterVec,
+    denied: LocalIntCounterVec,
     seconds: LocalHistogramVec,
 }
 
@@ -122,10 +132,16 @@
             .observe(time.as_secs_f64());
     }
 
+    /// Counts a request that got a final answer of the instance.
+    pub fn count_denied(&mut self, status: StatusCode) {
+        self.denied.with_label_values(&[status.as_str()]).inc();
+    }
+
     /// Adds the counts to the shared ones.
     pub fn flush(&mut self) {
         self.requests.flush();
         self.tries.flush();
+        self.denied.flush();
         self.seconds.flush();
     }
 }
--- a/crates/core/src/freshness/book.rs
+++ b/crates/core/src/freshness/book.rs
@@ -76,6 +76,11 @@
         self.told(table, as_of)
     }
 
+    /// The moment as of which a table is known; `None` if it was never read.
+    pub fn known(&self, table: usize) -> Option<Time> {
+        self.known[table]
+    }
+
     /// How old a table is.
     pub fn age(&self, table: usize, now: Time) -> Age {
         self.known[table].map(|known| now - known)
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -10,7 +10,10 @@
     std::{
         fmt::Display,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     thiserror::Error,
@@ -88,8 +91,12 @@
         let begun = Instant::now();
         let line = timeout(span, self.line()).await.map_err(not_sent)??;
         let left = span.saturating_sub(begun.elapsed());
-        let exchange = exchange(line, request.map(Full::new), self.most);
-        let late = |_| CallError::Unknown(format!("not within {span:?}"));
+        let read = AtomicUsize::new(0);
+        let exchange = exchange(line, request.map(Full::new), self.most, &read);
+        let late = |_| {
+            let bytes = read.load(Ordering::Relaxed);
+            CallError::Unknown(format!("not within {span:?}, {bytes} bytes of it came"))
+        };
         let (line, response) = timeout(left, exchange).await.map_err(late)??;
         let mut kept = self.kept();
         if kept.len() < KEPT && !line.sender.is_closed() {
@@ -141,10 +148,15 @@
     mut line: Line,
     request: Request<Full<Bytes>>,
     most: usize,
+    read: &AtomicUsize,
 ) -> Result<(Line, Response<Bytes>), CallError> {
     let sent = line.sender.send_request(request).await;
     let (head, body) = sent.map_err(unknown)?.into_parts();
-    let whole = Limited::new(body, most).collect().await;
+    let counted = body.map_frame(|frame| {
+        read.fetch_add(frame.data_ref().map_or(0, Bytes::len), Ordering::Relaxed);
+        frame
+    });
+    let whole = Limited::new(counted, most).collect().await;
     let bytes = whole.map_err(unknown)?.to_bytes();
     Ok((line, Response::from_parts(head, bytes)))
 }
