Each table is fetched for itself; how long a fetch may take is decided in core

Cause: one task fetched all tables that were due, one after the other, and no other was begun before its end or a hedge.

--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -14,38 +14,22 @@
         events,
     },
     bytes::Bytes,
-    citron_core::{
-        freshness::{Behind, HearTimes},
-        time::Time,
-    },
-    citron_ports::{Adapter, KeptClient},
+    citron_core::freshness::{Behind, Fetch, FetchTimes, Fetches, HearTimes},
+    citron_ports::{Adapter, KeptClient, Pace},
     http::{Request, StatusCode},
-    std::{
-        cell::{Cell, RefCell},
-        collections::BTreeMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
 };
 
-/// How long a table may be on its way.
-const PULL_TIME: Duration = Duration::from_millis(800);
 /// The largest table that is read.
 const TABLE_MAX: usize = 8 << 20;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
-/// An instance that was asked for a table and has not answered for so long may have
-/// ended or stand still: another one is asked beside it. Otherwise it would hold news
-/// up for all of [`PULL_TIME`].
-const HEDGE: Duration = HearTimes::STANDARD.call;
 
 /// Tables asked for from others.
 #[derive(Debug)]
 pub struct Relay {
-    /// When the question was asked that is open, if one is.
-    open: Cell<Option<Time>>,
+    fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     behind: RefCell<Behind<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
 }
@@ -53,7 +37,7 @@
 impl Default for Relay {
     fn default() -> Self {
         Self {
-            open: Cell::default(),
+            fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
             clients: RefCell::default(),
         }
@@ -65,15 +49,6 @@
     pub fn caught_up(&self, at: usize) {
         self.behind.borrow_mut().caught_up(at);
     }
-
-    /// Whether another question may be asked now; it counts as open from then on.
-    fn begins(&self, now: Time) -> bool {
-        let begins = self.open.get().is_none_or(|asked| now - asked > HEDGE);
-        if begins {
-            self.open.set(Some(now));
-        }
-        begins
-    }
 }
 
 /// The table and the version that a path names.
@@ -99,17 +74,34 @@
 /// Asks another instance for tables that are newer there, unless this one should
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
-    let due = due(node, heartbeat);
-    if due.is_empty() || !node.relay.begins(node.clock.now()) {
-        return;
-    }
-    let node = Rc::clone(node);
-    spawn_local(async move {
-        for at in due {
-            pull(&node, from, at).await;
+    for at in due(node, heartbeat) {
+        let fetch = node.relay.fetches.borrow_mut().begin(at, node.clock.now());
+        if let Some(fetch) = fetch {
+            let node = Rc::clone(node);
+            spawn_local(async move {
+                pull(&node, from, fetch).await;
+                node.relay.fetches.borrow_mut().end(fetch);
+            });
         }
-        node.relay.open.set(None);
-    });
+    }
+}
+
+/// A fetch from another instance.
+struct Pull<'a, A> {
+    node: &'a Node<A>,
+    fetch: Fetch,
+}
+
+impl<A> Pace for Pull<'_, A> {
+    fn left(&self) -> Duration {
+        let fetches = self.node.relay.fetches.borrow();
+        fetches.left(self.fetch, self.node.clock.now())
+    }
+
+    fn heard(&mut self) {
+        let mut fetches = self.node.relay.fetches.borrow_mut();
+        fetches.heard(self.fetch, self.node.clock.now());
+    }
 }
 
 fn due<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat) -> Vec<usize> {
@@ -136,7 +128,8 @@
     newer.into_iter().filter(is_due).collect()
 }
 
-async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, at: usize) {
+async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, fetch: Fetch) {
+    let at = fetch.table;
     let begun = node.clock.now();
     let after = node.state.borrow().mirrors[at].changed;
     let mut request = Request::new(Bytes::new());
@@ -148,7 +141,7 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let called = client.call(request, PULL_TIME).await;
+    let called = client.fetch(request, Pull { node, fetch }).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
         Ok(answer) => answer,
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -8,11 +8,13 @@
 mod beats;
 mod behind;
 mod book;
+mod fetches;
 mod times;
 
 pub use {
     beats::{Beats, LOST, Sender},
     behind::Behind,
     book::{Age, Freshness, Gap},
+    fetches::{Fetch, FetchTimes, Fetches},
     times::{FreshnessTimes, HearTimes, Role},
 };
--- /dev/null
+++ b/crates/core/tests/fetches.rs
@@ -0,0 +1,100 @@
+//! Fetches of tables over a narrow link, in virtual time.
+
+use {
+    citron_core::{
+        freshness::{Fetch, FetchTimes, Fetches},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+/// Bytes that the link carries in a millisecond, beside its callers' traffic.
+const LINK: f64 = 1_000.0;
+/// Between two heartbeats of others that tell of the newer table.
+const HEARTBEAT: u64 = 25;
+/// The longest time that is played.
+const PLAYED: u64 = 30_000;
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+/// An instance whose table is older than that of all others.
+struct Instance {
+    fetches: Fetches<1>,
+    /// Fetches under way, and the bytes that are to come.
+    open: Vec<(Fetch, f64)>,
+    begun: usize,
+}
+
+impl Instance {
+    fn new() -> Self {
+        Self {
+            fetches: Fetches::new(FetchTimes::STANDARD),
+            open: Vec::new(),
+            begun: 0,
+        }
+    }
+
+    fn hear_of_newer(&mut self, now: Time, bytes: f64) {
+        if let Some(fetch) = self.fetches.begin(0, now) {
+            self.open.push((fetch, bytes));
+            self.begun += 1;
+        }
+    }
+
+    /// The link is shared evenly by those whose source sends.
+    fn receive(&mut self, now: Time, sends: impl Fn(usize, f64) -> bool) {
+        let sending = |(at, (_, left)): (usize, &(Fetch, f64))| sends(at, *left);
+        let sending: Vec<bool> = self.open.iter().enumerate().map(sending).collect();
+        let part = LINK / sending.iter().filter(|sends| **sends).count().max(1) as f64;
+        for ((fetch, left), sends) in self.open.iter_mut().zip(sending) {
+            if sends {
+                *left -= part;
+                self.fetches.heard(*fetch, now);
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Time) {
+        let over = |fetch: &Fetch| self.fetches.left(*fetch, now).is_zero();
+        let over: Vec<Fetch> = self.open.iter().map(|open| open.0).filter(over).collect();
+        self.open.retain(|(fetch, _)| !over.contains(fetch));
+        for fetch in over {
+            self.fetches.end(fetch);
+        }
+    }
+}
+
+/// After how long a table of so many bytes has come, if it comes at all.
+fn arrival(bytes: f64, sends: impl Fn(usize, f64) -> bool) -> Option<Duration> {
+    let mut instance = Instance::new();
+    for millis in 0..PLAYED {
+        let now = at(millis);
+        if millis % HEARTBEAT == 0 {
+            instance.hear_of_newer(now, bytes);
+        }
+        instance.receive(now, &sends);
+        if instance.open.iter().any(|(_, left)| *left <= 0.0) {
+            return Some(Duration::from_millis(millis));
+        }
+        instance.give_up(now);
+    }
+    None
+}
+
+/// Guards against a wait for an instance that has ended.
+#[test]
+fn an_instance_that_does_not_answer_holds_no_table_up() {
+    let came = arrival(LINK * 50.0, |number, _| number > 0);
+    assert!(came.is_some_and(|came| came < Duration::from_millis(300)));
+}
+
+/// Guards against news that waits behind the fetch of another table.
+#[test]
+fn a_long_table_holds_no_other_one_up() {
+    let mut fetches = Fetches::<2>::new(FetchTimes::STANDARD);
+    assert!(fetches.begin(0, at(0)).is_some());
+    assert!(fetches.begin(1, at(1)).is_some());
+    assert!(fetches.begin(1, at(2)).is_none());
+}
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -1,19 +1,19 @@
 //! Calls to one address over connections that are kept.
 
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{HeaderValue, Request, Response, header},
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::client::conn::http1::{SendRequest, handshake},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{SendRequest, handshake},
+    },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
         fmt::Display,
         net::SocketAddr,
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicUsize, Ordering},
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
     thiserror::Error,
@@ -44,6 +44,26 @@
     Unknown(String),
 }
 
+/// How long an answer is waited for.
+pub trait Pace {
+    /// How long to wait for the next part of it.
+    fn left(&self) -> Duration;
+
+    /// A part of it has come.
+    fn heard(&mut self);
+}
+
+/// All of it must have come by then.
+struct Within(Instant);
+
+impl Pace for Within {
+    fn left(&self) -> Duration {
+        self.0.saturating_duration_since(Instant::now())
+    }
+
+    fn heard(&mut self) {}
+}
+
 #[derive(Debug)]
 struct Line {
     sender: SendRequest<Full<Bytes>>,
@@ -83,26 +103,51 @@
     /// [`CallError::NotSent`] only if the other side has surely seen nothing.
     pub async fn call(
         &self,
-        mut request: Request<Bytes>,
+        request: Request<Bytes>,
         span: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        self.fetch(request, Within(Instant::now() + span)).await
+    }
+
+    /// Sends a request and reads its whole answer, as long as `pace` has patience;
+    /// then what is under way is reset.
+    ///
+    /// # Errors
+    /// [`CallError::NotSent`] only if the other side has surely seen nothing.
+    pub async fn fetch(
+        &self,
+        mut request: Request<Bytes>,
+        mut pace: impl Pace,
     ) -> Result<Response<Bytes>, CallError> {
         let host = HeaderValue::from_str(&self.address.to_string()).map_err(not_sent)?;
         request.headers_mut().insert(header::HOST, host);
-        let begun = Instant::now();
-        let line = timeout(span, self.line()).await.map_err(not_sent)??;
-        let left = span.saturating_sub(begun.elapsed());
-        let read = AtomicUsize::new(0);
-        let exchange = exchange(line, request.map(Full::new), self.most, &read);
-        let late = |_| {
-            let bytes = read.load(Ordering::Relaxed);
-            CallError::Unknown(format!("not within {span:?}, {bytes} bytes of it came"))
-        };
-        let (line, response) = timeout(left, exchange).await.map_err(late)??;
+        let line = timeout(pace.left(), self.line()).await;
+        let mut line = line.map_err(not_sent)??;
+        let sent = line.sender.send_request(request.map(Full::new));
+        let sent = timeout(pace.left(), sent).await.map_err(|_| late(0))?;
+        let (head, body) = sent.map_err(unknown)?.into_parts();
+        let bytes = self.read(body, &mut pace).await?;
         let mut kept = self.kept();
         if kept.len() < KEPT && !line.sender.is_closed() {
             kept.push(line);
         }
-        Ok(response)
+        Ok(Response::from_parts(head, bytes))
+    }
+
+    async fn read(&self, mut body: Incoming, pace: &mut impl Pace) -> Result<Bytes, CallError> {
+        let mut bytes = BytesMut::new();
+        loop {
+            let frame = timeout(pace.left(), body.frame()).await;
+            let Some(frame) = frame.map_err(|_| late(bytes.len()))? else {
+                return Ok(bytes.freeze());
+            };
+            let data = frame.map_err(unknown)?.into_data().unwrap_or_default();
+            if bytes.len() + data.len() > self.most {
+                return Err(unknown(format!("it is longer than {} bytes", self.most)));
+            }
+            bytes.extend_from_slice(&data);
+            pace.heard();
+        }
     }
 
     async fn line(&self) -> Result<Line, CallError> {
@@ -144,21 +189,8 @@
     socket.set_tcp_keepalive(&probes.with_retries(PROBES))
 }
 
-async fn exchange(
-    mut line: Line,
-    request: Request<Full<Bytes>>,
-    most: usize,
-    read: &AtomicUsize,
-) -> Result<(Line, Response<Bytes>), CallError> {
-    let sent = line.sender.send_request(request).await;
-    let (head, body) = sent.map_err(unknown)?.into_parts();
-    let counted = body.map_frame(|frame| {
-        read.fetch_add(frame.data_ref().map_or(0, Bytes::len), Ordering::Relaxed);
-        frame
-    });
-    let whole = Limited::new(counted, most).collect().await;
-    let bytes = whole.map_err(unknown)?.to_bytes();
-    Ok((line, Response::from_parts(head, bytes)))
+fn late(bytes: usize) -> CallError {
+    unknown(format!("not in time, {bytes} bytes of it came"))
 }
 
 fn not_sent(error: impl Display) -> CallError {
