--- a/crates/core/tests/fetches.rs
+++ b/crates/core/tests/fetches.rs
@@ -83,6 +83,17 @@
     None
 }
 
+/// Guards against fetches that take the link from one another and are begun anew for ever.
+#[test]
+fn a_table_that_fills_a_narrow_link_for_long_arrives() {
+    for millis in [50, 200, 400, 900, 2_000, 5_000] {
+        let alone = Duration::from_millis(millis);
+        let came = arrival(LINK * millis as f64, |_, _| true);
+        let soon = came.is_some_and(|came| came <= alone * 2);
+        assert!(soon, "{alone:?} alone, came after {came:?}");
+    }
+}
+
 /// Guards against a wait for an instance that has ended.
 #[test]
 fn an_instance_that_does_not_answer_holds_no_table_up() {
--- a/crates/fakes/src/link/relay.rs
+++ b/crates/fakes/src/link/relay.rs
@@ -1,7 +1,12 @@
 //! The relay.
 
 use {
-    std::{io, net::SocketAddr, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -9,7 +14,7 @@
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         sync::watch,
-        time::sleep,
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -27,6 +32,8 @@
     mute: bool,
     /// How long bytes are held up on their way there.
     delay: Duration,
+    /// Bytes a second that come back, over all connections.
+    rate: Option<u32>,
     /// Connections opened before this many silencings carry nothing any more.
     silenced: u64,
     /// Connections opened before this many closings are closed.
@@ -47,6 +54,9 @@
     state: watch::Sender<State>,
 }
 
+/// Until when the link is taken by what comes back.
+type Taken = Arc<Mutex<Instant>>;
+
 impl Link {
     /// Starts a link to a target, on a port of its own.
     ///
@@ -61,6 +71,7 @@
                 cut: false,
                 mute: false,
                 delay: Duration::ZERO,
+                rate: None,
                 silenced: 0,
                 closed: 0,
                 torn: 0,
@@ -91,12 +102,18 @@
         self.state.send_modify(|state| state.delay = span);
     }
 
-    /// Makes the link whole and quick.
+    /// Lets so many bytes a second come back, over all connections together.
+    pub fn narrow(&self, rate: u32) {
+        self.state.send_modify(|state| state.rate = Some(rate));
+    }
+
+    /// Makes the link whole, quick and wide.
     pub fn heal(&self) {
         self.state.send_modify(|state| {
             state.cut = false;
             state.mute = false;
             state.delay = Duration::ZERO;
+            state.rate = None;
         });
     }
 
@@ -121,11 +138,13 @@
 }
 
 async fn accept(listener: TcpListener, state: watch::Sender<State>) {
+    let taken = Taken::new(Mutex::new(Instant::now()));
     loop {
         match listener.accept().await {
             Ok((near, _)) => {
                 let limit = take_tear(&state);
-                tokio::spawn(connection(near, state.subscribe(), limit));
+                let taken = Arc::clone(&taken);
+                tokio::spawn(connection(near, state.subscribe(), limit, taken));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
@@ -145,7 +164,12 @@
     limit
 }
 
-async fn connection(near: TcpStream, mut state: watch::Receiver<State>, limit: usize) {
+async fn connection(
+    near: TcpStream,
+    mut state: watch::Receiver<State>,
+    limit: usize,
+    taken: Taken,
+) {
     let (born, closed) = (state.borrow().silenced, state.borrow().closed);
     let there = |state: &State| !state.cut && state.silenced == born;
     let back = |state: &State| there(state) && !state.mute;
@@ -160,8 +184,15 @@
     let _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pump(near_read, far_write, state.clone(), there, usize::MAX);
-    let back = pump(far_read, near_write, state.clone(), back, limit);
+    let there = pump(near_read, far_write, state.clone(), there, usize::MAX, None);
+    let back = pump(
+        far_read,
+        near_write,
+        state.clone(),
+        back,
+        limit,
+        Some(taken),
+    );
     tokio::select! {
         _ = state.wait_for(|state| state.closed != closed) => {}
         // The end of an answer ends both directions; a caller's half-close does
@@ -184,12 +215,25 @@
     open && matches!(from.as_ref().take_error(), Ok(None))
 }
 
+/// Waits for a turn on a narrow link.
+async fn take(taken: &Taken, rate: Option<u32>, bytes: usize) {
+    let Some(rate) = rate else { return };
+    let span = Duration::from_secs_f64(bytes as f64 / f64::from(rate));
+    let until = {
+        let mut taken = taken.lock().unwrap_or_else(PoisonError::into_inner);
+        *taken = (*taken).max(Instant::now()) + span;
+        *taken
+    };
+    sleep_until(until).await;
+}
+
 async fn pump(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<State>,
     open: impl Fn(&State) -> bool,
     mut limit: usize,
+    taken: Option<Taken>,
 ) {
     let mut buffer = vec![0; 16 << 10];
     loop {
@@ -203,6 +247,10 @@
             let _ = to.shutdown().await;
             return;
         }
+        if let Some(taken) = &taken {
+            let rate = state.borrow().rate;
+            take(taken, rate, read).await;
+        }
         let passed = read.min(limit);
         limit -= passed;
         if to.write_all(&buffer[..passed]).await.is_err() || limit == 0 {
