Transfers of tables are bounded by their progress, not by their length

Cause: a fetch from another instance was given up after 800 ms and a call to the store after 600 ms, whatever had come, and begun anew; meanwhile further fetches were begun every 100 ms. They shared the link, so that none ended in time from some length on: 0.4 s of the link alone.

Change: a transfer goes on as long as parts of it come (core/freshness/fetches, ports Pace and Patience); another instance is asked beside it only if none has come for 100 ms, or no further one for 400 ms, and two at most are under way; nobody asks the store for a table that is arriving. The two places that read all maps are one.

Kept: a source that ended, that stands still in its answer, that sends too much (core/tests/fetches, ports/tests/kept).

--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: the store, other instances, and the planner.
 
+mod arrival;
 mod codec;
 mod counts;
 mod demands;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -17,7 +17,7 @@
         events,
     },
     citron_core::{
-        freshness::{Beats, Freshness, FreshnessTimes, Gap, Sender},
+        freshness::{Beats, FetchTimes, Fetches, Freshness, FreshnessTimes, Gap, Sender},
         id::{InstanceId, ServerName, ServiceName},
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
@@ -113,6 +113,8 @@
     pub questions: refresh::Questions,
     /// What callers ask for, if this instance plans.
     pub demands: RefCell<Demands>,
+    /// Tables that are on their way here.
+    pub fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     /// Tables asked for from others.
     pub relay: relay::Relay,
     /// Wakes the planner.
@@ -201,6 +203,7 @@
             enlisted: Cell::default(),
             questions: refresh::Questions::default(),
             demands: RefCell::default(),
+            fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
             wake: Notify::new(),
             hurry: Notify::new(),
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -10,7 +10,7 @@
             codec::{LeadershipWire, PLANNER},
             election::Election,
             node::{Holder, Node},
-            watch::RANGES,
+            refresh,
         },
         events,
     },
@@ -69,14 +69,8 @@
     }
     // Whoever planned before may have written maps up to the claim.
     let begun = node.clock.now();
-    match node.adapter.store().rows(RowTable::Ranges).await {
-        Ok(set) => {
-            node.told(RANGES, set, true, begun);
-        }
-        Err(error) => {
-            node.store_failed("maps", &error);
-            return None;
-        }
+    if !refresh::read_maps(node).await {
+        return None;
     }
     let term = begin_term(node, before, times)?;
     if !term.before.is_empty() {
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -4,7 +4,7 @@
     crate::edge::control::{
         codec::{MAP, MapWire, PLANNER},
         node::Node,
-        watch::RANGES,
+        refresh,
     },
     citron_core::{
         id::ServiceName,
@@ -60,13 +60,8 @@
 /// After a conflict: an earlier try of the same write may have been done
 /// without an answer.
 async fn settle<A: Adapter>(node: &Node<A>, service: &ServiceName, map: &RangeMap) -> Committed {
-    let begun = node.clock.now();
-    match node.adapter.store().rows(RowTable::Ranges).await {
-        Ok(set) => node.told(RANGES, set, true, begun),
-        Err(error) => {
-            node.store_failed("maps", &error);
-            return (OrderEnd::Unknown, 0);
-        }
+    if !refresh::read_maps(node).await {
+        return (OrderEnd::Unknown, 0);
     }
     let state = node.state.borrow();
     match state.maps.get(service) {
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -2,25 +2,23 @@
 
 use {
     super::{
+        arrival::Arrival,
         heartbeat::Heartbeat,
         node::Node,
-        watch::{CONFIG, RANGES, SERVERS, WATCHED, jitter},
+        watch::{self, CONFIG, RANGES, SERVERS, WATCHED, jitter},
     },
     crate::events,
     citron_core::{
         freshness::{HearTimes, Role},
         time::Time,
     },
-    citron_ports::{Adapter, RowSet, RowStore, StoreError},
+    citron_ports::{Adapter, RowSet, RowStore, RowTable, StoreError},
     std::{cell::Cell, future::Future, rc::Rc, time::Duration},
-    tokio::{
-        sync::Notify,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::Notify, time::sleep},
 };
 
-/// How long a call may take: the store answers in some milliseconds, and in a quarter
-/// of a second when it is slow.
+/// How long the begin of an answer may take: the store answers in some milliseconds,
+/// and in a quarter of a second when it is slow.
 const CALL_TIME: Duration = Duration::from_millis(600);
 /// The longest time between two looks, as the role may change meanwhile.
 const LOOK_MOST: Duration = Duration::from_millis(200);
@@ -95,16 +93,10 @@
 /// Looks after the ages of tables for good.
 pub async fn run<A: Adapter>(node: Rc<Node<A>>) {
     loop {
-        let left = node
-            .state
-            .borrow()
-            .fresh
-            .left(node.role(), node.clock.now());
+        let left = node.until_due();
         sleep(left.clamp(HearTimes::STANDARD.look, LOOK_MOST)).await;
-        let now = node.clock.now();
-        node.questions.drop_swallowed(now);
-        let due = node.state.borrow().fresh.is_due(node.role(), now);
-        if due && node.state.borrow().mirrors[RANGES].version > 0 {
+        node.questions.drop_swallowed(node.clock.now());
+        if node.until_due().is_zero() && node.state.borrow().mirrors[RANGES].version > 0 {
             refresh(&node).await;
         }
     }
@@ -128,7 +120,7 @@
     };
     let older = |at: usize| {
         let version = node.state.borrow().mirrors[at].version;
-        version > 0 && version < newest
+        version > 0 && version < newest && !node.is_arriving(at)
     };
     let ask_if = async |at| {
         if older(at) {
@@ -140,16 +132,27 @@
     node.hurry.notify_one();
 }
 
+/// Reads all maps and the leadership; whether the store told them.
+pub async fn read_maps<A: Adapter>(node: &Node<A>) -> bool {
+    let begun = node.clock.now();
+    let mut arrival = Arrival::of_store(node, RANGES, watch::CALL_TIME);
+    let read = node.adapter.store().rows(RowTable::Ranges, &mut arrival);
+    match read.await {
+        Ok(set) => node.told(RANGES, set, true, begun),
+        Err(error) => {
+            node.store_failed("maps", &error);
+            return false;
+        }
+    }
+    true
+}
+
 /// Brings a table up to date, and waits for no change; the store's version.
 async fn ask<A: Adapter>(node: &Rc<Node<A>>, at: usize) -> Option<u64> {
     let begun = node.clock.now();
-    match timeout(CALL_TIME, read(node, at)).await {
-        Ok(Ok((set, whole))) => Some(answered(node, at, set, whole, begun)),
-        Ok(Err(error)) => failed(node, at, &error),
-        Err(_) => {
-            let late = StoreError::Unknown(format!("not within {CALL_TIME:?}"));
-            failed(node, at, &late)
-        }
+    match read(node, at).await {
+        Ok((set, whole)) => Some(answered(node, at, set, whole, begun)),
+        Err(error) => failed(node, at, &error),
     }
 }
 
@@ -159,8 +162,13 @@
 async fn read<A: Adapter>(node: &Node<A>, at: usize) -> Result<(RowSet, bool), StoreError> {
     let store = node.adapter.store();
     let after = node.state.borrow().mirrors[at].version;
-    match store.changes(WATCHED[at], after, Duration::ZERO).await {
-        Err(StoreError::Forgotten) => Ok((store.rows(WATCHED[at]).await?, true)),
+    let mut arrival = Arrival::of_store(node, at, CALL_TIME);
+    let changes = store.changes(WATCHED[at], after, Duration::ZERO, &mut arrival);
+    match changes.await {
+        Err(StoreError::Forgotten) => {
+            let mut arrival = Arrival::of_store(node, at, CALL_TIME);
+            Ok((store.rows(WATCHED[at], &mut arrival).await?, true))
+        }
         changes => Ok((changes?, false)),
     }
 }
@@ -184,6 +192,19 @@
 }
 
 impl<A: Adapter> Node<A> {
+    /// How long until the store should be asked.
+    fn until_due(&self) -> Duration {
+        let arriving = [0, 1, 2].map(|at| self.is_arriving(at));
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        state.fresh.left_without(arriving, self.role(), now)
+    }
+
+    fn is_arriving(&self, at: usize) -> bool {
+        let now = self.clock.now();
+        self.fetches.borrow().is_arriving(at, now)
+    }
+
     fn role(&self) -> Role {
         if self.state.borrow().planning {
             return Role::Planner;
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,14 +8,14 @@
 //! long said they leave.
 
 use {
-    super::{codec::TableWire, heartbeat::Heartbeat, node::Node, watch::WATCHED},
+    super::{arrival::Arrival, codec::TableWire, heartbeat::Heartbeat, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
     },
     bytes::Bytes,
-    citron_core::freshness::{Behind, Fetch, FetchTimes, Fetches, HearTimes},
-    citron_ports::{Adapter, KeptClient, Pace},
+    citron_core::freshness::{Behind, Fetch, HearTimes},
+    citron_ports::{Adapter, KeptClient},
     http::{Request, StatusCode},
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
@@ -29,7 +29,6 @@
 /// Tables asked for from others.
 #[derive(Debug)]
 pub struct Relay {
-    fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     behind: RefCell<Behind<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
 }
@@ -37,7 +36,6 @@
 impl Default for Relay {
     fn default() -> Self {
         Self {
-            fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
             clients: RefCell::default(),
         }
@@ -75,35 +73,14 @@
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
     for at in due(node, heartbeat) {
-        let fetch = node.relay.fetches.borrow_mut().begin(at, node.clock.now());
+        let fetch = node.fetches.borrow_mut().begin(at, node.clock.now());
         if let Some(fetch) = fetch {
             let node = Rc::clone(node);
-            spawn_local(async move {
-                pull(&node, from, fetch).await;
-                node.relay.fetches.borrow_mut().end(fetch);
-            });
+            spawn_local(async move { pull(&node, from, fetch).await });
         }
     }
 }
 
-/// A fetch from another instance.
-struct Pull<'a, A> {
-    node: &'a Node<A>,
-    fetch: Fetch,
-}
-
-impl<A> Pace for Pull<'_, A> {
-    fn left(&self) -> Duration {
-        let fetches = self.node.relay.fetches.borrow();
-        fetches.left(self.fetch, self.node.clock.now())
-    }
-
-    fn heard(&mut self) {
-        let mut fetches = self.node.relay.fetches.borrow_mut();
-        fetches.heard(self.fetch, self.node.clock.now());
-    }
-}
-
 fn due<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat) -> Vec<usize> {
     let now = node.clock.now();
     let known = node
@@ -130,6 +107,7 @@
 
 async fn pull<A: Adapter>(node: &Node<A>, from: SocketAddr, fetch: Fetch) {
     let at = fetch.table;
+    let mut arrival = Arrival::of_fetch(node, fetch);
     let begun = node.clock.now();
     let after = node.state.borrow().mirrors[at].changed;
     let mut request = Request::new(Bytes::new());
@@ -141,7 +119,7 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let called = client.fetch(request, Pull { node, fetch }).await;
+    let called = client.fetch(request, &mut arrival).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
         Ok(answer) => answer,
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -1,9 +1,9 @@
 //! Follows the store's tables.
 
 use {
-    super::{codec::MemberWire, node::Node},
+    super::{arrival::Arrival, codec::MemberWire, node::Node},
     citron_core::freshness::FreshnessTimes,
-    citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
+    citron_ports::{Adapter, Patience, RowCommit, RowStore, RowTable, StoreError},
     rand::Rng,
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -19,6 +19,9 @@
 /// The place of the maps and the planner's leadership.
 pub const RANGES: usize = 2;
 
+/// How long the begin of an answer may take beside the time that the store is asked to
+/// wait.
+pub const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// How long the store keeps a question open. Each question is paid for, the
 /// connection's own probes tell when it is dead, and the age of a table when a
 /// question was swallowed.
@@ -75,9 +78,13 @@
         let after = node.state.borrow().mirrors[at].version;
         let store = node.adapter.store();
         let read = match whole {
-            true => store.rows(table).await,
+            true => {
+                let mut arrival = Arrival::of_store(&node, at, CALL_TIME);
+                store.rows(table, &mut arrival).await
+            }
             false => {
-                let question = store.changes(table, after, WAIT);
+                let mut arrival = Arrival::of_store(&node, at, WAIT + CALL_TIME);
+                let question = store.changes(table, after, WAIT, &mut arrival);
                 let Some(read) = node.questions.ask(at, begun, question).await else {
                     continue;
                 };
@@ -182,7 +189,9 @@
     }
     loop {
         let begun = node.clock.now();
-        match node.adapter.store().rows(RowTable::Members).await {
+        let mut patience = Patience::new(CALL_TIME, CALL_TIME);
+        let read = node.adapter.store().rows(RowTable::Members, &mut patience);
+        match read.await {
             Ok(set) => {
                 node.store_answered(begun, set.now);
                 add(&node, set.rows);
--- a/crates/core/src/freshness/book.rs
+++ b/crates/core/src/freshness/book.rs
@@ -99,7 +99,14 @@
 
     /// How long until the store should be asked, if nothing is heard meanwhile.
     pub fn left(&self, role: Role, now: Time) -> Duration {
-        let oldest = self.known.iter().flatten().min();
+        self.left_without([false; N], role, now)
+    }
+
+    /// The same if nothing need be asked about some tables, as they are arriving.
+    pub fn left_without(&self, arriving: [bool; N], role: Role, now: Time) -> Duration {
+        let asked = self.known.iter().zip(arriving);
+        let asked = asked.filter(|(_, arriving)| !arriving);
+        let oldest = asked.filter_map(|(known, _)| known.as_ref()).min();
         let due = oldest.map_or(now, |oldest| *oldest + self.times.of(role));
         due.max(self.again) - now
     }
--- a/crates/core/src/freshness/fetches.rs
+++ b/crates/core/src/freshness/fetches.rs
@@ -1,4 +1,4 @@
-//! Fetches of tables from other instances.
+//! Transfers of tables to an instance.
 
 use {
     super::HearTimes,
@@ -6,24 +6,32 @@
     std::{array, time::Duration},
 };
 
-/// Bounds of a fetch.
+/// Bounds of a transfer. None of them bounds the whole of it: on a narrow link that
+/// depends on its length, and what had come would be thrown away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FetchTimes {
-    /// After so long another instance is asked beside the first one, which may have
-    /// ended or stand still.
-    pub hedge: Duration,
-    /// After so long a fetch is given up.
+    /// After so long without any part another instance is asked beside the first one,
+    /// which may have ended or stand still.
+    pub answer: Duration,
+    /// The same after a part has come.
+    pub pause: Duration,
+    /// After so long without a further part a fetch is given up.
     pub limit: Duration,
 }
 
 impl FetchTimes {
     /// The defaults; see the fields.
     pub const STANDARD: Self = Self {
-        hedge: HearTimes::STANDARD.call,
+        answer: HearTimes::STANDARD.call,
+        pause: Duration::from_millis(400),
         limit: Duration::from_millis(800),
     };
 }
 
+/// Fetches of a table that are under way at a time: each takes its part of the link
+/// from the others.
+const MOST: usize = 2;
+
 /// A fetch that was begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fetch {
@@ -36,6 +44,8 @@
 struct Open {
     number: u64,
     begun: Time,
+    /// When its last part came.
+    heard: Option<Time>,
 }
 
 /// The fetches of `N` tables that are under way.
@@ -48,10 +58,12 @@
 /// let at = |millis: u64| Time::from_micros(millis * 1_000);
 /// let mut fetches = Fetches::<2>::new(FetchTimes::STANDARD);
 /// let first = fetches.begin(0, at(0)).unwrap();
-/// assert_eq!(fetches.left(first, at(300)), Duration::from_millis(500));
 /// assert!(fetches.begin(0, at(50)).is_none());
 /// assert!(fetches.begin(1, at(50)).is_some());
-/// assert!(fetches.begin(0, at(150)).is_some());
+/// fetches.heard(first, at(90));
+/// assert!(fetches.begin(0, at(150)).is_none());
+/// assert!(fetches.is_arriving(0, at(150)));
+/// assert_eq!(fetches.left(first, at(390)), Duration::from_millis(500));
 /// ```
 #[derive(Debug)]
 pub struct Fetches<const N: usize> {
@@ -70,26 +82,45 @@
         }
     }
 
-    /// Begins a fetch, unless there is no reason for another one.
+    /// Begins a fetch, unless one goes on.
     pub fn begin(&mut self, table: usize, now: Time) -> Option<Fetch> {
-        let waits = |open: &Open| now - open.begun <= self.times.hedge;
-        if self.open[table].last().is_some_and(waits) {
-            return None;
-        }
+        let open = &self.open[table];
+        let may = open.len() < MOST && !open.iter().any(|open| self.times.is_going(open, now));
+        may.then(|| self.note(table, now))
+    }
+
+    /// Notes a transfer that was begun for a reason of its own.
+    pub fn note(&mut self, table: usize, now: Time) -> Fetch {
         self.begun += 1;
         let number = self.begun;
-        self.open[table].push(Open { number, begun: now });
-        Some(Fetch { table, number })
+        self.open[table].push(Open {
+            number,
+            begun: now,
+            heard: None,
+        });
+        Fetch { table, number }
     }
 
     /// A part of the table has come.
-    pub fn heard(&mut self, _fetch: Fetch, _now: Time) {}
+    pub fn heard(&mut self, fetch: Fetch, now: Time) {
+        let mut open = self.open[fetch.table].iter_mut();
+        if let Some(open) = open.find(|open| open.number == fetch.number) {
+            open.heard = Some(now);
+        }
+    }
+
+    /// Whether parts of a table are coming.
+    pub fn is_arriving(&self, table: usize, now: Time) -> bool {
+        let arrives = |open: &Open| open.heard.is_some() && self.times.is_going(open, now);
+        self.open[table].iter().any(arrives)
+    }
 
     /// How long to wait for the next part until the fetch is given up.
     pub fn left(&self, fetch: Fetch, now: Time) -> Duration {
         let mut open = self.open[fetch.table].iter();
         let open = open.find(|open| open.number == fetch.number);
-        open.map_or(Duration::ZERO, |open| open.begun + self.times.limit - now)
+        let last = open.map(|open| open.heard.unwrap_or(open.begun));
+        last.map_or(Duration::ZERO, |last| last + self.times.limit - now)
     }
 
     /// A fetch has ended, with the table or without.
@@ -97,3 +128,13 @@
         self.open[fetch.table].retain(|open| open.number != fetch.number);
     }
 }
+
+impl FetchTimes {
+    /// Whether a fetch need not be doubted.
+    fn is_going(&self, open: &Open, now: Time) -> bool {
+        match open.heard {
+            Some(heard) => now - heard <= self.pause,
+            None => now - open.begun <= self.answer,
+        }
+    }
+}
--- a/crates/core/tests/fetches.rs
+++ b/crates/core/tests/fetches.rs
@@ -101,6 +101,30 @@
     assert!(came.is_some_and(|came| came < Duration::from_millis(300)));
 }
 
+/// Guards against a wait for an instance that stands still in the middle of its answer.
+#[test]
+fn an_instance_that_stops_in_its_answer_holds_no_table_up() {
+    let (whole, half) = (LINK * 100.0, LINK * 50.0);
+    let came = arrival(whole, |number, left| number > 0 || left > half);
+    assert!(
+        came.is_some_and(|came| came < Duration::from_secs(1)),
+        "{came:?}"
+    );
+}
+
+/// Guards against a question to the store about a table that is arriving already.
+#[test]
+fn only_a_table_of_which_parts_come_is_arriving() {
+    let mut fetches = Fetches::<1>::new(FetchTimes::STANDARD);
+    let fetch = fetches.begin(0, at(0)).unwrap();
+    assert!(!fetches.is_arriving(0, at(1)));
+    fetches.heard(fetch, at(2));
+    assert!(fetches.is_arriving(0, at(3)));
+    assert!(!fetches.is_arriving(0, at(2_000)));
+    fetches.end(fetch);
+    assert!(!fetches.is_arriving(0, at(3)));
+}
+
 /// Guards against news that waits behind the fetch of another table.
 #[test]
 fn a_long_table_holds_no_other_one_up() {
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -53,6 +53,34 @@
     fn heard(&mut self);
 }
 
+/// The begin of an answer must come within one span, and each further part within
+/// another one.
+#[derive(Debug)]
+pub struct Patience {
+    until: Instant,
+    part: Duration,
+}
+
+impl Patience {
+    /// Waits from now on.
+    pub fn new(answer: Duration, part: Duration) -> Self {
+        Self {
+            until: Instant::now() + answer,
+            part,
+        }
+    }
+}
+
+impl Pace for Patience {
+    fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    fn heard(&mut self) {
+        self.until = Instant::now() + self.part;
+    }
+}
+
 /// All of it must have come by then.
 struct Within(Instant);
 
@@ -106,7 +134,8 @@
         request: Request<Bytes>,
         span: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        self.fetch(request, Within(Instant::now() + span)).await
+        let end = Instant::now() + span;
+        self.fetch(request, &mut Within(end)).await
     }
 
     /// Sends a request and reads its whole answer, as long as `pace` has patience;
@@ -117,7 +146,7 @@
     pub async fn fetch(
         &self,
         mut request: Request<Bytes>,
-        mut pace: impl Pace,
+        pace: &mut impl Pace,
     ) -> Result<Response<Bytes>, CallError> {
         let host = HeaderValue::from_str(&self.address.to_string()).map_err(not_sent)?;
         request.headers_mut().insert(header::HOST, host);
@@ -126,7 +155,7 @@
         let sent = line.sender.send_request(request.map(Full::new));
         let sent = timeout(pace.left(), sent).await.map_err(|_| late(0))?;
         let (head, body) = sent.map_err(unknown)?.into_parts();
-        let bytes = self.read(body, &mut pace).await?;
+        let bytes = self.read(body, pace).await?;
         let mut kept = self.kept();
         if kept.len() < KEPT && !line.sender.is_closed() {
             kept.push(line);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -20,7 +20,7 @@
     error::PlatformError,
     grants::Grants,
     http::HttpPlatform,
-    kept::{CallError, KeptClient, Pace},
+    kept::{CallError, KeptClient, Pace, Patience},
     lane::LaneStore,
     listed::{InstanceList, Listed, ListedState},
     memory::Memory,
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -1,6 +1,7 @@
 //! Rows of a store that keeps them under versions and tells what has changed.
 
 use {
+    crate::Pace,
     citron_core::time::StoreTime,
     std::{future::Future, time::Duration},
     thiserror::Error,
@@ -75,14 +76,18 @@
 
 /// The store.
 pub trait RowStore: Clone + 'static {
-    /// All rows of a table, as of one moment.
+    /// All rows of a table, as of one moment, as long as `pace` has patience.
     ///
     /// # Errors
     /// [`StoreError`]; also if they could not be read in one piece.
-    fn rows(&self, table: RowTable) -> impl Future<Output = Result<RowSet, StoreError>>;
+    fn rows(
+        &self,
+        table: RowTable,
+        pace: &mut impl Pace,
+    ) -> impl Future<Output = Result<RowSet, StoreError>>;
 
     /// What has changed after a version, as soon as there is anything, or nothing
-    /// when `wait` is over.
+    /// when `wait` is over, as long as `pace` has patience.
     ///
     /// # Errors
     /// [`StoreError::Forgotten`] if the store no longer knows.
@@ -91,6 +96,7 @@
         table: RowTable,
         after: u64,
         wait: Duration,
+        pace: &mut impl Pace,
     ) -> impl Future<Output = Result<RowSet, StoreError>>;
 
     /// Writes; the new version.
--- a/crates/ports/tests/kept.rs
+++ b/crates/ports/tests/kept.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    citron_ports::{CallError, KeptClient},
+    citron_ports::{CallError, KeptClient, Patience},
     http::Request,
     std::time::Duration,
     tokio::{
@@ -74,3 +74,47 @@
     }
     served.await.unwrap();
 }
+
+/// Answers with a body in so many parts, a tenth of [`SPAN`] apart, and then nothing.
+async fn send_parts(listener: TcpListener, length: usize, parts: usize) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..parts {
+        tokio::time::sleep(SPAN / 10).await;
+        stream.write_all(b"part").await.unwrap();
+    }
+    tokio::time::sleep(SPAN * 100).await;
+}
+
+/// Guards against a long answer that is cut off while it comes, and asked for anew.
+#[tokio::test]
+async fn an_answer_that_keeps_coming_is_read_to_its_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = KeptClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(send_parts(listener, 100, 25));
+    let mut patience = Patience::new(SPAN, SPAN);
+    let answer = client.fetch(request(), &mut patience).await.unwrap();
+    assert_eq!(answer.body().len(), 100);
+}
+
+/// Guards against a wait for the rest of an answer whose sender stands still.
+#[tokio::test]
+async fn an_answer_that_stops_coming_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = KeptClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(send_parts(listener, 100, 5));
+    let mut patience = Patience::new(SPAN, SPAN);
+    let ended = client.fetch(request(), &mut patience).await;
+    assert!(matches!(ended, Err(CallError::Unknown(_))), "{ended:?}");
+}
+
+/// Guards against an answer that uses up the memory of who reads it.
+#[tokio::test]
+async fn an_answer_that_is_too_long_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = KeptClient::new(listener.local_addr().unwrap(), 16);
+    tokio::spawn(send_parts(listener, 100, 25));
+    let ended = client.call(request(), SPAN * 10).await;
+    assert!(matches!(ended, Err(CallError::Unknown(_))), "{ended:?}");
+}
