A table read over HTTP is bounded by its progress, too

What callers would see: an instance of citronproxy run behind a narrow link never reads a table that takes longer than a second to arrive, and serves nobody after its start. The new test failed before ("no answer in 1s") and passes; the tests of the ports pass.

--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -1,18 +1,18 @@
 //! The platform over HTTP.
 
 use {
-    crate::{InstanceList, Listed, ListedState, ObjectStore, PlatformError, TableService},
+    crate::{
+        CallError, InstanceList, KeptClient, Listed, ListedState, ObjectStore, Patience,
+        PlatformError, TableService,
+    },
     bytes::Bytes,
     citron_wire::table::{ChangesWire, CommitAnswerWire, CommitWire, LogWire, StoredWire},
-    http::{Method, Request, StatusCode, header},
-    http_body_util::{BodyExt, Full, Limited},
-    hyper_util::rt::TokioIo,
+    http::{Method, Request, StatusCode},
     serde::{Deserialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, time::timeout},
 };
 
-/// How long one call may take.
+/// How long the begin of an answer may take, and each further part of it.
 const CALL_TIME: Duration = Duration::from_millis(1_000);
 /// The largest answer that is read.
 const MAX_ANSWER: usize = 64 << 20;
@@ -127,44 +127,25 @@
     serde_json::from_slice(bytes).map_err(|error| PlatformError::Answer(error.to_string()))
 }
 
+/// Each call has a client, and so a connection, of its own.
 async fn call(
     address: SocketAddr,
     method: Method,
     path: &str,
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), PlatformError> {
-    let call = exchange(address, method, path, body);
-    let late = |_| PlatformError::Unsettled(format!("no answer in {CALL_TIME:?}"));
-    timeout(CALL_TIME, call).await.map_err(late)?
+    let request = Request::builder().method(method).uri(path).body(body);
+    let request = request.map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    let mut patience = Patience::new(CALL_TIME, CALL_TIME);
+    let client = KeptClient::new(address, MAX_ANSWER);
+    let answer = client.fetch(request, &mut patience).await;
+    let (head, bytes) = answer.map_err(failed)?.into_parts();
+    Ok((head.status, bytes))
 }
 
-async fn exchange(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> Result<(StatusCode, Bytes), PlatformError> {
-    let connected = TcpStream::connect(address).await;
-    let stream = connected.map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = shaken.map_err(unsettled)?;
-    let driver = tokio::spawn(connection);
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(body))
-        .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-    let response = sender.send_request(request).await.map_err(unsettled)?;
-    let status = response.status();
-    let limited = Limited::new(response.into_body(), MAX_ANSWER)
-        .collect()
-        .await;
-    let bytes = limited.map_err(|error| PlatformError::Unsettled(error.to_string()))?;
-    driver.abort();
-    Ok((status, bytes.to_bytes()))
-}
-
-fn unsettled(error: hyper::Error) -> PlatformError {
-    PlatformError::Unsettled(error.to_string())
+fn failed(error: CallError) -> PlatformError {
+    match error {
+        CallError::NotSent(reason) => PlatformError::Unreachable(reason),
+        CallError::Unknown(reason) => PlatformError::Unsettled(reason),
+    }
 }
--- a/crates/ports/tests/table.rs
+++ b/crates/ports/tests/table.rs
@@ -8,6 +8,10 @@
     citron_fakes::{link::Link, platform::PlatformServer},
     citron_ports::{HttpPlatform, LaneStore, Memory, PlatformError, TableService, TableStore},
     std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
 };
 
 fn domain(name: &str, by: &str) -> Row {
@@ -207,3 +211,28 @@
     let lost = loser.commit(write(domain("a", "two"), made)).await;
     assert_eq!(told(lost), format!("lost, domain/a is at {won}"));
 }
+
+/// Sends a table in so many parts, the whole of which takes longer than a part may.
+async fn send_slowly(listener: TcpListener) {
+    const PARTS: usize = 30;
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let table = r#"{"since":0,"revision":7,"rows":[]}"#;
+    let length = PARTS + table.len();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..PARTS {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        stream.write_all(b" ").await.unwrap();
+    }
+    stream.write_all(table.as_bytes()).await.unwrap();
+    let _ = stream.read_to_end(&mut Vec::new()).await;
+}
+
+/// Guards against a table that is begun to be read anew for ever behind a narrow link.
+#[tokio::test]
+async fn a_table_that_keeps_coming_is_read_to_its_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let store = HttpPlatform::new(listener.local_addr().unwrap());
+    tokio::spawn(send_slowly(listener));
+    assert_eq!(store.changes(0).await.unwrap().revision, 7);
+}
