When a table may decide that a request is denied for good

What callers saw: 404 for routes that a newer configuration had, from an instance that had not read it for a minute and told nobody that it might lag.

Change: core/freshness decides whether what is known of a table is good enough for a final negative answer. It is not while its age is unknown or above an outage, another instance has told of a newer version, or the newest row could not be read. Nothing uses it yet.

--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -9,6 +9,7 @@
 mod behind;
 mod book;
 mod fetches;
+mod standing;
 mod times;
 
 pub use {
@@ -16,5 +17,6 @@
     behind::Behind,
     book::{Age, Freshness, Gap},
     fetches::{Fetch, FetchTimes, Fetches},
+    standing::{Doubt, Newer, Newest, Standing},
     times::{FreshnessTimes, HearTimes, Role},
 };
--- /dev/null
+++ b/crates/core/tests/standing.rs
@@ -0,0 +1,99 @@
+//! When a table may decide that a request is denied for good, in virtual time.
+
+use {
+    citron_core::{
+        freshness::{Doubt, Freshness, FreshnessTimes, Newer, Newest, Standing},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+const TIMES: FreshnessTimes = FreshnessTimes::STANDARD;
+
+/// A table of an instance, by what it was told.
+struct Table {
+    fresh: Freshness<1>,
+    newest: Newest,
+}
+
+impl Table {
+    fn new() -> Self {
+        let fresh = Freshness::new(TIMES);
+        let newest = Newest::default();
+        Self { fresh, newest }
+    }
+
+    /// The store tells all up to a version, in a call that began then.
+    fn store(&mut self, version: u64, begun: Time) {
+        self.fresh.told(0, begun);
+        self.newest.known(version);
+    }
+
+    fn doubt(&self, now: Time) -> Option<Doubt> {
+        let age = self.fresh.age(0, now);
+        let newer = self.newest.newer();
+        Standing { age, newer }.doubt(&TIMES)
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+/// Guards against a denial by a table that was never read.
+#[test]
+fn a_table_of_unknown_age_denies_nothing() {
+    let mut table = Table::new();
+    assert_eq!(table.doubt(at(5)), Some(Doubt::Unread));
+    table.newest.known(7);
+    assert_eq!(table.doubt(at(5)), Some(Doubt::Unread));
+}
+
+/// Guards against a denial by a table whose changes no longer arrive.
+#[test]
+fn a_table_denies_only_as_long_as_the_store_is_heard_of() {
+    let mut table = Table::new();
+    table.store(7, at(100));
+    assert_eq!(table.doubt(at(1_600)), None);
+    let old = Some(Doubt::Old(Duration::from_millis(1_501)));
+    assert_eq!(table.doubt(at(1_601)), old);
+    table.store(7, at(1_700));
+    assert_eq!(table.doubt(at(1_701)), None);
+}
+
+/// Guards against a denial by a table that others have a newer version of, until it has
+/// come whole.
+#[test]
+fn a_table_that_is_behind_denies_nothing() {
+    let mut table = Table::new();
+    table.store(7, at(0));
+    table.newest.told(7);
+    assert_eq!(table.doubt(at(10)), None);
+    table.newest.told(12);
+    table.newest.told(9);
+    table.store(9, at(20));
+    assert_eq!(table.doubt(at(30)), Some(Doubt::Behind));
+    table.store(15, at(40));
+    assert_eq!(table.doubt(at(50)), None);
+    // Others that are behind in their turn say nothing about this one.
+    table.newest.told(12);
+    assert_eq!(table.doubt(at(60)), None);
+}
+
+/// Guards against a denial by the last good version while a newer one cannot be read.
+#[test]
+fn a_newer_row_that_cannot_be_read_denies_nothing() {
+    let mut table = Table::new();
+    table.store(7, at(0));
+    table.newest.unreadable(8);
+    table.store(8, at(10));
+    assert_eq!(table.doubt(at(20)), Some(Doubt::Unreadable));
+    table.newest.told(9);
+    assert_eq!(table.doubt(at(30)), Some(Doubt::Unreadable));
+    table.newest.read(7);
+    assert_eq!(table.doubt(at(40)), Some(Doubt::Unreadable));
+    table.newest.read(9);
+    table.store(9, at(50));
+    assert_eq!(table.doubt(at(60)), None);
+    assert_eq!(table.newest.newer(), Newer::None);
+}
