No request is denied by a configuration that may be out of date

What callers saw: 404 to routes of the configuration in force, from instances that had not read it; no caller tries again after that.

Cause: a request that the configuration does not allow was denied whatever the age of the configuration, and though others had told of a newer one.

Change: what the configuration decides (no route, no key, a head or body that is too large, with nothing sent) is refused with 503 and Retry-After while its standing is not good, or a newer one came into force meanwhile. Control shares the standing with traffic as atomics, and notes the age of a table once what it vouches for is in force: before, the age was new while the new configuration was still being read. A body that turns out too large when a part of it was sent is denied as before. The line C0500 tells the doubt, the ages and the version.

Evidence: an_instance_that_may_lag_denies_no_route and an_instance_that_cannot_read_the_newest_configuration_denies_no_route failed before ("not within ten seconds: the route is not denied") and pass.

--- a/crates/citronproxy/src/edge/as_of.rs
+++ b/crates/citronproxy/src/edge/as_of.rs
@@ -1,33 +1,56 @@
 //! As of when the tables are known that requests are decided by.
 
 use {
-    citron_core::{freshness::Age, time::Time},
+    citron_core::{
+        freshness::{Age, Newer, Standing},
+        time::Time,
+    },
     std::{
         fmt,
-        sync::atomic::{AtomicU64, Ordering},
+        sync::atomic::{AtomicU8, AtomicU64, Ordering},
         time::Duration,
     },
 };
 
 /// The moments as of which an instance knows the tables of configuration, servers
-/// and owners of keys. Control writes them with each answer, traffic reads them with
-/// each answer of its own.
+/// and owners of keys, and whether a newer configuration is known of. Control writes
+/// them with each answer, traffic reads them with each answer of its own.
+///
+/// Each is written after what it vouches for: the view before [`Newer::None`], and
+/// that before the moments. Readers go the other way.
 #[derive(Debug, Default)]
 pub struct AsOf {
     /// Microseconds and one more; 0 if the table was never read.
     moments: [AtomicU64; 3],
+    newer: AtomicU8,
 }
 
 impl AsOf {
     /// A table, by its place among the watched ones, is known as of a moment.
     pub fn note(&self, table: usize, moment: Time) {
-        self.moments[table].store(moment.as_micros() + 1, Ordering::Relaxed);
+        self.moments[table].store(moment.as_micros() + 1, Ordering::Release);
+    }
+
+    /// What is known of newer configurations.
+    pub fn note_newer(&self, newer: Newer) {
+        self.newer.store(newer as u8, Ordering::Release);
+    }
+
+    /// How current the configuration is.
+    pub fn config(&self, now: Time) -> Standing {
+        let age = self.ages(now).config;
+        let newer = match self.newer.load(Ordering::Acquire) {
+            told if told == Newer::Told as u8 => Newer::Told,
+            unreadable if unreadable == Newer::Unreadable as u8 => Newer::Unreadable,
+            _ => Newer::None,
+        };
+        Standing { age, newer }
     }
 
     /// How old what is known is.
     pub fn ages(&self, now: Time) -> Ages {
         let age = |moment: &AtomicU64| {
-            let micros = moment.load(Ordering::Relaxed).checked_sub(1)?;
+            let micros = moment.load(Ordering::Acquire).checked_sub(1)?;
             Some(now - Time::from_micros(micros))
         };
         let [config, servers, keys] = self.moments.each_ref().map(age);
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -140,6 +140,7 @@
         let sender = (name.clone(), Incarnation(heartbeat.start));
         node.board.crashes().merge(sender, crashes.into(), now);
     }
+    node.hear_newest(&heartbeat);
     refresh::hear_ages(node, &heartbeat);
     relay::catch_up(node, from, &heartbeat);
     let new = node
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -30,7 +30,7 @@
     /// that began at `begun`.
     pub fn take_over(&self, at: usize, table: TableWire, begun: Time) {
         let (newest, whole) = (table.changed, table.whole);
-        self.known_elsewhere(at, table.age.into(), begun);
+        self.known_from(at, table.age.into(), begun);
         let changed = self.merge(at, table.into(), newest, whole);
         if self.take_rows(at, &changed) {
             self.questions.missed(at, begun);
@@ -38,6 +38,7 @@
                 self.hurry.notify_one();
             }
         }
+        self.note_known(at);
     }
 
     /// Brings the copy of a table up to date; the changed rows.
@@ -77,9 +78,11 @@
             Ok(None) => return,
             Err(error) => {
                 log::error!("{} {error}", events::CONFIG_REFUSED);
+                state.newest.unreadable(row.version);
                 return;
             }
         };
+        state.newest.read(row.version);
         let known = state.config.as_ref().map(|config| config.version);
         if known.is_none_or(|known| config.version > known) {
             log::info!("{} version {}", events::CONFIG, config.version);
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -9,7 +9,7 @@
         mirror::Mirror,
         peers::Peers,
         planner, refresh, relay,
-        watch::{self, RANGES, SERVERS, WATCHED},
+        watch::{self, CONFIG, RANGES, SERVERS, WATCHED},
     },
     crate::{
         clock::Clock,
@@ -17,7 +17,7 @@
         events,
     },
     citron_core::{
-        freshness::{Beats, Freshness, FreshnessTimes, Gap, Sender},
+        freshness::{Beats, Freshness, FreshnessTimes, Gap, Newest, Sender},
         id::{InstanceId, ServerName, ServiceName},
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
@@ -88,6 +88,8 @@
     pub times: StoreClock,
     /// As of when the watched tables are known.
     pub fresh: Freshness<{ WATCHED.len() }>,
+    /// The newest configuration that was heard of.
+    pub newest: Newest,
 }
 
 /// The control thread's centre.
@@ -189,6 +191,7 @@
             formers: BTreeMap::new(),
             times: StoreClock::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
+            newest: Newest::default(),
         };
         Self {
             adapter,
@@ -248,29 +251,50 @@
             }
         }
         self.take(at, set, whole);
+        (0..WATCHED.len()).for_each(|at| self.note_known(at));
     }
 
     /// A table is known as of a moment. To be called before what it tells is taken in:
     /// entries that are missing after an outage may have lapsed in it.
     fn known_as_of(&self, at: usize, moment: Time) {
         let gap = self.state.borrow_mut().fresh.told(at, moment);
-        self.note_known(at);
         self.outage_over(at, gap);
     }
 
     /// Another instance, whose table is the same, says how old it is.
     pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, now: Time) {
-        let gap = self.state.borrow_mut().fresh.heard(at, age, now);
+        self.known_from(at, age, now);
         self.note_known(at);
+    }
+
+    /// As [`Self::known_elsewhere`], before the other's table is taken in.
+    pub fn known_from(&self, at: usize, age: Option<Duration>, now: Time) {
+        let gap = self.state.borrow_mut().fresh.heard(at, age, now);
         self.outage_over(at, gap);
     }
 
-    fn note_known(&self, at: usize) {
-        if let Some(moment) = self.state.borrow().fresh.known(at) {
+    /// Tells traffic how current a table is. To be called once what is known is in
+    /// force: traffic would deny requests by the old table as if it were the new one.
+    pub fn note_known(&self, at: usize) {
+        let mut state = self.state.borrow_mut();
+        if at == CONFIG {
+            let mirror = &state.mirrors[CONFIG];
+            let known = mirror.version.max(mirror.changed);
+            state.newest.known(known);
+            self.board.as_of().note_newer(state.newest.newer());
+        }
+        if let Some(moment) = state.fresh.known(at) {
             self.board.as_of().note(at, moment);
         }
     }
 
+    /// Another instance says which configuration it has.
+    pub fn hear_newest(&self, heartbeat: &Heartbeat) {
+        let mut state = self.state.borrow_mut();
+        state.newest.told(heartbeat.versions[CONFIG]);
+        self.board.as_of().note_newer(state.newest.newer());
+    }
+
     fn outage_over(&self, at: usize, gap: Option<Gap>) {
         let Some(gap) = gap.filter(|_| at == SERVERS) else {
             return;
--- a/crates/citronproxy/src/edge/traffic/answer.rs
+++ b/crates/citronproxy/src/edge/traffic/answer.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// When to come back to an instance whose configuration may be out of date.
+pub const START_AGAIN: Duration = Duration::from_millis(500);
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum AnswerBody {
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -18,7 +18,9 @@
         },
     },
     citron_core::{
+        freshness::{Doubt, FreshnessTimes},
         id::ServiceName,
+        routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
     },
     citron_ports::HeaderNames,
@@ -102,6 +104,19 @@
         self.board.as_of().ages(self.clock.now())
     }
 
+    /// Why the configuration that a request was decided by may be out of date; `None`
+    /// for a version if that does not matter.
+    pub fn doubt(&self, decided_by: Option<ConfigVersion>) -> Option<Doubt> {
+        let standing = self.board.as_of().config(self.clock.now());
+        if let Some(doubt) = standing.doubt(&FreshnessTimes::STANDARD) {
+            return Some(doubt);
+        }
+        // Read last: what the standing vouches for is in force.
+        let in_force = self.board.view()?.config.version;
+        let replaced = decided_by.is_some_and(|version| version < in_force);
+        replaced.then_some(Doubt::Behind)
+    }
+
     /// The id of a request, for logs; `-` if it has none.
     pub fn id<'a>(&self, head: &'a Parts) -> &'a str {
         let id = head.headers.get(&self.headers.request_id);
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -2,19 +2,16 @@
 
 use {
     super::{
-        answer::{AnswerBody, come_back},
+        answer::AnswerBody,
         call::Call,
-        denial::Denial,
+        denial::{Denial, refuse},
         exchange::Message,
         front::Front,
     },
-    crate::{
-        events,
-        traffic::{
-            guard::Refusal,
-            request::{host, prepare},
-            upload::Source,
-        },
+    crate::traffic::{
+        guard::Refusal,
+        request::{host, prepare},
+        upload::Source,
     },
     citron_core::{
         ranges::RangeKey,
@@ -34,8 +31,6 @@
 const KEEP: usize = 512 * 1_024;
 /// How long before a caller with unknown patience is given up.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// When to come back to an instance that knows nothing yet.
-const START_AGAIN: Duration = Duration::from_millis(500);
 
 /// Answers a caller's request.
 pub async fn serve(front: Rc<Front>, head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
@@ -65,7 +60,7 @@
         return Denial::Message(refusal).answer(front, &head, None);
     }
     let Some(view) = front.board.view() else {
-        return unconfigured(front, &head);
+        return refuse(front, &head, None, "no configuration is known yet");
     };
     let config = &view.config;
     let deny = |denial: Denial, head| denial.answer(front, head, Some(config.version));
@@ -84,6 +79,7 @@
     prepare(&mut head);
     let answer = call(front, config, rule, &head, &source, begun, deadline).await;
     match bad_body(&source) {
+        Some(Denial::Large) => deny(Denial::Outgrown, &head),
         Some(denial) => deny(denial, &head),
         None => answer,
     }
@@ -136,13 +132,6 @@
     call.run().await
 }
 
-fn unconfigured(front: &Front, head: &Parts) -> Response<AnswerBody> {
-    let reason = "no configuration is known yet";
-    let (id, again) = (front.id(head), START_AGAIN);
-    log::info!("{} id={id} again={again:?}: {reason}", events::REFUSED);
-    come_back(again, reason)
-}
-
 /// How long the caller goes on waiting.
 fn patience(front: &Front, head: &Parts) -> Duration {
     let millis = number::<u64>(head, &front.headers.deadline);
