An answer without the request's id reaches no caller

Callers got a 302, 400, 404 or 500 that was no answer to their request: what a server sent late, or what else listens at its address now. Any answer without success was passed on if it named no request. Only refusals need not name theirs; whatever else names none now counts as lost: it may have run, the connection is not kept, and what may be repeated is asked for elsewhere. Requests without an id are as before.

Failed before: an_answer_without_the_request_s_id_is_passed_on_to_nobody (302 for 502) and a_request_that_got_a_stray_answer_is_repeated_elsewhere (404 for 200). Bytes behind a complete answer, interim answers, and refusals that come while a connection is idle were handled; the tests of them passed before. A refusal without an id that crosses the request on the way can't be told from the request's own.

--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -296,12 +296,11 @@
     let (mut head, body) = response.into_parts();
     kept.connection().told = kept_for(&head.headers);
     if !is_answer_to(front, message, &head) {
-        // A late or doubled answer to an earlier request: this one's may come
+        // A late or doubled answer, or bytes behind one: this request's may come
         // after it, or never.
-        return Ended::Not(TryEnd::Lost("an answer to another request".to_string()));
+        return Ended::Not(TryEnd::Lost("not this request's answer".to_string()));
     }
-    let promised = head.headers.contains_key(&front.headers.not_run);
-    if promised || head.status == StatusCode::MISDIRECTED_REQUEST {
+    if is_refusal(front, &head) {
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         drain(kept, body).await;
         return Ended::Not(match misdirected {
@@ -319,10 +318,16 @@
     match head.headers.get(name) {
         Some(echoed) => Some(echoed) == asked,
         // Refusals need not name their request, but answers do.
-        None => asked.is_none() || !head.status.is_success(),
+        None => asked.is_none() || is_refusal(front, head),
     }
 }
 
+/// Whether the server says that it has not run the request.
+fn is_refusal(front: &Front, head: &http::response::Parts) -> bool {
+    let promised = head.headers.contains_key(&front.headers.not_run);
+    promised || head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Reads the short body of a refusal, so that the connection can be kept.
 async fn drain(kept: Kept, body: Incoming) {
     let end = http_body_util::Limited::new(body, WHOLE_MAX)
