A switch of protocols is no answer

A caller got a server's 101 passed on with the request's id, and waited for a final answer that never came. `Upgrade` is not passed on, so nobody asked for the switch: it counts as lost now, as on the other request path.

Failed before: a_switch_of_protocols_is_no_answer (101 for 502).

--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -300,6 +300,10 @@
         // after it, or never.
         return Ended::Not(TryEnd::Lost("not this request's answer".to_string()));
     }
+    // Nobody asked for it: `Upgrade` is not passed on.
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Ended::Not(TryEnd::Lost("a switch of protocols".to_string()));
+    }
     if is_refusal(front, &head) {
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         drain(kept, body).await;
