Words: heartbeat, received bytes

Comments and pages said "sign of life" for three things: a heartbeat between instances, an instance's report, and bytes received on a connection. Each now has its usual name. Comments and pages only.

--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -1,4 +1,4 @@
-//! Signs of life between instances, over UDP.
+//! Heartbeats between instances, over UDP.
 
 use {
     super::{
--- a/crates/citronproxy/src/edge/control/heartbeat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -17,13 +17,13 @@
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// A sign of life.
+    /// A heartbeat.
     Heartbeat(Heartbeat),
     /// Keys that callers asked for, to the planner.
     Keys(Vec<KeysWire>),
 }
 
-/// A sign of life, with what others need to know.
+/// Sent at fixed times, with what others need to know.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name of the sender.
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -1,4 +1,4 @@
-//! Other instances, as their signs of life tell.
+//! Other instances, as their heartbeats tell.
 
 use {
     super::heartbeat::Heartbeat,
@@ -66,7 +66,7 @@
         peer.domain = domain.or(peer.domain.take());
     }
 
-    /// Takes in a sign of life; whether the sender was lost, unknown or another
+    /// Takes in a heartbeat; whether the sender was lost, unknown or another
     /// start before.
     pub fn heard(
         &mut self,
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -28,7 +28,7 @@
 /// told to come back: an eighth of it costs the caller nothing worth naming.
 const ROOM_PART: u32 = 8;
 /// How often room is looked for, besides whenever a request ends here: others'
-/// loads come with their signs of life.
+/// loads come with their heartbeats.
 const ROOM_LOOK: Duration = Duration::from_millis(25);
 /// When a caller comes back whose key changes hands, or has no owner.
 const MOVE_AGAIN: Duration = Duration::from_millis(300);
--- a/crates/citronproxy/src/traffic/call.rs
+++ b/crates/citronproxy/src/traffic/call.rs
@@ -199,7 +199,7 @@
     }
 
     /// Suspects the old connections of a server if a request on one of them got
-    /// no sign of life until its time was up.
+    /// no bytes until its time was up.
     fn note_silence(&self, event: Event) {
         if let (Event::TimedOut(Try(1), _), Some((begun, address))) =
             (event, self.tries.reused.get().copied())
@@ -259,7 +259,7 @@
 }
 
 /// Resolves when a try on a connection that was used before should have its
-/// answer by all experience, or has shown no sign of life for too long.
+/// answer by all experience, or has received nothing for too long.
 async fn hedge_due(tries: &Tries) {
     let (begun, address) = tries.reused().await;
     let state = &tries.state;
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -27,8 +27,8 @@
 /// How long before the end that a server has told a connection is used no more:
 /// it tells whole seconds, and a request must arrive before it closes.
 const TOLD_MARGIN: Duration = Duration::from_secs(1);
-/// How recent a sign of life a request needs that may run only once. Younger
-/// than the time after which middle boxes forget a connection, by far.
+/// How recently a connection must have received bytes to carry a request that may
+/// run only once: far below the time after which middle boxes forget a connection.
 const FRESH_TIME: Duration = Duration::from_secs(1);
 /// How long a new connection may take.
 const CONNECT_TIME: Duration = Duration::from_secs(3);
@@ -93,11 +93,11 @@
 /// Which idle connections a request may go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
-    /// Those that showed a sign of life within this time, or within the time that
+    /// Those that received bytes within this time, or within the time that
     /// the server keeps them if that is shorter.
     Within(Duration),
     /// Those that the server still keeps by its own word; without any, those that
-    /// showed a sign of life within this time.
+    /// received bytes within this time.
     Told(Duration),
     /// None.
     Never,
@@ -106,7 +106,7 @@
 impl Reuse {
     /// Any that is not known to be closed.
     pub const ANY: Self = Self::Within(IDLE_TIME);
-    /// Those that showed a sign of life just now: on one that went silent the
+    /// Those that received bytes just now: on one that went silent the
     /// request would be lost, and could not be sent again.
     pub const FRESH: Self = Self::Within(FRESH_TIME);
 }
--- a/crates/citronproxy/tests/exchange.rs
+++ b/crates/citronproxy/tests/exchange.rs
@@ -171,7 +171,7 @@
 }
 
 /// The same, but the connection has been idle, and the request may run only once:
-/// it is not put on a connection without a fresh sign of life.
+/// it is not put on a connection that has received nothing lately.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_run_once_avoids_old_connections() {
     let silent = vec![Act::Request, Act::answer("one"), Act::Hang];
--- a/crates/citronproxy/tests/parts.rs
+++ b/crates/citronproxy/tests/parts.rs
@@ -15,7 +15,7 @@
 
 const PAUSE: Duration = Duration::from_millis(30);
 const PATIENCE: Duration = Duration::from_secs(40);
-/// At least so long after an instance's last sign of life its part is its own.
+/// At least so long after an instance's last report its part is its own.
 /// Reports count for 2 s and come each 0.5 s; the rest is for a busy machine.
 const KEPT: Duration = Duration::from_millis(500);
 
--- a/crates/core/src/health/links.rs
+++ b/crates/core/src/health/links.rs
@@ -2,10 +2,10 @@
 
 use {crate::time::Time, std::time::Duration};
 
-/// How long after its last sign of life a connection may still take a request
+/// How long after it last received bytes a connection may still take a request
 /// that is not idempotent.
 const TRUST: Duration = Duration::from_secs(5);
-/// How long after its last sign of life a connection is kept at all.
+/// How long after it last received bytes a connection is kept at all.
 const KEEP: Duration = Duration::from_secs(60);
 /// A wait for an answer is a silence after this, at least.
 const SILENCE_LEAST: Duration = Duration::from_secs(1);
--- a/crates/core/src/health/server.rs
+++ b/crates/core/src/health/server.rs
@@ -57,7 +57,7 @@
         true
     }
 
-    /// Counts a sign of life that says nothing about the latency.
+    /// Counts an answer that says nothing about the latency.
     pub fn alive(&mut self) {
         self.failures = 0;
     }
