Heads may be as large as the configuration in force allows

What callers saw: 431 to a head that the operators allow, on a connection that was open when they allowed it, or that was begun before any configuration; and to any head above 64 KiB, whatever they allow.

Cause: the limit was fixed at a connection's begin, and the HTTP library's buffer was fixed for good.

Change: the limit is asked for at each read of a head (Service::head_max). The buffer is as large as the limit at the connection's begin, 64 KiB at least. A head that is allowed since and does not fit is refused with 503 and Retry-After on that connection, which ends: a new one takes it. The other request path has fixed limits, as before.

--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -282,9 +282,15 @@
     fn may_begin(&self, head: &Parts) -> bool {
         proxy::may_begin(&self.0, head)
     }
+
+    fn head_max(&self) -> usize {
+        let view = self.0.board.view();
+        view.map_or(Limits::default().head, |view| view.config.limits.header)
+    }
 }
 
-/// What a caller may take up, by the configuration at its connection's begin.
+/// What a caller may take up, by the configuration at its connection's begin. How
+/// large a head may be is asked again for each.
 fn limits(front: &Front) -> Limits {
     let mut limits = Limits::default();
     if let Some(view) = front.board.view() {
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -56,8 +56,10 @@
 
 async fn route(front: &Front, mut head: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
     let begun = front.clock.now();
-    if let Some(refusal) = Refusal::of_path(head.uri.path()) {
-        return Denial::Message(refusal).answer(front, &head, None);
+    match Refusal::of_path(head.uri.path()) {
+        None => {}
+        Some(Refusal::Room) => return refuse(front, &head, None, &Refusal::Room.to_string()),
+        Some(refusal) => return Denial::Message(refusal).answer(front, &head, None),
     }
     let Some(view) = front.board.view() else {
         return refuse(front, &head, None, "no configuration is known yet");
--- a/crates/citronproxy/src/traffic/connection.rs
+++ b/crates/citronproxy/src/traffic/connection.rs
@@ -18,7 +18,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
-        cell::RefCell,
+        cell::{RefCell, RefMut},
         collections::VecDeque,
         convert::Infallible,
         error::Error,
@@ -34,7 +34,8 @@
     },
 };
 
-/// Bytes that are buffered of one caller's connection, each way.
+/// Bytes that are buffered of one caller's connection, each way, unless heads may be
+/// larger.
 const BUFFER_MAX: usize = 64 * 1_024;
 
 /// What answers the requests of a connection.
@@ -51,6 +52,9 @@
 
     /// Whether a request without a body may be answered while one before it is not.
     fn may_begin(&self, head: &Parts) -> bool;
+
+    /// Bytes that a request's head may have now: connections outlive settings.
+    fn head_max(&self) -> usize;
 }
 
 /// Answers a caller's requests until it closes the connection, or until `closing`
@@ -65,8 +69,9 @@
         log::debug!("a caller's connection: {error}");
         return;
     }
+    let buffer = limits.head.max(BUFFER_MAX);
     let caller = Rc::new(Caller {
-        guard: RefCell::new(GuardStream::new(stream, limits)),
+        guard: RefCell::new(GuardStream::new(stream, limits, buffer)),
         early: RefCell::default(),
         service,
     });
@@ -75,7 +80,7 @@
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle)
-            .max_buf_size(BUFFER_MAX)
+            .max_buf_size(buffer)
             .serve_connection(
                 TokioIo::new(Guarded(Rc::clone(&caller))),
                 service_fn(answer)
@@ -146,10 +151,17 @@
         Ok(answer)
     }
 
+    /// The guard, to read heads that are allowed now.
+    fn reading(&self) -> RefMut<'_, GuardStream> {
+        let mut guard = self.guard.borrow_mut();
+        guard.allow_head(self.service.head_max());
+        guard
+    }
+
     /// Begins what has come behind the request under way.
     fn poll_ahead(&self, cx: &mut Context<'_>) {
         loop {
-            let told = self.guard.borrow_mut().poll_ahead(cx);
+            let told = self.reading().poll_ahead(cx);
             match told {
                 Poll::Ready(Some(bytes)) => {
                     let early = self.begin(&bytes);
@@ -184,7 +196,7 @@
         cx: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.guard.borrow_mut()).poll_read(cx, out)
+        Pin::new(&mut *self.0.reading()).poll_read(cx, out)
     }
 }
 
--- a/crates/citronproxy/src/traffic/guard/ahead.rs
+++ b/crates/citronproxy/src/traffic/guard/ahead.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Refusal,
+        HeadSize, Refusal,
         head::{self, Framing},
     },
     bytes::Bytes,
@@ -29,12 +29,12 @@
 
 impl Ahead {
     /// The next head that was not told yet.
-    pub fn next(&mut self, unread: &[u8], max: usize) -> Option<Bytes> {
+    pub fn next(&mut self, unread: &[u8], size: HeadSize) -> Option<Bytes> {
         if self.stopped || self.count >= MOST {
             return None;
         }
         let rest = &unread[self.told..];
-        match find(rest, self.scanned, max) {
+        match find(rest, self.scanned, size) {
             Ok(None) => {
                 self.scanned = rest.len();
                 None
@@ -74,12 +74,13 @@
 pub fn find(
     unread: &[u8],
     scanned: usize,
-    max: usize,
+    size: HeadSize,
 ) -> Result<Option<(usize, Framing)>, Refusal> {
+    let max = size.max();
     let end = head::end(&unread[..unread.len().min(max)], scanned)?;
     match end {
         Some(end) => Ok(Some((end, head::check(&unread[..end])?))),
-        None if unread.len() >= max => Err(Refusal::Large),
+        None if unread.len() >= max => Err(size.refusal()),
         None => Ok(None),
     }
 }
--- a/crates/citronproxy/src/traffic/guard/mod.rs
+++ b/crates/citronproxy/src/traffic/guard/mod.rs
@@ -11,6 +11,7 @@
 mod chunks;
 mod head;
 mod refusal;
+mod size;
 mod stream;
 
-pub use {refusal::Refusal, stream::GuardStream};
+pub use {refusal::Refusal, size::HeadSize, stream::GuardStream};
--- a/crates/citronproxy/src/traffic/guard/refusal.rs
+++ b/crates/citronproxy/src/traffic/guard/refusal.rs
@@ -26,10 +26,12 @@
     Host,
     /// A head that is too large.
     Large,
+    /// A head that is allowed by now, and too large for a connection that is older.
+    Room,
 }
 
 impl Refusal {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Byte,
         Self::Line,
         Self::Name,
@@ -39,12 +41,14 @@
         Self::Both,
         Self::Host,
         Self::Large,
+        Self::Room,
     ];
 
     /// The status of the answer.
     pub fn status(self) -> StatusCode {
         match self {
             Self::Large => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::Room => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -79,6 +83,7 @@
             Self::Both => "Content-Length and Transfer-Encoding are both given",
             Self::Host => "Host is missing or repeated",
             Self::Large => "the head is too large",
+            Self::Room => "the head is too large for this connection, not for a new one",
         })
     }
 }
--- a/crates/citronproxy/src/traffic/guard/stream.rs
+++ b/crates/citronproxy/src/traffic/guard/stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Refusal,
+        HeadSize, Refusal,
         ahead::{self, Ahead},
         chunks::Chunks,
         head::Framing,
@@ -51,6 +51,7 @@
 pub struct GuardStream {
     stream: TcpStream,
     limits: Limits,
+    head: HeadSize,
     mode: Mode,
     /// Read, and not passed on yet.
     unread: BytesMut,
@@ -69,11 +70,13 @@
 }
 
 impl GuardStream {
-    /// Guards a socket.
-    pub fn new(stream: TcpStream, limits: Limits) -> Self {
+    /// Guards a socket for a reader of heads of up to `room` bytes.
+    pub fn new(stream: TcpStream, limits: Limits, room: usize) -> Self {
+        let allowed = limits.head;
         Self {
             stream,
             limits,
+            head: HeadSize { allowed, room },
             mode: Mode::Head(0),
             unread: BytesMut::new(),
             checked: 0,
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Heads may have so many bytes from now on.
+    pub fn allow_head(&mut self, bytes: usize) {
+        self.head.allowed = bytes;
+    }
+
     /// The answer to a request begins to be worked out; whether the request was
     /// told ahead of its turn. Until [`Self::answered`] no further head is passed
     /// on; heads are told by [`Self::poll_ahead`] if `ahead` allows it.
@@ -107,7 +115,7 @@
     /// `None` if the caller has gone: its requests are to be given up.
     pub fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
         while self.is_held() && !self.over {
-            if let Some(head) = self.ahead.next(&self.unread, self.limits.head) {
+            if let Some(head) = self.ahead.next(&self.unread, self.head) {
                 return Poll::Ready(Some(head));
             }
             if self.unread.len() >= READ_AHEAD {
@@ -141,7 +149,7 @@
     /// Checks the unread bytes as far as they go.
     fn check(&mut self) -> io::Result<()> {
         match &mut self.mode {
-            Mode::Head(scanned) => match ahead::find(&self.unread, *scanned, self.limits.head) {
+            Mode::Head(scanned) => match ahead::find(&self.unread, *scanned, self.head) {
                 Ok(None) => *scanned = self.unread.len(),
                 Ok(Some((end, framing))) => self.begin_body(end, framing),
                 Err(refusal) => self.refuse(refusal),
--- a/crates/citronproxy/src/traffic/worker.rs
+++ b/crates/citronproxy/src/traffic/worker.rs
@@ -239,4 +239,8 @@
     fn may_begin(&self, head: &Parts) -> bool {
         self.may_repeat(head)
     }
+
+    fn head_max(&self) -> usize {
+        self.limits().head
+    }
 }
