A newer version that nobody tells of any more raises no doubt for good

What callers would see: 503 instead of 404 to routes that never existed, from an instance that is told nothing else, as long as nothing is written to the store.

Cause: an instance that reads a table whole names the store's version for its newest change; if it ends before others have asked it, nothing they take in reaches that version.

Change: a version that was told of counts until the table is known as of an outage later than that.

--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -191,7 +191,7 @@
             formers: BTreeMap::new(),
             times: StoreClock::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
-            newest: Newest::default(),
+            newest: Newest::new(FreshnessTimes::STANDARD),
         };
         Self {
             adapter,
@@ -281,7 +281,7 @@
             let mirror = &state.mirrors[CONFIG];
             let known = mirror.version.max(mirror.changed);
             state.newest.known(known);
-            self.board.as_of().note_newer(state.newest.newer());
+            self.note_newer(&state);
         }
         if let Some(moment) = state.fresh.known(at) {
             self.board.as_of().note(at, moment);
@@ -291,8 +291,14 @@
     /// Another instance says which configuration it has.
     pub fn hear_newest(&self, heartbeat: &Heartbeat) {
         let mut state = self.state.borrow_mut();
-        state.newest.told(heartbeat.versions[CONFIG]);
-        self.board.as_of().note_newer(state.newest.newer());
+        let now = self.clock.now();
+        state.newest.told(heartbeat.versions[CONFIG], now);
+        self.note_newer(&state);
+    }
+
+    fn note_newer(&self, state: &State) {
+        let newer = state.newest.newer(state.fresh.known(CONFIG));
+        self.board.as_of().note_newer(newer);
     }
 
     fn outage_over(&self, at: usize, gap: Option<Gap>) {
--- a/crates/core/src/freshness/standing.rs
+++ b/crates/core/src/freshness/standing.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Age, FreshnessTimes},
+    crate::time::Time,
     std::time::Duration,
     thiserror::Error,
 };
@@ -75,31 +76,53 @@
 
 /// The newest version of a table that was heard of.
 ///
+/// One that is told of counts until it is taken in, or the table is known as of an
+/// outage after it was last told of: who told may have read all rows, and name the
+/// version of that reading for the newest change, and end before it can be asked.
+///
 /// ```
-/// use citron_core::freshness::{Newer, Newest};
-/// let mut newest = Newest::default();
+/// use citron_core::{freshness::{FreshnessTimes, Newer, Newest}, time::Time};
+/// let mut newest = Newest::new(FreshnessTimes::STANDARD);
+/// let now = Time::from_micros(5_000);
 /// newest.known(7);
-/// newest.told(9);
-/// assert_eq!(newest.newer(), Newer::Told);
+/// newest.told(9, now);
+/// assert_eq!(newest.newer(Some(now)), Newer::Told);
 /// newest.known(9);
-/// assert_eq!(newest.newer(), Newer::None);
+/// assert_eq!(newest.newer(Some(now)), Newer::None);
 /// ```
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Newest {
+    times: FreshnessTimes,
     known: u64,
     told: u64,
+    /// When a newer one was last told of.
+    heard: Time,
     unreadable: Option<u64>,
 }
 
 impl Newest {
+    /// Nothing was heard of.
+    pub fn new(times: FreshnessTimes) -> Self {
+        Self {
+            times,
+            known: 0,
+            told: 0,
+            heard: Time::ZERO,
+            unreadable: None,
+        }
+    }
+
     /// All changes up to a version are taken in.
     pub fn known(&mut self, version: u64) {
         self.known = self.known.max(version);
     }
 
     /// Another instance has a version.
-    pub fn told(&mut self, version: u64) {
-        self.told = self.told.max(version);
+    pub fn told(&mut self, version: u64, now: Time) {
+        if version > self.known {
+            self.told = self.told.max(version);
+            self.heard = now;
+        }
     }
 
     /// A row of this version was read.
@@ -112,12 +135,14 @@
         self.unreadable = self.unreadable.max(Some(version));
     }
 
-    /// What is known of versions newer than the one in force.
-    pub fn newer(&self) -> Newer {
+    /// What is known of versions newer than the one in force, which is known as of a
+    /// moment.
+    pub fn newer(&self, as_of: Option<Time>) -> Newer {
         if self.unreadable.is_some() {
             return Newer::Unreadable;
         }
-        match self.told > self.known {
+        let over = as_of.is_some_and(|as_of| as_of > self.heard + self.times.outage);
+        match self.told > self.known && !over {
             true => Newer::Told,
             false => Newer::None,
         }
--- a/crates/core/tests/standing.rs
+++ b/crates/core/tests/standing.rs
@@ -19,7 +19,7 @@
 impl Table {
     fn new() -> Self {
         let fresh = Freshness::new(TIMES);
-        let newest = Newest::default();
+        let newest = Newest::new(TIMES);
         Self { fresh, newest }
     }
 
@@ -31,7 +31,7 @@
 
     fn doubt(&self, now: Time) -> Option<Doubt> {
         let age = self.fresh.age(0, now);
-        let newer = self.newest.newer();
+        let newer = self.newest.newer(self.fresh.known(0));
         Standing { age, newer }.doubt(&TIMES)
     }
 }
@@ -67,16 +67,16 @@
 fn a_table_that_is_behind_denies_nothing() {
     let mut table = Table::new();
     table.store(7, at(0));
-    table.newest.told(7);
+    table.newest.told(7, at(5));
     assert_eq!(table.doubt(at(10)), None);
-    table.newest.told(12);
-    table.newest.told(9);
+    table.newest.told(12, at(12));
+    table.newest.told(9, at(14));
     table.store(9, at(20));
     assert_eq!(table.doubt(at(30)), Some(Doubt::Behind));
     table.store(15, at(40));
     assert_eq!(table.doubt(at(50)), None);
     // Others that are behind in their turn say nothing about this one.
-    table.newest.told(12);
+    table.newest.told(12, at(55));
     assert_eq!(table.doubt(at(60)), None);
 }
 
@@ -88,12 +88,28 @@
     table.newest.unreadable(8);
     table.store(8, at(10));
     assert_eq!(table.doubt(at(20)), Some(Doubt::Unreadable));
-    table.newest.told(9);
+    table.newest.told(9, at(25));
     assert_eq!(table.doubt(at(30)), Some(Doubt::Unreadable));
     table.newest.read(7);
     assert_eq!(table.doubt(at(40)), Some(Doubt::Unreadable));
     table.newest.read(9);
     table.store(9, at(50));
     assert_eq!(table.doubt(at(60)), None);
-    assert_eq!(table.newest.newer(), Newer::None);
+    assert_eq!(table.newest.newer(Some(at(50))), Newer::None);
+}
+
+/// Guards against a table that is doubted for good since an instance told of a newer one
+/// and ended; and against trust in it while another one still tells.
+#[test]
+fn a_newer_version_that_nobody_tells_of_any_more_is_forgotten() {
+    let mut table = Table::new();
+    table.store(7, at(0));
+    table.newest.told(12, at(100));
+    table.newest.told(10, at(900));
+    table.fresh.told(0, at(2_400));
+    assert_eq!(table.doubt(at(2_400)), Some(Doubt::Behind));
+    table.fresh.told(0, at(2_401));
+    assert_eq!(table.doubt(at(2_401)), None);
+    table.newest.told(10, at(2_500));
+    assert_eq!(table.doubt(at(2_501)), Some(Doubt::Behind));
 }
