Names of hosts are the same in any case

What callers saw: 404, which is final, if they or the operators write the name of a host in capitals (RFC 9110, 4.2.3: not case-sensitive).

Cause: the names were compared as they are.

Change: RouteConfig keeps them in lower case; a name that is found as it is costs nothing more.

Evidence: names_of_hosts_are_the_same_in_any_case failed before (at "Bars.Example") and passes.

--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -51,6 +51,7 @@
     pub version: ConfigVersion,
     /// What callers may send.
     pub limits: ListenerLimits,
+    /// By names in lower case.
     hosts: BTreeMap<String, Vec<Rule>>,
     services: BTreeMap<ServiceName, Cluster>,
 }
@@ -65,6 +66,7 @@
     ) -> Self {
         let mut hosts: BTreeMap<String, Vec<Rule>> = BTreeMap::new();
         for (host, rule) in rules {
+            let host = host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(rule);
         }
         for rules in hosts.values_mut() {
@@ -82,9 +84,13 @@
         }
     }
 
-    /// The rule of the longest prefix that begins the path.
+    /// The rule of the longest prefix that begins the path; the host's name may be in
+    /// any case.
     pub fn rule(&self, host: &str, path: &str) -> Option<&Rule> {
-        let rules = self.hosts.get(host)?;
+        let rules = match self.hosts.get(host) {
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+            Some(rules) => rules,
+        };
         rules.iter().find(|rule| path.starts_with(&rule.prefix))
     }
 
--- /dev/null
+++ b/crates/core/tests/routes.rs
@@ -0,0 +1,46 @@
+//! Which route a request has.
+
+use {
+    citron_core::routes::{ConfigVersion, ListenerLimits, Repeat, RouteConfig, Rule, Split},
+    std::time::Duration,
+};
+
+fn rule(prefix: &str) -> Rule {
+    Rule {
+        name: prefix.to_string(),
+        prefix: prefix.to_string(),
+        repeat: Repeat::Once,
+        split: Split::single("bars".parse().unwrap()),
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        attempts: 1,
+        priority: 0,
+    }
+}
+
+fn config(hosts: &[&str]) -> RouteConfig {
+    let limits = ListenerLimits {
+        header: 1_024,
+        body: 1_024,
+        slow: Duration::from_secs(1),
+        idle: Duration::from_secs(1),
+    };
+    let rules = hosts.iter().map(|host| (host.to_string(), rule("/a/")));
+    RouteConfig::new(ConfigVersion(1), limits, rules, [])
+}
+
+/// Guards against a request without a route as its caller, or the operators, write the
+/// name of the host in capitals.
+#[test]
+fn names_of_hosts_are_the_same_in_any_case() {
+    let config = config(&["bars.example", "KEGS.example"]);
+    for host in [
+        "bars.example",
+        "Bars.Example",
+        "kegs.example",
+        "KEGS.EXAMPLE",
+    ] {
+        assert!(config.rule(host, "/a/1").is_some(), "{host}");
+    }
+    assert!(config.rule("bars.example", "/A/1").is_none());
+}
