Heartbeats that waited make no table younger

What callers saw: 404 to a route of a newer configuration, with the line C0503 telling a configuration some 30 ms old, from an instance that had stood still for three seconds.

Cause: heartbeats wait in the socket while the process stands still. They tell ages as of when they were sent, and were taken as if sent when they were read: tables seemed fresh that had not been heard of for seconds.

Change: what is read after a look for datagrams is more than 200 ms late counts as sent when none was waiting last. Otherwise nothing changes.

Evidence: an_instance_that_stood_still_takes_no_old_word_for_a_new_one failed before ("left: Some(404), right: Some(503)") and passed three times in a row.

--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -10,14 +10,21 @@
     },
     crate::{edge::EdgeError, events},
     citron_core::{
-        freshness::{Beats, Sender},
+        freshness::{Beats, HearTimes, Sender},
         id::{Incarnation, InstanceId},
+        time::Time,
     },
     citron_ports::Adapter,
-    std::{net::SocketAddr, rc::Rc},
+    std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::timeout},
 };
 
+/// Datagrams that are taken before other tasks have their turn.
+const BATCH: usize = 64;
+/// A process that has not looked for datagrams for longer has stood still, and those
+/// that it finds may be as old.
+const STILL: Duration = Duration::from_millis(200);
+
 /// Listens for datagrams.
 ///
 /// # Errors
@@ -101,28 +108,52 @@
 }
 
 async fn receive<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket) {
-    let mut buffer = [0; DATAGRAM_MAX + 1];
+    // When no datagram was waiting.
+    let mut empty = node.clock.now();
     loop {
-        let (size, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("receive a datagram: {error}");
-                continue;
+        let begun = node.clock.now();
+        match timeout(HearTimes::STANDARD.look, socket.readable()).await {
+            Ok(Ok(())) => empty = take_waiting(node, socket, empty),
+            Ok(Err(error)) => log::debug!("receive datagrams: {error}"),
+            Err(_) => empty = begun,
+        }
+    }
+}
+
+/// Takes datagrams that have come since a moment; when none was waiting any more.
+fn take_waiting<A: Adapter>(node: &Rc<Node<A>>, socket: &UdpSocket, empty: Time) -> Time {
+    let mut buffer = [0; DATAGRAM_MAX + 1];
+    for _ in 0..BATCH {
+        let now = node.clock.now();
+        match socket.try_recv_from(&mut buffer) {
+            Ok((size, from)) => {
+                let sent = if now - empty > STILL { empty } else { now };
+                take(node, from, &buffer[..size], sent);
             }
-        };
-        match Datagram::decode(&buffer[..size]) {
-            Some(Datagram::Heartbeat(heartbeat)) => hear(node, from, heartbeat),
-            Some(Datagram::Keys(keys)) => {
-                for part in keys {
-                    node.note_keys(&part.service, &part.keys);
-                }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return now,
+            Err(error) => log::debug!("receive a datagram: {error}"),
+        }
+    }
+    empty
+}
+
+/// Takes a datagram that was sent then, as far as is known.
+fn take<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, bytes: &[u8], sent: Time) {
+    match Datagram::decode(bytes) {
+        Some(Datagram::Heartbeat(heartbeat)) => hear(node, from, heartbeat, sent),
+        Some(Datagram::Keys(keys)) => {
+            for part in keys {
+                node.note_keys(&part.service, &part.keys);
             }
-            None => log::warn!("{} {size} bytes from {from}", events::DATAGRAM_REFUSED),
+        }
+        None => {
+            let size = bytes.len();
+            log::warn!("{} {size} bytes from {from}", events::DATAGRAM_REFUSED);
         }
     }
 }
 
-fn hear<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: Heartbeat) {
+fn hear<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: Heartbeat, sent: Time) {
     let Ok(name) = heartbeat.instance.parse::<InstanceId>() else {
         return;
     };
@@ -141,7 +172,7 @@
         node.board.crashes().merge(sender, crashes.into(), now);
     }
     node.hear_newest(&heartbeat);
-    refresh::hear_ages(node, &heartbeat);
+    refresh::hear_ages(node, &heartbeat, sent);
     relay::catch_up(node, from, &heartbeat);
     let new = node
         .state
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -261,15 +261,15 @@
         self.outage_over(at, gap);
     }
 
-    /// Another instance, whose table is the same, says how old it is.
-    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, now: Time) {
-        self.known_from(at, age, now);
+    /// Another instance, whose table is the same, said then how old it is.
+    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, said: Time) {
+        self.known_from(at, age, said);
         self.note_known(at);
     }
 
     /// As [`Self::known_elsewhere`], before the other's table is taken in.
-    pub fn known_from(&self, at: usize, age: Option<Duration>, now: Time) {
-        let gap = self.state.borrow_mut().fresh.heard(at, age, now);
+    pub fn known_from(&self, at: usize, age: Option<Duration>, said: Time) {
+        let gap = self.state.borrow_mut().fresh.heard(at, age, said);
         self.outage_over(at, gap);
     }
 
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -110,12 +110,11 @@
     }
 }
 
-/// Another instance's heartbeat says how old its tables are.
-pub fn hear_ages<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat) {
-    let now = node.clock.now();
+/// Another instance's heartbeat says how old its tables were when it was sent.
+pub fn hear_ages<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat, sent: Time) {
     for (at, age) in heartbeat.ages.into_iter().enumerate() {
         if heartbeat.versions[at] == node.state.borrow().mirrors[at].changed {
-            node.known_elsewhere(at, age.into(), now);
+            node.known_elsewhere(at, age.into(), sent);
         }
     }
 }
