Tables that instances hand to each other are packed, once for all who fetch the same change

Change: wire/relay has the question, the answer and its two formats. Rows are written and packed by DEFLATE (flate2 with miniz_oxide) from 2 kB on; Packer keeps the last four bodies of each table, cleared with every edit of it, and versions between two changes ask for the same body. The head (versions, age) lies outside. The receiver unpacks 8 MB at most and refuses more rows than fit into that in memory. The first byte is the format's number; /packed/TABLE/AFTER is new, and an instance that answers 404 there is asked at /tables/TABLE/AFTER, which stays as it was (ports/tables). AgeWire moved from the proxy to wire, unchanged.

Tests: wire/tests/relay, ports/tests/tables. Each guard was taken out once and its test failed: the limit while unpacking, the limit of the answer, of rows, the format's number, clearing and keeping bodies, the choice of a part, and the older path.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -1,14 +1,11 @@
 //! The product's own rows and messages between instances.
 
 use {
-    super::{heartbeat::AgeWire, mirror::Mirror},
     citron_core::{
-        freshness::Age,
         id::{Epoch, ServerName},
         ranges::{KeyRange, RangeKey, RangeMap, Slice},
         time::StoreTime,
     },
-    citron_ports::{Row, RowSet},
     serde::{Deserialize, Serialize, Serializer},
     std::net::SocketAddr,
 };
@@ -129,70 +126,3 @@
         Self::from_slices(slices).map_err(|error| error.to_string())
     }
 }
-
-/// What has changed in a table, as one instance hands it to another.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct TableWire {
-    version: u64,
-    /// Whether these are all rows there are. The sender has read them all after
-    /// the version asked for, and does not know what was removed before that:
-    /// with the changes alone, a server whose entry was removed would stay listed
-    /// for the receiver and get requests for good.
-    pub whole: bool,
-    /// Version of the newest change.
-    pub changed: u64,
-    /// How old it is.
-    pub age: AgeWire,
-    rows: Vec<TableRowWire>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct TableRowWire {
-    key: String,
-    /// Nothing if the row was removed.
-    value: Option<Vec<u8>>,
-    version: u64,
-}
-
-impl TableWire {
-    /// What has changed after a version.
-    pub fn new(mirror: &Mirror, after: u64, age: Age) -> Self {
-        let whole = !mirror.reaches(after);
-        let rows = match whole {
-            true => mirror.live().map(TableRowWire::from).collect(),
-            false => mirror.after(after).map(TableRowWire::from).collect(),
-        };
-        Self {
-            version: mirror.version,
-            whole,
-            changed: mirror.changed,
-            age: age.into(),
-            rows,
-        }
-    }
-}
-
-impl From<&Row> for TableRowWire {
-    fn from(row: &Row) -> Self {
-        Self {
-            key: row.key.clone(),
-            value: row.value.clone(),
-            version: row.version,
-        }
-    }
-}
-
-impl From<TableWire> for RowSet {
-    fn from(wire: TableWire) -> Self {
-        let rows = wire.rows.into_iter().map(|row| Row {
-            key: row.key,
-            value: row.value,
-            version: row.version,
-        });
-        Self {
-            rows: rows.collect(),
-            version: wire.version,
-            now: None,
-        }
-    }
-}
--- a/crates/citronproxy/src/edge/control/heartbeat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -4,9 +4,9 @@
     citron_core::{
         crash::{CrashCount, CrashReport, Fingerprint, Lift},
         dispatch::PeerLoad,
-        freshness::Age,
         id::ParseIdError,
     },
+    citron_wire::relay::AgeWire,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -52,26 +52,6 @@
     pub crashes: Option<CrashesWire>,
 }
 
-/// Milliseconds since the moment as of which a table is known, and one more; 0 if
-/// it was never read.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct AgeWire(u32);
-
-impl From<Age> for AgeWire {
-    fn from(age: Age) -> Self {
-        // Rounded up: an age that seems lower than it is hides a lost answer.
-        let millis = |age: Duration| u32::try_from(age.as_micros().div_ceil(1_000));
-        Self(age.map_or(0, |age| millis(age).unwrap_or(u32::MAX).saturating_add(1)))
-    }
-}
-
-impl From<AgeWire> for Age {
-    fn from(wire: AgeWire) -> Self {
-        let millis = wire.0.checked_sub(1)?;
-        Some(Duration::from_millis(millis.into()))
-    }
-}
-
 /// What an instance knows of requests that crash servers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CrashesWire {
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        codec::{FORMERS, FormersWire, LeadershipWire, MAP, MapWire, PLANNER, TableWire},
+        codec::{FORMERS, FormersWire, LeadershipWire, MAP, MapWire, PLANNER},
         node::{Holder, Leadership, Node, State},
         watch::WATCHED,
     },
@@ -12,6 +12,7 @@
         time::{StoreTime, Time},
     },
     citron_ports::{Adapter, Row, RowSet, RowTable},
+    citron_wire::relay::TableWire,
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -29,8 +30,8 @@
     /// Takes in what has changed by another instance's word, in an answer to a call
     /// that began at `begun`.
     pub fn take_over(&self, at: usize, table: TableWire, begun: Time) {
-        let (newest, whole) = (table.changed, table.whole);
-        self.known_elsewhere(at, table.age.into(), begun);
+        let (newest, whole) = (table.head.changed, table.head.whole);
+        self.known_elsewhere(at, table.head.age.into(), begun);
         let changed = self.merge(at, table.into(), newest, whole);
         if self.take_rows(at, &changed) {
             self.questions.missed(at, begun);
--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -2,6 +2,7 @@
 
 use {
     citron_ports::{Row, RowSet},
+    citron_wire::relay::{Part, TableRowWire},
     std::collections::BTreeMap,
 };
 
@@ -16,6 +17,8 @@
     /// The version of the last reading of all rows: a row that was removed before
     /// it may have left no trace here.
     base: u64,
+    /// How often rows have changed here.
+    pub edits: u64,
     rows: BTreeMap<String, Row>,
 }
 
@@ -31,6 +34,7 @@
         let known = |row: &Row| self.rows.get(&row.key).map_or(0, |old| old.version);
         let newer = set.rows.into_iter().filter(|row| row.version > known(row));
         let newer: Vec<Row> = newer.collect();
+        self.edits += u64::from(!newer.is_empty());
         for row in &newer {
             self.changed = self.changed.max(row.version);
             self.rows.insert(row.key.clone(), row.clone());
@@ -58,18 +62,19 @@
         self.apply(set, newest)
     }
 
-    /// Whether all that has changed after a version is known.
-    pub fn reaches(&self, version: u64) -> bool {
-        version >= self.base
+    /// What to hand to an instance that asks for the changes after a version.
+    pub fn part(&self, after: u64) -> Part {
+        let versions = self.rows.values().map(|row| row.version);
+        Part::since(after, self.base, versions)
     }
 
-    /// What has changed after a version, in the order of keys.
-    pub fn after(&self, version: u64) -> impl Iterator<Item = &Row> {
-        self.rows.values().filter(move |row| row.version > version)
-    }
-
-    /// The rows that there are, in the order of keys.
-    pub fn live(&self) -> impl Iterator<Item = &Row> {
-        self.rows.values().filter(|row| row.value.is_some())
+    /// The rows of a part, in the order of keys.
+    pub fn rows(&self, part: Part) -> Vec<TableRowWire> {
+        let is_in = |row: &&Row| match part {
+            Part::Whole => row.value.is_some(),
+            Part::After(version) => row.version > version,
+        };
+        let rows = self.rows.values().filter(is_in);
+        rows.map(TableRowWire::from).collect()
     }
 }
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -5,7 +5,7 @@
         counts::Counts,
         demands::Demands,
         gossip,
-        heartbeat::{AgeWire, CrashesWire, Heartbeat},
+        heartbeat::{CrashesWire, Heartbeat},
         mirror::Mirror,
         peers::Peers,
         planner, refresh, relay,
@@ -25,6 +25,7 @@
         time::{StoreClock, StoreTime, Time},
     },
     citron_ports::{Adapter, RowSet, StoreError},
+    citron_wire::relay::AgeWire,
     http::Request,
     std::{
         cell::{Cell, RefCell},
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,30 +8,32 @@
 //! long said they leave.
 
 use {
-    super::{codec::TableWire, heartbeat::Heartbeat, node::Node, watch::WATCHED},
+    super::{heartbeat::Heartbeat, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
     },
     bytes::Bytes,
     citron_core::freshness::{Behind, Fetch, FetchTimes, Fetches, HearTimes},
-    citron_ports::{Adapter, KeptClient, Pace},
-    http::{Request, StatusCode},
+    citron_ports::{Adapter, KeptClient, Pace, fetch_table},
+    citron_wire::relay::{Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableWire},
+    http::StatusCode,
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
 };
 
-/// The largest table that is read.
+/// The largest table that is read, packed or not.
 const TABLE_MAX: usize = 8 << 20;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Tables asked for from others.
+/// Tables asked for from others, and handed to them.
 #[derive(Debug)]
 pub struct Relay {
     fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     behind: RefCell<Behind<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
+    packer: RefCell<Packer<{ WATCHED.len() }>>,
 }
 
 impl Default for Relay {
@@ -40,6 +42,7 @@
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
             clients: RefCell::default(),
+            packer: RefCell::default(),
         }
     }
 }
@@ -51,26 +54,36 @@
     }
 }
 
-/// The table and the version that a path names.
-fn asked(path: &str) -> Option<(usize, u64)> {
-    let (table, after) = path.strip_prefix("/tables/")?.split_once('/')?;
-    Some((table.parse().ok()?, after.parse().ok()?))
-}
-
 /// Hands out a table.
 pub fn table<A: Adapter>(node: &Node<A>, path: &str) -> Page {
-    let state = node.state.borrow();
-    let bytes = asked(path).and_then(|(at, after)| {
-        let age = state.fresh.age(at, node.clock.now());
-        let wire = TableWire::new(state.mirrors.get(at)?, after, age);
-        postcard::to_stdvec(&wire).ok()
-    });
-    match bytes {
+    let question = path.parse::<TableQuestion>().ok();
+    let question = question.filter(|question| question.table < WATCHED.len());
+    match question.and_then(|question| answer(node, question).ok()) {
         Some(bytes) => page(StatusCode::OK, bytes),
         None => page(StatusCode::NOT_FOUND, ""),
     }
 }
 
+fn answer<A: Adapter>(node: &Node<A>, question: TableQuestion) -> Result<Bytes, RelayError> {
+    let state = node.state.borrow();
+    let mirror = &state.mirrors[question.table];
+    let part = mirror.part(question.after);
+    let head = HeadWire {
+        version: mirror.version,
+        whole: part == Part::Whole,
+        changed: mirror.changed,
+        age: state.fresh.age(question.table, node.clock.now()).into(),
+    };
+    let rows = || mirror.rows(part);
+    match question.format {
+        Format::Packed => {
+            let mut packer = node.relay.packer.borrow_mut();
+            head.with(&packer.body(question.table, mirror.edits, part, rows)?)
+        }
+        Format::Plain => TableWire { head, rows: rows() }.to_plain(),
+    }
+}
+
 /// Asks another instance for tables that are newer there, unless this one should
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
@@ -132,8 +145,6 @@
     let at = fetch.table;
     let begun = node.clock.now();
     let after = node.state.borrow().mirrors[at].changed;
-    let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = format!("/tables/{at}/{after}").parse().unwrap_or_default();
     let client = {
         let mut clients = node.relay.clients.borrow_mut();
         let client = clients.entry(from);
@@ -141,7 +152,8 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let called = client.fetch(request, Pull { node, fetch }).await;
+    let question = TableQuestion::new(at, after);
+    let called = fetch_table(&client, question, || Pull { node, fetch }).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
         Ok(answer) => answer,
@@ -155,7 +167,7 @@
             return;
         }
     };
-    match postcard::from_bytes::<TableWire>(answer.body()) {
+    match answer.read(TABLE_MAX) {
         Ok(wire) => {
             node.relay.caught_up(at);
             node.take_over(at, wire, begun);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,6 +14,7 @@
 mod rows;
 mod servers;
 mod store;
+mod tables;
 
 pub use {
     adapter::{Adapter, DecodeError, HeaderNames},
@@ -29,4 +30,5 @@
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{HttpServers, Probe, Probes},
     store::{HistoryEntry, TableStore},
+    tables::{TableAnswer, fetch_table},
 };
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -2,6 +2,7 @@
 
 use {
     citron_core::time::StoreTime,
+    citron_wire::relay::{TableRowWire, TableWire},
     std::{future::Future, time::Duration},
     thiserror::Error,
 };
@@ -42,6 +43,31 @@
     pub now: Option<StoreTime>,
 }
 
+impl From<&Row> for TableRowWire {
+    fn from(row: &Row) -> Self {
+        Self {
+            key: row.key.clone(),
+            value: row.value.clone(),
+            version: row.version,
+        }
+    }
+}
+
+impl From<TableWire> for RowSet {
+    fn from(wire: TableWire) -> Self {
+        let rows = wire.rows.into_iter().map(|row| Row {
+            key: row.key,
+            value: row.value,
+            version: row.version,
+        });
+        Self {
+            rows: rows.collect(),
+            version: wire.head.version,
+            now: None,
+        }
+    }
+}
+
 /// Writes that take effect together, or not at all.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RowCommit {
--- /dev/null
+++ b/crates/ports/tests/tables.rs
@@ -0,0 +1,116 @@
+//! Tables fetched from instances of this version and of the one before.
+
+use {
+    bytes::Bytes,
+    citron_ports::{KeptClient, Pace, TableAnswer, fetch_table},
+    citron_wire::relay::{
+        AgeWire, Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableRowWire, TableWire,
+    },
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::JoinHandle,
+    },
+};
+
+const MOST: usize = 1 << 20;
+
+#[derive(Debug)]
+struct Patient;
+
+impl Pace for Patient {
+    fn left(&self) -> Duration {
+        Duration::from_secs(10)
+    }
+
+    fn heard(&mut self) {}
+}
+
+fn wire() -> TableWire {
+    let row = TableRowWire {
+        key: "config".to_string(),
+        value: Some(vec![7; 9_000]),
+        version: 7,
+    };
+    TableWire {
+        head: HeadWire {
+            version: 9,
+            whole: true,
+            changed: 8,
+            age: AgeWire::from(Some(Duration::from_millis(20))),
+        },
+        rows: vec![row],
+    }
+}
+
+/// What an instance answers.
+fn packed(path: &str) -> Option<Bytes> {
+    let wire = wire();
+    let question: TableQuestion = path.parse().ok()?;
+    match question.format {
+        Format::Packed => {
+            let body = Packer::<1>::default().body(0, 1, Part::Whole, || wire.rows);
+            wire.head.with(&body.ok()?).ok()
+        }
+        Format::Plain => wire.to_plain().ok(),
+    }
+}
+
+/// What one of the version before answers.
+fn plain(path: &str) -> Option<Bytes> {
+    packed(path.strip_prefix("/tables").map(|_| path)?)
+}
+
+/// Fetches a table; the answer, and the paths that were asked.
+async fn fetch(answer: fn(&str) -> Option<Bytes>) -> (TableAnswer, Vec<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = KeptClient::new(listener.local_addr().unwrap(), MOST);
+    let served: JoinHandle<Vec<String>> = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut paths = Vec::new();
+        let mut read = [0; 1_024];
+        while let Ok(count @ 1..) = stream.read(&mut read).await {
+            let text = String::from_utf8_lossy(&read[..count]).into_owned();
+            let path = text.split(' ').nth(1).unwrap().to_string();
+            let (status, body) = match answer(&path) {
+                Some(body) => ("200 OK", body),
+                None => ("404 Not Found", Bytes::new()),
+            };
+            paths.push(path);
+            let head = format!(
+                "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+        paths
+    });
+    let answer = fetch_table(&client, TableQuestion::new(0, 5), || Patient).await;
+    drop(client);
+    (answer.unwrap(), served.await.unwrap())
+}
+
+#[tokio::test]
+async fn a_table_arrives_packed() {
+    let (answer, asked) = fetch(packed).await;
+    assert_eq!(answer.read(MOST), Ok(wire()));
+    assert_eq!(asked, ["/packed/0/5"]);
+}
+
+/// During an upgrade newer instances get no table from older ones.
+#[tokio::test]
+async fn an_older_instance_is_asked_in_its_format() {
+    let (answer, asked) = fetch(plain).await;
+    assert_eq!(answer.read(MOST), Ok(wire()));
+    assert_eq!(asked, ["/packed/0/5", "/tables/0/5"]);
+}
+
+/// An instance that has no such table is asked over and over.
+#[tokio::test]
+async fn a_table_that_is_not_there_is_asked_for_once_in_each_format() {
+    let (answer, asked) = fetch(|_| None).await;
+    assert!(matches!(answer.read(MOST), Err(RelayError::Damaged(_))));
+    assert_eq!(asked, ["/packed/0/5", "/tables/0/5"]);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 pub mod grant;
 pub mod peer;
+pub mod relay;
 pub mod row;
 pub mod slo;
 pub mod table;
--- /dev/null
+++ b/crates/wire/src/relay/answer.rs
@@ -0,0 +1,82 @@
+//! A table as one instance hands it to another.
+
+use {
+    super::{AgeWire, Format, RelayError, TableRowWire, body},
+    bytes::Bytes,
+    serde::{Deserialize, Serialize},
+};
+
+/// The first byte of packed answers. It changes whenever they do, so that an instance
+/// refuses what it would misread; new fields need a new number, too.
+const NUMBER: u8 = 2;
+
+/// What changes with each answer; never packed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeadWire {
+    /// The version that the sender's questions to the store go on from.
+    pub version: u64,
+    /// Whether these are all rows there are. The sender has read them all after
+    /// the version asked for, and does not know what was removed before that:
+    /// with the changes alone, a server whose entry was removed would stay listed
+    /// for the receiver and get requests for good.
+    pub whole: bool,
+    /// Version of the newest change.
+    pub changed: u64,
+    /// How old it is.
+    pub age: AgeWire,
+}
+
+impl HeadWire {
+    /// A packed answer: the format's number, this, and a body from
+    /// [`Packer`](super::Packer).
+    ///
+    /// # Errors
+    /// If it could not be written.
+    pub fn with(&self, body: &[u8]) -> Result<Bytes, RelayError> {
+        let mut bytes = postcard::to_extend(self, vec![NUMBER])?;
+        bytes.extend_from_slice(body);
+        Ok(bytes.into())
+    }
+}
+
+/// What has changed in a table.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableWire {
+    /// How new it is.
+    pub head: HeadWire,
+    /// The rows.
+    pub rows: Vec<TableRowWire>,
+}
+
+impl TableWire {
+    /// As [`Format::Plain`] has it.
+    ///
+    /// # Errors
+    /// If it could not be written.
+    pub fn to_plain(&self) -> Result<Bytes, RelayError> {
+        Ok(postcard::to_stdvec(self)?.into())
+    }
+
+    /// Reads an answer whose rows take `most` bytes at most. Which format it is in follows
+    /// from the path that was asked; the first byte tells versions of the packed one apart.
+    ///
+    /// # Errors
+    /// If it is of another version, too long or damaged.
+    pub fn read(format: Format, bytes: &[u8], most: usize) -> Result<Self, RelayError> {
+        match format {
+            Format::Plain => Ok(postcard::from_bytes(bytes)?),
+            Format::Packed => read_packed(bytes, most),
+        }
+    }
+}
+
+fn read_packed(bytes: &[u8], most: usize) -> Result<TableWire, RelayError> {
+    let missing = || RelayError::Damaged("it is empty".to_string());
+    let (number, rest) = bytes.split_first().ok_or_else(missing)?;
+    if *number != NUMBER {
+        return Err(RelayError::Format(*number));
+    }
+    let (head, body) = postcard::take_from_bytes(rest)?;
+    let rows = body::read(body, most)?;
+    Ok(TableWire { head, rows })
+}
--- /dev/null
+++ b/crates/wire/tests/relay.rs
@@ -0,0 +1,253 @@
+//! Tables handed from one instance to another: what is written, packed and refused.
+
+use {
+    bytes::Bytes,
+    citron_wire::relay::{
+        AgeWire, Format, HeadWire, PACK_FROM, Packer, Part, RelayError, TableQuestion,
+        TableRowWire, TableWire,
+    },
+    proptest::{collection::vec, option, prelude::*},
+    serde::Serialize,
+    std::time::Duration,
+};
+
+const MOST: usize = 1 << 20;
+
+fn row(key: &str, value: Option<Vec<u8>>) -> TableRowWire {
+    TableRowWire {
+        key: key.to_string(),
+        value,
+        version: 7,
+    }
+}
+
+fn head(age: u64) -> HeadWire {
+    HeadWire {
+        version: 9,
+        whole: true,
+        changed: 8,
+        age: AgeWire::from(Some(Duration::from_millis(age))),
+    }
+}
+
+fn packed(rows: &[TableRowWire]) -> Bytes {
+    let body = Packer::<1>::default().body(0, 1, Part::Whole, || rows.to_vec());
+    head(20).with(&body.unwrap()).unwrap()
+}
+
+fn read(bytes: &[u8]) -> Result<TableWire, RelayError> {
+    TableWire::read(Format::Packed, bytes, MOST)
+}
+
+fn any_rows() -> impl Strategy<Value = Vec<TableRowWire>> {
+    let value = option::of(vec(any::<u8>(), 0..3_000));
+    let row = (any::<String>(), value, any::<u64>());
+    let row = row.prop_map(|(key, value, version)| TableRowWire {
+        key,
+        value,
+        version,
+    });
+    vec(row, 0..5)
+}
+
+proptest! {
+    #[test]
+    fn rows_arrive_as_they_were(rows in any_rows(), version: u64, changed: u64, whole: bool) {
+        let head = HeadWire { version, whole, changed, ..head(20) };
+        let body = Packer::<1>::default().body(0, 1, Part::Whole, || rows.clone()).unwrap();
+        let wire = TableWire { head, rows };
+        let packed = read(&wire.head.with(&body).unwrap()).unwrap();
+        prop_assert_eq!(&packed, &wire);
+        let plain = TableWire::read(Format::Plain, &wire.to_plain().unwrap(), MOST).unwrap();
+        prop_assert_eq!(&plain, &wire);
+    }
+
+    /// A process that ends for a damaged answer.
+    #[test]
+    fn any_bytes_are_read_or_refused(mut bytes in vec(any::<u8>(), 0..4_000), coding in 0..3u8) {
+        let _ = read(&bytes);
+        let begin = head(20).with(&[coding]).unwrap();
+        bytes.splice(0..0, begin);
+        let _ = read(&bytes);
+    }
+
+    #[test]
+    fn a_question_is_a_path(table: usize, after: u64) {
+        let question = TableQuestion::new(table, after);
+        let older = question.older().unwrap();
+        prop_assert_eq!(question.to_string().parse(), Ok(question));
+        prop_assert_eq!(older.to_string().parse(), Ok(older));
+        prop_assert_eq!(older.to_string(), format!("/tables/{table}/{after}"));
+        prop_assert_eq!(older.older(), None);
+    }
+}
+
+#[test]
+fn other_paths_are_no_questions() {
+    for path in [
+        "",
+        "/",
+        "/packed/1",
+        "/packed/1/",
+        "/packed/x/2",
+        "/other/1/2",
+        "/tables/1/2/3",
+    ] {
+        assert_eq!(path.parse::<TableQuestion>(), Err(()), "{path}");
+    }
+}
+
+/// Short tables gain nothing from packing, long ones most of their bytes.
+#[test]
+fn only_long_tables_are_packed() {
+    let short = [row("a", Some(vec![7; PACK_FROM / 2]))];
+    let long = [row("a", Some(vec![7; 20 * PACK_FROM]))];
+    assert!(packed(&short).len() > PACK_FROM / 2);
+    assert!(packed(&long).len() < PACK_FROM / 2);
+}
+
+/// An answer of a few kilobytes that unpacks to gigabytes uses up the receiver's memory.
+#[test]
+fn an_answer_that_unpacks_beyond_the_limit_is_refused() {
+    let fits = packed(&[row("a", Some(vec![0; MOST - 100]))]);
+    assert!(read(&fits).is_ok());
+    let longer = packed(&[row("a", Some(vec![0; 16 * MOST]))]);
+    assert!(longer.len() < MOST / 4, "{} bytes", longer.len());
+    assert_eq!(read(&longer), Err(RelayError::TooLong(MOST)));
+    // Nothing beyond the limit is unpacked: it is not even known that the end is missing.
+    let cut = &longer[..longer.len() / 2];
+    assert_eq!(read(cut), Err(RelayError::TooLong(MOST)));
+}
+
+/// Empty rows take some twenty times as much memory as bytes.
+#[test]
+fn an_answer_of_too_many_empty_rows_is_refused() {
+    let many = packed(&vec![row("", None); MOST / 8]);
+    assert_eq!(read(&many), Err(RelayError::TooLong(MOST)));
+}
+
+/// An answer of another version that is read as if it were of this one: the table would
+/// take in rows that nobody wrote.
+#[test]
+fn an_answer_of_another_version_is_refused() {
+    let rows = [row("a", Some(vec![7; 9]))];
+    let mut newer = packed(&rows).to_vec();
+    newer[0] += 1;
+    assert_eq!(read(&newer), Err(RelayError::Format(newer[0])));
+    let wire = TableWire {
+        head: head(20),
+        rows: rows.to_vec(),
+    };
+    let older = wire.to_plain().unwrap();
+    assert_eq!(read(&older), Err(RelayError::Format(older[0])));
+}
+
+/// An answer whose end is missing must not pass for a shorter table.
+#[test]
+fn an_answer_that_was_cut_is_refused() {
+    for size in [9, 20 * PACK_FROM] {
+        let whole = packed(&[row("a", Some(vec![7; size]))]);
+        for end in 0..whole.len() {
+            assert!(read(&whole[..end]).is_err(), "{end} of {}", whole.len());
+        }
+    }
+}
+
+/// What instances before the packed format write and read.
+#[derive(Debug, Serialize)]
+struct OlderWire {
+    version: u64,
+    whole: bool,
+    changed: u64,
+    age: u32,
+    rows: Vec<(String, Option<Vec<u8>>, u64)>,
+}
+
+/// During an upgrade older instances read nothing from newer ones, or the reverse.
+#[test]
+fn the_plain_format_is_that_of_older_instances() {
+    let older = OlderWire {
+        version: 9,
+        whole: true,
+        changed: 8,
+        age: 21,
+        rows: vec![("a".to_string(), Some(vec![7; 9]), 7)],
+    };
+    let wire = TableWire {
+        head: head(20),
+        rows: vec![row("a", Some(vec![7; 9]))],
+    };
+    assert_eq!(
+        wire.to_plain().unwrap(),
+        postcard::to_stdvec(&older).unwrap()
+    );
+}
+
+/// Forty instances that fetch the same change cost the sender's processor forty packings.
+#[test]
+fn a_change_is_packed_once_for_all_who_ask() {
+    let mut packer = Packer::<2>::default();
+    let rows = || vec![row("a", Some(vec![7; 20 * PACK_FROM]))];
+    let answers: Vec<Bytes> = (0..40)
+        .map(|age| {
+            let body = packer.body(0, 3, Part::After(5), rows).unwrap();
+            head(age).with(&body).unwrap()
+        })
+        .collect();
+    assert_eq!(packer.packings(), 1);
+    // Each tells the age as it was then.
+    for (age, answer) in (0..).zip(&answers) {
+        assert_eq!(read(answer).unwrap().head, head(age));
+    }
+}
+
+/// Instances that are behind and some that are not take turns, and each answer is packed
+/// anew.
+#[test]
+fn instances_that_ask_in_turns_share_what_was_packed() {
+    let mut packer = Packer::<1>::default();
+    for _ in 0..10 {
+        for part in [Part::Whole, Part::After(5), Part::After(7)] {
+            packer.body(0, 3, part, Vec::new).unwrap();
+        }
+    }
+    assert_eq!(packer.packings(), 3);
+}
+
+/// An instance gets the rows of another question, of another table or from before the last
+/// change, and takes them for what it asked for.
+#[test]
+fn each_question_gets_its_own_rows() {
+    let mut packer = Packer::<2>::default();
+    let mut seen = Vec::new();
+    for _ in 0..2 {
+        for table in 0..2 {
+            for edits in 1..4 {
+                for part in [Part::Whole, Part::After(0), Part::After(5), Part::After(7)] {
+                    let rows = vec![row(&format!("{table} {edits} {part:?}"), None)];
+                    let body = packer.body(table, edits, part, || rows.clone());
+                    let wire = read(&head(20).with(&body.unwrap()).unwrap()).unwrap();
+                    assert_eq!(wire.rows, rows);
+                    seen.push(rows);
+                }
+            }
+        }
+    }
+    assert_eq!(seen.len() as u64, packer.packings());
+}
+
+proptest! {
+    /// A version that is rounded down to a change must leave out no row and add none.
+    #[test]
+    fn a_part_holds_what_is_newer(versions in vec(0..50u64, 0..10), after in 0..50u64, base in 0..50u64) {
+        match Part::since(after, base, versions.iter().copied()) {
+            Part::Whole => prop_assert!(after < base),
+            Part::After(known) => {
+                prop_assert!(after >= base);
+                for version in versions {
+                    prop_assert_eq!(version > known, version > after, "version {}", version);
+                }
+            }
+        }
+    }
+}
