Words: refused, rejected

"Turned away" and "told to come back" are now "refused" where a request is meant, "rejected" for connections and in the load book (turn_away is note_rejected, the field turned is rejected), where refused already means tries that the server refused or failed. Three tests are renamed with it.

--- a/crates/citronproxy/src/control/exchanging.rs
+++ b/crates/citronproxy/src/control/exchanging.rs
@@ -96,7 +96,7 @@
 /// only with its task.
 ///
 /// The parts are not handed to the traffic threads yet. In force they had requests
-/// turned away at once during and after moves, where all are answered without; the
+/// refused at once during and after moves, where all are answered without; the
 /// cause is not found. Not looked into so far: every thread gets the same fraction
 /// of a part, whatever its requests.
 pub async fn exchange<S: TableStore + 'static>(node: Node<S>) {
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -24,8 +24,8 @@
     tokio::time::{sleep, timeout},
 };
 
-/// Part of the objective that a request waits for room before its caller is
-/// told to come back: an eighth of it costs the caller nothing worth naming.
+/// Part of the objective that a request waits for room before it is refused: an
+/// eighth of it costs the caller nothing worth naming.
 const ROOM_PART: u32 = 8;
 /// How often room is looked for, besides whenever a request ends here: others'
 /// loads come with their heartbeats.
@@ -238,7 +238,7 @@
                 Target::Server(server) => return Ok(server),
                 Target::Full(again, full) => {
                     if self.waited() > self.rule.objective / ROOM_PART {
-                        self.turn_away();
+                        self.note_rejected();
                         return Err(self.refuse(again, &full.to_string()));
                     }
                     let _ = timeout(ROOM_LOOK, room).await;
@@ -263,10 +263,10 @@
     }
 
     /// Notes that the owner had no room.
-    fn turn_away(&self) {
+    fn note_rejected(&self) {
         let owner = self.slice().and_then(|slice| slice.owner);
         if let Some(owner) = owner {
-            self.front.board.loads().turn_away(&owner);
+            self.front.board.loads().note_rejected(&owner);
         }
     }
 
--- a/crates/citronproxy/src/peer/server.rs
+++ b/crates/citronproxy/src/peer/server.rs
@@ -19,7 +19,7 @@
     tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
-/// Connections from other instances at a time; more are turned away, so that a
+/// Connections from other instances at a time; more are rejected, so that a
 /// flood of them cannot use up memory and descriptors.
 const MAX_CONNECTIONS: usize = 1_024;
 /// The pause after a failed accept, which is mostly a lack of descriptors.
--- a/crates/citronproxy/tests/limits.rs
+++ b/crates/citronproxy/tests/limits.rs
@@ -74,7 +74,7 @@
     assert_eq!(server.runs(), 6);
 }
 
-/// More callers than can be served in time: those who are turned away learn at
+/// More callers than can be served in time: those who are refused learn at
 /// once that nothing ran and when to come back; all others are answered.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_cannot_be_served_in_time_is_refused_at_once() {
--- a/crates/core/src/admission/fair.rs
+++ b/crates/core/src/admission/fair.rs
@@ -9,7 +9,7 @@
 ///
 /// An operator may hold at most twice the room that is still free. A single one
 /// can fill two thirds; the rest is there for the others, whose requests would
-/// else be turned away for a flood that is not theirs. Nobody has to be
+/// else be refused for a flood that is not theirs. Nobody has to be
 /// configured, and nothing that runs is cut.
 ///
 /// ```
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -1,4 +1,4 @@
-//! Who may go to one backend server now, who waits, who is turned away.
+//! Who may go to one backend server now, who waits, who is refused.
 
 use {
     super::{
@@ -43,7 +43,7 @@
     Start,
     /// It waits; [`Gate::next`] will name it.
     Queued,
-    /// It is turned away and may come back after `wait`.
+    /// It is refused and may come back after `wait`.
     Shed {
         /// Why.
         reason: Reason,
@@ -57,7 +57,7 @@
 pub enum Turn {
     /// It may be sent now; report its end by [`Gate::end`].
     Start(Ticket),
-    /// It could no longer end in time and is turned away now.
+    /// It could no longer end in time and is refused now.
     Shed {
         /// Which.
         ticket: Ticket,
@@ -138,7 +138,7 @@
         self.apply_share(now);
     }
 
-    /// Takes the next request that may start, or that has to be turned away.
+    /// Takes the next request that may start, or that has to be refused.
     pub fn next(&mut self, now: Time) -> Option<Turn> {
         if let Some(ticket) = self.queue.pop_late(now, self.limit.hold()) {
             let wait = self.limit.expected_wait(self.queue.len());
@@ -230,7 +230,7 @@
         })
     }
 
-    /// Turns away at once what could not be done in time: a caller that waits
+    /// Refuses at once what could not be done in time: a caller that waits
     /// for nothing also holds memory, and its late answer is wasted slot time.
     fn queue_or_shed(&mut self, ticket: Ticket, deadline: Time, now: Time) -> Admission {
         let wait = self.limit.expected_wait(self.queue.ahead(deadline));
--- a/crates/core/src/admission/guards.rs
+++ b/crates/core/src/admission/guards.rs
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Whether a try may be sent. The gate comes last, so that what is turned
-    /// away for another reason takes neither a slot nor the cap.
+    /// Whether a try may be sent. The gate comes last, so that what is
+    /// refused for another reason takes neither a slot nor the cap.
     pub fn ask(&mut self, ask: &Ask, now: Time) -> Admission {
         if let Some(wait) = self.crashes.refused(ask.print, now) {
             let reason = Reason::Quarantined;
@@ -161,7 +161,7 @@
     }
 
     /// Takes the next waiting request of a server that may start, or that has to
-    /// be turned away.
+    /// be refused.
     pub fn next(&mut self, server: &ServerName, now: Time) -> Option<Turn> {
         self.gates.get_mut(server)?.next(now)
     }
--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -64,7 +64,7 @@
 /// What an instance tells the others about one server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
-    /// Requests for the server, those turned away included.
+    /// Requests for the server, refused ones included.
     pub arrivals: Rate,
     /// Answers from the server.
     pub answers: Rate,
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -79,9 +79,12 @@
         }
     }
 
-    /// A request for a server was turned away without being sent.
-    pub fn turn_away(&mut self, server: &ServerName) {
-        self.servers.entry(server.clone()).or_default().turn_away();
+    /// A request for a server was rejected without being sent.
+    pub fn note_rejected(&mut self, server: &ServerName) {
+        self.servers
+            .entry(server.clone())
+            .or_default()
+            .note_rejected();
     }
 
     /// Replaces what another instance says of servers.
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -65,8 +65,8 @@
     peer_sampled: Time,
     /// Part of the latest tries that were refused or failed.
     refused: f64,
-    /// Part of the latest requests for it that it or this instance turned away.
-    turned: f64,
+    /// Part of the latest requests for it that it or this instance rejected.
+    rejected: f64,
     full_until: Time,
     down: u32,
     down_until: Time,
@@ -122,16 +122,16 @@
         now < self.full_until
     }
 
-    /// How many callers come for each that is let in. Those that are told to come back
+    /// How many callers come for each that is let in. Those that are refused and come back
     /// after so many times the time in which a slot becomes free are about as many as
-    /// there is room for; if they came sooner, they would be turned away again.
+    /// there is room for; if they came sooner, they would be refused again.
     pub fn callers(&self) -> f64 {
-        1.0 / (1.0 - self.turned).max(CALLERS_LEAST)
+        1.0 / (1.0 - self.rejected).max(CALLERS_LEAST)
     }
 
-    /// A request for it was turned away, here or there.
-    pub fn turn_away(&mut self) {
-        self.turned += (1.0 - self.turned) * NEW;
+    /// A request for it was rejected, here or there.
+    pub fn note_rejected(&mut self) {
+        self.rejected += (1.0 - self.rejected) * NEW;
     }
 
     /// Whether it refused, failed or broke off some of the latest tries.
@@ -159,7 +159,7 @@
         match finish {
             Finish::Ran => {
                 self.down = 0;
-                self.turned -= self.turned * NEW;
+                self.rejected -= self.rejected * NEW;
                 self.refused -= self.refused * NEW;
                 let sample = span.as_secs_f64() * share;
                 let former = self.own_run(now).unwrap_or(sample);
@@ -169,7 +169,7 @@
             Finish::Failed => self.refused += (1.0 - self.refused) * NEW,
             Finish::Full => {
                 self.refused += (1.0 - self.refused) * NEW;
-                self.turn_away();
+                self.note_rejected();
                 // With a slot free it did not refuse for want of room, and the
                 // next request may be taken.
                 if !alone {
@@ -178,7 +178,7 @@
             }
             Finish::Closed => {
                 self.refused += (1.0 - self.refused) * NEW;
-                self.turn_away();
+                self.note_rejected();
                 self.full_until = now + CLOSED_TIME;
             }
             Finish::Lost => {
--- a/crates/core/src/dispatch/pace.rs
+++ b/crates/core/src/dispatch/pace.rs
@@ -39,7 +39,7 @@
 /// are late: with 84 instances and 1.3 times the capacity, 49 of 100 in time by
 /// reports alone and 70 with this limit (`tests/stale`). The time that answers
 /// take tells without any report; the limit rises and falls with it, and what is
-/// over it is told to come back at once.
+/// over it is refused at once.
 ///
 /// ```
 /// use citron_core::dispatch::{Pace, Speed};
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -1,4 +1,4 @@
-//! One gate: who starts, who waits, who is turned away.
+//! One gate: who starts, who waits, who is refused.
 
 use {
     citron_core::{
@@ -80,7 +80,7 @@
 /// The server froze while a request waited. Its slot time is not spent on an
 /// answer that nobody waits for.
 #[test]
-fn a_waiting_request_that_is_too_late_is_turned_away() {
+fn a_waiting_request_that_is_too_late_is_refused() {
     let mut gate = fixed(1.0, 64);
     arrive(&mut gate, 1, 1_000);
     arrive(&mut gate, 2, 100);
--- a/crates/core/tests/attempt.rs
+++ b/crates/core/tests/attempt.rs
@@ -223,7 +223,7 @@
 /// A request waits to be sent again when the instance learns that requests like
 /// it crash servers. What the first try left open decides the outcome.
 #[test]
-fn a_retry_that_is_turned_away_adds_no_doubt() {
+fn a_retry_that_is_refused_adds_no_doubt() {
     let cases = [
         (Point::Unconnected, Outcome::NotRun),
         (Point::Written, Outcome::Unknown),
@@ -245,7 +245,7 @@
 
 /// A hedge finds no free slot. The first exchange goes on.
 #[test]
-fn a_hedge_that_is_turned_away_ends_nothing() {
+fn a_hedge_that_is_refused_ends_nothing() {
     let mut retries = retries();
     let mut attempt = sent(kind(true, RequestBody::Kept), &mut retries);
     attempt.step(Event::HedgeDue, Time::ZERO, &mut retries);
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -1,4 +1,4 @@
-//! Which server a request goes to, and when its caller is told to come back.
+//! Which server a request goes to, and when it is refused.
 
 use {
     citron_core::{
@@ -298,7 +298,7 @@
     for request in 0..60 {
         match request % 10 {
             0 => ran(&mut book, name, 200),
-            _ => book.turn_away(name),
+            _ => book.note_rejected(name),
         }
     }
     let later = again(&book);
--- a/crates/core/tests/guards.rs
+++ b/crates/core/tests/guards.rs
@@ -102,7 +102,7 @@
 /// A request crashes three servers; the next time its caller is told 422 at once.
 /// Another request to the same server goes through.
 #[test]
-fn a_request_that_crashes_servers_is_turned_away() {
+fn a_request_that_crashes_servers_is_refused() {
     let mut guards = guards();
     for millis in [0, 1_000, 2_000] {
         let bad = ask(666, 0, millis);
@@ -110,8 +110,8 @@
         let end = TryEnd::Lost(Point::Written);
         guards.end(&bad, "GET /sets/666", end, HELD, at(millis));
     }
-    let turned = guards.ask(&ask(666, 1, 3_000), at(3_000));
-    assert_eq!(reason(turned), Some(Reason::Quarantined));
+    let refused = guards.ask(&ask(666, 1, 3_000), at(3_000));
+    assert_eq!(reason(refused), Some(Reason::Quarantined));
     assert_eq!(guards.ask(&ask(7, 0, 3_000), at(3_000)), Admission::Start);
     assert_eq!(guards.crashes.entries(at(3_000))[0].label, "GET /sets/666");
 }
@@ -152,10 +152,10 @@
         guards.ask(&ask(ticket, 0, 0), at(0));
         guards.end(&ask(ticket, 0, 0), "", TryEnd::TimedOut, HELD, at(0));
     }
-    let turned = guards.ask(&ask(10, 0, 0), at(0));
+    let refused = guards.ask(&ask(10, 0, 0), at(0));
     let wait = Duration::from_secs(1);
     let reason = Reason::Ejected;
-    assert_eq!(turned, Admission::Shed { reason, wait });
+    assert_eq!(refused, Admission::Shed { reason, wait });
     for probe in 1..=3 {
         let now = 1_500 * probe;
         let ask = ask(10 + probe, 0, now);
@@ -191,7 +191,7 @@
 }
 
 /// The operator of a service floods the instance; the requests of another one
-/// find room, and those that are turned away are told when to come back.
+/// find room, and those that are refused are told when to come back.
 #[test]
 fn an_operator_cannot_fill_the_instance() {
     let mut guards = guards();
--- a/crates/core/tests/overload/stats.rs
+++ b/crates/core/tests/overload/stats.rs
@@ -95,7 +95,7 @@
         Duration::from_micros(self.latency.value_at_quantile(0.99))
     }
 
-    /// Requests turned away over those offered.
+    /// Requests refused over those offered.
     pub fn refused_share(&self) -> f64 {
         self.refused as f64 / self.offered.iter().sum::<u64>() as f64
     }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -168,7 +168,7 @@
     assert_eq!(state(&registry, "s-1"), OwnerState::Leaving);
 }
 
-/// The store turned this instance alone away. Right after its return a server's
+/// The store refused this instance alone. Right after its return a server's
 /// entry is removed, as some servers leave without another word: the other
 /// instances stop at once, and this one must not send to it until the time for
 /// rejoining is over, which is longer than the server's time to drain.
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -66,7 +66,7 @@
     pub late: u32,
     /// Refused by a server whose queue was full.
     pub overflown: u32,
-    /// Told to come back without having been sent.
+    /// Refused without having been sent.
     pub refused: u32,
     /// Connections made.
     pub connections: u32,
@@ -92,7 +92,7 @@
         self.part(self.connections)
     }
 
-    /// Part of them that was told to come back at once.
+    /// Part of them that was refused at once.
     pub fn refused(&self) -> f64 {
         self.part(self.refused)
     }
