--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -2,10 +2,10 @@
 //!
 //! One instance of a failure domain reads the store and hands what has changed
 //! to the others: each question to the store is paid for, and with a hundred
-//! instances that ask it would be overrun. It also helps where the store turns
-//! a few instances away while it serves the others and the operators: these
-//! would go on by an old configuration, and send requests to servers that have
-//! long said they leave.
+//! instances that ask it would be overrun. It also helps where the store rejects
+//! a few instances while it serves the others and the operators: these would go
+//! on by an old configuration, and send requests to servers that have long said
+//! that they leave.
 
 use {
     super::{arrival::Arrival, heartbeat::Heartbeat, node::Node, watch::WATCHED},
