A link of the tests no longer stands still when it is changed

Cause: a connection of the fake link borrowed its state twice in one statement; a change that waits between the two blocks the second, and the second the change. Change: one borrow. Only the tests' stand-in is concerned.

--- a/crates/fakes/src/link/relay.rs
+++ b/crates/fakes/src/link/relay.rs
@@ -170,7 +170,12 @@
     limit: usize,
     taken: Taken,
 ) {
-    let (born, closed) = (state.borrow().silenced, state.borrow().closed);
+    // One borrow: a second one beside it blocks for ever if a change waits between them.
+    let State {
+        silenced: born,
+        closed,
+        ..
+    } = *state.borrow();
     let there = |state: &State| !state.cut && state.silenced == born;
     let back = |state: &State| there(state) && !state.mute;
     if state.wait_for(there).await.is_err() {
--- /dev/null
+++ b/crates/fakes/tests/link.rs
@@ -0,0 +1,52 @@
+//! The link, under many connections.
+
+use {
+    citron_fakes::link::Link,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc,
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        runtime::Runtime,
+    },
+};
+
+const CONNECTIONS: u32 = 4_000;
+/// Far more than the connections take.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+async fn connect_and_heal() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = Link::start(listener.local_addr().unwrap()).await.unwrap();
+    tokio::spawn(async move { while listener.accept().await.is_ok() {} });
+    let changed = link.clone();
+    let over = Arc::new(AtomicBool::new(false));
+    let ends = Arc::clone(&over);
+    let changes = thread::spawn(move || {
+        while !ends.load(Ordering::Relaxed) {
+            changed.heal();
+        }
+    });
+    for _ in 0..CONNECTIONS {
+        drop(TcpStream::connect(link.address).await.unwrap());
+    }
+    over.store(true, Ordering::Relaxed);
+    changes.join().unwrap();
+}
+
+/// Guards against a link that stands still for good when it is changed as a connection opens.
+#[test]
+fn a_link_is_changed_while_connections_open() {
+    let (done, ended) = mpsc::channel();
+    thread::spawn(move || {
+        Runtime::new().unwrap().block_on(connect_and_heal());
+        done.send(()).unwrap();
+    });
+    ended.recv_timeout(PATIENCE).expect("the link hangs");
+}
