Rows that an instance has are not handed to it again

Cause: who has read all rows names the version of that reading for its newest change, as rows may have gone before it, and hands all rows to those who knew less. Change: a question carries a digest of the rows that the asker has; who has the same answers with none.

--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_ports::{Row, RowSet},
-    citron_wire::relay::{Part, TableRowWire},
+    citron_wire::relay::{Digest, Part, TableRowWire},
     std::collections::BTreeMap,
 };
 
@@ -62,10 +62,21 @@
         self.apply(set, newest)
     }
 
-    /// What to hand to an instance that asks for the changes after a version.
-    pub fn part(&self, after: u64) -> Part {
+    /// What to hand to an instance that asks for the changes after a version and has
+    /// rows of this digest. The version of a reading of all rows is the newest change for
+    /// what is known, so that others ask, of whom most have the same rows.
+    pub fn part(&self, after: u64, digest: Option<Digest>) -> Part {
         let versions = self.rows.values().map(|row| row.version);
-        Part::since(after, self.base, versions)
+        match Part::since(after, self.base, versions) {
+            Part::Whole if digest == Some(self.digest()) => Part::After(self.changed),
+            part => part,
+        }
+    }
+
+    /// What tells this copy apart from others with other rows.
+    pub fn digest(&self) -> Digest {
+        let live = self.rows.values().filter(|row| row.value.is_some());
+        Digest::of(live.map(|row| (row.key.as_str(), row.version)))
     }
 
     /// The rows of a part, in the order of keys.
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -65,7 +65,7 @@
 fn answer<A: Adapter>(node: &Node<A>, question: TableQuestion) -> Result<Bytes, RelayError> {
     let state = node.state.borrow();
     let mirror = &state.mirrors[question.table];
-    let part = mirror.part(question.after);
+    let part = mirror.part(question.after, question.digest);
     let head = HeadWire {
         version: mirror.version,
         whole: part == Part::Whole,
@@ -122,7 +122,10 @@
     let at = fetch.table;
     let mut arrival = Arrival::of_fetch(node, fetch);
     let begun = node.clock.now();
-    let after = node.state.borrow().mirrors[at].changed;
+    let question = {
+        let mirror = &node.state.borrow().mirrors[at];
+        TableQuestion::new(at, mirror.changed).having(mirror.digest())
+    };
     let client = {
         let mut clients = node.relay.clients.borrow_mut();
         let client = clients.entry(from);
@@ -130,7 +133,6 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let question = TableQuestion::new(at, after);
     let called = fetch_table(&client, question, &mut arrival).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
--- a/crates/wire/src/relay/mod.rs
+++ b/crates/wire/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod age;
 mod answer;
 mod body;
+mod digest;
 mod error;
 mod packer;
 mod question;
@@ -12,6 +13,7 @@
     age::AgeWire,
     answer::{HeadWire, TableWire},
     body::PACK_FROM,
+    digest::Digest,
     error::RelayError,
     packer::Packer,
     question::{Format, TableQuestion},
--- a/crates/wire/src/relay/question.rs
+++ b/crates/wire/src/relay/question.rs
@@ -1,11 +1,15 @@
 //! What one instance asks another for.
 
-use std::{fmt, str::FromStr};
+use {
+    super::Digest,
+    std::{fmt, str::FromStr},
+};
 
 /// How an answer is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Format {
-    /// With rows that are packed if they are long, at paths `/packed/TABLE/AFTER`.
+    /// With rows that are packed if they are long, at paths `/packed/TABLE/AFTER` or
+    /// `/packed/TABLE/AFTER/DIGEST`.
     Packed,
     /// Without packing and without a format number, at paths `/tables/TABLE/AFTER`:
     /// all that instances before `Packed` know.
@@ -38,6 +42,8 @@
     pub table: usize,
     /// The version after which changes are asked for.
     pub after: u64,
+    /// The rows that the asker has: it needs none if the other has the same.
+    pub digest: Option<Digest>,
 }
 
 impl TableQuestion {
@@ -54,19 +60,35 @@
             format: Format::Packed,
             table,
             after,
+            digest: None,
         }
     }
 
+    /// The same of an instance that has rows of this digest.
+    pub fn having(self, digest: Digest) -> Self {
+        let digest = Some(digest);
+        Self { digest, ..self }
+    }
+
     /// The same in the format before, for an instance that does not know this one.
     pub fn older(self) -> Option<Self> {
         let format = self.format.older()?;
-        Some(Self { format, ..self })
+        let digest = None;
+        Some(Self {
+            format,
+            digest,
+            ..self
+        })
     }
 }
 
 impl fmt::Display for TableQuestion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "/{}/{}/{}", self.format.name(), self.table, self.after)
+        write!(f, "/{}/{}/{}", self.format.name(), self.table, self.after)?;
+        match self.digest {
+            Some(digest) => write!(f, "/{digest}"),
+            None => Ok(()),
+        }
     }
 }
 
@@ -75,14 +97,24 @@
 
     fn from_str(path: &str) -> Result<Self, ()> {
         let parse = || {
-            let (name, rest) = path.strip_prefix('/')?.split_once('/')?;
-            let (table, after) = rest.split_once('/')?;
+            let mut parts = path.strip_prefix('/')?.split('/');
+            let name = parts.next()?;
             let formats = [Format::Packed, Format::Plain];
-            Some(Self {
-                format: formats.into_iter().find(|format| format.name() == name)?,
-                table: table.parse().ok()?,
-                after: after.parse().ok()?,
-            })
+            let format = formats.into_iter().find(|format| format.name() == name)?;
+            let table = parts.next()?.parse().ok()?;
+            let after = parts.next()?.parse().ok()?;
+            let digest = match (parts.next(), format) {
+                (None, _) => None,
+                (Some(digest), Format::Packed) => Some(digest.parse().ok()?),
+                (Some(_), Format::Plain) => return None,
+            };
+            let question = Self {
+                format,
+                table,
+                after,
+                digest,
+            };
+            parts.next().is_none().then_some(question)
         };
         parse().ok_or(())
     }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     citron_wire::relay::{
-        AgeWire, Format, HeadWire, PACK_FROM, Packer, Part, RelayError, TableQuestion,
+        AgeWire, Digest, Format, HeadWire, PACK_FROM, Packer, Part, RelayError, TableQuestion,
         TableRowWire, TableWire,
     },
     proptest::{collection::vec, option, prelude::*},
@@ -82,6 +82,18 @@
     }
 }
 
+/// Guards against a table that is handed over whole to an instance that has it.
+#[test]
+fn a_question_tells_which_rows_the_asker_has() {
+    let rows = |version| Digest::of([("a", 4), ("b", version)]);
+    let question = TableQuestion::new(1, 5).having(rows(7));
+    assert_eq!(question.to_string().parse(), Ok(question));
+    assert_ne!(rows(7), rows(8));
+    assert_ne!(Digest::of([("a", 4)]), Digest::of([("b", 4)]));
+    let older = question.older().unwrap();
+    assert_eq!(older.to_string(), "/tables/1/5");
+}
+
 #[test]
 fn other_paths_are_no_questions() {
     for path in [
@@ -91,6 +103,8 @@
         "/packed/1/",
         "/packed/x/2",
         "/other/1/2",
+        "/packed/1/2/x",
+        "/packed/1/2/3/4",
         "/tables/1/2/3",
     ] {
         assert_eq!(path.parse::<TableQuestion>(), Err(()), "{path}");
