--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -193,13 +193,15 @@
 impl<A: Adapter> Node<A> {
     /// How long until the store should be asked.
     fn until_due(&self) -> Duration {
-        let arriving = [0, 1, 2].map(|at| self.is_arriving(at));
+        // The planner must hear from the store itself that it still has the leadership.
+        let arriving = [0, 1, 2].map(|at| at != RANGES && self.is_arriving(at));
         let state = self.state.borrow();
         let now = self.clock.now();
         state.fresh.left_without(arriving, self.role(), now)
     }
 
-    fn is_arriving(&self, at: usize) -> bool {
+    /// Whether parts of a table are coming.
+    pub fn is_arriving(&self, at: usize) -> bool {
         let now = self.clock.now();
         self.fetches.borrow().is_arriving(at, now)
     }
--- a/crates/core/src/freshness/book.rs
+++ b/crates/core/src/freshness/book.rs
@@ -104,6 +104,9 @@
 
     /// The same if nothing need be asked about some tables, as they are arriving.
     pub fn left_without(&self, arriving: [bool; N], role: Role, now: Time) -> Duration {
+        if arriving == [true; N] {
+            return self.times.of(role);
+        }
         let asked = self.known.iter().zip(arriving);
         let asked = asked.filter(|(_, arriving)| !arriving);
         let oldest = asked.filter_map(|(known, _)| known.as_ref()).min();
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -347,3 +347,15 @@
         assert!(world.longest < TIMES.outage, "{one}: {:?}", world.longest);
     }
 }
+
+/// Guards against a store that is asked without end while all tables are arriving.
+#[test]
+fn the_store_is_not_due_for_tables_that_are_arriving() {
+    let mut fresh = Freshness::<2>::new(TIMES);
+    fresh.told(0, at(0));
+    fresh.told(1, at(1_000));
+    let left = |arriving| fresh.left_without(arriving, Role::Other, at(1_100));
+    assert!(left([false, false]).is_zero());
+    assert!(!left([true, false]).is_zero());
+    assert!(!left([true, true]).is_zero());
+}
