A slow transfer does not keep an instance from better sources

What callers saw: nothing yet; the review let one source of 10 Mbit/s send 0.24 MB to 67 instances at once: none had it before 12.9 s, and as parts came all the time, no other source nor the store was asked. Change: after 1.5 s one more fetch may be begun beside one that goes on, which is not given up, and the table counts as not arriving. An instance that starts does not read the store beside a table that is arriving. Test: core/tests/fetches a_source_that_drips_gives_way_to_a_good_one (failed before, as the review ran it).

--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -57,8 +57,9 @@
 /// for the first table.
 async fn listen<A: Adapter>(node: &Node<A>, at: usize) {
     let begun = node.clock.now();
-    while node.state.borrow().mirrors[at].version == 0 && node.clock.now() - begun < LISTEN_MOST {
-        if node.is_turn() {
+    while node.state.borrow().mirrors[at].version == 0 {
+        let waits = node.is_arriving(at) || node.clock.now() - begun < LISTEN_MOST;
+        if !waits || node.is_turn() {
             return;
         }
         sleep(LISTEN_LOOK).await;
--- a/crates/core/src/freshness/fetches.rs
+++ b/crates/core/src/freshness/fetches.rs
@@ -1,13 +1,13 @@
 //! Transfers of tables to an instance.
 
 use {
-    super::HearTimes,
+    super::{FreshnessTimes, HearTimes},
     crate::time::Time,
     std::{array, time::Duration},
 };
 
-/// Bounds of a transfer. None of them bounds the whole of it: on a narrow link that
-/// depends on its length, and what had come would be thrown away.
+/// Bounds of a transfer. It is not given up for its length: how long the whole takes
+/// depends on the link, and what had come would be thrown away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FetchTimes {
     /// After so long without any part another instance is asked beside the first one,
@@ -15,6 +15,9 @@
     pub answer: Duration,
     /// The same after a part has come.
     pub pause: Duration,
+    /// The same for one of which parts go on coming: its source may be slower than
+    /// the link.
+    pub slow: Duration,
     /// After so long without a further part a fetch is given up.
     pub limit: Duration,
 }
@@ -24,6 +27,7 @@
     pub const STANDARD: Self = Self {
         answer: HearTimes::STANDARD.call,
         pause: Duration::from_millis(400),
+        slow: FreshnessTimes::STANDARD.outage,
         limit: Duration::from_millis(800),
     };
 }
@@ -109,7 +113,7 @@
         }
     }
 
-    /// Whether parts of a table are coming.
+    /// Whether parts of a table are coming, and not slowly.
     pub fn is_arriving(&self, table: usize, now: Time) -> bool {
         let arrives = |open: &Open| open.heard.is_some() && self.times.is_going(open, now);
         self.open[table].iter().any(arrives)
@@ -130,10 +134,10 @@
 }
 
 impl FetchTimes {
-    /// Whether a fetch need not be doubted.
+    /// Whether a fetch makes another one needless.
     fn is_going(&self, open: &Open, now: Time) -> bool {
         match open.heard {
-            Some(heard) => now - heard <= self.pause,
+            Some(heard) => now - heard <= self.pause && now - open.begun <= self.slow,
             None => now - open.begun <= self.answer,
         }
     }
--- a/crates/core/tests/fetches.rs
+++ b/crates/core/tests/fetches.rs
@@ -112,6 +112,21 @@
     );
 }
 
+/// Guards against a slow source that keeps an instance from all others.
+#[test]
+fn a_source_that_drips_gives_way_to_a_good_one() {
+    let mut fetches = Fetches::<1>::new(FetchTimes::STANDARD);
+    let first = fetches.begin(0, at(0)).unwrap();
+    for millis in (0..1_500).step_by(50) {
+        fetches.heard(first, at(millis));
+        assert!(fetches.begin(0, at(millis)).is_none());
+    }
+    fetches.heard(first, at(1_550));
+    assert!(!fetches.is_arriving(0, at(1_551)));
+    assert!(fetches.begin(0, at(1_551)).is_some());
+    assert!(!fetches.left(first, at(1_552)).is_zero());
+}
+
 /// Guards against a question to the store about a table that is arriving already.
 #[test]
 fn only_a_table_of_which_parts_come_is_arriving() {
