A body that stops is waited for until the request's deadline, not for good

What callers saw: no answer in 25 s to a posting with a deadline of 1 s whose body stops after 3 of 100 bytes; a caller whose connection goes silent in a body held its connection and memory here. Cause: the body was read ahead of the request's deadline. Found by the review.

--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -23,6 +23,7 @@
     hyper::body::Incoming,
     rand::Rng,
     std::{cell::Cell, rc::Rc, str::FromStr, time::Duration},
+    tokio::time::timeout,
 };
 
 /// How much of a body is read before anything is sent, so that it can be sent
@@ -74,7 +75,10 @@
     if source.length() > config.limits.body {
         return deny(Denial::Large, &head);
     }
-    source.fill_kept().await;
+    if timeout(deadline - begun, source.fill_kept()).await.is_err() {
+        let reason = "its body did not come before its deadline";
+        return refuse(front, &head, Some(config.version), reason);
+    }
     if let Some(denial) = bad_body(&source) {
         return deny(denial, &head);
     }
