A body that has outgrown an old limit is not denied for good

What callers saw: 413 to a chunked body that a newer configuration allows, from an instance that lags. A part was sent to a server by then, so that 503 would promise what nobody knows: 502 says that its outcome is unknown.

--- a/crates/citronproxy/src/edge/traffic/denial.rs
+++ b/crates/citronproxy/src/edge/traffic/denial.rs
@@ -6,10 +6,10 @@
         front::Front,
     },
     crate::{
-        events,
+        events::{self, Event},
         traffic::{guard::Refusal, request::host},
     },
-    citron_core::routes::ConfigVersion,
+    citron_core::{freshness::Doubt, routes::ConfigVersion},
     http::{Response, StatusCode, request::Parts},
     thiserror::Error,
 };
@@ -47,11 +47,11 @@
         }
     }
 
-    /// Whether another configuration could allow the request, of which nothing has run.
+    /// Whether another configuration could allow the request.
     fn is_by_config(self) -> bool {
         matches!(
             self,
-            Self::Route | Self::Large | Self::Key | Self::Message(Refusal::Large)
+            Self::Route | Self::Large | Self::Outgrown | Self::Key | Self::Message(Refusal::Large)
         )
     }
 
@@ -65,21 +65,26 @@
         version: Option<ConfigVersion>,
     ) -> Response<AnswerBody> {
         let doubt = self.is_by_config().then(|| front.doubt(version)).flatten();
-        if let Some(doubt) = doubt {
-            let reason = format!("the configuration may be out of date ({doubt}): {self}");
-            return refuse(front, head, version, &reason);
+        match (doubt, self) {
+            (None, _) => self.deny(front, head, version),
+            (Some(doubt), Self::Outgrown) => lose(front, head, version, &self.doubted(doubt)),
+            (Some(doubt), _) => refuse(front, head, version, &self.doubted(doubt)),
         }
+    }
+
+    fn doubted(self, doubt: Doubt) -> String {
+        format!("the configuration may be out of date ({doubt}): {self}")
+    }
+
+    fn deny(
+        self,
+        front: &Front,
+        head: &Parts,
+        version: Option<ConfigVersion>,
+    ) -> Response<AnswerBody> {
         let status = self.status();
-        log::info!(
-            "{} id={} status={} host={:?} path={:?} version={} {}: {self}",
-            events::DENIED,
-            front.id(head),
-            status.as_u16(),
-            host(head),
-            head.uri.path(),
-            shown(version),
-            front.ages()
-        );
+        let what = format!("status={}: {self}", status.as_u16());
+        log_own(events::DENIED, front, head, version, &what);
         front.counts.borrow_mut().count_denied(status);
         own(status, &self.to_string())
     }
@@ -92,18 +97,30 @@
     version: Option<ConfigVersion>,
     reason: &str,
 ) -> Response<AnswerBody> {
+    let what = format!("again={START_AGAIN:?}: {reason}");
+    log_own(events::REFUSED, front, head, version, &what);
+    come_back(START_AGAIN, reason)
+}
+
+/// The answer to a request of which a server may have run what it got.
+fn lose(
+    front: &Front,
+    head: &Parts,
+    version: Option<ConfigVersion>,
+    reason: &str,
+) -> Response<AnswerBody> {
+    let what = format!("tried=1: {reason}");
+    log_own(events::UNKNOWN, front, head, version, &what);
+    own(StatusCode::BAD_GATEWAY, reason)
+}
+
+fn log_own(event: Event, front: &Front, head: &Parts, version: Option<ConfigVersion>, what: &str) {
+    let version = version.map_or("-".to_string(), |version| version.to_string());
     log::info!(
-        "{} id={} host={:?} path={:?} version={} {} again={START_AGAIN:?}: {reason}",
-        events::REFUSED,
+        "{event} id={} host={:?} path={:?} version={version} {} {what}",
         front.id(head),
         host(head),
         head.uri.path(),
-        shown(version),
         front.ages()
     );
-    come_back(START_AGAIN, reason)
-}
-
-fn shown(version: Option<ConfigVersion>) -> String {
-    version.map_or("-".to_string(), |version| version.to_string())
 }
