--- a/crates/citronproxy/src/edge/as_of.rs
+++ b/crates/citronproxy/src/edge/as_of.rs
@@ -16,8 +16,8 @@
 /// and owners of keys, and whether a newer configuration is known of. Control writes
 /// them with each answer, traffic reads them with each answer of its own.
 ///
-/// Each is written after what it vouches for: the view before [`Newer::None`], and
-/// that before the moments. Readers go the other way.
+/// Written with release after the view that they describe, [`Newer`] before the moments;
+/// read with acquire in the opposite order.
 #[derive(Debug, Default)]
 pub struct AsOf {
     /// Microseconds and one more; 0 if the table was never read.
--- a/crates/citronproxy/src/edge/control/arrival.rs
+++ b/crates/citronproxy/src/edge/control/arrival.rs
@@ -1,21 +1,21 @@
-//! A table on its way to this instance.
+//! A table that is being transferred to this instance.
 
 use {
     super::node::Node,
     citron_core::{freshness::Fetch, time::Time},
-    citron_ports::{Adapter, Pace},
+    citron_ports::{Adapter, ReadTimeout},
     std::time::Duration,
 };
 
-/// How long a table is waited for, from its first part on as long as further parts
-/// come. Others are not asked for it meanwhile.
+/// Limits a transfer by its progress, and counts it among the instance's transfers from
+/// its first part on.
 #[derive(Debug)]
 pub struct Arrival<'a, A: Adapter> {
     node: &'a Node<A>,
     table: usize,
-    /// By then the answer must have begun.
+    /// By then the store's answer must have begun.
     until: Time,
-    /// Its transfer, once that is counted as one.
+    /// The transfer, once it is counted.
     fetch: Option<Fetch>,
 }
 
@@ -41,27 +41,27 @@
     }
 }
 
-impl<A: Adapter> Pace for Arrival<'_, A> {
-    fn left(&self) -> Duration {
+impl<A: Adapter> ReadTimeout for Arrival<'_, A> {
+    fn remaining(&self) -> Duration {
         let now = self.node.clock.now();
         match self.fetch {
-            Some(fetch) => self.node.fetches.borrow().left(fetch, now),
+            Some(fetch) => self.node.fetches.borrow().remaining(fetch, now),
             None => self.until - now,
         }
     }
 
-    fn heard(&mut self) {
+    fn progressed(&mut self) {
         let now = self.node.clock.now();
         let mut fetches = self.node.fetches.borrow_mut();
         let fetch = *self
             .fetch
-            .get_or_insert_with(|| fetches.note(self.table, now));
-        fetches.heard(fetch, now);
+            .get_or_insert_with(|| fetches.add(self.table, now));
+        fetches.progressed(fetch, now);
     }
 }
 
 impl<A: Adapter> Drop for Arrival<'_, A> {
-    /// Questions are dropped where they are found to be lost.
+    /// A call that is cancelled must not count as a transfer any more.
     fn drop(&mut self) {
         if let Some(fetch) = self.fetch {
             self.node.fetches.borrow_mut().end(fetch);
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -21,9 +21,9 @@
 
 /// Datagrams that are taken before other tasks have their turn.
 const BATCH: usize = 64;
-/// A process that has not looked for datagrams for longer has stood still, and those
-/// that it finds may be as old.
-const STILL: Duration = Duration::from_millis(200);
+/// Datagrams that are read longer after the socket was empty count as sent then: the
+/// process was suspended or starved, and they may have waited since.
+const QUEUED_MAX: Duration = Duration::from_millis(200);
 
 /// Listens for datagrams.
 ///
@@ -127,7 +127,7 @@
         let now = node.clock.now();
         match socket.try_recv_from(&mut buffer) {
             Ok((size, from)) => {
-                let sent = if now - empty > STILL { empty } else { now };
+                let sent = if now - empty > QUEUED_MAX { empty } else { now };
                 take(node, from, &buffer[..size], sent);
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => return now,
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -3,7 +3,7 @@
 use {
     super::{arrival::Arrival, codec::MemberWire, node::Node},
     citron_core::freshness::FreshnessTimes,
-    citron_ports::{Adapter, Patience, RowCommit, RowStore, RowTable, StoreError},
+    citron_ports::{Adapter, IdleTimeout, RowCommit, RowStore, RowTable, StoreError},
     rand::Rng,
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -190,8 +190,8 @@
     }
     loop {
         let begun = node.clock.now();
-        let mut patience = Patience::new(CALL_TIME, CALL_TIME);
-        let read = node.adapter.store().rows(RowTable::Members, &mut patience);
+        let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
+        let read = node.adapter.store().rows(RowTable::Members, &mut idle);
         match read.await {
             Ok(set) => {
                 node.store_answered(begun, set.now);
--- a/crates/core/src/freshness/fetches.rs
+++ b/crates/core/src/freshness/fetches.rs
@@ -12,29 +12,28 @@
 pub struct FetchTimes {
     /// After so long without any part another instance is asked beside the first one,
     /// which may have ended or stand still.
-    pub answer: Duration,
+    pub hedge_delay: Duration,
     /// The same after a part has come.
-    pub pause: Duration,
+    pub stall_delay: Duration,
     /// The same for one of which parts go on coming: its source may be slower than
     /// the link.
-    pub slow: Duration,
+    pub slow_delay: Duration,
     /// After so long without a further part a fetch is given up.
-    pub limit: Duration,
+    pub idle_timeout: Duration,
 }
 
 impl FetchTimes {
     /// The defaults; see the fields.
     pub const STANDARD: Self = Self {
-        answer: HearTimes::STANDARD.call,
-        pause: Duration::from_millis(400),
-        slow: FreshnessTimes::STANDARD.outage,
-        limit: Duration::from_millis(800),
+        hedge_delay: HearTimes::STANDARD.call,
+        stall_delay: Duration::from_millis(400),
+        slow_delay: FreshnessTimes::STANDARD.outage,
+        idle_timeout: Duration::from_millis(800),
     };
 }
 
-/// Fetches of a table that are under way at a time: each takes its part of the link
-/// from the others.
-const MOST: usize = 2;
+/// Concurrent fetches of a table at most: they share the link.
+const CONCURRENT_MAX: usize = 2;
 
 /// A fetch that was begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,10 +63,10 @@
 /// let first = fetches.begin(0, at(0)).unwrap();
 /// assert!(fetches.begin(0, at(50)).is_none());
 /// assert!(fetches.begin(1, at(50)).is_some());
-/// fetches.heard(first, at(90));
+/// fetches.progressed(first, at(90));
 /// assert!(fetches.begin(0, at(150)).is_none());
 /// assert!(fetches.is_arriving(0, at(150)));
-/// assert_eq!(fetches.left(first, at(390)), Duration::from_millis(500));
+/// assert_eq!(fetches.remaining(first, at(390)), Duration::from_millis(500));
 /// ```
 #[derive(Debug)]
 pub struct Fetches<const N: usize> {
@@ -89,12 +88,13 @@
     /// Begins a fetch, unless one goes on.
     pub fn begin(&mut self, table: usize, now: Time) -> Option<Fetch> {
         let open = &self.open[table];
-        let may = open.len() < MOST && !open.iter().any(|open| self.times.is_going(open, now));
-        may.then(|| self.note(table, now))
+        let may =
+            open.len() < CONCURRENT_MAX && !open.iter().any(|open| self.times.is_going(open, now));
+        may.then(|| self.add(table, now))
     }
 
-    /// Notes a transfer that was begun for a reason of its own.
-    pub fn note(&mut self, table: usize, now: Time) -> Fetch {
+    /// Adds a transfer that was begun elsewhere.
+    pub fn add(&mut self, table: usize, now: Time) -> Fetch {
         self.begun += 1;
         let number = self.begun;
         self.open[table].push(Open {
@@ -106,7 +106,7 @@
     }
 
     /// A part of the table has come.
-    pub fn heard(&mut self, fetch: Fetch, now: Time) {
+    pub fn progressed(&mut self, fetch: Fetch, now: Time) {
         let mut open = self.open[fetch.table].iter_mut();
         if let Some(open) = open.find(|open| open.number == fetch.number) {
             open.heard = Some(now);
@@ -120,11 +120,11 @@
     }
 
     /// How long to wait for the next part until the fetch is given up.
-    pub fn left(&self, fetch: Fetch, now: Time) -> Duration {
+    pub fn remaining(&self, fetch: Fetch, now: Time) -> Duration {
         let mut open = self.open[fetch.table].iter();
         let open = open.find(|open| open.number == fetch.number);
         let last = open.map(|open| open.heard.unwrap_or(open.begun));
-        last.map_or(Duration::ZERO, |last| last + self.times.limit - now)
+        last.map_or(Duration::ZERO, |last| last + self.times.idle_timeout - now)
     }
 
     /// A fetch has ended, with the table or without.
@@ -137,8 +137,8 @@
     /// Whether a fetch makes another one needless.
     fn is_going(&self, open: &Open, now: Time) -> bool {
         match open.heard {
-            Some(heard) => now - heard <= self.pause && now - open.begun <= self.slow,
-            None => now - open.begun <= self.answer,
+            Some(heard) => now - heard <= self.stall_delay && now - open.begun <= self.slow_delay,
+            None => now - open.begun <= self.hedge_delay,
         }
     }
 }
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CallError, InstanceList, KeptClient, Listed, ListedState, ObjectStore, Patience,
+        CallError, IdleTimeout, InstanceList, KeptClient, Listed, ListedState, ObjectStore,
         PlatformError, TableService,
     },
     bytes::Bytes,
@@ -136,9 +136,9 @@
 ) -> Result<(StatusCode, Bytes), PlatformError> {
     let request = Request::builder().method(method).uri(path).body(body);
     let request = request.map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-    let mut patience = Patience::new(CALL_TIME, CALL_TIME);
+    let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
     let client = KeptClient::new(address, MAX_ANSWER);
-    let answer = client.fetch(request, &mut patience).await;
+    let answer = client.fetch(request, &mut idle).await;
     let (head, bytes) = answer.map_err(failed)?.into_parts();
     Ok((head.status, bytes))
 }
--- a/crates/ports/src/kept.rs
+++ b/crates/ports/src/kept.rs
@@ -44,25 +44,24 @@
     Unknown(String),
 }
 
-/// How long an answer is waited for.
-pub trait Pace {
-    /// How long to wait for the next part of it.
-    fn left(&self) -> Duration;
+/// Limits how long an answer may take.
+pub trait ReadTimeout {
+    /// How long its next part may still take.
+    fn remaining(&self) -> Duration;
 
-    /// A part of it has come.
-    fn heard(&mut self);
+    /// A part of it has arrived.
+    fn progressed(&mut self);
 }
 
-/// The begin of an answer must come within one span, and each further part within
-/// another one.
+/// Limits the time to the begin of an answer, and the time without a further part.
 #[derive(Debug)]
-pub struct Patience {
+pub struct IdleTimeout {
     until: Instant,
     part: Duration,
 }
 
-impl Patience {
-    /// Waits from now on.
+impl IdleTimeout {
+    /// Both count from now on.
     pub fn new(answer: Duration, part: Duration) -> Self {
         Self {
             until: Instant::now() + answer,
@@ -71,25 +70,25 @@
     }
 }
 
-impl Pace for Patience {
-    fn left(&self) -> Duration {
+impl ReadTimeout for IdleTimeout {
+    fn remaining(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
     }
 
-    fn heard(&mut self) {
+    fn progressed(&mut self) {
         self.until = Instant::now() + self.part;
     }
 }
 
-/// All of it must have come by then.
-struct Within(Instant);
+/// Limits the whole answer.
+struct Deadline(Instant);
 
-impl Pace for Within {
-    fn left(&self) -> Duration {
+impl ReadTimeout for Deadline {
+    fn remaining(&self) -> Duration {
         self.0.saturating_duration_since(Instant::now())
     }
 
-    fn heard(&mut self) {}
+    fn progressed(&mut self) {}
 }
 
 #[derive(Debug)]
@@ -135,10 +134,10 @@
         span: Duration,
     ) -> Result<Response<Bytes>, CallError> {
         let end = Instant::now() + span;
-        self.fetch(request, &mut Within(end)).await
+        self.fetch(request, &mut Deadline(end)).await
     }
 
-    /// Sends a request and reads its whole answer, as long as `pace` has patience;
+    /// Sends a request and reads its whole answer, until `limit` is over;
     /// then what is under way is reset.
     ///
     /// # Errors
@@ -146,16 +145,18 @@
     pub async fn fetch(
         &self,
         mut request: Request<Bytes>,
-        pace: &mut impl Pace,
+        limit: &mut impl ReadTimeout,
     ) -> Result<Response<Bytes>, CallError> {
         let host = HeaderValue::from_str(&self.address.to_string()).map_err(not_sent)?;
         request.headers_mut().insert(header::HOST, host);
-        let line = timeout(pace.left(), self.line()).await;
+        let line = timeout(limit.remaining(), self.line()).await;
         let mut line = line.map_err(not_sent)??;
         let sent = line.sender.send_request(request.map(Full::new));
-        let sent = timeout(pace.left(), sent).await.map_err(|_| late(0))?;
+        let sent = timeout(limit.remaining(), sent)
+            .await
+            .map_err(|_| late(0))?;
         let (head, body) = sent.map_err(unknown)?.into_parts();
-        let bytes = self.read(body, pace).await?;
+        let bytes = self.read(body, limit).await?;
         let mut kept = self.kept();
         if kept.len() < KEPT && !line.sender.is_closed() {
             kept.push(line);
@@ -163,10 +164,14 @@
         Ok(Response::from_parts(head, bytes))
     }
 
-    async fn read(&self, mut body: Incoming, pace: &mut impl Pace) -> Result<Bytes, CallError> {
+    async fn read(
+        &self,
+        mut body: Incoming,
+        limit: &mut impl ReadTimeout,
+    ) -> Result<Bytes, CallError> {
         let mut bytes = BytesMut::new();
         loop {
-            let frame = timeout(pace.left(), body.frame()).await;
+            let frame = timeout(limit.remaining(), body.frame()).await;
             let Some(frame) = frame.map_err(|_| late(bytes.len()))? else {
                 return Ok(bytes.freeze());
             };
@@ -175,7 +180,7 @@
                 return Err(unknown(format!("it is longer than {} bytes", self.most)));
             }
             bytes.extend_from_slice(&data);
-            pace.heard();
+            limit.progressed();
         }
     }
 
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -21,7 +21,7 @@
     error::PlatformError,
     grants::Grants,
     http::HttpPlatform,
-    kept::{CallError, KeptClient, Pace, Patience},
+    kept::{CallError, IdleTimeout, KeptClient, ReadTimeout},
     lane::LaneStore,
     listed::{InstanceList, Listed, ListedState},
     memory::Memory,
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -1,7 +1,7 @@
 //! Rows of a store that keeps them under versions and tells what has changed.
 
 use {
-    crate::Pace,
+    crate::ReadTimeout,
     citron_core::time::StoreTime,
     citron_wire::relay::{TableRowWire, TableWire},
     std::{future::Future, time::Duration},
@@ -102,18 +102,18 @@
 
 /// The store.
 pub trait RowStore: Clone + 'static {
-    /// All rows of a table, as of one moment, as long as `pace` has patience.
+    /// All rows of a table, as of one moment, until `limit` is over.
     ///
     /// # Errors
     /// [`StoreError`]; also if they could not be read in one piece.
     fn rows(
         &self,
         table: RowTable,
-        pace: &mut impl Pace,
+        limit: &mut impl ReadTimeout,
     ) -> impl Future<Output = Result<RowSet, StoreError>>;
 
     /// What has changed after a version, as soon as there is anything, or nothing
-    /// when `wait` is over, as long as `pace` has patience.
+    /// when `wait` is over, until `limit` is over.
     ///
     /// # Errors
     /// [`StoreError::Forgotten`] if the store no longer knows.
@@ -122,7 +122,7 @@
         table: RowTable,
         after: u64,
         wait: Duration,
-        pace: &mut impl Pace,
+        limit: &mut impl ReadTimeout,
     ) -> impl Future<Output = Result<RowSet, StoreError>>;
 
     /// Writes; the new version.
--- a/crates/ports/src/tables.rs
+++ b/crates/ports/src/tables.rs
@@ -1,7 +1,7 @@
 //! Tables that other instances hand out.
 
 use {
-    crate::{CallError, KeptClient, Pace},
+    crate::{CallError, KeptClient, ReadTimeout},
     bytes::Bytes,
     citron_wire::relay::{Format, RelayError, TableQuestion, TableWire},
     http::{Request, StatusCode},
@@ -32,12 +32,12 @@
 pub async fn fetch_table(
     client: &KeptClient,
     mut question: TableQuestion,
-    pace: &mut impl Pace,
+    limit: &mut impl ReadTimeout,
 ) -> Result<TableAnswer, CallError> {
     loop {
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = question.to_string().parse().unwrap_or_default();
-        let answer = client.fetch(request, pace).await?;
+        let answer = client.fetch(request, limit).await?;
         match question.older() {
             Some(older) if answer.status() == StatusCode::NOT_FOUND => question = older,
             _ => {
--- a/crates/ports/tests/kept.rs
+++ b/crates/ports/tests/kept.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    citron_ports::{CallError, KeptClient, Patience},
+    citron_ports::{CallError, IdleTimeout, KeptClient},
     http::Request,
     std::time::Duration,
     tokio::{
@@ -93,8 +93,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = KeptClient::new(listener.local_addr().unwrap(), 1_024);
     tokio::spawn(send_parts(listener, 100, 25));
-    let mut patience = Patience::new(SPAN, SPAN);
-    let answer = client.fetch(request(), &mut patience).await.unwrap();
+    let mut idle = IdleTimeout::new(SPAN, SPAN);
+    let answer = client.fetch(request(), &mut idle).await.unwrap();
     assert_eq!(answer.body().len(), 100);
 }
 
@@ -104,8 +104,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = KeptClient::new(listener.local_addr().unwrap(), 1_024);
     tokio::spawn(send_parts(listener, 100, 5));
-    let mut patience = Patience::new(SPAN, SPAN);
-    let ended = client.fetch(request(), &mut patience).await;
+    let mut idle = IdleTimeout::new(SPAN, SPAN);
+    let ended = client.fetch(request(), &mut idle).await;
     assert!(matches!(ended, Err(CallError::Unknown(_))), "{ended:?}");
 }
 
--- a/crates/ports/tests/tables.rs
+++ b/crates/ports/tests/tables.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    citron_ports::{KeptClient, Pace, TableAnswer, fetch_table},
+    citron_ports::{KeptClient, ReadTimeout, TableAnswer, fetch_table},
     citron_wire::relay::{
         AgeWire, Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableRowWire, TableWire,
     },
@@ -19,12 +19,12 @@
 #[derive(Debug)]
 struct Patient;
 
-impl Pace for Patient {
-    fn left(&self) -> Duration {
+impl ReadTimeout for Patient {
+    fn remaining(&self) -> Duration {
         Duration::from_secs(10)
     }
 
-    fn heard(&mut self) {}
+    fn progressed(&mut self) {}
 }
 
 fn wire() -> TableWire {
