--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -111,7 +111,7 @@
         if let Some(doubt) = standing.doubt(&FreshnessTimes::STANDARD) {
             return Some(doubt);
         }
-        // Read last: what the standing vouches for is in force.
+        // Read last: the standing describes a view that is published before it.
         let in_force = self.board.view()?.config.version;
         let replaced = decided_by.is_some_and(|version| version < in_force);
         replaced.then_some(Doubt::Behind)
