A claim of the leadership whose answer is lost is made again

Cause: the store did the claim of n-2 and the answer was lost. n-2 took the row for a leadership that it has and does not claim again, the others saw it alive: nobody planned, no lease was renewed. Change: a start that the row names and that does not plan claims again, under the condition of the row's version as any claim. Safe as its own earlier term, if it had one, ended by a newer row. Test: path::a_claim_of_the_leadership_whose_answer_is_lost_is_made_again failed before (the key is not served in ten seconds) and passes; the 13 tests of path pass.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -62,7 +62,8 @@
         };
         let holder = &leadership.holder;
         if holder.instance == *me {
-            return holder.start != start;
+            // This start is named and does not plan if the answer to its claim was lost.
+            return holder.start != start || !state.planning;
         }
         if has_ended(state, holder) {
             return true;
