--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -193,7 +193,7 @@
             formers: BTreeMap::new(),
             times: StoreClock::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
-            newest: Newest::default(),
+            newest: Newest::new(FreshnessTimes::STANDARD),
         };
         Self {
             adapter,
@@ -264,15 +264,15 @@
         self.outage_over(at, gap);
     }
 
-    /// Another instance, whose table is the same, says how old it is.
-    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, now: Time) {
-        self.known_from(at, age, now);
+    /// Another instance, whose table is the same, said then how old it is.
+    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, said: Time) {
+        self.known_from(at, age, said);
         self.note_known(at);
     }
 
     /// As [`Self::known_elsewhere`], before the other's table is taken in.
-    pub fn known_from(&self, at: usize, age: Option<Duration>, now: Time) {
-        let gap = self.state.borrow_mut().fresh.heard(at, age, now);
+    pub fn known_from(&self, at: usize, age: Option<Duration>, said: Time) {
+        let gap = self.state.borrow_mut().fresh.heard(at, age, said);
         self.outage_over(at, gap);
     }
 
@@ -284,7 +284,7 @@
             let mirror = &state.mirrors[CONFIG];
             let known = mirror.version.max(mirror.changed);
             state.newest.known(known);
-            self.board.as_of().note_newer(state.newest.newer());
+            self.note_newer(&state);
         }
         if let Some(moment) = state.fresh.known(at) {
             self.board.as_of().note(at, moment);
@@ -294,8 +294,14 @@
     /// Another instance says which configuration it has.
     pub fn hear_newest(&self, heartbeat: &Heartbeat) {
         let mut state = self.state.borrow_mut();
-        state.newest.told(heartbeat.versions[CONFIG]);
-        self.board.as_of().note_newer(state.newest.newer());
+        let now = self.clock.now();
+        state.newest.told(heartbeat.versions[CONFIG], now);
+        self.note_newer(&state);
+    }
+
+    fn note_newer(&self, state: &State) {
+        let newer = state.newest.newer(state.fresh.known(CONFIG));
+        self.board.as_of().note_newer(newer);
     }
 
     fn outage_over(&self, at: usize, gap: Option<Gap>) {
