--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -2,35 +2,37 @@
 //!
 //! One instance of a failure domain reads the store and hands what has changed
 //! to the others: each question to the store is paid for, and with a hundred
-//! instances that ask it would be overrun. It also helps where the store turns
-//! a few instances away while it serves the others and the operators: these
-//! would go on by an old configuration, and send requests to servers that have
-//! long said they leave.
+//! instances that ask it would be overrun. It also helps where the store rejects
+//! a few instances while it serves the others and the operators: these would go
+//! on by an old configuration, and send requests to servers that have long said
+//! that they leave.
 
 use {
-    super::{arrival::Arrival, codec::TableWire, heartbeat::Heartbeat, node::Node, watch::WATCHED},
+    super::{arrival::Arrival, heartbeat::Heartbeat, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
     },
     bytes::Bytes,
     citron_core::freshness::{Behind, Fetch, HearTimes},
-    citron_ports::{Adapter, KeptClient},
-    http::{Request, StatusCode},
+    citron_ports::{Adapter, KeptClient, fetch_table},
+    citron_wire::relay::{Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableWire},
+    http::StatusCode,
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
 };
 
-/// The largest table that is read.
+/// The largest table that is read, packed or not.
 const TABLE_MAX: usize = 8 << 20;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Tables asked for from others.
+/// Tables asked for from others, and handed to them.
 #[derive(Debug)]
 pub struct Relay {
     behind: RefCell<Behind<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
+    packer: RefCell<Packer<{ WATCHED.len() }>>,
 }
 
 impl Default for Relay {
@@ -38,6 +40,7 @@
         Self {
             behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
             clients: RefCell::default(),
+            packer: RefCell::default(),
         }
     }
 }
@@ -49,26 +52,36 @@
     }
 }
 
-/// The table and the version that a path names.
-fn asked(path: &str) -> Option<(usize, u64)> {
-    let (table, after) = path.strip_prefix("/tables/")?.split_once('/')?;
-    Some((table.parse().ok()?, after.parse().ok()?))
-}
-
 /// Hands out a table.
 pub fn table<A: Adapter>(node: &Node<A>, path: &str) -> Page {
-    let state = node.state.borrow();
-    let bytes = asked(path).and_then(|(at, after)| {
-        let age = state.fresh.age(at, node.clock.now());
-        let wire = TableWire::new(state.mirrors.get(at)?, after, age);
-        postcard::to_stdvec(&wire).ok()
-    });
-    match bytes {
+    let question = path.parse::<TableQuestion>().ok();
+    let question = question.filter(|question| question.table < WATCHED.len());
+    match question.and_then(|question| answer(node, question).ok()) {
         Some(bytes) => page(StatusCode::OK, bytes),
         None => page(StatusCode::NOT_FOUND, ""),
     }
 }
 
+fn answer<A: Adapter>(node: &Node<A>, question: TableQuestion) -> Result<Bytes, RelayError> {
+    let state = node.state.borrow();
+    let mirror = &state.mirrors[question.table];
+    let part = mirror.part(question.after);
+    let head = HeadWire {
+        version: mirror.version,
+        whole: part == Part::Whole,
+        changed: mirror.changed,
+        age: state.fresh.age(question.table, node.clock.now()).into(),
+    };
+    let rows = || mirror.rows(part);
+    match question.format {
+        Format::Packed => {
+            let mut packer = node.relay.packer.borrow_mut();
+            head.with(&packer.body(question.table, mirror.edits, part, rows)?)
+        }
+        Format::Plain => TableWire { head, rows: rows() }.to_plain(),
+    }
+}
+
 /// Asks another instance for tables that are newer there, unless this one should
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
@@ -110,8 +123,6 @@
     let mut arrival = Arrival::of_fetch(node, fetch);
     let begun = node.clock.now();
     let after = node.state.borrow().mirrors[at].changed;
-    let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = format!("/tables/{at}/{after}").parse().unwrap_or_default();
     let client = {
         let mut clients = node.relay.clients.borrow_mut();
         let client = clients.entry(from);
@@ -119,7 +130,8 @@
             .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
             .clone()
     };
-    let called = client.fetch(request, &mut arrival).await;
+    let question = TableQuestion::new(at, after);
+    let called = fetch_table(&client, question, &mut arrival).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
         Ok(answer) => answer,
@@ -133,7 +145,7 @@
             return;
         }
     };
-    match postcard::from_bytes::<TableWire>(answer.body()) {
+    match answer.read(TABLE_MAX) {
         Ok(wire) => {
             node.relay.caught_up(at);
             node.take_over(at, wire, begun);
