Registry: evacuated failure domains, and until when a server counts as cold

Cause: nothing in the tree read an evacuation. And a server's cold time was counted from when it was first heard of, so that one that became cold again counted as warm.

Change: an evacuation is a value of the registry. A server in such a domain is listed but not open, so that the planner moves its keys away as it does for one that leaves, and no choice offers it. Until when an owner may still get requests is the earlier of two bounds, each less a margin for the news. After the end all servers of the domain count as cold until they could have told that they are not. Cold time counts from the entry that tells it.

Ruled out: a check on the request path beside the registry; it would have had to be repeated at each place that sends.

Evidence: core/tests/registry (four new tests).

--- a/crates/core/src/registry/entry.rs
+++ b/crates/core/src/registry/entry.rs
@@ -14,6 +14,15 @@
     Leaving,
 }
 
+/// What operators ask for a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Evacuation {
+    /// Nothing more is to be sent to its servers.
+    Begun(DomainName),
+    /// Its servers take requests again.
+    Ended(DomainName),
+}
+
 /// One start of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -4,6 +4,6 @@
 mod servers;
 
 pub use {
-    entry::{ServerEntry, ServerState},
-    servers::{Known, Place, Registry, RegistryTimes},
+    entry::{Evacuation, ServerEntry, ServerState},
+    servers::{Known, Place, Registry, RegistryTimes, SendBounds},
 };
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -3,7 +3,7 @@
 use {
     super::{ServerEntry, ServerState},
     crate::{
-        id::ServerName,
+        id::{DomainName, ServerName},
         ranges::{OwnerState, Owners},
         time::Time,
     },
@@ -44,7 +44,7 @@
     pub fn for_drain(drain: Duration) -> Self {
         let rejoin = Self::STANDARD
             .rejoin
-            .min(drain.saturating_sub(DRAIN_MARGIN));
+            .min(drain.saturating_sub(REJOIN_MARGIN));
         Self {
             rejoin,
             ..Self::STANDARD
@@ -53,7 +53,16 @@
 }
 
 /// For requests that are on their way when a server's time is over.
-const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+const REJOIN_MARGIN: Duration = Duration::from_millis(400);
+/// Time from the store's acknowledgement until this instance knew, and from a decision
+/// until the request has arrived.
+const DRAIN_MARGIN: Duration = Duration::from_millis(800);
+/// The same for an evacuation: the news may come by way of an instance that is slow, and
+/// its bound is longer.
+const EVACUATION_MARGIN: Duration = Duration::from_millis(2_900);
+/// How long after the end of an evacuation a server that has become cold may not have
+/// told so: a heartbeat, and the way of the news.
+const COLD_NEWS: Duration = Duration::from_millis(2_000);
 
 /// A server, and since when it leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,6 +73,10 @@
     pub left: Option<Time>,
     /// When it was first heard of.
     pub seen: Time,
+    /// Until when it counts as cold.
+    pub cold: Time,
+    /// Since when its failure domain is evacuated.
+    pub evacuated: Option<Time>,
     /// What other entries say of its address.
     pub place: Place,
 }
@@ -82,9 +95,22 @@
 impl Known {
     /// Whether it may get new requests.
     pub fn is_open(&self) -> bool {
+        self.is_listed() && self.evacuated.is_none()
+    }
+
+    /// Whether it is listed as ready, also in a domain that is evacuated.
+    pub fn is_listed(&self) -> bool {
         self.left.is_none()
     }
 
+    /// When the last requests for keys that it still holds may be sent to it; `None`
+    /// as long as it is open.
+    pub fn last_send(&self, bounds: &SendBounds) -> Option<Time> {
+        let left = self.left.map(|left| left + bounds.drain);
+        let evacuated = self.evacuated.map(|since| since + bounds.evacuation);
+        left.into_iter().chain(evacuated).min()
+    }
+
     /// Whether requests to its address may reach another start.
     pub fn is_displaced(&self) -> bool {
         self.place != Place::Own
@@ -97,9 +123,34 @@
         self.left.get_or_insert(now);
     }
 
-    /// How much longer it is slow after its start.
+    /// How much longer it counts as cold.
     pub fn warm_up(&self, now: Time) -> Duration {
-        self.entry.warm_up.saturating_sub(now - self.seen)
+        self.cold - now
+    }
+}
+
+/// How long owners of keys may still get requests, while the keys move away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendBounds {
+    /// After the news that a server leaves.
+    pub drain: Duration,
+    /// After the news that its failure domain is evacuated.
+    pub evacuation: Duration,
+}
+
+impl SendBounds {
+    /// What operators allow, less a margin for news and requests that are on their way.
+    ///
+    /// ```
+    /// use {citron_core::registry::SendBounds, std::time::Duration};
+    /// let bounds = SendBounds::within(Duration::from_secs(2), Duration::from_secs(5));
+    /// assert!(bounds.drain < bounds.evacuation);
+    /// ```
+    pub fn within(drain: Duration, evacuation: Duration) -> Self {
+        Self {
+            drain: drain.saturating_sub(DRAIN_MARGIN),
+            evacuation: evacuation.saturating_sub(EVACUATION_MARGIN),
+        }
     }
 }
 
@@ -117,6 +168,10 @@
     missing: BTreeMap<ServerName, Time>,
     /// Until when missing entries are kept.
     rejoin: Time,
+    /// Failure domains that are evacuated, and since when.
+    evacuated: BTreeMap<DomainName, Time>,
+    /// Until when all servers of failure domains that were evacuated count as cold.
+    restored: BTreeMap<DomainName, Time>,
 }
 
 impl Registry {
@@ -127,9 +182,44 @@
             servers: BTreeMap::new(),
             missing: BTreeMap::new(),
             rejoin: Time::ZERO,
+            evacuated: BTreeMap::new(),
+            restored: BTreeMap::new(),
         }
     }
 
+    /// Nothing more may be sent to the servers of a failure domain.
+    pub fn evacuate(&mut self, domain: DomainName, now: Time) {
+        let since = *self.evacuated.entry(domain.clone()).or_insert(now);
+        for known in self.in_domain(&domain) {
+            known.evacuated = Some(since);
+        }
+    }
+
+    /// An evacuation is over. Servers without requests may have become cold, and tell
+    /// so with their next heartbeat only: all of them count as cold for `warm_up` and
+    /// the time of that news.
+    pub fn restore(&mut self, domain: &DomainName, warm_up: Duration, now: Time) {
+        if self.evacuated.remove(domain).is_none() {
+            return;
+        }
+        let cold = now + warm_up + COLD_NEWS;
+        self.restored.insert(domain.clone(), cold);
+        for known in self.in_domain(domain) {
+            known.evacuated = None;
+            known.cold = known.cold.max(cold);
+        }
+    }
+
+    /// Failure domains that are evacuated, and since when.
+    pub fn evacuated(&self) -> &BTreeMap<DomainName, Time> {
+        &self.evacuated
+    }
+
+    fn in_domain<'a>(&'a mut self, domain: &'a DomainName) -> impl Iterator<Item = &'a mut Known> {
+        let servers = self.servers.values_mut();
+        servers.filter(move |known| known.entry.domain == *domain)
+    }
+
     /// The store answers again after a failure.
     pub fn store_back(&mut self, now: Time) {
         self.rejoin = now + self.times.rejoin;
@@ -152,11 +242,15 @@
             _ => Some(left.unwrap_or(now)),
         };
         let seen = known.map_or(now, |known| known.seen);
+        let told = now + entry.warm_up;
+        let restored = self.restored.get(&entry.domain).copied();
         let known = Known {
-            entry,
             left,
             seen,
+            cold: told.max(restored.unwrap_or_default()),
+            evacuated: self.evacuated.get(&entry.domain).copied(),
             place,
+            entry,
         };
         self.servers.insert(name, known);
     }
@@ -185,7 +279,7 @@
                 Some(true) => other.displaced(Place::Passed, now),
                 Some(false) => place = Place::Passed,
                 None if other.seen <= seen => other.displaced(Place::Disputed, now),
-                None if place == Place::Own && other.is_open() => place = Place::Disputed,
+                None if place == Place::Own && other.is_listed() => place = Place::Disputed,
                 None => {}
             }
         }
@@ -200,7 +294,7 @@
     /// The entry under a server's id vanished; how much longer it counts all the same.
     pub fn removed(&mut self, id: &str, now: Time) -> Duration {
         let missing = now < self.rejoin;
-        for name in self.open_starts(id) {
+        for name in self.listed_starts(id) {
             match self.servers.get_mut(&name) {
                 Some(_) if missing => {
                     self.missing.insert(name, self.rejoin);
@@ -218,14 +312,14 @@
     /// Until then it counts as one that rejoins; taken for gone at once, it would
     /// lose its keys and each request on them its place.
     pub fn unreadable(&mut self, id: &str, now: Time) {
-        for name in self.open_starts(id) {
+        for name in self.listed_starts(id) {
             self.missing.entry(name).or_insert(now + self.times.rejoin);
         }
     }
 
-    fn open_starts(&self, id: &str) -> Vec<ServerName> {
-        let open = self.with_id(id).filter(|known| known.is_open());
-        open.map(|known| known.entry.name.clone()).collect()
+    fn listed_starts(&self, id: &str) -> Vec<ServerName> {
+        let listed = self.with_id(id).filter(|known| known.is_listed());
+        listed.map(|known| known.entry.name.clone()).collect()
     }
 
     /// The whole list was read: what is not in it has vanished.
@@ -235,8 +329,8 @@
         for entry in entries {
             self.listed(entry, now);
         }
-        let open = self.servers.values().filter(|known| known.is_open());
-        let ids = open.map(|known| known.entry.name.id().to_string());
+        let ready = self.servers.values().filter(|known| known.is_listed());
+        let ids = ready.map(|known| known.entry.name.id().to_string());
         let vanished: Vec<String> = ids.filter(|id| !listed.contains(id)).collect();
         for id in vanished {
             self.removed(&id, now);
@@ -262,6 +356,7 @@
         let before = self.servers.len();
         self.servers
             .retain(|_, known| known.left.is_none_or(|left| now - left < memory));
+        self.restored.retain(|_, cold| *cold > now);
         !gone.is_empty() || self.servers.len() != before
     }
 
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -27,6 +27,8 @@
         },
         left: None,
         seen: Time::ZERO,
+        cold: Time::ZERO,
+        evacuated: None,
         place: Place::Own,
     }
 }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -4,7 +4,7 @@
     citron_core::{
         id::{ServerName, Slots},
         ranges::{OwnerState, Owners},
-        registry::{Registry, RegistryTimes, ServerEntry, ServerState},
+        registry::{Registry, RegistryTimes, SendBounds, ServerEntry, ServerState},
         time::Time,
     },
     std::time::Duration,
@@ -182,3 +182,69 @@
     registry.tick(at(1_080) + drain);
     assert_eq!(registry.state(&"s-1".parse().unwrap()), OwnerState::Leaving);
 }
+
+/// Guards against requests, and keys, that stay in a failure domain which is evacuated,
+/// also at servers that are listed later.
+#[test]
+fn servers_of_an_evacuated_domain_are_left() {
+    let (mut registry, name) = registry();
+    let east = || "east".parse().unwrap();
+    registry.evacuate(east(), at(1_000));
+    registry.listed(entry("s-2", 2, ServerState::Ready), at(1_500));
+    registry.listed(entry("s-1", 1, ServerState::Ready), at(1_500));
+    for server in ["s-1", "s-2"].map(|name| name.parse().unwrap()) {
+        assert_eq!(registry.state(&server), OwnerState::Leaving);
+        let known = registry.get(&server).unwrap();
+        assert_eq!(known.evacuated, Some(at(1_000)));
+        assert!(!known.is_open() && known.is_listed());
+    }
+    registry.evacuate(east(), at(2_000));
+    assert_eq!(registry.get(&name).unwrap().evacuated, Some(at(1_000)));
+    registry.restore(&east(), Duration::from_secs(3), at(3_000));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+}
+
+/// Guards against a server that both leaves and is evacuated and gets requests until the
+/// later of the two bounds.
+#[test]
+fn the_earlier_of_drain_and_evacuation_ends_requests_to_an_owner() {
+    let (mut registry, name) = registry();
+    let bounds = SendBounds::within(Duration::from_secs(2), Duration::from_secs(5));
+    assert_eq!(registry.get(&name).unwrap().last_send(&bounds), None);
+    registry.evacuate("east".parse().unwrap(), at(0));
+    let evacuated = registry.get(&name).unwrap().last_send(&bounds);
+    assert!(evacuated.is_some_and(|last| last < at(5_000)));
+    registry.listed(entry("s-1", 1, ServerState::Leaving), at(100));
+    let both = registry.get(&name).unwrap().last_send(&bounds);
+    assert!(both < evacuated);
+}
+
+/// Guards against servers taken for warm that have become cold in an evacuated domain and
+/// have not said so yet.
+#[test]
+fn servers_count_as_cold_after_an_evacuation() {
+    let (mut registry, name) = registry();
+    let warm = entry("s-1", 1, ServerState::Ready);
+    let warm = ServerEntry {
+        warm_up: Duration::ZERO,
+        ..warm
+    };
+    registry.listed(warm.clone(), at(4_000));
+    assert!(registry.get(&name).unwrap().warm_up(at(4_000)).is_zero());
+    registry.evacuate("east".parse().unwrap(), at(5_000));
+    registry.restore(&"east".parse().unwrap(), Duration::from_secs(3), at(9_000));
+    registry.listed(warm, at(9_500));
+    let cold = registry.get(&name).unwrap().warm_up(at(9_500));
+    assert!(cold > Duration::from_secs(3), "{cold:?}");
+}
+
+/// Guards against a server that becomes cold again and is taken for warm, as it was
+/// listed long ago.
+#[test]
+fn a_server_becomes_cold_again() {
+    let (mut registry, name) = registry();
+    assert!(registry.get(&name).unwrap().warm_up(at(3_100)).is_zero());
+    registry.listed(entry("s-1", 1, ServerState::Ready), at(60_000));
+    let cold = registry.get(&name).unwrap().warm_up(at(61_000));
+    assert_eq!(cold, Duration::from_secs(2));
+}
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -393,6 +393,8 @@
         },
         left: None,
         seen: Time::ZERO,
+        cold: Time::ZERO,
+        evacuated: None,
         place: Place::Own,
     }
 }
