Slow start: which instances may send how much to a cold server

Cause: nothing bounded what all instances together send to one.

Change: a share of the bound for each instance, by rendezvous hashing of the names of the server and of all instances ever heard of. Servers that share their work get requests of two instances of their domain, owners of keys of as many instances as the bound allows, one a second each. Two more may send by mistake. An instance that has started waits for the length of the window.

Ruled out: membership by who is heard. A third of 27 instances, cut off from one another, would each take over (the second test shows that it breaks the bound).

Evidence: core/tests/slowstart, 60 draws of 2 to 195 instances with members that joined unheard and restarts of all at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod routes;
 pub mod routing;
 pub mod slo;
+pub mod slowstart;
 pub mod table;
 pub mod time;
--- a/crates/core/src/routes/service.rs
+++ b/crates/core/src/routes/service.rs
@@ -1,9 +1,12 @@
 //! What an operator set for a service.
 
-use {crate::id::ServiceName, std::time::Duration};
+use {
+    crate::{id::ServiceName, slowstart::SlowStart},
+    std::time::Duration,
+};
 
 /// A service as routes name it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Cluster {
     /// Its name.
     pub name: ServiceName,
@@ -15,4 +18,6 @@
     pub health: String,
     /// How long keys are slow at a server that got them without a handover.
     pub warm_up: Duration,
+    /// How its servers warm up; `None` if they take full load from their start.
+    pub slow_start: Option<SlowStart>,
 }
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -45,7 +45,7 @@
 }
 
 /// Routes, services and limits of one version.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteConfig {
     /// The version.
     pub version: ConfigVersion,
@@ -99,6 +99,12 @@
         self.services.get(name)
     }
 
+    /// The longest time that a server of any service stays cold.
+    pub fn cold_span(&self) -> Duration {
+        let spans = self.services().filter_map(|service| service.slow_start);
+        spans.map(|slow| slow.span).max().unwrap_or_default()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Cluster> {
         self.services.values()
--- /dev/null
+++ b/crates/core/src/slowstart/mod.rs
@@ -0,0 +1,15 @@
+//! How many requests backend servers get while they are cold.
+//!
+//! A cold server crashes above a rate that counts over all instances together. There is
+//! no common counter: which instances may send to it, and how many requests each, follows
+//! from names that all of them know.
+
+mod gate;
+mod group;
+mod limit;
+
+pub use {
+    gate::{COLD_WINDOW, SlowStartGate},
+    group::{Group, Members},
+    limit::{ColdBound, SlowStart},
+};
