Balance: servers that take no more keys

A cold server that crashes above a rate gets no keys while another one can have them: its share of requests for keys would be that of a few instances only. If all are cold, keys without an owner are worse off, and all take.

Evidence: the tests of ranges, of the model and of surges pass unchanged but for the new field.

--- a/crates/core/src/ranges/balance/joins.rs
+++ b/crates/core/src/ranges/balance/joins.rs
@@ -55,7 +55,7 @@
     }
 
     fn is_small(&self, range: KeyRange, to: &ServerName) -> bool {
-        let taker = self.shares.get(to);
+        let taker = self.shares.get(to).filter(|taker| taker.takes);
         taker.is_some_and(|taker| {
             let fair = self.fair * taker.rate;
             let demand = self.demand.of(range);
--- a/crates/core/src/ranges/balance/limits.rs
+++ b/crates/core/src/ranges/balance/limits.rs
@@ -56,6 +56,8 @@
     pub server: ServerName,
     /// Requests a second that it can run.
     pub rate: f64,
+    /// Whether it may be given more keys.
+    pub takes: bool,
 }
 
 /// Keys that should go to another server.
--- a/crates/core/src/ranges/balance/plan.rs
+++ b/crates/core/src/ranges/balance/plan.rs
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 pub(super) struct Share {
     pub rate: f64,
+    pub takes: bool,
     pub load: f64,
     /// The demand of its busiest key.
     pub hottest: f64,
@@ -43,9 +44,12 @@
 impl<'a> Balance<'a> {
     /// A plan for servers that may take keys.
     pub fn new(limits: BalanceLimits, capacities: &[Capacity], demand: &'a Demand) -> Self {
+        // Keys without an owner are worse off than those of a cold one.
+        let none = !capacities.iter().any(|capacity| capacity.takes);
         let share = |capacity: &Capacity| {
             let share = Share {
                 rate: capacity.rate.max(f64::MIN_POSITIVE),
+                takes: capacity.takes || none,
                 load: 0.0,
                 hottest: 0.0,
             };
@@ -64,11 +68,16 @@
         self.demand.of(range)
     }
 
-    /// How many servers may take keys.
+    /// How many servers there are.
     pub fn servers(&self) -> usize {
         self.shares.len()
     }
 
+    /// The servers that may be given keys.
+    pub(super) fn takers(&self) -> impl Iterator<Item = (&ServerName, &Share)> {
+        self.shares.iter().filter(|(_, share)| share.takes)
+    }
+
     /// The limits in force.
     pub fn limits(&self) -> &BalanceLimits {
         &self.limits
@@ -116,18 +125,18 @@
     pub fn share_out(&mut self, range: KeyRange) -> Vec<(KeyRange, ServerName)> {
         let (load, _) = self.totals();
         let demand = self.weight(range);
-        let part = (load + demand) / self.shares.len().max(1) as f64 * PART_OUT;
-        let count = (demand / part)
-            .ceil()
-            .clamp(1.0, self.shares.len().max(1) as f64);
+        let takers = self.takers().count().max(1) as f64;
+        let part = (load + demand) / takers * PART_OUT;
+        let count = (demand / part).ceil().clamp(1.0, takers);
         let mut parts = Vec::new();
         let mut rest = Some(range);
         for number in 1..=count as u32 {
             let Some(left) = rest else { break };
             let (part, above) = self.split(range, left, f64::from(number) / count);
             let after = |share: &Share| (share.load + self.weight(part)) / share.rate;
-            let takers = self.shares.iter();
-            let taker = takers.min_by(|a, b| after(a.1).total_cmp(&after(b.1)));
+            let taker = self
+                .takers()
+                .min_by(|a, b| after(a.1).total_cmp(&after(b.1)));
             let Some(to) = taker.map(|(server, _)| server.clone()) else {
                 break;
             };
@@ -146,7 +155,7 @@
     /// one another, so that equal parts of the space would give all of them to
     /// one server until the demand is known; of stripes several servers get a part.
     pub fn deal(&mut self, range: KeyRange) -> Vec<(KeyRange, ServerName)> {
-        let servers: Vec<ServerName> = self.shares.keys().cloned().collect();
+        let servers: Vec<ServerName> = self.takers().map(|(server, _)| server.clone()).collect();
         if servers.is_empty() {
             return Vec::new();
         }
--- a/crates/core/src/ranges/balance/shifts.rs
+++ b/crates/core/src/ranges/balance/shifts.rs
@@ -137,7 +137,7 @@
             last: key,
         };
         let after = |share: &Share| (share.load + moved) / share.rate;
-        let takers = self.shares.iter().filter(|(server, _)| *server != from);
+        let takers = self.takers().filter(|(server, _)| *server != from);
         let (to, taker) = takers.min_by(|a, b| after(a.1).total_cmp(&after(b.1)))?;
         let gains = after(taker) < HOT_GAIN * donor.load / donor.rate;
         (gains && moved > self.fair * taker.rate).then(|| (shift(range, from, to), moved))
@@ -225,8 +225,9 @@
 
     /// The least loaded server, and what it lacks of its fair share.
     fn least_loaded(&self) -> Option<(&ServerName, f64)> {
-        let shares = self.shares.iter();
-        let least = shares.min_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)));
+        let least = self
+            .takers()
+            .min_by(|a, b| (a.1.load / a.1.rate).total_cmp(&(b.1.load / b.1.rate)));
         least.map(|(server, share)| (server, self.fair * share.rate - share.load))
     }
 
@@ -235,10 +236,7 @@
     /// fair share, and would stay where their callers are refused.
     fn roomiest(&self) -> Option<(&ServerName, f64)> {
         let room = |share: &Share| share.rate * self.limits.overload - share.load;
-        let rooms = self
-            .shares
-            .iter()
-            .map(|(server, share)| (server, room(share)));
+        let rooms = self.takers().map(|(server, share)| (server, room(share)));
         rooms.max_by(|a, b| a.1.total_cmp(&b.1))
     }
 }
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -27,6 +27,7 @@
     let capacity = |(number, rate): (usize, &f64)| Capacity {
         server: server(number),
         rate: *rate,
+        takes: true,
     };
     rates.iter().enumerate().map(capacity).collect()
 }
@@ -357,6 +358,7 @@
     let capacities: Vec<Capacity> = vec![Capacity {
         server: other.clone(),
         rate: 20.0,
+        takes: true,
     }];
     let scope = Scope {
         deal: true,
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -399,6 +399,7 @@
         let capacity = |server: &Server| Capacity {
             server: server.name.clone(),
             rate: 20.0,
+            takes: true,
         };
         open.map(capacity).collect()
     }
--- a/crates/core/tests/surge/world.rs
+++ b/crates/core/tests/surge/world.rs
@@ -89,6 +89,7 @@
         let capacity = |number: usize| Capacity {
             server: format!("s-{number:03}").parse().unwrap(),
             rate: f64::from(shape.slots) / shape.run.as_secs_f64(),
+            takes: true,
         };
         let mut world = Self {
             shape,
