Evacuations and the bound of cold servers are in force on the request path

The adapter reads the rows of evacuations and the rates of cold servers; one that cannot be read leaves what was in force, with a line (C0413). Each choice asks the share of this instance in a cold server. The planner gives cold servers no keys.

--- a/crates/citronproxy/src/edge/control/counts.rs
+++ b/crates/citronproxy/src/edge/control/counts.rs
@@ -24,6 +24,8 @@
     pub planning: IntGauge,
     /// Instances heard of lately, this one included.
     pub instances: IntGauge,
+    /// Failure domains that are evacuated.
+    pub evacuated: IntGauge,
 }
 
 impl Counts {
@@ -68,6 +70,10 @@
                 "citron_instances",
                 "Instances heard of lately, this one included.",
             )?,
+            evacuated: gauge(
+                "citron_evacuated_domains",
+                "Failure domains to whose servers nothing is sent.",
+            )?,
         })
     }
 
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -9,6 +9,7 @@
     crate::events,
     citron_core::{
         ranges::RangeMap,
+        registry::Evacuation,
         time::{StoreTime, Time},
     },
     citron_ports::{Adapter, Row, RowSet, RowTable},
@@ -74,6 +75,11 @@
     /// The newest configuration counts, whatever comes in which order; one that
     /// cannot be read leaves the last good one in force.
     fn take_config(&self, state: &mut State, row: &Row) {
+        match self.adapter.evacuation(row) {
+            Ok(None) => {}
+            Ok(Some(evacuation)) => return self.take_evacuation(state, evacuation, row.version),
+            Err(error) => return log::error!("{} {error}", events::EVACUATION_REFUSED),
+        }
         let config = match self.adapter.config(row) {
             Ok(Some(config)) => config,
             Ok(None) => return,
@@ -91,6 +97,30 @@
         }
     }
 
+    fn take_evacuation(&self, state: &mut State, evacuation: Evacuation, version: u64) {
+        let now = self.clock.now();
+        let (domain, what) = match &evacuation {
+            Evacuation::Begun(domain) => (domain, "begun"),
+            Evacuation::Ended(domain) => (domain, "ended"),
+        };
+        let servers = state.registry.iter();
+        let servers = servers.filter(|known| known.entry.domain == *domain);
+        let servers = servers.count();
+        let event = events::EVACUATION;
+        log::info!("{event} of {domain}: {what}, row {version}, {servers} servers known there");
+        match evacuation {
+            Evacuation::Begun(domain) => state.registry.evacuate(domain, now),
+            Evacuation::Ended(domain) => {
+                let cold = state.config.as_ref().map(|config| config.cold_span());
+                state
+                    .registry
+                    .restore(&domain, cold.unwrap_or_default(), now);
+            }
+        }
+        let evacuated = state.registry.evacuated().len();
+        self.counts.evacuated.set(evacuated as i64);
+    }
+
     fn take_server(&self, state: &mut State, row: &Row) {
         let now = self.clock.now();
         if row.value.is_none() {
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -22,6 +22,7 @@
         ranges::RangeMap,
         registry::{Known, Registry, RegistryTimes},
         routes::RouteConfig,
+        slowstart::{COLD_WINDOW, Group},
         time::{StoreClock, StoreTime, Time},
     },
     citron_ports::{Adapter, RowSet, StoreError},
@@ -91,6 +92,8 @@
     pub fresh: Freshness<{ WATCHED.len() }>,
     /// The newest configuration that was heard of.
     pub newest: Newest,
+    /// Who sends to cold servers, once the other instances are known.
+    pub group: Option<Arc<Group>>,
 }
 
 /// The control thread's centre.
@@ -162,6 +165,9 @@
     loop {
         sleep(TICK).await;
         let changed = node.state.borrow_mut().registry.tick(node.clock.now());
+        if node.regroup() && !changed {
+            node.publish();
+        }
         if changed {
             // Each start of a server has a name of its own: kept for ever, their
             // loads would add up.
@@ -195,6 +201,7 @@
             times: StoreClock::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
             newest: Newest::new(FreshnessTimes::STANDARD),
+            group: None,
         };
         Self {
             adapter,
@@ -363,12 +370,33 @@
             maps: maps
                 .map(|(service, (map, _))| (service.clone(), Arc::clone(map)))
                 .collect(),
-            instances: state.peers.count(&self.settings.domain, now),
+            instances: state.peers.count(now),
             reporting,
             reports: Beats::among(reporting).period(Sender::Near),
+            group: state.group.clone(),
         });
     }
 
+    /// Works out anew who sends to cold servers; whether that has changed.
+    fn regroup(&self) -> bool {
+        let now = self.clock.now();
+        let settled = |enlisted| now - enlisted > COLD_WINDOW;
+        if !self.enlisted.get().is_some_and(settled) {
+            return false;
+        }
+        let mut state = self.state.borrow_mut();
+        let me = &self.settings.instance;
+        let mut members = state.peers.members();
+        members.insert(me.clone(), self.settings.domain.clone());
+        let former = state.group.as_ref();
+        if former.is_some_and(|group| *group.members() == members) {
+            return false;
+        }
+        let number = former.map_or(0, |group| group.number()) + 1;
+        state.group = Some(Arc::new(Group::new(me.clone(), members, number)));
+        true
+    }
+
     fn crashes(&self) -> Option<CrashesWire> {
         let mut crashes = self.board.crashes();
         let report = (!crashes.is_empty()).then(|| crashes.report(self.clock.now()));
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -5,6 +5,7 @@
     citron_core::{
         freshness::{Beats, HearTimes, Sender},
         id::{DomainName, InstanceId},
+        slowstart::Members,
         time::Time,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -172,6 +173,14 @@
         })
     }
 
+    /// All instances that were ever heard of, whether they are there or not, but for
+    /// those whose failure domain is not known.
+    pub fn members(&self) -> Members {
+        let peers = self.peers.iter();
+        let known = peers.filter_map(|(name, peer)| Some((name.clone(), peer.domain.clone()?)));
+        known.collect()
+    }
+
     /// Whether others of a failure domain are known.
     pub fn has_any_in(&self, domain: &DomainName) -> bool {
         let mut peers = self.peers.values();
@@ -185,13 +194,15 @@
 
     /// How many instances there are, this one included: those that are live or
     /// were not heard yet, and with many those of other failure domains.
-    pub fn count(&self, domain: &DomainName, now: Time) -> usize {
-        let counted = |peer: &&Peer| {
-            let far = peer.domain.as_ref() != Some(domain);
-            let lately = now - peer.heard.unwrap_or(peer.added) < SILENT;
-            lately || (far && !self.hears_all())
-        };
-        1 + self.peers.values().filter(counted).count()
+    pub fn count(&self, now: Time) -> usize {
+        let peers = self.peers.values();
+        1 + peers.filter(|peer| self.is_counted(peer, now)).count()
+    }
+
+    fn is_counted(&self, peer: &Peer, now: Time) -> bool {
+        let far = peer.domain.as_ref() != Some(&self.domain);
+        let lately = now - peer.heard.unwrap_or(peer.added) < SILENT;
+        lately || (far && !self.hears_all())
     }
 
     /// How many instances report their loads to this one, itself included.
--- a/crates/citronproxy/src/edge/control/planner/capacity.rs
+++ b/crates/citronproxy/src/edge/control/planner/capacity.rs
@@ -1,7 +1,9 @@
 //! What servers can do.
 
 use {
-    citron_core::{dispatch::LoadBook, ranges::Capacity, registry::Known, time::Time},
+    citron_core::{
+        dispatch::LoadBook, ranges::Capacity, registry::Known, slowstart::SlowStart, time::Time,
+    },
     std::time::Duration,
 };
 
@@ -26,8 +28,14 @@
     newest > NEWEST || oldest > OLDEST
 }
 
-/// What servers can do, by the run times measured.
-pub fn capacities(servers: &[&Known], loads: &LoadBook, now: Time) -> Vec<Capacity> {
+/// What servers can do, by the run times measured. Cold ones that would crash above a
+/// rate take no more keys.
+pub fn capacities(
+    servers: &[&Known],
+    slow: Option<SlowStart>,
+    loads: &LoadBook,
+    now: Time,
+) -> Vec<Capacity> {
     let servers: Vec<(&Known, Option<f64>)> = servers
         .iter()
         .map(|known| (*known, loads.get(&known.entry.name).run(now)))
@@ -39,13 +47,14 @@
     };
     let capacity = |(known, run): &(&Known, Option<f64>)| {
         let speed = (mean / run.unwrap_or(mean)).clamp(SPEEDS[0], SPEEDS[1]);
-        let cold = match known.warm_up(now).is_zero() {
-            true => 1.0,
-            false => COLD,
-        };
+        let warm = known.warm_up(now).is_zero();
+        let cold = if warm { 1.0 } else { COLD };
+        let rate = f64::from(known.entry.slots.0) * speed * cold / mean;
+        let limit = slow.filter(|_| !warm).map(|slow| slow.rate.0);
         Capacity {
             server: known.entry.name.clone(),
-            rate: f64::from(known.entry.slots.0) * speed * cold / mean,
+            rate: rate.min(limit.unwrap_or(f64::INFINITY)),
+            takes: limit.is_none(),
         }
     };
     servers.iter().map(capacity).collect()
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -147,7 +147,7 @@
                 .filter(|known| known.is_open() && known.entry.service == *name)
                 .collect();
             let deal = have_shown_up(&open, now);
-            let capacities = capacities(&open, &node.board.loads(), now);
+            let capacities = capacities(&open, service.slow_start, &node.board.loads(), now);
             if even {
                 // The work of a millisecond, and a tick may come with each order.
                 plan.demand = node.demands.borrow().seen(name, now);
--- a/crates/citronproxy/src/edge/settings.rs
+++ b/crates/citronproxy/src/edge/settings.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::settings::{SettingsError, parse},
-    citron_core::id::{DomainName, InstanceId},
+    citron_core::{
+        id::{DomainName, InstanceId},
+        slowstart::ColdBound,
+    },
     serde::Deserialize,
     std::{net::SocketAddr, path::Path, time::Duration},
 };
@@ -36,6 +39,10 @@
     pub leave: Duration,
     /// How long after the news that a server leaves it may still get requests.
     pub drain: Duration,
+    /// The same after the news that its failure domain is evacuated.
+    pub evacuate: Duration,
+    /// How far cold servers may be loaded.
+    pub cold: ColdBound,
     /// What retries may add.
     pub retries: RetrySettings,
     /// Where metrics are read; nowhere if it is not set.
@@ -58,6 +65,10 @@
     store: SocketAddr,
     leave_s: f64,
     drain_s: f64,
+    #[serde(default)]
+    evacuate_s: Option<f64>,
+    #[serde(default)]
+    cold: ColdSettings,
     retries: RetrySettings,
     lease_max_s: f64,
     cpu_share: f64,
@@ -65,6 +76,25 @@
     metrics: Option<SocketAddr>,
 }
 
+/// How far above their rate cold servers may be loaded, over all instances.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ColdSettings {
+    /// Factor of the rate.
+    factor: Option<f64>,
+    /// Requests in any second beyond that.
+    extra: Option<f64>,
+}
+
+impl From<ColdSettings> for ColdBound {
+    fn from(raw: ColdSettings) -> Self {
+        Self {
+            factor: raw.factor.unwrap_or(1.0).max(0.0),
+            extra: raw.extra.unwrap_or(0.0).max(0.0),
+        }
+    }
+}
+
 impl EdgeSettings {
     /// Reads and checks a file.
     ///
@@ -82,6 +112,8 @@
             store: raw.store,
             leave: parse::seconds(path, "leave_s", raw.leave_s)?,
             drain: parse::seconds(path, "drain_s", raw.drain_s)?,
+            evacuate: parse::seconds(path, "evacuate_s", raw.evacuate_s.unwrap_or(raw.drain_s))?,
+            cold: raw.cold.into(),
             retries: raw.retries,
             metrics: raw.metrics,
             lease: parse::seconds(path, "lease_max_s", raw.lease_max_s)?,
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -20,8 +20,10 @@
     citron_core::{
         freshness::{Doubt, FreshnessTimes},
         id::ServiceName,
+        registry::SendBounds,
         routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
+        slowstart::SlowStartGate,
     },
     citron_ports::HeaderNames,
     http::{Request, Response, StatusCode, request::Parts},
@@ -74,6 +76,10 @@
     pub paces: Rc<Paces>,
     /// How long idle connections are trusted.
     pub idles: Rc<Idles>,
+    /// What cold servers get from this instance.
+    pub cold: RefCell<SlowStartGate>,
+    /// How long owners may get requests that leave or are evacuated.
+    pub bounds: SendBounds,
     /// Requests counted since the metrics were last read.
     pub counts: RefCell<LocalMetrics>,
     metrics: Metrics,
@@ -164,6 +170,7 @@
         move |request: &Request<_>| ready::answer(&shared, &names.ready, request.uri().path());
     spawn_local(pages::serve(balancers, is_ready));
     let front = Rc::new(Front {
+        bounds: SendBounds::within(settings.drain, settings.evacuate),
         leaving: board.leaving(),
         board,
         settings,
@@ -173,6 +180,7 @@
         room: Rc::default(),
         paces: Rc::default(),
         idles: Rc::default(),
+        cold: RefCell::default(),
         counts: RefCell::new(metrics.local()),
         metrics,
         budgets: RefCell::default(),
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -15,15 +15,11 @@
     std::{fmt, time::Duration},
 };
 
-/// How long before the end of its drain time a leaving owner gets nothing more:
-/// the news has taken up to 0.5 s from the store to this instance where one
-/// instance reads for many, and the request is still on its way. By then the
-/// owner has long been told to give its keys up.
-const DRAIN_MARGIN: Duration = Duration::from_millis(800);
-
 /// When a caller comes back whose request was over the limit of its service:
 /// about the time in which one of those under way ends.
 const PACED_AGAIN: Duration = Duration::from_millis(250);
+/// Retry-After where all servers are cold and have what they take, at most.
+const COLD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Where to.
 #[derive(Debug)]
@@ -45,6 +41,8 @@
     Servers(Lack),
     /// Within this instance's limit of requests at the service.
     Limit,
+    /// At cold servers, which crash under more.
+    Cold,
 }
 
 impl fmt::Display for Full {
@@ -52,6 +50,7 @@
         match self {
             Self::Servers(lack) => lack.fmt(f),
             Self::Limit => f.write_str("over the limit that late answers set"),
+            Self::Cold => f.write_str("cold servers take no more now"),
         }
     }
 }
@@ -115,11 +114,13 @@
     if known.is_displaced() {
         return Target::Moving;
     }
-    if let Some(left) = known.left
-        && now - left > front.settings.drain.saturating_sub(DRAIN_MARGIN)
-    {
+    let last = known.last_send(&front.bounds);
+    if last.is_some_and(|last| now > last) {
         return Target::None;
     }
+    if !admits(front, view, known, wish) {
+        return full_of_cold(known.warm_up(now));
+    }
     pick(front, view, wish, [known].into_iter())
 }
 
@@ -132,6 +133,17 @@
     if !front.paces.admits(wish.service) {
         return Target::Full(PACED_AGAIN, Full::Limit);
     }
+    let admitted: Vec<&Known> = open
+        .iter()
+        .copied()
+        .filter(|known| admits(front, view, known, wish))
+        .collect();
+    if admitted.is_empty() {
+        let now = front.clock.now();
+        let left = open.iter().map(|known| known.warm_up(now)).min();
+        return full_of_cold(left.unwrap_or_default());
+    }
+    let open = admitted;
     let fresh = |known: &&Known| !wish.tried.contains(&known.entry.name);
     let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
     match untried.is_empty() {
@@ -140,6 +152,33 @@
     }
 }
 
+/// Whether a server may get a request, if it is cold.
+fn admits(front: &Front, view: &View, known: &Known, wish: &Wish<'_>) -> bool {
+    let now = front.clock.now();
+    if known.warm_up(now).is_zero() {
+        return true;
+    }
+    let service = view.config.service(wish.service);
+    let Some(slow) = service.and_then(|service| service.slow_start) else {
+        return true;
+    };
+    let Some(group) = &view.group else {
+        return false;
+    };
+    let most = front.settings.cold.most(&slow);
+    let entry = &known.entry;
+    let mut gate = front.cold.borrow_mut();
+    let share = gate.share(group, &entry.name, || match wish.key {
+        Some(_) => group.owner_share(&entry.name, most),
+        None => group.pool_share(&entry.name, &entry.domain, most),
+    });
+    gate.admits(&entry.name, share, now)
+}
+
+fn full_of_cold(left: Duration) -> Target {
+    Target::Full(left.min(COLD_RETRY_AFTER), Full::Cold)
+}
+
 fn pick<'a>(
     front: &Front,
     view: &View,
@@ -176,7 +215,13 @@
         Choice::Send(name) => {
             let mut servers = servers;
             let chosen = servers.find(|known| known.entry.name == name);
-            chosen.map_or(Target::None, |known| Target::Server(known.clone()))
+            let Some(known) = chosen else {
+                return Target::None;
+            };
+            if !known.warm_up(now).is_zero() {
+                front.cold.borrow_mut().note(&known.entry.name, now);
+            }
+            Target::Server(known.clone())
         }
     }
 }
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -6,6 +6,7 @@
         ranges::RangeMap,
         registry::Known,
         routes::RouteConfig,
+        slowstart::Group,
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -25,6 +26,8 @@
     pub reporting: usize,
     /// Time between two reports of each of them.
     pub reports: Duration,
+    /// Who sends to cold servers; nobody yet if this instance does not know the others.
+    pub group: Option<Arc<Group>>,
 }
 
 impl View {
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -99,6 +99,10 @@
     CONFIG = 410, "configuration-in-force";
     /// A configuration cannot be read; the last good one stays in force.
     CONFIG_REFUSED = 411, "configuration-refused";
+    /// A failure domain is evacuated, or takes requests again.
+    EVACUATION = 412, "evacuation";
+    /// A row that asks for an evacuation cannot be read; what was in force stays.
+    EVACUATION_REFUSED = 413, "evacuation-refused";
     /// A backend server's entry has changed.
     SERVER_STATE = 420, "server-entry";
     /// A backend server's entry cannot be read.
--- a/crates/ports/src/adapter.rs
+++ b/crates/ports/src/adapter.rs
@@ -6,7 +6,7 @@
     citron_core::{
         id::Epoch,
         ranges::{KeyRange, Slice},
-        registry::ServerEntry,
+        registry::{Evacuation, ServerEntry},
         routes::RouteConfig,
     },
     http::{HeaderMap, HeaderName, Request},
@@ -61,6 +61,13 @@
     /// If the row cannot be read.
     fn config(&self, row: &Row) -> Result<Option<RouteConfig>, DecodeError>;
 
+    /// The evacuation that a row begins or, if it was removed, ends; `None` if the row
+    /// is not about one.
+    ///
+    /// # Errors
+    /// If the row cannot be read.
+    fn evacuation(&self, row: &Row) -> Result<Option<Evacuation>, DecodeError>;
+
     /// The server in a row.
     ///
     /// # Errors
