Heartbeats: loads that do not fit are cut, and no longer all dropped

What was wrong: a heartbeat whose loads did not fit into one datagram was sent without any. An instance that had used some 85 servers within four seconds said nothing of its requests, and others of its domain took that for none.

Change: loads are ordered by requests under way, and as many as fit are sent. The wire types of heartbeats move to the wire crate, where a test reaches them.

Evidence: crates/wire/tests/heartbeat, which fails with the former encoding from 100 servers on.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -6,12 +6,12 @@
 
 use {
     super::{
-        heartbeat::Heartbeat,
         node::{Holder, State},
         peers::Peer,
     },
     crate::edge::EdgeSettings,
     citron_core::{freshness::LOST, id::InstanceId, time::Time},
+    citron_wire::heartbeat::Heartbeat,
     std::time::Duration,
 };
 
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -1,13 +1,7 @@
 //! Heartbeats between instances, over UDP.
 
 use {
-    super::{
-        heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat},
-        keys,
-        node::Node,
-        peers::Round,
-        refresh, relay,
-    },
+    super::{keys, node::Node, peers::Round, refresh, relay},
     crate::{edge::EdgeError, events},
     citron_core::{
         freshness::{Beats, HearTimes, Sender},
@@ -15,6 +9,7 @@
         time::Time,
     },
     citron_ports::Adapter,
+    citron_wire::heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat},
     std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::timeout},
 };
@@ -91,9 +86,8 @@
         ..heartbeat.clone()
     });
     let short = short.encode().unwrap_or_default();
-    let whole = Datagram::Heartbeat(heartbeat)
-        .encode()
-        .unwrap_or_else(|| short.clone());
+    let whole = heartbeat.encode_fitting();
+    let whole = whole.unwrap_or_else(|| short.clone());
     for to in due {
         let bytes = if to.loads { &whole } else { &short };
         send_to(socket, bytes, to.address).await;
--- a/crates/citronproxy/src/edge/control/keys.rs
+++ b/crates/citronproxy/src/edge/control/keys.rs
@@ -1,13 +1,10 @@
 //! The keys that callers ask for, on their way to the planner.
 
 use {
-    super::{
-        gossip::send_to,
-        heartbeat::{Datagram, KeysWire},
-        node::Node,
-    },
+    super::{gossip::send_to, node::Node},
     citron_core::ranges::RangeKey,
     citron_ports::Adapter,
+    citron_wire::heartbeat::{Datagram, KeysWire},
     std::{collections::BTreeMap, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -6,7 +6,6 @@
 mod demands;
 mod election;
 mod gossip;
-mod heartbeat;
 mod intake;
 mod keys;
 mod mirror;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -5,7 +5,6 @@
         counts::Counts,
         demands::Demands,
         gossip,
-        heartbeat::{CrashesWire, Heartbeat},
         mirror::Mirror,
         peers::Peers,
         planner, refresh, relay,
@@ -26,7 +25,10 @@
         time::{StoreClock, StoreTime, Time},
     },
     citron_ports::{Adapter, RowSet, StoreError},
-    citron_wire::relay::AgeWire,
+    citron_wire::{
+        heartbeat::{CrashesWire, Heartbeat},
+        relay::AgeWire,
+    },
     http::Request,
     std::{
         cell::{Cell, RefCell},
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -1,13 +1,13 @@
 //! Other instances, as their heartbeats tell.
 
 use {
-    super::heartbeat::Heartbeat,
     citron_core::{
         freshness::{Beats, HearTimes, Sender},
         id::{DomainName, InstanceId},
         slowstart::Members,
         time::Time,
     },
+    citron_wire::heartbeat::Heartbeat,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         arrival::Arrival,
-        heartbeat::Heartbeat,
         node::Node,
         watch::{self, CONFIG, RANGES, SERVERS, WATCHED, jitter},
     },
@@ -13,6 +12,7 @@
         time::Time,
     },
     citron_ports::{Adapter, RowSet, RowStore, RowTable, StoreError},
+    citron_wire::heartbeat::Heartbeat,
     std::{cell::Cell, future::Future, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::sleep},
 };
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,7 +8,7 @@
 //! that they leave.
 
 use {
-    super::{arrival::Arrival, heartbeat::Heartbeat, node::Node, watch::WATCHED},
+    super::{arrival::Arrival, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
@@ -16,6 +16,7 @@
     bytes::Bytes,
     citron_core::freshness::{Behind, Fetch, HearTimes},
     citron_ports::{Adapter, KeptClient, fetch_table},
+    citron_wire::heartbeat::Heartbeat,
     citron_wire::relay::{Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableWire},
     http::StatusCode,
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
--- a/crates/core/src/dispatch/book.rs
+++ b/crates/core/src/dispatch/book.rs
@@ -117,15 +117,18 @@
         }
     }
 
-    /// What this instance says of servers; those without a request are left out.
+    /// What this instance says of servers, the busiest first; those without a request
+    /// are left out.
     pub fn own(&self, now: Time) -> Vec<PeerLoad> {
         let said = self.servers.iter().map(|(server, load)| PeerLoad {
             server: server.clone(),
             busy: load.own,
             run: load.own_run(now),
         });
-        said.filter(|said| said.busy > 0 || said.run.is_some())
-            .collect()
+        let said = said.filter(|said| said.busy > 0 || said.run.is_some());
+        let mut said: Vec<PeerLoad> = said.collect();
+        said.sort_by_key(|said| std::cmp::Reverse(said.busy));
+        said
     }
 
     /// Forgets servers that are known no more and have nothing under way.
--- /dev/null
+++ b/crates/wire/src/heartbeat/crashes.rs
@@ -0,0 +1,64 @@
+//! Requests that crash servers.
+
+use {
+    citron_core::crash::{CrashCount, CrashReport, Fingerprint, Lift},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// What an instance knows of requests that crash servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrashesWire {
+    number: u64,
+    counts: Vec<CrashWire>,
+    /// Fingerprint, and milliseconds since.
+    lifts: Vec<(u64, u64)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct CrashWire {
+    fingerprint: u64,
+    label: String,
+    crashes: u32,
+    /// Milliseconds since the last one.
+    age: u64,
+}
+
+impl From<CrashReport> for CrashesWire {
+    fn from(report: CrashReport) -> Self {
+        let counts = report.counts.into_iter().map(|count| CrashWire {
+            fingerprint: count.fingerprint.0,
+            label: count.label,
+            crashes: count.crashes,
+            age: count.age.as_millis() as u64,
+        });
+        let lifts = report.lifts.into_iter();
+        Self {
+            number: report.number,
+            counts: counts.collect(),
+            lifts: lifts
+                .map(|lift| (lift.fingerprint.0, lift.age.as_millis() as u64))
+                .collect(),
+        }
+    }
+}
+
+impl From<CrashesWire> for CrashReport {
+    fn from(wire: CrashesWire) -> Self {
+        let counts = wire.counts.into_iter().map(|count| CrashCount {
+            fingerprint: Fingerprint(count.fingerprint),
+            label: count.label,
+            crashes: count.crashes,
+            age: Duration::from_millis(count.age),
+        });
+        let lifts = wire.lifts.into_iter().map(|(print, age)| Lift {
+            fingerprint: Fingerprint(print),
+            age: Duration::from_millis(age),
+        });
+        Self {
+            number: wire.number,
+            counts: counts.collect(),
+            lifts: lifts.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/heartbeat/load.rs
@@ -0,0 +1,38 @@
+//! Loads of servers.
+
+use {
+    citron_core::{dispatch::PeerLoad, id::ParseIdError},
+    serde::{Deserialize, Serialize},
+};
+
+/// What an instance says of a server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadWire {
+    server: String,
+    busy: u32,
+    /// Run time of a request in milliseconds; 0 if none was seen.
+    run: u32,
+}
+
+impl From<PeerLoad> for LoadWire {
+    fn from(load: PeerLoad) -> Self {
+        let millis = load.run.map_or(0.0, |run| (run * 1_000.0).max(1.0));
+        Self {
+            server: load.server.to_string(),
+            busy: load.busy,
+            run: millis as u32,
+        }
+    }
+}
+
+impl TryFrom<LoadWire> for PeerLoad {
+    type Error = ParseIdError;
+
+    fn try_from(wire: LoadWire) -> Result<Self, ParseIdError> {
+        Ok(Self {
+            server: wire.server.parse()?,
+            busy: wire.busy,
+            run: (wire.run > 0).then(|| f64::from(wire.run) / 1_000.0),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -0,0 +1,13 @@
+//! What instances tell each other several times a second.
+
+mod crashes;
+mod datagram;
+mod load;
+mod message;
+
+pub use {
+    crashes::CrashesWire,
+    datagram::{DATAGRAM_MAX, Datagram, KeysWire},
+    load::LoadWire,
+    message::Heartbeat,
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod grant;
+pub mod heartbeat;
 pub mod peer;
 pub mod relay;
 pub mod row;
--- /dev/null
+++ b/crates/wire/tests/heartbeat.rs
@@ -0,0 +1,63 @@
+//! Heartbeats between instances, as datagrams.
+
+use {
+    citron_core::dispatch::{Finish, LoadBook, PeerLoad},
+    citron_core::{id::ServerName, time::Time},
+    citron_wire::{
+        heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat},
+        relay::AgeWire,
+    },
+    std::time::Duration,
+};
+
+const NOW: Time = Time::from_micros(60_000_000);
+
+fn heartbeat(loads: Vec<PeerLoad>) -> Heartbeat {
+    Heartbeat {
+        instance: "front-newport-yard-11".to_string(),
+        start: u64::MAX,
+        domain: "newport-yard".to_string(),
+        cpu: 10,
+        leaving: false,
+        planning: false,
+        store: true,
+        versions: [u64::MAX; 3],
+        ages: [AgeWire::from(Some(Duration::from_millis(900))); 3],
+        leadership: u64::MAX,
+        loads: loads.into_iter().map(Into::into).collect(),
+        crashes: None,
+    }
+}
+
+/// What an instance says of servers of which it has lately used `used`, and has a request
+/// at every tenth.
+fn loads(used: usize) -> Vec<PeerLoad> {
+    let mut book = LoadBook::default();
+    for number in 0..used {
+        let server: ServerName = format!("i-{number:08x}").parse().unwrap();
+        book.begin(&server, NOW);
+        book.end(&server, Finish::Ran, Duration::from_millis(200), 1.0, NOW);
+        if number % 10 == 0 {
+            book.begin(&server, NOW);
+        }
+    }
+    book.own(NOW)
+}
+
+/// Guards against loads that nobody hears of: an instance that has lately used a hundred
+/// servers or more has more to say than a datagram carries, and would say nothing.
+#[test]
+fn requests_under_way_are_told_whatever_else_there_is() {
+    for used in [0, 10, 60, 100, 381, 1_000] {
+        let bytes = heartbeat(loads(used)).encode_fitting().unwrap();
+        assert!(bytes.len() <= DATAGRAM_MAX);
+        let Some(Datagram::Heartbeat(heard)) = Datagram::decode(&bytes) else {
+            panic!("no heartbeat");
+        };
+        let told = heard.loads.into_iter().map(PeerLoad::try_from);
+        let told: Vec<PeerLoad> = told.map(Result::unwrap).collect();
+        let busy = told.iter().filter(|load| load.busy > 0).count();
+        assert_eq!(busy, used.div_ceil(10).min(told.len()), "{used} servers");
+        assert!(told.len() >= used.min(60), "{used} servers: {}", told.len());
+    }
+}
