Keys on their way are told to all instances ahead of the map

Cause: from a release on until the next map has been fetched, instances send to the owner that gives the keys up. Each instance found out by itself.

Change: the planner tells every instance by datagram which keys it has released, and their owners once a commit is done. It is a hint: servers check what they hold, so that news that is late, lost or wrong costs a refused try. A release counts for a second, as one that is not answered may take the time of a lease.

Evidence: core/tests/moves.

--- a/crates/citronproxy/src/edge/board.rs
+++ b/crates/citronproxy/src/edge/board.rs
@@ -7,9 +7,13 @@
         crash::{CrashConfig, CrashLog},
         dispatch::LoadBook,
         id::ServiceName,
-        ranges::RangeKey,
+        ranges::{MoveLog, MoveNews, RangeKey, Slice, Whereabouts},
+        time::Time,
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::watch,
 };
 
@@ -26,6 +30,7 @@
     loads: Mutex<LoadBook>,
     keys: Mutex<Vec<(ServiceName, RangeKey)>>,
     crashes: Mutex<CrashLog>,
+    moves: Mutex<BTreeMap<ServiceName, MoveLog>>,
     leaving: watch::Sender<bool>,
 }
 
@@ -38,6 +43,7 @@
             loads: Mutex::default(),
             keys: Mutex::default(),
             crashes: Mutex::new(CrashLog::new(CrashConfig::STARTS)),
+            moves: Mutex::default(),
             leaving: watch::Sender::new(false),
         }
     }
@@ -84,6 +90,24 @@
         std::mem::take(&mut *keys)
     }
 
+    /// Takes in what the planner says of keys on their way.
+    pub fn note_move(&self, service: &ServiceName, news: MoveNews, now: Time) {
+        let mut moves = self.moves.lock().unwrap_or_else(PoisonError::into_inner);
+        moves.entry(service.clone()).or_default().note(news, now);
+    }
+
+    /// What is newer about a key than its slice of the map tells.
+    pub fn moved(
+        &self,
+        service: &ServiceName,
+        key: RangeKey,
+        slice: &Slice,
+        now: Time,
+    ) -> Option<Whereabouts> {
+        let moves = self.moves.lock().unwrap_or_else(PoisonError::into_inner);
+        moves.get(service)?.find(key, slice, now).cloned()
+    }
+
     /// Requests that crash servers.
     pub fn crashes(&self) -> MutexGuard<'_, CrashLog> {
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between instances, over UDP.
 
 use {
-    super::{keys, node::Node, peers::Round, refresh, relay},
+    super::{keys, moves, node::Node, peers::Round, refresh, relay},
     crate::{edge::EdgeError, events},
     citron_core::{
         freshness::{Beats, HearTimes, Sender},
@@ -37,6 +37,7 @@
     tokio::join!(
         send(&node, &socket),
         keys::report(&node, &socket),
+        moves::report(&node, &socket),
         receive(&node, &socket)
     );
 }
@@ -140,6 +141,7 @@
                 node.note_keys(&part.service, &part.keys);
             }
         }
+        Some(Datagram::Moves(moves)) => node.hear_moves(moves),
         None => {
             let size = bytes.len();
             log::warn!("{} {size} bytes from {from}", events::DATAGRAM_REFUSED);
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -9,6 +9,7 @@
 mod intake;
 mod keys;
 mod mirror;
+mod moves;
 mod node;
 mod peers;
 mod planner;
--- /dev/null
+++ b/crates/citronproxy/src/edge/control/moves.rs
@@ -0,0 +1,113 @@
+//! Keys on their way, told to all instances ahead of the map.
+
+use {
+    super::{gossip::send_to, node::Node},
+    crate::events,
+    citron_core::{
+        id::ServiceName,
+        ranges::{MoveNews, Order, RangeMap, Whereabouts},
+    },
+    citron_ports::Adapter,
+    citron_wire::heartbeat::{Datagram, MovesWire},
+    std::cell::RefCell,
+    tokio::{net::UdpSocket, sync::Notify},
+};
+
+/// Pieces of news in one datagram at most.
+const NEWS: usize = 40;
+
+/// News that wait to be sent.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    waiting: RefCell<Vec<(ServiceName, MoveNews)>>,
+    filled: Notify,
+}
+
+/// Sends news to all instances for good.
+pub async fn report<A: Adapter>(node: &Node<A>, socket: &UdpSocket) {
+    loop {
+        node.outbox.filled.notified().await;
+        let mut waiting = node.outbox.waiting.take();
+        waiting.sort_by(|(a, _), (b, _)| a.cmp(b));
+        for part in waiting.chunk_by(|(a, _), (b, _)| a == b) {
+            for news in part.chunks(NEWS) {
+                send(node, socket, news).await;
+            }
+        }
+    }
+}
+
+async fn send<A: Adapter>(node: &Node<A>, socket: &UdpSocket, news: &[(ServiceName, MoveNews)]) {
+    let Some((service, _)) = news.first() else {
+        return;
+    };
+    let moves = news.iter().map(|(_, news)| news.clone().into());
+    let wire = MovesWire {
+        service: service.to_string(),
+        moves: moves.collect(),
+    };
+    let Some(bytes) = Datagram::Moves(wire).encode() else {
+        return log::warn!("{} news of moves are too long", events::DATAGRAM_REFUSED);
+    };
+    let others = node.state.borrow().peers.addresses(node.clock.now());
+    for to in others {
+        send_to(socket, &bytes, to).await;
+    }
+}
+
+impl<A: Adapter> Node<A> {
+    /// Tells all instances, this one included, which keys their owners give up.
+    pub fn announce_releases(&self, orders: &[(ServiceName, Order)]) {
+        let releases = orders.iter().filter_map(|(service, order)| match order {
+            Order::Release { range, epoch, .. } => {
+                let news = MoveNews {
+                    range: *range,
+                    epoch: *epoch,
+                    place: Whereabouts::Released,
+                };
+                Some((service.clone(), news))
+            }
+            Order::Grant(_) | Order::Commit(_) => None,
+        });
+        self.announce(releases.collect());
+    }
+
+    /// Tells all others which keys a new map gives to other servers.
+    pub fn announce_owners(&self, service: &ServiceName, former: &RangeMap, map: &RangeMap) {
+        let news = map.changes_since(former).map(|(slice, owner)| {
+            let news = MoveNews {
+                range: slice.range,
+                epoch: slice.epoch,
+                place: Whereabouts::Owned(owner.clone()),
+            };
+            (service.clone(), news)
+        });
+        self.announce(news.collect());
+    }
+
+    fn announce(&self, news: Vec<(ServiceName, MoveNews)>) {
+        if news.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        for (service, news) in &news {
+            self.board.note_move(service, news.clone(), now);
+        }
+        self.outbox.waiting.borrow_mut().extend(news);
+        self.outbox.filled.notify_one();
+    }
+
+    /// Takes in what the planner tells.
+    pub fn hear_moves(&self, wire: MovesWire) {
+        let Ok(service) = wire.service.parse() else {
+            return;
+        };
+        let now = self.clock.now();
+        for news in wire.moves {
+            match MoveNews::try_from(news) {
+                Ok(news) => self.board.note_move(&service, news, now),
+                Err(error) => log::warn!("{} {error}", events::DATAGRAM_REFUSED),
+            }
+        }
+    }
+}
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -6,6 +6,7 @@
         demands::Demands,
         gossip,
         mirror::Mirror,
+        moves::Outbox,
         peers::Peers,
         planner, refresh, relay,
         watch::{self, CONFIG, RANGES, SERVERS, WATCHED},
@@ -125,6 +126,8 @@
     pub fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     /// Tables asked for from others.
     pub relay: relay::Relay,
+    /// Keys on their way, to be told to others.
+    pub outbox: Outbox,
     /// Wakes the planner.
     pub wake: Notify,
     /// Wakes the sender of heartbeats.
@@ -218,6 +221,7 @@
             demands: RefCell::default(),
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
+            outbox: Outbox::default(),
             wake: Notify::new(),
             hurry: Notify::new(),
             counts,
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -181,6 +181,13 @@
         known.collect()
     }
 
+    /// Where all others are reached that were not silent for long.
+    pub fn addresses(&self, now: Time) -> Vec<SocketAddr> {
+        let peers = self.peers.values();
+        let counted = peers.filter(|peer| self.is_counted(peer, now));
+        counted.map(|peer| peer.address).collect()
+    }
+
     /// Whether others of a failure domain are known.
     pub fn has_any_in(&self, domain: &DomainName) -> bool {
         let mut peers = self.peers.values();
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -74,7 +74,9 @@
         }
         next = begun + TICK;
         term.settle_former(&node);
-        for (service, order) in term.tick(&node, times) {
+        let due = term.tick(&node, times);
+        node.announce_releases(&due);
+        for (service, order) in due {
             let task = Task {
                 node: Rc::clone(&node),
                 orders: Rc::clone(&orders),
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -70,9 +70,10 @@
         let Some(plan) = self.plans.get_mut(&result.service) else {
             return;
         };
-        if matches!(result.order, Order::Commit(_)) {
+        if let Order::Commit(map) = &result.order {
             match result.end {
                 OrderEnd::Done { .. } => {
+                    node.announce_owners(&result.service, plan.reconciler.map(), map);
                     plan.version = result.version;
                     log::info!(
                         "{} service={} version={} slices={} moves={}",
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -6,7 +6,7 @@
     citron_core::{
         dispatch::{Ask, Candidate, Choice, Lack, choose, compared},
         id::{Epoch, ServerName, ServiceName},
-        ranges::RangeKey,
+        ranges::{RangeKey, Whereabouts},
         registry::Known,
         routes::Repeat,
         time::Time,
@@ -99,10 +99,16 @@
         return Target::None;
     };
     let slice = map.slice(key);
-    let Some(owner) = &slice.owner else {
+    let now = front.clock.now();
+    let news = front.board.moved(wish.service, key, slice, now);
+    let owner = match &news {
+        Some(Whereabouts::Released) => return Target::Moving,
+        Some(Whereabouts::Owned(owner)) => Some(owner),
+        None => slice.owner.as_ref(),
+    };
+    let Some(owner) = owner else {
         return Target::None;
     };
-    let now = front.clock.now();
     let is_stale =
         |stale: &Stale| stale.owner == *owner && stale.epoch >= slice.epoch && now < stale.until;
     if wish.stale.is_some_and(is_stale) {
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -12,6 +12,7 @@
 mod even;
 mod key;
 mod map;
+mod news;
 mod reconciler;
 mod windows;
 
@@ -23,6 +24,7 @@
     even::EvenClock,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
+    news::{MoveLog, MoveNews, Whereabouts},
     reconciler::{Order, OrderEnd, OwnerState, Owners, Reconciler, Scope},
     windows::DemandWindows,
 };
--- /dev/null
+++ b/crates/core/tests/moves.rs
@@ -0,0 +1,108 @@
+//! What instances know of keys on their way, ahead of the map.
+
+use {
+    citron_core::{
+        id::{Epoch, ServerName},
+        ranges::{KeyRange, MoveLog, MoveNews, RangeKey, RangeMap, Whereabouts},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+const KEY: RangeKey = RangeKey(7);
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn server(number: usize) -> ServerName {
+    format!("s-{number}").parse().unwrap()
+}
+
+fn range() -> KeyRange {
+    "0-99".parse().unwrap()
+}
+
+fn released(epoch: u64) -> MoveNews {
+    MoveNews {
+        range: range(),
+        epoch: Epoch(epoch),
+        place: Whereabouts::Released,
+    }
+}
+
+fn owned(epoch: u64, number: usize) -> MoveNews {
+    MoveNews {
+        place: Whereabouts::Owned(server(number)),
+        ..released(epoch)
+    }
+}
+
+/// A map in which the keys have had so many owners.
+fn map(owners: usize) -> RangeMap {
+    let mut map = RangeMap::new();
+    (1..=owners).for_each(|number| map.assign(range(), &server(number), None));
+    map
+}
+
+fn find(log: &MoveLog, map: &RangeMap, now: Time) -> Option<Whereabouts> {
+    log.find(KEY, map.slice(KEY), now).cloned()
+}
+
+/// Guards against requests that go to an owner which has given its keys up, and to one
+/// that has not got them yet: one in ten was rejected while keys moved, and took a retry
+/// from the budget.
+#[test]
+fn callers_follow_keys_through_a_move() {
+    let (mut log, map) = (MoveLog::default(), map(1));
+    assert_eq!(find(&log, &map, at(0)), None);
+    log.note(released(2), at(0));
+    assert_eq!(find(&log, &map, at(10)), Some(Whereabouts::Released));
+    log.note(owned(2, 2), at(200));
+    let owner = Some(Whereabouts::Owned(server(2)));
+    assert_eq!(find(&log, &map, at(210)), owner);
+    // A datagram that was overtaken.
+    log.note(released(2), at(220));
+    assert_eq!(find(&log, &map, at(230)), owner);
+    assert_eq!(
+        log.find(RangeKey(100), map.slice(RangeKey(100)), at(230)),
+        None
+    );
+}
+
+/// Guards against news that outlives what it tells of: the map has caught up, or the
+/// planner that moved the keys was lost.
+#[test]
+fn news_ends_with_the_map_or_by_itself() {
+    let mut log = MoveLog::default();
+    log.note(owned(2, 2), at(0));
+    assert_eq!(find(&log, &map(2), at(10)), None);
+    assert_eq!(find(&log, &map(3), at(10)), None);
+    assert_eq!(find(&log, &map(1), at(60_000)), None);
+    log.note(released(5), at(60_000));
+    for again in 1..10 {
+        log.note(released(5), at(60_000 + again * 250));
+    }
+    assert_eq!(find(&log, &map(1), at(62_500)), None);
+    log.note(released(6), at(120_000));
+    assert_eq!(
+        find(&log, &map(1), at(120_010)),
+        Some(Whereabouts::Released)
+    );
+}
+
+/// Guards against news of keys that stay with their owner, as their slices were joined or
+/// cut: only changes of the owner are told.
+#[test]
+fn only_other_owners_are_news() {
+    let former = map(1);
+    let mut next = former.clone();
+    next.assign("0-9".parse().unwrap(), &server(2), None);
+    let told: Vec<_> = next.changes_since(&former).collect();
+    assert_eq!(told.len(), 1);
+    assert_eq!(
+        (told[0].0.range, told[0].1),
+        ("0-9".parse().unwrap(), &server(2))
+    );
+    assert_eq!(next.changes_since(&next).count(), 0);
+}
--- a/crates/wire/src/heartbeat/datagram.rs
+++ b/crates/wire/src/heartbeat/datagram.rs
@@ -1,7 +1,7 @@
 //! What one datagram carries.
 
 use {
-    super::Heartbeat,
+    super::{Heartbeat, MovesWire},
     serde::{Deserialize, Serialize},
 };
 
@@ -15,6 +15,8 @@
     Heartbeat(Heartbeat),
     /// Keys that callers asked for, to the planner.
     Keys(Vec<KeysWire>),
+    /// Keys on their way, from the planner.
+    Moves(MovesWire),
 }
 
 /// Keys of one service.
--- a/crates/wire/src/heartbeat/mod.rs
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -4,10 +4,12 @@
 mod datagram;
 mod load;
 mod message;
+mod moves;
 
 pub use {
     crashes::CrashesWire,
     datagram::{DATAGRAM_MAX, Datagram, KeysWire},
     load::LoadWire,
     message::Heartbeat,
+    moves::{MoveWire, MovesWire},
 };
--- /dev/null
+++ b/crates/wire/src/heartbeat/moves.rs
@@ -0,0 +1,53 @@
+//! Keys on their way.
+
+use {
+    citron_core::{
+        id::Epoch,
+        ranges::{KeyRange, MoveNews, RangeKey, Whereabouts},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Keys of one service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MovesWire {
+    /// The service.
+    pub service: String,
+    /// What is told of its keys.
+    pub moves: Vec<MoveWire>,
+}
+
+/// First and last key, epoch, and the owner; none while the former one gives them up.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MoveWire(u16, u16, u64, Option<String>);
+
+impl From<MoveNews> for MoveWire {
+    fn from(news: MoveNews) -> Self {
+        let owner = match news.place {
+            Whereabouts::Released => None,
+            Whereabouts::Owned(server) => Some(server.to_string()),
+        };
+        let KeyRange { first, last } = news.range;
+        Self(first.0, last.0, news.epoch.0, owner)
+    }
+}
+
+impl TryFrom<MoveWire> for MoveNews {
+    type Error = String;
+
+    fn try_from(MoveWire(first, last, epoch, owner): MoveWire) -> Result<Self, String> {
+        let range = KeyRange::new(RangeKey(first), RangeKey(last));
+        let place = match owner {
+            None => Whereabouts::Released,
+            Some(name) => {
+                let server = name.parse().map_err(|_| format!("owner '{name}'"))?;
+                Whereabouts::Owned(server)
+            }
+        };
+        Ok(Self {
+            range: range.map_err(|error| error.to_string())?,
+            epoch: Epoch(epoch),
+            place,
+        })
+    }
+}
