What may run once waits until a new connection has proved itself

Cause: a server with all the connections that it takes accepts one more and resets it within a round trip. What was written by then may have run. Only requests to servers that had refused some lately waited for that.

--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -220,7 +220,7 @@
     };
     slot.begun = front.clock.now();
     slot.fresh = !connection.reused;
-    if slot.fresh && is_refused_soon(front, server, &connection).await {
+    if slot.fresh && is_refused_soon(front, server, message.repeat, &connection).await {
         return Ended::Not(TryEnd::Closed);
     }
     let mut kept = Kept::new(&front.pool, address, connection);
@@ -246,16 +246,22 @@
     }
 }
 
-/// Whether a server that has refused or lost requests lately closes a new connection
-/// before the request goes out. A server with all the connections that it takes
-/// accepts one more and resets it within a round trip: what was written by then may
-/// have run, for all that is known, and could not be tried elsewhere.
-async fn is_refused_soon(front: &Front, server: &Known, connection: &Connection) -> bool {
+/// Whether a server closes a new connection before the request goes out. A server with
+/// all the connections that it takes accepts one more and resets it within a round trip:
+/// what was written by then may have run, for all that is known. Requests that may run
+/// again wait only where the server has refused or lost some lately.
+async fn is_refused_soon(
+    front: &Front,
+    server: &Known,
+    repeat: Repeat,
+    connection: &Connection,
+) -> bool {
     let doubted = front.board.loads().get(&server.entry.name).is_doubted();
-    if doubted {
+    let waits = doubted || repeat == Repeat::Once;
+    if waits {
         sleep(SETTLE).await;
     }
-    doubted && connection.sender.is_closed()
+    waits && connection.sender.is_closed()
 }
 
 /// Which kept connections a request may go on.
