A shed at random is told from a full server by what servers say

Cause: a rejection counted as a late answer, so that the limit of requests at the service fell to its least, and instances refused what servers would have run.

Change: servers tell their load with each answer (adapter's header; figures that cannot be are counted and change nothing). A rejection by one that says it has a free slot is no sign of a full service.

--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -18,13 +18,13 @@
     },
     bytes::BytesMut,
     citron_core::{
-        dispatch::{Finish, PROMPT, Speed, run_share},
+        dispatch::{Finish, PROMPT, Speed, ToldLoad, run_share},
         id::{ServerName, ServiceName},
         registry::Known,
         routes::Repeat,
         time::Time,
     },
-    http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     std::{fmt, rc::Rc, sync::Arc, time::Duration},
@@ -97,6 +97,8 @@
     paced: Option<Paced>,
     /// How long it was planned to take; nothing if it was sent late.
     planned: Option<Duration>,
+    /// What the server said of its load.
+    told: Option<ToldLoad>,
 }
 
 impl Slot {
@@ -117,6 +119,7 @@
             paced,
             planned: (!left.is_zero()).then(|| left.mul_f64(PROMPT)),
             share,
+            told: None,
             finish: Finish::Other,
             clock: front.clock,
         }
@@ -180,6 +183,9 @@
         // A streamed answer has taken the slot over, and this one counts nothing.
         Ended::Passed(answer) if answer.status().is_server_error() => Finish::Failed,
         Ended::Passed(_) => Finish::Ran,
+        Ended::Not(TryEnd::Refused) if slot.told.is_some_and(|told| told.has_room()) => {
+            Finish::Shed
+        }
         Ended::Not(TryEnd::Refused) => Finish::Full,
         Ended::Not(TryEnd::Closed) => Finish::Closed,
         // A server that takes connections and closes them at once is there, and full.
@@ -233,6 +239,7 @@
     match sent {
         Ok(response) => {
             reused.into_iter().for_each(Reused::answered);
+            slot.told = told_load(front, response.headers());
             read(front, message, kept, response).await
         }
         Err(error) => {
@@ -293,6 +300,16 @@
     request
 }
 
+/// What a server says of its load; figures that cannot be are counted and left.
+fn told_load(front: &Front, headers: &HeaderMap) -> Option<ToldLoad> {
+    let value = headers.get(&front.headers.load)?;
+    let told = value.to_str().ok().and_then(|text| text.parse().ok());
+    if told.is_none() {
+        front.counts.borrow_mut().count_bad_load();
+    }
+    told
+}
+
 async fn read(
     front: &Front,
     message: &Message<'_>,
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -5,8 +5,9 @@
     citron_core::{id::ServiceName, routing::Outcome},
     http::StatusCode,
     prometheus::{
-        HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-        local::{LocalHistogramVec, LocalIntCounterVec},
+        HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
+        local::{LocalHistogramVec, LocalIntCounter, LocalIntCounterVec},
     },
     std::{fmt, time::Duration},
 };
@@ -26,6 +27,7 @@
     seconds: HistogramVec,
     flights: IntGauge,
     lost_lines: IntGauge,
+    bad_loads: IntCounter,
 }
 
 impl Metrics {
@@ -54,7 +56,12 @@
             "citron_log_lines_lost",
             "Log lines for which there was no room since the start.",
         )?;
+        let bad_loads = IntCounter::new(
+            "citron_bad_loads_total",
+            "Answers in which a server's load could not be read.",
+        )?;
         Ok(Self {
+            bad_loads: register(&registry, bad_loads)?,
             requests: register(&registry, requests)?,
             tries: register(&registry, tries)?,
             denied: register(&registry, denied)?,
@@ -71,6 +78,7 @@
             requests: self.requests.local(),
             tries: self.tries.local(),
             denied: self.denied.local(),
+            bad_loads: self.bad_loads.local(),
             seconds: self.seconds.local(),
         }
     }
@@ -104,6 +112,7 @@
     requests: LocalIntCounterVec,
     tries: LocalIntCounterVec,
     denied: LocalIntCounterVec,
+    bad_loads: LocalIntCounter,
     seconds: LocalHistogramVec,
 }
 
@@ -137,11 +146,17 @@
         self.denied.with_label_values(&[status.as_str()]).inc();
     }
 
+    /// Counts an answer in which a server's load could not be read.
+    pub fn count_bad_load(&mut self) {
+        self.bad_loads.inc();
+    }
+
     /// Adds the counts to the shared ones.
     pub fn flush(&mut self) {
         self.requests.flush();
         self.tries.flush();
         self.denied.flush();
+        self.bad_loads.flush();
         self.seconds.flush();
     }
 }
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -39,6 +39,9 @@
     Failed,
     /// It refused the request for want of room.
     Full,
+    /// It refused the request although it says that it had room: the next one may be
+    /// taken.
+    Shed,
     /// It took a connection and closed it at once: it has as many as it takes.
     Closed,
     /// It could not be reached, or broke off.
@@ -176,6 +179,10 @@
                     self.full_until = now + FULL_TIME;
                 }
             }
+            Finish::Shed => {
+                self.refused += (1.0 - self.refused) * NEW;
+                self.note_rejected();
+            }
             Finish::Closed => {
                 self.refused += (1.0 - self.refused) * NEW;
                 self.note_rejected();
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod load;
 mod pace;
+mod told;
 
 pub use {
     book::{LoadBook, PeerLoad},
@@ -13,4 +14,5 @@
     idle::IdleTrust,
     load::{Finish, ServerLoad, run_share},
     pace::{PROMPT, Pace, Speed},
+    told::{ToldLoad, ToldLoadError},
 };
--- a/crates/ports/src/adapter.rs
+++ b/crates/ports/src/adapter.rs
@@ -29,6 +29,10 @@
     pub not_run: HeaderName,
     /// The key, as a number.
     pub key: HeaderName,
+    /// A server's load at the moment of its answer, as [`ToldLoad`] is written.
+    ///
+    /// [`ToldLoad`]: citron_core::dispatch::ToldLoad
+    pub load: HeaderName,
 }
 
 /// Why a row from outside cannot be used.
