Servers that a request did not reach count as no tries

Cause: a refused connection counted as one of two tries, although nothing was sent, no server ran it, and the budget for retries was not touched.

Change: up to four such servers are passed over, as long as there is time.

--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -43,6 +43,8 @@
 const GRANT_WAIT: Duration = Duration::from_millis(20);
 /// Owners that did not have the key, after which the caller comes back later.
 const MISDIRECTED: u32 = 3;
+/// Servers that could not be sent a request, after which its caller comes back later.
+const UNSENT_MOST: u32 = 4;
 /// Less than this is no time for another try.
 const TRY_MIN: Duration = Duration::from_millis(60);
 
@@ -63,8 +65,10 @@
     pub begun: Time,
     /// Its id, for logs.
     pub id: &'a str,
-    /// Servers that have had it.
+    /// Servers that have had it, or could not be reached.
     pub tried: Vec<ServerName>,
+    /// How many of them could not: they count as no tries.
+    pub unsent: u32,
     /// The owner that did not have the key.
     pub stale: Option<Stale>,
     /// How often an owner did not.
@@ -115,8 +119,7 @@
             TryEnd::Answered(answer) => return self.answered(name, answer),
             TryEnd::NotSent(_) | TryEnd::Closed => {
                 self.doubtful = doubtful;
-                self.tried.push(name);
-                self.tried.len() < self.tries()
+                self.may_try_another(name)
             }
             TryEnd::Refused => {
                 self.doubtful = doubtful;
@@ -180,8 +183,20 @@
     /// Counts a try, and takes another from the budget.
     fn may_retry(&mut self, server: ServerName) -> bool {
         self.tried.push(server);
-        let left = self.message.deadline - self.front.clock.now();
-        self.tried.len() < self.tries() && left > TRY_MIN && self.front.take_retry(self.service)
+        let had = self.tried.len() - self.unsent as usize;
+        had < self.tries() && self.has_time() && self.front.take_retry(self.service)
+    }
+
+    /// Whether another server is asked after one that the request did not reach. It
+    /// costs the service nothing, and takes nothing from the budget.
+    fn may_try_another(&mut self, unreached: ServerName) -> bool {
+        self.tried.push(unreached);
+        self.unsent += 1;
+        self.unsent < UNSENT_MOST && self.has_time()
+    }
+
+    fn has_time(&self) -> bool {
+        self.message.deadline - self.front.clock.now() > TRY_MIN
     }
 
     /// Whether an owner is asked again after one that did not have the key. It has
@@ -200,8 +215,8 @@
             epoch: self.epoch(),
             until,
         });
-        let left = self.message.deadline - now;
-        self.misdirected <= MISDIRECTED + 1 && left > TRY_MIN && self.front.take_retry(self.service)
+        let asks = self.misdirected <= MISDIRECTED + 1 && self.has_time();
+        asks && self.front.take_retry(self.service)
     }
 
     fn tries(&self) -> usize {
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -129,6 +129,7 @@
         begun,
         id: front.id(head),
         tried: Vec::new(),
+        unsent: 0,
         stale: None,
         misdirected: 0,
         doubtful: false,
