Instances that hear of changes from others ask an absent store ever less

Each instance asked again 0.35 s after a call that failed, for as long as the store was away. Those that hear of changes from others now double that up to 1.4 s; the planner and the readers, who find its return first, do not.

Evidence: core/tests/freshness.

--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -183,7 +183,8 @@
 
 fn failed<A: Adapter>(node: &Node<A>, at: usize, error: &StoreError) -> Option<u64> {
     let now = node.clock.now();
-    node.state.borrow_mut().fresh.failed(jitter(), now);
+    let role = node.role();
+    node.state.borrow_mut().fresh.failed(role, jitter(), now);
     let table = WATCHED[at];
     log::warn!("{} {table:?} of the store: {error}", events::TABLE_LOST);
     node.store_failed(&format!("{table:?}"), error);
--- a/crates/core/src/freshness/book.rs
+++ b/crates/core/src/freshness/book.rs
@@ -46,6 +46,8 @@
     known: [Option<Time>; N],
     /// Not before then, after a call that failed.
     again: Time,
+    /// Calls that have failed since the last news.
+    failures: u32,
 }
 
 impl<const N: usize> Freshness<N> {
@@ -55,6 +57,7 @@
             times,
             known: [None; N],
             again: Time::ZERO,
+            failures: 0,
         }
     }
 
@@ -63,6 +66,10 @@
     pub fn told(&mut self, table: usize, as_of: Time) -> Option<Gap> {
         let known = &mut self.known[table];
         let before = known.filter(|before| *before < as_of);
+        // Ages that go round among instances become a little younger each time.
+        if known.is_none_or(|known| known + self.times.again < as_of) {
+            self.failures = 0;
+        }
         *known = (*known).max(Some(as_of));
         let span = as_of - before?;
         (span > self.times.outage).then_some(Gap { span, end: as_of })
@@ -116,7 +123,9 @@
 
     /// A call failed; `jitter` is a factor around 1, so that instances do not ask in
     /// step.
-    pub fn failed(&mut self, jitter: f64, now: Time) {
-        self.again = now + self.times.again.mul_f64(jitter);
+    pub fn failed(&mut self, role: Role, jitter: f64, now: Time) {
+        let pause = self.times.retry(role, self.failures);
+        self.failures = self.failures.saturating_add(1);
+        self.again = now + pause.mul_f64(jitter);
     }
 }
--- a/crates/core/src/freshness/times.rs
+++ b/crates/core/src/freshness/times.rs
@@ -26,9 +26,11 @@
     pub reader: Duration,
     /// Any other: by then a reader's would.
     pub other: Duration,
-    /// After a call that failed, on average: as long as the store is away, each
-    /// instance asks about once a second.
+    /// After a call that failed, on average.
     pub again: Duration,
+    /// The same after several that failed in a row, for instances that hear of changes
+    /// from others: where hundreds ask, one of them finds the store's return soon.
+    pub again_most: Duration,
     /// An age that no instance reaches while one of them hears the store, and less
     /// than the silence in which entries of servers lapse: three of their heartbeats.
     pub outage: Duration,
@@ -41,9 +43,26 @@
         reader: Duration::from_millis(700),
         other: Duration::from_millis(900),
         again: Duration::from_millis(350),
+        again_most: Duration::from_millis(1_400),
         outage: Duration::from_millis(1_500),
     };
 
+    /// The pause after a call that failed, `failures` others having failed before.
+    ///
+    /// ```
+    /// use citron_core::freshness::{FreshnessTimes, Role};
+    /// let times = FreshnessTimes::STANDARD;
+    /// assert_eq!(times.retry(Role::Planner, 9), times.again);
+    /// assert_eq!(times.retry(Role::Other, 1), times.again * 2);
+    /// assert_eq!(times.retry(Role::Other, 9), times.again_most);
+    /// ```
+    pub fn retry(&self, role: Role, failures: u32) -> Duration {
+        match role {
+            Role::Planner | Role::Reader => self.again,
+            Role::Other => (self.again * (1 << failures.min(8))).min(self.again_most),
+        }
+    }
+
     /// The age at which an instance asks.
     pub fn of(&self, role: Role) -> Duration {
         match role {
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -162,7 +162,7 @@
         let call = if instance.hears { HEAR.call } else { GIVEN_UP };
         instance.look = now + call;
         if !instance.hears {
-            return instance.fresh.failed(1.0, now + call);
+            return instance.fresh.failed(role, 1.0, now + call);
         }
         let slow = Duration::from_millis(self.rng.random_range(4..HEAR.call.as_millis() as u64));
         let (begun, version) = (now, self.version);
@@ -348,6 +348,26 @@
     }
 }
 
+/// Guards against a store that is asked hundreds of times a second while it is away: each
+/// call is paid for, and its return is noticed by the first one that asks.
+#[test]
+fn a_store_that_is_away_is_asked_ever_less() {
+    let away = |span: Duration| {
+        let mut world = World::new(3, 0);
+        world.run(Duration::from_secs(3), |_| false);
+        world.instances.iter_mut().for_each(|one| one.hears = false);
+        world.calls = 0;
+        world.run(span, |_| false);
+        world.calls
+    };
+    let first = away(Duration::from_secs(3));
+    let later = away(Duration::from_secs(9)) - away(Duration::from_secs(6));
+    // The planner and the readers ask on, once in 350 ms and the time of a call.
+    let steady = DOMAINS as u32 * 4;
+    let others = INSTANCES as u32 - DOMAINS as u32;
+    assert!(later <= steady + others * 2, "{first}, then {later}");
+}
+
 /// Guards against a store that is asked without end while all tables are arriving.
 #[test]
 fn the_store_is_not_due_for_tables_that_are_arriving() {
