--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -131,8 +131,11 @@
         }
         match self.adapter.server(row) {
             Ok(entry) => {
-                let (event, version) = (events::SERVER_STATE, row.version);
-                log::info!("{event} {}: {:?}, row {version}", entry.name, entry.state);
+                let known = state.registry.get(&entry.name);
+                if known.is_none_or(|known| known.entry.state != entry.state) {
+                    let (event, version) = (events::SERVER_STATE, row.version);
+                    log::info!("{event} {}: {:?}, row {version}", entry.name, entry.state);
+                }
                 state.registry.listed(entry, now);
             }
             Err(error) => {
