--- a/crates/core/src/ranges/news.rs
+++ b/crates/core/src/ranges/news.rs
@@ -12,8 +12,11 @@
 /// How long callers of keys that are being released wait for their next owner: a release
 /// that takes longer may never end.
 const RELEASE_TIME: Duration = Duration::from_millis(1_000);
-/// How long a new owner is remembered: by then the map has come.
+/// How long a new owner counts: by then the map has come.
 const OWNER_TIME: Duration = Duration::from_secs(3);
+/// How long news is remembered, so that a release that is told again for as long as a
+/// lease lasts is known.
+const MEMORY: Duration = Duration::from_secs(15);
 
 /// Where keys are that have left their owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,44 +56,54 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct MoveLog {
-    entries: Vec<(MoveNews, Time)>,
+    entries: Vec<Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    news: MoveNews,
+    /// When it was first heard.
+    heard: Time,
+}
+
+impl Entry {
+    fn counts(&self, now: Time) -> bool {
+        let span = match self.news.place {
+            Whereabouts::Released => RELEASE_TIME,
+            Whereabouts::Owned(_) => OWNER_TIME,
+        };
+        now - self.heard < span
+    }
+
+    /// Whether news says nothing more than this.
+    fn includes(&self, news: &MoveNews) -> bool {
+        let known = self.news.range == news.range && self.news.epoch >= news.epoch;
+        let owned = matches!(self.news.place, Whereabouts::Owned(_));
+        known && (owned || news.place == Whereabouts::Released)
+    }
 }
 
 impl MoveLog {
     /// Takes in a piece of news. A release that is told again ends no later.
     pub fn note(&mut self, news: MoveNews, now: Time) {
-        self.entries.retain(|(_, until)| *until > now);
-        let told = |old: &MoveNews| old.range == news.range && old.epoch >= news.epoch;
-        let known = self.entries.iter().any(|(old, _)| match old.place {
-            Whereabouts::Released => told(old) && news.place == Whereabouts::Released,
-            Whereabouts::Owned(_) => told(old),
-        });
-        if known {
-            return;
+        self.entries.retain(|entry| now - entry.heard < MEMORY);
+        if !self.entries.iter().any(|entry| entry.includes(&news)) {
+            self.entries.push(Entry { news, heard: now });
         }
-        let span = match news.place {
-            Whereabouts::Released => RELEASE_TIME,
-            Whereabouts::Owned(_) => OWNER_TIME,
-        };
-        self.entries.push((news, now + span));
     }
 
     /// What is newer about a key than its slice of the map tells.
     pub fn find(&self, key: RangeKey, slice: &Slice, now: Time) -> Option<&Whereabouts> {
-        let newer = |(news, until): &&(MoveNews, Time)| {
-            *until > now && news.epoch > slice.epoch && news.range.contains(key)
+        let newer = |entry: &&Entry| {
+            let news = &entry.news;
+            news.epoch > slice.epoch && news.range.contains(key) && entry.counts(now)
         };
-        let newer = self.entries.iter().filter(newer);
         // Of a release and the owner that follows, both of one epoch, the later one counts.
-        let newest = newer.max_by_key(|(news, _)| {
-            let owned = matches!(news.place, Whereabouts::Owned(_));
-            (news.epoch, owned)
-        });
-        newest.map(|(news, _)| &news.place)
-    }
-
-    /// Whether there is nothing.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        let rank = |entry: &&Entry| {
+            let owned = matches!(entry.news.place, Whereabouts::Owned(_));
+            (entry.news.epoch, owned)
+        };
+        let newest = self.entries.iter().filter(newer).max_by_key(rank);
+        newest.map(|entry| &entry.news.place)
     }
 }
