A new owner is told of once it holds the keys

Change: the planner tells of the owner when the first grant is acknowledged, and what it told of a release holds against a map of the same epoch until then, for a second at most.

--- a/crates/citronproxy/src/edge/control/moves.rs
+++ b/crates/citronproxy/src/edge/control/moves.rs
@@ -5,17 +5,20 @@
     crate::events,
     citron_core::{
         id::ServiceName,
-        ranges::{MoveNews, Order, RangeMap, Whereabouts},
+        ranges::{MoveNews, Order, Slice, Whereabouts},
     },
     citron_ports::Adapter,
     citron_wire::heartbeat::{Datagram, MovesWire},
-    std::cell::RefCell,
-    tokio::{net::UdpSocket, sync::Notify},
+    std::{cell::RefCell, time::Duration},
+    tokio::{net::UdpSocket, sync::Notify, time::sleep},
 };
 
 /// Pieces of news in one datagram at most.
 const NEWS: usize = 40;
 
+/// How long news waits for more: hundreds of grants end within some milliseconds.
+const GATHER: Duration = Duration::from_millis(15);
+
 /// News that wait to be sent.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -27,6 +30,7 @@
 pub async fn report<A: Adapter>(node: &Node<A>, socket: &UdpSocket) {
     loop {
         node.outbox.filled.notified().await;
+        sleep(GATHER).await;
         let mut waiting = node.outbox.waiting.take();
         waiting.sort_by(|(a, _), (b, _)| a.cmp(b));
         for part in waiting.chunk_by(|(a, _), (b, _)| a == b) {
@@ -72,17 +76,15 @@
         self.announce(releases.collect());
     }
 
-    /// Tells all others which keys a new map gives to other servers.
-    pub fn announce_owners(&self, service: &ServiceName, former: &RangeMap, map: &RangeMap) {
-        let news = map.changes_since(former).map(|(slice, owner)| {
-            let news = MoveNews {
-                range: slice.range,
-                epoch: slice.epoch,
-                place: Whereabouts::Owned(owner.clone()),
-            };
-            (service.clone(), news)
-        });
-        self.announce(news.collect());
+    /// Tells all instances that a server holds the keys of a slice now.
+    pub fn announce_owner(&self, service: &ServiceName, slice: &Slice) {
+        let Some(owner) = &slice.owner else { return };
+        let news = MoveNews {
+            range: slice.range,
+            epoch: slice.epoch,
+            place: Whereabouts::Owned(owner.clone()),
+        };
+        self.announce(vec![(service.clone(), news)]);
     }
 
     fn announce(&self, news: Vec<(ServiceName, MoveNews)>) {
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -70,10 +70,9 @@
         let Some(plan) = self.plans.get_mut(&result.service) else {
             return;
         };
-        if let Order::Commit(map) = &result.order {
+        if matches!(result.order, Order::Commit(_)) {
             match result.end {
                 OrderEnd::Done { .. } => {
-                    node.announce_owners(&result.service, plan.reconciler.map(), map);
                     plan.version = result.version;
                     log::info!(
                         "{} service={} version={} slices={} moves={}",
@@ -95,7 +94,11 @@
                 OrderEnd::Unknown | OrderEnd::NotSent => {}
             }
         }
-        plan.reconciler.ended(&result.order, result.end, now);
+        if plan.reconciler.ended(&result.order, result.end, now)
+            && let Order::Grant(slice) = &result.order
+        {
+            node.announce_owner(&result.service, slice);
+        }
     }
 
     /// Once the planners before have stopped, leases of theirs need no longer wait.
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -91,22 +91,6 @@
         &self.slices[at]
     }
 
-    /// Slices that have another owner or epoch than in a former map, with their owners.
-    pub fn changes_since<'a>(
-        &'a self,
-        former: &'a Self,
-    ) -> impl Iterator<Item = (&'a Slice, &'a ServerName)> {
-        let owned = self.slices.iter();
-        let owned = owned.filter_map(|slice| Some((slice, slice.owner.as_ref()?)));
-        owned.filter(|(slice, owner)| {
-            let mut before = former.slices.iter();
-            before.any(|old| {
-                let common = old.range.common(slice.range).is_some();
-                common && old.owner.as_ref() != Some(*owner)
-            })
-        })
-    }
-
     /// Slices of one server.
     pub fn owned<'a>(&'a self, server: &'a ServerName) -> impl Iterator<Item = &'a Slice> {
         let own = move |slice: &&Slice| slice.owner.as_ref() == Some(server);
--- a/crates/core/src/ranges/news.rs
+++ b/crates/core/src/ranges/news.rs
@@ -23,7 +23,7 @@
 pub enum Whereabouts {
     /// Their owner was told to give them up.
     Released,
-    /// Another server owns them.
+    /// Another server holds them.
     Owned(ServerName),
 }
 
@@ -92,11 +92,12 @@
         }
     }
 
-    /// What is newer about a key than its slice of the map tells.
+    /// What is newer about a key than its slice of the map tells. A map may come before
+    /// the owner that it names has been granted the keys.
     pub fn find(&self, key: RangeKey, slice: &Slice, now: Time) -> Option<&Whereabouts> {
         let newer = |entry: &&Entry| {
             let news = &entry.news;
-            news.epoch > slice.epoch && news.range.contains(key) && entry.counts(now)
+            news.epoch >= slice.epoch && news.range.contains(key) && entry.counts(now)
         };
         // Of a release and the owner that follows, both of one epoch, the later one counts.
         let rank = |entry: &&Entry| {
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -112,12 +112,14 @@
         balance.level();
     }
 
-    /// Takes in what became of an order.
-    pub fn ended(&mut self, order: &Order, end: OrderEnd, now: Time) {
+    /// Takes in what became of an order; whether a server holds keys that it did not
+    /// hold before.
+    pub fn ended(&mut self, order: &Order, end: OrderEnd, now: Time) -> bool {
         match order {
-            Order::Grant(slice) => self.granted(slice, end, now),
+            Order::Grant(slice) => return self.granted(slice, end, now),
             Order::Release { range, epoch, .. } => self.released(*range, *epoch, end, now),
             Order::Commit(map) => self.committed(map, &end),
         }
+        false
     }
 }
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -80,12 +80,13 @@
         parts.collect()
     }
 
-    pub(super) fn granted(&mut self, slice: &Slice, end: OrderEnd, now: Time) {
+    /// Takes in what became of a grant; whether it is the first one that was taken.
+    pub(super) fn granted(&mut self, slice: &Slice, end: OrderEnd, now: Time) -> bool {
         let Some(renewal) = self.renewals.get_mut(&slice.range) else {
-            return;
+            return false;
         };
         if renewal.epoch != slice.epoch {
-            return;
+            return false;
         }
         let begun = renewal.open.take();
         if let (OrderEnd::NotSent, Some(begun), Some(owner)) = (&end, begun, &slice.owner) {
@@ -95,7 +96,7 @@
             OrderEnd::Done { .. } => {
                 renewal.next = now + self.book.times().renew;
                 renewal.failing = None;
-                renewal.held = true;
+                return !std::mem::replace(&mut renewal.held, true);
             }
             OrderEnd::Outdated => {
                 renewal.next = now + AGAIN;
@@ -106,5 +107,6 @@
                 renewal.failing.get_or_insert(now);
             }
         }
+        false
     }
 }
