An instance that has just started waits for its first view

Instances had their first view 0.01 to 0.39 s after they began to listen.

Change: within 1.5 s of its start an instance lets a request wait for the first view, for 0.4 s at most. Later a store that does not answer is the cause, and callers are refused at once.

--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -24,6 +24,7 @@
         routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
         slowstart::SlowStartGate,
+        time::Time,
     },
     citron_ports::HeaderNames,
     http::{Request, Response, StatusCode, request::Parts},
@@ -64,6 +65,8 @@
     pub settings: EdgeSettings,
     /// The clock.
     pub clock: Clock,
+    /// When the thread was started.
+    pub started: Time,
     /// Headers of callers and servers.
     pub headers: HeaderNames,
     /// Connections to servers.
@@ -175,6 +178,7 @@
         board,
         settings,
         clock,
+        started: clock.now(),
         headers: names.headers,
         pool: Pool::new(clock),
         room: Rc::default(),
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -8,10 +8,13 @@
         exchange::Message,
         front::Front,
     },
-    crate::traffic::{
-        guard::Refusal,
-        request::{host, prepare},
-        upload::Source,
+    crate::{
+        edge::view::View,
+        traffic::{
+            guard::Refusal,
+            request::{host, prepare},
+            upload::Source,
+        },
     },
     citron_core::{
         ranges::RangeKey,
@@ -22,7 +25,7 @@
     http::{HeaderName, HeaderValue, Response, header, request::Parts},
     hyper::body::Incoming,
     rand::Rng,
-    std::{cell::Cell, rc::Rc, str::FromStr, time::Duration},
+    std::{cell::Cell, rc::Rc, str::FromStr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -30,6 +33,10 @@
 /// to another server, and so that a server which answers early cannot leave the
 /// caller with its half of the message unsent. Larger than the uploads of today.
 const KEEP: usize = 512 * 1_024;
+/// How long after its start an instance usually has its first view.
+const FIRST_VIEW: Duration = Duration::from_millis(1_500);
+/// How long a request waits for it at most.
+const FIRST_WAIT: Duration = Duration::from_millis(400);
 /// How long before a caller with unknown patience is given up.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -62,7 +69,7 @@
         Some(Refusal::Room) => return refuse(front, &head, None, &Refusal::Room.to_string()),
         Some(refusal) => return Denial::Message(refusal).answer(front, &head, None),
     }
-    let Some(view) = front.board.view() else {
+    let Some(view) = first_view(front).await else {
         return refuse(front, &head, None, "no configuration is known yet");
     };
     let config = &view.config;
@@ -91,6 +98,19 @@
     }
 }
 
+/// The view in force. For as long as the first one may come any moment it is waited for:
+/// callers who are refused come back once only, and later.
+async fn first_view(front: &Front) -> Option<Arc<View>> {
+    let mut published = front.board.published();
+    if let Some(view) = front.board.view() {
+        return Some(view);
+    }
+    let left = FIRST_VIEW.saturating_sub(front.clock.now() - front.started);
+    // Without one in time there is none.
+    let _ = timeout(left.min(FIRST_WAIT), published.changed()).await;
+    front.board.view()
+}
+
 async fn call(
     front: &Front,
     config: &RouteConfig,
