Where the store answers nobody, one instance of a domain reads it

Calls are paid for.

Cause: the instance that reads for its domain is the first that the store answers. Where it answers none, none is before another, all take that role, and the pause that grows for the others never applied.

Change: an instance that the store does not answer reads for its domain only if it is the first of all there.

--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -164,11 +164,23 @@
         me: &InstanceId,
         cpu: u32,
         now: Time,
+    ) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let answered = |peer: &Peer| peer.heartbeat.as_ref().is_some_and(|told| told.store);
+        let ahead = self.ahead(me, cpu, now);
+        ahead.filter(move |(_, peer)| answered(peer))
+    }
+
+    /// The same, whether the store answers them or not.
+    pub fn ahead(
+        &self,
+        me: &InstanceId,
+        cpu: u32,
+        now: Time,
     ) -> impl Iterator<Item = (&InstanceId, &Peer)> {
         self.live(now).filter(move |(name, peer)| {
             peer.heartbeat.as_ref().is_some_and(|heartbeat| {
                 let first = heartbeat.cpu > cpu || (heartbeat.cpu == cpu && *name < me);
-                first && heartbeat.store && !heartbeat.leaving
+                first && !heartbeat.leaving
             })
         })
     }
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -211,9 +211,11 @@
         if self.state.borrow().planning {
             return Role::Planner;
         }
-        match self.leads() {
-            true => Role::Reader,
-            false => Role::Other,
-        }
+        // Where the store answers nobody, all of a domain would read it.
+        let reads = match *self.store.borrow() {
+            true => self.leads(),
+            false => self.is_first(),
+        };
+        if reads { Role::Reader } else { Role::Other }
     }
 }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -133,6 +133,17 @@
         before.next().is_none()
     }
 
+    /// Whether this instance comes before all others of its failure domain, also those
+    /// that the store answers.
+    pub fn is_first(&self) -> bool {
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        let me = &self.settings;
+        let ahead = state.peers.ahead(&me.instance, me.cpu, now);
+        let mut ahead = ahead.filter(|(_, peer)| peer.domain.as_ref() == Some(&me.domain));
+        ahead.next().is_none()
+    }
+
     /// Whether the planner was heard lately, and the store answers it.
     pub fn hears_planner(&self) -> bool {
         let state = self.state.borrow();
