The field's names for choices, rejections and Retry-After

No change of behaviour: Choice, Lack, Ask, Wish, Stale, find, TryEnd and the constants named AGAIN read as Decision, RejectReason, TimeLimits, TargetQuery, StaleOwner, select_target, AttemptResult and RETRY_AFTER. Comments there give reasons in plain sentences.

--- a/crates/citronproxy/src/edge/traffic/answer.rs
+++ b/crates/citronproxy/src/edge/traffic/answer.rs
@@ -14,7 +14,7 @@
 };
 
 /// When to come back to an instance whose configuration may be out of date.
-pub const START_AGAIN: Duration = Duration::from_millis(500);
+pub const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The body of an answer.
 #[derive(Debug)]
@@ -104,7 +104,7 @@
 }
 
 /// The promise that a request has not run, and when to come back.
-pub fn come_back(again: Duration, reason: &str) -> Response<AnswerBody> {
+pub fn reject_with_retry(again: Duration, reason: &str) -> Response<AnswerBody> {
     let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, reason);
     let seconds = format!("{:.2}", again.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        answer::{AnswerBody, come_back, own},
+        answer::{AnswerBody, own, reject_with_retry},
         crash,
-        exchange::{Message, TryEnd, send},
+        exchange::{AttemptResult, Message, send},
         front::Front,
-        target::{Stale, Target, Wish, find},
+        target::{StaleOwner, Target, TargetQuery, select_target},
     },
     crate::{edge::view::View, events},
     citron_core::{
@@ -24,20 +24,19 @@
     tokio::time::{sleep, timeout},
 };
 
-/// Part of the objective that a request waits for room before it is refused: an
-/// eighth of it costs the caller nothing worth naming.
+/// Longest wait for a free slot before rejecting, as a fraction of the objective.
 const ROOM_PART: u32 = 8;
 /// How often room is looked for, besides whenever a request ends here: others'
 /// loads come with their heartbeats.
 const ROOM_LOOK: Duration = Duration::from_millis(25);
-/// When a caller comes back whose key changes hands, or has no owner.
-const MOVE_AGAIN: Duration = Duration::from_millis(300);
-/// When a caller comes back that was refused by servers, not by this instance.
-const REFUSED_AGAIN: Duration = Duration::from_millis(200);
-/// The same for servers that have refused all requests for long.
-const REFUSED_AGAIN_MOST: Duration = Duration::from_secs(3);
-/// Factor that spreads callers who are refused together: they would meet again.
-const AGAIN_SPREAD: Range<f64> = 0.85..1.15;
+/// Retry-After for a key that is moving or has no owner.
+const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-After for a request that servers have rejected.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// The same for servers that reject nearly everything.
+const REJECTED_RETRY_MOST: Duration = Duration::from_secs(3);
+/// Jitter of Retry-After: callers rejected together would return together.
+const RETRY_JITTER: Range<f64> = 0.85..1.15;
 /// How long a new owner's grant may be behind the map that names it, halved: the
 /// planner sends it some milliseconds after the commit.
 const GRANT_WAIT: Duration = Duration::from_millis(20);
@@ -70,7 +69,7 @@
     /// How many of them could not: they count as no tries.
     pub unsent: u32,
     /// The owner that did not have the key.
-    pub stale: Option<Stale>,
+    pub stale: Option<StaleOwner>,
     /// How often an owner did not.
     pub misdirected: u32,
     /// Whether it may be running, or have run.
@@ -106,31 +105,36 @@
             let doubtful = std::mem::replace(&mut self.doubtful, true);
             let end = send(self.front, &server, &self.message).await;
             self.log_try(&server, &end);
-            if let Some(answer) = self.take(server, end, doubtful) {
+            if let Some(answer) = self.on_attempt_end(server, end, doubtful) {
                 return answer;
             }
         }
     }
 
     /// Learns from a try; the answer if it is the last one.
-    fn take(&mut self, server: Known, end: TryEnd, doubtful: bool) -> Option<Response<AnswerBody>> {
+    fn on_attempt_end(
+        &mut self,
+        server: Known,
+        end: AttemptResult,
+        doubtful: bool,
+    ) -> Option<Response<AnswerBody>> {
         let name = server.entry.name.clone();
         let retry = match end {
-            TryEnd::Answered(answer) => return self.answered(name, answer),
-            TryEnd::NotSent(_) | TryEnd::Closed => {
+            AttemptResult::Answered(answer) => return self.answered(name, answer),
+            AttemptResult::NotSent(_) | AttemptResult::Closed => {
                 self.doubtful = doubtful;
                 self.may_try_another(name)
             }
-            TryEnd::Refused => {
+            AttemptResult::Refused => {
                 self.doubtful = doubtful;
                 self.may_retry(name)
             }
-            TryEnd::Misdirected => {
+            AttemptResult::Misdirected => {
                 self.doubtful = doubtful;
                 self.may_ask_owner(name)
             }
-            TryEnd::Lost(_) => {
-                crash::look(self.front, &server.entry, self.print(), &self.message);
+            AttemptResult::Lost(_) => {
+                crash::record_crash(self.front, &server.entry, self.print(), &self.message);
                 // What may run once only takes nothing from the budget.
                 self.message.repeat == Repeat::Idempotent && self.may_retry(name)
             }
@@ -210,7 +214,7 @@
             true => now + GRANT_WAIT * (1 << self.misdirected.min(4)),
             false => self.message.deadline,
         };
-        self.stale = Some(Stale {
+        self.stale = Some(StaleOwner {
             owner,
             epoch: self.epoch(),
             until,
@@ -246,21 +250,21 @@
         loop {
             published.borrow_and_update();
             let Some(view) = front.board.view() else {
-                return Err(self.refuse(MOVE_AGAIN, "no configuration is known"));
+                return Err(self.refuse(MOVE_RETRY_AFTER, "no configuration is known"));
             };
             let room = front.room.notified();
             match self.find(&view) {
                 Target::Server(server) => return Ok(server),
-                Target::Full(again, full) => {
+                Target::Reject(retry_after, overload) => {
                     if self.waited() > self.rule.objective / ROOM_PART {
                         self.note_rejected();
-                        return Err(self.refuse(again, &full.to_string()));
+                        return Err(self.refuse(retry_after, &overload.to_string()));
                     }
                     let _ = timeout(ROOM_LOOK, room).await;
                 }
                 Target::Moving => {
                     if self.waited() > self.move_patience() {
-                        return Err(self.refuse(MOVE_AGAIN, "the key is changing hands"));
+                        return Err(self.refuse(MOVE_RETRY_AFTER, "the key is changing hands"));
                     }
                     tokio::select! {
                         _ = published.changed() => {}
@@ -269,7 +273,7 @@
                 }
                 Target::None => {
                     if self.waited() > self.rule.objective / ROOM_PART {
-                        return Err(self.refuse(MOVE_AGAIN, "no server is there"));
+                        return Err(self.refuse(MOVE_RETRY_AFTER, "no server is there"));
                     }
                     let _ = timeout(ROOM_LOOK, published.changed()).await;
                 }
@@ -286,7 +290,7 @@
     }
 
     fn find(&self, view: &Arc<View>) -> Target {
-        let wish = Wish {
+        let query = TargetQuery {
             service: self.service,
             key: self.key,
             objective: self.message.objective,
@@ -295,7 +299,7 @@
             tried: &self.tried,
             stale: self.stale.as_ref(),
         };
-        find(self.front, view, &wish)
+        select_target(self.front, view, &query)
     }
 
     fn waited(&self) -> Duration {
@@ -325,7 +329,7 @@
             self.tried.len(),
             self.front.ages()
         );
-        come_back(again, reason)
+        reject_with_retry(again, reason)
     }
 
     /// When a caller comes back that servers have refused.
@@ -333,9 +337,9 @@
         let loads = self.front.board.loads();
         let last = self.tried.last();
         let callers = last.map_or(1.0, |last| loads.get(last).callers());
-        let spread = rand::rng().random_range(AGAIN_SPREAD);
-        let again = REFUSED_AGAIN.mul_f64(callers * spread);
-        again.min(REFUSED_AGAIN_MOST)
+        let spread = rand::rng().random_range(RETRY_JITTER);
+        let again = REJECTED_RETRY_AFTER.mul_f64(callers * spread);
+        again.min(REJECTED_RETRY_MOST)
     }
 
     fn give_up(&self, reason: &str) -> Response<AnswerBody> {
@@ -366,8 +370,8 @@
         }
     }
 
-    fn log_try(&self, server: &Known, end: &TryEnd) {
-        if let TryEnd::Answered(answer) = end
+    fn log_try(&self, server: &Known, end: &AttemptResult) {
+        if let AttemptResult::Answered(answer) = end
             && !answer.status().is_server_error()
         {
             return;
--- a/crates/citronproxy/src/edge/traffic/crash.rs
+++ b/crates/citronproxy/src/edge/traffic/crash.rs
@@ -21,7 +21,12 @@
 /// machine says that nobody listens there any more. A reset alone says nothing:
 /// connections are reset on the way, too, and requests that were merely lost
 /// must not be refused for it.
-pub fn look(front: &Front, server: &ServerEntry, print: Fingerprint, message: &Message<'_>) {
+pub fn record_crash(
+    front: &Front,
+    server: &ServerEntry,
+    print: Fingerprint,
+    message: &Message<'_>,
+) {
     let board = Arc::clone(&front.board);
     let clock = front.clock;
     let name = server.name.clone();
--- a/crates/citronproxy/src/edge/traffic/denial.rs
+++ b/crates/citronproxy/src/edge/traffic/denial.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        answer::{AnswerBody, START_AGAIN, come_back, own},
+        answer::{AnswerBody, START_RETRY_AFTER, own, reject_with_retry},
         front::Front,
     },
     crate::{
@@ -97,9 +97,9 @@
     version: Option<ConfigVersion>,
     reason: &str,
 ) -> Response<AnswerBody> {
-    let what = format!("again={START_AGAIN:?}: {reason}");
+    let what = format!("again={START_RETRY_AFTER:?}: {reason}");
     log_own(events::REFUSED, front, head, version, &what);
-    come_back(START_AGAIN, reason)
+    reject_with_retry(START_RETRY_AFTER, reason)
 }
 
 /// The answer to a request of which a server may have run what it got.
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -52,7 +52,7 @@
 
 /// What became of one try.
 #[derive(Debug)]
-pub enum TryEnd {
+pub enum AttemptResult {
     /// An answer to pass on.
     Answered(Response<AnswerBody>),
     /// The server promised that it has not run the request.
@@ -67,7 +67,7 @@
     Lost(String),
 }
 
-impl fmt::Display for TryEnd {
+impl fmt::Display for AttemptResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Answered(answer) => write!(f, "answered {}", answer.status()),
@@ -176,30 +176,32 @@
 }
 
 /// Sends a message to a server and reads its answer.
-pub async fn send(front: &Front, server: &Known, message: &Message<'_>) -> TryEnd {
+pub async fn send(front: &Front, server: &Known, message: &Message<'_>) -> AttemptResult {
     let mut slot = Slot::new(front, server, message);
     let end = exchange(front, server, message, &mut slot).await;
     slot.finish = match &end {
         // A streamed answer has taken the slot over, and this one counts nothing.
         Ended::Passed(answer) if answer.status().is_server_error() => Finish::Failed,
         Ended::Passed(_) => Finish::Ran,
-        Ended::Not(TryEnd::Refused) if slot.told.is_some_and(|told| told.has_room()) => {
+        Ended::Not(AttemptResult::Refused) if slot.told.is_some_and(|told| told.has_room()) => {
             Finish::Shed
         }
-        Ended::Not(TryEnd::Refused) => Finish::Full,
-        Ended::Not(TryEnd::Closed) => Finish::Closed,
+        Ended::Not(AttemptResult::Refused) => Finish::Full,
+        Ended::Not(AttemptResult::Closed) => Finish::Closed,
         // A server that takes connections and closes them at once is there, and full.
-        Ended::Not(TryEnd::Lost(_)) if slot.fresh && front.clock.now() - slot.begun < SOON => {
+        Ended::Not(AttemptResult::Lost(_))
+            if slot.fresh && front.clock.now() - slot.begun < SOON =>
+        {
             Finish::Closed
         }
-        Ended::Not(TryEnd::NotSent(_) | TryEnd::Lost(_)) => Finish::Lost,
+        Ended::Not(AttemptResult::NotSent(_) | AttemptResult::Lost(_)) => Finish::Lost,
         Ended::Not(_) | Ended::Streaming(..) => Finish::Other,
     };
     match end {
-        Ended::Passed(answer) => TryEnd::Answered(answer),
+        Ended::Passed(answer) => AttemptResult::Answered(answer),
         Ended::Streaming(head, mut streamed) => {
             streamed.slot = Some(slot);
-            TryEnd::Answered(Response::from_parts(head, AnswerBody::Streamed(streamed)))
+            AttemptResult::Answered(Response::from_parts(head, AnswerBody::Streamed(streamed)))
         }
         Ended::Not(end) => end,
     }
@@ -208,7 +210,7 @@
 enum Ended {
     Passed(Response<AnswerBody>),
     Streaming(http::response::Parts, Box<Streamed>),
-    Not(TryEnd),
+    Not(AttemptResult),
 }
 
 async fn exchange(front: &Front, server: &Known, message: &Message<'_>, slot: &mut Slot) -> Ended {
@@ -220,14 +222,14 @@
     let connected = timeout(CONNECT_TIME, taken).await;
     let connection = match connected {
         Ok(Ok(connection)) => connection,
-        Ok(Err(error)) if error.is_reset() => return Ended::Not(TryEnd::Closed),
+        Ok(Err(error)) if error.is_reset() => return Ended::Not(AttemptResult::Closed),
         Ok(Err(error)) => return not_sent(error.to_string()),
         Err(_) => return not_sent("no connection in time".to_string()),
     };
     slot.begun = front.clock.now();
     slot.fresh = !connection.reused;
     if slot.fresh && is_refused_soon(front, server, message.repeat, &connection).await {
-        return Ended::Not(TryEnd::Closed);
+        return Ended::Not(AttemptResult::Closed);
     }
     let mut kept = Kept::new(&front.pool, address, connection);
     let before = kept.connection().wire.written();
@@ -246,7 +248,7 @@
             reused.into_iter().for_each(Reused::broke);
             let reason = error.into_error().to_string();
             match kept.connection().wire.written() > before {
-                true => Ended::Not(TryEnd::Lost(reason)),
+                true => Ended::Not(AttemptResult::Lost(reason)),
                 false => not_sent(reason),
             }
         }
@@ -280,7 +282,7 @@
 }
 
 fn not_sent(reason: String) -> Ended {
-    Ended::Not(TryEnd::NotSent(reason))
+    Ended::Not(AttemptResult::NotSent(reason))
 }
 
 fn request(front: &Front, server: &Known, message: &Message<'_>) -> Request<Upload> {
@@ -321,18 +323,18 @@
     if !is_answer_to(front, message, &head) {
         // A late or doubled answer, or bytes behind one: this request's may come
         // after it, or never.
-        return Ended::Not(TryEnd::Lost("not this request's answer".to_string()));
+        return Ended::Not(AttemptResult::Lost("not this request's answer".to_string()));
     }
     // Nobody asked for it: `Upgrade` is not passed on.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
-        return Ended::Not(TryEnd::Lost("a switch of protocols".to_string()));
+        return Ended::Not(AttemptResult::Lost("a switch of protocols".to_string()));
     }
     if is_refusal(front, &head) {
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         drain(kept, body).await;
         return Ended::Not(match misdirected {
-            true => TryEnd::Misdirected,
-            false => TryEnd::Refused,
+            true => AttemptResult::Misdirected,
+            false => AttemptResult::Refused,
         });
     }
     strip_hop_by_hop(&mut head.headers);
@@ -371,7 +373,7 @@
         match body.frame().await {
             None => break,
             Some(Ok(frame)) => begin.extend(frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => return Ended::Not(TryEnd::Lost(error.to_string())),
+            Some(Err(error)) => return Ended::Not(AttemptResult::Lost(error.to_string())),
         }
     }
     if begin.len() <= WHOLE_MAX {
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -4,7 +4,7 @@
     super::{exchange::reuse, front::Front},
     crate::edge::view::View,
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Lack, choose, compared},
+        dispatch::{Candidate, Decision, RejectReason, TimeLimits, choose, sample_size},
         id::{Epoch, ServerName, ServiceName},
         ranges::{RangeKey, Whereabouts},
         registry::Known,
@@ -15,49 +15,49 @@
     std::{fmt, time::Duration},
 };
 
-/// When a caller comes back whose request was over the limit of its service:
-/// about the time in which one of those under way ends.
-const PACED_AGAIN: Duration = Duration::from_millis(250);
+/// Retry-After for a request over the limit of its service: about the time in which one
+/// of those under way ends.
+const PACED_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Retry-After where all servers are cold and have what they take, at most.
 const COLD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Where to.
+/// Where a request goes.
 #[derive(Debug)]
 pub enum Target {
     /// To this server.
     Server(Known),
-    /// Nowhere now: the caller may come back after this time; and why.
-    Full(Duration, Full),
+    /// To none now, with Retry-After.
+    Reject(Duration, Overload),
     /// The key is changing hands.
     Moving,
     /// No server can have the key soon, or there is none at all.
     None,
 }
 
-/// Why there is no room.
+/// Why a request is rejected.
 #[derive(Debug, Clone, Copy)]
-pub enum Full {
-    /// At the servers.
-    Servers(Lack),
-    /// Within this instance's limit of requests at the service.
+pub enum Overload {
+    /// The servers have no room.
+    Servers(RejectReason),
+    /// This instance's limit of requests at the service is reached.
     Limit,
-    /// At cold servers, which crash under more.
+    /// Its share of the requests to cold servers is used up.
     Cold,
 }
 
-impl fmt::Display for Full {
+impl fmt::Display for Overload {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Servers(lack) => lack.fmt(f),
+            Self::Servers(reason) => reason.fmt(f),
             Self::Limit => f.write_str("over the limit that late answers set"),
             Self::Cold => f.write_str("cold servers take no more now"),
         }
     }
 }
 
-/// A request's wishes.
+/// What a server is selected by.
 #[derive(Debug)]
-pub struct Wish<'a> {
+pub struct TargetQuery<'a> {
     /// The service.
     pub service: &'a ServiceName,
     /// The key, if the service's servers hold keys.
@@ -71,13 +71,12 @@
     /// Servers that have had it.
     pub tried: &'a [ServerName],
     /// The owner that did not have the key.
-    pub stale: Option<&'a Stale>,
+    pub stale: Option<&'a StaleOwner>,
 }
 
-/// An owner that did not have the key: it has given it up, or was not granted it
-/// yet.
+/// An owner that rejected a key: it has released it, or was not granted it yet.
 #[derive(Debug)]
-pub struct Stale {
+pub struct StaleOwner {
     /// The owner.
     pub owner: ServerName,
     /// The epoch under which it should have had the key.
@@ -86,21 +85,21 @@
     pub until: Time,
 }
 
-/// Finds the server for a request.
-pub fn find(front: &Front, view: &View, wish: &Wish<'_>) -> Target {
-    match wish.key {
-        Some(key) => find_owner(front, view, wish, key),
-        None => find_any(front, view, wish),
+/// Selects the server for a request.
+pub fn select_target(front: &Front, view: &View, query: &TargetQuery<'_>) -> Target {
+    match query.key {
+        Some(key) => find_owner(front, view, query, key),
+        None => find_any(front, view, query),
     }
 }
 
-fn find_owner(front: &Front, view: &View, wish: &Wish<'_>, key: RangeKey) -> Target {
-    let Some(map) = view.maps.get(wish.service) else {
+fn find_owner(front: &Front, view: &View, query: &TargetQuery<'_>, key: RangeKey) -> Target {
+    let Some(map) = view.maps.get(query.service) else {
         return Target::None;
     };
     let slice = map.slice(key);
     let now = front.clock.now();
-    let news = front.board.moved(wish.service, key, slice, now);
+    let news = front.board.moved(query.service, key, slice, now);
     let owner = match &news {
         Some(Whereabouts::Released) => return Target::Moving,
         Some(Whereabouts::Owned(owner)) => Some(owner),
@@ -109,12 +108,13 @@
     let Some(owner) = owner else {
         return Target::None;
     };
-    let is_stale =
-        |stale: &Stale| stale.owner == *owner && stale.epoch >= slice.epoch && now < stale.until;
-    if wish.stale.is_some_and(is_stale) {
+    let is_stale = |stale: &StaleOwner| {
+        stale.owner == *owner && stale.epoch >= slice.epoch && now < stale.until
+    };
+    if query.stale.is_some_and(is_stale) {
         return Target::Moving;
     }
-    let Some(known) = view.server(wish.service, owner) else {
+    let Some(known) = view.server(query.service, owner) else {
         return Target::None;
     };
     if known.is_displaced() {
@@ -124,47 +124,47 @@
     if last.is_some_and(|last| now > last) {
         return Target::None;
     }
-    if !admits(front, view, known, wish) {
-        return full_of_cold(known.warm_up(now));
+    if !admits(front, view, known, query) {
+        return reject_cold(known.warm_up(now));
     }
-    pick(front, view, wish, [known].into_iter())
+    pick(front, view, query, [known].into_iter())
 }
 
-fn find_any(front: &Front, view: &View, wish: &Wish<'_>) -> Target {
-    let servers = view.servers(wish.service).iter();
+fn find_any(front: &Front, view: &View, query: &TargetQuery<'_>) -> Target {
+    let servers = view.servers(query.service).iter();
     let open: Vec<&Known> = servers.filter(|known| known.is_open()).collect();
     if open.is_empty() {
         return Target::None;
     }
-    if !front.paces.admits(wish.service) {
-        return Target::Full(PACED_AGAIN, Full::Limit);
+    if !front.paces.admits(query.service) {
+        return Target::Reject(PACED_RETRY_AFTER, Overload::Limit);
     }
     let admitted: Vec<&Known> = open
         .iter()
         .copied()
-        .filter(|known| admits(front, view, known, wish))
+        .filter(|known| admits(front, view, known, query))
         .collect();
     if admitted.is_empty() {
         let now = front.clock.now();
         let left = open.iter().map(|known| known.warm_up(now)).min();
-        return full_of_cold(left.unwrap_or_default());
+        return reject_cold(left.unwrap_or_default());
     }
     let open = admitted;
-    let fresh = |known: &&Known| !wish.tried.contains(&known.entry.name);
+    let fresh = |known: &&Known| !query.tried.contains(&known.entry.name);
     let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
     match untried.is_empty() {
-        true => pick(front, view, wish, open.into_iter()),
-        false => pick(front, view, wish, untried.into_iter()),
+        true => pick(front, view, query, open.into_iter()),
+        false => pick(front, view, query, untried.into_iter()),
     }
 }
 
 /// Whether a server may get a request, if it is cold.
-fn admits(front: &Front, view: &View, known: &Known, wish: &Wish<'_>) -> bool {
+fn admits(front: &Front, view: &View, known: &Known, query: &TargetQuery<'_>) -> bool {
     let now = front.clock.now();
     if known.warm_up(now).is_zero() {
         return true;
     }
-    let service = view.config.service(wish.service);
+    let service = view.config.service(query.service);
     let Some(slow) = service.and_then(|service| service.slow_start) else {
         return true;
     };
@@ -174,36 +174,36 @@
     let most = front.settings.cold.most(&slow);
     let entry = &known.entry;
     let mut gate = front.cold.borrow_mut();
-    let share = gate.share(group, &entry.name, || match wish.key {
+    let share = gate.share(group, &entry.name, || match query.key {
         Some(_) => group.owner_share(&entry.name, most),
         None => group.pool_share(&entry.name, &entry.domain, most),
     });
     gate.admits(&entry.name, share, now)
 }
 
-fn full_of_cold(left: Duration) -> Target {
-    Target::Full(left.min(COLD_RETRY_AFTER), Full::Cold)
+fn reject_cold(left: Duration) -> Target {
+    Target::Reject(left.min(COLD_RETRY_AFTER), Overload::Cold)
 }
 
 fn pick<'a>(
     front: &Front,
     view: &View,
-    wish: &Wish<'_>,
+    query: &TargetQuery<'_>,
     servers: impl Iterator<Item = &'a Known> + Clone,
 ) -> Target {
     let now = front.clock.now();
-    let ask = Ask {
-        objective: wish.objective - now,
-        deadline: wish.deadline - now,
-        compared: compared(view.reports),
+    let limits = TimeLimits {
+        objective: query.objective - now,
+        deadline: query.deadline - now,
+        sample_size: sample_size(view.reports),
     };
     // Owners of keys, and servers of other failure domains, get requests from
     // instances that do not report here.
     let unheard = view.instances as f64 / view.reporting.max(1) as f64;
-    let reuse = reuse(front, wish.service, wish.repeat);
+    let reuse = reuse(front, query.service, query.repeat);
     let candidates = servers.clone().map(|server| {
         let near = server.entry.domain == front.settings.domain;
-        let scale = match near && wish.key.is_none() {
+        let load_factor = match near && query.key.is_none() {
             true => 1.0,
             false => unheard.max(1.0),
         };
@@ -211,14 +211,17 @@
             server,
             near,
             kept: front.pool.has_idle(&server.entry.address, reuse),
-            scale,
+            load_factor,
         }
     });
     let loads = front.board.loads();
     let mut rng = rand::rng();
-    match choose(&loads, candidates, ask, now, || rng.random()) {
-        Choice::Full { again, lack } => Target::Full(again, Full::Servers(lack)),
-        Choice::Send(name) => {
+    match choose(&loads, candidates, limits, now, || rng.random()) {
+        Decision::Reject {
+            retry_after,
+            reason,
+        } => Target::Reject(retry_after, Overload::Servers(reason)),
+        Decision::Send(name) => {
             let mut servers = servers;
             let chosen = servers.find(|known| known.entry.name == name);
             let Some(known) = chosen else {
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -25,14 +25,12 @@
 const FRESH_CONNECTION: f64 = 2.0;
 /// How much a server that refuses all tries is avoided, in run times.
 const REFUSING: f64 = 4.0;
-/// Shortest and longest time after which a caller is asked to come back, in seconds.
-const AGAIN: [f64; 2] = [0.08, 3.0];
-/// The longest time until there is room, in seconds, at a server that lets all of its
-/// callers in.
-const AGAIN_QUEUE: f64 = 0.9;
-/// How far the times of callers that are refused together are spread, as a part:
-/// they would all meet again.
-const AGAIN_SPREAD: f64 = 0.3;
+/// Shortest and longest Retry-After, in seconds.
+const RETRY_AFTER: [f64; 2] = [0.08, 3.0];
+/// Longest Retry-After, in seconds, for a server that rejects nobody yet.
+const RETRY_QUEUE: f64 = 0.9;
+/// Jitter of Retry-After, as a fraction: callers rejected together would return together.
+const RETRY_JITTER: f64 = 0.3;
 
 /// A server that a request may go to.
 #[derive(Debug, Clone, Copy)]
@@ -43,20 +41,20 @@
     pub near: bool,
     /// Whether a connection to it is kept that the request may use.
     pub kept: bool,
-    /// All requests at the server for each that this instance knows of; above 1
-    /// where only some of the other instances report to it.
-    pub scale: f64,
+    /// Requests at the server for each that this instance knows of; above 1 where only
+    /// some of the other instances report to it.
+    pub load_factor: f64,
 }
 
-/// What a request needs.
+/// How long a request may take, and how many servers are compared for it.
 #[derive(Debug, Clone, Copy)]
-pub struct Ask {
+pub struct TimeLimits {
     /// Time left to the objective.
     pub objective: Duration,
     /// Time left to the deadline.
     pub deadline: Duration,
-    /// Servers that are compared; see [`compared`].
-    pub compared: usize,
+    /// Servers drawn at random and compared; see [`sample_size`].
+    pub sample_size: usize,
 }
 
 /// Reports younger than this tell which server is the best.
@@ -72,33 +70,33 @@
 /// random spreads them.
 ///
 /// ```
-/// use {citron_core::dispatch::compared, std::time::Duration};
-/// assert_eq!(compared(Duration::from_millis(400)), 2);
+/// use {citron_core::dispatch::sample_size, std::time::Duration};
+/// assert_eq!(sample_size(Duration::from_millis(400)), 2);
 /// ```
-pub fn compared(period: Duration) -> usize {
+pub fn sample_size(period: Duration) -> usize {
     match period > FRESH {
         true => FEW,
         false => usize::MAX,
     }
 }
 
-/// Where to.
+/// What becomes of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Choice {
+pub enum Decision {
     /// To this server.
     Send(ServerName),
-    /// Nowhere now.
-    Full {
-        /// After which time there should be room.
-        again: Duration,
-        /// Why there is none at the server that has some first.
-        lack: Lack,
+    /// To none now.
+    Reject {
+        /// When there should be room.
+        retry_after: Duration,
+        /// Why the server that has room first has none now.
+        reason: RejectReason,
     },
 }
 
-/// Why a server has no room for a request.
+/// Why a server is not offered a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lack {
+pub enum RejectReason {
     /// It took no connection, or broke one off, a short while ago.
     Unreachable,
     /// It refused a request for want of room a short while ago.
@@ -107,7 +105,7 @@
     Queue,
 }
 
-impl fmt::Display for Lack {
+impl fmt::Display for RejectReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unreachable => "no server could be reached lately",
@@ -125,10 +123,10 @@
 pub fn choose<'a>(
     book: &LoadBook,
     candidates: impl Iterator<Item = Candidate<'a>>,
-    ask: Ask,
+    limits: TimeLimits,
     now: Time,
     mut drawn: impl FnMut() -> f64,
-) -> Choice {
+) -> Decision {
     let candidates: Vec<Candidate<'a>> = candidates.collect();
     let view = Outlook {
         book,
@@ -136,9 +134,9 @@
         now,
     };
     let (mut near, mut far) = (Vec::new(), Vec::new());
-    let mut room = (f64::INFINITY, Lack::Unreachable);
+    let mut room = (f64::INFINITY, RejectReason::Unreachable);
     for candidate in &candidates {
-        match (view.offer(candidate, ask, drawn()), candidate.near) {
+        match (view.offer(candidate, limits, drawn()), candidate.near) {
             (Ok(offer), true) => near.push(offer),
             (Ok(offer), false) => far.push(offer),
             (Err(full), _) if full.0 < room.0 => room = full,
@@ -146,19 +144,19 @@
         }
     }
     let kept = near.iter().filter(|offer| offer.kept).copied().collect();
-    let mut offers = draw(near, ask.compared, &mut drawn);
+    let mut offers = draw(near, limits.sample_size, &mut drawn);
     offers.extend(draw(kept, 1, &mut drawn));
     if offers.iter().all(|offer| offer.wait > 0.0) {
-        offers.extend(draw(far, ask.compared, &mut drawn));
+        offers.extend(draw(far, limits.sample_size, &mut drawn));
     }
     if let Some(offer) = offers.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
-        return Choice::Send(offer.server.clone());
+        return Decision::Send(offer.server.clone());
     }
-    let spread = 1.0 + AGAIN_SPREAD * (drawn() - 0.5);
-    let again = (room.0 * spread).clamp(AGAIN[0], AGAIN[1]);
-    Choice::Full {
-        again: Duration::from_secs_f64(again),
-        lack: room.1,
+    let jitter = 1.0 + RETRY_JITTER * (drawn() - 0.5);
+    let seconds = (room.0 * jitter).clamp(RETRY_AFTER[0], RETRY_AFTER[1]);
+    Decision::Reject {
+        retry_after: Duration::from_secs_f64(seconds),
+        reason: room.1,
     }
 }
 
@@ -176,23 +174,23 @@
     fn offer<'s>(
         &self,
         candidate: &Candidate<'s>,
-        ask: Ask,
+        limits: TimeLimits,
         drawn: f64,
-    ) -> Result<Offer<'s>, (f64, Lack)> {
+    ) -> Result<Offer<'s>, (f64, RejectReason)> {
         let entry = &candidate.server.entry;
         let load = self.book.get(&entry.name);
         let run = run_time(load, candidate.server, self.usual, self.now);
-        let busy = load.expected(candidate.scale, self.now);
+        let busy = load.expected(candidate.load_factor, self.now);
         let wait = waiting(busy, entry.slots.0, run);
-        let lack = match () {
-            () if load.is_down(self.now) => Some(Lack::Unreachable),
-            () if load.is_full(self.now) => Some(Lack::Refusing),
-            () if run + wait > limit(ask, run) => Some(Lack::Queue),
+        let reason = match () {
+            () if load.is_down(self.now) => Some(RejectReason::Unreachable),
+            () if load.is_full(self.now) => Some(RejectReason::Refusing),
+            () if run + wait > limit(limits, run) => Some(RejectReason::Queue),
             () => None,
         };
-        if let Some(lack) = lack {
-            let queue = (wait + run / f64::from(entry.slots.0)).min(AGAIN_QUEUE);
-            return Err((queue * load.callers(), lack));
+        if let Some(reason) = reason {
+            let queue = (wait + run / f64::from(entry.slots.0)).min(RETRY_QUEUE);
+            return Err((queue * load.callers(), reason));
         }
         // One that nobody has measured lately may have joined just now, and would
         // stay without a request as long as others have room.
@@ -200,7 +198,7 @@
         let distance = if candidate.near { 1.0 } else { FAR };
         let connection = if kept { 1.0 } else { FRESH_CONNECTION };
         let refusing = 1.0 + load.refused() * REFUSING;
-        // Instances that see the same loads must not all choose the same server.
+        // Jitter: instances with the same load reports would pick the same server.
         let spread = 0.9 + 0.2 * drawn;
         Ok(Offer {
             score: (run + wait) * distance * connection * refusing * spread,
@@ -234,7 +232,7 @@
     }
     for place in 0..count {
         let left = offers.len() - place;
-        // A number just below 1 may round up to the length.
+        // Guards against rounding up to `left`.
         let other = ((drawn() * left as f64) as usize).min(left - 1);
         offers.swap(place, place + other);
     }
@@ -243,13 +241,13 @@
 }
 
 /// The longest time that a request may be planned to take.
-fn limit(ask: Ask, run: f64) -> f64 {
-    let objective = ask.objective.as_secs_f64() * PLANNED;
+fn limit(limits: TimeLimits, run: f64) -> f64 {
+    let objective = limits.objective.as_secs_f64() * PLANNED;
     if objective >= run {
         return objective;
     }
     // It will be late: it gets a slot that is free, and no place in a queue.
-    run.min(ask.deadline.as_secs_f64() * PLANNED_LATE)
+    run.min(limits.deadline.as_secs_f64() * PLANNED_LATE)
 }
 
 /// What a server is taken to need that nobody has measured: as much as the others.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -10,7 +10,7 @@
 
 pub use {
     book::{LoadBook, PeerLoad},
-    choice::{Ask, Candidate, Choice, Lack, choose, compared},
+    choice::{Candidate, Decision, RejectReason, TimeLimits, choose, sample_size},
     idle::IdleTrust,
     load::{Finish, ServerLoad, run_share},
     pace::{PROMPT, Pace, Speed},
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -3,7 +3,8 @@
 use {
     citron_core::{
         dispatch::{
-            Ask, Candidate, Choice, Finish, IdleTrust, Lack, LoadBook, PeerLoad, choose, run_share,
+            Candidate, Decision, Finish, IdleTrust, LoadBook, PeerLoad, RejectReason, TimeLimits,
+            choose, run_share,
         },
         id::{ServerName, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
@@ -33,22 +34,22 @@
     }
 }
 
-fn millis(objective: u64, deadline: u64) -> Ask {
-    Ask {
+fn millis(objective: u64, deadline: u64) -> TimeLimits {
+    TimeLimits {
         objective: Duration::from_millis(objective),
         deadline: Duration::from_millis(deadline),
-        compared: usize::MAX,
+        sample_size: usize::MAX,
     }
 }
 
-fn pick(book: &LoadBook, servers: &[Known], ask: Ask) -> Choice {
+fn pick(book: &LoadBook, servers: &[Known], limits: TimeLimits) -> Decision {
     let candidates = servers.iter().map(|server| Candidate {
         server,
         near: true,
         kept: true,
-        scale: 1.0,
+        load_factor: 1.0,
     });
-    choose(book, candidates, ask, NOW, || 0.5)
+    choose(book, candidates, limits, NOW, || 0.5)
 }
 
 fn ran(book: &mut LoadBook, server: &ServerName, span: u64) {
@@ -83,14 +84,18 @@
     book.begin(name, NOW);
     assert_eq!(
         pick(&book, &servers, millis(600, 2_500)),
-        Choice::Send(name.clone())
+        Decision::Send(name.clone())
     );
     peers(&mut book, name, 10);
-    let Choice::Full { again, lack } = pick(&book, &servers, millis(600, 2_500)) else {
+    let Decision::Reject {
+        retry_after,
+        reason,
+    } = pick(&book, &servers, millis(600, 2_500))
+    else {
         panic!("it was sent");
     };
-    assert!(again >= Duration::from_millis(80) && again <= Duration::from_millis(900));
-    assert_eq!(lack, Lack::Queue);
+    assert!(retry_after >= Duration::from_millis(80) && retry_after <= Duration::from_millis(900));
+    assert_eq!(reason, RejectReason::Queue);
 }
 
 /// Servers differ in speed. The fast one gets the request although it is busier.
@@ -106,7 +111,7 @@
         book.begin(&servers[0].entry.name, NOW);
     }
     let chosen = pick(&book, &servers, millis(800, 3_000));
-    assert_eq!(chosen, Choice::Send(servers[0].entry.name.clone()));
+    assert_eq!(chosen, Decision::Send(servers[0].entry.name.clone()));
 }
 
 /// A request that is late already gets a slot that is free, but no place in a
@@ -118,9 +123,12 @@
     let mut book = LoadBook::default();
     ran(&mut book, name, 200);
     let late = millis(0, 1_500);
-    assert_eq!(pick(&book, &servers, late), Choice::Send(name.clone()));
+    assert_eq!(pick(&book, &servers, late), Decision::Send(name.clone()));
     peers(&mut book, name, 4);
-    assert!(matches!(pick(&book, &servers, late), Choice::Full { .. }));
+    assert!(matches!(
+        pick(&book, &servers, late),
+        Decision::Reject { .. }
+    ));
 }
 
 /// A faulty server answers at once, with failures. By its times alone it would
@@ -136,7 +144,7 @@
         book.end(faulty, Finish::Failed, Duration::from_millis(1), 1.0, NOW);
     }
     let chosen = pick(&book, &servers, millis(800, 3_000));
-    assert_eq!(chosen, Choice::Send(servers[1].entry.name.clone()));
+    assert_eq!(chosen, Decision::Send(servers[1].entry.name.clone()));
 }
 
 /// A server that was slow for a while gets requests again although nobody has
@@ -149,7 +157,7 @@
     ran(&mut book, name, 5_000);
     assert!(matches!(
         pick(&book, &servers, millis(600, 2_500)),
-        Choice::Full { .. }
+        Decision::Reject { .. }
     ));
     let later = NOW + Duration::from_secs(5);
     let candidates = || {
@@ -157,15 +165,15 @@
             server,
             near: true,
             kept: true,
-            scale: 1.0,
+            load_factor: 1.0,
         })
     };
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
-    assert_eq!(chosen, Choice::Send(name.clone()));
+    assert_eq!(chosen, Decision::Send(name.clone()));
     book.begin(name, NOW);
     book.end(name, Finish::Lost, Duration::ZERO, 1.0, later);
     let chosen = choose(&book, candidates(), millis(600, 2_500), later, || 0.5);
-    assert!(matches!(chosen, Choice::Full { .. }));
+    assert!(matches!(chosen, Decision::Reject { .. }));
 }
 
 /// A server has joined, and callers get nothing of it: a connection to the other
@@ -183,16 +191,16 @@
             server,
             near: true,
             kept: server.entry.name == servers[0].entry.name,
-            scale: 1.0,
+            load_factor: 1.0,
         });
         choose(book, candidates, millis(800, 3_000), NOW, || {
             draws.next().unwrap()
         })
     };
     let joined = &servers[1].entry.name;
-    assert_eq!(candidates(&book), Choice::Send(joined.clone()));
+    assert_eq!(candidates(&book), Decision::Send(joined.clone()));
     ran(&mut book, joined, 30);
-    let first = Choice::Send(servers[0].entry.name.clone());
+    let first = Decision::Send(servers[0].entry.name.clone());
     assert_eq!(candidates(&book), first);
 }
 
@@ -238,14 +246,14 @@
     refuse(&mut book, 3);
     assert_eq!(
         pick(&book, &servers, millis(600, 2_500)),
-        Choice::Send(name.clone())
+        Decision::Send(name.clone())
     );
     refuse(&mut book, 4);
     let chosen = pick(&book, &servers, millis(600, 2_500));
     assert!(matches!(
         chosen,
-        Choice::Full {
-            lack: Lack::Refusing,
+        Decision::Reject {
+            reason: RejectReason::Refusing,
             ..
         }
     ));
@@ -264,21 +272,21 @@
         book.begin(name, NOW);
         book.end(name, Finish::Closed, Duration::from_millis(2), 1.0, NOW);
     }
-    let lack = |book: &LoadBook, now| {
+    let reason = |book: &LoadBook, now| {
         let candidates = servers.iter().map(|server| Candidate {
             server,
             near: true,
             kept: false,
-            scale: 1.0,
+            load_factor: 1.0,
         });
         match choose(book, candidates, millis(600, 2_500), now, || 0.5) {
-            Choice::Full { lack, .. } => Some(lack),
-            Choice::Send(_) => None,
+            Decision::Reject { reason, .. } => Some(reason),
+            Decision::Send(_) => None,
         }
     };
-    assert_eq!(lack(&book, NOW), Some(Lack::Refusing));
+    assert_eq!(reason(&book, NOW), Some(RejectReason::Refusing));
     assert!(book.get(name).is_doubted());
-    assert_eq!(lack(&book, NOW + Duration::from_millis(301)), None);
+    assert_eq!(reason(&book, NOW + Duration::from_millis(301)), None);
 }
 
 /// A key draws many times what its owner can run, for seconds. Callers who were told
@@ -291,8 +299,8 @@
     let mut book = LoadBook::default();
     ran(&mut book, name, 200);
     let again = |book: &LoadBook| match pick(book, &servers, millis(600, 8_000)) {
-        Choice::Full { again, .. } => again,
-        Choice::Send(name) => panic!("sent to {name}"),
+        Decision::Reject { retry_after, .. } => retry_after,
+        Decision::Send(name) => panic!("sent to {name}"),
     };
     peers(&mut book, name, 13);
     let first = again(&book);
--- a/crates/core/tests/stale/main.rs
+++ b/crates/core/tests/stale/main.rs
@@ -6,7 +6,7 @@
 mod world;
 
 use {
-    citron_core::dispatch::compared,
+    citron_core::dispatch::sample_size,
     std::time::Duration,
     world::{Figures, Shape, World},
 };
@@ -20,7 +20,7 @@
     run: Duration::from_millis(300),
     report: Duration::from_millis(400),
     demand: 0.7,
-    compared: 0,
+    sample_size: 0,
     paced: true,
     keeps: true,
     keyed: false,
@@ -53,8 +53,8 @@
 
 fn played(shape: Shape) -> Figures {
     let shape = Shape {
-        compared: match shape.compared {
-            0 => compared(shape.report),
+        sample_size: match shape.sample_size {
+            0 => sample_size(shape.report),
             set => set,
         },
         ..shape
@@ -73,7 +73,7 @@
         ..LARGE
     };
     let all = played(Shape {
-        compared: usize::MAX,
+        sample_size: usize::MAX,
         ..closing
     });
     let few = played(closing);
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -3,7 +3,8 @@
 use {
     citron_core::{
         dispatch::{
-            Ask, Candidate, Choice, Finish, LoadBook, PROMPT, Pace, Speed, choose, run_share,
+            Candidate, Decision, Finish, LoadBook, PROMPT, Pace, Speed, TimeLimits, choose,
+            run_share,
         },
         id::{InstanceId, Slots},
         registry::{Known, Place, ServerEntry, ServerState},
@@ -46,7 +47,7 @@
     /// Demand over what the servers can run.
     pub demand: f64,
     /// Servers that an instance compares.
-    pub compared: usize,
+    pub sample_size: usize,
     /// Whether instances limit themselves.
     pub paced: bool,
     /// Whether connections are kept.
@@ -256,15 +257,15 @@
                 server: &server.known,
                 kept: from.idle[at].iter().any(fresh),
                 near: server.domain == from.domain,
-                scale: match server.domain == from.domain && !shape.keyed {
+                load_factor: match server.domain == from.domain && !shape.keyed {
                     true => 1.0,
                     false => shape.domains as f64,
                 },
             });
-        let ask = Ask {
+        let limits = TimeLimits {
             objective: shape.objective,
             deadline: DEADLINE,
-            compared: shape.compared,
+            sample_size: shape.sample_size,
         };
         let rng = &mut self.rng;
         let counts = now > Time::ZERO + WARM;
@@ -273,8 +274,8 @@
             self.figures.refused += u32::from(counts);
             return;
         }
-        let choice = choose(&from.book, candidates, ask, now, || rng.random());
-        let Choice::Send(name) = choice else {
+        let choice = choose(&from.book, candidates, limits, now, || rng.random());
+        let Decision::Send(name) = choice else {
             self.figures.refused += u32::from(counts);
             return;
         };
--- a/crates/core/tests/told.rs
+++ b/crates/core/tests/told.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        dispatch::{Ask, Candidate, Choice, Finish, LoadBook, ToldLoad, choose},
+        dispatch::{Candidate, Decision, Finish, LoadBook, TimeLimits, ToldLoad, choose},
         id::Slots,
         registry::{Known, Place, ServerEntry, ServerState},
         time::Time,
@@ -82,15 +82,15 @@
             server: &known,
             near: true,
             kept: true,
-            scale: 1.0,
+            load_factor: 1.0,
         };
-        let ask = Ask {
+        let limits = TimeLimits {
             objective: Duration::from_secs(1),
             deadline: Duration::from_secs(4),
-            compared: usize::MAX,
+            sample_size: usize::MAX,
         };
-        choose(&book, [candidate].into_iter(), ask, NOW, || 0.5)
+        choose(&book, [candidate].into_iter(), limits, NOW, || 0.5)
     };
-    assert!(matches!(chosen(Finish::Full), Choice::Full { .. }));
-    assert!(matches!(chosen(Finish::Shed), Choice::Send(_)));
+    assert!(matches!(chosen(Finish::Full), Decision::Reject { .. }));
+    assert!(matches!(chosen(Finish::Shed), Decision::Send(_)));
 }
