An instance is heard whatever it knows of crashes

Cause: what an instance says of crashes and lifts grows with each lost connection and with what others tell. Its sender counts as lost while it is well; where it plans, others take over; where it reads for its domain, nobody hears of changes.

Change: counts and lifts take two fifths of a heartbeat each at most, those nearest to a refusal and the newest first; loads get the rest. What it says of its sender always fits. A heartbeat that does not leaves an error line.

Evidence: crates/wire/tests/heartbeat, an_instance_is_heard_whatever_it_knows_of_crashes (fails before: no datagram).

--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -82,13 +82,13 @@
         return;
     }
     let heartbeat = node.heartbeat();
-    let short = Datagram::Heartbeat(Heartbeat {
+    let short = Heartbeat {
         loads: Vec::new(),
         ..heartbeat.clone()
-    });
-    let short = short.encode().unwrap_or_default();
-    let whole = heartbeat.encode_fitting();
-    let whole = whole.unwrap_or_else(|| short.clone());
+    };
+    let (Some(short), Some(whole)) = (short.encode_fitting(), heartbeat.encode_fitting()) else {
+        return log::error!("{} a heartbeat is too long", events::DATAGRAM_REFUSED);
+    };
     for to in due {
         let bytes = if to.loads { &whole } else { &short };
         send_to(socket, bytes, to.address).await;
--- a/crates/wire/src/heartbeat/crashes.rs
+++ b/crates/wire/src/heartbeat/crashes.rs
@@ -1,9 +1,10 @@
 //! Requests that crash servers.
 
 use {
+    super::room::Room,
     citron_core::crash::{CrashCount, CrashReport, Fingerprint, Lift},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// What an instance knows of requests that crash servers.
@@ -15,6 +16,27 @@
     lifts: Vec<(u64, u64)>,
 }
 
+/// The part of a heartbeat that either may take.
+const COUNTS_PART: f64 = 0.4;
+const LIFTS_PART: f64 = 0.4;
+
+impl CrashesWire {
+    /// What fits of it: the counts that are nearest to a refusal, and the newest lifts,
+    /// as others have heard of the older ones; nothing if there is nothing to say.
+    pub(super) fn cut(mut self, room: &mut Room) -> Option<Self> {
+        self.counts
+            .sort_by_key(|count| (Reverse(count.crashes), count.age));
+        self.lifts.sort_by_key(|(_, age)| *age);
+        let mut part = room.split(COUNTS_PART);
+        self.counts = part.fill(self.counts);
+        room.give_back(part);
+        let mut part = room.split(LIFTS_PART);
+        self.lifts = part.fill(self.lifts);
+        room.give_back(part);
+        (!self.counts.is_empty() || !self.lifts.is_empty()).then_some(self)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct CrashWire {
     fingerprint: u64,
--- a/crates/wire/src/heartbeat/message.rs
+++ b/crates/wire/src/heartbeat/message.rs
@@ -1,7 +1,7 @@
 //! A heartbeat.
 
 use {
-    super::{CrashesWire, DATAGRAM_MAX, Datagram, LoadWire},
+    super::{CrashesWire, DATAGRAM_MAX, Datagram, LoadWire, room::Room},
     crate::relay::AgeWire,
     serde::{Deserialize, Serialize},
 };
@@ -39,18 +39,15 @@
 }
 
 impl Heartbeat {
-    /// As a datagram, with as many of the loads as fit, the first ones first.
+    /// As a datagram, with as much as fits of what it says of crashes and loads, the
+    /// first of each first. What it says of its sender always fits.
     pub fn encode_fitting(mut self) -> Option<Vec<u8>> {
+        let crashes = self.crashes.take();
         let loads = std::mem::take(&mut self.loads);
         let bare = Datagram::Heartbeat(self.clone()).encode()?;
-        let mut left = DATAGRAM_MAX.saturating_sub(bare.len() + COUNT_MAX);
-        let fits = |load: &LoadWire| {
-            let size = postcard::experimental::serialized_size(load).unwrap_or(usize::MAX);
-            let fits = size <= left;
-            left = left.saturating_sub(size);
-            fits
-        };
-        self.loads = loads.into_iter().take_while(fits).collect();
+        let mut room = Room::of(DATAGRAM_MAX.saturating_sub(bare.len() + COUNT_MAX));
+        self.crashes = crashes.and_then(|crashes| crashes.cut(&mut room));
+        self.loads = room.fill(loads);
         Datagram::Heartbeat(self).encode()
     }
 }
--- a/crates/wire/src/heartbeat/mod.rs
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod message;
 mod moves;
+mod room;
 
 pub use {
     crashes::CrashesWire,
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -1,8 +1,12 @@
 //! Heartbeats between instances, as datagrams.
 
 use {
-    citron_core::dispatch::{Finish, LoadBook, PeerLoad},
-    citron_core::{id::ServerName, time::Time},
+    citron_core::{
+        crash::{CrashConfig, CrashLog, CrashReport, Fingerprint},
+        dispatch::{Finish, LoadBook, PeerLoad},
+        id::ServerName,
+        time::Time,
+    },
     citron_wire::{
         heartbeat::{DATAGRAM_MAX, Datagram, Heartbeat},
         relay::AgeWire,
@@ -61,3 +65,34 @@
         assert!(told.len() >= used.min(60), "{used} servers: {}", told.len());
     }
 }
+
+/// Guards against an instance that is taken for lost while it is well: after a few hundred
+/// lost connections what it says of crashes is longer than a datagram, and nothing at all
+/// of it was sent.
+#[test]
+fn an_instance_is_heard_whatever_it_knows_of_crashes() {
+    let mut log = CrashLog::new(CrashConfig::STARTS);
+    let server: ServerName = "i-1".parse().unwrap();
+    for number in 0..200_u32 {
+        let print = Fingerprint::of(&[b"POST", &number.to_be_bytes()]);
+        log.crashed(print, "POST /pickups/mi14/2f", &server, NOW);
+        if number % 2 == 0 {
+            log.answered(print, NOW);
+        }
+    }
+    let worst = Fingerprint::of(&[b"POST", &199_u32.to_be_bytes()]);
+    log.crashed(worst, "POST /pickups/mi14/2f", &"i-2".parse().unwrap(), NOW);
+    let told = Heartbeat {
+        crashes: Some(log.report(NOW).into()),
+        ..heartbeat(loads(200))
+    };
+    let bytes = told.encode_fitting().unwrap();
+    assert!(bytes.len() <= DATAGRAM_MAX);
+    let Some(Datagram::Heartbeat(heard)) = Datagram::decode(&bytes) else {
+        panic!("no heartbeat");
+    };
+    assert!(heard.loads.len() > 10);
+    let report = CrashReport::from(heard.crashes.unwrap());
+    assert!(report.lifts.len() > 10);
+    assert!(report.counts.iter().any(|count| count.fingerprint == worst));
+}
