--- a/crates/core/tests/stale/main.rs
+++ b/crates/core/tests/stale/main.rs
@@ -25,6 +25,8 @@
     keeps: true,
     keyed: false,
     objective: Duration::from_millis(1_000),
+    shed: 0.0,
+    tells: false,
 };
 
 /// Nine instances before six servers, with ten reports a second.
@@ -133,3 +135,24 @@
     assert!(figures.refused() < 0.03, "{figures}");
     assert!(figures.served() > 0.95, "{figures}");
 }
+
+/// Guards against instances that send next to nothing to servers which refuse half of what
+/// they get at random, with slots free: every refusal counted as a late answer, and the
+/// limit fell to its least. What servers tell of their load shows that they have room.
+#[test]
+fn servers_that_shed_at_random_go_on_getting_requests() {
+    let shedding = Shape {
+        demand: 0.6,
+        shed: 0.55,
+        ..LARGE
+    };
+    let untold = played(shedding);
+    let told = played(Shape {
+        tells: true,
+        ..shedding
+    });
+    assert!(untold.served() < 0.3, "the pattern is gone: {untold}");
+    // All that servers do not refuse at random.
+    assert!(told.served() > 0.43, "{told}");
+    assert!(told.refused() < 0.02, "{told}");
+}
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -57,6 +57,10 @@
     pub keyed: bool,
     /// The latency objective.
     pub objective: Duration,
+    /// Part of the requests that servers refuse at random.
+    pub shed: f64,
+    /// Whether servers tell their load with that.
+    pub tells: bool,
 }
 
 /// What became of the requests.
@@ -132,6 +136,8 @@
     sent: Time,
     share: f64,
     refused: bool,
+    /// Whether the server said that it had room when it refused.
+    room: bool,
 }
 
 struct Instance {
@@ -299,13 +305,20 @@
             sent: now,
             share,
             refused: false,
+            room: false,
         });
         self.after(WAY, Event::Reach(self.requests.len() - 1));
     }
 
     fn reach(&mut self, request: usize) {
+        let sheds = self.rng.random_bool(self.shape.shed);
         let server = &mut self.servers[self.requests[request].server];
-        if server.running < server.known.entry.slots.0 as usize {
+        if sheds {
+            let slots = server.known.entry.slots.0 as usize;
+            self.requests[request].refused = true;
+            self.requests[request].room = self.shape.tells && server.running < slots;
+            self.after(WAY, Event::Answered(request));
+        } else if server.running < server.known.entry.slots.0 as usize {
             server.running += 1;
             self.run(request);
         } else if server.waiting.len() < QUEUE {
@@ -338,9 +351,10 @@
         let counts = self.counts();
         let request = &self.requests[request];
         let name = &self.servers[request.server].known.entry.name;
-        let finish = match request.refused {
-            true => Finish::Full,
-            false => Finish::Ran,
+        let finish = match (request.refused, request.room) {
+            (true, true) => Finish::Shed,
+            (true, false) => Finish::Full,
+            (false, _) => Finish::Ran,
         };
         let instance = &mut self.instances[request.instance];
         let span = now - request.sent;
@@ -348,9 +362,10 @@
             instance.idle[request.server].push(now);
         }
         instance.pace.end(
-            match request.refused || span > self.shape.objective.mul_f64(PROMPT) {
-                true => Speed::Late,
-                false => Speed::InTime,
+            match (finish, span > self.shape.objective.mul_f64(PROMPT)) {
+                (Finish::Shed, _) => Speed::Unknown,
+                (Finish::Full, _) | (_, true) => Speed::Late,
+                (_, false) => Speed::InTime,
             },
         );
         instance.book.end(name, finish, span, request.share, now);
--- a/crates/core/tests/surge/main.rs
+++ b/crates/core/tests/surge/main.rs
@@ -10,6 +10,7 @@
 use {
     citron_core::{
         ranges::{BalanceLimits, DemandWindows, RangeKey},
+        registry::SendBounds,
         time::Time,
     },
     std::time::Duration,
@@ -197,3 +198,37 @@
         world.moved() - before
     );
 }
+
+/// Guards against callers that are refused when an evacuation's bound is over, as the keys
+/// of a third of the servers have not found other owners by then. Deployments of 5 to 400
+/// servers, with other slots, run times and loads.
+#[test]
+fn keys_leave_an_evacuated_domain_within_the_bound() {
+    let bound = SendBounds::within(Duration::from_millis(2_500), Duration::from_secs(5)).evacuation;
+    let shapes = [
+        (5, 2, 150, 20),
+        (12, 4, 220, 80),
+        (19, 4, 220, 173),
+        (33, 2, 120, 250),
+        (57, 4, 300, 400),
+        (96, 3, 260, 500),
+        (155, 3, 190, 1_400),
+        (182, 3, 260, 1_083),
+        (240, 8, 90, 2_500),
+        (400, 3, 260, 2_400),
+    ];
+    let mut worst = Duration::ZERO;
+    for (number, (servers, slots, run, requests)) in shapes.into_iter().enumerate() {
+        let shape = Shape {
+            servers,
+            slots,
+            run: Duration::from_millis(run),
+            requests,
+            ..SMALL
+        };
+        let late = World::new(shape, number as u64).evacuate();
+        assert!(late < bound, "{servers} servers: {late:?}");
+        worst = worst.max(late);
+    }
+    println!("worst of ten deployments: {worst:?}, bound {bound:?}");
+}
--- a/crates/core/tests/surge/world.rs
+++ b/crates/core/tests/surge/world.rs
@@ -12,7 +12,10 @@
     },
     rand::{Rng, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 const STEP: Duration = Duration::from_millis(10);
@@ -51,11 +54,16 @@
     pub limits: BalanceLimits,
 }
 
-struct AllServe;
+/// Servers that are evacuated; all others serve.
+#[derive(Default)]
+struct Evacuated(BTreeSet<ServerName>);
 
-impl Owners for AllServe {
-    fn state(&self, _: &ServerName) -> OwnerState {
-        OwnerState::Serving
+impl Owners for Evacuated {
+    fn state(&self, server: &ServerName) -> OwnerState {
+        match self.0.contains(server) {
+            true => OwnerState::Leaving,
+            false => OwnerState::Serving,
+        }
     }
 }
 
@@ -79,6 +87,7 @@
     hot: Option<u32>,
     /// A single thing that draws a part of all requests besides.
     pub single: Option<(u32, f64)>,
+    evacuated: Evacuated,
     moved: u64,
 }
 
@@ -110,6 +119,7 @@
             orders: Vec::new(),
             hot: None,
             single: None,
+            evacuated: Evacuated::default(),
             moved: 0,
         };
         world.calm(Duration::from_secs(12));
@@ -153,6 +163,29 @@
         self.now - begun
     }
 
+    /// Evacuates every third server; how long until others own all of their keys.
+    pub fn evacuate(&mut self) -> Duration {
+        let begun = self.now;
+        let servers = self.capacities.iter().step_by(3);
+        self.evacuated.0 = servers.map(|capacity| capacity.server.clone()).collect();
+        let left = &self.evacuated.0;
+        self.capacities
+            .retain(|capacity| !left.contains(&capacity.server));
+        self.ticked = Time::ZERO;
+        while self.now - begun < LONGEST && self.are_owners_evacuated() {
+            self.step();
+        }
+        self.now - begun
+    }
+
+    fn are_owners_evacuated(&self) -> bool {
+        let mut owners = self.reconciler.map().slices().iter();
+        owners.any(|slice| {
+            let owner = slice.owner.as_ref();
+            owner.is_some_and(|owner| self.evacuated.0.contains(owner))
+        })
+    }
+
     pub fn slices(&self) -> usize {
         self.reconciler.map().slices().len()
     }
@@ -270,7 +303,7 @@
         let scope = Scope { deal: true, even };
         let due = self
             .reconciler
-            .tick(self.now, &clock, &AllServe, &mut balance, scope);
+            .tick(self.now, &clock, &self.evacuated, &mut balance, scope);
         let releases = due
             .iter()
             .filter(|order| matches!(order, Order::Release { .. }));
