The clock is read once a request, not once for each server

The check of cold servers read the clock for every server of a service, most of which are warm: 178 times a request before the largest service of the shifted deployment. The moment is handed in now, as for the rest of the choice. Found by rereading the change; no change of behaviour.

--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -124,7 +124,7 @@
     if last.is_some_and(|last| now > last) {
         return Target::None;
     }
-    if !admits(front, view, known, query) {
+    if !admits(front, view, known, query, now) {
         return reject_cold(known.warm_up(now));
     }
     pick(front, view, query, [known].into_iter())
@@ -139,13 +139,13 @@
     if !front.paces.admits(query.service) {
         return Target::Reject(PACED_RETRY_AFTER, Overload::Limit);
     }
+    let now = front.clock.now();
     let admitted: Vec<&Known> = open
         .iter()
         .copied()
-        .filter(|known| admits(front, view, known, query))
+        .filter(|known| admits(front, view, known, query, now))
         .collect();
     if admitted.is_empty() {
-        let now = front.clock.now();
         let left = open.iter().map(|known| known.warm_up(now)).min();
         return reject_cold(left.unwrap_or_default());
     }
@@ -159,8 +159,7 @@
 }
 
 /// Whether a server may get a request, if it is cold.
-fn admits(front: &Front, view: &View, known: &Known, query: &TargetQuery<'_>) -> bool {
-    let now = front.clock.now();
+fn admits(front: &Front, view: &View, known: &Known, query: &TargetQuery<'_>, now: Time) -> bool {
     if known.warm_up(now).is_zero() {
         return true;
     }
