Registry: entries are taken in by index, and lists are shared

What callers saw: nothing was served by 985 instances, as none got through its start. Cause: each of 10,002 entries was compared with all others, by id and by address, and each view copied every server with its texts: both grow with the square of the servers. Change: names are ordered by id and addresses are indexed; the lists of a service are made anew only when one of its servers changes, and share all others. Servers that left are looked for when the first is due.

--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -1,158 +1,26 @@
 //! The servers known, and those that were.
 
 use {
-    super::{ServerEntry, ServerState},
+    super::{Known, Place, RegistryTimes, ServerEntry, ServerState, index::AddressIndex},
     crate::{
-        id::{DomainName, ServerName},
+        id::{DomainName, ServerName, ServiceName},
         ranges::{OwnerState, Owners},
         time::Time,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
         time::Duration,
     },
 };
 
-/// How long an entry that vanished still counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RegistryTimes {
-    /// After the store's return: servers write themselves anew within about two
-    /// seconds, and one that is missing after that is gone.
-    pub rejoin: Duration,
-    /// How long a server that left is remembered, so that its late answers and
-    /// the keys it held can be told from those of a server never heard of.
-    pub memory: Duration,
-}
-
-impl RegistryTimes {
-    /// The defaults; see the fields.
-    pub const STANDARD: Self = Self {
-        rejoin: Duration::from_millis(2_200),
-        memory: Duration::from_secs(60),
-    };
-
-    /// The defaults for servers that may get requests for `drain` after the news
-    /// that they leave. The store may have been away for this instance only, and
-    /// then a missing entry is a server that leaves: it must not get requests
-    /// for longer because of the time that is given to servers to rejoin.
-    ///
-    /// ```
-    /// use {citron_core::registry::RegistryTimes, std::time::Duration};
-    /// let times = RegistryTimes::for_drain(Duration::from_secs(2));
-    /// assert!(times.rejoin < Duration::from_secs(2));
-    /// ```
-    pub fn for_drain(drain: Duration) -> Self {
-        let rejoin = Self::STANDARD
-            .rejoin
-            .min(drain.saturating_sub(REJOIN_MARGIN));
-        Self {
-            rejoin,
-            ..Self::STANDARD
-        }
-    }
-}
-
-/// For requests that are on their way when a server's time is over.
-const REJOIN_MARGIN: Duration = Duration::from_millis(400);
-/// Time from the store's acknowledgement until this instance knew, and from a decision
-/// until the request has arrived.
-const DRAIN_MARGIN: Duration = Duration::from_millis(800);
-/// The same for an evacuation: the news may come by way of an instance that is slow, and
-/// its bound is longer.
-const EVACUATION_MARGIN: Duration = Duration::from_millis(2_900);
 /// How long after the end of an evacuation a server that has become cold may not have
 /// told so: a heartbeat, and the way of the news.
 const COLD_NEWS: Duration = Duration::from_millis(2_000);
 
-/// A server, and since when it leaves.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Known {
-    /// What it last wrote.
-    pub entry: ServerEntry,
-    /// Since when it is known to leave, or to be listed no more.
-    pub left: Option<Time>,
-    /// When it was first heard of.
-    pub seen: Time,
-    /// Until when it counts as cold.
-    pub cold: Time,
-    /// Since when its failure domain is evacuated.
-    pub evacuated: Option<Time>,
-    /// What other entries say of its address.
-    pub place: Place,
-}
-
-/// Whose a server's address is, as far as entries tell.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// No other start is known there.
-    Own,
-    /// An entry names another start there, without proof of which one lives.
-    Disputed,
-    /// A later start is there: this one has surely ended.
-    Passed,
-}
-
-impl Known {
-    /// Whether it may get new requests.
-    pub fn is_open(&self) -> bool {
-        self.is_listed() && self.evacuated.is_none()
-    }
-
-    /// Whether it is listed as ready, also in a domain that is evacuated.
-    pub fn is_listed(&self) -> bool {
-        self.left.is_none()
-    }
-
-    /// When the last requests for keys that it still holds may be sent to it; `None`
-    /// as long as it is open.
-    pub fn last_send(&self, bounds: &SendBounds) -> Option<Time> {
-        let left = self.left.map(|left| left + bounds.drain);
-        let evacuated = self.evacuated.map(|since| since + bounds.evacuation);
-        left.into_iter().chain(evacuated).min()
-    }
-
-    /// Whether requests to its address may reach another start.
-    pub fn is_displaced(&self) -> bool {
-        self.place != Place::Own
-    }
-
-    fn displaced(&mut self, place: Place, now: Time) {
-        if self.place != Place::Passed {
-            self.place = place;
-        }
-        self.left.get_or_insert(now);
-    }
-
-    /// How much longer it counts as cold.
-    pub fn warm_up(&self, now: Time) -> Duration {
-        self.cold - now
-    }
-}
-
-/// How long owners of keys may still get requests, while the keys move away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SendBounds {
-    /// After the news that a server leaves.
-    pub drain: Duration,
-    /// After the news that its failure domain is evacuated.
-    pub evacuation: Duration,
-}
-
-impl SendBounds {
-    /// What operators allow, less a margin for news and requests that are on their way.
-    ///
-    /// ```
-    /// use {citron_core::registry::SendBounds, std::time::Duration};
-    /// let bounds = SendBounds::within(Duration::from_secs(2), Duration::from_secs(5));
-    /// assert!(bounds.drain < bounds.evacuation);
-    /// ```
-    pub fn within(drain: Duration, evacuation: Duration) -> Self {
-        Self {
-            drain: drain.saturating_sub(DRAIN_MARGIN),
-            evacuation: evacuation.saturating_sub(EVACUATION_MARGIN),
-        }
-    }
-}
+/// The servers of a service in the order of names, shared with those who read them.
+pub type ServerList = Arc<Vec<Arc<Known>>>;
 
 /// All servers, by what the store lists.
 ///
@@ -163,7 +31,14 @@
 #[derive(Debug)]
 pub struct Registry {
     times: RegistryTimes,
-    servers: BTreeMap<ServerName, Known>,
+    servers: BTreeMap<ServerName, Arc<Known>>,
+    addresses: AddressIndex,
+    /// Servers of each service, in the order of names; made anew when one changes.
+    lists: BTreeMap<ServiceName, ServerList>,
+    /// When the first server that left is to be forgotten, at the earliest.
+    forget_at: Option<Time>,
+    /// Services whose list is out of date.
+    changed: BTreeSet<ServiceName>,
     /// Entries that were missing when the store came back.
     missing: BTreeMap<ServerName, Time>,
     /// Until when missing entries are kept.
@@ -180,6 +55,10 @@
         Self {
             times,
             servers: BTreeMap::new(),
+            addresses: AddressIndex::default(),
+            lists: BTreeMap::new(),
+            forget_at: None,
+            changed: BTreeSet::new(),
             missing: BTreeMap::new(),
             rejoin: Time::ZERO,
             evacuated: BTreeMap::new(),
@@ -190,9 +69,7 @@
     /// Nothing more may be sent to the servers of a failure domain.
     pub fn evacuate(&mut self, domain: DomainName, now: Time) {
         let since = *self.evacuated.entry(domain.clone()).or_insert(now);
-        for known in self.in_domain(&domain) {
-            known.evacuated = Some(since);
-        }
+        self.update_domain(&domain, |known| known.evacuated = Some(since));
     }
 
     /// An evacuation is over. Servers without requests may have become cold, and tell
@@ -204,10 +81,10 @@
         }
         let cold = now + warm_up + COLD_NEWS;
         self.restored.insert(domain.clone(), cold);
-        for known in self.in_domain(domain) {
+        self.update_domain(domain, |known| {
             known.evacuated = None;
             known.cold = known.cold.max(cold);
-        }
+        });
     }
 
     /// Failure domains that are evacuated, and since when.
@@ -215,9 +92,64 @@
         &self.evacuated
     }
 
-    fn in_domain<'a>(&'a mut self, domain: &'a DomainName) -> impl Iterator<Item = &'a mut Known> {
-        let servers = self.servers.values_mut();
-        servers.filter(move |known| known.entry.domain == *domain)
+    fn update_domain(&mut self, domain: &DomainName, change: impl Fn(&mut Known)) {
+        let servers = self.servers.values();
+        let within = servers.filter(|known| known.entry.domain == *domain);
+        let names: Vec<ServerName> = within.map(|known| known.entry.name.clone()).collect();
+        for name in names {
+            self.update(&name, &change);
+        }
+    }
+
+    /// Changes what is known of a server.
+    fn update(&mut self, name: &ServerName, change: impl FnOnce(&mut Known)) {
+        let Some(known) = self.servers.get_mut(name) else {
+            return;
+        };
+        change(Arc::make_mut(known));
+        let (service, left) = (known.entry.service.clone(), known.left);
+        self.note_change(service, left);
+    }
+
+    fn insert(&mut self, known: Known) {
+        let (name, address) = (known.entry.name.clone(), known.entry.address);
+        let (service, left) = (known.entry.service.clone(), known.left);
+        let former = self.servers.insert(name.clone(), Arc::new(known));
+        if let Some(former) = former {
+            if former.entry.address != address {
+                self.addresses.remove(&former.entry.address, &name);
+            }
+            self.changed.insert(former.entry.service.clone());
+        }
+        self.addresses.insert(address, &name);
+        self.note_change(service, left);
+    }
+
+    /// A server of a service has changed, and left at a moment if it has.
+    fn note_change(&mut self, service: ServiceName, left: Option<Time>) {
+        self.changed.insert(service);
+        let forget_at = left.map(|left| left + self.times.memory);
+        self.forget_at = [self.forget_at, forget_at].into_iter().flatten().min();
+    }
+
+    /// The servers of each service.
+    pub fn lists(&mut self) -> &BTreeMap<ServiceName, ServerList> {
+        for service in std::mem::take(&mut self.changed) {
+            let servers = self.servers.values();
+            let listed = servers.filter(|known| known.entry.service == service);
+            let listed: Vec<Arc<Known>> = listed.cloned().collect();
+            match listed.is_empty() {
+                true => self.lists.remove(&service),
+                false => self.lists.insert(service, Arc::new(listed)),
+            };
+        }
+        &self.lists
+    }
+
+    /// The servers that were listed at an address.
+    pub fn at(&self, address: &SocketAddr) -> impl Iterator<Item = &Known> {
+        let names = self.addresses.at(address).iter();
+        names.filter_map(|name| self.get(name))
     }
 
     /// The store answers again after a failure.
@@ -244,15 +176,15 @@
         let seen = known.map_or(now, |known| known.seen);
         let told = now + entry.warm_up;
         let restored = self.restored.get(&entry.domain).copied();
-        let known = Known {
+        let evacuated = self.evacuated.get(&entry.domain).copied();
+        self.insert(Known {
             left,
             seen,
             cold: told.max(restored.unwrap_or_default()),
-            evacuated: self.evacuated.get(&entry.domain).copied(),
+            evacuated,
             place,
             entry,
-        };
-        self.servers.insert(name, known);
+        });
     }
 
     /// Marks the starts that an entry takes the place of, and tells whether
@@ -268,17 +200,16 @@
     fn displace(&mut self, entry: &ServerEntry, now: Time) -> Place {
         let seen = self.servers.get(&entry.name).map_or(now, |own| own.seen);
         let mut place = Place::Own;
-        for other in self.servers.values_mut() {
-            let same = other.entry.name == entry.name;
-            let rival =
-                other.entry.address == entry.address || other.entry.name.id() == entry.name.id();
-            if same || !rival {
+        for name in self.rivals(entry) {
+            let Some(other) = self.servers.get(&name) else {
                 continue;
-            }
+            };
             match starts_after(entry, &other.entry) {
-                Some(true) => other.displaced(Place::Passed, now),
+                Some(true) => self.update(&name, |other| other.displaced(Place::Passed, now)),
                 Some(false) => place = Place::Passed,
-                None if other.seen <= seen => other.displaced(Place::Disputed, now),
+                None if other.seen <= seen => {
+                    self.update(&name, |other| other.displaced(Place::Disputed, now));
+                }
                 None if place == Place::Own && other.is_listed() => place = Place::Disputed,
                 None => {}
             }
@@ -286,21 +217,33 @@
         place
     }
 
+    /// Other starts with the id or the address of an entry.
+    fn rivals(&self, entry: &ServerEntry) -> BTreeSet<ServerName> {
+        let same_id = self.with_id(entry.name.id());
+        let same_id = same_id.map(|known| &known.entry.name);
+        let same_address = self.addresses.at(&entry.address).iter();
+        let rivals = same_id.chain(same_address);
+        rivals
+            .filter(|name| **name != entry.name)
+            .cloned()
+            .collect()
+    }
+
     fn with_id<'a>(&'a self, id: &'a str) -> impl Iterator<Item = &'a Known> {
-        let own = move |known: &&Known| known.entry.name.id() == id;
-        self.servers.values().filter(own)
+        let first = id.parse::<ServerName>().ok();
+        let starts = first.map(|first| self.servers.range(first..));
+        let starts = starts.into_iter().flatten().map(|(_, known)| &**known);
+        starts.take_while(move |known| known.entry.name.id() == id)
     }
 
     /// The entry under a server's id vanished; how much longer it counts all the same.
     pub fn removed(&mut self, id: &str, now: Time) -> Duration {
         let missing = now < self.rejoin;
         for name in self.listed_starts(id) {
-            match self.servers.get_mut(&name) {
-                Some(_) if missing => {
-                    self.missing.insert(name, self.rejoin);
-                }
-                Some(known) => known.left = Some(now),
-                None => {}
+            if missing {
+                self.missing.insert(name, self.rejoin);
+            } else {
+                self.update(&name, |known| known.left = Some(now));
             }
         }
         self.rejoin - now
@@ -348,26 +291,42 @@
             .collect();
         for name in &gone {
             self.missing.remove(name);
-            if let Some(known) = self.servers.get_mut(name) {
+            self.update(name, |known| {
                 known.left.get_or_insert(now);
-            }
+            });
         }
-        let memory = self.times.memory;
-        let before = self.servers.len();
-        self.servers
-            .retain(|_, known| known.left.is_none_or(|left| now - left < memory));
         self.restored.retain(|_, cold| *cold > now);
-        !gone.is_empty() || self.servers.len() != before
+        let forgotten = self.forget(now);
+        !gone.is_empty() || forgotten
+    }
+
+    /// Forgets servers that left long ago; whether there were any.
+    fn forget(&mut self, now: Time) -> bool {
+        if self.forget_at.is_none_or(|first| now < first) {
+            return false;
+        }
+        let memory = self.times.memory;
+        let ends = |known: &Arc<Known>| known.left.map(|left| left + memory);
+        let is_over = |known: &&Arc<Known>| ends(known).is_some_and(|end| end <= now);
+        let over: Vec<Arc<Known>> = self.servers.values().filter(is_over).cloned().collect();
+        for known in &over {
+            let entry = &known.entry;
+            self.servers.remove(&entry.name);
+            self.addresses.remove(&entry.address, &entry.name);
+            self.changed.insert(entry.service.clone());
+        }
+        self.forget_at = self.servers.values().filter_map(ends).min();
+        !over.is_empty()
     }
 
     /// One server.
     pub fn get(&self, name: &ServerName) -> Option<&Known> {
-        self.servers.get(name)
+        self.servers.get(name).map(|known| &**known)
     }
 
     /// All servers, also those that left a short while ago.
     pub fn iter(&self) -> impl Iterator<Item = &Known> {
-        self.servers.values()
+        self.servers.values().map(|known| &**known)
     }
 }
 
