Planner: orders cost what is due, a deal is one pass, maps have parts

Causes, each of which grows faster than the servers: - each look walked, copied and sorted every slice to renew 40 of them: 2,756 renewals a second were due at 6,889 owners. Grants now wait in the order in which they are due, and 40 are under way at a time; each answer makes room for the next. - a deal put each slice into the map by copying all others, and a commit searched the map for each server of the book: both in one pass now. - at most 200 keys could leave lost servers at a time, however many there were, and each waits for the end of a lease: 1,400 servers of a failure domain took seven leases. - one row held a whole map; PartedMap reads and writes it by equal parts of the keys, whose number follows the slices. The range model walks commits that are done without an answer or done late. Tests: growth.rs counts allocations, where a scan allocates none it compares times.

--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -9,6 +9,7 @@
 mod behind;
 mod book;
 mod fetches;
+mod health;
 mod standing;
 mod times;
 
@@ -17,6 +18,7 @@
     behind::Behind,
     book::{Age, Freshness, Gap},
     fetches::{Fetch, FetchTimes, Fetches},
+    health::StoreHealth,
     standing::{Doubt, Newer, Newest, Standing},
     times::{FreshnessTimes, HearTimes, Role},
 };
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -73,7 +73,11 @@
             next = slice.range.above();
         }
         match next {
-            None => Ok(Self { slices }),
+            None => {
+                let mut map = Self { slices };
+                map.merge();
+                Ok(map)
+            }
             Some(_) => Err(RangeError::Gap {
                 range: KeyRange::ALL,
             }),
@@ -97,35 +101,68 @@
         self.slices.iter().filter(own)
     }
 
+    /// Slices that hold keys of a range.
+    pub fn touching(&self, range: KeyRange) -> impl Iterator<Item = &Slice> {
+        let first = self
+            .slices
+            .partition_point(|slice| slice.range.last < range.first);
+        let slices = self.slices[first..].iter();
+        slices.take_while(move |slice| slice.range.first <= range.last)
+    }
+
+    /// The slices of a range, cut at its ends.
+    pub fn within(&self, range: KeyRange) -> Vec<Slice> {
+        let part = |slice: &Slice| {
+            let range = slice.range.common(range)?;
+            Some(Slice {
+                range,
+                ..slice.clone()
+            })
+        };
+        self.touching(range).filter_map(part).collect()
+    }
+
     /// The highest epoch of any key of a range.
     pub fn epoch(&self, range: KeyRange) -> Epoch {
-        let touched = self
-            .slices
-            .iter()
-            .filter(|s| s.range.common(range).is_some());
-        touched.map(|slice| slice.epoch).max().unwrap_or(Epoch(0))
+        let epochs = self.touching(range).map(|slice| slice.epoch);
+        epochs.max().unwrap_or(Epoch(0))
     }
 
     /// Gives keys to a server, under an epoch above all former ones of theirs.
     pub fn assign(&mut self, range: KeyRange, to: &ServerName, handover: Option<String>) {
-        let epoch = Epoch(self.epoch(range).0 + 1);
-        self.put(Slice {
+        self.assign_all([(range, to.clone(), handover)]);
+    }
+
+    /// The same for many ranges that have no key in common, in one pass.
+    pub fn assign_all(
+        &mut self,
+        owners: impl IntoIterator<Item = (KeyRange, ServerName, Option<String>)>,
+    ) {
+        let assigned = owners.into_iter().map(|(range, owner, handover)| Slice {
             range,
-            owner: Some(to.clone()),
-            epoch,
+            owner: Some(owner),
+            epoch: Epoch(self.epoch(range).0 + 1),
             handover,
             expiry: None,
         });
+        let assigned = assigned.collect();
+        self.put_all(assigned);
     }
 
     /// Notes when the lease of keys has run out: they are not granted any more.
     pub fn expire(&mut self, range: KeyRange, expiry: StoreTime) {
-        let slice = self.slice(range.first).clone();
-        self.put(Slice {
+        self.expire_all([(range, expiry)]);
+    }
+
+    /// The same for many ranges that have no key in common, in one pass.
+    pub fn expire_all(&mut self, expiries: impl IntoIterator<Item = (KeyRange, StoreTime)>) {
+        let expired = expiries.into_iter().map(|(range, expiry)| Slice {
             range,
             expiry: Some(expiry),
-            ..slice
+            ..self.slice(range.first).clone()
         });
+        let expired = expired.collect();
+        self.put_all(expired);
     }
 
     /// Sets the slice of a range.
@@ -141,7 +178,7 @@
                 former: former.0,
             });
         }
-        self.put(slice);
+        self.put_all(vec![slice]);
         Ok(())
     }
 
@@ -155,25 +192,28 @@
         self.merge();
     }
 
-    fn put(&mut self, slice: Slice) {
-        let mut next = Vec::with_capacity(self.slices.len() + 2);
+    /// Sets slices that have no key in common.
+    pub(super) fn put_all(&mut self, mut slices: Vec<Slice>) {
+        slices.sort_by_key(|slice| slice.range);
+        let mut next = Vec::with_capacity(self.slices.len() + 2 * slices.len());
+        let mut new = slices.into_iter().peekable();
         for old in self.slices.drain(..) {
-            if old.range.common(slice.range).is_none() {
-                next.push(old);
-                continue;
-            }
-            let [below, above] = old.range.without(slice.range);
-            next.extend(below.map(|range| Slice {
-                range,
-                ..old.clone()
-            }));
-            if slice.range.last <= old.range.last {
-                next.push(slice.clone());
+            let mut rest = Some(old.range);
+            while let Some(left) = rest {
+                let Some(slice) = new.peek().filter(|new| new.range.first <= left.last) else {
+                    next.push(Slice { range: left, ..old });
+                    break;
+                };
+                let [below, above] = left.without(slice.range);
+                next.extend(below.map(|range| Slice {
+                    range,
+                    ..old.clone()
+                }));
+                if slice.range.last <= left.last {
+                    next.extend(new.next());
+                }
+                rest = above;
             }
-            next.extend(above.map(|range| Slice {
-                range,
-                ..old.clone()
-            }));
         }
         self.slices = next;
         self.merge();
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -13,6 +13,7 @@
 mod key;
 mod map;
 mod news;
+mod parts;
 mod reconciler;
 mod windows;
 
@@ -25,6 +26,7 @@
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
     news::{MoveLog, MoveNews, Whereabouts},
+    parts::{MapPart, PartedMap, partition},
     reconciler::{Order, OrderEnd, OwnerState, Owners, Reconciler, Scope},
     windows::DemandWindows,
 };
--- a/crates/core/src/ranges/news.rs
+++ b/crates/core/src/ranges/news.rs
@@ -92,6 +92,15 @@
         }
     }
 
+    /// All news that is remembered, the oldest first.
+    pub fn recent(&self, now: Time) -> impl Iterator<Item = &MoveNews> {
+        let recent = self
+            .entries
+            .iter()
+            .filter(move |entry| now - entry.heard < MEMORY);
+        recent.map(|entry| &entry.news)
+    }
+
     /// What is newer about a key than its slice of the map tells. A map may come before
     /// the owner that it names has been granted the keys.
     pub fn find(&self, key: RangeKey, slice: &Slice, now: Time) -> Option<&Whereabouts> {
--- /dev/null
+++ b/crates/core/src/ranges/parts.rs
@@ -0,0 +1,171 @@
+//! Maps that are stored in parts.
+
+use {
+    super::{KeyRange, RangeKey, RangeMap, Slice},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// The slices of some keys, as of a version of the row that holds them.
+#[derive(Debug, PartialEq, Eq)]
+pub struct MapPart {
+    /// The keys.
+    pub range: KeyRange,
+    /// Version of the row.
+    pub version: u64,
+    /// The slices, without gaps.
+    pub slices: Vec<Slice>,
+}
+
+/// A map that is read part by part: of two parts with keys in common, the one with the
+/// higher version counts for them. Parts are shared with copies of the map.
+///
+/// ```
+/// use citron_core::ranges::{KeyRange, MapPart, PartedMap, RangeKey, RangeMap};
+/// let mut map = RangeMap::new();
+/// map.assign("0-99".parse().unwrap(), &"s-1".parse().unwrap(), None);
+/// let mut parted = PartedMap::default();
+/// for (version, text) in [(7, "0-32767"), (8, "32768-65535")] {
+///     let range: KeyRange = text.parse().unwrap();
+///     let slices = map.within(range);
+///     parted.put(MapPart { range, version, slices });
+/// }
+/// assert_eq!(parted.slice(RangeKey(99)), Some(map.slice(RangeKey(99))));
+/// assert_eq!(parted.whole(), Some(map));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct PartedMap {
+    parts: BTreeMap<KeyRange, Arc<MapPart>>,
+    /// By the first of its keys, each run of keys for which one part counts.
+    runs: BTreeMap<RangeKey, (RangeKey, Arc<MapPart>)>,
+}
+
+impl PartedMap {
+    /// Takes in a part; whether it is newer than the one known of these keys.
+    pub fn put(&mut self, part: MapPart) -> bool {
+        if part.version <= self.version(part.range) {
+            return false;
+        }
+        self.parts.insert(part.range, Arc::new(part));
+        self.rebuild();
+        true
+    }
+
+    /// Forgets a part whose row is gone as of a version.
+    pub fn remove(&mut self, range: KeyRange, version: u64) {
+        if self.parts.contains_key(&range) && version > self.version(range) {
+            self.parts.remove(&range);
+            self.rebuild();
+        }
+    }
+
+    /// The part of exactly these keys.
+    pub fn part(&self, range: KeyRange) -> Option<&MapPart> {
+        self.parts.get(&range).map(|part| &**part)
+    }
+
+    /// Version of the row of exactly these keys; 0 if there is none.
+    pub fn version(&self, range: KeyRange) -> u64 {
+        self.part(range).map_or(0, |part| part.version)
+    }
+
+    /// The highest version of all rows.
+    pub fn newest(&self) -> u64 {
+        let versions = self.parts.values().map(|part| part.version);
+        versions.max().unwrap_or_default()
+    }
+
+    /// The keys of each part.
+    pub fn ranges(&self) -> impl Iterator<Item = KeyRange> {
+        self.parts.keys().copied()
+    }
+
+    /// The slice that holds a key, cut at the ends of its part; `None` if no part holds it.
+    pub fn slice(&self, key: RangeKey) -> Option<&Slice> {
+        let (_, (last, part)) = self.runs.range(..=key).next_back()?;
+        let slices = &part.slices;
+        let at = slices.partition_point(|slice| slice.range.last < key);
+        slices.get(at).filter(|_| key <= *last)
+    }
+
+    /// All parts as one map; `None` if some keys are in no part.
+    pub fn whole(&self) -> Option<RangeMap> {
+        let cut = |(first, (last, part)): (&RangeKey, &(RangeKey, Arc<MapPart>))| {
+            let run = KeyRange {
+                first: *first,
+                last: *last,
+            };
+            let within = |slice: &Slice| {
+                let range = slice.range.common(run)?;
+                Some(Slice {
+                    range,
+                    ..slice.clone()
+                })
+            };
+            part.slices.iter().filter_map(within).collect::<Vec<_>>()
+        };
+        let slices = self.runs.iter().flat_map(cut).collect();
+        RangeMap::from_slices(slices).ok()
+    }
+
+    fn rebuild(&mut self) {
+        let mut parts: Vec<&Arc<MapPart>> = self.parts.values().collect();
+        parts.sort_by_key(|part| part.version);
+        self.runs.clear();
+        for part in parts {
+            cover(&mut self.runs, part);
+        }
+    }
+}
+
+/// Makes a part count for all of its keys.
+fn cover(runs: &mut BTreeMap<RangeKey, (RangeKey, Arc<MapPart>)>, part: &Arc<MapPart>) {
+    let range = part.range;
+    let touched = runs.range(..=range.last);
+    let touched = touched.filter(|(_, (last, _))| *last >= range.first);
+    let touched: Vec<RangeKey> = touched.map(|(first, _)| *first).collect();
+    for first in touched {
+        let Some((last, old)) = runs.remove(&first) else {
+            continue;
+        };
+        let [below, above] = KeyRange { first, last }.without(range);
+        for left in [below, above].into_iter().flatten() {
+            runs.insert(left.first, (left.last, Arc::clone(&old)));
+        }
+    }
+    runs.insert(range.first, (range.last, Arc::clone(part)));
+}
+
+/// Cuts the key space into a power of two of equal parts so that none holds more than
+/// `most` slices, as far as single keys allow. Keeps the number of parts `now` while up
+/// to four times as many as needed: another number makes every part a new one.
+///
+/// ```
+/// use citron_core::ranges::{KeyRange, RangeMap, partition};
+/// let map = RangeMap::new();
+/// assert_eq!(partition(&map, 1, 100), [KeyRange::ALL]);
+/// assert_eq!(partition(&map, 4, 100).len(), 4);
+/// assert_eq!(partition(&map, 64, 100).len(), 1);
+/// ```
+pub fn partition(map: &RangeMap, now: usize, most: usize) -> Vec<KeyRange> {
+    let fits = |parts: &Vec<KeyRange>| {
+        let slices = |part: &KeyRange| map.touching(*part).count();
+        parts.iter().all(|part| slices(part) <= most)
+    };
+    let sizes = (0..=u16::BITS).map(|bits| equal_parts(1 << bits));
+    let needed = sizes.into_iter().find(fits);
+    let needed = needed.unwrap_or_else(|| vec![KeyRange::ALL]);
+    let keeps = now.is_power_of_two() && (needed.len()..=needed.len() * KEPT_PARTS).contains(&now);
+    if keeps { equal_parts(now) } else { needed }
+}
+
+/// How many times the parts that are needed may be kept.
+const KEPT_PARTS: usize = 4;
+
+fn equal_parts(count: usize) -> Vec<KeyRange> {
+    let keys = KeyRange::ALL.len() as usize / count;
+    let part = |number: usize| KeyRange {
+        first: RangeKey((number * keys) as u16),
+        last: RangeKey((number * keys + keys - 1) as u16),
+    };
+    (0..count).map(part).collect()
+}
--- a/crates/core/src/ranges/reconciler/commits.rs
+++ b/crates/core/src/ranges/reconciler/commits.rs
@@ -6,10 +6,11 @@
         moves::{Move, Phase},
     },
     crate::{
-        ranges::{KeyRange, RangeMap},
+        id::{Epoch, ServerName},
+        ranges::{KeyRange, RangeMap, Slice},
         time::{StoreClock, StoreTime, Time},
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// How long a release to a lost server may be unanswered before the end of its
@@ -17,6 +18,9 @@
 /// write is read by every instance.
 const UNANSWERED: Duration = Duration::from_millis(1_000);
 
+/// A commit without an answer for so long may wait for the end of an outage.
+const OVERDUE: Duration = Duration::from_millis(300);
+
 /// How long keys that are free wait for others of the same round: each commit
 /// is read by every instance, and most releases of a round end close together.
 const GATHER: Duration = Duration::from_millis(100);
@@ -32,23 +36,28 @@
         if self.commit.is_some() || self.gathers(now) {
             return;
         }
-        let mut next = self.map.clone();
-        for range in std::mem::take(&mut self.outdated) {
-            raise(&mut next, range);
-        }
-        for under in &self.moves {
-            let Phase::Free { handover, .. } = &under.phase else {
-                continue;
-            };
-            next.assign(under.range, &under.to, handover.clone());
+        let free = |under: &&Move| matches!(under.phase, Phase::Free { .. });
+        let expiries = self.expiries(now, clock, owners);
+        let nothing = expiries.is_empty() && self.outdated.is_empty();
+        if nothing && !self.moves.iter().any(|under| free(&under)) {
+            return;
         }
-        for (range, expiry) in self.expiries(now, clock, owners) {
-            next.expire(range, expiry);
+        let mut next = self.map.clone();
+        for (range, seen) in &self.outdated {
+            raise(&mut next, *range, *seen);
         }
+        let owner = |under: &Move| match &under.phase {
+            Phase::Free { handover, .. } => Some((under.range, under.to.clone(), handover.clone())),
+            Phase::Releasing { .. } => None,
+        };
+        next.assign_all(self.moves.iter().filter_map(owner));
+        next.expire_all(expiries);
         if next != self.map {
             self.use_handovers(&mut next);
-            self.commit = Some(next.clone());
+            self.commit = Some(now);
             orders.push(Order::Commit(next));
+        } else {
+            self.forget_raised();
         }
     }
 
@@ -73,6 +82,11 @@
         waiting.filter_map(expiry).collect()
     }
 
+    /// Whether the outcome of a commit has been unknown for long.
+    pub(super) fn is_commit_overdue(&self, now: Time) -> bool {
+        self.commit.is_some_and(|ordered| now - ordered > OVERDUE)
+    }
+
     /// Whether more keys are expected to be free shortly.
     fn gathers(&self, now: Time) -> bool {
         let waits = |under: &Move| matches!(under.phase, Phase::Releasing { .. });
@@ -105,19 +119,52 @@
             let slice = map.slice(under.range.first);
             slice.owner.as_ref() == Some(&under.to) && slice.epoch >= under.epoch
         };
-        self.moves
-            .retain(|under| !(matches!(under.phase, Phase::Free { .. }) && done(under)));
+        let free = |under: &&Move| matches!(under.phase, Phase::Free { .. });
+        let ended = |under: &Move| free(&under) && done(under);
+        let handed = self.moves.iter().filter(|under| ended(under));
+        let handed = handed.filter(|under| under.from.is_some());
+        self.handed.extend(handed.map(|under| under.range));
+        self.moves.retain(|under| !ended(under));
         self.map = map.clone();
-        let listed = &self.map;
-        self.book
-            .retain(|server| listed.owned(server).next().is_some());
+        self.forget_raised();
+        self.renewals.invalidate();
+        let owners = self.map.slices().iter();
+        let owners: BTreeSet<&ServerName> = owners.filter_map(|s| s.owner.as_ref()).collect();
+        self.book.retain(|server| owners.contains(server));
     }
-}
 
-/// Gives a slice's keys to their owner anew, under a higher epoch.
-fn raise(map: &mut RangeMap, range: KeyRange) {
-    let slice = map.slice(range.first).clone();
-    if let (Some(owner), None, true) = (&slice.owner, slice.expiry, slice.range == range) {
-        map.assign(range, owner, None);
+    fn forget_raised(&mut self) {
+        let map = &self.map;
+        self.outdated
+            .retain(|(range, seen)| needs_raise(map, *range, *seen));
+        self.renewals.invalidate();
     }
 }
+
+/// Gives keys to their owners anew, under an epoch above one that those have seen.
+fn raise(map: &mut RangeMap, range: KeyRange, seen: Epoch) {
+    let raised = |slice: &Slice| {
+        let part = slice
+            .range
+            .common(range)
+            .filter(|_| is_outdated(slice, seen))?;
+        Some(Slice {
+            range: part,
+            epoch: Epoch(seen.0 + 1),
+            handover: None,
+            ..slice.clone()
+        })
+    };
+    let raised = map.touching(range).filter_map(raised).collect();
+    map.put_all(raised);
+}
+
+fn needs_raise(map: &RangeMap, range: KeyRange, seen: Epoch) -> bool {
+    let mut slices = map.touching(range);
+    slices.any(|slice| is_outdated(slice, seen))
+}
+
+/// Whether a slice's owner would refuse a grant of it, having seen an epoch.
+fn is_outdated(slice: &Slice, seen: Epoch) -> bool {
+    slice.owner.is_some() && slice.expiry.is_none() && slice.epoch < seen
+}
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -4,13 +4,17 @@
 mod moves;
 mod order;
 mod renewals;
+mod window;
 
 use {
-    super::{Balance, KeyRange, LeaseBook, RangeMap},
-    crate::time::{StoreClock, Time},
-    moves::Move,
-    renewals::Renewal,
-    std::{collections::BTreeMap, time::Duration},
+    super::{Balance, KeyRange, LeaseBook, MoveNews, RangeMap, Whereabouts},
+    crate::{
+        id::Epoch,
+        time::{StoreClock, Time},
+    },
+    moves::{Move, unmoved},
+    renewals::Renewals,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 pub use order::{Order, OrderEnd, OwnerState, Owners, Scope};
@@ -31,10 +35,13 @@
     map: RangeMap,
     book: LeaseBook,
     moves: Vec<Move>,
-    renewals: BTreeMap<KeyRange, Renewal>,
-    /// Slices whose server has seen a higher epoch than theirs.
-    outdated: Vec<KeyRange>,
-    commit: Option<RangeMap>,
+    renewals: Renewals,
+    /// Keys that were released for a move and are not granted to their next owner yet.
+    handed: BTreeSet<KeyRange>,
+    /// Keys whose owner has seen this epoch, which is above that of their slice.
+    outdated: Vec<(KeyRange, Epoch)>,
+    /// When the commit under way was ordered.
+    commit: Option<Time>,
 }
 
 impl Reconciler {
@@ -44,12 +51,23 @@
             map,
             book,
             moves: Vec::new(),
-            renewals: BTreeMap::new(),
+            renewals: Renewals::default(),
+            handed: BTreeSet::new(),
             outdated: Vec::new(),
             commit: None,
         }
     }
 
+    /// Takes in what a former planner told of a move that it may not have finished: the
+    /// owner has seen the epoch of the release and refuses any grant below it.
+    pub fn note_release(&mut self, news: &MoveNews) {
+        let newer = news.epoch > self.map.epoch(news.range);
+        if newer && news.place == Whereabouts::Released {
+            self.outdated.push((news.range, news.epoch));
+            self.handed.insert(news.range);
+        }
+    }
+
     /// Moves under way.
     pub fn moves(&self) -> usize {
         self.moves.len()
@@ -60,7 +78,8 @@
     pub fn reload(&mut self, map: RangeMap) {
         self.map = map;
         self.moves.clear();
-        self.renewals.clear();
+        self.renewals = Renewals::default();
+        self.handed.clear();
         self.outdated.clear();
         self.commit = None;
     }
@@ -75,7 +94,7 @@
         &mut self.book
     }
 
-    /// What is to be done now.
+    /// What is to be done now: a plan, and the orders that follow.
     pub fn tick(
         &mut self,
         now: Time,
@@ -84,24 +103,46 @@
         balance: &mut Balance<'_>,
         scope: Scope,
     ) -> Vec<Order> {
-        let mut orders = Vec::new();
+        self.plan(now, clock, owners, balance, scope);
+        self.orders(now, clock, owners)
+    }
+
+    /// Decides which keys move. Looks at every slice.
+    pub fn plan(
+        &mut self,
+        now: Time,
+        clock: &StoreClock,
+        owners: &impl Owners,
+        balance: &mut Balance<'_>,
+        scope: Scope,
+    ) {
         self.weigh(balance);
         self.free_ended(now, clock, owners);
         self.retarget(owners, balance);
         self.vacate(now, owners, balance, scope.deal);
-        if scope.even {
+        if scope.even && !self.is_commit_overdue(now) {
             self.even_out(now, balance);
         }
-        self.release(now, &mut orders);
+    }
+
+    /// The orders that are due. Looks at moves and at what is due only.
+    pub fn orders(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.free_ended(now, clock, owners);
+        // Keys that are released during an outage of the store have no owner until its end.
+        if !self.is_commit_overdue(now) {
+            self.release(now, &mut orders);
+        }
         self.commit_free(now, clock, owners, &mut orders);
         self.renew(now, &mut orders);
         orders
     }
 
     fn weigh(&self, balance: &mut Balance<'_>) {
+        let moved = self.moved();
         for slice in self.map.slices() {
             if let Some(owner) = &slice.owner {
-                for part in self.unmoved(slice.range) {
+                for part in unmoved(slice.range, &moved) {
                     balance.load(owner, part);
                 }
             }
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -7,7 +7,10 @@
         ranges::{Balance, KeyRange, Shift, key::cut_out},
         time::{StoreClock, Time},
     },
-    std::time::Duration,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Grants that stay unanswered for so long make their server suspect. A server
@@ -25,9 +28,8 @@
 const SLICES_MIN: usize = 240;
 /// Slices for each server above which small ones are joined with a neighbour.
 const JOIN_SLICES: f64 = 1.5;
-/// Moves under way at which no more are begun for servers that leave: a few
-/// servers' worth, since each is an order that an instance with a fifth of a
-/// core has to send.
+/// Moves that one plan begins for servers that leave: each looks at all servers for the one
+/// with the most room.
 const VACATE_MAX: usize = 200;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -101,6 +103,7 @@
         deal: bool,
     ) {
         let suspects = self.suspects(now);
+        let moved = self.moved();
         let slices = self.map.slices().iter();
         let mut homeless: Vec<(KeyRange, Option<ServerName>)> = slices
             .filter(|slice| match &slice.owner {
@@ -111,14 +114,15 @@
                 }
             })
             .flat_map(|slice| {
-                let parts = self.unmoved(slice.range);
+                let parts = unmoved(slice.range, &moved);
                 parts.into_iter().map(|range| (range, slice.owner.clone()))
             })
             .collect();
         // The busiest first: orders beyond these wait for the next tick.
         homeless.sort_by(|a, b| balance.demand(b.0).total_cmp(&balance.demand(a.0)));
+        let before = self.moves.len();
         for (range, from) in homeless {
-            if self.moves.len() >= VACATE_MAX {
+            if self.moves.len() - before >= VACATE_MAX {
                 return;
             }
             let parts = match from {
@@ -135,40 +139,40 @@
 
     /// Servers whose grants have long been unanswered. If those are most of
     /// them, the planner itself is cut off, and moves would help nobody.
-    fn suspects(&self, now: Time) -> Vec<ServerName> {
-        let mut suspects = Vec::new();
-        let mut sound = Vec::new();
-        for slice in self.map.slices() {
-            let (Some(owner), Some(renewal)) = (&slice.owner, self.renewals.get(&slice.range))
-            else {
-                continue;
-            };
-            match renewal.failing.is_some_and(|since| now - since > SUSPECT) {
-                true => suspects.push(owner.clone()),
-                false => sound.push(owner.clone()),
-            }
+    fn suspects(&self, now: Time) -> BTreeSet<ServerName> {
+        let owner = |range: KeyRange| self.map.slice(range.first).owner.clone();
+        let failing = self.renewals.failing_for(SUSPECT, now);
+        let suspects: BTreeSet<ServerName> = failing.filter_map(owner).collect();
+        if suspects.is_empty() {
+            return suspects;
         }
-        suspects.sort();
-        suspects.dedup();
-        sound.sort();
-        sound.dedup();
-        if suspects.len() * 3 > sound.len() {
-            suspects.clear();
+        let slices = self.map.slices().iter();
+        let owners = slices.filter_map(|slice| slice.owner.as_ref());
+        let sound: BTreeSet<&ServerName> = owners.filter(|o| !suspects.contains(*o)).collect();
+        match suspects.len() * 3 > sound.len() {
+            true => BTreeSet::new(),
+            false => suspects,
         }
-        suspects
     }
 
-    /// The parts of a range that are not on their way yet.
-    pub(super) fn unmoved(&self, range: KeyRange) -> Vec<KeyRange> {
-        let cut = |parts, under: &Move| cut_out(parts, under.range);
-        let within = |under: &&Move| under.range.common(range).is_some();
-        self.moves.iter().filter(within).fold(vec![range], cut)
+    /// Keys that are on their way, in order.
+    pub(super) fn moved(&self) -> Vec<KeyRange> {
+        let mut moved: Vec<KeyRange> = self.moves.iter().map(|under| under.range).collect();
+        moved.sort();
+        moved
     }
 
     pub(super) fn even_out(&mut self, now: Time, balance: &mut Balance<'_>) {
+        let moved = self.moved();
+        let mut owned: BTreeMap<&ServerName, Vec<KeyRange>> = BTreeMap::new();
+        for slice in self.map.slices() {
+            if let Some(owner) = &slice.owner {
+                owned.entry(owner).or_default().push(slice.range);
+            }
+        }
         let parts = |server: &ServerName| {
-            let slices = self.map.owned(server);
-            slices.flat_map(|slice| self.unmoved(slice.range)).collect()
+            let ranges = owned.get(server).into_iter().flatten();
+            ranges.flat_map(|range| unmoved(*range, &moved)).collect()
         };
         let slices = self.map.slices().len();
         let most = match balance.has_overload() {
@@ -188,14 +192,13 @@
 
     /// Slices in order that are not on their way, and are not about to be.
     fn still(&self, shifts: &[Shift]) -> Vec<(KeyRange, ServerName)> {
-        let moves = |range: KeyRange| {
-            let mut under = self.moves.iter().map(|under| under.range);
-            let mut next = shifts.iter().map(|shift| shift.range);
-            let common = |other: KeyRange| other.common(range).is_some();
-            under.any(common) || next.any(common)
-        };
+        let mut moved = self.moved();
+        moved.extend(shifts.iter().map(|shift| shift.range));
+        moved.sort();
         let slices = self.map.slices().iter();
-        let held = slices.filter(|slice| slice.expiry.is_none() && !moves(slice.range));
+        let held = slices.filter(|slice| {
+            slice.expiry.is_none() && unmoved(slice.range, &moved) == [slice.range]
+        });
         let owned = held.filter_map(|slice| Some((slice.range, slice.owner.clone()?)));
         owned.collect()
     }
@@ -212,6 +215,7 @@
         let granted = from
             .as_ref()
             .map_or(Time::ZERO, |from| self.book.last(from));
+        self.renewals.invalidate();
         self.moves.push(Move {
             range,
             from,
@@ -258,3 +262,12 @@
         }
     }
 }
+
+/// The parts of a range that are not on their way; `moved` are the keys that are, in order
+/// and without a key in common.
+pub fn unmoved(range: KeyRange, moved: &[KeyRange]) -> Vec<KeyRange> {
+    let first = moved.partition_point(|moved| moved.last < range.first);
+    let within = moved[first..].iter();
+    let within = within.take_while(|moved| moved.first <= range.last);
+    within.fold(vec![range], |parts, moved| cut_out(parts, *moved))
+}
--- /dev/null
+++ b/crates/core/tests/growth.rs
@@ -0,0 +1,202 @@
+//! What one step costs as a deployment grows: operations, not times, but where a step that
+//! scans allocates nothing.
+
+use {
+    allocation_counter::measure,
+    citron_core::{
+        id::{ServerName, ServiceName, Slots},
+        ranges::{
+            Balance, BalanceLimits, Capacity, Demand, KeyRange, LeaseBook, LeaseTimes, Order,
+            OrderEnd, RangeKey, RangeMap, Reconciler, Scope, partition,
+        },
+        registry::{Registry, RegistryTimes, ServerEntry, ServerState},
+        time::{StoreClock, Time},
+    },
+    std::time::{Duration, Instant},
+};
+
+fn allocations(work: impl FnOnce()) -> u64 {
+    measure(work).count_total
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn name(number: usize) -> ServerName {
+    format!("server-{number:06}").parse().unwrap()
+}
+
+fn entry(number: usize) -> ServerEntry {
+    ServerEntry {
+        name: name(number),
+        service: ["ledger", "pickups"][number % 2].parse().unwrap(),
+        address: format!("10.{}.{}.1:80", number / 250, number % 250)
+            .parse()
+            .unwrap(),
+        domain: "east".parse().unwrap(),
+        slots: Slots(4),
+        state: ServerState::Ready,
+        warm_up: Duration::ZERO,
+    }
+}
+
+fn registry(servers: usize) -> Registry {
+    let mut registry = Registry::new(RegistryTimes::STANDARD);
+    (0..servers).for_each(|number| registry.listed(entry(number), at(0)));
+    registry
+}
+
+/// Time for each of some entries that are listed once more; the best of five tries.
+fn listing_time(servers: usize) -> Duration {
+    let mut registry = registry(servers);
+    let tries = (0..5).map(|_| {
+        let begun = Instant::now();
+        (0..200).for_each(|number| registry.listed(entry(number * 5), at(10)));
+        begun.elapsed()
+    });
+    tries.min().unwrap()
+}
+
+/// Guards against a start in which each of thousands of entries is compared with all others.
+#[test]
+fn an_entry_is_taken_in_without_a_scan_of_all_servers() {
+    let (few, many) = (listing_time(1_000), listing_time(16_000));
+    assert!(many < few * 6, "{few:?} at 1,000, {many:?} at 16,000");
+}
+
+/// Guards against a copy of every server, with its texts, for each change of one.
+#[test]
+fn lists_share_what_has_not_changed() {
+    let changed = |servers: usize| {
+        let mut registry = registry(servers);
+        registry.lists();
+        registry.listed(entry(7), at(10));
+        allocations(|| {
+            registry.lists();
+        })
+    };
+    assert!(changed(8_000) <= changed(1_000) + 8, "{}", changed(8_000));
+}
+
+struct Planner {
+    reconciler: Reconciler,
+    registry: Registry,
+    clock: StoreClock,
+}
+
+impl Planner {
+    /// A planner whose servers all hold their keys, some time after the first deal.
+    fn settled(servers: usize) -> Self {
+        let service: ServiceName = "ledger".parse().unwrap();
+        let mut registry = Registry::new(RegistryTimes::STANDARD);
+        for number in 0..servers {
+            let service = service.clone();
+            let entry = ServerEntry {
+                service,
+                ..entry(number)
+            };
+            registry.listed(entry, at(0));
+        }
+        let book = LeaseBook::new(LeaseTimes::STANDARD, at(0));
+        let mut planner = Self {
+            reconciler: Reconciler::new(RangeMap::new(), book),
+            registry,
+            clock: StoreClock::default(),
+        };
+        planner.deal(servers);
+        planner
+    }
+
+    fn deal(&mut self, servers: usize) {
+        let capacity = |number| Capacity {
+            server: name(number),
+            rate: 10.0,
+            takes: true,
+        };
+        let capacities: Vec<Capacity> = (0..servers).map(capacity).collect();
+        let demand = Demand::default();
+        let mut balance = Balance::new(BalanceLimits::STANDARD, &capacities, &demand);
+        let scope = Scope {
+            deal: true,
+            even: false,
+        };
+        let now = at(1_000);
+        self.reconciler
+            .plan(now, &self.clock, &self.registry, &mut balance, scope);
+        for step in 0..1_000 {
+            let now = at(1_000 + step);
+            let orders = self.reconciler.orders(now, &self.clock, &self.registry);
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                let end = OrderEnd::Done { handover: None };
+                self.reconciler.ended(&order, end, now);
+            }
+        }
+    }
+}
+
+/// Guards against a look at every slice, with a copy of each, whenever an order has ended.
+#[test]
+fn orders_cost_what_is_due() {
+    let idle = |servers: usize| {
+        let mut planner = Planner::settled(servers);
+        allocations(|| {
+            let now = at(2_500);
+            let reconciler = &mut planner.reconciler;
+            let orders = reconciler.orders(now, &planner.clock, &planner.registry);
+            assert!(orders.is_empty());
+        })
+    };
+    assert!(idle(4_000) <= idle(200) + 8, "{}", idle(4_000));
+}
+
+/// Guards against a first deal whose cost is the square of the servers.
+#[test]
+fn a_first_deal_is_committed_in_one_pass() {
+    let deal = |servers: usize| allocations(|| drop(Planner::settled(servers)));
+    let (few, many) = (deal(500), deal(4_000));
+    assert!(many < few * 12, "{few} at 500, {many} at 4,000");
+}
+
+/// Guards against leases that are renewed at 40 a look, whatever the number of servers: each
+/// answer makes room for the next order.
+#[test]
+fn renewals_of_thousands_of_servers_follow_the_answers() {
+    let mut planner = Planner::settled(6_889);
+    let mut granted = 0;
+    // A millisecond from an order to its answer.
+    for milli in 3_300..5_800 {
+        let now = at(milli);
+        let reconciler = &mut planner.reconciler;
+        let orders = reconciler.orders(now, &planner.clock, &planner.registry);
+        for order in orders {
+            assert!(matches!(order, Order::Grant(_)));
+            granted += 1;
+            let end = OrderEnd::Done { handover: None };
+            planner.reconciler.ended(&order, end, now);
+        }
+    }
+    let slices = planner.reconciler.map().slices().len();
+    assert!(slices > 6_000, "{slices}");
+    assert!(granted >= slices, "{granted} of {slices}");
+}
+
+/// Guards against a map that outgrows the row that the store takes, and is refused for ever.
+#[test]
+fn no_part_of_a_map_holds_more_slices_than_a_row() {
+    for servers in [10, 600, 6_889, 30_000] {
+        let mut map = RangeMap::new();
+        let range = |number: usize| KeyRange {
+            first: RangeKey((number * 2) as u16),
+            last: RangeKey((number * 2 + 1) as u16),
+        };
+        map.assign_all((0..servers).map(|number| (range(number), name(number), None)));
+        let parts = partition(&map, 1, 256);
+        let slices = parts.iter().map(|part| map.within(*part).len());
+        assert!(slices.clone().max().unwrap() <= 256);
+        assert!(slices.sum::<usize>() >= servers);
+    }
+}
--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -60,7 +60,8 @@
     let plain = (0..SEEDS).map(|seed| correct_walk(seed, World::new(seed, None)));
     let mutes = (0..SEEDS).map(|seed| correct_walk(seed, World::with_mutes(seed, None)));
     let kills = (0..SEEDS).map(|seed| correct_walk(seed, World::with_kills(seed, None)));
-    let walks: Vec<Done> = plain.chain(mutes).chain(kills).collect();
+    let doubts = (0..SEEDS).map(|seed| correct_walk(seed, World::with_doubts(seed, None)));
+    let walks: Vec<Done> = plain.chain(mutes).chain(kills).chain(doubts).collect();
     // Walks in which nothing happens, or in which nobody holds anything, prove nothing.
     let commits: u64 = walks.iter().map(|done| done.commits).sum();
     let held: f64 = walks.iter().map(|done| done.held).sum::<f64>() / walks.len() as f64;
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -5,8 +5,8 @@
     citron_core::{
         id::ServerName,
         ranges::{
-            Balance, BalanceLimits, Capacity, Demand, LeaseBook, LeaseTimes, Order, OrderEnd,
-            OwnerState, Owners, RangeMap, Reconciler, Scope,
+            Balance, BalanceLimits, Capacity, Demand, LeaseBook, LeaseTimes, MoveNews, Order,
+            OrderEnd, OwnerState, Owners, RangeMap, Reconciler, Scope, Whereabouts,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -78,6 +78,14 @@
     answered: bool,
 }
 
+/// A commit that the store carries out late, if its condition still holds then.
+#[derive(Debug)]
+struct LateCommit {
+    due: Time,
+    planner: u64,
+    map: RangeMap,
+}
+
 #[derive(Debug)]
 pub struct World {
     now: Time,
@@ -92,12 +100,17 @@
     map: RangeMap,
     version: u64,
     sent: Vec<Sent>,
+    late: Vec<LateCommit>,
+    /// Releases that planners told the others of.
+    news: Vec<MoveNews>,
     births: usize,
     pub commits: u64,
     /// Whether some servers get grants only, and their answers are lost.
     mutes: bool,
     /// Whether planners end when they are replaced, and none is cut off.
     kills: bool,
+    /// Whether the store loses answers to commits and carries some out late.
+    doubts: bool,
 }
 
 struct Listed<'a> {
@@ -134,10 +147,13 @@
             map: RangeMap::new(),
             version: 0,
             sent: Vec::new(),
+            late: Vec::new(),
+            news: Vec::new(),
             births: 0,
             commits: 0,
             mutes: false,
             kills: false,
+            doubts: false,
         };
         for _ in 0..SERVERS {
             world.start_server();
@@ -164,10 +180,20 @@
         }
     }
 
+    /// The same with commits that are done without an answer, or done late, and planners
+    /// that know of most releases of those before them.
+    pub fn with_doubts(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            doubts: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.disturb();
         self.deliver();
+        self.commit_late();
         for at in 0..self.planners.len() {
             self.plan(at);
         }
@@ -324,9 +350,15 @@
             times.hold /= 2;
         }
         let book = LeaseBook::new(times, foreign);
+        let mut reconciler = Reconciler::new(self.map.clone(), book);
+        for news in std::mem::take(&mut self.news) {
+            if self.doubts && self.chance(700) {
+                reconciler.note_release(&news);
+            }
+        }
         self.planners.push(Planner {
             number: self.leader,
-            reconciler: Reconciler::new(self.map.clone(), book),
+            reconciler,
             version: self.version,
             connected: true,
             confirmed: self.now,
@@ -429,16 +461,68 @@
             planner.version = self.version;
             return;
         }
-        self.map = match flaw {
+        let number = planner.number;
+        if self.doubts && self.chance(60) {
+            let due = self.now + Duration::from_millis(self.rng.random_range(500..3_000));
+            let planner = number;
+            return self.late.push(LateCommit { due, planner, map });
+        }
+        // Without an answer it is sent again, and then read back.
+        let answered = match self.doubts && self.chance(60) {
+            true => self.now + Duration::from_millis(self.rng.random_range(500..3_000)),
+            false => self.now,
+        };
+        self.apply(map);
+        let planner = &mut self.planners[at];
+        planner.version = self.version;
+        planner
+            .ends
+            .push((answered, order, OrderEnd::Done { handover: None }));
+    }
+
+    fn apply(&mut self, map: RangeMap) {
+        self.map = match self.flaw {
             Some(Flaw::EarlyExpiry) => with_early_expiries(&map, self.times.reach()),
             _ => map,
         };
         self.version += 1;
         self.commits += 1;
-        planner.version = self.version;
-        planner
-            .ends
-            .push((self.now, order, OrderEnd::Done { handover: None }));
+    }
+
+    /// Carries out late commits whose condition still holds.
+    fn commit_late(&mut self) {
+        let now = self.now;
+        let late = std::mem::take(&mut self.late);
+        let (due, later): (Vec<_>, Vec<_>) = late.into_iter().partition(|late| late.due <= now);
+        self.late = later;
+        for LateCommit { planner, map, .. } in due {
+            let fenced = self.flaw != Some(Flaw::NoLeadership);
+            let planners = self.planners.iter();
+            let mut found = planners.filter(|known| known.number == planner);
+            let fits = found
+                .next()
+                .is_some_and(|known| known.version == self.version);
+            if fenced && (planner != self.leader || !fits) {
+                self.reload(planner);
+                continue;
+            }
+            self.apply(map.clone());
+            let (version, now) = (self.version, self.now);
+            let mut planners = self.planners.iter_mut();
+            if let Some(known) = planners.find(|known| known.number == planner) {
+                known.version = version;
+                let end = OrderEnd::Done { handover: None };
+                known.ends.push((now, Order::Commit(map), end));
+            }
+        }
+    }
+
+    fn reload(&mut self, number: u64) {
+        let mut planners = self.planners.iter_mut();
+        if let Some(known) = planners.find(|known| known.number == number) {
+            known.reconciler.reload(self.map.clone());
+            known.version = self.version;
+        }
     }
 
     fn send(&mut self, at: usize, order: Order) {
@@ -462,6 +546,13 @@
         let planner = &self.planners[at];
         let cut = to.as_ref().is_some_and(|to| planner.cut.contains(to));
         let mute = to.is_some_and(|to| planner.mute.contains(&to));
+        if let Order::Release { range, epoch, .. } = &order {
+            self.news.push(MoveNews {
+                range: *range,
+                epoch: *epoch,
+                place: Whereabouts::Released,
+            });
+        }
         let release = matches!(order, Order::Release { .. });
         let lost = cut || (mute && release) || self.chance(50);
         let answered = !late && !mute;
