--- a/crates/citronproxy/src/edge/board.rs
+++ b/crates/citronproxy/src/edge/board.rs
@@ -108,6 +108,13 @@
         moves.get(service)?.find(key, slice, now).cloned()
     }
 
+    /// What was told lately of a service's keys on their way.
+    pub fn move_news(&self, service: &ServiceName, now: Time) -> Vec<MoveNews> {
+        let moves = self.moves.lock().unwrap_or_else(PoisonError::into_inner);
+        let log = moves.get(service);
+        log.map_or_else(Vec::new, |log| log.recent(now).cloned().collect())
+    }
+
     /// Requests that crash servers.
     pub fn crashes(&self) -> MutexGuard<'_, CrashLog> {
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -2,20 +2,60 @@
 
 use {
     citron_core::{
-        id::{Epoch, ServerName},
-        ranges::{KeyRange, RangeKey, RangeMap, Slice},
+        id::{Epoch, ServerName, ServiceName},
+        ranges::{KeyRange, RangeKey, Slice},
         time::StoreTime,
     },
     serde::{Deserialize, Serialize, Serializer},
-    std::net::SocketAddr,
+    std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr},
 };
 
 /// Row key of the planner's leadership.
 pub const PLANNER: &str = "planner";
 /// Row key of the planners that were replaced.
 pub const FORMERS: &str = "formers";
-/// Begin of the row keys of maps; the service's name follows.
-pub const MAP: &str = "map.";
+/// Begin of the row keys of maps; the service's name follows, and for a part of its keys
+/// [`MAP_PART`] and these.
+const MAP: &str = "map.";
+/// Between a service's name, which cannot hold it, and the keys of a part.
+const MAP_PART: char = '/';
+
+/// Where a part of a map is stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MapKey {
+    /// The service.
+    pub service: ServiceName,
+    /// Its keys that the row holds.
+    pub range: KeyRange,
+}
+
+impl fmt::Display for MapKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{MAP}{}", self.service)?;
+        match self.range == KeyRange::ALL {
+            true => Ok(()),
+            false => write!(f, "{MAP_PART}{}", self.range),
+        }
+    }
+}
+
+impl FromStr for MapKey {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let name = text.strip_prefix(MAP).ok_or("not the row of a map")?;
+        let (service, range) = match name.split_once(MAP_PART) {
+            Some((service, range)) => (service, range.parse().map_err(wrong)?),
+            None => (name, KeyRange::ALL),
+        };
+        let service = service.parse().map_err(wrong)?;
+        Ok(Self { service, range })
+    }
+}
+
+fn wrong(error: impl fmt::Display) -> String {
+    error.to_string()
+}
 
 /// Who plans.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,7 +83,7 @@
     pub domain: String,
 }
 
-/// A map of keys. Servers are listed once and named by their place.
+/// Slices of a map. Servers are listed once and named by their place.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct MapWire {
     servers: Vec<String>,
@@ -74,17 +114,17 @@
     }
 }
 
-impl From<&RangeMap> for MapWire {
-    fn from(map: &RangeMap) -> Self {
-        let mut servers: Vec<&ServerName> = Vec::new();
+impl From<&[Slice]> for MapWire {
+    fn from(slices: &[Slice]) -> Self {
+        let mut servers = Vec::new();
+        let mut places: HashMap<&ServerName, usize> = HashMap::new();
         let mut place = |owner| {
-            let found = servers.iter().position(|name| *name == owner);
-            found.unwrap_or_else(|| {
-                servers.push(owner);
+            *places.entry(owner).or_insert_with(|| {
+                servers.push(owner.to_string());
                 servers.len() - 1
             })
         };
-        let slices = map.slices().iter().map(|slice| {
+        let slices = slices.iter().map(|slice| {
             let owner = slice.owner.as_ref().map(&mut place);
             SliceWire(
                 slice.range.first.0,
@@ -95,34 +135,38 @@
             )
         });
         let slices = slices.collect();
-        let servers = servers.iter().map(ToString::to_string).collect();
         Self { servers, slices }
     }
 }
 
-impl TryFrom<MapWire> for RangeMap {
-    type Error = String;
-
-    fn try_from(wire: MapWire) -> Result<Self, String> {
-        let mut slices = Vec::with_capacity(wire.slices.len());
-        let ends = wire.slices.iter().skip(1).map(|next| next.0.checked_sub(1));
-        let ends = ends.chain([Some(u16::MAX)]);
-        for (slice, last) in wire.slices.iter().zip(ends) {
+impl MapWire {
+    /// The slices, which must hold just the keys of a range.
+    ///
+    /// # Errors
+    /// What is wrong with them.
+    pub fn into_slices(self, range: KeyRange) -> Result<Vec<Slice>, String> {
+        if self.slices.first().map(|slice| slice.0) != Some(range.first.0) {
+            return Err(format!("no slice begins at key {}", range.first));
+        }
+        let mut slices = Vec::with_capacity(self.slices.len());
+        let ends = self.slices.iter().skip(1).map(|next| next.0.checked_sub(1));
+        let ends = ends.chain([Some(range.last.0)]);
+        for (slice, last) in self.slices.iter().zip(ends) {
             let last = last.ok_or("a slice begins at key 0 after another")?;
-            let range = KeyRange::new(RangeKey(slice.0), RangeKey(last));
+            let keys = KeyRange::new(RangeKey(slice.0), RangeKey(last)).map_err(wrong)?;
             let owner = slice.1.map(|place| {
-                let name = wire.servers.get(place).ok_or("an owner is not listed")?;
+                let name = self.servers.get(place).ok_or("an owner is not listed")?;
                 name.parse::<ServerName>()
                     .map_err(|_| "an owner's name is malformed")
             });
             slices.push(Slice {
-                range: range.map_err(|error| error.to_string())?,
+                range: keys,
                 owner: owner.transpose()?,
                 epoch: Epoch(slice.2),
                 handover: slice.3.clone(),
                 expiry: slice.4.map(StoreTime),
             });
         }
-        Self::from_slices(slices).map_err(|error| error.to_string())
+        Ok(slices)
     }
 }
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -14,6 +14,8 @@
     tokio::{net::UdpSocket, time::timeout},
 };
 
+/// Instances heard anew together, up to which each has a log line.
+pub const LOGGED_MAX: usize = 8;
 /// Datagrams that are taken before other tasks have their turn.
 const BATCH: usize = 64;
 /// Datagrams that are read longer after the socket was empty count as sent then: the
@@ -123,7 +125,9 @@
         match socket.try_recv_from(&mut buffer) {
             Ok((size, from)) => {
                 let sent = if now - empty > QUEUED_MAX { empty } else { now };
-                take(node, from, &buffer[..size], sent);
+                if take(node, from, &buffer[..size], sent) {
+                    greet(node, socket, from);
+                }
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => return now,
             Err(error) => log::debug!("receive a datagram: {error}"),
@@ -132,10 +136,26 @@
     empty
 }
 
-/// Takes a datagram that was sent then, as far as is known.
-fn take<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, bytes: &[u8], sent: Time) {
+/// Answers the first heartbeat of an instance. Only that one is told: after a start of
+/// all at once, a round to all for each that is heard would be their number squared.
+fn greet<A: Adapter>(node: &Node<A>, socket: &UdpSocket, to: SocketAddr) {
+    let heartbeat = Heartbeat {
+        loads: Vec::new(),
+        ..node.heartbeat()
+    };
+    let Some(bytes) = heartbeat.encode_fitting() else {
+        return log::error!("{} a heartbeat is too long", events::DATAGRAM_REFUSED);
+    };
+    if let Err(error) = socket.try_send_to(&bytes, to) {
+        log::debug!("a datagram to {to}: {error}");
+    }
+}
+
+/// Takes a datagram that was sent then, as far as is known; whether its sender was not
+/// known, or lost, before.
+fn take<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, bytes: &[u8], sent: Time) -> bool {
     match Datagram::decode(bytes) {
-        Some(Datagram::Heartbeat(heartbeat)) => hear(node, from, heartbeat, sent),
+        Some(Datagram::Heartbeat(heartbeat)) => return hear(node, from, heartbeat, sent),
         Some(Datagram::Keys(keys)) => {
             for part in keys {
                 node.note_keys(&part.service, &part.keys);
@@ -147,14 +167,20 @@
             log::warn!("{} {size} bytes from {from}", events::DATAGRAM_REFUSED);
         }
     }
+    false
 }
 
-fn hear<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: Heartbeat, sent: Time) {
+fn hear<A: Adapter>(
+    node: &Rc<Node<A>>,
+    from: SocketAddr,
+    heartbeat: Heartbeat,
+    sent: Time,
+) -> bool {
     let Ok(name) = heartbeat.instance.parse::<InstanceId>() else {
-        return;
+        return false;
     };
     if name == node.settings.instance {
-        return;
+        return false;
     }
     let now = node.clock.now();
     if node.hears_loads(&heartbeat) {
@@ -176,10 +202,13 @@
         .peers
         .heard(&name, from, heartbeat, now);
     if new {
-        log::info!("{} {name} at {from}", events::PEER_HEARD);
-        node.hurry.notify_one();
-        node.publish();
+        let heard = node.heard_anew.get() + 1;
+        node.heard_anew.set(heard);
+        if heard <= LOGGED_MAX {
+            log::info!("{} {name} at {from}", events::PEER_HEARD);
+        }
     }
+    new
 }
 
 impl<A: Adapter> Node<A> {
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        codec::{FORMERS, FormersWire, LeadershipWire, MAP, MapWire, PLANNER},
+        codec::{FORMERS, FormersWire, LeadershipWire, MapKey, MapWire, PLANNER},
         node::{Holder, Leadership, Node, State},
         watch::WATCHED,
     },
     crate::events,
     citron_core::{
-        ranges::RangeMap,
+        ranges::MapPart,
         registry::Evacuation,
         time::{StoreTime, Time},
     },
@@ -17,6 +17,9 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
+/// Entries of servers that change together, up to which each has a log line.
+const LOGGED_MAX: usize = 16;
+
 impl<A: Adapter> Node<A> {
     /// Takes in what the store said of a watched table; `whole` if these are all
     /// rows there are. Other instances hear of changes at once.
@@ -59,10 +62,15 @@
         }
         self.relay.caught_up(at);
         let mut state = self.state.borrow_mut();
+        let few = changed.len() <= LOGGED_MAX;
+        if WATCHED[at] == RowTable::Servers && !few {
+            let (event, count) = (events::SERVER_STATE, changed.len());
+            log::info!("{event} {count} entries at once");
+        }
         for row in changed {
             match WATCHED[at] {
                 RowTable::Config => self.take_config(&mut state, row),
-                RowTable::Servers => self.take_server(&mut state, row),
+                RowTable::Servers => self.take_server(&mut state, row, few),
                 RowTable::Ranges | RowTable::Members => self.take_range(&mut state, row),
             }
         }
@@ -121,18 +129,20 @@
         self.counts.evacuated.set(evacuated as i64);
     }
 
-    fn take_server(&self, state: &mut State, row: &Row) {
+    fn take_server(&self, state: &mut State, row: &Row, logged: bool) {
         let now = self.clock.now();
         if row.value.is_none() {
             let kept = state.registry.removed(&row.key, now);
             let (event, id, version) = (events::SERVER_STATE, &row.key, row.version);
-            log::info!("{event} {id}: listed no more, row {version}, kept for {kept:?}");
+            if logged {
+                log::info!("{event} {id}: listed no more, row {version}, kept for {kept:?}");
+            }
             return;
         }
         match self.adapter.server(row) {
             Ok(entry) => {
                 let known = state.registry.get(&entry.name);
-                if known.is_none_or(|known| known.entry.state != entry.state) {
+                if logged && known.is_none_or(|known| known.entry.state != entry.state) {
                     let (event, version) = (events::SERVER_STATE, row.version);
                     log::info!("{event} {}: {:?}, row {version}", entry.name, entry.state);
                 }
@@ -156,21 +166,28 @@
         if row.key == FORMERS {
             state.formers = row.value.as_deref().map(formers).unwrap_or_default();
         }
-        let Some(service) = row.key.strip_prefix(MAP) else {
-            return;
-        };
-        let (Ok(service), Some(value)) = (service.parse(), row.value.as_deref()) else {
-            return;
-        };
-        match decode_map(value) {
-            Ok(map) => {
-                let known = state.maps.get(&service).map_or(0, |(_, version)| *version);
-                if row.version > known {
-                    state.maps.insert(service, (Arc::new(map), row.version));
-                }
-            }
-            Err(error) => log::error!("{} {}: {error}", events::MAP_REFUSED, row.key),
+        if let Ok(key) = row.key.parse::<MapKey>() {
+            take_map(state, key, row);
+        }
+    }
+}
+
+fn take_map(state: &mut State, key: MapKey, row: &Row) {
+    let (range, version) = (key.range, row.version);
+    let map = state.maps.entry(key.service).or_default();
+    let Some(value) = row.value.as_deref() else {
+        return Arc::make_mut(map).remove(range, version);
+    };
+    let wire = serde_json::from_slice::<MapWire>(value).map_err(|error| error.to_string());
+    match wire.and_then(|wire| wire.into_slices(range)) {
+        Ok(slices) => {
+            Arc::make_mut(map).put(MapPart {
+                range,
+                version,
+                slices,
+            });
         }
+        Err(error) => log::error!("{} {}: {error}", events::MAP_REFUSED, row.key),
     }
 }
 
@@ -202,12 +219,3 @@
     };
     listed.into_iter().filter_map(former).collect()
 }
-
-/// A map from the value of its row.
-///
-/// # Errors
-/// What is wrong with it.
-pub fn decode_map(value: &[u8]) -> Result<RangeMap, String> {
-    let wire: MapWire = serde_json::from_slice(value).map_err(|error| error.to_string())?;
-    RangeMap::try_from(wire)
-}
--- a/crates/citronproxy/src/edge/control/mirror.rs
+++ b/crates/citronproxy/src/edge/control/mirror.rs
@@ -3,7 +3,10 @@
 use {
     citron_ports::{Row, RowSet},
     citron_wire::relay::{Digest, Part, TableRowWire},
-    std::collections::BTreeMap,
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, BTreeSet},
+    },
 };
 
 /// Rows of a table as of a version; never goes back. Rows that were removed stay
@@ -19,6 +22,8 @@
     base: u64,
     /// How often rows have changed here.
     pub edits: u64,
+    /// The digest, and the edits as of which it was worked out.
+    digest: Cell<Option<(u64, Digest)>>,
     rows: BTreeMap<String, Row>,
 }
 
@@ -49,9 +54,9 @@
             return Vec::new();
         }
         self.base = set.version;
-        let listed: Vec<&str> = set.rows.iter().map(|row| row.key.as_str()).collect();
+        let listed: BTreeSet<&str> = set.rows.iter().map(|row| row.key.as_str()).collect();
         let live = self.rows.values().filter(|row| row.value.is_some());
-        let gone = live.filter(|row| !listed.contains(&row.key.as_str()));
+        let gone = live.filter(|row| !listed.contains(row.key.as_str()));
         let gone = gone.map(|row| Row {
             key: row.key.clone(),
             value: None,
@@ -75,8 +80,15 @@
 
     /// What tells this copy apart from others with other rows.
     pub fn digest(&self) -> Digest {
+        if let Some((edits, digest)) = self.digest.get()
+            && edits == self.edits
+        {
+            return digest;
+        }
         let live = self.rows.values().filter(|row| row.value.is_some());
-        Digest::of(live.map(|row| (row.key.as_str(), row.version)))
+        let digest = Digest::of(live.map(|row| (row.key.as_str(), row.version)));
+        self.digest.set(Some((self.edits, digest)));
+        digest
     }
 
     /// The rows of a part, in the order of keys.
--- a/crates/citronproxy/src/edge/control/moves.rs
+++ b/crates/citronproxy/src/edge/control/moves.rs
@@ -13,7 +13,7 @@
     tokio::{net::UdpSocket, sync::Notify, time::sleep},
 };
 
-/// Pieces of news in one datagram at most.
+/// Pieces of news in one datagram at most; fewer if their names are long.
 const NEWS: usize = 40;
 
 /// How long news waits for more: hundreds of grants end within some milliseconds.
@@ -41,22 +41,32 @@
     }
 }
 
+/// Sends news of one service in as many datagrams as it takes.
 async fn send<A: Adapter>(node: &Node<A>, socket: &UdpSocket, news: &[(ServiceName, MoveNews)]) {
-    let Some((service, _)) = news.first() else {
-        return;
-    };
+    let others = node.state.borrow().peers.addresses(node.clock.now());
+    let mut parts = vec![news];
+    while let Some(part) = parts.pop() {
+        let Some(bytes) = encode(part) else {
+            match part.len() {
+                0 | 1 => log::warn!("{} news of a move is too long", events::DATAGRAM_REFUSED),
+                many => parts.extend([&part[..many / 2], &part[many / 2..]]),
+            }
+            continue;
+        };
+        for to in &others {
+            send_to(socket, &bytes, *to).await;
+        }
+    }
+}
+
+fn encode(news: &[(ServiceName, MoveNews)]) -> Option<Vec<u8>> {
+    let (service, _) = news.first()?;
     let moves = news.iter().map(|(_, news)| news.clone().into());
     let wire = MovesWire {
         service: service.to_string(),
         moves: moves.collect(),
     };
-    let Some(bytes) = Datagram::Moves(wire).encode() else {
-        return log::warn!("{} news of moves are too long", events::DATAGRAM_REFUSED);
-    };
-    let others = node.state.borrow().peers.addresses(node.clock.now());
-    for to in others {
-        send_to(socket, &bytes, to).await;
-    }
+    Datagram::Moves(wire).encode()
 }
 
 impl<A: Adapter> Node<A> {
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -17,10 +17,12 @@
         events,
     },
     citron_core::{
-        freshness::{Beats, FetchTimes, Fetches, Freshness, FreshnessTimes, Gap, Newest, Sender},
+        freshness::{
+            Beats, FetchTimes, Fetches, Freshness, FreshnessTimes, Gap, Newest, Sender, StoreHealth,
+        },
         id::{InstanceId, ServerName, ServiceName},
-        ranges::RangeMap,
-        registry::{Known, Registry, RegistryTimes},
+        ranges::{MapPart, PartedMap},
+        registry::{Registry, RegistryTimes},
         routes::RouteConfig,
         slowstart::{COLD_WINDOW, Group},
         time::{StoreClock, StoreTime, Time},
@@ -76,8 +78,8 @@
     pub registry: Registry,
     /// The newest configuration.
     pub config: Option<Arc<RouteConfig>>,
-    /// Owners of keys, and the version of their row.
-    pub maps: BTreeMap<ServiceName, (Arc<RangeMap>, u64)>,
+    /// Owners of keys.
+    pub maps: BTreeMap<ServiceName, Arc<PartedMap>>,
     /// Who plans.
     pub leadership: Option<Leadership>,
     /// Other instances.
@@ -91,6 +93,8 @@
     pub formers: BTreeMap<Holder, StoreTime>,
     /// The store's clock.
     pub times: StoreClock,
+    /// Whether the store answers.
+    pub health: StoreHealth,
     /// As of when the watched tables are known.
     pub fresh: Freshness<{ WATCHED.len() }>,
     /// The newest configuration that was heard of.
@@ -128,6 +132,10 @@
     pub relay: relay::Relay,
     /// Keys on their way, to be told to others.
     pub outbox: Outbox,
+    /// How many instances were heard for the first time, or again, since the last view.
+    pub heard_anew: Cell<usize>,
+    /// Edits of the other instances that the group goes by.
+    grouped: Cell<u64>,
     /// Wakes the planner.
     pub wake: Notify,
     /// Wakes the sender of heartbeats.
@@ -170,7 +178,7 @@
     loop {
         sleep(TICK).await;
         let changed = node.state.borrow_mut().registry.tick(node.clock.now());
-        if node.regroup() && !changed {
+        if (node.regroup() || node.heard_anew.get() > 0) && !changed {
             node.publish();
         }
         if changed {
@@ -204,6 +212,7 @@
             confirmed: Time::ZERO,
             formers: BTreeMap::new(),
             times: StoreClock::default(),
+            health: StoreHealth::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
             newest: Newest::new(FreshnessTimes::STANDARD),
             group: None,
@@ -222,6 +231,8 @@
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
             outbox: Outbox::default(),
+            heard_anew: Cell::default(),
+            grouped: Cell::default(),
             wake: Notify::new(),
             hurry: Notify::new(),
             counts,
@@ -233,6 +244,13 @@
         *self.board.leaving().borrow()
     }
 
+    /// Whether this instance plans under this version of the planner's row.
+    pub fn is_leader(&self, version: u64) -> bool {
+        let state = self.state.borrow();
+        let known = state.leadership.as_ref().map(|row| row.version);
+        state.planning && known == Some(version)
+    }
+
     /// The store told what the maps and the leadership are, or took a write on the
     /// condition of them, in a call that began at `begun`.
     pub fn confirmed(&self, begun: Time) {
@@ -248,6 +266,7 @@
         if let Some(told) = told {
             state.times.heard(begun, now, told);
         }
+        state.health.record_answer(now);
         drop(state);
         self.store
             .send_if_modified(|answers| !std::mem::replace(answers, true));
@@ -329,6 +348,13 @@
     /// A call to the store failed.
     pub fn store_failed(&self, what: &str, error: &StoreError) {
         self.counts.count_call(false);
+        let mut state = self.state.borrow_mut();
+        state.health.record_failure(self.clock.now());
+        let up = state.health.is_up();
+        drop(state);
+        if up {
+            return log::info!("{} {what}: {error}", events::CALL_FAILED);
+        }
         let answered = self
             .store
             .send_if_modified(|answers| std::mem::replace(answers, false));
@@ -337,13 +363,17 @@
         }
     }
 
-    /// Takes in a map that this instance has just written.
-    pub fn committed(&self, service: &ServiceName, map: &RangeMap, version: u64) {
+    /// Takes in parts of a map that this instance has just written.
+    pub fn committed(&self, service: &ServiceName, parts: &[MapPart], version: u64) {
         let mut state = self.state.borrow_mut();
-        let known = state.maps.get(service).map_or(0, |(_, version)| *version);
-        if version > known {
-            let map = Arc::new(map.clone());
-            state.maps.insert(service.clone(), (map, version));
+        let map = state.maps.entry(service.clone()).or_default();
+        let map = Arc::make_mut(map);
+        for part in parts {
+            map.put(MapPart {
+                range: part.range,
+                version,
+                slices: part.slices.clone(),
+            });
         }
         drop(state);
         self.publish();
@@ -352,18 +382,17 @@
     /// Hands what is known to traffic, once there is a configuration and servers
     /// have been read.
     pub fn publish(&self) {
+        let heard = self.heard_anew.take();
+        if heard > gossip::LOGGED_MAX {
+            log::info!("{} {heard} instances", events::PEER_HEARD);
+        }
+        let servers = self.state.borrow_mut().registry.lists().clone();
         let state = self.state.borrow();
         let Some(config) = &state.config else { return };
         if state.mirrors[1].version == 0 {
             return;
         }
         let now = self.clock.now();
-        let mut servers: BTreeMap<ServiceName, Vec<Known>> = BTreeMap::new();
-        for known in state.registry.iter() {
-            let of_service = servers.entry(known.entry.service.clone()).or_default();
-            of_service.push(known.clone());
-        }
-        let maps = state.maps.iter();
         let reporting = state.peers.reporting(&self.settings.domain, now);
         let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
         self.counts.version.set(version);
@@ -372,10 +401,8 @@
             .set(1 + state.peers.live(now).count() as i64);
         self.board.publish(View {
             config: Arc::clone(config),
-            servers: Arc::new(servers),
-            maps: maps
-                .map(|(service, (map, _))| (service.clone(), Arc::clone(map)))
-                .collect(),
+            servers,
+            maps: state.maps.clone(),
             instances: state.peers.count(now),
             reporting,
             reports: Beats::among(reporting).period(Sender::Near),
@@ -391,6 +418,10 @@
             return false;
         }
         let mut state = self.state.borrow_mut();
+        let edits = state.peers.edits();
+        if state.group.is_some() && self.grouped.replace(edits) == edits {
+            return false;
+        }
         let me = &self.settings.instance;
         let mut members = state.peers.members();
         members.insert(me.clone(), self.settings.domain.clone());
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -37,6 +37,10 @@
     /// The failure domain of this instance.
     domain: DomainName,
     peers: BTreeMap<InstanceId, Peer>,
+    /// How many of them are in the same failure domain.
+    near: usize,
+    /// How often an instance was added or has changed its failure domain.
+    edits: u64,
 }
 
 impl Peers {
@@ -45,6 +49,8 @@
         Self {
             domain,
             peers: BTreeMap::new(),
+            near: 0,
+            edits: 0,
         }
     }
 
@@ -56,15 +62,29 @@
         domain: Option<DomainName>,
         now: Time,
     ) {
-        let peer = self.peers.entry(name).or_insert(Peer {
-            address,
-            domain: None,
-            heard: None,
-            heartbeat: None,
-            added: now,
+        let edits = &mut self.edits;
+        let peer = self.peers.entry(name).or_insert_with(|| {
+            *edits += 1;
+            Peer {
+                address,
+                domain: None,
+                heard: None,
+                heartbeat: None,
+                added: now,
+            }
         });
         peer.address = address;
-        peer.domain = domain.or(peer.domain.take());
+        if domain.is_some() && domain != peer.domain {
+            self.near -= usize::from(peer.domain.as_ref() == Some(&self.domain));
+            self.near += usize::from(domain.as_ref() == Some(&self.domain));
+            self.edits += 1;
+            peer.domain = domain;
+        }
+    }
+
+    /// Changes with each instance that is added or has changed its failure domain.
+    pub fn edits(&self) -> u64 {
+        self.edits
     }
 
     /// Takes in a heartbeat; whether the sender was lost, unknown or another
@@ -105,10 +125,9 @@
 
     /// After which silence others count as lost.
     fn spans(&self) -> Spans<'_> {
-        let near = |peer: &&Peer| peer.domain.as_ref() == Some(&self.domain);
         let heard = match self.hears_all() {
             true => self.peers.len(),
-            false => self.peers.values().filter(near).count(),
+            false => self.near,
         };
         let beats = Beats::among(1 + heard);
         Spans {
@@ -200,10 +219,9 @@
         counted.map(|peer| peer.address).collect()
     }
 
-    /// Whether others of a failure domain are known.
-    pub fn has_any_in(&self, domain: &DomainName) -> bool {
-        let mut peers = self.peers.values();
-        peers.any(|peer| peer.domain.as_ref() == Some(domain))
+    /// Whether others of this instance's failure domain are known.
+    pub fn has_near(&self) -> bool {
+        self.near > 0
     }
 
     /// Whether heartbeats of all instances reach this one.
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -14,7 +14,7 @@
         },
         events,
     },
-    citron_core::ranges::{Demand, EvenClock, LeaseBook, LeaseTimes, RangeMap, Reconciler},
+    citron_core::ranges::{Demand, EvenClock, LeaseBook, LeaseTimes, Reconciler},
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     std::rc::Rc,
     tokio::task::spawn_local,
@@ -91,17 +91,15 @@
     let now = node.clock.now();
     let foreign = formers::stopped_by(&state, &before, times.blind, now);
     let maps = state.maps.iter();
-    let plans = maps.map(|(service, (map, version))| {
+    let plans = maps.filter_map(|(service, map)| {
         let book = LeaseBook::new(times, foreign);
-        let reconciler = Reconciler::new(RangeMap::clone(map), book);
-        let version = *version;
+        let mut reconciler = Reconciler::new(map.whole()?, book);
+        for news in node.board.move_news(service, now) {
+            reconciler.note_release(&news);
+        }
         let demand = Demand::default();
-        let plan = ServicePlan {
-            reconciler,
-            version,
-            demand,
-        };
-        (service.clone(), plan)
+        let plan = ServicePlan { reconciler, demand };
+        Some((service.clone(), plan))
     });
     let plans = plans.collect();
     state.planning = true;
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -1,73 +1,180 @@
 //! Writing maps.
 
 use {
-    crate::edge::control::{
-        codec::{MAP, MapWire, PLANNER},
-        node::Node,
-        refresh,
+    crate::{
+        edge::control::{
+            codec::{MapKey, MapWire, PLANNER},
+            node::Node,
+            refresh, watch,
+        },
+        events,
     },
     citron_core::{
         id::ServiceName,
-        ranges::{OrderEnd, RangeMap},
+        ranges::{KeyRange, MapPart, OrderEnd, PartedMap, RangeMap, partition},
     },
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
-/// What became of a commit, and the version of the row then.
+/// What became of a commit, and the version of the newest row then.
 pub type Committed = (OrderEnd, u64);
 
-/// Writes a map if the leadership and the map's row are still as this planner knows
-/// them.
+/// How long a commit may be unanswered before it is sent again under the same
+/// condition; above what a store takes that is sixty times slower than usual.
+const UNANSWERED: Duration = Duration::from_millis(800);
+/// Pause after the store has not accepted a map: the next one may be smaller.
+const INVALID_PAUSE: Duration = Duration::from_secs(1);
+/// Bytes of a row for each slice that it may hold: a slice with its owner's name and a
+/// handover is a quarter of that, and parts grow between two commits.
+const SLICE_BYTES: usize = 256;
+/// Parts in one transaction: with their conditions, less than the 100 entries that the
+/// store takes, and at full size half of its bytes.
+const PARTS_MAX: usize = 40;
+
+/// Writes the parts of a map that have changed, if the leadership and the rows are still as
+/// this planner knows them. A transaction whose answer is lost is sent again: its condition
+/// holds only once, and what it wrote can be read back.
 pub async fn commit<A: Adapter>(
     node: &Node<A>,
     service: &ServiceName,
     map: &RangeMap,
     leadership: u64,
-    version: u64,
 ) -> Committed {
-    if !*node.store.borrow() {
-        return (OrderEnd::Unknown, 0);
+    let stored = node.state.borrow().maps.get(service).cloned();
+    let stored = stored.unwrap_or_default();
+    let most = (node.settings.row_bytes / SLICE_BYTES).max(1);
+    let changes = Changes::between(&stored, map, most);
+    let mut newest = stored.newest();
+    for (at, parts) in changes.parts.chunks(PARTS_MAX).enumerate() {
+        let last = (at + 1) * PARTS_MAX >= changes.parts.len();
+        let removes = if last { &changes.removes[..] } else { &[] };
+        let commit = transaction(service, parts, removes, leadership, &stored);
+        match write(node, service, parts, &commit, leadership).await {
+            (OrderEnd::Done { .. }, version) => newest = version,
+            end => return end,
+        }
+    }
+    (OrderEnd::Done { handover: None }, newest)
+}
+
+/// What a map has that differs from the stored one.
+struct Changes {
+    parts: Vec<MapPart>,
+    removes: Vec<KeyRange>,
+}
+
+impl Changes {
+    fn between(stored: &PartedMap, map: &RangeMap, most: usize) -> Self {
+        let ranges = partition(map, stored.ranges().count(), most);
+        let removes = stored.ranges().filter(|range| !ranges.contains(range));
+        let removes = removes.collect();
+        let part = |range: KeyRange| MapPart {
+            range,
+            version: 0,
+            slices: map.within(range),
+        };
+        let is_new = |part: &MapPart| {
+            let known = stored.part(part.range);
+            known.is_none_or(|known| known.slices != part.slices)
+        };
+        let parts = ranges.into_iter().map(part).filter(is_new).collect();
+        Self { parts, removes }
     }
-    let key = format!("{MAP}{service}");
-    let Ok(value) = serde_json::to_vec(&MapWire::from(map)) else {
-        return (OrderEnd::Unknown, 0);
+}
+
+fn transaction(
+    service: &ServiceName,
+    parts: &[MapPart],
+    removes: &[KeyRange],
+    leadership: u64,
+    stored: &PartedMap,
+) -> RowCommit {
+    let key = |range: KeyRange| {
+        let service = service.clone();
+        MapKey { service, range }.to_string()
     };
-    let commit = RowCommit {
-        expected: vec![
-            (RowTable::Ranges, PLANNER.to_string(), leadership),
-            (RowTable::Ranges, key.clone(), version),
-        ],
-        writes: vec![(RowTable::Ranges, key, value)],
-        removes: Vec::new(),
+    let mut commit = RowCommit {
+        expected: vec![(RowTable::Ranges, PLANNER.to_string(), leadership)],
+        ..RowCommit::default()
     };
-    let begun = node.clock.now();
-    match node.adapter.store().commit(&commit).await {
-        Ok(version) => {
-            node.store_answered(begun, None);
-            node.confirmed(begun);
-            node.committed(service, map, version);
-            (OrderEnd::Done { handover: None }, version)
-        }
-        Err(StoreError::Conflict) => settle(node, service, map).await,
-        Err(error) => {
-            // Whether or not it was done, the next try has the same condition.
-            node.store_failed("commit", &error);
-            (OrderEnd::Unknown, 0)
+    for part in parts {
+        let version = stored.version(part.range);
+        let value = serde_json::to_vec(&MapWire::from(&part.slices[..]));
+        // Numbers and texts in lists always serialise.
+        let value = value.unwrap_or_default();
+        commit
+            .expected
+            .push((RowTable::Ranges, key(part.range), version));
+        commit
+            .writes
+            .push((RowTable::Ranges, key(part.range), value));
+    }
+    let removes = removes.iter().map(|range| (RowTable::Ranges, key(*range)));
+    commit.removes = removes.collect();
+    commit
+}
+
+async fn write<A: Adapter>(
+    node: &Node<A>,
+    service: &ServiceName,
+    parts: &[MapPart],
+    commit: &RowCommit,
+    leadership: u64,
+) -> Committed {
+    while node.is_leader(leadership) {
+        let begun = node.clock.now();
+        match send(node, commit).await {
+            Ok(version) => {
+                node.store_answered(begun, None);
+                node.confirmed(begun);
+                node.committed(service, parts, version);
+                return (OrderEnd::Done { handover: None }, version);
+            }
+            Err(StoreError::Conflict) => {
+                if let Some(committed) = settle(node, service, parts).await {
+                    return committed;
+                }
+            }
+            Err(StoreError::Invalid(reason)) => {
+                let sizes = commit.writes.iter().map(|(_, _, value)| value.len());
+                let largest = sizes.max().unwrap_or_default();
+                let event = events::ROW_REJECTED;
+                log::error!("{event} map of {service}, {largest} bytes a row: {reason}");
+                sleep(INVALID_PAUSE).await;
+                return (OrderEnd::Unknown, 0);
+            }
+            Err(error) => node.store_failed("commit", &error),
         }
+        watch::pause(node).await;
     }
+    (OrderEnd::Unknown, 0)
+}
+
+async fn send<A: Adapter>(node: &Node<A>, commit: &RowCommit) -> Result<u64, StoreError> {
+    let sent = timeout(UNANSWERED, node.adapter.store().commit(commit)).await;
+    sent.unwrap_or_else(|_| Err(StoreError::Unknown(format!("none within {UNANSWERED:?}"))))
 }
 
 /// After a conflict: an earlier try of the same write may have been done
-/// without an answer.
-async fn settle<A: Adapter>(node: &Node<A>, service: &ServiceName, map: &RangeMap) -> Committed {
+/// without an answer. Nothing if the store does not tell.
+async fn settle<A: Adapter>(
+    node: &Node<A>,
+    service: &ServiceName,
+    parts: &[MapPart],
+) -> Option<Committed> {
     if !refresh::read_maps(node).await {
-        return (OrderEnd::Unknown, 0);
+        return None;
     }
     let state = node.state.borrow();
-    match state.maps.get(service) {
-        Some((stored, version)) if **stored == *map => {
-            (OrderEnd::Done { handover: None }, *version)
-        }
-        _ => (OrderEnd::Outdated, 0),
-    }
+    let stored = state.maps.get(service).map(Arc::clone).unwrap_or_default();
+    let is_stored = |part: &MapPart| {
+        let known = stored.part(part.range);
+        known.is_some_and(|known| known.slices == part.slices)
+    };
+    Some(match parts.iter().all(is_stored) {
+        true => (OrderEnd::Done { handover: None }, stored.newest()),
+        false => (OrderEnd::Outdated, 0),
+    })
 }
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -175,8 +175,7 @@
 fn health_page<A: Adapter>(node: &Node<A>, server: &ServerName) -> Option<(SocketAddr, String)> {
     let state = node.state.borrow();
     let address = state.registry.get(server)?.entry.address;
-    let listed = state.registry.iter();
-    let mut listed = listed.filter(|known| known.entry.address == address);
+    let mut listed = state.registry.at(&address);
     let there = listed
         .find(|known| known.is_open())
         .or(state.registry.get(server))?;
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -17,15 +17,17 @@
         time::Time,
     },
     citron_ports::Adapter,
-    std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc, task::spawn_local, time::timeout},
 };
 
-/// Time between two looks at everything, if nothing happens.
-const TICK: Duration = Duration::from_millis(200);
-/// Pause after a look, as a multiple of what it took. Each looks at every slice, and
-/// where a hot range is divided hundreds of orders end within some milliseconds: a look
-/// after each of them would take a small processor for seconds.
+/// Time between two plans, if nothing happens.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks at what is due, if nothing happens.
+const ORDER_INTERVAL: Duration = Duration::from_millis(25);
+/// Pause after a plan or a look, as a multiple of what it took: hundreds of orders end
+/// within some milliseconds, and a look after each of them would take a small processor
+/// for seconds.
 const REST: u32 = 3;
 /// The longest such pause: callers wait for keys on their way.
 const REST_MOST: Duration = Duration::from_millis(25);
@@ -38,66 +40,87 @@
     let mut election = Election::new(node.clock.now());
     let mut term: Option<Term> = None;
     let mut rested = Time::ZERO;
+    let mut planned = Time::ZERO;
     let mut next = node.clock.now();
     loop {
-        let woken = async {
-            tokio::select! {
-                result = results.recv() => result,
-                () = node.wake.notified() => None,
-            }
-        };
-        let result = timeout(next - node.clock.now(), woken).await.ok().flatten();
+        let event = timeout(next - node.clock.now(), next_event(&node, &mut results));
+        let event = event.await.unwrap_or(Event::Timer);
         resign_if_lost(&node, &mut term);
         if term.is_none() && wants_leadership(&node, &mut election) {
             term = take_leadership(&node, &mut election, times).await;
+            planned = Time::ZERO;
         }
         let Some(term) = &mut term else {
-            next = node.clock.now() + TICK;
+            next = node.clock.now() + PLAN_INTERVAL;
             continue;
         };
-        if let Some(result) = result {
-            let mut renewals = true;
-            let more = std::iter::from_fn(|| results.try_recv().ok());
-            for result in std::iter::once(result).chain(more) {
-                renewals &= matches!(result.order, Order::Grant(_));
-                term.take(result, &node);
-            }
-            if renewals && node.clock.now() < next {
-                // Nothing is due: most orders are renewals, a hundred a second.
-                continue;
+        match event {
+            Event::Changed => planned = Time::ZERO,
+            Event::Ended(first) => {
+                let more = std::iter::from_fn(|| results.try_recv().ok());
+                let ended = std::iter::once(*first).chain(more);
+                ended.for_each(|ended| term.take(ended, &node));
             }
+            Event::Timer => {}
         }
         let begun = node.clock.now();
         if begun < rested {
-            next = next.min(rested);
+            next = rested;
             continue;
         }
-        next = begun + TICK;
         term.settle_former(&node);
-        let due = term.tick(&node, times);
-        node.announce_releases(&due);
-        for (service, order) in due {
-            let task = Task {
-                node: Rc::clone(&node),
-                orders: Rc::clone(&orders),
-                leadership: term.leadership.version,
-                version: term.plans.get(&service).map_or(0, |plan| plan.version),
-                begun,
-            };
-            spawn_local(task.carry_out(service, order, times, ended.clone()));
+        if Term::may_act(&node, &times) {
+            if begun - planned >= PLAN_INTERVAL {
+                term.plan(&node, times);
+                drop_unused(&node, &orders);
+                planned = begun;
+            }
+            let due = term.orders(&node);
+            node.announce_releases(&due);
+            for (service, order) in due {
+                let task = Task {
+                    node: Rc::clone(&node),
+                    orders: Rc::clone(&orders),
+                    leadership: term.leadership.version,
+                    begun,
+                };
+                spawn_local(task.carry_out(service, order, times, ended.clone()));
+            }
         }
-        drop_unused(&node, &orders);
         let now = node.clock.now();
+        next = now + ORDER_INTERVAL;
         rested = now + ((now - begun) * REST).min(REST_MOST);
     }
 }
 
+/// What wakes the planner.
+enum Event {
+    /// An order has ended.
+    Ended(Box<Ended>),
+    /// What plans go by has changed.
+    Changed,
+    /// Nothing happened for a while.
+    Timer,
+}
+
+async fn next_event<A: Adapter>(
+    node: &Node<A>,
+    results: &mut mpsc::UnboundedReceiver<Ended>,
+) -> Event {
+    tokio::select! {
+        () = node.wake.notified() => Event::Changed,
+        result = results.recv() => match result {
+            Some(ended) => Event::Ended(Box::new(ended)),
+            None => Event::Timer,
+        },
+    }
+}
+
 /// One order under way.
 struct Task<A> {
     node: Rc<Node<A>>,
     orders: Rc<Orders>,
     leadership: u64,
-    version: u64,
     begun: Time,
 }
 
@@ -113,9 +136,7 @@
             // The process stood still since the order was decided. Leases are
             // counted from then: sent now, a grant would outlast its count.
             _ if self.node.clock.now() - self.begun > times.start => (OrderEnd::NotSent, 0),
-            Order::Commit(map) => {
-                commit(&self.node, &service, map, self.leadership, self.version).await
-            }
+            Order::Commit(map) => commit(&self.node, &service, map, self.leadership).await,
             order => (self.orders.send(&self.node, order, &times).await, 0),
         };
         let done = matches!(end, OrderEnd::Done { .. });
@@ -134,9 +155,7 @@
 
 fn drop_unused<A: Adapter>(node: &Node<A>, orders: &Orders) {
     let state = node.state.borrow();
-    let known = state.registry.iter().map(|known| known.entry.address);
-    let known: BTreeSet<SocketAddr> = known.collect();
-    orders.retain(|address| known.contains(address));
+    orders.retain(|address| state.registry.at(address).next().is_some());
 }
 
 /// Gives up once another start has the leadership, or this one leaves.
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -32,17 +32,15 @@
     pub order: Order,
     /// What became of it.
     pub end: OrderEnd,
-    /// Version of the map's row after a commit that was done.
+    /// Version of the newest row after a commit that was done.
     pub version: u64,
 }
 
-/// A reconciler, and the version of the row that its map came from.
+/// A reconciler, and what it plans by.
 #[derive(Debug)]
 pub struct ServicePlan {
     /// Grants, releases and moves.
     pub reconciler: Reconciler,
-    /// Version of the map's row.
-    pub version: u64,
     /// What callers ask for, as of the last plan for balance.
     pub demand: Demand,
 }
@@ -73,12 +71,11 @@
         if matches!(result.order, Order::Commit(_)) {
             match result.end {
                 OrderEnd::Done { .. } => {
-                    plan.version = result.version;
                     log::info!(
                         "{} service={} version={} slices={} moves={}",
                         events::KEYS_MOVED,
                         result.service,
-                        plan.version,
+                        result.version,
                         plan.reconciler.map().slices().len(),
                         plan.reconciler.moves()
                     );
@@ -86,9 +83,9 @@
                 OrderEnd::Outdated => {
                     // Something else lies in the store: it counts.
                     let state = node.state.borrow();
-                    if let Some((map, version)) = state.maps.get(&result.service) {
-                        plan.reconciler.reload(RangeMap::clone(map));
-                        plan.version = *version;
+                    let map = state.maps.get(&result.service);
+                    if let Some(map) = map.and_then(|map| map.whole()) {
+                        plan.reconciler.reload(map);
                     }
                 }
                 OrderEnd::Unknown | OrderEnd::NotSent => {}
@@ -117,65 +114,65 @@
         }
     }
 
-    /// The orders that are due.
-    pub fn tick<A: Adapter>(
-        &mut self,
-        node: &Node<A>,
-        times: LeaseTimes,
-    ) -> Vec<(ServiceName, Order)> {
+    /// Whether the store confirmed the leadership lately. Otherwise another may have it by
+    /// now, and counts on this one's silence.
+    pub fn may_act<A: Adapter>(node: &Node<A>, times: &LeaseTimes) -> bool {
+        node.clock.now() - node.state.borrow().confirmed <= times.blind
+    }
+
+    /// Decides which keys move.
+    pub fn plan<A: Adapter>(&mut self, node: &Node<A>, times: LeaseTimes) {
         let now = node.clock.now();
+        let lists = node.state.borrow_mut().registry.lists().clone();
         let state = node.state.borrow();
-        if now - state.confirmed > times.blind {
-            // Another may have the leadership by now, and counts on this one's silence.
-            return Vec::new();
-        }
-        let Some(config) = &state.config else {
-            return Vec::new();
-        };
+        let Some(config) = &state.config else { return };
         let sudden = node.demands.borrow_mut().take_sudden();
         let may = *node.store.borrow() && !node.demands.borrow().is_settling(now);
         let even = self.even.is_due(sudden, may, now);
-        let mut orders = Vec::new();
         for service in config.services().filter(|service| service.keyed) {
             let name = &service.name;
-            let plan = self
-                .plans
-                .entry(name.clone())
-                .or_insert_with(|| ServicePlan {
-                    reconciler: Reconciler::new(RangeMap::new(), LeaseBook::new(times, now)),
-                    version: 0,
+            let plan = self.plans.entry(name.clone()).or_insert_with(|| {
+                let book = LeaseBook::new(times, now);
+                ServicePlan {
+                    reconciler: Reconciler::new(RangeMap::new(), book),
                     demand: Demand::default(),
-                });
-            let servers = state.registry.iter();
-            let open: Vec<&Known> = servers
-                .filter(|known| known.is_open() && known.entry.service == *name)
-                .collect();
+                }
+            });
+            let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
+            let servers = servers.iter().map(|known| &**known);
+            let open: Vec<&Known> = servers.filter(|known| known.is_open()).collect();
             let deal = have_shown_up(&open, now);
             let capacities = capacities(&open, service.slow_start, &node.board.loads(), now);
             if even {
-                // The work of a millisecond, and a tick may come with each order.
                 plan.demand = node.demands.borrow().seen(name, now);
             }
             let limits = BalanceLimits::STANDARD;
             let mut balance = Balance::new(limits, &capacities, &plan.demand);
-            let due = plan.reconciler.tick(
-                now,
-                &state.times,
-                &state.registry,
-                &mut balance,
-                Scope { deal, even },
-            );
+            let scope = Scope { deal, even };
+            let reconciler = &mut plan.reconciler;
+            reconciler.plan(now, &state.times, &state.registry, &mut balance, scope);
             if even {
                 log::info!(
                     "{} service={name} highest={:.2} moves={} slices={} rate={:.0}",
                     events::BALANCE,
                     balance.highest(),
-                    plan.reconciler.moves(),
-                    plan.reconciler.map().slices().len(),
+                    reconciler.moves(),
+                    reconciler.map().slices().len(),
                     plan.demand.of(KeyRange::ALL),
                 );
             }
-            orders.extend(due.into_iter().map(|order| (name.clone(), order)));
+        }
+    }
+
+    /// The orders that are due.
+    pub fn orders<A: Adapter>(&mut self, node: &Node<A>) -> Vec<(ServiceName, Order)> {
+        let now = node.clock.now();
+        let state = node.state.borrow();
+        let mut orders = Vec::new();
+        for (service, plan) in &mut self.plans {
+            let reconciler = &mut plan.reconciler;
+            let due = reconciler.orders(now, &state.times, &state.registry);
+            orders.extend(due.into_iter().map(|order| (service.clone(), order)));
         }
         orders
     }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{arrival::Arrival, codec::MemberWire, node::Node, peers::Peer},
-    citron_core::freshness::FreshnessTimes,
-    citron_ports::{Adapter, IdleTimeout, RowCommit, RowStore, RowTable, StoreError},
+    citron_core::freshness::{FreshnessTimes, Role},
+    citron_ports::{Adapter, IdleTimeout, Row, RowCommit, RowStore, RowTable, StoreError},
     citron_wire::heartbeat::Heartbeat,
     rand::Rng,
     std::{rc::Rc, time::Duration},
@@ -39,15 +39,15 @@
 /// Pause between two questions: changes come in groups, and one question for
 /// all of a group is enough.
 const PAUSE: Duration = Duration::from_millis(60);
-/// Pause after a failure to enter this instance, on average.
-const AGAIN: Duration = FreshnessTimes::STANDARD.again;
 /// How long questions wait at most, after one has failed, until another call of
 /// this instance is answered: tables that grow old are asked for anyway.
 const OTHERS: Duration = Duration::from_secs(3);
 
-/// How long an instance that has started waits for what its neighbours know. With
-/// hundreds of them that start at the same moment the store would turn some away.
+/// How long an instance that has started waits for what its neighbours know, for each of
+/// them that comes before it: the whole of a table is read by few of a failure domain.
 const LISTEN_MOST: Duration = Duration::from_secs(2);
+/// The same for one that could not enter itself among the members, and knows nobody.
+const LISTEN_UNLISTED: Duration = Duration::from_secs(6);
 /// How long it takes until neighbours that are there have been heard.
 const LISTEN: Duration = Duration::from_millis(150);
 /// How often it looks for either.
@@ -59,7 +59,7 @@
 async fn listen<A: Adapter>(node: &Node<A>, at: usize) {
     let begun = node.clock.now();
     while node.state.borrow().mirrors[at].version == 0 {
-        let waits = node.is_arriving(at) || node.clock.now() - begun < LISTEN_MOST;
+        let waits = node.is_arriving(at) || node.clock.now() - begun < node.listen_time();
         if !waits || node.is_turn() {
             return;
         }
@@ -137,6 +137,11 @@
 
     /// Whether none of its failure domain that counts comes before this instance.
     fn is_ahead_of(&self, counts: impl Fn(&Heartbeat) -> bool) -> bool {
+        self.count_ahead(counts, 1) == 0
+    }
+
+    /// How many of its failure domain that count come before this instance, up to `most`.
+    fn count_ahead(&self, counts: impl Fn(&Heartbeat) -> bool, most: usize) -> usize {
         let state = self.state.borrow();
         let now = self.clock.now();
         let me = &self.settings;
@@ -144,8 +149,17 @@
             let near = peer.domain.as_ref() == Some(&me.domain);
             near && peer.heartbeat.as_ref().is_some_and(&counts)
         };
-        let mut ahead = state.peers.ahead(&me.instance, me.cpu, now);
-        !ahead.any(|(_, peer)| counted(peer))
+        let ahead = state.peers.ahead(&me.instance, me.cpu, now);
+        ahead.filter(|(_, peer)| counted(peer)).take(most).count()
+    }
+
+    /// How long this instance waits for tables of others before it reads them itself.
+    fn listen_time(&self) -> Duration {
+        if self.enlisted.get().is_none() {
+            return LISTEN_UNLISTED;
+        }
+        let ahead = self.count_ahead(|heartbeat| heartbeat.store, usize::MAX);
+        LISTEN_MOST * (1 + ahead as u32)
     }
 
     /// Whether the planner was heard lately, and the store answers it.
@@ -165,22 +179,23 @@
             return false;
         };
         let state = self.state.borrow();
-        let alone = !state.peers.has_any_in(&self.settings.domain);
+        let alone = !state.peers.has_near();
         let few = state.peers.hears_all();
         drop(state);
         few || alone || (self.clock.now() - enlisted > LISTEN && self.leads())
     }
 }
 
-async fn pause<A: Adapter>(node: &Node<A>) {
+/// Waits after a call that failed.
+pub async fn pause<A: Adapter>(node: &Node<A>) {
     let mut store = node.store.subscribe();
     // Either the store answers again, or it is time to ask all the same.
     let _ = timeout(OTHERS, store.wait_for(|answers| *answers)).await;
     sleep(PAUSE.mul_f64(jitter())).await;
 }
 
-/// Enters this instance into the table of members and learns of the others.
-/// Written first and read then, so that of two which start at once at least one
+/// Learns of the other instances, and enters this one into the table of members unless
+/// a former start has. Read again after that: of two that start at once at least one
 /// learns of the other.
 pub async fn enlist<A: Adapter>(node: Rc<Node<A>>) {
     let own = MemberWire {
@@ -191,18 +206,35 @@
         return;
     };
     let key = node.settings.instance.to_string();
+    let rows = read_members(&node).await;
+    let listed = rows.iter().find(|row| row.key == key);
+    if listed.and_then(|row| row.value.as_ref()) != Some(&value) {
+        write_member(&node, key, value).await;
+        read_members(&node).await;
+    }
+    node.enlisted.set(Some(node.clock.now()));
+    node.hurry.notify_one();
+}
+
+async fn write_member<A: Adapter>(node: &Node<A>, key: String, value: Vec<u8>) {
     let commit = RowCommit {
         writes: vec![(RowTable::Members, key, value)],
         ..RowCommit::default()
     };
+    let mut failures = 0;
     loop {
         let begun = node.clock.now();
         match node.adapter.store().commit(&commit).await {
-            Ok(_) => break node.store_answered(begun, None),
+            Ok(_) => return node.store_answered(begun, None),
             Err(error) => node.store_failed("enlist", &error),
         }
-        sleep(AGAIN.mul_f64(jitter())).await;
+        sleep(retry_delay(failures)).await;
+        failures += 1;
     }
+}
+
+async fn read_members<A: Adapter>(node: &Node<A>) -> Vec<Row> {
+    let mut failures = 0;
     loop {
         let begun = node.clock.now();
         let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
@@ -210,18 +242,24 @@
         match read.await {
             Ok(set) => {
                 node.store_answered(begun, set.now);
-                add(&node, set.rows);
-                node.enlisted.set(Some(node.clock.now()));
-                node.hurry.notify_one();
-                return;
+                add(node, &set.rows);
+                return set.rows;
             }
             Err(error) => node.store_failed("members", &error),
         }
-        sleep(AGAIN.mul_f64(jitter())).await;
+        sleep(retry_delay(failures)).await;
+        failures += 1;
     }
 }
 
-fn add<A: Adapter>(node: &Node<A>, rows: Vec<citron_ports::Row>) {
+/// Instances that start together retry together: their writes go to one part of the
+/// store, which takes so many a second.
+fn retry_delay(failures: u32) -> Duration {
+    let delay = FreshnessTimes::STANDARD.retry(Role::Other, failures);
+    delay.mul_f64(jitter())
+}
+
+fn add<A: Adapter>(node: &Node<A>, rows: &[Row]) {
     let now = node.clock.now();
     for row in rows {
         let value = row.value.as_deref().unwrap_or_default();
--- a/crates/citronproxy/src/edge/settings.rs
+++ b/crates/citronproxy/src/edge/settings.rs
@@ -10,6 +10,9 @@
     std::{net::SocketAddr, path::Path, time::Duration},
 };
 
+/// The largest row that a store is taken to accept if the settings do not tell, in bytes.
+const ROW_BYTES: usize = 65_536;
+
 /// How much retries may add, over all instances together.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -49,6 +52,8 @@
     pub metrics: Option<SocketAddr>,
     /// The longest lease that servers take.
     pub lease: Duration,
+    /// The largest row that the store takes, in bytes.
+    pub row_bytes: usize,
     /// Its part of a processor, in percent: the planner and the readers of the
     /// store should be instances that have much of one.
     pub cpu: u32,
@@ -73,6 +78,8 @@
     lease_max_s: f64,
     cpu_share: f64,
     #[serde(default)]
+    row_bytes: Option<usize>,
+    #[serde(default)]
     metrics: Option<SocketAddr>,
 }
 
@@ -117,6 +124,7 @@
             retries: raw.retries,
             metrics: raw.metrics,
             lease: parse::seconds(path, "lease_max_s", raw.lease_max_s)?,
+            row_bytes: raw.row_bytes.unwrap_or(ROW_BYTES),
             cpu: (raw.cpu_share * 100.0) as u32,
         })
     }
--- a/crates/citronproxy/src/edge/traffic/call.rs
+++ b/crates/citronproxy/src/edge/traffic/call.rs
@@ -72,7 +72,7 @@
     pub stale: Option<StaleOwner>,
     /// How often an owner did not.
     pub misdirected: u32,
-    /// Whether it may be running, or have run.
+    /// Whether one of the tries that have ended may have run.
     pub doubtful: bool,
     /// How often it was sent.
     pub sent: u32,
@@ -101,11 +101,10 @@
                 return self.refuse(again, "requests like it crash servers");
             }
             self.sent += 1;
-            // Until it ends, this try may be running.
-            let doubtful = std::mem::replace(&mut self.doubtful, true);
             let end = send(self.front, &server, &self.message).await;
+            self.message.written.set(false);
             self.log_try(&server, &end);
-            if let Some(answer) = self.on_attempt_end(server, end, doubtful) {
+            if let Some(answer) = self.on_attempt_end(server, end) {
                 return answer;
             }
         }
@@ -114,26 +113,17 @@
     /// Learns from a try; the answer if it is the last one.
     fn on_attempt_end(
         &mut self,
-        server: Known,
+        server: Arc<Known>,
         end: AttemptResult,
-        doubtful: bool,
     ) -> Option<Response<AnswerBody>> {
         let name = server.entry.name.clone();
         let retry = match end {
             AttemptResult::Answered(answer) => return self.answered(name, answer),
-            AttemptResult::NotSent(_) | AttemptResult::Closed => {
-                self.doubtful = doubtful;
-                self.may_try_another(name)
-            }
-            AttemptResult::Refused => {
-                self.doubtful = doubtful;
-                self.may_retry(name)
-            }
-            AttemptResult::Misdirected => {
-                self.doubtful = doubtful;
-                self.may_ask_owner(name)
-            }
+            AttemptResult::NotSent(_) | AttemptResult::Closed => self.may_try_another(name),
+            AttemptResult::Refused => self.may_retry(name),
+            AttemptResult::Misdirected => self.may_ask_owner(name),
             AttemptResult::Lost(_) => {
+                self.doubtful = true;
                 crash::record_crash(self.front, &server.entry, self.print(), &self.message);
                 // What may run once only takes nothing from the budget.
                 self.message.repeat == Repeat::Idempotent && self.may_retry(name)
@@ -151,6 +141,7 @@
         server: ServerName,
         answer: Response<AnswerBody>,
     ) -> Option<Response<AnswerBody>> {
+        self.doubtful = true;
         let failed = answer.status().is_server_error();
         let mut crashes = self.front.board.crashes();
         if !failed && !crashes.is_empty() {
@@ -240,11 +231,11 @@
     fn slice(&self) -> Option<Slice> {
         let view = self.front.board.view()?;
         let map = view.maps.get(self.service)?;
-        Some(map.slice(self.key?).clone())
+        map.slice(self.key?).cloned()
     }
 
     /// Waits for a server with room.
-    async fn next_server(&self) -> Result<Known, Response<AnswerBody>> {
+    async fn next_server(&self) -> Result<Arc<Known>, Response<AnswerBody>> {
         let front = self.front;
         let mut published = front.board.published();
         loop {
@@ -302,6 +293,11 @@
         select_target(self.front, view, &query)
     }
 
+    /// Whether it may be running, or have run.
+    fn may_have_run(&self) -> bool {
+        self.doubtful || self.message.written.get()
+    }
+
     fn waited(&self) -> Duration {
         self.front.clock.now() - self.begun
     }
@@ -314,7 +310,7 @@
 
     /// Not run, and never will be.
     fn refuse(&self, again: Duration, reason: &str) -> Response<AnswerBody> {
-        if self.doubtful {
+        if self.may_have_run() {
             return self.give_up(reason);
         }
         self.outcome.set(Outcome::NotRun);
@@ -343,7 +339,7 @@
     }
 
     fn give_up(&self, reason: &str) -> Response<AnswerBody> {
-        if !self.doubtful {
+        if !self.may_have_run() {
             return self.refuse(self.refused_again(), reason);
         }
         self.outcome.set(Outcome::Unknown);
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -27,7 +27,7 @@
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{fmt, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::Cell, fmt, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -173,6 +173,9 @@
     pub deadline: Time,
     /// Whether it goes to the owner of its key.
     pub keyed: bool,
+    /// Whether a try is under way that may have reached its server: until a connection
+    /// is there, it has not.
+    pub written: Cell<bool>,
 }
 
 /// Sends a message to a server and reads its answer.
@@ -237,6 +240,7 @@
     let reused = kept.connection().reused;
     let reused = reused.then(|| Reused::begin(&front.idles, service, idle, front.clock));
     let request = request(front, server, message);
+    message.written.set(true);
     let sent = kept.connection().sender.try_send_request(request).await;
     match sent {
         Ok(response) => {
--- a/crates/citronproxy/src/edge/traffic/proxy.rs
+++ b/crates/citronproxy/src/edge/traffic/proxy.rs
@@ -145,6 +145,7 @@
             objective: begun + rule.objective,
             deadline,
             keyed,
+            written: Cell::default(),
         },
         begun,
         id: front.id(head),
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -11,8 +11,8 @@
         routes::Repeat,
         time::Time,
     },
-    rand::Rng,
-    std::{fmt, time::Duration},
+    rand::{Rng, seq::index},
+    std::{fmt, sync::Arc, time::Duration},
 };
 
 /// Retry-After for a request over the limit of its service: about the time in which one
@@ -21,11 +21,14 @@
 /// Retry-After where all servers are cold and have what they take, at most.
 const COLD_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Servers of a service up to which each is weighed for a request.
+const SAMPLE_MAX: usize = 128;
+
 /// Where a request goes.
 #[derive(Debug)]
 pub enum Target {
     /// To this server.
-    Server(Known),
+    Server(Arc<Known>),
     /// To none now, with Retry-After.
     Reject(Duration, Overload),
     /// The key is changing hands.
@@ -94,10 +97,10 @@
 }
 
 fn find_owner(front: &Front, view: &View, query: &TargetQuery<'_>, key: RangeKey) -> Target {
-    let Some(map) = view.maps.get(query.service) else {
+    let map = view.maps.get(query.service);
+    let Some(slice) = map.and_then(|map| map.slice(key)) else {
         return Target::None;
     };
-    let slice = map.slice(key);
     let now = front.clock.now();
     let news = front.board.moved(query.service, key, slice, now);
     let owner = match &news {
@@ -132,7 +135,7 @@
 
 fn find_any(front: &Front, view: &View, query: &TargetQuery<'_>) -> Target {
     let servers = view.servers(query.service).iter();
-    let open: Vec<&Known> = servers.filter(|known| known.is_open()).collect();
+    let open: Vec<&Arc<Known>> = servers.filter(|known| known.is_open()).collect();
     if open.is_empty() {
         return Target::None;
     }
@@ -140,7 +143,7 @@
         return Target::Reject(PACED_RETRY_AFTER, Overload::Limit);
     }
     let now = front.clock.now();
-    let admitted: Vec<&Known> = open
+    let admitted: Vec<&Arc<Known>> = open
         .iter()
         .copied()
         .filter(|known| admits(front, view, known, query, now))
@@ -150,12 +153,37 @@
         return reject_cold(left.unwrap_or_default());
     }
     let open = admitted;
-    let fresh = |known: &&Known| !query.tried.contains(&known.entry.name);
-    let untried: Vec<&Known> = open.iter().copied().filter(fresh).collect();
-    match untried.is_empty() {
-        true => pick(front, view, query, open.into_iter()),
-        false => pick(front, view, query, untried.into_iter()),
+    let fresh = |known: &&Arc<Known>| !query.tried.contains(&known.entry.name);
+    let untried: Vec<&Arc<Known>> = open.iter().copied().filter(fresh).collect();
+    let candidates = if untried.is_empty() { open } else { untried };
+    let candidates = sample_servers(front, query, candidates);
+    pick(front, view, query, candidates.into_iter())
+}
+
+/// Some of many servers, so that a choice costs the same for any number: of the same failure
+/// domain and of others, and those to which a connection is kept.
+fn sample_servers<'a>(
+    front: &Front,
+    query: &TargetQuery<'_>,
+    servers: Vec<&'a Arc<Known>>,
+) -> Vec<&'a Arc<Known>> {
+    if servers.len() <= SAMPLE_MAX {
+        return servers;
+    }
+    let own = &front.settings.domain;
+    let (near, far): (Vec<_>, Vec<_>) = servers
+        .into_iter()
+        .partition(|known| known.entry.domain == *own);
+    let reuse = reuse(front, query.service, query.repeat);
+    let has_idle = |known: &&&Arc<Known>| front.pool.has_idle(&known.entry.address, reuse);
+    let kept = near.iter().filter(has_idle).take(SAMPLE_MAX / 4);
+    let mut sample: Vec<&Arc<Known>> = kept.copied().collect();
+    let mut rng = rand::rng();
+    for group in [near, far] {
+        let drawn = index::sample(&mut rng, group.len(), group.len().min(SAMPLE_MAX / 2));
+        sample.extend(drawn.into_iter().map(|at| group[at]));
     }
+    sample
 }
 
 /// Whether a server may get a request, if it is cold.
@@ -188,7 +216,7 @@
     front: &Front,
     view: &View,
     query: &TargetQuery<'_>,
-    servers: impl Iterator<Item = &'a Known> + Clone,
+    servers: impl Iterator<Item = &'a Arc<Known>> + Clone,
 ) -> Target {
     let now = front.clock.now();
     let limits = TimeLimits {
@@ -229,7 +257,7 @@
             if !known.warm_up(now).is_zero() {
                 front.cold.borrow_mut().note(&known.entry.name, now);
             }
-            Target::Server(known.clone())
+            Target::Server(Arc::clone(known))
         }
     }
 }
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -3,8 +3,8 @@
 use {
     citron_core::{
         id::{ServerName, ServiceName},
-        ranges::RangeMap,
-        registry::Known,
+        ranges::PartedMap,
+        registry::{Known, ServerList},
         routes::RouteConfig,
         slowstart::Group,
     },
@@ -17,9 +17,9 @@
     /// The configuration in force.
     pub config: Arc<RouteConfig>,
     /// Servers that are known, by service; also those that leave.
-    pub servers: Arc<BTreeMap<ServiceName, Vec<Known>>>,
+    pub servers: BTreeMap<ServiceName, ServerList>,
     /// Owners of keys, by service.
-    pub maps: BTreeMap<ServiceName, Arc<RangeMap>>,
+    pub maps: BTreeMap<ServiceName, Arc<PartedMap>>,
     /// Instances that share the retry budget.
     pub instances: usize,
     /// Those of them whose loads this instance hears of.
@@ -31,14 +31,16 @@
 }
 
 impl View {
-    /// Servers of a service.
-    pub fn servers(&self, service: &ServiceName) -> &[Known] {
-        self.servers.get(service).map_or(&[], Vec::as_slice)
+    /// Servers of a service, in the order of their names.
+    pub fn servers(&self, service: &ServiceName) -> &[Arc<Known>] {
+        let servers = self.servers.get(service);
+        servers.map_or(&[], |servers| servers.as_slice())
     }
 
     /// A server of a service.
-    pub fn server(&self, service: &ServiceName, name: &ServerName) -> Option<&Known> {
-        let mut servers = self.servers(service).iter();
-        servers.find(|known| known.entry.name == *name)
+    pub fn server(&self, service: &ServiceName, name: &ServerName) -> Option<&Arc<Known>> {
+        let servers = self.servers(service);
+        let at = servers.binary_search_by(|known| known.entry.name.cmp(name));
+        at.ok().map(|at| &servers[at])
     }
 }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -95,6 +95,8 @@
     SWALLOWED = 402, "question-swallowed";
     /// A table could not be fetched.
     TABLE_LOST = 403, "table-not-fetched";
+    /// A call to the store failed or was not answered, while others are.
+    CALL_FAILED = 404, "store-call-failed";
     /// A newer configuration is in force here.
     CONFIG = 410, "configuration-in-force";
     /// A configuration cannot be read; the last good one stays in force.
@@ -117,6 +119,8 @@
     GRANT_REFUSED = 433, "grant-refused";
     /// A map with new owners was written.
     KEYS_MOVED = 434, "keys-moved";
+    /// The store does not accept a row of the product's own.
+    ROW_REJECTED = 435, "row-rejected";
     /// Another instance was heard of for the first time, or again.
     PEER_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -86,6 +86,9 @@
     /// It was refused, and nothing was done.
     #[error("the store refused the call: {0}")]
     Refused(String),
+    /// The store does not take such a call, and nothing was done.
+    #[error("the store does not accept the call: {0}")]
+    Invalid(String),
     /// It may have been done, or may be done later.
     #[error("no answer from the store: {0}")]
     Unknown(String),
