--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -29,6 +29,8 @@
 /// Bytes of a row for each slice that it may hold: a slice with its owner's name and a
 /// handover is a quarter of that, and parts grow between two commits.
 const SLICE_BYTES: usize = 256;
+/// Slices of a part at most: every instance reads the parts that a commit changes, whole.
+const SLICES_MAX: usize = 64;
 /// Parts in one transaction: with their conditions, less than the 100 entries that the
 /// store takes, and at full size half of its bytes.
 const PARTS_MAX: usize = 40;
@@ -44,7 +46,7 @@
 ) -> Committed {
     let stored = node.state.borrow().maps.get(service).cloned();
     let stored = stored.unwrap_or_default();
-    let most = (node.settings.row_bytes / SLICE_BYTES).max(1);
+    let most = (node.settings.row_bytes / SLICE_BYTES).clamp(1, SLICES_MAX);
     let changes = Changes::between(&stored, map, most);
     let mut newest = stored.newest();
     for (at, parts) in changes.parts.chunks(PARTS_MAX).enumerate() {
--- /dev/null
+++ b/crates/core/examples/fleet_cost.rs
@@ -0,0 +1,171 @@
+//! What one step of control costs as a deployment grows, ten servers an instance, seven
+//! in ten of which own keys: processor time and allocations.
+//!
+//!     cargo run --release -p citron-core --example fleet_cost
+
+use {
+    allocation_counter::measure,
+    citron_core::{
+        id::{ServerName, Slots},
+        ranges::{
+            Balance, BalanceLimits, Capacity, Demand, KeyRange, LeaseBook, LeaseTimes, MapPart,
+            OrderEnd, PartedMap, RangeKey, RangeMap, Reconciler, Scope, partition,
+        },
+        registry::{Registry, RegistryTimes, ServerEntry, ServerState},
+        time::{StoreClock, Time},
+    },
+    std::time::{Duration, Instant},
+};
+
+const INSTANCES: [usize; 7] = [12, 86, 195, 300, 1_000, 2_000, 4_400];
+/// Slices of a part at most, as the planner writes them.
+const SLICES_MAX: usize = 64;
+
+fn main() {
+    println!("| instances | step | ms | allocations |");
+    println!("| --- | --- | --- | --- |");
+    for instances in INSTANCES {
+        Fleet::new(instances).run();
+    }
+}
+
+struct Fleet {
+    instances: usize,
+    registry: Registry,
+    capacities: Vec<Capacity>,
+    reconciler: Reconciler,
+    clock: StoreClock,
+}
+
+impl Fleet {
+    fn new(instances: usize) -> Self {
+        let book = LeaseBook::new(LeaseTimes::STANDARD, at(0));
+        let capacity = |number| Capacity {
+            server: name(number),
+            rate: 10.0,
+            takes: true,
+        };
+        Self {
+            instances,
+            registry: Registry::new(RegistryTimes::STANDARD),
+            capacities: (0..instances * 7).map(capacity).collect(),
+            reconciler: Reconciler::new(RangeMap::new(), book),
+            clock: StoreClock::default(),
+        }
+    }
+
+    fn run(mut self) {
+        self.step("take in all entries", |fleet| {
+            (0..fleet.instances * 10).for_each(|n| fleet.registry.listed(entry(n), at(0)));
+            fleet.registry.lists();
+        });
+        self.step("take in one entry, make lists anew", |fleet| {
+            fleet.registry.listed(entry(7), at(10));
+            fleet.registry.lists();
+        });
+        self.step("deal all keys, grant them", Self::deal);
+        self.step("plan, nothing to do", |fleet| fleet.plan(at(2_000)));
+        self.step("orders, nothing due", |fleet| fleet.orders(at(2_000)));
+        self.step("orders, all due, 40 sent", |fleet| fleet.orders(at(9_000)));
+        let map = self.reconciler.map().clone();
+        let mut parted = PartedMap::default();
+        self.step("divide a map into parts", |_| {
+            for range in partition(&map, 1, SLICES_MAX) {
+                let slices = map.within(range);
+                let version = 1;
+                parted.put(MapPart {
+                    range,
+                    version,
+                    slices,
+                });
+            }
+        });
+        let mut copy = parted.clone();
+        self.step("take in one part", |_| {
+            let range = copy.ranges().next().unwrap_or(KeyRange::ALL);
+            let slices = map.within(range);
+            let version = 2;
+            copy.put(MapPart {
+                range,
+                version,
+                slices,
+            });
+        });
+        self.step("find the owner of a key", |_| {
+            assert!(parted.slice(RangeKey(40_000)).is_some());
+        });
+    }
+
+    fn step(&mut self, what: &str, work: impl FnOnce(&mut Self)) {
+        let mut spent = Duration::ZERO;
+        let info = measure(|| {
+            let begun = Instant::now();
+            work(self);
+            spent = begun.elapsed();
+        });
+        let (instances, millis) = (self.instances, spent.as_secs_f64() * 1_000.0);
+        println!(
+            "| {instances} | {what} | {millis:.3} | {} |",
+            info.count_total
+        );
+    }
+
+    fn plan(&mut self, now: Time) {
+        let demand = Demand::default();
+        let mut balance = Balance::new(BalanceLimits::STANDARD, &self.capacities, &demand);
+        let scope = Scope {
+            deal: true,
+            even: true,
+        };
+        let registry = &self.registry;
+        self.reconciler
+            .plan(now, &self.clock, registry, &mut balance, scope);
+    }
+
+    fn orders(&mut self, now: Time) {
+        self.reconciler.orders(now, &self.clock, &self.registry);
+    }
+
+    fn deal(&mut self) {
+        self.plan(at(1_000));
+        loop {
+            let now = at(1_000);
+            let orders = self.reconciler.orders(now, &self.clock, &self.registry);
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                let end = OrderEnd::Done { handover: None };
+                self.reconciler.ended(&order, end, now);
+            }
+        }
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn name(number: usize) -> ServerName {
+    let name = format!("server-{number:06}").parse();
+    name.unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn entry(number: usize) -> ServerEntry {
+    let keyed = number % 10 < 7;
+    let name = match keyed {
+        true => name(number / 10 * 7 + number % 10),
+        false => name(1_000_000 + number),
+    };
+    let service = if keyed { "keyed" } else { "other" }.parse();
+    let domain = "east".parse();
+    ServerEntry {
+        name,
+        service: service.unwrap_or_else(|error| panic!("{error}")),
+        address: ([10, (number >> 8) as u8, number as u8, 1], 80).into(),
+        domain: domain.unwrap_or_else(|error| panic!("{error}")),
+        slots: Slots(4),
+        state: ServerState::Ready,
+        warm_up: Duration::ZERO,
+    }
+}
--- a/crates/core/src/ranges/parts.rs
+++ b/crates/core/src/ranges/parts.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PartedMap {
     parts: BTreeMap<KeyRange, Arc<MapPart>>,
+    /// The highest version of all rows.
+    newest: u64,
     /// By the first of its keys, each run of keys for which one part counts.
     runs: BTreeMap<RangeKey, (RangeKey, Arc<MapPart>)>,
 }
@@ -45,8 +47,14 @@
         if part.version <= self.version(part.range) {
             return false;
         }
-        self.parts.insert(part.range, Arc::new(part));
-        self.rebuild();
+        let part = Arc::new(part);
+        let is_newest = part.version >= self.newest;
+        self.newest = self.newest.max(part.version);
+        self.parts.insert(part.range, Arc::clone(&part));
+        match is_newest {
+            true => cover(&mut self.runs, &part),
+            false => self.rebuild(),
+        }
         true
     }
 
@@ -70,8 +78,7 @@
 
     /// The highest version of all rows.
     pub fn newest(&self) -> u64 {
-        let versions = self.parts.values().map(|part| part.version);
-        versions.max().unwrap_or_default()
+        self.newest
     }
 
     /// The keys of each part.
