Maps: only overfull parts are halved, and no transaction has more than 100 entries

What callers saw: 2 in 100 refused from second 4 on, 421s at calm owners. Change: a part that holds too many slices is halved alone; writes and removals are divided.

--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -31,8 +31,9 @@
 const SLICE_BYTES: usize = 256;
 /// Slices of a part at most: every instance reads the parts that a commit changes, whole.
 const SLICES_MAX: usize = 64;
-/// Parts in one transaction: with their conditions, less than the 100 entries that the
-/// store takes, and at full size half of its bytes.
+/// Entries of a transaction that the store takes.
+const ENTRIES_MAX: usize = 100;
+/// Parts in one transaction: each is a condition and a write.
 const PARTS_MAX: usize = 40;
 
 /// Writes the parts of a map that have changed, if the leadership and the rows are still as
@@ -47,13 +48,10 @@
     let stored = node.state.borrow().maps.get(service).cloned();
     let stored = stored.unwrap_or_default();
     let most = (node.settings.row_bytes / SLICE_BYTES).clamp(1, SLICES_MAX);
-    let changes = Changes::between(&stored, map, most);
     let mut newest = stored.newest();
-    for (at, parts) in changes.parts.chunks(PARTS_MAX).enumerate() {
-        let last = (at + 1) * PARTS_MAX >= changes.parts.len();
-        let removes = if last { &changes.removes[..] } else { &[] };
-        let commit = transaction(service, parts, removes, leadership, &stored);
-        match write(node, service, parts, &commit, leadership).await {
+    for changes in Changes::between(&stored, map, most).transactions() {
+        let commit = changes.commit(service, leadership, &stored);
+        match write(node, service, &changes.parts, &commit, leadership).await {
             (OrderEnd::Done { .. }, version) => newest = version,
             end => return end,
         }
@@ -69,7 +67,7 @@
 
 impl Changes {
     fn between(stored: &PartedMap, map: &RangeMap, most: usize) -> Self {
-        let ranges = partition(map, stored.ranges().count(), most);
+        let ranges = partition(map, stored, most);
         let removes = stored.ranges().filter(|range| !ranges.contains(range));
         let removes = removes.collect();
         let part = |range: KeyRange| MapPart {
@@ -84,40 +82,49 @@
         let parts = ranges.into_iter().map(part).filter(is_new).collect();
         Self { parts, removes }
     }
-}
 
-fn transaction(
-    service: &ServiceName,
-    parts: &[MapPart],
-    removes: &[KeyRange],
-    leadership: u64,
-    stored: &PartedMap,
-) -> RowCommit {
-    let key = |range: KeyRange| {
-        let service = service.clone();
-        MapKey { service, range }.to_string()
-    };
-    let mut commit = RowCommit {
-        expected: vec![(RowTable::Ranges, PLANNER.to_string(), leadership)],
-        ..RowCommit::default()
-    };
-    for part in parts {
-        let version = stored.version(part.range);
-        let value = serde_json::to_vec(&MapWire::from(&part.slices[..]));
-        // Numbers and texts in lists always serialise.
-        let value = value.unwrap_or_default();
-        commit
-            .expected
-            .push((RowTable::Ranges, key(part.range), version));
+    /// As many as the store takes at a time. Rows that others replace are removed last.
+    fn transactions(self) -> Vec<Self> {
+        let mut all = Vec::new();
+        let mut parts = self.parts.into_iter().peekable();
+        let mut removes = self.removes.into_iter().peekable();
+        while parts.peek().is_some() || removes.peek().is_some() {
+            let parts: Vec<MapPart> = parts.by_ref().take(PARTS_MAX).collect();
+            let room = match parts.len() {
+                PARTS_MAX => 0,
+                few => ENTRIES_MAX - 1 - 2 * few,
+            };
+            let removes = removes.by_ref().take(room).collect();
+            all.push(Self { parts, removes });
+        }
+        all
+    }
+
+    fn commit(&self, service: &ServiceName, leadership: u64, stored: &PartedMap) -> RowCommit {
+        let key = |range: KeyRange| {
+            let service = service.clone();
+            MapKey { service, range }.to_string()
+        };
+        let mut commit = RowCommit {
+            expected: vec![(RowTable::Ranges, PLANNER.to_string(), leadership)],
+            ..RowCommit::default()
+        };
+        for part in &self.parts {
+            let (key, version) = (key(part.range), stored.version(part.range));
+            let value = serde_json::to_vec(&MapWire::from(&part.slices[..]));
+            // Numbers and texts in lists always serialise.
+            let value = value.unwrap_or_default();
+            commit
+                .expected
+                .push((RowTable::Ranges, key.clone(), version));
+            commit.writes.push((RowTable::Ranges, key, value));
+        }
+        let removes = self.removes.iter();
+        let removes = removes.map(|range| (RowTable::Ranges, key(*range)));
+        commit.removes = removes.collect();
         commit
-            .writes
-            .push((RowTable::Ranges, key(part.range), value));
     }
-    let removes = removes.iter().map(|range| (RowTable::Ranges, key(*range)));
-    commit.removes = removes.collect();
-    commit
 }
-
 async fn write<A: Adapter>(
     node: &Node<A>,
     service: &ServiceName,
--- a/crates/core/examples/fleet_cost.rs
+++ b/crates/core/examples/fleet_cost.rs
@@ -70,7 +70,7 @@
         let map = self.reconciler.map().clone();
         let mut parted = PartedMap::default();
         self.step("divide a map into parts", |_| {
-            for range in partition(&map, 1, SLICES_MAX) {
+            for range in partition(&map, &PartedMap::default(), SLICES_MAX) {
                 let slices = map.within(range);
                 let version = 1;
                 parted.put(MapPart {
--- a/crates/core/src/ranges/parts.rs
+++ b/crates/core/src/ranges/parts.rs
@@ -86,6 +86,13 @@
         self.parts.keys().copied()
     }
 
+    /// Whether some keys of a range are stored in a part of their own.
+    fn is_divided(&self, range: KeyRange) -> bool {
+        let mut within = self.parts.range(range..);
+        let first = within.find(|(part, _)| **part != range);
+        first.is_some_and(|(part, _)| range.covers(*part))
+    }
+
     /// The slice that holds a key, cut at the ends of its part; `None` if no part holds it.
     pub fn slice(&self, key: RangeKey) -> Option<&Slice> {
         let (_, (last, part)) = self.runs.range(..=key).next_back()?;
@@ -142,37 +149,46 @@
     runs.insert(range.first, (range.last, Arc::clone(part)));
 }
 
-/// Cuts the key space into a power of two of equal parts so that none holds more than
-/// `most` slices, as far as single keys allow. Keeps the number of parts `now` while up
-/// to four times as many as needed: another number makes every part a new one.
+/// Divides the key space into parts of which none holds more than `most` slices, by halving
+/// those that do. Halves that `stored` has stay apart until they hold a quarter of that
+/// together: a part that is joined and divided again is written and read whole each time.
 ///
 /// ```
-/// use citron_core::ranges::{KeyRange, RangeMap, partition};
-/// let map = RangeMap::new();
-/// assert_eq!(partition(&map, 1, 100), [KeyRange::ALL]);
-/// assert_eq!(partition(&map, 4, 100).len(), 4);
-/// assert_eq!(partition(&map, 64, 100).len(), 1);
+/// use citron_core::ranges::{KeyRange, PartedMap, RangeMap, partition};
+/// let mut map = RangeMap::new();
+/// map.assign("0-9".parse().unwrap(), &"s-1".parse().unwrap(), None);
+/// let none = PartedMap::default();
+/// assert_eq!(partition(&map, &none, 2), [KeyRange::ALL]);
+/// let halves = partition(&map, &none, 1);
+/// assert_eq!(halves.first(), Some(&"0-1".parse().unwrap()));
 /// ```
-pub fn partition(map: &RangeMap, now: usize, most: usize) -> Vec<KeyRange> {
-    let fits = |parts: &Vec<KeyRange>| {
-        let slices = |part: &KeyRange| map.touching(*part).count();
-        parts.iter().all(|part| slices(part) <= most)
-    };
-    let sizes = (0..=u16::BITS).map(|bits| equal_parts(1 << bits));
-    let needed = sizes.into_iter().find(fits);
-    let needed = needed.unwrap_or_else(|| vec![KeyRange::ALL]);
-    let keeps = now.is_power_of_two() && (needed.len()..=needed.len() * KEPT_PARTS).contains(&now);
-    if keeps { equal_parts(now) } else { needed }
+pub fn partition(map: &RangeMap, stored: &PartedMap, most: usize) -> Vec<KeyRange> {
+    let mut parts = Vec::new();
+    let mut left = vec![KeyRange::ALL];
+    while let Some(range) = left.pop() {
+        let slices = map.touching(range).count();
+        let keeps = slices * JOINED > most && stored.is_divided(range);
+        match halves(range) {
+            Some([below, above]) if slices > most || keeps => left.extend([above, below]),
+            _ => parts.push(range),
+        }
+    }
+    parts
 }
 
-/// How many times the parts that are needed may be kept.
-const KEPT_PARTS: usize = 4;
+/// Parts are joined when they hold less than this fraction of what one may hold.
+const JOINED: usize = 4;
 
-fn equal_parts(count: usize) -> Vec<KeyRange> {
-    let keys = KeyRange::ALL.len() as usize / count;
-    let part = |number: usize| KeyRange {
-        first: RangeKey((number * keys) as u16),
-        last: RangeKey((number * keys + keys - 1) as u16),
+fn halves(range: KeyRange) -> Option<[KeyRange; 2]> {
+    let half = (range.len() / 2) as u16;
+    let middle = range.first.0.checked_add(half).filter(|_| half > 0)?;
+    let below = KeyRange {
+        first: range.first,
+        last: RangeKey(middle - 1),
+    };
+    let above = KeyRange {
+        first: RangeKey(middle),
+        last: range.last,
     };
-    (0..count).map(part).collect()
+    Some([below, above])
 }
--- a/crates/core/tests/growth.rs
+++ b/crates/core/tests/growth.rs
@@ -7,7 +7,7 @@
         id::{ServerName, ServiceName, Slots},
         ranges::{
             Balance, BalanceLimits, Capacity, Demand, KeyRange, LeaseBook, LeaseTimes, Order,
-            OrderEnd, RangeKey, RangeMap, Reconciler, Scope, partition,
+            OrderEnd, PartedMap, RangeKey, RangeMap, Reconciler, Scope, partition,
         },
         registry::{Registry, RegistryTimes, ServerEntry, ServerState},
         time::{StoreClock, Time},
@@ -194,7 +194,7 @@
             last: RangeKey((number * 2 + 1) as u16),
         };
         map.assign_all((0..servers).map(|number| (range(number), name(number), None)));
-        let parts = partition(&map, 1, 256);
+        let parts = partition(&map, &PartedMap::default(), 256);
         let slices = parts.iter().map(|part| map.within(*part).len());
         assert!(slices.clone().max().unwrap() <= 256);
         assert!(slices.sum::<usize>() >= servers);
