--- a/crates/citronproxy/src/edge/control/demands.rs
+++ b/crates/citronproxy/src/edge/control/demands.rs
@@ -47,6 +47,11 @@
         services.any(|windows| windows.is_settling(now))
     }
 
+    /// Whether callers have asked for keys of a service.
+    pub fn is_asked(&self, service: &ServiceName) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// The demand that plans go by.
     pub fn seen(&self, service: &ServiceName, now: Time) -> Demand {
         let windows = self.services.get(service);
--- a/crates/citronproxy/src/edge/control/planner/capacity.rs
+++ b/crates/citronproxy/src/edge/control/planner/capacity.rs
@@ -9,8 +9,11 @@
 
 /// Servers that start together are listed within this time of one another.
 const NEWEST: Duration = Duration::from_millis(1_000);
-/// How long keys wait for more servers at most.
-const OLDEST: Duration = Duration::from_millis(3_000);
+/// How long keys wait for more servers at most while callers ask for them.
+const OLDEST_ASKED: Duration = Duration::from_secs(3);
+/// The same while nobody does: thousands of servers take some seconds to be listed, and
+/// those that come after the deal would get keys one by one.
+const OLDEST_IDLE: Duration = Duration::from_secs(10);
 /// Run time that is assumed of servers before any was measured, in seconds.
 const RUN: f64 = 0.2;
 /// How far a server's speed may lie from its service's mean, as a factor: the
@@ -21,11 +24,12 @@
 
 /// Whether a service's servers seem to be complete: none is new, or the first
 /// has waited long enough.
-pub fn have_shown_up(servers: &[&Known], now: Time) -> bool {
+pub fn have_shown_up(servers: &[&Known], is_asked: bool, now: Time) -> bool {
     let ages = || servers.iter().map(|known| now - known.seen);
     let newest = ages().min().unwrap_or_default();
     let oldest = ages().max().unwrap_or_default();
-    newest > NEWEST || oldest > OLDEST
+    let most = if is_asked { OLDEST_ASKED } else { OLDEST_IDLE };
+    newest > NEWEST || oldest > most
 }
 
 /// What servers can do, by the run times measured. Cold ones that would crash above a
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -141,7 +141,8 @@
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&Known> = servers.filter(|known| known.is_open()).collect();
-            let deal = have_shown_up(&open, now);
+            let is_asked = node.demands.borrow().is_asked(name);
+            let deal = have_shown_up(&open, is_asked, now);
             let capacities = capacities(&open, service.slow_start, &node.board.loads(), now);
             if even {
                 plan.demand = node.demands.borrow().seen(name, now);
