Members: a start reads the first rows only, and learns of the others from these instances

Ways: a partition of the table for each failure domain (a fifth of the bytes, as many calls); the first rows and then neighbours (chosen: bytes and calls of a start no longer grow).

--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -1,7 +1,12 @@
 //! Heartbeats between instances, over UDP.
 
 use {
-    super::{keys, moves, node::Node, peers::Round, refresh, relay},
+    super::{
+        keys, moves,
+        node::Node,
+        peers::{Recipient, Round},
+        refresh, relay,
+    },
     crate::{edge::EdgeError, events},
     citron_core::{
         freshness::{Beats, HearTimes, Sender},
@@ -78,7 +83,13 @@
                 .map(|leadership| &leadership.holder.instance),
             planning: state.planning,
         };
-        state.peers.due(&round, node.clock.now())
+        let mut due = state.peers.due(&round, node.clock.now());
+        let greetings = node.greetings.take().into_iter();
+        due.extend(greetings.map(|address| Recipient {
+            address,
+            loads: false,
+        }));
+        due
     };
     if due.is_empty() {
         return;
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod intake;
 mod keys;
+mod members;
 mod mirror;
 mod moves;
 mod node;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -4,7 +4,7 @@
     super::{
         counts::Counts,
         demands::Demands,
-        gossip,
+        gossip, members,
         mirror::Mirror,
         moves::Outbox,
         peers::Peers,
@@ -36,6 +36,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -132,6 +133,8 @@
     pub relay: relay::Relay,
     /// Keys on their way, to be told to others.
     pub outbox: Outbox,
+    /// Instances that are to hear of this one with the next heartbeats.
+    pub greetings: RefCell<Vec<SocketAddr>>,
     /// How many instances were heard for the first time, or again, since the last view.
     pub heard_anew: Cell<usize>,
     /// Edits of the other instances that the group goes by.
@@ -162,7 +165,7 @@
         local.spawn_local(watch::follow(Rc::clone(&node), at, table));
     }
     local.spawn_local(refresh::run(Rc::clone(&node)));
-    local.spawn_local(watch::enlist(Rc::clone(&node)));
+    local.spawn_local(members::enlist(Rc::clone(&node)));
     local.spawn_local(expire(Rc::clone(&node)));
     local.spawn_local(planner::run(Rc::clone(&node)));
     let listener = pages::listen(node.settings.peer).await?;
@@ -231,6 +234,7 @@
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
             outbox: Outbox::default(),
+            greetings: RefCell::default(),
             heard_anew: Cell::default(),
             grouped: Cell::default(),
             wake: Notify::new(),
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -1,9 +1,8 @@
 //! Follows the store's tables.
 
 use {
-    super::{arrival::Arrival, codec::MemberWire, node::Node, peers::Peer},
-    citron_core::freshness::{FreshnessTimes, Role},
-    citron_ports::{Adapter, IdleTimeout, Row, RowCommit, RowStore, RowTable, StoreError},
+    super::{arrival::Arrival, node::Node, peers::Peer},
+    citron_ports::{Adapter, RowStore, RowTable, StoreError},
     citron_wire::heartbeat::Heartbeat,
     rand::Rng,
     std::{rc::Rc, time::Duration},
@@ -194,88 +193,6 @@
     sleep(PAUSE.mul_f64(jitter())).await;
 }
 
-/// Learns of the other instances, and enters this one into the table of members unless
-/// a former start has. Read again after that: of two that start at once at least one
-/// learns of the other.
-pub async fn enlist<A: Adapter>(node: Rc<Node<A>>) {
-    let own = MemberWire {
-        address: node.settings.peer,
-        domain: node.settings.domain.to_string(),
-    };
-    let Ok(value) = serde_json::to_vec(&own) else {
-        return;
-    };
-    let key = node.settings.instance.to_string();
-    let rows = read_members(&node).await;
-    let listed = rows.iter().find(|row| row.key == key);
-    if listed.and_then(|row| row.value.as_ref()) != Some(&value) {
-        write_member(&node, key, value).await;
-        read_members(&node).await;
-    }
-    node.enlisted.set(Some(node.clock.now()));
-    node.hurry.notify_one();
-}
-
-async fn write_member<A: Adapter>(node: &Node<A>, key: String, value: Vec<u8>) {
-    let commit = RowCommit {
-        writes: vec![(RowTable::Members, key, value)],
-        ..RowCommit::default()
-    };
-    let mut failures = 0;
-    loop {
-        let begun = node.clock.now();
-        match node.adapter.store().commit(&commit).await {
-            Ok(_) => return node.store_answered(begun, None),
-            Err(error) => node.store_failed("enlist", &error),
-        }
-        sleep(retry_delay(failures)).await;
-        failures += 1;
-    }
-}
-
-async fn read_members<A: Adapter>(node: &Node<A>) -> Vec<Row> {
-    let mut failures = 0;
-    loop {
-        let begun = node.clock.now();
-        let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
-        let read = node.adapter.store().rows(RowTable::Members, &mut idle);
-        match read.await {
-            Ok(set) => {
-                node.store_answered(begun, set.now);
-                add(node, &set.rows);
-                return set.rows;
-            }
-            Err(error) => node.store_failed("members", &error),
-        }
-        sleep(retry_delay(failures)).await;
-        failures += 1;
-    }
-}
-
-/// Instances that start together retry together: their writes go to one part of the
-/// store, which takes so many a second.
-fn retry_delay(failures: u32) -> Duration {
-    let delay = FreshnessTimes::STANDARD.retry(Role::Other, failures);
-    delay.mul_f64(jitter())
-}
-
-fn add<A: Adapter>(node: &Node<A>, rows: &[Row]) {
-    let now = node.clock.now();
-    for row in rows {
-        let value = row.value.as_deref().unwrap_or_default();
-        let (Ok(name), Ok(member)) = (row.key.parse(), serde_json::from_slice::<MemberWire>(value))
-        else {
-            log::error!("{} member {}", crate::events::MAP_REFUSED, row.key);
-            continue;
-        };
-        if name != node.settings.instance {
-            let domain = member.domain.parse().ok();
-            let mut state = node.state.borrow_mut();
-            state.peers.add(name, member.address, domain, now);
-        }
-    }
-}
-
 /// A factor around 1, so that instances do not ask in step.
 pub fn jitter() -> f64 {
     rand::rng().random_range(0.7..1.3)
