--- a/crates/citronproxy/src/edge/as_of.rs
+++ b/crates/citronproxy/src/edge/as_of.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        freshness::{Age, Newer, Standing},
+        freshness::{Age, Lag, Standing},
         time::Time,
     },
     std::{
@@ -12,17 +12,16 @@
     },
 };
 
-/// The moments as of which an instance knows the tables of configuration, servers
-/// and owners of keys, and whether a newer configuration is known of. Control writes
-/// them with each answer, traffic reads them with each answer of its own.
+/// The moments as of which an instance knows its tables, and whether its configuration lags
+/// behind a known version. Written by control, read by traffic with each response of its own.
 ///
-/// Written with release after the view that they describe, [`Newer`] before the moments;
+/// Written with release after the view that they describe, [`Lag`] before the moments;
 /// read with acquire in the opposite order.
 #[derive(Debug, Default)]
 pub struct AsOf {
-    /// Microseconds and one more; 0 if the table was never read.
+    /// Microseconds plus one; 0 if the table was never read.
     moments: [AtomicU64; 3],
-    newer: AtomicU8,
+    lag: AtomicU8,
 }
 
 impl AsOf {
@@ -31,20 +30,20 @@
         self.moments[table].store(moment.as_micros() + 1, Ordering::Release);
     }
 
-    /// What is known of newer configurations.
-    pub fn note_newer(&self, newer: Newer) {
-        self.newer.store(newer as u8, Ordering::Release);
+    /// Whether the configuration lags behind a known version.
+    pub fn note_lag(&self, lag: Lag) {
+        self.lag.store(lag as u8, Ordering::Release);
     }
 
     /// How current the configuration is.
     pub fn config(&self, now: Time) -> Standing {
         let age = self.ages(now).config;
-        let newer = match self.newer.load(Ordering::Acquire) {
-            told if told == Newer::Told as u8 => Newer::Told,
-            unreadable if unreadable == Newer::Unreadable as u8 => Newer::Unreadable,
-            _ => Newer::None,
+        let lag = match self.lag.load(Ordering::Acquire) {
+            advertised if advertised == Lag::Advertised as u8 => Lag::Advertised,
+            unreadable if unreadable == Lag::Unreadable as u8 => Lag::Unreadable,
+            _ => Lag::None,
         };
-        Standing { age, newer }
+        Standing { age, lag }
     }
 
     /// How old what is known is.
--- a/crates/citronproxy/src/edge/board.rs
+++ b/crates/citronproxy/src/edge/board.rs
@@ -7,7 +7,7 @@
         crash::{CrashConfig, CrashLog},
         dispatch::LoadBook,
         id::ServiceName,
-        ranges::{MoveLog, MoveNews, RangeKey, Slice, Whereabouts},
+        ranges::{MoveLog, MoveNews, OwnerHint, RangeKey, Slice},
         time::Time,
     },
     std::{
@@ -23,7 +23,7 @@
 /// Handed from control to traffic and back. The locks are held for single
 /// steps on maps in memory only.
 #[derive(Debug)]
-pub struct Board {
+pub struct SharedState {
     view: ArcSwapOption<View>,
     as_of: AsOf,
     published: watch::Sender<u64>,
@@ -34,7 +34,7 @@
     leaving: watch::Sender<bool>,
 }
 
-impl Default for Board {
+impl Default for SharedState {
     fn default() -> Self {
         Self {
             view: ArcSwapOption::empty(),
@@ -49,7 +49,7 @@
     }
 }
 
-impl Board {
+impl SharedState {
     /// Makes a view the one that requests are routed by.
     pub fn publish(&self, view: View) {
         self.view.store(Some(Arc::new(view)));
@@ -103,7 +103,7 @@
         key: RangeKey,
         slice: &Slice,
         now: Time,
-    ) -> Option<Whereabouts> {
+    ) -> Option<OwnerHint> {
         let moves = self.moves.lock().unwrap_or_else(PoisonError::into_inner);
         moves.get(service)?.find(key, slice, now).cloned()
     }
--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -9,7 +9,7 @@
     },
     crate::{edge::EdgeError, events},
     citron_core::{
-        freshness::{Beats, HearTimes, Sender},
+        freshness::{HeartbeatSchedule, PropagationTimes, Sender},
         id::{Incarnation, InstanceId},
         time::Time,
     },
@@ -62,7 +62,7 @@
                 true => Sender::Planner,
                 false => Sender::Near,
             };
-            Beats::among(reporting).period(sender)
+            HeartbeatSchedule::among(reporting).period(sender)
         };
         if timeout(pause, node.hurry.notified()).await.is_ok() {
             // Something that all should know at once.
@@ -120,7 +120,7 @@
     let mut empty = node.clock.now();
     loop {
         let begun = node.clock.now();
-        match timeout(HearTimes::STANDARD.look, socket.readable()).await {
+        match timeout(PropagationTimes::STANDARD.poll_interval, socket.readable()).await {
             Ok(Ok(())) => empty = take_waiting(node, socket, empty),
             Ok(Err(error)) => log::debug!("receive datagrams: {error}"),
             Err(_) => empty = begun,
--- a/crates/citronproxy/src/edge/control/intake.rs
+++ b/crates/citronproxy/src/edge/control/intake.rs
@@ -93,11 +93,11 @@
             Ok(None) => return,
             Err(error) => {
                 log::error!("{} {error}", events::CONFIG_REFUSED);
-                state.newest.unreadable(row.version);
+                state.newest.on_unreadable(row.version);
                 return;
             }
         };
-        state.newest.read(row.version);
+        state.newest.on_readable(row.version);
         let known = state.config.as_ref().map(|config| config.version);
         if known.is_none_or(|known| config.version > known) {
             log::info!("{} version {}", events::CONFIG, config.version);
--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -189,7 +189,7 @@
 impl Retry {
     async fn after<A: Adapter>(&mut self, node: &Node<A>, error: &StoreError) {
         node.store_failed("members", error);
-        let delay = FreshnessTimes::STANDARD.retry(Role::Other, self.failures);
+        let delay = FreshnessTimes::STANDARD.backoff(Role::Follower, self.failures);
         self.failures += 1;
         sleep(delay.mul_f64(jitter())).await;
     }
--- a/crates/citronproxy/src/edge/control/moves.rs
+++ b/crates/citronproxy/src/edge/control/moves.rs
@@ -5,7 +5,7 @@
     crate::events,
     citron_core::{
         id::ServiceName,
-        ranges::{MoveNews, Order, Slice, Whereabouts},
+        ranges::{MoveNews, Order, OwnerHint, Slice},
     },
     citron_ports::Adapter,
     citron_wire::heartbeat::{Datagram, MovesWire},
@@ -77,7 +77,7 @@
                 let news = MoveNews {
                     range: *range,
                     epoch: *epoch,
-                    place: Whereabouts::Released,
+                    place: OwnerHint::Released,
                 };
                 Some((service.clone(), news))
             }
@@ -92,7 +92,7 @@
         let news = MoveNews {
             range: slice.range,
             epoch: slice.epoch,
-            place: Whereabouts::Owned(owner.clone()),
+            place: OwnerHint::Owned(owner.clone()),
         };
         self.announce(vec![(service.clone(), news)]);
     }
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -13,12 +13,13 @@
     },
     crate::{
         clock::Clock,
-        edge::{EdgeError, EdgeSettings, board::Board, pages, view::View},
+        edge::{EdgeError, EdgeSettings, board::SharedState, pages, view::View},
         events,
     },
     citron_core::{
         freshness::{
-            Beats, FetchTimes, Fetches, Freshness, FreshnessTimes, Gap, Newest, Sender, StoreHealth,
+            FetchTimes, Fetches, Freshness, FreshnessTimes, HeartbeatSchedule, Sender, StoreHealth,
+            StoreOutage, VersionTracker,
         },
         id::{InstanceId, ServerName, ServiceName},
         ranges::{MapPart, PartedMap},
@@ -99,7 +100,7 @@
     /// As of when the watched tables are known.
     pub fresh: Freshness<{ WATCHED.len() }>,
     /// The newest configuration that was heard of.
-    pub newest: Newest,
+    pub newest: VersionTracker,
     /// Who sends to cold servers, once the other instances are known.
     pub group: Option<Arc<Group>>,
 }
@@ -114,7 +115,7 @@
     /// The clock.
     pub clock: Clock,
     /// What is shared with traffic.
-    pub board: Arc<Board>,
+    pub board: Arc<SharedState>,
     /// Drawn at each start of the process.
     pub start: u64,
     /// What is known.
@@ -155,7 +156,7 @@
     adapter: A,
     settings: EdgeSettings,
     clock: Clock,
-    board: Arc<Board>,
+    board: Arc<SharedState>,
     registry: &prometheus::Registry,
 ) -> Result<(), EdgeError> {
     let counts = Counts::new(registry)?;
@@ -201,7 +202,7 @@
         adapter: A,
         settings: EdgeSettings,
         clock: Clock,
-        board: Arc<Board>,
+        board: Arc<SharedState>,
         counts: Counts,
     ) -> Self {
         let state = State {
@@ -217,7 +218,7 @@
             times: StoreClock::default(),
             health: StoreHealth::default(),
             fresh: Freshness::new(FreshnessTimes::STANDARD),
-            newest: Newest::new(FreshnessTimes::STANDARD),
+            newest: VersionTracker::new(FreshnessTimes::STANDARD),
             group: None,
         };
         Self {
@@ -278,7 +279,7 @@
 
     /// The store answered a question about a table that began at `begun`; `whole` if
     /// it told all rows there are.
-    pub fn told(&self, at: usize, set: RowSet, whole: bool, begun: Time) {
+    pub fn on_table_read(&self, at: usize, set: RowSet, whole: bool, begun: Time) {
         self.store_answered(begun, set.now);
         if at == RANGES {
             self.confirmed(begun);
@@ -297,20 +298,20 @@
     /// A table is known as of a moment. To be called before what it tells is taken in:
     /// entries that are missing after an outage may have lapsed in it.
     fn known_as_of(&self, at: usize, moment: Time) {
-        let gap = self.state.borrow_mut().fresh.told(at, moment);
-        self.outage_over(at, gap);
+        let outage = self.state.borrow_mut().fresh.record_read(at, moment);
+        self.outage_over(at, outage);
     }
 
     /// Another instance, whose table is the same, said then how old it is.
-    pub fn known_elsewhere(&self, at: usize, age: Option<Duration>, said: Time) {
+    pub fn record_peer_age(&self, at: usize, age: Option<Duration>, said: Time) {
         self.known_from(at, age, said);
         self.note_known(at);
     }
 
     /// As [`Self::known_elsewhere`], before the other's table is taken in.
     pub fn known_from(&self, at: usize, age: Option<Duration>, said: Time) {
-        let gap = self.state.borrow_mut().fresh.heard(at, age, said);
-        self.outage_over(at, gap);
+        let outage = self.state.borrow_mut().fresh.record_peer_age(at, age, said);
+        self.outage_over(at, outage);
     }
 
     /// Tells traffic how current a table is. To be called once what is known is in
@@ -320,10 +321,10 @@
         if at == CONFIG {
             let mirror = &state.mirrors[CONFIG];
             let known = mirror.version.max(mirror.changed);
-            state.newest.known(known);
-            self.note_newer(&state);
+            state.newest.apply(known);
+            self.note_lag(&state);
         }
-        if let Some(moment) = state.fresh.known(at) {
+        if let Some(moment) = state.fresh.as_of(at) {
             self.board.as_of().note(at, moment);
         }
     }
@@ -332,21 +333,21 @@
     pub fn hear_newest(&self, heartbeat: &Heartbeat) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        state.newest.told(heartbeat.versions[CONFIG], now);
-        self.note_newer(&state);
+        state.newest.advertise(heartbeat.versions[CONFIG], now);
+        self.note_lag(&state);
     }
 
-    fn note_newer(&self, state: &State) {
-        let newer = state.newest.newer(state.fresh.known(CONFIG));
-        self.board.as_of().note_newer(newer);
+    fn note_lag(&self, state: &State) {
+        let newer = state.newest.lag(state.fresh.as_of(CONFIG));
+        self.board.as_of().note_lag(newer);
     }
 
-    fn outage_over(&self, at: usize, gap: Option<Gap>) {
-        let Some(gap) = gap.filter(|_| at == SERVERS) else {
+    fn outage_over(&self, at: usize, outage: Option<StoreOutage>) {
+        let Some(outage) = outage.filter(|_| at == SERVERS) else {
             return;
         };
-        self.state.borrow_mut().registry.store_back(gap.end);
-        log::info!("{} nothing heard for {:?}", events::STORE_BACK, gap.span);
+        self.state.borrow_mut().registry.store_back(outage.end);
+        log::info!("{} nothing heard for {:?}", events::STORE_BACK, outage.span);
     }
 
     /// A call to the store failed.
@@ -409,7 +410,7 @@
             maps: state.maps.clone(),
             instances: state.peers.count(now),
             reporting,
-            reports: Beats::among(reporting).period(Sender::Near),
+            reports: HeartbeatSchedule::among(reporting).period(Sender::Near),
             group: state.group.clone(),
         });
     }
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        freshness::{Beats, HearTimes, Sender},
+        freshness::{HeartbeatSchedule, PropagationTimes, Sender},
         id::{DomainName, InstanceId},
         slowstart::Members,
         time::Time,
@@ -134,7 +134,7 @@
             true => self.peers.len(),
             false => self.near,
         };
-        let beats = Beats::among(1 + heard);
+        let beats = HeartbeatSchedule::among(1 + heard);
         Spans {
             domain: (!self.hears_all()).then_some(&self.domain),
             near: beats.lost_after(Sender::Near),
@@ -158,7 +158,7 @@
             let often = match silent {
                 true => 20,
                 false if near || round.planning => 1,
-                false => u64::from(HearTimes::STANDARD.far),
+                false => u64::from(PropagationTimes::STANDARD.cross_domain_factor),
             };
             let listens = !many || near || planner || round.planning || leads.contains(&name);
             (listens && round.number.is_multiple_of(often)).then_some(Recipient {
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -8,7 +8,7 @@
     },
     crate::events,
     citron_core::{
-        freshness::{HearTimes, Role},
+        freshness::{PropagationTimes, Role},
         time::Time,
     },
     citron_ports::{Adapter, RowSet, RowStore, RowTable, StoreError},
@@ -24,7 +24,7 @@
 const LOOK_MOST: Duration = Duration::from_millis(200);
 /// An open question whose news came on another way for so long counts as swallowed:
 /// its own answer cannot be that far behind.
-const SWALLOWED: Duration = HearTimes::STANDARD.call;
+const SWALLOWED: Duration = PropagationTimes::STANDARD.call;
 
 /// Questions to the store that stay open until there is news, one for each table.
 ///
@@ -94,7 +94,7 @@
 pub async fn run<A: Adapter>(node: Rc<Node<A>>) {
     loop {
         let left = node.until_due();
-        sleep(left.clamp(HearTimes::STANDARD.look, LOOK_MOST)).await;
+        sleep(left.clamp(PropagationTimes::STANDARD.poll_interval, LOOK_MOST)).await;
         node.questions.drop_swallowed(node.clock.now());
         if node.until_due().is_zero() && node.state.borrow().mirrors[RANGES].version > 0 {
             refresh(&node).await;
@@ -106,7 +106,7 @@
 pub fn hear_ages<A: Adapter>(node: &Node<A>, heartbeat: &Heartbeat, sent: Time) {
     for (at, age) in heartbeat.ages.into_iter().enumerate() {
         if heartbeat.versions[at] == node.state.borrow().mirrors[at].changed {
-            node.known_elsewhere(at, age.into(), sent);
+            node.record_peer_age(at, age.into(), sent);
         }
     }
 }
@@ -137,7 +137,7 @@
     let mut arrival = Arrival::of_store(node, RANGES, watch::CALL_TIME);
     let read = node.adapter.store().rows(RowTable::Ranges, &mut arrival);
     match read.await {
-        Ok(set) => node.told(RANGES, set, true, begun),
+        Ok(set) => node.on_table_read(RANGES, set, true, begun),
         Err(error) => {
             node.store_failed("maps", &error);
             return false;
@@ -177,7 +177,7 @@
     if !whole && !set.rows.is_empty() {
         node.questions.missed(at, begun);
     }
-    node.told(at, set, whole, begun);
+    node.on_table_read(at, set, whole, begun);
     version
 }
 
@@ -198,7 +198,9 @@
         let arriving = [0, 1, 2].map(|at| at != RANGES && self.is_arriving(at));
         let state = self.state.borrow();
         let now = self.clock.now();
-        state.fresh.left_without(arriving, self.role(), now)
+        state
+            .fresh
+            .time_until_due_except(arriving, self.role(), now)
     }
 
     /// Whether parts of a table are coming.
@@ -216,6 +218,6 @@
             true => self.leads(),
             false => self.is_first(),
         };
-        if reads { Role::Reader } else { Role::Other }
+        if reads { Role::Reader } else { Role::Follower }
     }
 }
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -14,7 +14,7 @@
         events,
     },
     bytes::Bytes,
-    citron_core::freshness::{Behind, Fetch, HearTimes},
+    citron_core::freshness::{Fetch, LagTimer, PropagationTimes},
     citron_ports::{Adapter, IdleTimeout, KeptClient, fetch_table},
     citron_wire::heartbeat::Heartbeat,
     citron_wire::relay::{
@@ -37,7 +37,7 @@
 /// Tables asked for from others, and handed to them.
 #[derive(Debug)]
 pub struct Relay {
-    behind: RefCell<Behind<{ WATCHED.len() }>>,
+    lag: RefCell<LagTimer<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
     packer: RefCell<Packer<{ MEMBERS + 1 }>>,
 }
@@ -45,7 +45,7 @@
 impl Default for Relay {
     fn default() -> Self {
         Self {
-            behind: RefCell::new(Behind::new(HearTimes::STANDARD.behind)),
+            lag: RefCell::new(LagTimer::new(PropagationTimes::STANDARD.lag_grace)),
             clients: RefCell::default(),
             packer: RefCell::default(),
         }
@@ -55,7 +55,7 @@
 impl Relay {
     /// A table has taken changes in.
     pub fn caught_up(&self, at: usize) {
-        self.behind.borrow_mut().caught_up(at);
+        self.lag.borrow_mut().caught_up(at);
     }
 }
 
@@ -162,8 +162,8 @@
     // The planner tells one instance of each failure domain.
     let told = heartbeat.planning && node.leads() && node.hears_planner();
     let waits = !told && (!near || reads);
-    let mut behind = node.relay.behind.borrow_mut();
-    let is_due = |at: &usize| behind.is_due(*at, waits, now);
+    let mut lag = node.relay.lag.borrow_mut();
+    let is_due = |at: &usize| lag.should_fetch(*at, waits, now);
     newer.into_iter().filter(is_due).collect()
 }
 
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -94,7 +94,7 @@
         };
         match read {
             Ok(set) => {
-                node.told(at, set, whole, begun);
+                node.on_table_read(at, set, whole, begun);
                 whole = false;
                 sleep(node.pause()).await;
             }
--- a/crates/citronproxy/src/edge/run.rs
+++ b/crates/citronproxy/src/edge/run.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         EdgeError, EdgeSettings,
-        board::Board,
+        board::SharedState,
         control,
         traffic::{self, Names},
     },
@@ -37,7 +37,7 @@
     let clock = Clock::start();
     let metrics = Metrics::new()?;
     let registry = metrics.registry().clone();
-    let board = Arc::new(Board::default());
+    let board = Arc::new(SharedState::default());
     let headers = adapter.headers().clone();
     let ready_path = adapter.ready_path().to_string();
     let (shared, known) = (Arc::clone(&board), settings.clone());
@@ -74,7 +74,7 @@
 }
 
 /// Tells of SIGTERM and SIGHUP for good.
-async fn follow_signals(board: &Board, file: PathBuf) -> Result<(), EdgeError> {
+async fn follow_signals(board: &SharedState, file: PathBuf) -> Result<(), EdgeError> {
     let caught = |kind| signal(kind).map_err(EdgeError::Signals);
     let mut terminate = caught(SignalKind::terminate())?;
     let mut interrupt = caught(SignalKind::interrupt())?;
@@ -88,7 +88,7 @@
     }
 }
 
-fn leave(board: &Board) {
+fn leave(board: &SharedState) {
     log::info!("{}", events::LEAVING);
     board.leave();
 }
--- a/crates/citronproxy/src/edge/traffic/exchange.rs
+++ b/crates/citronproxy/src/edge/traffic/exchange.rs
@@ -9,7 +9,7 @@
         paces::Paced,
     },
     crate::{
-        edge::board::Board,
+        edge::board::SharedState,
         traffic::{
             pool::{Connection, Reuse},
             request::{kept_for, strip_hop_by_hop},
@@ -83,7 +83,7 @@
 /// A request's place at a server, counted until it is dropped.
 #[derive(Debug)]
 pub struct Slot {
-    board: Arc<Board>,
+    board: Arc<SharedState>,
     room: Rc<Notify>,
     server: ServerName,
     begun: Time,
--- a/crates/citronproxy/src/edge/traffic/front.rs
+++ b/crates/citronproxy/src/edge/traffic/front.rs
@@ -7,7 +7,7 @@
         edge::{
             EdgeError, EdgeSettings,
             as_of::Ages,
-            board::Board,
+            board::SharedState,
             pages::{self, Page, page},
         },
         events, logs,
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 pub struct Front {
     /// What is shared with control.
-    pub board: Arc<Board>,
+    pub board: Arc<SharedState>,
     /// The settings.
     pub settings: EdgeSettings,
     /// The clock.
@@ -123,7 +123,7 @@
         // Read last: the standing describes a view that is published before it.
         let in_force = self.board.view()?.config.version;
         let replaced = decided_by.is_some_and(|version| version < in_force);
-        replaced.then_some(Doubt::Behind)
+        replaced.then_some(Doubt::Lagging)
     }
 
     /// The id of a request, for logs; `-` if it has none.
@@ -160,7 +160,7 @@
 /// # Errors
 /// If an address cannot be listened on.
 pub async fn run(
-    board: Arc<Board>,
+    board: Arc<SharedState>,
     settings: EdgeSettings,
     clock: Clock,
     names: Names,
--- a/crates/citronproxy/src/edge/traffic/ready.rs
+++ b/crates/citronproxy/src/edge/traffic/ready.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::edge::{
-        board::Board,
+        board::SharedState,
         pages::{Page, page},
     },
     http::StatusCode,
 };
 
 /// The answer to a balancer that asked for a path.
-pub fn answer(board: &Board, path: &str, asked: &str) -> Page {
+pub fn answer(board: &SharedState, path: &str, asked: &str) -> Page {
     let ready = board.view().is_some() && !*board.leaving().borrow();
     let status = match (asked == path, ready) {
         (false, _) => StatusCode::NOT_FOUND,
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -6,7 +6,7 @@
     citron_core::{
         dispatch::{Candidate, Decision, RejectReason, TimeLimits, choose, sample_size},
         id::{Epoch, ServerName, ServiceName},
-        ranges::{RangeKey, Whereabouts},
+        ranges::{OwnerHint, RangeKey},
         registry::Known,
         routes::Repeat,
         time::Time,
@@ -104,8 +104,8 @@
     let now = front.clock.now();
     let news = front.board.moved(query.service, key, slice, now);
     let owner = match &news {
-        Some(Whereabouts::Released) => return Target::Moving,
-        Some(Whereabouts::Owned(owner)) => Some(owner),
+        Some(OwnerHint::Released) => return Target::Moving,
+        Some(OwnerHint::Owned(owner)) => Some(owner),
         None => slice.owner.as_ref(),
     };
     let Some(owner) = owner else {
@@ -229,14 +229,14 @@
     let unheard = view.instances as f64 / view.reporting.max(1) as f64;
     let reuse = reuse(front, query.service, query.repeat);
     let candidates = servers.clone().map(|server| {
-        let near = server.entry.domain == front.settings.domain;
-        let load_factor = match near && query.key.is_none() {
+        let same_domain = server.entry.domain == front.settings.domain;
+        let load_factor = match same_domain && query.key.is_none() {
             true => 1.0,
             false => unheard.max(1.0),
         };
         Candidate {
             server,
-            near,
+            same_domain,
             kept: front.pool.has_idle(&server.entry.address, reuse),
             load_factor,
         }
--- a/crates/core/src/dispatch/choice.rs
+++ b/crates/core/src/dispatch/choice.rs
@@ -6,25 +6,35 @@
     std::{fmt, time::Duration},
 };
 
-/// Run time of a request while no server of the service was measured, in seconds.
-const RUN: f64 = 0.2;
-/// How much longer a server that has just started, or got keys without a
-/// handover, takes for a request.
-const COLD: f64 = 2.0;
-/// Part of the time up to the objective that a request may be planned to take.
-const PLANNED: f64 = 1.0;
-/// Part of the time up to the deadline that a request may be planned to take
-/// that is late anyway.
-const PLANNED_LATE: f64 = 0.5;
-/// How much nearer servers are preferred: traffic between failure domains is
-/// paid for, but waiting costs callers more.
-const FAR: f64 = 1.1;
-/// How much servers are preferred to which a connection is kept: a new one costs
-/// the server a slot for a moment. As each instance keeps others, this also keeps
-/// them from choosing the same server.
-const FRESH_CONNECTION: f64 = 2.0;
-/// How much a server that refuses all tries is avoided, in run times.
-const REFUSING: f64 = 4.0;
+/// Factors and limits by which servers are weighed.
+struct ChoiceWeights {
+    /// Run time while no server of the service was measured, in seconds.
+    default_run_time: f64,
+    /// Factor of the run time on a server that has just started, or got keys without a
+    /// handover.
+    cold: f64,
+    /// Longest planned time to a response, as a fraction of the time to the objective.
+    planned: f64,
+    /// The same for a request that is late anyway, as a fraction of the time to the deadline.
+    planned_late: f64,
+    /// Penalty of another failure domain: traffic between them is paid for.
+    cross_domain: f64,
+    /// Penalty of a new connection: it takes a slot of the server for a moment.
+    new_connection: f64,
+    /// Penalty of a server that rejects all tries, in run times.
+    rejecting: f64,
+}
+
+const WEIGHTS: ChoiceWeights = ChoiceWeights {
+    default_run_time: 0.2,
+    cold: 2.0,
+    planned: 1.0,
+    planned_late: 0.5,
+    cross_domain: 1.1,
+    new_connection: 2.0,
+    rejecting: 4.0,
+};
+
 /// Shortest and longest Retry-After, in seconds.
 const RETRY_AFTER: [f64; 2] = [0.08, 3.0];
 /// Longest Retry-After, in seconds, for a server that rejects nobody yet.
@@ -38,7 +48,7 @@
     /// The server.
     pub server: &'a Known,
     /// Whether it is in this instance's failure domain.
-    pub near: bool,
+    pub same_domain: bool,
     /// Whether a connection to it is kept that the request may use.
     pub kept: bool,
     /// Requests at the server for each that this instance knows of; above 1 where only
@@ -128,7 +138,7 @@
     mut drawn: impl FnMut() -> f64,
 ) -> Decision {
     let candidates: Vec<Candidate<'a>> = candidates.collect();
-    let view = Outlook {
+    let view = LoadEstimate {
         book,
         usual: usual_run(book, &candidates, now),
         now,
@@ -136,7 +146,10 @@
     let (mut near, mut far) = (Vec::new(), Vec::new());
     let mut room = (f64::INFINITY, RejectReason::Unreachable);
     for candidate in &candidates {
-        match (view.offer(candidate, limits, drawn()), candidate.near) {
+        match (
+            view.offer(candidate, limits, drawn()),
+            candidate.same_domain,
+        ) {
             (Ok(offer), true) => near.push(offer),
             (Ok(offer), false) => far.push(offer),
             (Err(full), _) if full.0 < room.0 => room = full,
@@ -161,14 +174,14 @@
 }
 
 /// What servers are weighed by.
-struct Outlook<'a> {
+struct LoadEstimate<'a> {
     book: &'a LoadBook,
     /// Run time of a server that nobody has measured.
     usual: f64,
     now: Time,
 }
 
-impl Outlook<'_> {
+impl LoadEstimate<'_> {
     /// How good a server is for a request; in how many seconds it should have room if
     /// it has none, and why it has none.
     fn offer<'s>(
@@ -195,9 +208,13 @@
         // One that nobody has measured lately may have joined just now, and would
         // stay without a request as long as others have room.
         let kept = candidate.kept || load.run(self.now).is_none();
-        let distance = if candidate.near { 1.0 } else { FAR };
-        let connection = if kept { 1.0 } else { FRESH_CONNECTION };
-        let refusing = 1.0 + load.refused() * REFUSING;
+        let distance = if candidate.same_domain {
+            1.0
+        } else {
+            WEIGHTS.cross_domain
+        };
+        let connection = if kept { 1.0 } else { WEIGHTS.new_connection };
+        let refusing = 1.0 + load.refused() * WEIGHTS.rejecting;
         // Jitter: instances with the same load reports would pick the same server.
         let spread = 0.9 + 0.2 * drawn;
         Ok(Offer {
@@ -242,12 +259,12 @@
 
 /// The longest time that a request may be planned to take.
 fn limit(limits: TimeLimits, run: f64) -> f64 {
-    let objective = limits.objective.as_secs_f64() * PLANNED;
+    let objective = limits.objective.as_secs_f64() * WEIGHTS.planned;
     if objective >= run {
         return objective;
     }
     // It will be late: it gets a slot that is free, and no place in a queue.
-    run.min(limits.deadline.as_secs_f64() * PLANNED_LATE)
+    run.min(limits.deadline.as_secs_f64() * WEIGHTS.planned_late)
 }
 
 /// What a server is taken to need that nobody has measured: as much as the others.
@@ -256,14 +273,18 @@
         .iter()
         .filter_map(|candidate| book.get(&candidate.server.entry.name).run(now));
     let (sum, count) = runs.fold((0.0, 0.0), |(sum, count), run| (sum + run, count + 1.0));
-    if count > 0.0 { sum / count } else { RUN }
+    if count > 0.0 {
+        sum / count
+    } else {
+        WEIGHTS.default_run_time
+    }
 }
 
 fn run_time(load: &ServerLoad, server: &Known, usual: f64, now: Time) -> f64 {
     let run = load.run(now).unwrap_or(usual);
     match server.warm_up(now).is_zero() {
         true => run,
-        false => run * COLD,
+        false => run * WEIGHTS.cold,
     }
 }
 
--- a/crates/core/src/freshness/beats.rs
+++ b/crates/core/src/freshness/beats.rs
@@ -1,15 +1,14 @@
 //! How often instances hear each other, and after which silence one counts as lost.
 
-use {super::HearTimes, std::time::Duration};
+use {super::PropagationTimes, std::time::Duration};
 
-/// After so long without a heartbeat the planner counts as lost at any size, and any
-/// other instance at the earliest: a slowed instance or a lossy link is no reason.
+/// Silence after which the planner counts as lost at any size, and any other instance at the
+/// earliest.
 pub const LOST: Duration = Duration::from_millis(1_500);
-/// Heartbeats that must be missing at least before an instance counts as lost.
-const LOST_BEATS: f64 = 3.5;
-/// So many instances that hear each other are few. With a multiple of them the time
-/// between heartbeats is that multiple: they then take the same part of a small
-/// processor at any number.
+/// Missed heartbeats after which an instance counts as lost.
+const MISSED_HEARTBEATS: f64 = 3.5;
+/// Instances per unit of the interval: its multiple keeps the processor time of heartbeats
+/// constant at any number of instances.
 const FEW: usize = 7;
 /// Time between two heartbeats of the planner at most: three are missing before it
 /// counts as lost.
@@ -26,33 +25,29 @@
     Planner,
 }
 
-/// The times of heartbeats among so many instances that hear each other.
-///
-/// The failure: heartbeats become rarer with the number of instances, and with a fixed
-/// time after which one counts as lost each is lost and found again between any two
-/// of them. Each finding makes its hearer tell all others at once, hundreds of times a
-/// second, and whether the planner seems lost is chance.
+/// Heartbeat intervals among a number of instances that hear each other. The interval grows
+/// with their number, and with it the silence after which one counts as lost.
 ///
 /// ```
-/// use {citron_core::freshness::{Beats, Sender}, std::time::Duration};
-/// let few = Beats::among(10);
+/// use {citron_core::freshness::{HeartbeatSchedule, Sender}, std::time::Duration};
+/// let few = HeartbeatSchedule::among(10);
 /// assert_eq!(few.period(Sender::Near), Duration::from_millis(100));
 /// assert_eq!(few.lost_after(Sender::Near), Duration::from_millis(1_500));
-/// let many = Beats::among(39);
+/// let many = HeartbeatSchedule::among(39);
 /// assert_eq!(many.period(Sender::Far), Duration::from_millis(1_500));
 /// assert_eq!(many.lost_after(Sender::Far), Duration::from_millis(5_250));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Beats {
+pub struct HeartbeatSchedule {
     near: Duration,
 }
 
-impl Beats {
+impl HeartbeatSchedule {
     /// For `instances` that hear each other, the own one included.
     pub fn among(instances: usize) -> Self {
         let multiple = u32::try_from(instances / FEW).unwrap_or(1).max(1);
         Self {
-            near: HearTimes::STANDARD.heartbeat * multiple,
+            near: PropagationTimes::STANDARD.heartbeat * multiple,
         }
     }
 
@@ -60,7 +55,7 @@
     pub fn period(&self, sender: Sender) -> Duration {
         match sender {
             Sender::Near => self.near,
-            Sender::Far => self.near * HearTimes::STANDARD.far,
+            Sender::Far => self.near * PropagationTimes::STANDARD.cross_domain_factor,
             Sender::Planner => self.near.min(PLANNER),
         }
     }
@@ -69,7 +64,7 @@
     pub fn lost_after(&self, sender: Sender) -> Duration {
         match sender {
             Sender::Planner => LOST,
-            Sender::Near | Sender::Far => LOST.max(self.period(sender).mul_f64(LOST_BEATS)),
+            Sender::Near | Sender::Far => LOST.max(self.period(sender).mul_f64(MISSED_HEARTBEATS)),
         }
     }
 }
--- a/crates/core/src/freshness/fetches.rs
+++ b/crates/core/src/freshness/fetches.rs
@@ -1,7 +1,7 @@
 //! Transfers of tables to an instance.
 
 use {
-    super::{FreshnessTimes, HearTimes},
+    super::{FreshnessTimes, PropagationTimes},
     crate::time::Time,
     std::{array, time::Duration},
 };
@@ -25,7 +25,7 @@
 impl FetchTimes {
     /// The defaults; see the fields.
     pub const STANDARD: Self = Self {
-        hedge_delay: HearTimes::STANDARD.call,
+        hedge_delay: PropagationTimes::STANDARD.call,
         stall_delay: Duration::from_millis(400),
         slow_delay: FreshnessTimes::STANDARD.outage,
         idle_timeout: Duration::from_millis(800),
--- /dev/null
+++ b/crates/core/src/freshness/lag.rs
@@ -0,0 +1,44 @@
+//! When a table is fetched from another instance.
+
+use {crate::time::Time, std::time::Duration};
+
+/// Since when each of `N` tables has lagged behind another instance's.
+///
+/// An instance that should learn of a change by itself is given a grace period first.
+///
+/// ```
+/// use {citron_core::{freshness::LagTimer, time::Time}, std::time::Duration};
+/// let at = |millis: u64| Time::from_micros(millis * 1_000);
+/// let mut lag = LagTimer::<1>::new(Duration::from_millis(250));
+/// assert!(!lag.should_fetch(0, true, at(100)));
+/// assert!(lag.should_fetch(0, true, at(360)));
+/// lag.caught_up(0);
+/// assert!(lag.should_fetch(0, false, at(400)));
+/// ```
+#[derive(Debug)]
+pub struct LagTimer<const N: usize> {
+    grace: Duration,
+    since: [Option<Time>; N],
+}
+
+impl<const N: usize> LagTimer<N> {
+    /// A timer with this grace period.
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace,
+            since: [None; N],
+        }
+    }
+
+    /// Another instance's table is newer: whether to fetch it now. One that `expects_news`
+    /// of its own waits until the grace period has passed.
+    pub fn should_fetch(&mut self, table: usize, expects_news: bool, now: Time) -> bool {
+        let since = *self.since[table].get_or_insert(now);
+        !expects_news || now - since > self.grace
+    }
+
+    /// A table has applied changes.
+    pub fn caught_up(&mut self, table: usize) {
+        self.since[table] = None;
+    }
+}
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -1,24 +1,23 @@
-//! How old what an instance knows of the store's tables is, and who asks anew.
+//! How old an instance's copies of the store's tables are, and who polls the store.
 //!
-//! A question to the store stays open until there is news. That it is open is no
-//! sign that there is none: its answer may have been lost. So each table has an
-//! age, which only an answer resets, and which instances tell each other; whoever
-//! finds it too high asks a question that is answered at once.
+//! An open watch is no sign that nothing has changed: its response may have been lost. Each
+//! table therefore has an age, which only a response resets. Instances advertise their ages to
+//! each other, and one whose table is too old polls the store.
 
 mod beats;
-mod behind;
 mod book;
 mod fetches;
 mod health;
+mod lag;
 mod standing;
 mod times;
 
 pub use {
-    beats::{Beats, LOST, Sender},
-    behind::Behind,
-    book::{Age, Freshness, Gap},
+    beats::{HeartbeatSchedule, LOST, Sender},
+    book::{Age, Freshness, StoreOutage},
     fetches::{Fetch, FetchTimes, Fetches},
     health::StoreHealth,
-    standing::{Doubt, Newer, Newest, Standing},
-    times::{FreshnessTimes, HearTimes, Role},
+    lag::LagTimer,
+    standing::{Doubt, Lag, Standing, VersionTracker},
+    times::{FreshnessTimes, PropagationTimes, Role},
 };
--- a/crates/core/src/freshness/standing.rs
+++ b/crates/core/src/freshness/standing.rs
@@ -7,15 +7,15 @@
     thiserror::Error,
 };
 
-/// What is known of versions of a table that are newer than the one in force.
+/// Whether a table lags behind a version that is known to exist.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Newer {
-    /// Nothing.
+pub enum Lag {
+    /// No higher version is known.
     #[default]
     None,
-    /// Another instance has one.
-    Told,
-    /// One was seen that could not be read.
+    /// Another instance advertised a higher version.
+    Advertised,
+    /// A row of a higher version could not be decoded.
     Unreadable,
 }
 
@@ -30,121 +30,118 @@
     Old(Duration),
     /// There is a newer one.
     #[error("a newer one is known of")]
-    Behind,
+    Lagging,
     /// There is a newer one that could not be read.
     #[error("a newer one cannot be read")]
     Unreadable,
 }
 
-/// What is known of a table's currency.
-///
-/// The failure: an instance that has missed a change answers a request to a new route
-/// that there is none, and its caller does not try again, though any other instance
-/// would have served it. What may be wrong only here must not be final.
+/// How current a table is. A final negative response needs one in good standing: any other
+/// instance may have the route that is missing here.
 ///
 /// ```
 /// use {
-///     citron_core::freshness::{Doubt, FreshnessTimes, Newer, Standing},
+///     citron_core::freshness::{Doubt, FreshnessTimes, Lag, Standing},
 ///     std::time::Duration,
 /// };
 /// let times = FreshnessTimes::STANDARD;
 /// let age = Some(Duration::from_millis(80));
-/// let newer = Newer::None;
-/// assert_eq!(Standing { age, newer }.doubt(&times), None);
-/// let newer = Newer::Told;
-/// assert_eq!(Standing { age, newer }.doubt(&times), Some(Doubt::Behind));
+/// let lag = Lag::None;
+/// assert_eq!(Standing { age, lag }.doubt(&times), None);
+/// let lag = Lag::Advertised;
+/// assert_eq!(Standing { age, lag }.doubt(&times), Some(Doubt::Lagging));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Standing {
     /// How old what is known is.
     pub age: Age,
-    /// What is known of newer versions.
-    pub newer: Newer,
+    /// Whether it lags behind a known version.
+    pub lag: Lag,
 }
 
 impl Standing {
     /// Why the table is not good enough; `None` if it is.
     pub fn doubt(&self, times: &FreshnessTimes) -> Option<Doubt> {
-        match (self.newer, self.age) {
-            (Newer::Unreadable, _) => Some(Doubt::Unreadable),
-            (Newer::Told, _) => Some(Doubt::Behind),
-            (Newer::None, None) => Some(Doubt::Unread),
-            (Newer::None, Some(age)) => (age > times.outage).then_some(Doubt::Old(age)),
+        match (self.lag, self.age) {
+            (Lag::Unreadable, _) => Some(Doubt::Unreadable),
+            (Lag::Advertised, _) => Some(Doubt::Lagging),
+            (Lag::None, None) => Some(Doubt::Unread),
+            (Lag::None, Some(age)) => (age > times.outage).then_some(Doubt::Old(age)),
         }
     }
 }
 
-/// The newest version of a table that was heard of.
+/// Tracks the applied and the highest advertised version of a table.
 ///
-/// One that is told of counts until it is taken in, or the table is known as of an
-/// outage after it was last told of: who told may have read all rows, and name the
-/// version of that reading for the newest change, and end before it can be asked.
+/// An advertised version expires one `outage` after it was last advertised: the peer may have
+/// advertised the version of a read rather than of a change, and have ended since.
 ///
 /// ```
-/// use citron_core::{freshness::{FreshnessTimes, Newer, Newest}, time::Time};
-/// let mut newest = Newest::new(FreshnessTimes::STANDARD);
+/// use citron_core::{freshness::{FreshnessTimes, Lag, VersionTracker}, time::Time};
+/// let mut tracker = VersionTracker::new(FreshnessTimes::STANDARD);
 /// let now = Time::from_micros(5_000);
-/// newest.known(7);
-/// newest.told(9, now);
-/// assert_eq!(newest.newer(Some(now)), Newer::Told);
-/// newest.known(9);
-/// assert_eq!(newest.newer(Some(now)), Newer::None);
+/// tracker.apply(7);
+/// tracker.advertise(9, now);
+/// assert_eq!(tracker.lag(Some(now)), Lag::Advertised);
+/// tracker.apply(9);
+/// assert_eq!(tracker.lag(Some(now)), Lag::None);
 /// ```
 #[derive(Debug, Clone, Copy)]
-pub struct Newest {
+pub struct VersionTracker {
     times: FreshnessTimes,
-    known: u64,
-    told: u64,
-    /// When a newer one was last told of.
-    heard: Time,
+    applied: u64,
+    advertised: u64,
+    /// When a version above the applied one was last advertised.
+    advertised_at: Time,
     unreadable: Option<u64>,
 }
 
-impl Newest {
-    /// Nothing was heard of.
+impl VersionTracker {
+    /// Nothing is known.
     pub fn new(times: FreshnessTimes) -> Self {
         Self {
             times,
-            known: 0,
-            told: 0,
-            heard: Time::ZERO,
+            applied: 0,
+            advertised: 0,
+            advertised_at: Time::ZERO,
             unreadable: None,
         }
     }
 
-    /// All changes up to a version are taken in.
-    pub fn known(&mut self, version: u64) {
-        self.known = self.known.max(version);
+    /// All changes up to a version are applied.
+    pub fn apply(&mut self, version: u64) {
+        self.applied = self.applied.max(version);
     }
 
-    /// Another instance has a version.
-    pub fn told(&mut self, version: u64, now: Time) {
-        if version > self.known {
-            self.told = self.told.max(version);
-            self.heard = now;
+    /// Another instance advertises a version.
+    pub fn advertise(&mut self, version: u64, now: Time) {
+        if version > self.applied {
+            self.advertised = self.advertised.max(version);
+            self.advertised_at = now;
         }
     }
 
-    /// A row of this version was read.
-    pub fn read(&mut self, version: u64) {
+    /// A row of this version was decoded.
+    pub fn on_readable(&mut self, version: u64) {
         self.unreadable = self.unreadable.filter(|refused| *refused >= version);
     }
 
-    /// A row of this version could not be read.
-    pub fn unreadable(&mut self, version: u64) {
+    /// A row of this version could not be decoded.
+    pub fn on_unreadable(&mut self, version: u64) {
         self.unreadable = self.unreadable.max(Some(version));
     }
 
-    /// What is known of versions newer than the one in force, which is known as of a
-    /// moment.
-    pub fn newer(&self, as_of: Option<Time>) -> Newer {
+    /// Whether the applied version, which is known as of a moment, lags behind.
+    pub fn lag(&self, as_of: Option<Time>) -> Lag {
         if self.unreadable.is_some() {
-            return Newer::Unreadable;
+            return Lag::Unreadable;
         }
-        let over = as_of.is_some_and(|as_of| as_of > self.heard + self.times.outage);
-        match self.told > self.known && !over {
-            true => Newer::Told,
-            false => Newer::None,
+        let expires = self.advertised_at + self.times.outage;
+        let expired = as_of.is_some_and(|as_of| as_of > expires);
+        if self.advertised > self.applied && !expired {
+            Lag::Advertised
+        } else {
+            Lag::None
         }
     }
 }
--- a/crates/core/src/freshness/times.rs
+++ b/crates/core/src/freshness/times.rs
@@ -1,38 +1,36 @@
-//! Spans of time that bound how late news may come.
+//! Intervals and bounds of how tables spread.
 
 use std::time::Duration;
 
-/// What an instance does towards the store: the fewer have a role, the earlier they
-/// ask, so that most of the time one call serves all.
+/// What an instance does towards the store. The fewer have a role, the earlier they poll, so
+/// that most of the time one call serves all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// It plans; there is one.
+    /// Plans; there is one.
     Planner,
-    /// It reads the store for its failure domain.
+    /// Reads the store for its failure domain.
     Reader,
-    /// It hears of changes from others.
-    Other,
+    /// Learns of changes from peers.
+    Follower,
 }
 
-/// At which age of a table an instance asks the store itself.
+/// The age of a table at which an instance polls the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FreshnessTimes {
-    /// The planner: two calls a second while nothing changes. All calls of ten
-    /// instances to the store became more by a fifth to two thirds, counted over five
-    /// runs of 46 seconds.
+    /// Poll interval of the planner.
     pub planner: Duration,
-    /// A reader: by then the planner's answer would have been heard of, a lost
-    /// datagram and a busy processor allowed for.
+    /// Poll interval of a reader; longer than the planner's by a lost datagram and a busy
+    /// processor.
     pub reader: Duration,
-    /// Any other: by then a reader's would.
-    pub other: Duration,
-    /// After a call that failed, on average.
-    pub again: Duration,
-    /// The same after several that failed in a row, for instances that hear of changes
-    /// from others: where hundreds ask, one of them finds the store's return soon.
-    pub again_most: Duration,
-    /// An age that no instance reaches while one of them hears the store, and less
-    /// than the silence in which entries of servers lapse: three of their heartbeats.
+    /// Poll interval of a follower; longer than a reader's for the same reason.
+    pub follower: Duration,
+    /// Mean retry delay after a failed call.
+    pub retry_delay: Duration,
+    /// Longest retry delay of followers: where hundreds poll, one of them finds the store's
+    /// return soon.
+    pub max_retry_delay: Duration,
+    /// Age above which the store is presumed unreachable. Must stay below three heartbeats of
+    /// a server, after which registrations expire.
     pub outage: Duration,
 }
 
@@ -41,80 +39,81 @@
     pub const STANDARD: Self = Self {
         planner: Duration::from_millis(500),
         reader: Duration::from_millis(700),
-        other: Duration::from_millis(900),
-        again: Duration::from_millis(350),
-        again_most: Duration::from_millis(1_400),
+        follower: Duration::from_millis(900),
+        retry_delay: Duration::from_millis(350),
+        max_retry_delay: Duration::from_millis(1_400),
         outage: Duration::from_millis(1_500),
     };
 
-    /// The pause after a call that failed, `failures` others having failed before.
+    /// The retry delay after a number of failures in a row.
     ///
     /// ```
     /// use citron_core::freshness::{FreshnessTimes, Role};
     /// let times = FreshnessTimes::STANDARD;
-    /// assert_eq!(times.retry(Role::Planner, 9), times.again);
-    /// assert_eq!(times.retry(Role::Other, 1), times.again * 2);
-    /// assert_eq!(times.retry(Role::Other, 9), times.again_most);
+    /// assert_eq!(times.backoff(Role::Planner, 9), times.retry_delay);
+    /// assert_eq!(times.backoff(Role::Follower, 1), times.retry_delay * 2);
+    /// assert_eq!(times.backoff(Role::Follower, 9), times.max_retry_delay);
     /// ```
-    pub fn retry(&self, role: Role, failures: u32) -> Duration {
+    pub fn backoff(&self, role: Role, failures: u32) -> Duration {
         match role {
-            Role::Planner | Role::Reader => self.again,
-            Role::Other => (self.again * (1 << failures.min(8))).min(self.again_most),
+            Role::Planner | Role::Reader => self.retry_delay,
+            Role::Follower => {
+                let delay = self.retry_delay * (1 << failures.min(8));
+                delay.min(self.max_retry_delay)
+            }
         }
     }
 
-    /// The age at which an instance asks.
+    /// The poll interval of a role.
     pub fn of(&self, role: Role) -> Duration {
         match role {
             Role::Planner => self.planner,
             Role::Reader => self.reader,
-            Role::Other => self.other,
+            Role::Follower => self.follower,
         }
     }
 }
 
-/// How long the steps take by which news goes from one instance to all.
+/// Durations of the steps by which a change spreads to all instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HearTimes {
-    /// How often an instance looks whether a table is too old.
-    pub look: Duration,
-    /// A call to the store or to another instance: it answers within some
-    /// milliseconds, and a small processor may be taken away for most of 100 ms.
+pub struct PropagationTimes {
+    /// How often an instance checks the ages of its tables.
+    pub poll_interval: Duration,
+    /// A call to the store or to another instance, on a processor that may be taken away
+    /// for most of 100 ms.
     pub call: Duration,
-    /// Time between two heartbeats to the same failure domain, with few instances.
+    /// Time between two heartbeats within a failure domain, with few instances.
     pub heartbeat: Duration,
-    /// Heartbeats to other failure domains are by so much rarer.
-    pub far: u32,
-    /// How long an instance that reads the store itself, or hears of a change from
-    /// another failure domain, waits for its own news: the store's answer is some
-    /// milliseconds away, and bytes between failure domains are paid for.
-    pub behind: Duration,
+    /// Heartbeats to other failure domains are rarer by this factor.
+    pub cross_domain_factor: u32,
+    /// How long an instance that should learn of a change by itself lags before it fetches
+    /// the table from a peer: bytes between failure domains are paid for.
+    pub lag_grace: Duration,
 }
 
-impl HearTimes {
+impl PropagationTimes {
     /// The defaults; see the fields.
     pub const STANDARD: Self = Self {
-        look: Duration::from_millis(50),
+        poll_interval: Duration::from_millis(50),
         call: Duration::from_millis(100),
         heartbeat: Duration::from_millis(100),
-        far: 3,
-        behind: Duration::from_millis(250),
+        cross_domain_factor: 3,
+        lag_grace: Duration::from_millis(250),
     };
 
-    /// The longest time from the store's acknowledgement of a change until each
-    /// instance knows it, as long as the store answers one of them: the last to ask
-    /// does so, the datagram that tells of it is lost, and who hears of it then waits
-    /// for its own news in vain, until a heartbeat shows that it is still behind.
+    /// The longest propagation delay from the store's acknowledgement of a change to each
+    /// instance, as long as one of them reaches the store: the last to poll does so, the
+    /// datagram that advertises the change is lost, and the hearer's grace period passes.
     ///
     /// ```
-    /// use {citron_core::freshness::{FreshnessTimes, HearTimes}, std::time::Duration};
-    /// let worst = HearTimes::STANDARD.worst(&FreshnessTimes::STANDARD);
-    /// assert_eq!(worst, Duration::from_millis(1_800));
+    /// use {citron_core::freshness::{FreshnessTimes, PropagationTimes}, std::time::Duration};
+    /// let max = PropagationTimes::STANDARD.max_delay(&FreshnessTimes::STANDARD);
+    /// assert_eq!(max, Duration::from_millis(1_800));
     /// ```
-    pub fn worst(&self, times: &FreshnessTimes) -> Duration {
-        let asked = times.other + self.look + self.call;
-        let heard = self.heartbeat * self.far;
-        let fetched = self.behind + self.heartbeat + self.call;
-        asked + heard + fetched
+    pub fn max_delay(&self, times: &FreshnessTimes) -> Duration {
+        let polled = times.follower + self.poll_interval + self.call;
+        let advertised = self.heartbeat * self.cross_domain_factor;
+        let fetched = self.lag_grace + self.heartbeat + self.call;
+        polled + advertised + fetched
     }
 }
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -25,7 +25,7 @@
     even::EvenClock,
     key::{KeyRange, RangeKey},
     map::{RangeMap, Slice},
-    news::{MoveLog, MoveNews, Whereabouts},
+    news::{MoveLog, MoveNews, OwnerHint},
     parts::{MapPart, PartedMap, partition},
     reconciler::{Order, OrderEnd, OwnerState, Owners, Reconciler, Scope},
     windows::DemandWindows,
--- a/crates/core/src/ranges/news.rs
+++ b/crates/core/src/ranges/news.rs
@@ -20,7 +20,7 @@
 
 /// Where keys are that have left their owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Whereabouts {
+pub enum OwnerHint {
     /// Their owner was told to give them up.
     Released,
     /// Another server holds them.
@@ -35,7 +35,7 @@
     /// The epoch of their next owner.
     pub epoch: Epoch,
     /// Where they are.
-    pub place: Whereabouts,
+    pub place: OwnerHint,
 }
 
 /// News of one service's keys. Each server checks what it holds, so that news may be late,
@@ -46,13 +46,13 @@
 /// let news = MoveNews {
 ///     range: "0-99".parse().unwrap(),
 ///     epoch: Epoch(1),
-///     place: Whereabouts::Released,
+///     place: OwnerHint::Released,
 /// };
 /// let mut log = MoveLog::default();
 /// log.note(news, Time::ZERO);
 /// let map = RangeMap::new();
 /// let key = RangeKey(7);
-/// assert_eq!(log.find(key, map.slice(key), Time::ZERO), Some(&Whereabouts::Released));
+/// assert_eq!(log.find(key, map.slice(key), Time::ZERO), Some(&OwnerHint::Released));
 /// ```
 #[derive(Debug, Default)]
 pub struct MoveLog {
@@ -69,8 +69,8 @@
 impl Entry {
     fn counts(&self, now: Time) -> bool {
         let span = match self.news.place {
-            Whereabouts::Released => RELEASE_TIME,
-            Whereabouts::Owned(_) => OWNER_TIME,
+            OwnerHint::Released => RELEASE_TIME,
+            OwnerHint::Owned(_) => OWNER_TIME,
         };
         now - self.heard < span
     }
@@ -78,8 +78,8 @@
     /// Whether news says nothing more than this.
     fn includes(&self, news: &MoveNews) -> bool {
         let known = self.news.range == news.range && self.news.epoch >= news.epoch;
-        let owned = matches!(self.news.place, Whereabouts::Owned(_));
-        known && (owned || news.place == Whereabouts::Released)
+        let owned = matches!(self.news.place, OwnerHint::Owned(_));
+        known && (owned || news.place == OwnerHint::Released)
     }
 }
 
@@ -103,14 +103,14 @@
 
     /// What is newer about a key than its slice of the map tells. A map may come before
     /// the owner that it names has been granted the keys.
-    pub fn find(&self, key: RangeKey, slice: &Slice, now: Time) -> Option<&Whereabouts> {
+    pub fn find(&self, key: RangeKey, slice: &Slice, now: Time) -> Option<&OwnerHint> {
         let newer = |entry: &&Entry| {
             let news = &entry.news;
             news.epoch >= slice.epoch && news.range.contains(key) && entry.counts(now)
         };
         // Of a release and the owner that follows, both of one epoch, the later one counts.
         let rank = |entry: &&Entry| {
-            let owned = matches!(entry.news.place, Whereabouts::Owned(_));
+            let owned = matches!(entry.news.place, OwnerHint::Owned(_));
             (entry.news.epoch, owned)
         };
         let newest = self.entries.iter().filter(newer).max_by_key(rank);
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -7,7 +7,7 @@
 mod window;
 
 use {
-    super::{Balance, KeyRange, LeaseBook, MoveNews, RangeMap, Whereabouts},
+    super::{Balance, KeyRange, LeaseBook, MoveNews, OwnerHint, RangeMap},
     crate::{
         id::Epoch,
         time::{StoreClock, Time},
@@ -62,7 +62,7 @@
     /// owner has seen the epoch of the release and refuses any grant below it.
     pub fn note_release(&mut self, news: &MoveNews) {
         let newer = news.epoch > self.map.epoch(news.range);
-        if newer && news.place == Whereabouts::Released {
+        if newer && news.place == OwnerHint::Released {
             self.outdated.push((news.range, news.epoch));
             self.handed.insert(news.range);
         }
--- a/crates/core/tests/beats.rs
+++ b/crates/core/tests/beats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats among 5 to 400 instances, in virtual time.
 
 use {
-    citron_core::freshness::{Beats, LOST, Sender},
+    citron_core::freshness::{HeartbeatSchedule, LOST, Sender},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::time::Duration,
@@ -17,7 +17,7 @@
 
 /// How often a sender that is always there counts as lost within ten minutes, by a
 /// silence of `lost`.
-fn losses(beats: Beats, sender: Sender, lost: Duration, seed: u64) -> u32 {
+fn losses(beats: HeartbeatSchedule, sender: Sender, lost: Duration, seed: u64) -> u32 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (mut now, mut heard, mut count) = (Duration::ZERO, Duration::ZERO, 0);
     let mut dropped = 0;
@@ -42,10 +42,10 @@
 /// the time going by how often a sender is heard, nobody is lost at any size.
 #[test]
 fn who_is_there_is_not_lost_at_any_size() {
-    let fixed = losses(Beats::among(39), Sender::Far, LOST, 1);
+    let fixed = losses(HeartbeatSchedule::among(39), Sender::Far, LOST, 1);
     assert!(fixed > 200, "the pattern is gone: {fixed}");
     for size in SIZES {
-        let beats = Beats::among(size);
+        let beats = HeartbeatSchedule::among(size);
         for (sender, seed) in SENDERS.into_iter().zip(1..) {
             let lost = losses(beats, sender, beats.lost_after(sender), seed);
             assert_eq!(lost, 0, "{sender:?} among {size}");
@@ -58,7 +58,7 @@
 #[test]
 fn a_lost_planner_is_noticed_at_any_size() {
     for size in SIZES {
-        let beats = Beats::among(size);
+        let beats = HeartbeatSchedule::among(size);
         assert_eq!(beats.lost_after(Sender::Planner), LOST);
         assert!(beats.period(Sender::Planner) * 3 < LOST, "among {size}");
     }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -45,7 +45,7 @@
 fn pick(book: &LoadBook, servers: &[Known], limits: TimeLimits) -> Decision {
     let candidates = servers.iter().map(|server| Candidate {
         server,
-        near: true,
+        same_domain: true,
         kept: true,
         load_factor: 1.0,
     });
@@ -163,7 +163,7 @@
     let candidates = || {
         servers.iter().map(|server| Candidate {
             server,
-            near: true,
+            same_domain: true,
             kept: true,
             load_factor: 1.0,
         })
@@ -189,7 +189,7 @@
         let mut draws = [0.9, 0.1].into_iter().cycle();
         let candidates = servers.iter().map(|server| Candidate {
             server,
-            near: true,
+            same_domain: true,
             kept: server.entry.name == servers[0].entry.name,
             load_factor: 1.0,
         });
@@ -275,7 +275,7 @@
     let reason = |book: &LoadBook, now| {
         let candidates = servers.iter().map(|server| Candidate {
             server,
-            near: true,
+            same_domain: true,
             kept: false,
             load_factor: 1.0,
         });
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -3,7 +3,7 @@
 
 use {
     citron_core::{
-        freshness::{Age, Behind, Freshness, FreshnessTimes, HearTimes, Role},
+        freshness::{Age, Freshness, FreshnessTimes, LagTimer, PropagationTimes, Role},
         time::Time,
     },
     rand::{Rng, SeedableRng},
@@ -12,7 +12,7 @@
 };
 
 const TIMES: FreshnessTimes = FreshnessTimes::STANDARD;
-const HEAR: HearTimes = HearTimes::STANDARD;
+const HEAR: PropagationTimes = PropagationTimes::STANDARD;
 /// What the operators set: a server that leaves may get requests for so long, and a
 /// change of configuration must be in force.
 const BOUND: Duration = Duration::from_secs(2);
@@ -29,7 +29,7 @@
 
 struct Instance {
     fresh: Freshness<1>,
-    behind: Behind<1>,
+    behind: LagTimer<1>,
     version: u64,
     /// Whether the store's answers reach it.
     hears: bool,
@@ -79,10 +79,10 @@
         let mut phase = |most: Duration| at(rng.random_range(0..most.as_millis() as u64));
         let instances = (0..INSTANCES).map(|_| Instance {
             fresh: Freshness::new(TIMES),
-            behind: Behind::new(HEAR.behind),
+            behind: LagTimer::new(HEAR.lag_grace),
             version: 1,
             hears: true,
-            look: phase(HEAR.look),
+            look: phase(HEAR.poll_interval),
             beat: phase(HEAR.heartbeat),
             rounds: 0,
             hurry: false,
@@ -114,7 +114,7 @@
         match me {
             0 => Role::Planner,
             _ if me < DOMAINS => Role::Reader,
-            _ => Role::Other,
+            _ => Role::Follower,
         }
     }
 
@@ -154,7 +154,7 @@
     fn look(&mut self, me: usize) {
         let (now, role) = (self.now, self.role(me));
         let instance = &mut self.instances[me];
-        instance.look = now + HEAR.look;
+        instance.look = now + HEAR.poll_interval;
         if !instance.fresh.is_due(role, now) {
             return;
         }
@@ -181,7 +181,10 @@
         let all = std::mem::take(&mut instance.hurry);
         instance.beat = self.now + HEAR.heartbeat;
         instance.rounds += 1;
-        let far = all || instance.rounds.is_multiple_of(HEAR.far.into());
+        let far = all
+            || instance
+                .rounds
+                .is_multiple_of(HEAR.cross_domain_factor.into());
         let (version, age) = (instance.version, instance.fresh.age(0, self.now));
         for to in (0..INSTANCES).filter(|to| *to != me) {
             let near = to % DOMAINS == me % DOMAINS;
@@ -203,7 +206,7 @@
         match event {
             Event::Answer { to, begun, version } => {
                 let instance = &mut self.instances[to];
-                instance.fresh.told(0, begun);
+                instance.fresh.record_read(0, begun);
                 instance.version = version;
                 instance.hurry = true;
             }
@@ -220,7 +223,7 @@
                 age,
             } => {
                 let instance = &mut self.instances[to];
-                instance.fresh.heard(0, age, begun);
+                instance.fresh.record_peer_age(0, age, begun);
                 instance.version = instance.version.max(version);
                 instance.behind.caught_up(0);
             }
@@ -229,13 +232,13 @@
 
     fn hear(&mut self, to: usize, from: usize, version: u64, age: Age) {
         let near = to % DOMAINS == from % DOMAINS;
-        let waits = !near || self.role(to) != Role::Other;
+        let waits = !near || self.role(to) != Role::Follower;
         let now = self.now;
         let instance = &mut self.instances[to];
         if version == instance.version {
-            instance.fresh.heard(0, age, now);
+            instance.fresh.record_peer_age(0, age, now);
         }
-        if version <= instance.version || !instance.behind.is_due(0, waits, now) {
+        if version <= instance.version || !instance.behind.should_fetch(0, waits, now) {
             return;
         }
         let sender = &self.instances[from];
@@ -265,7 +268,7 @@
 /// one knows a change within the sum of the named spans, and that is under the bound.
 #[test]
 fn a_change_is_known_everywhere_in_time_as_long_as_one_instance_hears_the_store() {
-    let worst = HEAR.worst(&TIMES);
+    let worst = HEAR.max_delay(&TIMES);
     assert!(worst < BOUND);
     let mut longest = Duration::ZERO;
     for seed in 0..400 {
@@ -277,7 +280,7 @@
         longest = longest.max(late);
     }
     // Else the sum would hold for want of a hard case.
-    assert!(longest > TIMES.other, "{longest:?}");
+    assert!(longest > TIMES.follower, "{longest:?}");
 }
 
 /// Who does not hear: all but one, the ones that ask first, the planner, or anyone.
@@ -300,7 +303,7 @@
     for seed in 0..200 {
         let mut world = World::deafened(seed, 5);
         let late = world.change();
-        assert!(late <= HEAR.worst(&TIMES), "seed {seed}: {late:?}");
+        assert!(late <= HEAR.max_delay(&TIMES), "seed {seed}: {late:?}");
     }
 }
 
@@ -322,13 +325,13 @@
 #[test]
 fn what_others_heard_is_no_outage() {
     let mut fresh = Freshness::<1>::new(TIMES);
-    assert_eq!(fresh.told(0, at(0)), None);
+    assert_eq!(fresh.record_read(0, at(0)), None);
     for tick in 1..50 {
         let age = Some(Duration::from_millis(600));
-        assert_eq!(fresh.heard(0, age, at(tick * 500)), None);
+        assert_eq!(fresh.record_peer_age(0, age, at(tick * 500)), None);
     }
-    assert_eq!(fresh.told(0, at(25_000)), None);
-    let gap = fresh.told(0, at(27_000)).unwrap();
+    assert_eq!(fresh.record_read(0, at(25_000)), None);
+    let gap = fresh.record_read(0, at(27_000)).unwrap();
     assert_eq!(gap.span, Duration::from_secs(2));
     assert_eq!(gap.end, at(27_000));
 }
@@ -372,9 +375,9 @@
 #[test]
 fn the_store_is_not_due_for_tables_that_are_arriving() {
     let mut fresh = Freshness::<2>::new(TIMES);
-    fresh.told(0, at(0));
-    fresh.told(1, at(1_000));
-    let left = |arriving| fresh.left_without(arriving, Role::Other, at(1_100));
+    fresh.record_read(0, at(0));
+    fresh.record_read(1, at(1_000));
+    let left = |arriving| fresh.time_until_due_except(arriving, Role::Follower, at(1_100));
     assert!(left([false, false]).is_zero());
     assert!(!left([true, false]).is_zero());
     assert!(!left([true, true]).is_zero());
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -3,7 +3,7 @@
 use {
     citron_core::{
         id::{Epoch, ServerName},
-        ranges::{KeyRange, MoveLog, MoveNews, RangeKey, RangeMap, Whereabouts},
+        ranges::{KeyRange, MoveLog, MoveNews, OwnerHint, RangeKey, RangeMap},
         time::Time,
     },
     std::time::Duration,
@@ -27,13 +27,13 @@
     MoveNews {
         range: range(),
         epoch: Epoch(epoch),
-        place: Whereabouts::Released,
+        place: OwnerHint::Released,
     }
 }
 
 fn owned(epoch: u64, number: usize) -> MoveNews {
     MoveNews {
-        place: Whereabouts::Owned(server(number)),
+        place: OwnerHint::Owned(server(number)),
         ..released(epoch)
     }
 }
@@ -45,7 +45,7 @@
     map
 }
 
-fn find(log: &MoveLog, map: &RangeMap, now: Time) -> Option<Whereabouts> {
+fn find(log: &MoveLog, map: &RangeMap, now: Time) -> Option<OwnerHint> {
     log.find(KEY, map.slice(KEY), now).cloned()
 }
 
@@ -57,9 +57,9 @@
     let (mut log, map) = (MoveLog::default(), map(1));
     assert_eq!(find(&log, &map, at(0)), None);
     log.note(released(2), at(0));
-    assert_eq!(find(&log, &map, at(10)), Some(Whereabouts::Released));
+    assert_eq!(find(&log, &map, at(10)), Some(OwnerHint::Released));
     log.note(owned(2, 2), at(200));
-    let owner = Some(Whereabouts::Owned(server(2)));
+    let owner = Some(OwnerHint::Owned(server(2)));
     assert_eq!(find(&log, &map, at(210)), owner);
     // A datagram that was overtaken.
     log.note(released(2), at(220));
@@ -84,10 +84,7 @@
     }
     assert_eq!(find(&log, &map(1), at(62_500)), None);
     log.note(released(6), at(120_000));
-    assert_eq!(
-        find(&log, &map(1), at(120_010)),
-        Some(Whereabouts::Released)
-    );
+    assert_eq!(find(&log, &map(1), at(120_010)), Some(OwnerHint::Released));
 }
 
 /// Guards against requests that reach the next owner before its grant, as the map that
@@ -96,9 +93,9 @@
 fn a_map_that_comes_before_the_grant_is_not_followed() {
     let mut log = MoveLog::default();
     log.note(released(2), at(0));
-    assert_eq!(find(&log, &map(2), at(100)), Some(Whereabouts::Released));
+    assert_eq!(find(&log, &map(2), at(100)), Some(OwnerHint::Released));
     log.note(owned(2, 2), at(150));
-    let owner = Some(Whereabouts::Owned(server(2)));
+    let owner = Some(OwnerHint::Owned(server(2)));
     assert_eq!(find(&log, &map(2), at(160)), owner);
     log.note(released(9), at(200));
     assert_eq!(find(&log, &map(2), at(1_500)), owner);
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -6,7 +6,7 @@
         id::ServerName,
         ranges::{
             Balance, BalanceLimits, Capacity, Demand, LeaseBook, LeaseTimes, MoveNews, Order,
-            OrderEnd, OwnerState, Owners, RangeMap, Reconciler, Scope, Whereabouts,
+            OrderEnd, OwnerHint, OwnerState, Owners, RangeMap, Reconciler, Scope,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -550,7 +550,7 @@
             self.news.push(MoveNews {
                 range: *range,
                 epoch: *epoch,
-                place: Whereabouts::Released,
+                place: OwnerHint::Released,
             });
         }
         let release = matches!(order, Order::Release { .. });
--- a/crates/core/tests/stale/world.rs
+++ b/crates/core/tests/stale/world.rs
@@ -262,7 +262,7 @@
             .map(|(at, server)| Candidate {
                 server: &server.known,
                 kept: from.idle[at].iter().any(fresh),
-                near: server.domain == from.domain,
+                same_domain: server.domain == from.domain,
                 load_factor: match server.domain == from.domain && !shape.keyed {
                     true => 1.0,
                     false => shape.domains as f64,
--- a/crates/core/tests/standing.rs
+++ b/crates/core/tests/standing.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        freshness::{Doubt, Freshness, FreshnessTimes, Newer, Newest, Standing},
+        freshness::{Doubt, Freshness, FreshnessTimes, Lag, Standing, VersionTracker},
         time::Time,
     },
     std::time::Duration,
@@ -13,26 +13,26 @@
 /// A table of an instance, by what it was told.
 struct Table {
     fresh: Freshness<1>,
-    newest: Newest,
+    newest: VersionTracker,
 }
 
 impl Table {
     fn new() -> Self {
         let fresh = Freshness::new(TIMES);
-        let newest = Newest::new(TIMES);
+        let newest = VersionTracker::new(TIMES);
         Self { fresh, newest }
     }
 
     /// The store tells all up to a version, in a call that began then.
     fn store(&mut self, version: u64, begun: Time) {
-        self.fresh.told(0, begun);
-        self.newest.known(version);
+        self.fresh.record_read(0, begun);
+        self.newest.apply(version);
     }
 
     fn doubt(&self, now: Time) -> Option<Doubt> {
         let age = self.fresh.age(0, now);
-        let newer = self.newest.newer(self.fresh.known(0));
-        Standing { age, newer }.doubt(&TIMES)
+        let lag = self.newest.lag(self.fresh.as_of(0));
+        Standing { age, lag }.doubt(&TIMES)
     }
 }
 
@@ -45,7 +45,7 @@
 fn a_table_of_unknown_age_denies_nothing() {
     let mut table = Table::new();
     assert_eq!(table.doubt(at(5)), Some(Doubt::Unread));
-    table.newest.known(7);
+    table.newest.apply(7);
     assert_eq!(table.doubt(at(5)), Some(Doubt::Unread));
 }
 
@@ -67,16 +67,16 @@
 fn a_table_that_is_behind_denies_nothing() {
     let mut table = Table::new();
     table.store(7, at(0));
-    table.newest.told(7, at(5));
+    table.newest.advertise(7, at(5));
     assert_eq!(table.doubt(at(10)), None);
-    table.newest.told(12, at(12));
-    table.newest.told(9, at(14));
+    table.newest.advertise(12, at(12));
+    table.newest.advertise(9, at(14));
     table.store(9, at(20));
-    assert_eq!(table.doubt(at(30)), Some(Doubt::Behind));
+    assert_eq!(table.doubt(at(30)), Some(Doubt::Lagging));
     table.store(15, at(40));
     assert_eq!(table.doubt(at(50)), None);
     // Others that are behind in their turn say nothing about this one.
-    table.newest.told(12, at(55));
+    table.newest.advertise(12, at(55));
     assert_eq!(table.doubt(at(60)), None);
 }
 
@@ -85,17 +85,17 @@
 fn a_newer_row_that_cannot_be_read_denies_nothing() {
     let mut table = Table::new();
     table.store(7, at(0));
-    table.newest.unreadable(8);
+    table.newest.on_unreadable(8);
     table.store(8, at(10));
     assert_eq!(table.doubt(at(20)), Some(Doubt::Unreadable));
-    table.newest.told(9, at(25));
+    table.newest.advertise(9, at(25));
     assert_eq!(table.doubt(at(30)), Some(Doubt::Unreadable));
-    table.newest.read(7);
+    table.newest.on_readable(7);
     assert_eq!(table.doubt(at(40)), Some(Doubt::Unreadable));
-    table.newest.read(9);
+    table.newest.on_readable(9);
     table.store(9, at(50));
     assert_eq!(table.doubt(at(60)), None);
-    assert_eq!(table.newest.newer(Some(at(50))), Newer::None);
+    assert_eq!(table.newest.lag(Some(at(50))), Lag::None);
 }
 
 /// Guards against a table that is doubted for good since an instance told of a newer one
@@ -104,12 +104,12 @@
 fn a_newer_version_that_nobody_tells_of_any_more_is_forgotten() {
     let mut table = Table::new();
     table.store(7, at(0));
-    table.newest.told(12, at(100));
-    table.newest.told(10, at(900));
-    table.fresh.told(0, at(2_400));
-    assert_eq!(table.doubt(at(2_400)), Some(Doubt::Behind));
-    table.fresh.told(0, at(2_401));
+    table.newest.advertise(12, at(100));
+    table.newest.advertise(10, at(900));
+    table.fresh.record_read(0, at(2_400));
+    assert_eq!(table.doubt(at(2_400)), Some(Doubt::Lagging));
+    table.fresh.record_read(0, at(2_401));
     assert_eq!(table.doubt(at(2_401)), None);
-    table.newest.told(10, at(2_500));
-    assert_eq!(table.doubt(at(2_501)), Some(Doubt::Behind));
+    table.newest.advertise(10, at(2_500));
+    assert_eq!(table.doubt(at(2_501)), Some(Doubt::Lagging));
 }
--- a/crates/wire/src/heartbeat/moves.rs
+++ b/crates/wire/src/heartbeat/moves.rs
@@ -3,7 +3,7 @@
 use {
     citron_core::{
         id::Epoch,
-        ranges::{KeyRange, MoveNews, RangeKey, Whereabouts},
+        ranges::{KeyRange, MoveNews, OwnerHint, RangeKey},
     },
     serde::{Deserialize, Serialize},
 };
@@ -24,8 +24,8 @@
 impl From<MoveNews> for MoveWire {
     fn from(news: MoveNews) -> Self {
         let owner = match news.place {
-            Whereabouts::Released => None,
-            Whereabouts::Owned(server) => Some(server.to_string()),
+            OwnerHint::Released => None,
+            OwnerHint::Owned(server) => Some(server.to_string()),
         };
         let KeyRange { first, last } = news.range;
         Self(first.0, last.0, news.epoch.0, owner)
@@ -38,10 +38,10 @@
     fn try_from(MoveWire(first, last, epoch, owner): MoveWire) -> Result<Self, String> {
         let range = KeyRange::new(RangeKey(first), RangeKey(last));
         let place = match owner {
-            None => Whereabouts::Released,
+            None => OwnerHint::Released,
             Some(name) => {
                 let server = name.parse().map_err(|_| format!("owner '{name}'"))?;
-                Whereabouts::Owned(server)
+                OwnerHint::Owned(server)
             }
         };
         Ok(Self {
