--- a/crates/citronproxy/src/edge/control/gossip.rs
+++ b/crates/citronproxy/src/edge/control/gossip.rs
@@ -1,12 +1,7 @@
 //! Heartbeats between instances, over UDP.
 
 use {
-    super::{
-        keys, moves,
-        node::Node,
-        peers::{Recipient, Round},
-        refresh, relay,
-    },
+    super::{keys, moves, node::Node, peers::Round, refresh, relay},
     crate::{edge::EdgeError, events},
     citron_core::{
         freshness::{HeartbeatSchedule, PropagationTimes, Sender},
@@ -83,13 +78,7 @@
                 .map(|leadership| &leadership.holder.instance),
             planning: state.planning,
         };
-        let mut due = state.peers.due(&round, node.clock.now());
-        let greetings = node.greetings.take().into_iter();
-        due.extend(greetings.map(|address| Recipient {
-            address,
-            loads: false,
-        }));
-        due
+        state.peers.due(&round, node.clock.now())
     };
     if due.is_empty() {
         return;
--- a/crates/citronproxy/src/edge/control/node.rs
+++ b/crates/citronproxy/src/edge/control/node.rs
@@ -37,7 +37,6 @@
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
-        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -134,8 +133,6 @@
     pub relay: relay::Relay,
     /// Keys on their way, to be told to others.
     pub outbox: Outbox,
-    /// Instances that are to hear of this one with the next heartbeats.
-    pub greetings: RefCell<Vec<SocketAddr>>,
     /// How many instances were heard for the first time, or again, since the last view.
     pub heard_anew: Cell<usize>,
     /// Edits of the other instances that the group goes by.
@@ -235,7 +232,6 @@
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
             outbox: Outbox::default(),
-            greetings: RefCell::default(),
             heard_anew: Cell::default(),
             grouped: Cell::default(),
             wake: Notify::new(),
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -110,11 +110,6 @@
         new
     }
 
-    /// All others, whether they are there or not.
-    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        self.peers.iter()
-    }
-
     /// One instance.
     pub fn get(&self, name: &InstanceId) -> Option<&Peer> {
         self.peers.get(name)
--- a/crates/citronproxy/src/edge/control/relay.rs
+++ b/crates/citronproxy/src/edge/control/relay.rs
@@ -8,18 +8,16 @@
 //! that they leave.
 
 use {
-    super::{arrival::Arrival, members, node::Node, watch::WATCHED},
+    super::{arrival::Arrival, node::Node, watch::WATCHED},
     crate::{
         edge::pages::{Page, page},
         events,
     },
     bytes::Bytes,
     citron_core::freshness::{Fetch, LagTimer, PropagationTimes},
-    citron_ports::{Adapter, IdleTimeout, KeptClient, fetch_table},
+    citron_ports::{Adapter, KeptClient, fetch_table},
     citron_wire::heartbeat::Heartbeat,
-    citron_wire::relay::{
-        Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableRowWire, TableWire,
-    },
+    citron_wire::relay::{Format, HeadWire, Packer, Part, RelayError, TableQuestion, TableWire},
     http::StatusCode,
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
@@ -27,10 +25,6 @@
 
 /// The largest table that is read, packed or not.
 const TABLE_MAX: usize = 8 << 20;
-/// The place of the members among the tables that are handed out.
-const MEMBERS: usize = WATCHED.len();
-/// How long the next part of the members may take.
-const MEMBERS_TIME: Duration = Duration::from_millis(800);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -39,7 +33,7 @@
 pub struct Relay {
     lag: RefCell<LagTimer<{ WATCHED.len() }>>,
     clients: RefCell<BTreeMap<SocketAddr, KeptClient>>,
-    packer: RefCell<Packer<{ MEMBERS + 1 }>>,
+    packer: RefCell<Packer<{ WATCHED.len() }>>,
 }
 
 impl Default for Relay {
@@ -62,7 +56,7 @@
 /// Hands out a table.
 pub fn table<A: Adapter>(node: &Node<A>, path: &str) -> Page {
     let question = path.parse::<TableQuestion>().ok();
-    let question = question.filter(|question| question.table <= MEMBERS);
+    let question = question.filter(|question| question.table < WATCHED.len());
     match question.and_then(|question| answer(node, question).ok()) {
         Some(bytes) => page(StatusCode::OK, bytes),
         None => page(StatusCode::NOT_FOUND, ""),
@@ -70,9 +64,6 @@
 }
 
 fn answer<A: Adapter>(node: &Node<A>, question: TableQuestion) -> Result<Bytes, RelayError> {
-    if question.table == MEMBERS {
-        return members(node);
-    }
     let state = node.state.borrow();
     let mirror = &state.mirrors[question.table];
     let part = mirror.part(question.after, question.digest);
@@ -92,45 +83,6 @@
     }
 }
 
-/// All members that this instance knows.
-fn members<A: Adapter>(node: &Node<A>) -> Result<Bytes, RelayError> {
-    let edits = node.state.borrow().peers.edits();
-    let head = HeadWire {
-        version: edits,
-        whole: true,
-        changed: edits,
-        age: None.into(),
-    };
-    let rows = || members::known(node);
-    let mut packer = node.relay.packer.borrow_mut();
-    head.with(&packer.body(MEMBERS, edits, Part::Whole, rows)?)
-}
-
-/// Asks another instance for the members that it knows.
-///
-/// # Errors
-/// Why there is no answer.
-pub async fn fetch_members<A: Adapter>(
-    node: &Node<A>,
-    from: SocketAddr,
-) -> Result<Vec<TableRowWire>, String> {
-    let client = client(node, from);
-    let mut idle = IdleTimeout::new(MEMBERS_TIME, MEMBERS_TIME);
-    let called = fetch_table(&client, TableQuestion::new(MEMBERS, 0), &mut idle).await;
-    node.counts.count_fetch(called.is_ok());
-    let answer = called.map_err(|error| error.to_string())?;
-    let table = answer.read(TABLE_MAX).map_err(|error| error.to_string())?;
-    Ok(table.rows)
-}
-
-fn client<A: Adapter>(node: &Node<A>, to: SocketAddr) -> KeptClient {
-    let mut clients = node.relay.clients.borrow_mut();
-    let client = clients.entry(to);
-    client
-        .or_insert_with(|| KeptClient::new(to, TABLE_MAX))
-        .clone()
-}
-
 /// Asks another instance for tables that are newer there, unless this one should
 /// hear of the change by itself in time.
 pub fn catch_up<A: Adapter>(node: &Rc<Node<A>>, from: SocketAddr, heartbeat: &Heartbeat) {
@@ -175,7 +127,13 @@
         let mirror = &node.state.borrow().mirrors[at];
         TableQuestion::new(at, mirror.changed).having(mirror.digest())
     };
-    let client = client(node, from);
+    let client = {
+        let mut clients = node.relay.clients.borrow_mut();
+        let client = clients.entry(from);
+        client
+            .or_insert_with(|| KeptClient::new(from, TABLE_MAX))
+            .clone()
+    };
     let called = fetch_table(&client, question, &mut arrival).await;
     node.counts.count_fetch(called.is_ok());
     let answer = match called {
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -115,18 +115,6 @@
         limit: &mut impl ReadTimeout,
     ) -> impl Future<Output = Result<RowSet, StoreError>>;
 
-    /// The first rows of a table in the order of keys, `most` of them at most, and whether
-    /// there are more.
-    ///
-    /// # Errors
-    /// [`StoreError`].
-    fn first_rows(
-        &self,
-        table: RowTable,
-        most: usize,
-        limit: &mut impl ReadTimeout,
-    ) -> impl Future<Output = Result<(RowSet, bool), StoreError>>;
-
     /// What has changed after a version, as soon as there is anything, or nothing
     /// when `wait` is over, until `limit` is over.
     ///
