Election: a planner's silence counts from its claim; members that are throttled spread their retries

What callers saw: nothing yet; some twenty planners within 5 s of a start of 985, each of which reads all maps and renews all leases. Cause: who had not heard the planner within 1.5 s of its own start claimed, though the planner had only just claimed itself. Change: the claim counts as a sign of life, and the first claim of a deployment waits a second, until it is known who has the most of a processor.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -22,11 +22,17 @@
 /// still renew, and only lacks moves.
 const STORELESS: Duration = Duration::from_secs(2);
 
+/// How long the first instances of a deployment wait before one of them claims: by then they
+/// have heard which of them has the most of a processor.
+const FIRST_CLAIM: Duration = Duration::from_secs(1);
+
 /// Watches the leadership.
 #[derive(Debug)]
 pub struct Election {
     begun: Time,
     vacant: Option<Time>,
+    /// Version of the row that names the planner, and when it was first seen here.
+    seen: (u64, Time),
 }
 
 impl Election {
@@ -35,11 +41,16 @@
         Self {
             begun: now,
             vacant: None,
+            seen: (0, now),
         }
     }
 
     /// Whether this instance should claim the leadership now.
     pub fn claims(&mut self, state: &State, me: &EdgeSettings, start: u64, now: Time) -> bool {
+        let version = state.leadership.as_ref().map_or(0, |row| row.version);
+        if version != self.seen.0 {
+            self.seen = (version, now);
+        }
         if !self.is_vacant(state, &me.instance, start, now) {
             self.vacant = None;
             return false;
@@ -58,7 +69,7 @@
 
     fn is_vacant(&self, state: &State, me: &InstanceId, start: u64, now: Time) -> bool {
         let Some(leadership) = &state.leadership else {
-            return true;
+            return now - self.begun > FIRST_CLAIM;
         };
         let holder = &leadership.holder;
         if holder.instance == *me {
@@ -68,10 +79,12 @@
         if has_ended(state, holder) {
             return true;
         }
+        // Its claim shows that a planner was there: silence counts from then at the earliest.
+        let (_, claimed) = self.seen;
         let Some(peer) = state.peers.get(&holder.instance) else {
-            return now - self.begun > LOST;
+            return now - claimed > LOST;
         };
-        let heard = peer.heard.unwrap_or(self.begun);
+        let heard = peer.heard.map_or(claimed, |heard| heard.max(claimed));
         if now - heard > LOST {
             return true;
         }
--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -9,10 +9,15 @@
     crate::events,
     citron_core::freshness::{FreshnessTimes, Role},
     citron_ports::{Adapter, IdleTimeout, Row, RowCommit, RowStore, RowTable, StoreError},
-    std::rc::Rc,
+    rand::Rng,
+    std::{ops::Range, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
+/// Delay of a call that was throttled, in seconds: some hundred instances start at the same
+/// moment then, and the store takes the writes of a second or so at a time.
+const THROTTLED_DELAY: Range<f64> = 0.5..4.5;
+
 /// Enters this instance into the table of members and learns of the others. Written first
 /// and read then, so that of two which start at once at least one learns of the other.
 pub async fn enlist<A: Adapter>(node: Rc<Node<A>>) {
@@ -88,8 +93,17 @@
 impl Retry {
     async fn after<A: Adapter>(&mut self, node: &Node<A>, error: &StoreError) {
         node.store_failed("members", error);
-        let delay = FreshnessTimes::STANDARD.backoff(Role::Follower, self.failures);
+        let delay = match error {
+            StoreError::Throttled => {
+                let part = rand::rng().random_range(THROTTLED_DELAY);
+                Duration::from_secs_f64(part) * (1 << self.failures.min(2))
+            }
+            _ => {
+                let delay = FreshnessTimes::STANDARD.backoff(Role::Follower, self.failures);
+                delay.mul_f64(jitter())
+            }
+        };
         self.failures += 1;
-        sleep(delay.mul_f64(jitter())).await;
+        sleep(delay).await;
     }
 }
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -86,6 +86,9 @@
     /// It was refused, and nothing was done.
     #[error("the store refused the call: {0}")]
     Refused(String),
+    /// More calls are waiting than the store answers in a second, and nothing was done.
+    #[error("the store is throttling calls")]
+    Throttled,
     /// The store does not take such a call, and nothing was done.
     #[error("the store does not accept the call: {0}")]
     Invalid(String),
