Silence of a leadership's holder is core's, with tests in virtual time

HolderSilence counts a claim as a sign of life; tests/leadership.rs plays a start of 985, a holder that falls silent, lost answers among others and a cut. No change of behaviour.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -10,7 +10,7 @@
         peers::Peer,
     },
     crate::edge::EdgeSettings,
-    citron_core::{freshness::LOST, id::InstanceId, time::Time},
+    citron_core::{freshness::HolderSilence, id::InstanceId, time::Time},
     citron_wire::heartbeat::Heartbeat,
     std::time::Duration,
 };
@@ -31,8 +31,7 @@
 pub struct Election {
     begun: Time,
     vacant: Option<Time>,
-    /// Version of the row that names the planner, and when it was first seen here.
-    seen: (u64, Time),
+    silence: HolderSilence,
 }
 
 impl Election {
@@ -41,16 +40,14 @@
         Self {
             begun: now,
             vacant: None,
-            seen: (0, now),
+            silence: HolderSilence::new(now),
         }
     }
 
     /// Whether this instance should claim the leadership now.
     pub fn claims(&mut self, state: &State, me: &EdgeSettings, start: u64, now: Time) -> bool {
         let version = state.leadership.as_ref().map_or(0, |row| row.version);
-        if version != self.seen.0 {
-            self.seen = (version, now);
-        }
+        self.silence.observe(version, now);
         if !self.is_vacant(state, &me.instance, start, now) {
             self.vacant = None;
             return false;
@@ -79,16 +76,11 @@
         if has_ended(state, holder) {
             return true;
         }
-        // Its claim shows that a planner was there: silence counts from then at the earliest.
-        let (_, claimed) = self.seen;
-        let Some(peer) = state.peers.get(&holder.instance) else {
-            return now - claimed > LOST;
-        };
-        let heard = peer.heard.map_or(claimed, |heard| heard.max(claimed));
-        if now - heard > LOST {
+        let peer = state.peers.get(&holder.instance);
+        if self.silence.is_lost(peer.and_then(|peer| peer.heard), now) {
             return true;
         }
-        let Some(heartbeat) = &peer.heartbeat else {
+        let Some(heartbeat) = peer.and_then(|peer| peer.heartbeat.as_ref()) else {
             return false;
         };
         heartbeat.leaving || (!heartbeat.store && now - self.begun > STORELESS)
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -9,6 +9,7 @@
 mod fetches;
 mod health;
 mod lag;
+mod silence;
 mod standing;
 mod times;
 
@@ -18,6 +19,7 @@
     fetches::{Fetch, FetchTimes, Fetches},
     health::StoreHealth,
     lag::LagTimer,
+    silence::HolderSilence,
     standing::{Doubt, Lag, Standing, VersionTracker},
     times::{FreshnessTimes, PropagationTimes, Role},
 };
--- /dev/null
+++ b/crates/core/tests/leadership.rs
@@ -0,0 +1,67 @@
+//! Who claims the leadership, and when, in virtual time.
+
+use {
+    citron_core::{
+        freshness::{HolderSilence, LOST, StoreHealth},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+/// Guards against a start of all in which each instance that has not heard the new planner
+/// takes its leadership over, one after the other.
+#[test]
+fn a_claim_is_a_sign_of_life() {
+    let mut instances: Vec<HolderSilence> = (0..985).map(|_| HolderSilence::new(at(0))).collect();
+    // Claimed 1.6 s after the start, and heard by the last of them 1.2 s later.
+    let lost = |silence: &mut HolderSilence, millis: u64| {
+        silence.observe(230, at(millis));
+        silence.is_lost(None, at(millis))
+    };
+    for millis in (1_600..2_800).step_by(200) {
+        let claims = instances
+            .iter_mut()
+            .filter_map(|silence| lost(silence, millis).then_some(()));
+        assert_eq!(claims.count(), 0, "at {millis} ms");
+    }
+}
+
+/// A holder that is gone for good is replaced as soon as its silence tells.
+#[test]
+fn a_holder_that_falls_silent_is_lost_in_time() {
+    let mut silence = HolderSilence::new(at(0));
+    silence.observe(7, at(100));
+    let heard = at(5_000);
+    assert!(!silence.is_lost(Some(heard), heard + LOST));
+    assert!(silence.is_lost(Some(heard), heard + LOST + Duration::from_millis(1)));
+}
+
+/// Guards against a change of planner for each answer of the store that is lost, while most
+/// calls are answered.
+#[test]
+fn single_lost_answers_do_not_lose_the_store() {
+    let mut health = StoreHealth::default();
+    // Two reads a second are answered; four in ten writes are not.
+    for step in 0..60 {
+        let now = at(step * 250);
+        match step % 2 {
+            0 => health.record_answer(now),
+            _ => health.record_failure(now),
+        }
+        assert!(health.is_up(), "at {now}");
+    }
+}
+
+/// A store that answers nothing counts as lost with the first read that fails after a cut.
+#[test]
+fn a_cut_loses_the_store_with_the_first_read_that_fails() {
+    let mut health = StoreHealth::default();
+    health.record_answer(at(0));
+    // The next read begins half a second later and is given up after 0.6 s.
+    health.record_failure(at(1_100));
+    assert!(!health.is_up());
+}
