Election: nobody claims before others have had time to answer it

An instance that was entered among the members late, hearing nobody yet, took itself for the first of its domain and the planner for lost. Retries of throttled writes no longer double.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -10,7 +10,7 @@
         peers::Peer,
     },
     crate::edge::EdgeSettings,
-    citron_core::{freshness::HolderSilence, id::InstanceId, time::Time},
+    citron_core::{freshness::HolderSilence, time::Time},
     citron_wire::heartbeat::Heartbeat,
     std::time::Duration,
 };
@@ -26,6 +26,17 @@
 /// have heard which of them has the most of a processor.
 const FIRST_CLAIM: Duration = Duration::from_secs(1);
 
+/// An instance that may claim the leadership.
+#[derive(Debug)]
+pub struct Claimant<'a> {
+    /// Its settings.
+    pub settings: &'a EdgeSettings,
+    /// Its start.
+    pub start: u64,
+    /// When it was entered among the members.
+    pub enlisted: Option<Time>,
+}
+
 /// Watches the leadership.
 #[derive(Debug)]
 pub struct Election {
@@ -45,18 +56,18 @@
     }
 
     /// Whether this instance should claim the leadership now.
-    pub fn claims(&mut self, state: &State, me: &EdgeSettings, start: u64, now: Time) -> bool {
+    pub fn claims(&mut self, state: &State, me: &Claimant<'_>, now: Time) -> bool {
         let version = state.leadership.as_ref().map_or(0, |row| row.version);
         self.silence.observe(version, now);
-        if !self.is_vacant(state, &me.instance, start, now) {
+        if !self.is_vacant(state, me, now) {
             self.vacant = None;
             return false;
         }
-        if !hears_planner(state, me, now) {
+        if !hears_planner(state, me.settings, now) {
             return false;
         }
         let since = *self.vacant.get_or_insert(now);
-        now - since >= RANK * rank(state, me, now)
+        now - since >= RANK * rank(state, me.settings, now)
     }
 
     /// After a claim that was not the first: others are given time.
@@ -64,20 +75,25 @@
         self.vacant = Some(now);
     }
 
-    fn is_vacant(&self, state: &State, me: &InstanceId, start: u64, now: Time) -> bool {
+    fn is_vacant(&self, state: &State, me: &Claimant<'_>, now: Time) -> bool {
         let Some(leadership) = &state.leadership else {
             return now - self.begun > FIRST_CLAIM;
         };
         let holder = &leadership.holder;
-        if holder.instance == *me {
+        if holder.instance == me.settings.instance {
             // This start is named and does not plan if the answer to its claim was lost.
-            return holder.start != start || !state.planning;
+            return holder.start != me.start || !state.planning;
         }
         if has_ended(state, holder) {
             return true;
         }
+        // Before others know this instance they cannot tell it anything.
+        let Some(enlisted) = me.enlisted else {
+            return false;
+        };
         let peer = state.peers.get(&holder.instance);
-        if self.silence.is_lost(peer.and_then(|peer| peer.heard), now) {
+        let heard = peer.and_then(|peer| peer.heard);
+        if self.silence.is_lost(heard.max(Some(enlisted)), now) {
             return true;
         }
         let Some(heartbeat) = peer.and_then(|peer| peer.heartbeat.as_ref()) else {
--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -96,7 +96,7 @@
         let delay = match error {
             StoreError::Throttled => {
                 let part = rand::rng().random_range(THROTTLED_DELAY);
-                Duration::from_secs_f64(part) * (1 << self.failures.min(2))
+                Duration::from_secs_f64(part)
             }
             _ => {
                 let delay = FreshnessTimes::STANDARD.backoff(Role::Follower, self.failures);
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -8,7 +8,7 @@
     crate::{
         edge::control::{
             codec::{LeadershipWire, PLANNER},
-            election::Election,
+            election::{Claimant, Election},
             node::{Holder, Node},
             refresh,
         },
@@ -26,7 +26,12 @@
     let ready =
         *node.store.borrow() && !node.leaving() && state.mirrors.iter().all(|m| m.version > 0);
     let now = node.clock.now();
-    ready && election.claims(&state, &node.settings, node.start, now)
+    let me = Claimant {
+        settings: &node.settings,
+        start: node.start,
+        enlisted: node.enlisted.get(),
+    };
+    ready && election.claims(&state, &me, now)
 }
 
 /// Claims the planner's row, and begins a term if that was done.
