--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -18,8 +18,9 @@
 /// moment then, and the store takes the writes of a second or so at a time.
 const THROTTLED_DELAY: Range<f64> = 0.5..4.5;
 
-/// Enters this instance into the table of members and learns of the others. Written first
-/// and read then, so that of two which start at once at least one learns of the other.
+/// Enters this instance into the table of members and learns of the others. Read after it
+/// was written, so that of two which start at once at least one learns of the other; an
+/// instance whose write is turned away makes itself known to those that it finds meanwhile.
 pub async fn enlist<A: Adapter>(node: Rc<Node<A>>) {
     let own = MemberWire {
         address: node.settings.peer,
@@ -28,39 +29,66 @@
     let Ok(value) = serde_json::to_vec(&own) else {
         return;
     };
-    write(&node, value).await;
-    read_all(&node).await;
+    let commit = RowCommit {
+        writes: vec![(RowTable::Members, node.settings.instance.to_string(), value)],
+        ..RowCommit::default()
+    };
+    let written = write(&node, &commit).await;
+    let known = read_all(&node).await;
     node.enlisted.set(Some(node.clock.now()));
     node.hurry.notify_one();
+    let Err(error) = written else { return };
+    let mut retry = Retry::default();
+    retry.after(&node, &error).await;
+    while let Err(error) = write(&node, &commit).await {
+        retry.after(&node, &error).await;
+    }
+    read_since(&node, known).await;
+    node.hurry.notify_one();
 }
 
-async fn write<A: Adapter>(node: &Node<A>, value: Vec<u8>) {
-    let key = node.settings.instance.to_string();
-    let commit = RowCommit {
-        writes: vec![(RowTable::Members, key, value)],
-        ..RowCommit::default()
-    };
+async fn write<A: Adapter>(node: &Node<A>, commit: &RowCommit) -> Result<(), StoreError> {
+    let begun = node.clock.now();
+    node.adapter.store().commit(commit).await?;
+    node.store_answered(begun, None);
+    Ok(())
+}
+
+/// Reads all members; the version as of which they are known.
+async fn read_all<A: Adapter>(node: &Node<A>) -> u64 {
     let mut retry = Retry::default();
     loop {
         let begun = node.clock.now();
-        match node.adapter.store().commit(&commit).await {
-            Ok(_) => return node.store_answered(begun, None),
+        let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
+        let read = node.adapter.store().rows(RowTable::Members, &mut idle);
+        match read.await {
+            Ok(set) => {
+                node.store_answered(begun, set.now);
+                add(node, &set.rows);
+                return set.version;
+            }
             Err(error) => retry.after(node, &error).await,
         }
     }
 }
 
-async fn read_all<A: Adapter>(node: &Node<A>) {
+/// Reads the members that were entered after a version.
+async fn read_since<A: Adapter>(node: &Node<A>, version: u64) {
     let mut retry = Retry::default();
     loop {
         let begun = node.clock.now();
         let mut idle = IdleTimeout::new(CALL_TIME, CALL_TIME);
-        let read = node.adapter.store().rows(RowTable::Members, &mut idle);
+        let store = node.adapter.store();
+        let read = store.changes(RowTable::Members, version, Duration::ZERO, &mut idle);
         match read.await {
             Ok(set) => {
                 node.store_answered(begun, set.now);
                 return add(node, &set.rows);
             }
+            Err(StoreError::Forgotten) => {
+                read_all(node).await;
+                return;
+            }
             Err(error) => retry.after(node, &error).await,
         }
     }
