--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -32,10 +32,10 @@
 impl fmt::Display for MapKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{MAP}{}", self.service)?;
-        match self.range == KeyRange::ALL {
-            true => Ok(()),
-            false => write!(f, "{MAP_PART}{}", self.range),
+        if self.range == KeyRange::ALL {
+            return Ok(());
         }
+        write!(f, "{MAP_PART}{}", self.range)
     }
 }
 
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -90,9 +90,10 @@
         let mut removes = self.removes.into_iter().peekable();
         while parts.peek().is_some() || removes.peek().is_some() {
             let parts: Vec<MapPart> = parts.by_ref().take(PARTS_MAX).collect();
-            let room = match parts.len() {
-                PARTS_MAX => 0,
-                few => ENTRIES_MAX - 1 - 2 * few,
+            let room = if parts.len() == PARTS_MAX {
+                0
+            } else {
+                ENTRIES_MAX - 1 - 2 * parts.len()
             };
             let removes = removes.by_ref().take(room).collect();
             all.push(Self { parts, removes });
@@ -182,8 +183,8 @@
         let known = stored.part(part.range);
         known.is_some_and(|known| known.slices == part.slices)
     };
-    Some(match parts.iter().all(is_stored) {
-        true => (OrderEnd::Done { handover: None }, stored.newest()),
-        false => (OrderEnd::Outdated, 0),
-    })
+    if parts.iter().all(is_stored) {
+        return Some((OrderEnd::Done { handover: None }, stored.newest()));
+    }
+    Some((OrderEnd::Outdated, 0))
 }
--- a/crates/core/src/ranges/parts.rs
+++ b/crates/core/src/ranges/parts.rs
@@ -51,9 +51,10 @@
         let is_newest = part.version >= self.newest;
         self.newest = self.newest.max(part.version);
         self.parts.insert(part.range, Arc::clone(&part));
-        match is_newest {
-            true => cover(&mut self.runs, &part),
-            false => self.rebuild(),
+        if is_newest {
+            cover(&mut self.runs, &part);
+        } else {
+            self.rebuild();
         }
         true
     }
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -149,10 +149,10 @@
         let slices = self.map.slices().iter();
         let owners = slices.filter_map(|slice| slice.owner.as_ref());
         let sound: BTreeSet<&ServerName> = owners.filter(|o| !suspects.contains(*o)).collect();
-        match suspects.len() * 3 > sound.len() {
-            true => BTreeSet::new(),
-            false => suspects,
+        if suspects.len() * 3 > sound.len() {
+            return BTreeSet::new();
         }
+        suspects
     }
 
     /// Keys that are on their way, in order.
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -138,10 +138,11 @@
             let servers = self.servers.values();
             let listed = servers.filter(|known| known.entry.service == service);
             let listed: Vec<Arc<Known>> = listed.cloned().collect();
-            match listed.is_empty() {
-                true => self.lists.remove(&service),
-                false => self.lists.insert(service, Arc::new(listed)),
-            };
+            if listed.is_empty() {
+                self.lists.remove(&service);
+            } else {
+                self.lists.insert(service, Arc::new(listed));
+            }
         }
         &self.lists
     }
