--- a/crates/core/src/ranges/parts.rs
+++ b/crates/core/src/ranges/parts.rs
@@ -161,7 +161,7 @@
 /// let none = PartedMap::default();
 /// assert_eq!(partition(&map, &none, 2), [KeyRange::ALL]);
 /// let halves = partition(&map, &none, 1);
-/// assert_eq!(halves.first(), Some(&"0-1".parse().unwrap()));
+/// assert_eq!(halves.first(), Some(&"0-7".parse().unwrap()));
 /// ```
 pub fn partition(map: &RangeMap, stored: &PartedMap, most: usize) -> Vec<KeyRange> {
     let mut parts = Vec::new();
