Maps: one way to cut a slice, and one to compare a part with its row

Slice::cut_to and PartedMap::holds replace what stood twice each; Move::is_free what stood as closures. The comment over the sample of servers no longer says that a choice costs the same for any number: all are still looked at once before it. No change of behaviour; unit tests of ranges, growth, moves and the processes' tests of maps run.

--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -75,11 +75,8 @@
             version: 0,
             slices: map.within(range),
         };
-        let is_new = |part: &MapPart| {
-            let known = stored.part(part.range);
-            known.is_none_or(|known| known.slices != part.slices)
-        };
-        let parts = ranges.into_iter().map(part).filter(is_new).collect();
+        let parts = ranges.into_iter().map(part);
+        let parts = parts.filter(|part| !stored.holds(part)).collect();
         Self { parts, removes }
     }
 
@@ -126,6 +123,7 @@
         commit
     }
 }
+
 async fn write<A: Adapter>(
     node: &Node<A>,
     service: &ServiceName,
@@ -179,11 +177,7 @@
     }
     let state = node.state.borrow();
     let stored = state.maps.get(service).map(Arc::clone).unwrap_or_default();
-    let is_stored = |part: &MapPart| {
-        let known = stored.part(part.range);
-        known.is_some_and(|known| known.slices == part.slices)
-    };
-    if parts.iter().all(is_stored) {
+    if parts.iter().all(|part| stored.holds(part)) {
         return Some((OrderEnd::Done { handover: None }, stored.newest()));
     }
     Some((OrderEnd::Outdated, 0))
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -160,8 +160,8 @@
     pick(front, view, query, candidates.into_iter())
 }
 
-/// Some of many servers, so that a choice costs the same for any number: of the same failure
-/// domain and of others, and those to which a connection is kept.
+/// The servers that are weighed, some of many: of the same failure domain and of others, and
+/// those to which a connection is kept.
 fn sample_servers<'a>(
     front: &Front,
     query: &TargetQuery<'_>,
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -24,6 +24,17 @@
     pub expiry: Option<StoreTime>,
 }
 
+impl Slice {
+    /// The part of it within a range.
+    pub(super) fn cut_to(&self, range: KeyRange) -> Option<Self> {
+        let range = self.range.common(range)?;
+        Some(Self {
+            range,
+            ..self.clone()
+        })
+    }
+}
+
 /// The slices of a service, without gaps, in the order of their keys.
 ///
 /// ```
@@ -112,14 +123,8 @@
 
     /// The slices of a range, cut at its ends.
     pub fn within(&self, range: KeyRange) -> Vec<Slice> {
-        let part = |slice: &Slice| {
-            let range = slice.range.common(range)?;
-            Some(Slice {
-                range,
-                ..slice.clone()
-            })
-        };
-        self.touching(range).filter_map(part).collect()
+        let slices = self.touching(range);
+        slices.filter_map(|slice| slice.cut_to(range)).collect()
     }
 
     /// The highest epoch of any key of a range.
--- a/crates/core/src/ranges/parts.rs
+++ b/crates/core/src/ranges/parts.rs
@@ -72,6 +72,12 @@
         self.parts.get(&range).map(|part| &**part)
     }
 
+    /// Whether a part's keys are stored in a row of their own, with the same slices.
+    pub fn holds(&self, part: &MapPart) -> bool {
+        let known = self.part(part.range);
+        known.is_some_and(|known| known.slices == part.slices)
+    }
+
     /// Version of the row of exactly these keys; 0 if there is none.
     pub fn version(&self, range: KeyRange) -> u64 {
         self.part(range).map_or(0, |part| part.version)
@@ -109,14 +115,10 @@
                 first: *first,
                 last: *last,
             };
-            let within = |slice: &Slice| {
-                let range = slice.range.common(run)?;
-                Some(Slice {
-                    range,
-                    ..slice.clone()
-                })
-            };
-            part.slices.iter().filter_map(within).collect::<Vec<_>>()
+            let slices = part.slices.iter();
+            slices
+                .filter_map(|slice| slice.cut_to(run))
+                .collect::<Vec<_>>()
         };
         let slices = self.runs.iter().flat_map(cut).collect();
         RangeMap::from_slices(slices).ok()
--- a/crates/core/src/ranges/reconciler/commits.rs
+++ b/crates/core/src/ranges/reconciler/commits.rs
@@ -36,10 +36,9 @@
         if self.commit.is_some() || self.gathers(now) {
             return;
         }
-        let free = |under: &&Move| matches!(under.phase, Phase::Free { .. });
         let expiries = self.expiries(now, clock, owners);
         let nothing = expiries.is_empty() && self.outdated.is_empty();
-        if nothing && !self.moves.iter().any(|under| free(&under)) {
+        if nothing && !self.moves.iter().any(Move::is_free) {
             return;
         }
         let mut next = self.map.clone();
@@ -119,8 +118,7 @@
             let slice = map.slice(under.range.first);
             slice.owner.as_ref() == Some(&under.to) && slice.epoch >= under.epoch
         };
-        let free = |under: &&Move| matches!(under.phase, Phase::Free { .. });
-        let ended = |under: &Move| free(&under) && done(under);
+        let ended = |under: &Move| under.is_free() && done(under);
         let handed = self.moves.iter().filter(|under| ended(under));
         let handed = handed.filter(|under| under.from.is_some());
         self.handed.extend(handed.map(|under| under.range));
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -56,6 +56,13 @@
     pub phase: Phase,
 }
 
+impl Move {
+    /// Whether the keys wait for the commit of their new owner.
+    pub fn is_free(&self) -> bool {
+        matches!(self.phase, Phase::Free { .. })
+    }
+}
+
 impl Reconciler {
     /// Frees keys whose owner's start has ended, or whose lease has run out.
     pub(super) fn free_ended(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) {
