Stated rate limits of servers are read and logged; nothing obeys them yet

Nothing showed whether an instance had read the limit that a server states: C0422 tells the first statement, each other rate and its end; citron_limited_servers and citron_bad_limits_total count them. A response without the header ends a limit only if it is no refusal, which may come from another process at the address.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -201,6 +201,7 @@
             let state = controller.state.borrow();
             let is_registered = |name: &ServerName| state.registry.get(name).is_some();
             controller.shared.loads().retain(is_registered);
+            controller.shared.limits().retain(is_registered);
             drop(state);
             controller.publish_view();
         }
@@ -495,6 +496,8 @@
     pub fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let loads = self.shared.loads().local_loads(now);
+        let limited_count = self.shared.limits().limited_count(now);
+        self.metrics.limited_servers.set(limited_count as i64);
         let state = self.state.borrow();
         let ages = state.freshness.ages(now);
         self.metrics.set_table_age(&ages);
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -27,6 +27,8 @@
     pub instances: IntGauge,
     /// Failure domains that are being evacuated.
     pub evacuated_domains: IntGauge,
+    /// Servers that state a rate limit.
+    pub limited_servers: IntGauge,
 }
 
 impl ControlMetrics {
@@ -75,6 +77,10 @@
                 "citron_evacuated_domains",
                 "Failure domains to whose servers nothing is sent.",
             )?,
+            limited_servers: gauge(
+                "citron_limited_servers",
+                "Backend servers that state how many requests a second they take.",
+            )?,
         })
     }
 
--- a/crates/citronproxy/src/edge/shared.rs
+++ b/crates/citronproxy/src/edge/shared.rs
@@ -5,7 +5,7 @@
     arc_swap::ArcSwapOption,
     citron_core::{
         crash::{CrashConfig, CrashTracker},
-        dispatch::LoadTracker,
+        dispatch::{LoadTracker, StatedLimits},
         id::ServiceName,
         ranges::{MoveLog, MoveNotice, OwnerHint, RangeKey, Slice},
         time::Time,
@@ -28,6 +28,7 @@
     freshness: SharedFreshness,
     publications: watch::Sender<u64>,
     loads: Mutex<LoadTracker>,
+    limits: Mutex<StatedLimits>,
     pending_keys: Mutex<Vec<(ServiceName, RangeKey)>>,
     crashes: Mutex<CrashTracker>,
     moves: Mutex<BTreeMap<ServiceName, MoveLog>>,
@@ -41,6 +42,7 @@
             freshness: SharedFreshness::default(),
             publications: watch::Sender::new(0),
             loads: Mutex::default(),
+            limits: Mutex::default(),
             pending_keys: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(CrashConfig::PER_START)),
             moves: Mutex::default(),
@@ -76,6 +78,11 @@
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Rate limits that servers stated.
+    pub fn limits(&self) -> MutexGuard<'_, StatedLimits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a request for a key, to be reported to the planner.
     pub fn record_key(&self, service: &ServiceName, key: RangeKey) {
         let mut keys = self
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -6,6 +6,7 @@
         idle_limits::ReuseRecorder,
         pooled_connection::PooledConnection,
         response::{ResponseBody, StreamingBody},
+        statements,
         thread::TrafficState,
     },
     crate::{
@@ -288,7 +289,7 @@
                 .into_iter()
                 .for_each(ReuseRecorder::record_response);
             in_flight.reported_load = parse_load(state, response.headers());
-            read_response(state, outgoing, pooled, response).await
+            read_response(state, server, outgoing, pooled, response).await
         }
         Err(error) => {
             recorder
@@ -377,6 +378,7 @@
 /// Checks the response head, and reads the body up to the size that is buffered.
 async fn read_response(
     state: &TrafficState,
+    server: &ServerRecord,
     outgoing: &OutgoingRequest<'_>,
     mut pooled: PooledConnection,
     response: Response<Incoming>,
@@ -390,6 +392,7 @@
             "received the response to another request".to_string(),
         ));
     }
+    statements::record_limit(state, &server.entry.name, &head);
     // `Upgrade` is not forwarded, so that no server has a reason to switch protocols.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return ExchangeResult::Failed(AttemptResult::Lost(
@@ -424,7 +427,7 @@
 }
 
 /// Whether the server guarantees that it has not run the request.
-fn is_refusal(state: &TrafficState, head: &http::response::Parts) -> bool {
+pub fn is_refusal(state: &TrafficState, head: &http::response::Parts) -> bool {
     let is_not_run = head.headers.contains_key(&state.headers.not_executed);
     is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST
 }
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod pooled_connection;
 mod readiness;
 mod response;
+mod statements;
 mod target;
 mod thread;
 
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -28,6 +28,7 @@
     in_flight: IntGauge,
     lost_lines: IntGauge,
     invalid_loads: IntCounter,
+    invalid_limits: IntCounter,
 }
 
 impl Metrics {
@@ -63,7 +64,12 @@
             "citron_bad_loads_total",
             "Answers in which a server's load could not be read.",
         )?;
+        let invalid_limits = IntCounter::new(
+            "citron_bad_limits_total",
+            "Answers in which a server's rate limit could not be read.",
+        )?;
         Ok(Self {
+            invalid_limits: register(&registry, invalid_limits)?,
             invalid_loads: register(&registry, invalid_loads)?,
             requests: register(&registry, requests)?,
             attempts: register(&registry, attempts)?,
@@ -82,6 +88,7 @@
             attempts: self.attempts.local(),
             denied: self.denied.local(),
             invalid_loads: self.invalid_loads.local(),
+            invalid_limits: self.invalid_limits.local(),
             latency: self.latency.local(),
         }
     }
@@ -117,6 +124,7 @@
     attempts: LocalIntCounterVec,
     denied: LocalIntCounterVec,
     invalid_loads: LocalIntCounter,
+    invalid_limits: LocalIntCounter,
     latency: LocalHistogramVec,
 }
 
@@ -161,12 +169,18 @@
         self.invalid_loads.inc();
     }
 
+    /// Counts a response whose rate limit could not be read.
+    pub fn count_invalid_limit(&mut self) {
+        self.invalid_limits.inc();
+    }
+
     /// Adds the counts to the shared metrics.
     pub fn flush(&mut self) {
         self.requests.flush();
         self.attempts.flush();
         self.denied.flush();
         self.invalid_loads.flush();
+        self.invalid_limits.flush();
         self.latency.flush();
     }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod load_tracker;
 mod reported_load;
 mod select;
+mod stated_limits;
 
 pub use {
     concurrency::{ConcurrencyLimit, ON_TIME_SHARE, Timeliness},
@@ -14,4 +15,5 @@
     load_tracker::{LoadTracker, PeerLoad},
     reported_load::{ReportedLoad, ReportedLoadError},
     select::{Candidate, Decision, RejectReason, TimeLimits, sample_size, select_server},
+    stated_limits::{LimitStatement, StatedLimits},
 };
--- a/crates/ports/src/adapter.rs
+++ b/crates/ports/src/adapter.rs
@@ -34,6 +34,9 @@
     ///
     /// [`ReportedLoad`]: citron_core::dispatch::ReportedLoad
     pub load: HeaderName,
+    /// Requests per second that the server takes from all instances together, present in
+    /// its responses for as long as the limit holds.
+    pub limit: HeaderName,
 }
 
 /// Error of decoding a row of the store.
