Rate limits that servers state hold over all instances together

What callers saw: nothing at first.

Cause: no part of an instance read the statement. Class: a word of a server about itself that only the server knows, and that nobody takes, keeps or passes on.

Change: - core/dispatch/stated_limits: every instance admits the same share of its requests, nine tenths of the limit by the demand of all; instances report their demand and what they heard to each other beside heartbeats. A request that is not admitted is rejected at once with the time until the server gets to it, or goes to another server if it has no key. - Responses to grants and releases are read too. - The planner counts the limit as the server's capacity and gives it no more keys.

Weighed: equal shares of the limit with a bucket each. Clients are spread unevenly, and idle buckets add up: 84 instances could send 84 requests at once to a server that allows 2.3 a second. A keeper per server that is asked for each request: exact, but a round trip for every request, and nothing while the keeper is cut off.

In virtual time, 20 seeds a shape, 9 to 195 instances, surges of three to eight times, restarts: no window above the bound, and at least half (surge) or six tenths of the limit used.

Why it works: the sum over instances of demand x (limit / demand of all) is the limit, however the demand is spread; the remainder that each instance carries spaces the admitted requests and cannot be saved up while there is no demand.

--- a/crates/citronproxy/src/edge/control/heartbeat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -1,7 +1,10 @@
 //! UDP datagrams between instances: heartbeats, reports of requested keys, and key moves.
 
 use {
-    super::{controller::Controller, key_report, moves, peers::HeartbeatRound, refresh, relay},
+    super::{
+        controller::Controller, key_report, moves, peers::HeartbeatRound, refresh, relay,
+        statements,
+    },
     crate::{edge::EdgeError, events},
     citron_core::{
         freshness::{HeartbeatSchedule, PropagationTimes, Sender},
@@ -105,7 +108,11 @@
             events::MESSAGE_REFUSED
         );
     };
+    let statements = statements::encode(controller);
     for recipient in recipients {
+        if let Some(statements) = &statements {
+            send_datagram(socket, statements, recipient.address).await;
+        }
         let bytes = if recipient.with_loads {
             &full
         } else {
@@ -201,6 +208,7 @@
             }
         }
         Some(Datagram::Moves(moves)) => controller.apply_moves(moves),
+        Some(Datagram::Statements(wire)) => statements::apply(controller, wire),
         None => {
             let size = bytes.len();
             log::warn!(
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -16,6 +16,7 @@
 mod refresh;
 mod relay;
 mod replica;
+mod statements;
 mod transfer;
 mod watch;
 
--- a/crates/citronproxy/src/edge/control/planner/capacity.rs
+++ b/crates/citronproxy/src/edge/control/planner/capacity.rs
@@ -2,7 +2,10 @@
 
 use {
     citron_core::{
-        dispatch::LoadTracker, ranges::Capacity, registry::ServerRecord, slowstart::SlowStart,
+        dispatch::{LoadTracker, StatedLimits},
+        ranges::Capacity,
+        registry::ServerRecord,
+        slowstart::SlowStart,
         time::Time,
     },
     std::time::Duration,
@@ -39,12 +42,14 @@
     newest > NEWEST_AGE_MIN || oldest > oldest_max
 }
 
-/// Computes the capacities of servers from measured run times. Cold servers that would
-/// crash above a certain rate receive no more keys.
+/// Computes the capacities of servers from measured run times and stated limits. Cold
+/// servers that would crash above a certain rate, and those that state a limit, receive no
+/// more keys.
 pub fn capacities(
     servers: &[&ServerRecord],
     slow_start: Option<SlowStart>,
     loads: &LoadTracker,
+    limits: &StatedLimits,
     now: Time,
 ) -> Vec<Capacity> {
     let servers: Vec<(&ServerRecord, Option<f64>)> = servers
@@ -61,9 +66,11 @@
         let is_warm = known.remaining_warm_up(now).is_zero();
         let cold_factor = if is_warm { 1.0 } else { COLD_SPEED_FACTOR };
         let rate = f64::from(known.entry.slots.0) * speed * cold_factor / mean_run;
-        let rate_limit = slow_start
+        let cold_limit = slow_start
             .filter(|_| !is_warm)
             .map(|slow_start| slow_start.rate.0);
+        let stated_limit = limits.limit(&known.entry.name, now).map(|limit| limit.0);
+        let rate_limit = cold_limit.into_iter().chain(stated_limit).reduce(f64::min);
         Capacity {
             server: known.entry.name.clone(),
             rate: rate.min(rate_limit.unwrap_or(f64::INFINITY)),
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -1,7 +1,10 @@
 //! Orders that the planner sends to backend servers: grants and releases of keys.
 
 use {
-    crate::{edge::control::controller::Controller, events},
+    crate::{
+        edge::control::{controller::Controller, statements::record_order_response},
+        events,
+    },
     bytes::Bytes,
     citron_core::{
         id::ServerName,
@@ -184,7 +187,11 @@
             let header = controller.adapter.headers().expected_start.clone();
             request.headers_mut().insert(header, name);
         }
-        connection.client.call(request, timeout).await
+        let response = connection.client.call(request, timeout).await;
+        if let Ok(response) = &response {
+            record_order_response(controller, server, response.headers());
+        }
+        response
     }
 
     /// Drops connections to addresses that are no longer used.
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -159,7 +159,13 @@
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
             let may_assign = is_server_set_complete(&open, is_requested, now);
-            let capacities = capacities(&open, service.slow_start, &controller.shared.loads(), now);
+            let capacities = capacities(
+                &open,
+                service.slow_start,
+                &controller.shared.loads(),
+                &controller.shared.limits(),
+                now,
+            );
             if may_rebalance {
                 plan.demand = controller.demands.borrow().current(name, now);
             }
--- a/crates/citronproxy/src/edge/mod.rs
+++ b/crates/citronproxy/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 mod settings;
 mod shared;
+mod statements;
 mod traffic;
 mod view;
 
--- /dev/null
+++ b/crates/citronproxy/src/edge/statements.rs
@@ -0,0 +1,52 @@
+//! Statements of servers about themselves in the headers of their responses.
+
+use {
+    super::shared::SharedState,
+    crate::events,
+    citron_core::{
+        admission::Rate,
+        dispatch::LimitStatement,
+        id::{ParseIdError, ServerName},
+        time::Time,
+    },
+    citron_ports::HeaderNames,
+    http::HeaderMap,
+};
+
+/// The rate limit that a response states; `None` if it states none.
+///
+/// # Errors
+/// If the value is not a rate.
+pub fn parse_limit(names: &HeaderNames, headers: &HeaderMap) -> Result<Option<Rate>, ParseIdError> {
+    let value = headers.get(&names.limit);
+    // A value that is not text parses no better than an empty one.
+    let text = value.map(|value| value.to_str().unwrap_or_default().trim());
+    text.map(str::parse).transpose()
+}
+
+/// Records what a response says about the server's rate limit.
+pub fn record_limit(
+    shared: &SharedState,
+    server: &ServerName,
+    statement: LimitStatement,
+    now: Time,
+) {
+    let random = rand::random();
+    let is_changed = shared
+        .limits()
+        .record_statement(server, statement, now, random);
+    if is_changed {
+        log_limit(server, statement);
+    }
+}
+
+/// Logs that the rate limit of a server has changed.
+pub fn log_limit(server: &ServerName, statement: LimitStatement) {
+    let event = events::RATE_LIMIT_STATED;
+    match statement {
+        LimitStatement::Limited(rate) => {
+            log::info!("{event} {server} takes {rate} requests per second from all instances");
+        }
+        LimitStatement::Unlimited => log::info!("{event} {server} states no limit any more"),
+    }
+}
--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -5,7 +5,7 @@
         attempt::{AttemptResult, OutgoingRequest, send},
         crash,
         response::{ResponseBody, local_response, not_run_response},
-        target::{StaleOwner, Target, TargetQuery, select_target},
+        target::{RETRY_JITTER, StaleOwner, Target, TargetQuery, select_target},
         thread::TrafficState,
     },
     crate::{edge::view::View, events},
@@ -20,7 +20,7 @@
     },
     http::{Response, StatusCode},
     rand::Rng,
-    std::{cell::Cell, ops::Range, sync::Arc, time::Duration},
+    std::{cell::Cell, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -38,9 +38,6 @@
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Upper bound of that Retry-After, reached at servers that reject nearly all requests.
 const REJECTED_RETRY_AFTER_MAX: Duration = Duration::from_secs(3);
-/// Jitter factor of Retry-After. Without it, clients rejected together would return
-/// together.
-const RETRY_JITTER: Range<f64> = 0.85..1.15;
 /// Half of the first delay before a request is sent again to an owner that rejected its
 /// key. The planner sends a grant some milliseconds after it commits the map that names
 /// the new owner. The delay doubles with each such rejection.
@@ -278,7 +275,8 @@
             match self.select(&view) {
                 Target::Server(server) => return Ok(server),
                 Target::Reject(retry_after, overload) => {
-                    if self.elapsed() > self.rule.latency_objective / CAPACITY_WAIT_DIVISOR {
+                    let wait_max = self.rule.latency_objective / CAPACITY_WAIT_DIVISOR;
+                    if !overload.may_end_soon() || self.elapsed() > wait_max {
                         self.record_owner_rejection();
                         return Err(self.refuse(retry_after, &overload.to_string()));
                     }
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -6,11 +6,10 @@
         idle_limits::ReuseRecorder,
         pooled_connection::PooledConnection,
         response::{ResponseBody, StreamingBody},
-        statements,
         thread::TrafficState,
     },
     crate::{
-        edge::shared::SharedState,
+        edge::{shared::SharedState, statements},
         traffic::{
             pool::{Connection, Reuse},
             request::{keep_alive_timeout, strip_hop_by_hop},
@@ -19,7 +18,9 @@
     },
     bytes::BytesMut,
     citron_core::{
-        dispatch::{AttemptOutcome, ON_TIME_SHARE, ReportedLoad, Timeliness, run_share},
+        dispatch::{
+            AttemptOutcome, LimitStatement, ON_TIME_SHARE, ReportedLoad, Timeliness, run_share,
+        },
         id::{ServerName, ServiceName},
         registry::ServerRecord,
         routes::Idempotency,
@@ -375,6 +376,19 @@
     load
 }
 
+/// Records the rate limit that a server states in a response. An invalid value is counted
+/// and ignored.
+fn record_limit(state: &TrafficState, server: &ServerName, head: &http::response::Parts) {
+    let statement = match statements::parse_limit(&state.headers, &head.headers) {
+        Ok(Some(rate)) => LimitStatement::Limited(rate),
+        // A refusal may come from another process at the server's address.
+        Ok(None) if is_refusal(state, head) => return,
+        Ok(None) => LimitStatement::Unlimited,
+        Err(_) => return state.local_metrics.borrow_mut().count_invalid_limit(),
+    };
+    statements::record_limit(&state.shared, server, statement, state.clock.now());
+}
+
 /// Checks the response head, and reads the body up to the size that is buffered.
 async fn read_response(
     state: &TrafficState,
@@ -392,7 +406,7 @@
             "received the response to another request".to_string(),
         ));
     }
-    statements::record_limit(state, &server.entry.name, &head);
+    record_limit(state, &server.entry.name, &head);
     // `Upgrade` is not forwarded, so that no server has a reason to switch protocols.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return ExchangeResult::Failed(AttemptResult::Lost(
@@ -427,7 +441,7 @@
 }
 
 /// Whether the server guarantees that it has not run the request.
-pub fn is_refusal(state: &TrafficState, head: &http::response::Parts) -> bool {
+fn is_refusal(state: &TrafficState, head: &http::response::Parts) -> bool {
     let is_not_run = head.headers.contains_key(&state.headers.not_executed);
     is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST
 }
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -10,7 +10,6 @@
 mod pooled_connection;
 mod readiness;
 mod response;
-mod statements;
 mod target;
 mod thread;
 
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -12,7 +12,7 @@
         time::Time,
     },
     rand::{Rng, seq::index},
-    std::{fmt, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, fmt, ops::Range, sync::Arc, time::Duration},
 };
 
 /// Retry-After of a request above the concurrency limit of its service: about the time
@@ -21,6 +21,9 @@
 /// Upper bound of Retry-After if all servers are cold and have received their share of
 /// requests.
 const COLD_RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
+/// Jitter factor of Retry-After. Without it, clients rejected together would return
+/// together.
+pub const RETRY_JITTER: Range<f64> = 0.85..1.15;
 
 /// Number of servers of a service up to which all are compared for each request. Of more
 /// servers, a sample is compared.
@@ -48,6 +51,15 @@
     ConcurrencyLimit,
     /// This instance's share of the requests to cold servers is used up.
     ColdServers,
+    /// The servers state limits on their requests, which other requests use up.
+    StatedLimits,
+}
+
+impl Overload {
+    /// Whether the request may find capacity if it waits for a moment.
+    pub fn may_end_soon(self) -> bool {
+        !matches!(self, Self::StatedLimits)
+    }
 }
 
 impl fmt::Display for Overload {
@@ -56,6 +68,7 @@
             Self::Servers(reason) => reason.fmt(f),
             Self::ConcurrencyLimit => f.write_str("over the limit that late answers set"),
             Self::ColdServers => f.write_str("cold servers take no more now"),
+            Self::StatedLimits => f.write_str("servers limit their requests"),
         }
     }
 }
@@ -245,7 +258,8 @@
     Target::Reject(remaining.min(COLD_RETRY_AFTER_MAX), Overload::ColdServers)
 }
 
-/// Selects the server that should respond first, by its load.
+/// Selects the server that should respond first, by its load, among those whose stated
+/// limits admit the request.
 fn select_by_load<'a>(
     state: &TrafficState,
     view: &View,
@@ -261,12 +275,13 @@
     // Owners of keys, and servers in other failure domains, also get requests from
     // instances that do not report their loads to this one.
     let remote_load_factor = view.instance_count as f64 / view.reporting_count.max(1) as f64;
+    let remote_load_factor = remote_load_factor.max(1.0);
     let reuse_policy = reuse_policy(state, query.service, query.idempotency);
-    let candidates = servers.clone().map(|server| {
+    let to_candidate = |server: &'a Arc<ServerRecord>| {
         let same_domain = server.entry.domain == state.settings.domain;
         let load_factor = match same_domain && query.key.is_none() {
             true => 1.0,
-            false => remote_load_factor.max(1.0),
+            false => remote_load_factor,
         };
         Candidate {
             server,
@@ -274,27 +289,43 @@
             has_connection: state.pool.has_idle(&server.entry.address, reuse_policy),
             load_factor,
         }
-    });
+    };
     let loads = state.shared.loads();
     let mut rng = rand::rng();
-    match select_server(&loads, candidates, limits, now, || rng.random()) {
-        Decision::Reject {
-            retry_after,
-            reason,
-        } => Target::Reject(retry_after, Overload::Servers(reason)),
-        Decision::Send(name) => {
-            let mut servers = servers;
-            let chosen = servers.find(|server| server.entry.name == name);
-            let Some(server) = chosen else {
-                return Target::Unavailable;
-            };
-            if !server.remaining_warm_up(now).is_zero() {
-                state
-                    .cold_limiter
-                    .borrow_mut()
-                    .record(&server.entry.name, now);
+    let mut limited: BTreeMap<ServerName, Duration> = BTreeMap::new();
+    loop {
+        let mut servers = servers
+            .clone()
+            .filter(|server| !limited.contains_key(&server.entry.name));
+        let candidates = servers.clone().map(to_candidate);
+        let name = match select_server(&loads, candidates, limits, now, || rng.random()) {
+            Decision::Send(name) => name,
+            Decision::Reject {
+                retry_after,
+                reason,
+            } => {
+                let first_free = limited.values().min().filter(|_| servers.next().is_none());
+                let jitter = rng.random_range(RETRY_JITTER);
+                return match first_free {
+                    Some(wait) => Target::Reject(wait.mul_f64(jitter), Overload::StatedLimits),
+                    None => Target::Reject(retry_after, Overload::Servers(reason)),
+                };
             }
-            Target::Server(Arc::clone(server))
+        };
+        let Some(server) = servers.find(|server| server.entry.name == name) else {
+            return Target::Unavailable;
+        };
+        let admitted = state.shared.limits().admit(&name, remote_load_factor, now);
+        if let Err(retry_after) = admitted {
+            limited.insert(name, retry_after);
+            continue;
+        }
+        if !server.remaining_warm_up(now).is_zero() {
+            state
+                .cold_limiter
+                .borrow_mut()
+                .record(&server.entry.name, now);
         }
+        return Target::Server(Arc::clone(server));
     }
 }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -113,7 +113,7 @@
     /// A backend server's entry cannot be read.
     SERVER_ENTRY_REFUSED = 421, "server-entry-refused";
     /// A backend server states a limit on its requests, another one, or none any more.
-    SERVER_LIMIT = 422, "server-limit";
+    RATE_LIMIT_STATED = 422, "rate-limit-stated";
     /// Another instance became the planner, or this one became it or ceased to be it.
     PLANNER = 430, "planner";
     /// A row that citronproxy writes itself cannot be read; the last valid one stays in
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Selection of a backend server for a request, or rejection with a Retry-After.
 
 mod concurrency;
+mod demand_rate;
 mod idle_limit;
 mod load;
 mod load_tracker;
@@ -10,10 +11,11 @@
 
 pub use {
     concurrency::{ConcurrencyLimit, ON_TIME_SHARE, Timeliness},
+    demand_rate::DemandRate,
     idle_limit::IdleLimit,
     load::{AttemptOutcome, ServerLoad, run_share},
     load_tracker::{LoadTracker, PeerLoad},
     reported_load::{ReportedLoad, ReportedLoadError},
     select::{Candidate, Decision, RejectReason, TimeLimits, sample_size, select_server},
-    stated_limits::{LimitStatement, StatedLimits},
+    stated_limits::{LimitReport, LimitStatement, StatedLimits},
 };
--- a/crates/core/src/time/instant.rs
+++ b/crates/core/src/time/instant.rs
@@ -44,6 +44,16 @@
     }
 }
 
+/// The time `span` earlier; the origin if that is before it.
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 /// The duration since `earlier`; zero if `earlier` is later.
 impl Sub for Time {
     type Output = Duration;
--- /dev/null
+++ b/crates/core/tests/stated_limits.rs
@@ -0,0 +1,324 @@
+//! Rate limits that servers state for all instances together, in virtual time.
+
+use {
+    citron_core::{
+        admission::Rate,
+        dispatch::{LimitStatement, StatedLimits},
+        id::{InstanceId, ServerName},
+        time::Time,
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Time from the first statement after which the limit holds over all instances.
+const SETTLES: Duration = Duration::from_secs(3);
+/// Span in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests allowed in that span: a factor on what the limit allows, and an extra number.
+const FACTOR: f64 = 1.5;
+const EXTRA: f64 = 5.0;
+/// Time from a request until its response.
+const RESPONSE_TIME: Duration = Duration::from_millis(200);
+/// Time between two steps of the simulation.
+const STEP: Duration = Duration::from_millis(5);
+/// Length of a simulated run.
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// Instances that send to one server, and the clients' demand for it.
+#[derive(Clone, Copy)]
+struct Shape {
+    instances: usize,
+    /// Number of groups whose instances report to each other.
+    domains: usize,
+    report_interval: Duration,
+    limit: f64,
+    /// Requests per second of all clients together.
+    demand: f64,
+    /// Factor on the demand between the seconds 12 and 16.
+    burst: f64,
+    /// Interval at which one instance loses what it knows; zero for never.
+    restart_interval: Duration,
+}
+
+const SMALL: Shape = Shape {
+    instances: 9,
+    domains: 1,
+    report_interval: Duration::from_millis(100),
+    limit: 2.3,
+    demand: 9.0,
+    burst: 1.0,
+    restart_interval: Duration::ZERO,
+};
+
+const LARGE: Shape = Shape {
+    instances: 84,
+    domains: 3,
+    report_interval: Duration::from_millis(400),
+    ..SMALL
+};
+
+/// Figures of a run.
+#[derive(Debug)]
+struct Figures {
+    /// Most requests in a [`WINDOW`] that begins after the limit has settled.
+    most: usize,
+    /// Requests per second after the limit has settled.
+    rate: f64,
+}
+
+struct World {
+    shape: Shape,
+    rng: ChaCha8Rng,
+    limits: Vec<StatedLimits>,
+    server: ServerName,
+    /// Times at which responses arrive, and at which instance.
+    responses: VecDeque<(Time, usize)>,
+    /// Times at which rejected clients return.
+    returns: Vec<Time>,
+    arrivals: Vec<Time>,
+}
+
+impl World {
+    fn new(shape: Shape, seed: u64) -> Self {
+        Self {
+            shape,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            limits: (0..shape.instances)
+                .map(|_| StatedLimits::default())
+                .collect(),
+            server: "s-1".parse().unwrap(),
+            responses: VecDeque::new(),
+            returns: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    fn run(mut self) -> Figures {
+        let mut now = Time::ZERO;
+        while now < Time::ZERO + LENGTH {
+            now = now + STEP;
+            self.step(now);
+        }
+        let start = Time::ZERO + SETTLES;
+        let counted: Vec<Time> = self.arrivals.into_iter().filter(|at| *at > start).collect();
+        let in_window = |first: &Time| {
+            let within = |at: &&Time| **at >= *first && **at < *first + WINDOW;
+            counted.iter().filter(within).count()
+        };
+        Figures {
+            most: counted.iter().map(in_window).max().unwrap_or_default(),
+            rate: counted.len() as f64 / (LENGTH - SETTLES).as_secs_f64(),
+        }
+    }
+
+    fn step(&mut self, now: Time) {
+        while let Some((at, instance)) = self.responses.front().copied()
+            && at <= now
+        {
+            self.responses.pop_front();
+            let statement = LimitStatement::Limited(Rate(self.shape.limit));
+            let random = self.rng.random();
+            self.limits[instance].record_statement(&self.server, statement, now, random);
+        }
+        self.report(now);
+        self.restart(now);
+        let seconds = now.as_micros() as f64 / 1e6;
+        let burst = if (12.0..16.0).contains(&seconds) {
+            self.shape.burst
+        } else {
+            1.0
+        };
+        if self
+            .rng
+            .random_bool(self.shape.demand * burst * STEP.as_secs_f64())
+        {
+            self.send(now, true);
+        }
+        let due = self.returns.iter().filter(|at| **at <= now).count();
+        self.returns.retain(|at| *at > now);
+        (0..due).for_each(|_| self.send(now, false));
+    }
+
+    /// Sends a request through an instance. The clients of some instances are far busier
+    /// than those of others. A rejected client returns once, at any instance.
+    fn send(&mut self, now: Time, may_return: bool) {
+        let skewed = self.rng.random::<f64>().powi(2) * self.shape.instances as f64;
+        let instance = skewed as usize;
+        let factor = self.shape.domains as f64;
+        match self.limits[instance].admit(&self.server, factor, now) {
+            Ok(()) => {
+                self.arrivals.push(now);
+                self.responses.push_back((now + RESPONSE_TIME, instance));
+            }
+            Err(retry_after) if may_return => self.returns.push(now + retry_after),
+            Err(_) => {}
+        }
+    }
+
+    /// Sends the reports of the instances whose turn it is.
+    fn report(&mut self, now: Time) {
+        let interval = self.shape.report_interval.as_micros() as u64;
+        let instances = self.shape.instances;
+        let is_due = |index: &usize| {
+            let offset = interval * *index as u64 / instances as u64;
+            (now.as_micros() + offset) % interval < STEP.as_micros() as u64
+        };
+        for sender in (0..instances).filter(is_due) {
+            let reports = self.limits[sender].reports(now);
+            let name: InstanceId = format!("n-{sender}").parse().unwrap();
+            let domain = sender % self.shape.domains;
+            for receiver in (domain..instances).step_by(self.shape.domains) {
+                if receiver != sender {
+                    let rng = &mut self.rng;
+                    self.limits[receiver]
+                        .apply_report(name.clone(), reports.clone(), now, || rng.random());
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, now: Time) {
+        let interval = self.shape.restart_interval.as_micros() as u64;
+        if interval > 0 && now.as_micros().is_multiple_of(interval) {
+            let instance = self.rng.random_range(0..self.shape.instances);
+            self.limits[instance] = StatedLimits::default();
+        }
+    }
+}
+
+/// Runs a shape with several seeds, and checks that every run keeps the limit and that the
+/// server gets at least `share` of it on average.
+fn check(shape: Shape, share: f64) {
+    let allowed = FACTOR * shape.limit * WINDOW.as_secs_f64() + EXTRA;
+    let figures: Vec<Figures> = (0..20).map(|seed| World::new(shape, seed).run()).collect();
+    for (seed, figure) in figures.iter().enumerate() {
+        let most = figure.most as f64;
+        assert!(
+            most <= allowed,
+            "seed {seed}: {figure:?}, {allowed} allowed"
+        );
+    }
+    let rate = figures.iter().map(|figure| figure.rate).sum::<f64>() / figures.len() as f64;
+    assert!(
+        rate >= share * shape.limit,
+        "{rate:.2} requests per second at a limit of {}",
+        shape.limit
+    );
+}
+
+/// Guards against a limit that each of nine instances uses up by itself.
+#[test]
+fn a_few_instances_keep_a_limit_together_and_use_it() {
+    check(SMALL, 0.6);
+    check(
+        Shape {
+            limit: 0.5,
+            ..SMALL
+        },
+        0.6,
+    );
+    check(
+        Shape {
+            limit: 20.0,
+            demand: 60.0,
+            ..SMALL
+        },
+        0.6,
+    );
+}
+
+/// Guards against one request from each of many instances at once: each has saved up its
+/// share of the limit, and reports reach only the own failure domain.
+#[test]
+fn many_instances_keep_a_limit_together_and_use_it() {
+    check(LARGE, 0.6);
+    check(
+        Shape {
+            instances: 195,
+            domains: 5,
+            limit: 10.0,
+            demand: 30.0,
+            ..LARGE
+        },
+        0.6,
+    );
+}
+
+/// Guards against instances that admit a surge of requests by the demand of before.
+#[test]
+fn a_limit_holds_while_the_demand_surges() {
+    check(
+        Shape {
+            demand: 2.0,
+            burst: 8.0,
+            ..SMALL
+        },
+        0.5,
+    );
+    check(
+        Shape {
+            burst: 3.0,
+            ..LARGE
+        },
+        0.6,
+    );
+}
+
+/// Guards against instances that know of no limit after a restart until a response tells
+/// them, while others have reported it.
+#[test]
+fn a_limit_holds_while_instances_restart() {
+    check(
+        Shape {
+            restart_interval: Duration::from_secs(2),
+            ..SMALL
+        },
+        0.6,
+    );
+}
+
+/// Guards against a server that gets no requests for good: its limit is zero, and only a
+/// response can withdraw it.
+#[test]
+fn a_limit_of_zero_leaves_room_for_trials() {
+    let shape = Shape {
+        limit: 0.0,
+        ..SMALL
+    };
+    let figures = World::new(shape, 1).run();
+    assert!(figures.most >= 1, "{figures:?}");
+    assert!(figures.most as f64 <= EXTRA, "{figures:?}");
+}
+
+/// Guards against a limit that comes back after its server withdrew it: the statement of
+/// before, which another instance still reports, must not count as a later one.
+#[test]
+fn a_withdrawn_limit_is_not_revived_by_reports() {
+    let server: ServerName = "s-1".parse().unwrap();
+    let at = |millis: u64| Time::from_micros(millis * 1_000);
+    let (mut one, mut other) = (StatedLimits::default(), StatedLimits::default());
+    let limited = LimitStatement::Limited(Rate(2.0));
+    assert!(one.record_statement(&server, limited, at(1_000), 0.5));
+    let changed = other.apply_report(
+        "n-1".parse().unwrap(),
+        one.reports(at(1_100)),
+        at(1_100),
+        || 0.5,
+    );
+    assert_eq!(changed, [(server.clone(), limited)]);
+    assert!(other.record_statement(&server, LimitStatement::Unlimited, at(1_200), 0.5));
+    for millis in (1_300..5_000).step_by(100) {
+        let reports = one.reports(at(millis));
+        other.apply_report("n-1".parse().unwrap(), reports, at(millis), || 0.5);
+        assert_eq!(other.limit(&server, at(millis)), None);
+    }
+    let changed = one.apply_report(
+        "n-2".parse().unwrap(),
+        other.reports(at(5_000)),
+        at(5_000),
+        || 0.5,
+    );
+    assert_eq!(changed, [(server, LimitStatement::Unlimited)]);
+}
--- a/crates/wire/src/heartbeat/datagram.rs
+++ b/crates/wire/src/heartbeat/datagram.rs
@@ -1,7 +1,7 @@
 //! Datagrams between instances.
 
 use {
-    super::{Heartbeat, MovesWire},
+    super::{Heartbeat, MovesWire, StatementsWire},
     serde::{Deserialize, Serialize},
 };
 
@@ -18,6 +18,8 @@
     Keys(Vec<KeysWire>),
     /// Moves of keys, sent by the planner.
     Moves(MovesWire),
+    /// Statements of servers, sent along with heartbeats while there are any.
+    Statements(StatementsWire),
 }
 
 /// Keys of recent requests for one service.
--- a/crates/wire/src/heartbeat/mod.rs
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod message;
 mod moves;
+mod statements;
 
 pub use {
     crashes::CrashesWire,
@@ -13,4 +14,5 @@
     load::LoadWire,
     message::Heartbeat,
     moves::{MoveWire, MovesWire},
+    statements::{LimitWire, StatementsWire},
 };
--- /dev/null
+++ b/crates/wire/src/heartbeat/statements.rs
@@ -0,0 +1,90 @@
+//! Statements that servers made to an instance, sent along with its heartbeats.
+
+use {
+    super::{Datagram, MAX_DATAGRAM_BYTES, byte_budget::ByteBudget},
+    citron_core::{
+        admission::Rate,
+        dispatch::{LimitReport, LimitStatement},
+        id::ParseIdError,
+    },
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Largest number of extra bytes that the encoded length of the list takes, compared with
+/// that of an empty list.
+const MAX_COUNT_BYTES: usize = 4;
+
+/// Statements of servers, with the demand of the sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatementsWire {
+    /// Name of the sender.
+    pub instance: String,
+    /// Rate limits.
+    pub limits: Vec<LimitWire>,
+}
+
+impl StatementsWire {
+    /// Encodes the statements as one datagram. Limits that do not fit are dropped from the
+    /// end of the list.
+    pub fn encode_truncated(mut self) -> Option<Vec<u8>> {
+        let limits = std::mem::take(&mut self.limits);
+        let bare = Datagram::Statements(self.clone()).encode()?;
+        let mut budget =
+            ByteBudget::new(MAX_DATAGRAM_BYTES.saturating_sub(bare.len() + MAX_COUNT_BYTES));
+        self.limits = budget.take_fitting(limits);
+        Datagram::Statements(self).encode()
+    }
+}
+
+/// Rate limit of a server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitWire {
+    server: String,
+    /// Latest statement that the server made to the sender: requests per second, or `None`
+    /// for no limit; and milliseconds since then.
+    heard: Option<(Option<f64>, u32)>,
+    /// Requests per second that the sender has for the server.
+    demand: f32,
+}
+
+impl From<LimitReport> for LimitWire {
+    fn from(report: LimitReport) -> Self {
+        let heard = report.heard.map(|(statement, age)| {
+            let rate = match statement {
+                LimitStatement::Limited(rate) => Some(rate.0),
+                LimitStatement::Unlimited => None,
+            };
+            (rate, age.as_millis() as u32)
+        });
+        Self {
+            server: report.server.to_string(),
+            heard,
+            demand: report.demand.0 as f32,
+        }
+    }
+}
+
+impl TryFrom<LimitWire> for LimitReport {
+    type Error = ParseIdError;
+
+    fn try_from(wire: LimitWire) -> Result<Self, ParseIdError> {
+        let heard = wire.heard.map(|(rate, age)| {
+            let rate = rate.map(parse_rate).transpose()?;
+            let statement = rate.map_or(LimitStatement::Unlimited, |rate| {
+                LimitStatement::Limited(rate)
+            });
+            Ok((statement, Duration::from_millis(age.into())))
+        });
+        Ok(Self {
+            server: wire.server.parse()?,
+            heard: heard.transpose()?,
+            demand: parse_rate(wire.demand.into())?,
+        })
+    }
+}
+
+/// Checks a rate with the same rules as its text form.
+fn parse_rate(rate: f64) -> Result<Rate, ParseIdError> {
+    rate.to_string().parse()
+}
