--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -9,6 +9,7 @@
         peers::Peers,
         planner, refresh, relay,
         replica::TableReplica,
+        statements,
         watch::{self, CONFIG, RANGES, SERVERS, WATCHED},
     },
     crate::{
@@ -174,6 +175,7 @@
     local.spawn_local(members::register(Rc::clone(&controller)));
     local.spawn_local(expire_loop(Rc::clone(&controller)));
     local.spawn_local(planner::run(Rc::clone(&controller)));
+    local.spawn_local(statements::apply_leaving(Rc::clone(&controller)));
     let listener = http_server::listen(controller.settings.peer_address).await?;
     let handler_controller = Rc::clone(&controller);
     let handler =
--- a/crates/citronproxy/src/edge/control/statements.rs
+++ b/crates/citronproxy/src/edge/control/statements.rs
@@ -13,8 +13,20 @@
     citron_ports::Adapter,
     citron_wire::heartbeat::StatementsWire,
     http::HeaderMap,
+    std::{collections::BTreeSet, rc::Rc},
 };
 
+/// Applies statements of servers to this instance that they leave, until the process exits.
+pub async fn apply_leaving<A: Adapter>(controller: Rc<Controller<A>>) {
+    loop {
+        let stated = controller.shared.next_leaving().await;
+        let servers: BTreeSet<ServerName> = stated.into_iter().map(|(server, _)| server).collect();
+        for server in servers {
+            log::info!("{} {server} in a response", events::LEAVING_STATED);
+        }
+    }
+}
+
 /// Encodes the statements that this instance reports to others; `None` if there are none.
 pub fn encode<A: Adapter>(controller: &Controller<A>) -> Option<Vec<u8>> {
     let limits = controller.shared.limits().reports(controller.clock.now());
--- a/crates/citronproxy/src/edge/shared.rs
+++ b/crates/citronproxy/src/edge/shared.rs
@@ -6,7 +6,7 @@
     citron_core::{
         crash::{CrashConfig, CrashTracker},
         dispatch::{LoadTracker, StatedLimits},
-        id::ServiceName,
+        id::{ServerName, ServiceName},
         ranges::{MoveLog, MoveNotice, OwnerHint, RangeKey, Slice},
         time::Time,
     },
@@ -14,7 +14,7 @@
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// Largest number of requested keys kept for the planner while it cannot be reached.
@@ -29,6 +29,8 @@
     publications: watch::Sender<u64>,
     loads: Mutex<LoadTracker>,
     limits: Mutex<StatedLimits>,
+    leaving_servers: Mutex<Vec<(ServerName, Time)>>,
+    leaving_stated: Notify,
     pending_keys: Mutex<Vec<(ServiceName, RangeKey)>>,
     crashes: Mutex<CrashTracker>,
     moves: Mutex<BTreeMap<ServiceName, MoveLog>>,
@@ -43,6 +45,8 @@
             publications: watch::Sender::new(0),
             loads: Mutex::default(),
             limits: Mutex::default(),
+            leaving_servers: Mutex::default(),
+            leaving_stated: Notify::new(),
             pending_keys: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(CrashConfig::PER_START)),
             moves: Mutex::default(),
@@ -83,6 +87,28 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a server stated at `now` that it leaves, for the control thread.
+    pub fn record_leaving(&self, server: &ServerName, now: Time) {
+        let mut servers = self
+            .leaving_servers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        servers.push((server.clone(), now));
+        drop(servers);
+        self.leaving_stated.notify_one();
+    }
+
+    /// Waits for servers that stated that they leave, and returns them with the times of
+    /// the statements.
+    pub async fn next_leaving(&self) -> Vec<(ServerName, Time)> {
+        self.leaving_stated.notified().await;
+        let mut servers = self
+            .leaving_servers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *servers)
+    }
+
     /// Records a request for a key, to be reported to the planner.
     pub fn record_key(&self, service: &ServiceName, key: RangeKey) {
         let mut keys = self
--- a/crates/citronproxy/src/edge/statements.rs
+++ b/crates/citronproxy/src/edge/statements.rs
@@ -24,6 +24,12 @@
     text.map(str::parse).transpose()
 }
 
+/// Whether a response says that its server leaves.
+pub fn is_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    let value = headers.get(&names.leaving);
+    value.is_some_and(|value| value.as_bytes() == b"1")
+}
+
 /// Records what a response says about the server's rate limit.
 pub fn record_limit(
     shared: &SharedState,
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -389,6 +389,14 @@
     statements::record_limit(&state.shared, server, statement, state.clock.now());
 }
 
+/// Records that a server leaves, if its response says so and the view does not show it yet.
+fn record_leaving(state: &TrafficState, server: &ServerRecord, head: &http::response::Parts) {
+    if server.is_listed() && statements::is_leaving(&state.headers, &head.headers) {
+        let now = state.clock.now();
+        state.shared.record_leaving(&server.entry.name, now);
+    }
+}
+
 /// Checks the response head, and reads the body up to the size that is buffered.
 async fn read_response(
     state: &TrafficState,
@@ -407,6 +415,7 @@
         ));
     }
     record_limit(state, &server.entry.name, &head);
+    record_leaving(state, server, &head);
     // `Upgrade` is not forwarded, so that no server has a reason to switch protocols.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return ExchangeResult::Failed(AttemptResult::Lost(
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -114,6 +114,8 @@
     SERVER_ENTRY_REFUSED = 421, "server-entry-refused";
     /// A backend server states a limit on its requests, another one, or none any more.
     RATE_LIMIT_STATED = 422, "rate-limit-stated";
+    /// A backend server states that it leaves, before the store tells.
+    LEAVING_STATED = 423, "leaving-stated";
     /// Another instance became the planner, or this one became it or ceased to be it.
     PLANNER = 430, "planner";
     /// A row that citronproxy writes itself cannot be read; the last valid one stays in
--- a/crates/ports/src/adapter.rs
+++ b/crates/ports/src/adapter.rs
@@ -37,6 +37,8 @@
     /// Requests per second that the server takes from all instances together, present in
     /// its responses for as long as the limit holds.
     pub limit: HeaderName,
+    /// Present with the value `1` in the responses of a server that leaves.
+    pub leaving: HeaderName,
 }
 
 /// Error of decoding a row of the store.
