A server that states in its responses that it leaves counts as leaving

A server that had said that it leaves got requests until the store told of it, 12.9 s later; one that does not wait for that would have cut them.

Cause: leaving was known from the store only, and the store was down. Class: a word of a server about itself that only the server knows, and that nobody takes, keeps or passes on.

Change: a response to a request, grant or release that says so marks the server in the registry (mark_leaving), from the moment at which this instance received it; the store's entry `ready` of before does not revoke that. Instances report it to each other for five seconds, so that the planner moves the keys whoever has heard it. While the store is down the planner leaves them with the server: released keys would have no owner until the store is back, and the server may serve them for the time that SendBounds allows.

Why it works: the statement is kept beside the entries, by the name of the server's start, so that neither the order of news nor the state of the store decides; a server that starts anew has another name.

--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -4,7 +4,7 @@
     super::capacity::{capacities, is_server_set_complete},
     crate::{
         edge::control::{
-            controller::{Controller, Leadership, PlannerId},
+            controller::{ControlState, Controller, Leadership, PlannerId},
             election::has_stopped_planning,
         },
         events,
@@ -15,7 +15,7 @@
             BalanceLimits, BalanceTimer, Balancer, Demand, KeyRange, LeaseTimes, LeaseTracker,
             Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
         },
-        registry::ServerRecord,
+        registry::{PlannedOwners, ServerRecord},
     },
     citron_ports::Adapter,
     std::collections::BTreeMap,
@@ -145,6 +145,7 @@
         let may_rebalance = self
             .balance_clock
             .is_due(has_sudden_change, may_balance, now);
+        let owners = planned_owners(controller, &state);
         for service in config.services().filter(|service| service.is_sharded) {
             let name = &service.name;
             let plan = self.plans.entry(name.clone()).or_insert_with(|| {
@@ -176,13 +177,7 @@
                 may_rebalance,
             };
             let reconciler = &mut plan.reconciler;
-            reconciler.plan(
-                now,
-                &state.store_clock,
-                &state.registry,
-                &mut balance,
-                scope,
-            );
+            reconciler.plan(now, &state.store_clock, &owners, &mut balance, scope);
             if may_rebalance {
                 log::info!(
                     "{} service={name} highest={:.2} moves={} slices={} rate={:.0}",
@@ -203,12 +198,24 @@
     ) -> Vec<(ServiceName, Order)> {
         let now = controller.clock.now();
         let state = controller.state.borrow();
+        let owners = planned_owners(controller, &state);
         let mut orders = Vec::new();
         for (service, plan) in &mut self.plans {
             let reconciler = &mut plan.reconciler;
-            let due_orders = reconciler.orders(now, &state.store_clock, &state.registry);
+            let due_orders = reconciler.orders(now, &state.store_clock, &owners);
             orders.extend(due_orders.into_iter().map(|order| (service.clone(), order)));
         }
         orders
     }
 }
+
+/// States of owners by which moves are planned now.
+fn planned_owners<'a, A: Adapter>(
+    controller: &Controller<A>,
+    state: &'a ControlState,
+) -> PlannedOwners<'a> {
+    PlannedOwners {
+        registry: &state.registry,
+        is_store_up: *controller.store_up.borrow(),
+    }
+}
--- a/crates/citronproxy/src/edge/control/statements.rs
+++ b/crates/citronproxy/src/edge/control/statements.rs
@@ -3,38 +3,75 @@
 use {
     super::controller::Controller,
     crate::{
-        edge::statements::{log_limit, parse_limit, record_limit},
+        edge::statements::{is_leaving, log_limit, parse_limit, record_limit},
         events,
     },
     citron_core::{
         dispatch::{LimitReport, LimitStatement},
-        id::{InstanceId, ServerName},
+        id::{InstanceId, ParseIdError, ServerName},
+        time::Time,
     },
     citron_ports::Adapter,
-    citron_wire::heartbeat::StatementsWire,
+    citron_wire::heartbeat::{LeavingWire, StatementsWire},
     http::HeaderMap,
-    std::{collections::BTreeSet, rc::Rc},
+    std::{rc::Rc, time::Duration},
 };
 
-/// Applies statements of servers to this instance that they leave, until the process exits.
+/// Time for which the statement of a server that it leaves is reported to others: some
+/// heartbeats of every schedule. By then the others know, or hear it from the server.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(5);
+
+/// Applies the statements of servers to this instance that they leave, until the process
+/// exits.
 pub async fn apply_leaving<A: Adapter>(controller: Rc<Controller<A>>) {
     loop {
         let stated = controller.shared.next_leaving().await;
-        let servers: BTreeSet<ServerName> = stated.into_iter().map(|(server, _)| server).collect();
-        for server in servers {
-            log::info!("{} {server} in a response", events::LEAVING_STATED);
+        if mark_leaving(&controller, stated, "in a response") {
+            controller.heartbeat_trigger.notify_one();
+        }
+    }
+}
+
+/// Marks servers as leaving since the given times. Returns whether any was listed before.
+fn mark_leaving<A: Adapter>(
+    controller: &Controller<A>,
+    servers: Vec<(ServerName, Time)>,
+    source: &str,
+) -> bool {
+    let mut state = controller.state.borrow_mut();
+    let mut is_changed = false;
+    for (server, since) in servers {
+        if state.registry.mark_leaving(&server, since) {
+            log::info!("{} {server} {source}", events::LEAVING_STATED);
+            is_changed = true;
         }
     }
+    drop(state);
+    if is_changed {
+        controller.publish_view();
+        controller.plan_trigger.notify_one();
+    }
+    is_changed
 }
 
 /// Encodes the statements that this instance reports to others; `None` if there are none.
 pub fn encode<A: Adapter>(controller: &Controller<A>) -> Option<Vec<u8>> {
-    let limits = controller.shared.limits().reports(controller.clock.now());
-    if limits.is_empty() {
+    let now = controller.clock.now();
+    let limits = controller.shared.limits().reports(now);
+    let state = controller.state.borrow();
+    let stated = state.registry.stated_leaving().iter();
+    let stated = stated.map(|(server, since)| (server, now - *since));
+    let mut leaving: Vec<LeavingWire> = stated
+        .filter(|(_, age)| *age < LEAVING_REPORT_TIME)
+        .map(|(server, age)| LeavingWire::new(server, age))
+        .collect();
+    leaving.sort_by_key(LeavingWire::age);
+    if limits.is_empty() && leaving.is_empty() {
         return None;
     }
     let wire = StatementsWire {
         instance: controller.settings.instance.to_string(),
+        leaving,
         limits: limits.into_iter().map(Into::into).collect(),
     };
     wire.encode_truncated()
@@ -48,28 +85,39 @@
     if peer == controller.settings.instance {
         return;
     }
-    let limits: Result<Vec<LimitReport>, _> =
-        wire.limits.into_iter().map(TryInto::try_into).collect();
-    let limits = match limits {
-        Ok(limits) => limits,
-        Err(error) => {
-            log::warn!(
-                "{} statements from {peer}: {error}",
-                events::MESSAGE_REFUSED
-            );
-            return;
-        }
-    };
     let now = controller.clock.now();
-    let changed = controller
-        .shared
-        .limits()
-        .apply_report(peer, limits, now, rand::random);
-    for (server, statement) in changed {
-        log_limit(&server, statement);
+    match decode(wire, now) {
+        Ok((limits, leaving)) => {
+            let changed =
+                controller
+                    .shared
+                    .limits()
+                    .apply_report(peer.clone(), limits, now, rand::random);
+            for (server, statement) in changed {
+                log_limit(&server, statement);
+            }
+            mark_leaving(controller, leaving, &format!("as {peer} reports"));
+        }
+        Err(error) => log::warn!(
+            "{} statements from {peer}: {error}",
+            events::MESSAGE_REFUSED
+        ),
     }
 }
 
+/// Rate limits, and servers that leave with the times at which they said so.
+type Statements = (Vec<LimitReport>, Vec<(ServerName, Time)>);
+
+fn decode(wire: StatementsWire, now: Time) -> Result<Statements, ParseIdError> {
+    let limits = wire.limits.into_iter().map(TryInto::try_into);
+    let leaving = wire.leaving.into_iter();
+    let leaving = leaving.map(|leaving| Ok((leaving.server()?, now - leaving.age())));
+    Ok((
+        limits.collect::<Result<_, ParseIdError>>()?,
+        leaving.collect::<Result<_, ParseIdError>>()?,
+    ))
+}
+
 /// Records the statements in a server's response to an order. Only responses to requests
 /// withdraw a statement by not repeating it.
 pub fn record_order_response<A: Adapter>(
@@ -77,15 +125,14 @@
     server: &ServerName,
     headers: &HeaderMap,
 ) {
+    let now = controller.clock.now();
+    if is_leaving(controller.adapter.headers(), headers) {
+        mark_leaving(controller, vec![(server.clone(), now)], "in a response");
+    }
     match parse_limit(controller.adapter.headers(), headers) {
         Ok(Some(rate)) => {
             let statement = LimitStatement::Limited(rate);
-            record_limit(
-                &controller.shared,
-                server,
-                statement,
-                controller.clock.now(),
-            );
+            record_limit(&controller.shared, server, statement, now);
         }
         Ok(None) => {}
         Err(error) => log::debug!("rate limit of {server}: {error}"),
--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -3,6 +3,7 @@
 mod address_index;
 mod bounds;
 mod entry;
+mod planned_owners;
 mod server_record;
 mod servers;
 mod times;
@@ -10,6 +11,7 @@
 pub use {
     bounds::SendBounds,
     entry::{Evacuation, ServerEntry, ServerState},
+    planned_owners::PlannedOwners,
     server_record::{AddressClaim, ServerRecord},
     servers::{Registry, ServerList},
     times::RegistryTimes,
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -23,6 +23,10 @@
 /// heartbeat.
 const COLD_REPORT_DELAY: Duration = Duration::from_millis(2_000);
 
+/// How long a server's own statement that it leaves is kept. It outlasts every drain, as a
+/// late entry `ready` must not revive the server.
+const STATEMENT_RETENTION: Duration = Duration::from_secs(3_600);
+
 /// The servers of a service, ordered by name and shared between threads.
 pub type ServerList = Arc<Vec<Arc<ServerRecord>>>;
 
@@ -52,6 +56,8 @@
     /// Failure domains whose evacuation has ended, and until when their servers count as
     /// cold.
     cold_domains: BTreeMap<DomainName, Time>,
+    /// Servers that stated that they leave, and when. The store may tell later or never.
+    stated_leaving: BTreeMap<ServerName, Time>,
 }
 
 impl Registry {
@@ -68,9 +74,29 @@
             rejoin_until: Time::ZERO,
             evacuated_domains: BTreeMap::new(),
             cold_domains: BTreeMap::new(),
+            stated_leaving: BTreeMap::new(),
         }
     }
 
+    /// Marks a server as leaving, as it stated itself at `since`. Its entry in the store
+    /// does not revoke that. Returns whether the server counted as listed before.
+    pub fn mark_leaving(&mut self, name: &ServerName, since: Time) -> bool {
+        let stated = self.stated_leaving.entry(name.clone()).or_insert(since);
+        *stated = since.min(*stated);
+        let since = *stated;
+        let was_listed = self.get(name).is_some_and(ServerRecord::is_listed);
+        self.update(name, |record| {
+            let known = record.leaving_since.unwrap_or(since);
+            record.leaving_since = Some(since.min(known));
+        });
+        was_listed
+    }
+
+    /// Returns the servers that stated that they leave, and when they did.
+    pub fn stated_leaving(&self) -> &BTreeMap<ServerName, Time> {
+        &self.stated_leaving
+    }
+
     /// Marks a failure domain as evacuated: its servers get no more requests.
     pub fn evacuate(&mut self, domain: DomainName, now: Time) {
         let since = *self.evacuated_domains.entry(domain.clone()).or_insert(now);
@@ -178,7 +204,9 @@
         let record = self.servers.get(&name);
         let leaving_since = record.and_then(|record| record.leaving_since);
         let leaving_since = match (entry.state, address_claim) {
-            (ServerState::Ready, AddressClaim::Exclusive) => None,
+            (ServerState::Ready, AddressClaim::Exclusive) => {
+                self.stated_leaving.get(&name).copied()
+            }
             _ => Some(leaving_since.unwrap_or(now)),
         };
         let first_seen = record.map_or(now, |record| record.first_seen);
@@ -316,6 +344,8 @@
             });
         }
         self.cold_domains.retain(|_, until| *until > now);
+        self.stated_leaving
+            .retain(|_, since| now - *since < STATEMENT_RETENTION);
         let purged = self.purge(now);
         !expired.is_empty() || purged
     }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -4,7 +4,7 @@
     citron_core::{
         id::{ServerName, Slots},
         ranges::{OwnerState, Owners},
-        registry::{Registry, RegistryTimes, SendBounds, ServerEntry, ServerState},
+        registry::{PlannedOwners, Registry, RegistryTimes, SendBounds, ServerEntry, ServerState},
         time::Time,
     },
     std::time::Duration,
@@ -263,3 +263,47 @@
     let cold = registry.get(&name).unwrap().remaining_warm_up(at(61_000));
     assert_eq!(cold, Duration::from_secs(2));
 }
+
+/// Guards against a leaving server that gets requests again: its statement in a response is
+/// newer than the entry that the store still holds, and a heartbeat of before comes late.
+#[test]
+fn a_ready_entry_does_not_revoke_what_the_server_stated_itself() {
+    let (mut registry, name) = registry();
+    assert!(registry.mark_leaving(&name, at(100)));
+    assert!(!registry.mark_leaving(&name, at(300)));
+    registry.apply_entry(entry("s-1", 1, ServerState::Ready), at(500));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+    assert_eq!(registry.get(&name).unwrap().leaving_since, Some(at(100)));
+    registry.apply_entry(entry("s-1", 1, ServerState::Leaving), at(900));
+    assert_eq!(registry.get(&name).unwrap().leaving_since, Some(at(100)));
+}
+
+/// Guards against requests to a server whose statement is known before its entry: another
+/// instance has reported it.
+#[test]
+fn a_statement_counts_for_an_entry_that_comes_later() {
+    let mut registry = Registry::new(RegistryTimes::STANDARD);
+    let name: ServerName = "s-1".parse().unwrap();
+    assert!(!registry.mark_leaving(&name, at(0)));
+    registry.apply_entry(entry("s-1", 1, ServerState::Ready), at(100));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+}
+
+/// Guards against keys without an owner for the length of an outage: the planner releases
+/// them at a server that has stated that it leaves, and cannot commit their next owner.
+#[test]
+fn keys_stay_with_a_server_that_states_its_leaving_while_the_store_is_down() {
+    let (mut registry, name) = registry();
+    registry.mark_leaving(&name, at(100));
+    let planned = |registry: &Registry, is_store_up| {
+        PlannedOwners {
+            registry,
+            is_store_up,
+        }
+        .state(&name)
+    };
+    assert_eq!(planned(&registry, false), OwnerState::Serving);
+    assert_eq!(planned(&registry, true), OwnerState::Leaving);
+    registry.apply_entry(entry("s-1", 1, ServerState::Leaving), at(200));
+    assert_eq!(planned(&registry, false), OwnerState::Leaving);
+}
--- a/crates/wire/src/heartbeat/mod.rs
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -14,5 +14,5 @@
     load::LoadWire,
     message::Heartbeat,
     moves::{MoveWire, MovesWire},
-    statements::{LimitWire, StatementsWire},
+    statements::{LeavingWire, LimitWire, StatementsWire},
 };
--- a/crates/wire/src/heartbeat/statements.rs
+++ b/crates/wire/src/heartbeat/statements.rs
@@ -5,13 +5,13 @@
     citron_core::{
         admission::Rate,
         dispatch::{LimitReport, LimitStatement},
-        id::ParseIdError,
+        id::{ParseIdError, ServerName},
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
-/// Largest number of extra bytes that the encoded length of the list takes, compared with
+/// Largest number of extra bytes that the encoded length of a list takes, compared with
 /// that of an empty list.
 const MAX_COUNT_BYTES: usize = 4;
 
@@ -20,23 +20,51 @@
 pub struct StatementsWire {
     /// Name of the sender.
     pub instance: String,
+    /// Servers that stated that they leave.
+    pub leaving: Vec<LeavingWire>,
     /// Rate limits.
     pub limits: Vec<LimitWire>,
 }
 
 impl StatementsWire {
-    /// Encodes the statements as one datagram. Limits that do not fit are dropped from the
-    /// end of the list.
+    /// Encodes the statements as one datagram. Those that do not fit are dropped from the
+    /// end of their lists, limits first.
     pub fn encode_truncated(mut self) -> Option<Vec<u8>> {
+        let leaving = std::mem::take(&mut self.leaving);
         let limits = std::mem::take(&mut self.limits);
         let bare = Datagram::Statements(self.clone()).encode()?;
         let mut budget =
-            ByteBudget::new(MAX_DATAGRAM_BYTES.saturating_sub(bare.len() + MAX_COUNT_BYTES));
+            ByteBudget::new(MAX_DATAGRAM_BYTES.saturating_sub(bare.len() + 2 * MAX_COUNT_BYTES));
+        self.leaving = budget.take_fitting(leaving);
         self.limits = budget.take_fitting(limits);
         Datagram::Statements(self).encode()
     }
 }
 
+/// A server that stated that it leaves, and milliseconds since then.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeavingWire(String, u32);
+
+impl LeavingWire {
+    /// Statement of a server that is `age` old.
+    pub fn new(server: &ServerName, age: Duration) -> Self {
+        Self(server.to_string(), age.as_millis() as u32)
+    }
+
+    /// Name of the server.
+    ///
+    /// # Errors
+    /// If the name is malformed.
+    pub fn server(&self) -> Result<ServerName, ParseIdError> {
+        self.0.parse()
+    }
+
+    /// Time since the statement.
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(self.1.into())
+    }
+}
+
 /// Rate limit of a server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitWire {
