--- a/crates/citronproxy/src/edge/statements.rs
+++ b/crates/citronproxy/src/edge/statements.rs
@@ -10,9 +10,13 @@
         time::Time,
     },
     citron_ports::HeaderNames,
-    http::HeaderMap,
+    http::{HeaderMap, StatusCode, header},
+    std::time::Duration,
 };
 
+/// Upper bound of the rest that a server may ask for. A larger value is taken for an error.
+const REST_MAX: Duration = Duration::from_secs(600);
+
 /// The rate limit that a response states; `None` if it states none.
 ///
 /// # Errors
@@ -30,6 +34,26 @@
     value.is_some_and(|value| value.as_bytes() == b"1")
 }
 
+/// Time for which a rejection asks for rest; `None` if the response is no rejection or
+/// asks for none. `Retry-After` is in seconds, which may include fractions.
+pub fn parse_rest(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let is_rejection = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    let value = headers.get(header::RETRY_AFTER).filter(|_| is_rejection)?;
+    let seconds = value.to_str().ok()?.trim().parse::<f64>().ok()?;
+    let rest = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(rest.min(REST_MAX))
+}
+
+/// Records that a server asks this instance for rest.
+pub fn record_rest(shared: &SharedState, server: &ServerName, rest: Duration, now: Time) {
+    if shared.loads().record_rest(server, now + rest, now) {
+        log::info!("{} {server} asks for {rest:?}", events::REST_ASKED);
+    }
+}
+
 /// Records what a response says about the server's rate limit.
 pub fn record_limit(
     shared: &SharedState,
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -397,6 +397,14 @@
     }
 }
 
+/// Records that a server asks for rest, if its response says so.
+fn record_rest(state: &TrafficState, server: &ServerRecord, head: &http::response::Parts) {
+    if let Some(rest) = statements::parse_rest(head.status, &head.headers) {
+        let now = state.clock.now();
+        statements::record_rest(&state.shared, &server.entry.name, rest, now);
+    }
+}
+
 /// Checks the response head, and reads the body up to the size that is buffered.
 async fn read_response(
     state: &TrafficState,
@@ -416,6 +424,7 @@
     }
     record_limit(state, &server.entry.name, &head);
     record_leaving(state, server, &head);
+    record_rest(state, server, &head);
     // `Upgrade` is not forwarded, so that no server has a reason to switch protocols.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return ExchangeResult::Failed(AttemptResult::Lost(
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -116,6 +116,8 @@
     RATE_LIMIT_STATED = 422, "rate-limit-stated";
     /// A backend server states that it leaves, before the store tells.
     LEAVING_STATED = 423, "leaving-stated";
+    /// A backend server asks this instance for rest.
+    REST_ASKED = 424, "rest-asked";
     /// Another instance became the planner, or this one became it or ceased to be it.
     PLANNER = 430, "planner";
     /// A row that citronproxy writes itself cannot be read; the last valid one stays in
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -75,6 +75,7 @@
     full_until: Time,
     losses: u32,
     unreachable_until: Time,
+    rest_until: Time,
 }
 
 impl ServerLoad {
@@ -133,6 +134,19 @@
         now < self.full_until
     }
 
+    /// Time for which the server has asked this instance for rest; `None` if it has not.
+    pub fn remaining_rest(&self, now: Time) -> Option<Duration> {
+        (now < self.rest_until).then(|| self.rest_until - now)
+    }
+
+    /// Records that the server asks this instance for rest until `until`. Returns whether
+    /// it was not at rest before.
+    pub fn record_rest(&mut self, until: Time, now: Time) -> bool {
+        let begins = self.remaining_rest(now).is_none();
+        self.rest_until = self.rest_until.max(until);
+        begins
+    }
+
     /// Clients for each one that is admitted, from 1 to 20.
     ///
     /// If rejected clients retry after this multiple of the time in which a slot becomes
--- a/crates/core/src/dispatch/load_tracker.rs
+++ b/crates/core/src/dispatch/load_tracker.rs
@@ -88,6 +88,13 @@
             .record_rejection();
     }
 
+    /// Records that a server asks this instance for rest until `until`. Returns whether it
+    /// was not at rest before.
+    pub fn record_rest(&mut self, server: &ServerName, until: Time, now: Time) -> bool {
+        let load = self.servers.entry(server.clone()).or_default();
+        load.record_rest(until, now)
+    }
+
     /// Replaces the report of another instance, and drops one expired report of any
     /// instance.
     pub fn apply_report(&mut self, peer: InstanceId, loads: Vec<PeerLoad>, now: Time) {
