A server that asks for rest with Retry-After gets none of the instance's requests meanwhile

What callers saw: nine seconds in which a quarter to a third of the enquiries were rejected after two useless attempts each, told to return after 0.2 s, and rejected again.

Cause: a rejection closed a server for 150 ms, whatever Retry-After said, and a request that was under way was sent to the same owner again 2 ms later. Class: a word of a server about itself that only the server knows, and that nobody takes, keeps or passes on.

Change: Retry-After of a 503 or 429, in a response to a request, grant, release or health check, is a time until which this instance sends the server nothing. Requests without a key take another server. Those for a key of such an owner are rejected at once, and so are those that were under way; their Retry-After is what is left of the rest, spread over a third of it beyond its end. The health check of a release waits too. Grants go on: without them the server would lose the keys that it holds.

Why it works: the time is kept with the load of the server by which every selection is made, so that new requests, waiting ones and retries all meet it.

--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -95,6 +95,10 @@
         let Some((address, path)) = health_endpoint(controller, server) else {
             return false;
         };
+        // The server rejects health checks as it rejects requests.
+        if is_resting(controller, server) {
+            return false;
+        }
         let Ok(request) = Request::get(path).body(Bytes::new()) else {
             return false;
         };
@@ -107,7 +111,11 @@
         let responder = response
             .headers()
             .get(&controller.adapter.headers().server_start);
-        responder.is_some_and(|id| id.as_bytes() != server.id().as_bytes())
+        let is_other = responder.is_some_and(|id| id.as_bytes() != server.id().as_bytes());
+        if !is_other {
+            record_order_response(controller, server, &response);
+        }
+        is_other
     }
 
     fn connection_at(&self, address: SocketAddr) -> Connection {
@@ -189,7 +197,7 @@
         }
         let response = connection.client.call(request, timeout).await;
         if let Ok(response) = &response {
-            record_order_response(controller, server, response.headers());
+            record_order_response(controller, server, response);
         }
         response
     }
@@ -220,6 +228,13 @@
     Some((address, service.health_path.clone()))
 }
 
+/// Whether a server has asked this instance for rest.
+fn is_resting<A: Adapter>(controller: &Controller<A>, server: &ServerName) -> bool {
+    let loads = controller.shared.loads();
+    let rest = loads.get(server).remaining_rest(controller.clock.now());
+    rest.is_some()
+}
+
 fn release_outcome<A: Adapter>(
     controller: &Controller<A>,
     response: &Result<Response<Bytes>, CallError>,
--- a/crates/citronproxy/src/edge/control/statements.rs
+++ b/crates/citronproxy/src/edge/control/statements.rs
@@ -3,9 +3,12 @@
 use {
     super::controller::Controller,
     crate::{
-        edge::statements::{is_leaving, log_limit, parse_limit, record_limit},
+        edge::statements::{
+            is_leaving, log_limit, parse_limit, parse_rest, record_limit, record_rest,
+        },
         events,
     },
+    bytes::Bytes,
     citron_core::{
         dispatch::{LimitReport, LimitStatement},
         id::{InstanceId, ParseIdError, ServerName},
@@ -13,7 +16,7 @@
     },
     citron_ports::Adapter,
     citron_wire::heartbeat::{LeavingWire, StatementsWire},
-    http::HeaderMap,
+    http::Response,
     std::{rc::Rc, time::Duration},
 };
 
@@ -118,14 +121,18 @@
     ))
 }
 
-/// Records the statements in a server's response to an order. Only responses to requests
+/// Records the statements in a server's response to an order or a health check. Only responses to requests
 /// withdraw a statement by not repeating it.
 pub fn record_order_response<A: Adapter>(
     controller: &Controller<A>,
     server: &ServerName,
-    headers: &HeaderMap,
+    response: &Response<Bytes>,
 ) {
     let now = controller.clock.now();
+    let headers = response.headers();
+    if let Some(rest) = parse_rest(response.status(), headers) {
+        record_rest(&controller.shared, server, rest, now);
+    }
     if is_leaving(controller.adapter.headers(), headers) {
         mark_leaving(controller, vec![(server.clone(), now)], "in a response");
     }
--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -11,6 +11,7 @@
     crate::{edge::view::View, events},
     citron_core::{
         crash::Fingerprint,
+        dispatch::retry_after_rest,
         id::{Epoch, ServerName, ServiceName},
         ranges::{RangeKey, Slice},
         registry::ServerRecord,
@@ -131,7 +132,13 @@
         let should_retry = match result {
             AttemptResult::Responded(response) => return self.on_response(name, response),
             AttemptResult::NotSent(_) | AttemptResult::Closed => self.may_try_another(name),
-            AttemptResult::Refused => self.may_retry(name),
+            AttemptResult::Refused => {
+                if let Some(rest) = self.owner_rest(&name) {
+                    self.tried.push(name);
+                    return Some(self.refuse(rest, "the owner of the key has asked for rest"));
+                }
+                self.may_retry(name)
+            }
             AttemptResult::Misdirected => self.may_retry_owner(name),
             AttemptResult::Lost(_) => {
                 self.has_uncertain_attempt = true;
@@ -276,7 +283,10 @@
                 Target::Server(server) => return Ok(server),
                 Target::Reject(retry_after, overload) => {
                     let wait_max = self.rule.latency_objective / CAPACITY_WAIT_DIVISOR;
-                    if !overload.may_end_soon() || self.elapsed() > wait_max {
+                    if !overload.may_end_soon() {
+                        return Err(self.refuse(retry_after, &overload.to_string()));
+                    }
+                    if self.elapsed() > wait_max {
                         self.record_owner_rejection();
                         return Err(self.refuse(retry_after, &overload.to_string()));
                     }
@@ -301,6 +311,15 @@
         }
     }
 
+    /// Retry-After if the request is for a key and its owner has asked this instance for
+    /// rest.
+    fn owner_rest(&self, owner: &ServerName) -> Option<Duration> {
+        self.key?;
+        let loads = self.state.shared.loads();
+        let rest = loads.get(owner).remaining_rest(self.state.clock.now())?;
+        Some(retry_after_rest(rest, rand::random()))
+    }
+
     /// Records for the owner of the key that a request was rejected for lack of capacity.
     fn record_owner_rejection(&self) {
         let owner = self.slice().and_then(|slice| slice.owner);
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -58,7 +58,11 @@
 impl Overload {
     /// Whether the request may find capacity if it waits for a moment.
     pub fn may_end_soon(self) -> bool {
-        !matches!(self, Self::StatedLimits)
+        match self {
+            Self::Servers(reason) => reason.may_end_soon(),
+            Self::StatedLimits => false,
+            Self::ConcurrencyLimit | Self::ColdServers => true,
+        }
     }
 }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,6 +16,8 @@
     load::{AttemptOutcome, ServerLoad, run_share},
     load_tracker::{LoadTracker, PeerLoad},
     reported_load::{ReportedLoad, ReportedLoadError},
-    select::{Candidate, Decision, RejectReason, TimeLimits, sample_size, select_server},
+    select::{
+        Candidate, Decision, RejectReason, TimeLimits, retry_after_rest, sample_size, select_server,
+    },
     stated_limits::{LimitReport, LimitStatement, StatedLimits},
 };
--- a/crates/core/src/dispatch/select.rs
+++ b/crates/core/src/dispatch/select.rs
@@ -45,6 +45,9 @@
 /// Jitter of Retry-After, as a fraction. Without it, clients rejected together would
 /// return together.
 const RETRY_AFTER_JITTER: f64 = 0.3;
+/// Time over which the clients of a server at rest return after its end, as a fraction of
+/// the rest. None of them returns before.
+const REST_SPREAD: f64 = 0.3;
 
 /// A server that may get the request.
 #[derive(Debug, Clone, Copy)]
@@ -117,6 +120,15 @@
     Refusing,
     /// With the requests already there, the response would be late.
     QueueTooLong,
+    /// The server has asked this instance for rest.
+    Resting,
+}
+
+impl RejectReason {
+    /// Whether a request that waits for a moment may find capacity.
+    pub fn may_end_soon(self) -> bool {
+        self != Self::Resting
+    }
 }
 
 impl fmt::Display for RejectReason {
@@ -125,6 +137,7 @@
             Self::Unreachable => "no server could be reached lately",
             Self::Refusing => "all servers have refused requests lately",
             Self::QueueTooLong => "no server would answer in time",
+            Self::Resting => "all servers have asked for rest",
         })
     }
 }
@@ -173,14 +186,33 @@
     if let Some(option) = options.iter().min_by(|a, b| a.score.total_cmp(&b.score)) {
         return Decision::Send(option.server.clone());
     }
-    let jitter = 1.0 + RETRY_AFTER_JITTER * (random() - 0.5);
-    let seconds = (earliest.0 * jitter).clamp(RETRY_AFTER_RANGE_S[0], RETRY_AFTER_RANGE_S[1]);
+    let (seconds, reason) = earliest;
+    let retry_after = if reason == RejectReason::Resting {
+        retry_after_rest(Duration::from_secs_f64(seconds), random())
+    } else {
+        let jitter = 1.0 + RETRY_AFTER_JITTER * (random() - 0.5);
+        let seconds = (seconds * jitter).clamp(RETRY_AFTER_RANGE_S[0], RETRY_AFTER_RANGE_S[1]);
+        Duration::from_secs_f64(seconds)
+    };
     Decision::Reject {
-        retry_after: Duration::from_secs_f64(seconds),
-        reason: earliest.1,
+        retry_after,
+        reason,
     }
 }
 
+/// Retry-After of a request for a server that is at rest for `rest` more. `random`,
+/// uniform in 0 to 1, spreads the clients.
+///
+/// ```
+/// use {citron_core::dispatch::retry_after_rest, std::time::Duration};
+/// let rest = Duration::from_secs(3);
+/// assert_eq!(retry_after_rest(rest, 0.0), rest);
+/// assert!(retry_after_rest(rest, 1.0) < rest * 2);
+/// ```
+pub fn retry_after_rest(rest: Duration, random: f64) -> Duration {
+    rest.mul_f64(1.0 + REST_SPREAD * random)
+}
+
 /// Inputs of the estimate of each server's response time.
 struct LoadEstimate<'a> {
     loads: &'a LoadTracker,
@@ -200,6 +232,9 @@
     ) -> Result<ScoredServer<'s>, (f64, RejectReason)> {
         let entry = &candidate.server.entry;
         let load = self.loads.get(&entry.name);
+        if let Some(rest) = load.remaining_rest(self.now) {
+            return Err((rest.as_secs_f64(), RejectReason::Resting));
+        }
         let run_time = estimate_run_time(load, candidate.server, self.default_run_time, self.now);
         let in_flight = load.expected_in_flight(candidate.load_factor, self.now);
         let wait = queue_time(in_flight, entry.slots.0, run_time);
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -400,3 +400,30 @@
     ));
     assert!(matches!(decision(AttemptOutcome::Shed), Decision::Send(_)));
 }
+
+/// Guards against requests to a server that has asked this instance for rest, and against
+/// clients that return before the rest is over or all at its end.
+#[test]
+fn a_server_at_rest_gets_nothing_until_its_rest_is_over() {
+    let servers = [known("s-1"), known("s-2")];
+    let mut tracker = LoadTracker::default();
+    let rest = Duration::from_secs(5);
+    assert!(tracker.record_rest(&servers[0].entry.name, NOW + rest, NOW));
+    assert!(!tracker.record_rest(&servers[0].entry.name, NOW + rest / 2, NOW));
+    let limits = millis(800, 2_000);
+    let other = Decision::Send(servers[1].entry.name.clone());
+    assert_eq!(pick(&tracker, &servers, limits), other);
+    let Decision::Reject {
+        retry_after,
+        reason,
+    } = pick(&tracker, &servers[..1], limits)
+    else {
+        panic!("sent to a server at rest");
+    };
+    assert_eq!(reason, RejectReason::Resting);
+    assert!(retry_after > rest && retry_after < rest * 2);
+    let remaining = tracker
+        .get(&servers[0].entry.name)
+        .remaining_rest(NOW + rest);
+    assert_eq!(remaining, None);
+}
