--- a/crates/core/src/dispatch/stated_limits.rs
+++ b/crates/core/src/dispatch/stated_limits.rs
@@ -172,8 +172,13 @@
         peer_factor: f64,
         now: Time,
     ) -> Result<(), Duration> {
-        let demand = self.demands.entry(server.clone()).or_default();
-        demand.count(now);
+        if let Some(demand) = self.demands.get_mut(server) {
+            demand.count(now);
+        } else {
+            let mut demand = DemandRate::default();
+            demand.count(now);
+            self.demands.insert(server.clone(), demand);
+        }
         let Some(limit) = self.limit(server, now) else {
             return Ok(());
         };
