--- a/crates/citronproxy/src/edge/control/statements.rs
+++ b/crates/citronproxy/src/edge/control/statements.rs
@@ -121,8 +121,8 @@
     ))
 }
 
-/// Records the statements in a server's response to an order or a health check. Only responses to requests
-/// withdraw a statement by not repeating it.
+/// Records the statements in a server's response to an order or a health check. Only
+/// responses to requests withdraw a statement by not repeating it.
 pub fn record_order_response<A: Adapter>(
     controller: &Controller<A>,
     server: &ServerName,
--- a/crates/citronproxy/src/edge/statements.rs
+++ b/crates/citronproxy/src/edge/statements.rs
@@ -14,7 +14,7 @@
     std::time::Duration,
 };
 
-/// Upper bound of the rest that a server may ask for. A larger value is taken for an error.
+/// Upper bound of the rest that a server gets, so that a wrong value ends by itself.
 const REST_MAX: Duration = Duration::from_secs(600);
 
 /// The rate limit that a response states; `None` if it states none.
