PlannedOwners: a server's statement is looked up only while the store is down

The planner asks for the state of each slice's owner several times a plan; three look-ups in maps were made for each, whatever the store did. No change of behaviour; the tests of registry and ranges pass (17 and 12).

--- a/crates/core/src/registry/planned_owners.rs
+++ b/crates/core/src/registry/planned_owners.rs
@@ -24,13 +24,17 @@
 impl Owners for PlannedOwners<'_> {
     fn state(&self, server: &ServerName) -> OwnerState {
         let state = self.registry.state(server);
+        if state != OwnerState::Leaving || self.is_store_up {
+            return state;
+        }
         let known = self.registry.get(server);
         let is_ready = known.is_some_and(|known| known.entry.state == ServerState::Ready);
         let has_stated = self.registry.stated_leaving().get(server).copied();
         let only_stated = is_ready && known.is_some_and(|known| known.leaving_since == has_stated);
-        match state {
-            OwnerState::Leaving if only_stated && !self.is_store_up => OwnerState::Serving,
-            state => state,
+        if only_stated {
+            OwnerState::Serving
+        } else {
+            OwnerState::Leaving
         }
     }
 }
