Log event and metric for a store that comes back from an older copy

C0405 tells the new era, the one before and the version of the copy; citron_store_era shows which instances have seen it. No decision uses the era yet.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -22,7 +22,7 @@
             FetchTimes, Fetches, Freshness, FreshnessTimes, HeartbeatSchedule, Sender, StoreHealth,
             StoreOutage, VersionTracker,
         },
-        id::{InstanceId, ServerName, ServiceName},
+        id::{InstanceId, ServerName, ServiceName, StoreEra},
         ranges::{MapPartition, PartitionedMap},
         registry::{Registry, RegistryTimes},
         routes::RouteConfig,
@@ -124,6 +124,8 @@
     pub state: RefCell<ControlState>,
     /// Whether the store is reachable; tasks wait for it to change.
     pub store_up: latest::Sender<bool>,
+    /// Era of the store, once it has answered.
+    pub store_era: Cell<Option<StoreEra>>,
     /// When this instance had written its member row, or tried to, and had read those of
     /// the others.
     pub registered_at: Cell<Option<Time>>,
@@ -242,6 +244,7 @@
             incarnation: rand::random(),
             state: RefCell::new(state),
             store_up: latest::Sender::new(false),
+            store_era: Cell::default(),
             registered_at: Cell::default(),
             long_polls: refresh::LongPolls::default(),
             demands: RefCell::default(),
@@ -301,6 +304,7 @@
         call_started: Time,
     ) {
         self.on_store_success(call_started, row_set.store_time);
+        self.record_era(&row_set);
         if table == RANGES {
             self.confirm_ranges(call_started);
         }
@@ -315,6 +319,17 @@
         (0..WATCHED.len()).for_each(|table| self.publish_freshness(table));
     }
 
+    /// Logs and exports a new era of the store.
+    fn record_era(&self, row_set: &RowSet) {
+        let Some(era) = row_set.era else { return };
+        let known_era = self.store_era.replace(Some(era));
+        self.metrics.store_era.set(era.0.into());
+        if let Some(known_era) = known_era.filter(|known_era| *known_era != era) {
+            let (event, version) = (events::STORE_RESTORED, row_set.version);
+            log::warn!("{event} era {era} after {known_era}, version {version}");
+        }
+    }
+
     /// Records that a table is known as of `as_of`. Must run before the rows are applied:
     /// entries missing after an outage may have expired during the outage.
     fn record_store_read(&self, table: usize, as_of: Time) {
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -21,6 +21,8 @@
     oldest_table_age: Gauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Era of the store.
+    pub store_era: IntGauge,
     /// 1 while this instance is the planner, otherwise 0.
     pub planning: IntGauge,
     /// Live instances, including this one.
@@ -64,6 +66,10 @@
                     "Seconds since the moment as of which the oldest table is known.",
                 )?,
             )?,
+            store_era: gauge(
+                "citron_store_era",
+                "Times that the outside platform's store came back from an older copy.",
+            )?,
             config_version: gauge(
                 "citron_configuration_version",
                 "Version of the configuration in force.",
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -99,6 +99,8 @@
     TABLE_NOT_FETCHED = 403, "table-not-fetched";
     /// A call to the store failed or was not answered, while other calls are answered.
     STORE_CALL_FAILED = 404, "store-call-failed";
+    /// The store has come back from an older copy of its rows.
+    STORE_RESTORED = 405, "store-restored";
     /// A newer configuration is in force in this instance.
     CONFIG_IN_FORCE = 410, "configuration-in-force";
     /// A configuration cannot be read; the last valid one stays in force.
--- a/crates/core/src/id/mod.rs
+++ b/crates/core/src/id/mod.rs
@@ -12,6 +12,6 @@
     error::ParseIdError,
     key::{KeyHash, ShardBits, ShardId},
     name::{DomainName, InstanceId, OperatorName, ServiceName},
-    number::{CommitId, Epoch, Incarnation, Revision, Slots, StartTime, Weight},
+    number::{CommitId, Epoch, Incarnation, Revision, Slots, StartTime, StoreEra, Weight},
     server::ServerName,
 };
--- a/crates/core/src/id/number.rs
+++ b/crates/core/src/id/number.rs
@@ -45,6 +45,11 @@
     /// of the commit that wrote them; 0 means that the row does not exist.
     Revision, u64, 0, u64::MAX
 );
+number_type!(
+    /// Number of times that the store has come back from an older copy of its rows; 0 if it
+    /// does not tell.
+    StoreEra, u32, 0, u32::MAX
+);
 number_type!(
     /// Fencing token of a shard, which increases with every change of owner and is never
     /// reused.
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::ReadTimeout,
-    citron_core::time::StoreTime,
+    citron_core::{id::StoreEra, time::StoreTime},
     citron_wire::relay::{TableRowWire, TableWire},
     std::{future::Future, time::Duration},
     thiserror::Error,
@@ -39,6 +39,8 @@
     pub rows: Vec<Row>,
     /// Version of the store.
     pub version: u64,
+    /// Era of the store; `None` if the rows come from another instance.
+    pub era: Option<StoreEra>,
     /// Clock of the store when it responded; `None` if the rows come from another instance.
     pub store_time: Option<StoreTime>,
 }
@@ -63,6 +65,7 @@
         Self {
             rows: rows.collect(),
             version: wire.head.version,
+            era: None,
             store_time: None,
         }
     }
