Servers that a restored copy lacks are given the time to register again

Callers of a service were rejected although its server ran: it had registered after the copy was taken from which the store came back. The store lists it again within two seconds.

Cause: entries that are missing are kept for the time of a rejoin only after an outage that the instance noticed, an age of the table above 1.5 s. A drill may be shorter than that.

Change: the first rows of a later era, whether from the store or from another instance, begin that time (Registry::on_store_restored), before the rows are applied.

A server that does not come back leaves after the same time as after an outage.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -65,7 +65,12 @@
         is_snapshot: bool,
     ) -> Vec<Row> {
         self.record_era(&row_set);
-        let replica = &mut self.state.borrow_mut().replicas[table];
+        let state = &mut *self.state.borrow_mut();
+        let replica = &mut state.replicas[table];
+        let is_restored = replica.is_read() && row_set.version.era() > replica.version.era();
+        if is_restored && WATCHED[table] == RowTable::Servers {
+            state.registry.on_store_restored(self.clock.now());
+        }
         match is_snapshot {
             true => replica.replace(row_set, newest_change),
             false => replica.apply(row_set, newest_change),
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -191,6 +191,12 @@
         self.rejoin_until = now + self.times.rejoin;
     }
 
+    /// Handles that the store came back from an older copy of its rows. Must run before the
+    /// rows of the copy are applied: it lacks the entries of servers that registered since.
+    pub fn on_store_restored(&mut self, now: Time) {
+        self.on_store_recovered(now);
+    }
+
     /// Applies a server's entry. An entry of a server process that started before a known
     /// one with the same id is late, or from another writer, and is ignored.
     pub fn apply_entry(&mut self, entry: ServerEntry, now: Time) {
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -307,3 +307,16 @@
     registry.apply_entry(entry("s-1", 1, ServerState::Leaving), at(200));
     assert_eq!(planned(&registry, false), OwnerState::Leaving);
 }
+
+/// Guards against losing a server that registered after the copy was taken from which the
+/// store came back, although no outage was noticed: servers write their entries again.
+#[test]
+fn entries_that_a_restored_store_lacks_are_given_time() {
+    let (mut registry, name) = registry();
+    registry.on_store_restored(at(1_000));
+    registry.remove_entry("s-1", at(1_000));
+    registry.tick(at(3_100));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+    registry.tick(at(3_300));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+}
