Evacuations outlast a copy of the store that lacks them, and end as they had ended

Requests reached an evacuated failure domain after the bound: the store came back from a copy that lacks the evacuation, and every instance took the missing row for its end.

Cause: a row that is missing in a whole read counts as removed, whoever removed it. After a restore nobody has.

Change: where the copy contradicts what an instance knew (an evacuation begun that it lacks, or one ended that it has), what was known stays in force for 5 s, in which the operators write again, and the copy counts after that.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -18,13 +18,34 @@
     },
     citron_ports::{Adapter, Row, RowSet, RowTable},
     citron_wire::relay::TableWire,
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Largest number of server entries changed at once that are logged one by one; beyond
 /// it, only their count is logged.
 const LOGGED_SERVERS_MAX: usize = 16;
 
+/// Rows of a table that changed in its replica.
+struct TableChanges {
+    rows: Vec<Row>,
+    /// Whether the store came back from a copy since the replica was last changed.
+    is_restored: bool,
+    /// Keys of rows in the copy that the replica had seen removed.
+    removed_before: BTreeSet<String>,
+}
+
+impl TableChanges {
+    /// Whether a row is missing in the copy, or present, although the replica knows a newer
+    /// state.
+    fn is_older_state(&self, row: &Row) -> bool {
+        self.is_restored && (row.value.is_none() || self.removed_before.contains(&row.key))
+    }
+}
+
 impl<A: Adapter> Controller<A> {
     /// Applies a read of a watched table from the store. `is_snapshot` is true if
     /// `row_set` holds all rows of the table, false if only the changed ones. A change
@@ -35,8 +56,8 @@
             true => row_set.version,
             false => StoreVersion::NONE,
         };
-        let changed = self.merge_rows(table, row_set, newest_change, is_snapshot);
-        if self.apply_changed_rows(table, &changed) {
+        let changes = self.merge_rows(table, row_set, newest_change, is_snapshot);
+        if self.apply_changes(table, &changes) {
             self.heartbeat_trigger.notify_one();
         }
     }
@@ -46,8 +67,8 @@
     pub fn apply_peer_table(&self, table: usize, wire: TableWire, call_started: Time) {
         let (newest_change, is_snapshot) = (StoreVersion(wire.head.changed), wire.head.whole);
         self.merge_peer_age(table, wire.head.age.into(), call_started);
-        let changed = self.merge_rows(table, wire.into(), newest_change, is_snapshot);
-        if self.apply_changed_rows(table, &changed) {
+        let changes = self.merge_rows(table, wire.into(), newest_change, is_snapshot);
+        if self.apply_changes(table, &changes) {
             self.long_polls.record_change(table, call_started);
             if self.is_domain_reader() {
                 self.heartbeat_trigger.notify_one();
@@ -63,7 +84,7 @@
         row_set: RowSet,
         newest_change: StoreVersion,
         is_snapshot: bool,
-    ) -> Vec<Row> {
+    ) -> TableChanges {
         self.record_era(&row_set);
         let state = &mut *self.state.borrow_mut();
         let replica = &mut state.replicas[table];
@@ -71,15 +92,29 @@
         if is_restored && WATCHED[table] == RowTable::Servers {
             state.registry.on_store_restored(self.clock.now());
         }
-        match is_snapshot {
+        let keys = row_set.rows.iter().map(|row| &row.key);
+        let removed_before = match is_restored {
+            true => keys
+                .filter(|key| replica.is_removed(key))
+                .cloned()
+                .collect(),
+            false => BTreeSet::new(),
+        };
+        let rows = match is_snapshot {
             true => replica.replace(row_set, newest_change),
             false => replica.apply(row_set, newest_change),
+        };
+        TableChanges {
+            rows,
+            is_restored,
+            removed_before,
         }
     }
 
     /// Applies changed rows, then publishes the view and wakes the planner. Returns false
     /// if there were none.
-    fn apply_changed_rows(&self, table: usize, changed: &[Row]) -> bool {
+    fn apply_changes(&self, table: usize, changes: &TableChanges) -> bool {
+        let changed = &changes.rows;
         if changed.is_empty() {
             return false;
         }
@@ -92,7 +127,7 @@
         }
         for row in changed {
             match WATCHED[table] {
-                RowTable::Config => self.apply_config(&mut state, row),
+                RowTable::Config => self.apply_config(&mut state, row, changes.is_older_state(row)),
                 RowTable::Servers => self.apply_server(&mut state, row, is_logged),
                 RowTable::Ranges | RowTable::Members => self.apply_range_row(&mut state, row),
             }
@@ -106,9 +141,14 @@
     /// Applies a row of the configuration table: an evacuation or a configuration. The
     /// highest configuration version wins, in whatever order rows arrive; an unreadable
     /// row leaves the last valid configuration in force.
-    fn apply_config(&self, state: &mut ControlState, row: &Row) {
+    ///
+    /// `is_older_state` is true for what a copy of the store implies against better knowledge.
+    fn apply_config(&self, state: &mut ControlState, row: &Row, is_older_state: bool) {
         match self.adapter.decode_evacuation(row) {
             Ok(None) => {}
+            Ok(Some(evacuation)) if is_older_state => {
+                return self.defer_evacuation(state, evacuation);
+            }
             Ok(Some(evacuation)) => return self.apply_evacuation(state, evacuation, row.version),
             Err(error) => return log::error!("{} {error}", events::EVACUATION_REFUSED),
         }
@@ -129,6 +169,22 @@
         }
     }
 
+    /// Leaves an evacuation as it was before the store came back from a copy, until the
+    /// operators had time to write it again.
+    fn defer_evacuation(&self, state: &mut ControlState, evacuation: Evacuation) {
+        let now = self.clock.now();
+        log::warn!(
+            "{} {evacuation:?} in the copy of the store, waiting for the operators",
+            events::EVACUATION
+        );
+        let warm_up = max_slow_start(state);
+        let registry = &mut state.registry;
+        match evacuation {
+            Evacuation::Begun(domain) => registry.begin_restored_evacuation(domain, now),
+            Evacuation::Ended(domain) => registry.end_restored_evacuation(domain, warm_up, now),
+        }
+    }
+
     fn apply_evacuation(
         &self,
         state: &mut ControlState,
@@ -150,14 +206,10 @@
         match evacuation {
             Evacuation::Begun(domain) => state.registry.evacuate(domain, now),
             Evacuation::Ended(domain) => {
-                let cold_span = state.config.as_ref().map(|config| config.max_slow_start());
-                state
-                    .registry
-                    .end_evacuation(&domain, cold_span.unwrap_or_default(), now);
+                let warm_up = max_slow_start(state);
+                state.registry.end_evacuation(&domain, warm_up, now);
             }
         }
-        let evacuated = state.registry.evacuated_domains().len();
-        self.metrics.evacuated_domains.set(evacuated as i64);
     }
 
     fn apply_server(&self, state: &mut ControlState, row: &Row, is_logged: bool) {
@@ -209,6 +261,14 @@
     }
 }
 
+/// The longest slow start of the servers of any service.
+fn max_slow_start(state: &ControlState) -> Duration {
+    let config = state.config.as_ref();
+    config
+        .map(|config| config.max_slow_start())
+        .unwrap_or_default()
+}
+
 fn apply_map(state: &mut ControlState, key: MapKey, row: &Row) {
     let (range, version) = (key.range, row.version);
     let map = state.maps.entry(key.service).or_default();
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -452,6 +452,8 @@
         }
         let servers = self.state.borrow_mut().registry.server_lists().clone();
         let state = self.state.borrow();
+        let evacuated = state.registry.evacuated_domains().len();
+        self.metrics.evacuated_domains.set(evacuated as i64);
         let Some(config) = &state.config else { return };
         if !state.replicas[SERVERS].is_read() {
             return;
--- a/crates/citronproxy/src/edge/control/replica.rs
+++ b/crates/citronproxy/src/edge/control/replica.rs
@@ -83,6 +83,11 @@
         self.apply(row_set, newest_change)
     }
 
+    /// Whether the row is known to have been removed.
+    pub fn is_removed(&self, key: &str) -> bool {
+        self.rows.get(key).is_some_and(|row| row.value.is_none())
+    }
+
     /// Which rows to send to an instance that asks for the changes after a version and
     /// whose rows have the given digest. After a read of all rows, the version of the
     /// read stands for that of the newest change. Instances that have read the table at
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -31,6 +31,9 @@
 /// heartbeat intervals, with a margin.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(4);
 
+/// How long operators may take to write again what a restored store lacks.
+const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// The servers of a service, ordered by name and shared between threads.
 pub type ServerList = Arc<Vec<Arc<ServerRecord>>>;
 
@@ -59,6 +62,9 @@
     doubted: BTreeMap<ServerName, Doubt>,
     /// Evacuated failure domains, and when this instance learned of each evacuation.
     evacuated_domains: BTreeMap<DomainName, Time>,
+    /// Evacuations that a copy of the store has, or lacks, other than the newer state known
+    /// here. They take effect unless the operators write again.
+    restored_evacuations: BTreeMap<DomainName, RestoredEvacuation>,
     /// Failure domains whose evacuation has ended, and until when their servers count as
     /// cold.
     cold_domains: BTreeMap<DomainName, Time>,
@@ -75,6 +81,21 @@
     is_listed: bool,
 }
 
+/// Change of an evacuation that a copy of the store implies, and when it takes effect.
+#[derive(Debug, Clone, Copy)]
+enum RestoredEvacuation {
+    Begun { at: Time },
+    Ended { at: Time, warm_up: Duration },
+}
+
+impl RestoredEvacuation {
+    fn at(&self) -> Time {
+        match self {
+            Self::Begun { at } | Self::Ended { at, .. } => *at,
+        }
+    }
+}
+
 impl Registry {
     /// Creates an empty registry.
     pub fn new(times: RegistryTimes) -> Self {
@@ -89,6 +110,7 @@
             rejoin_until: Time::ZERO,
             doubted: BTreeMap::new(),
             evacuated_domains: BTreeMap::new(),
+            restored_evacuations: BTreeMap::new(),
             cold_domains: BTreeMap::new(),
             stated_leaving: BTreeMap::new(),
         }
@@ -113,8 +135,45 @@
         &self.stated_leaving
     }
 
+    /// Handles an evacuation that ended before the store came back from a copy that has it.
+    /// It begins unless the operators write again.
+    pub fn begin_restored_evacuation(&mut self, domain: DomainName, now: Time) {
+        let change = RestoredEvacuation::Begun {
+            at: now + REWRITE_TIME,
+        };
+        self.restored_evacuations.insert(domain, change);
+    }
+
+    /// Handles an evacuation that began before the store came back from a copy that lacks
+    /// it. It ends unless the operators write again; `warm_up` is as for
+    /// [`Self::end_evacuation`].
+    pub fn end_restored_evacuation(&mut self, domain: DomainName, warm_up: Duration, now: Time) {
+        let change = RestoredEvacuation::Ended {
+            at: now + REWRITE_TIME,
+            warm_up,
+        };
+        self.restored_evacuations.insert(domain, change);
+    }
+
+    fn apply_restored_evacuations(&mut self, now: Time) {
+        let is_due = |change: &RestoredEvacuation| change.at() <= now;
+        let pending = std::mem::take(&mut self.restored_evacuations);
+        let (due, pending) = pending.into_iter().partition(|(_, change)| is_due(change));
+        self.restored_evacuations = pending;
+        let due: BTreeMap<DomainName, RestoredEvacuation> = due;
+        for (domain, change) in due {
+            match change {
+                RestoredEvacuation::Begun { .. } => self.evacuate(domain, now),
+                RestoredEvacuation::Ended { warm_up, .. } => {
+                    self.end_evacuation(&domain, warm_up, now)
+                }
+            }
+        }
+    }
+
     /// Marks a failure domain as evacuated: its servers get no more requests.
     pub fn evacuate(&mut self, domain: DomainName, now: Time) {
+        self.restored_evacuations.remove(&domain);
         let since = *self.evacuated_domains.entry(domain.clone()).or_insert(now);
         self.update_domain(&domain, |record| record.evacuated_since = Some(since));
     }
@@ -123,6 +182,7 @@
     /// so only with their next heartbeat. All servers of the domain therefore count as
     /// cold for `warm_up` plus the delay of that report.
     pub fn end_evacuation(&mut self, domain: &DomainName, warm_up: Duration, now: Time) {
+        self.restored_evacuations.remove(domain);
         if self.evacuated_domains.remove(domain).is_none() {
             return;
         }
@@ -410,8 +470,9 @@
         self.stated_leaving
             .retain(|_, since| now - *since < STATEMENT_RETENTION);
         let has_returned = self.end_doubts(now);
+        self.apply_restored_evacuations(now);
         let purged = self.purge(now);
-        !expired.is_empty() || has_returned || purged
+        !expired.is_empty() || has_returned || purged || !self.changed_services.is_empty()
     }
 
     /// Purges servers that left long ago. Returns whether there were any.
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -362,3 +362,46 @@
     registry.tick(at(3_300));
     assert_eq!(registry.state(&name), OwnerState::Leaving);
 }
+
+/// Guards against requests to an evacuated failure domain: the store came back from a copy that
+/// lacks the evacuation, and the operators write it again only later.
+#[test]
+fn an_evacuation_outlasts_a_copy_that_lacks_it() {
+    let (mut registry, name) = registry();
+    registry.evacuate("east".parse().unwrap(), at(100));
+    let warm_up = Duration::ZERO;
+    registry.end_restored_evacuation("east".parse().unwrap(), warm_up, at(2_000));
+    registry.tick(at(4_000));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+    registry.evacuate("east".parse().unwrap(), at(4_500));
+    registry.tick(at(9_000));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+}
+
+/// Guards against an evacuation that never ends: nobody writes it again after the store came
+/// back from a copy that lacks it.
+#[test]
+fn an_evacuation_that_nobody_writes_again_ends() {
+    let (mut registry, name) = registry();
+    registry.evacuate("east".parse().unwrap(), at(100));
+    let warm_up = Duration::ZERO;
+    registry.end_restored_evacuation("east".parse().unwrap(), warm_up, at(2_000));
+    registry.tick(at(7_100));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+}
+
+/// Guards against callers who are refused because the store came back from a copy with an
+/// evacuation that has ended since: the operators end it again.
+#[test]
+fn an_evacuation_that_ended_is_not_begun_by_a_copy() {
+    let (mut registry, name) = registry();
+    registry.begin_restored_evacuation("east".parse().unwrap(), at(2_000));
+    registry.tick(at(4_000));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+    registry.end_evacuation(&"east".parse().unwrap(), Duration::ZERO, at(4_500));
+    registry.tick(at(9_000));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+    registry.begin_restored_evacuation("east".parse().unwrap(), at(10_000));
+    registry.tick(at(15_100));
+    assert_eq!(registry.state(&name), OwnerState::Leaving);
+}
