The planner keeps its map over a restore of the store, under epochs of the new era

A key had two owners for 8.9 s, and epoch 4 was given to three servers: the store came back from a copy that names the owners of before a move.

Cause: the planner took the map of the copy for the truth, although it had written a newer one that the store had acknowledged, and counted epochs on from the map of the copy.

Change: - Epochs of an era begin above all of the earlier ones (Epoch::first_of), so that none is given out twice, whatever a copy has forgotten. - The leadership row tells the era of its claim. A row of a copy is kept as lapsed, behind the newest leadership that the instance knows; its planner claims it again at once, the others wait for it as for any planner. - A planner whose leadership nobody else can have had meanwhile goes on with its own map, moves and record of grants, and writes the map anew under epochs of the era (Reconciler::resume). While its leadership has lapsed it orders nothing. - Instances route by the newest map that they know, by the epochs of its keys, until the store holds one as new (MapReplica). A planner that takes over begins with the same. - A commit that a later era answers does not count as done.

Why it works: moves that the copy lacks are in the memory of the one who made them, and are written again before anything else; whoever has not made them has lower epochs.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -11,8 +11,8 @@
     },
     crate::events,
     citron_core::{
-        id::StoreVersion,
-        ranges::MapPartition,
+        id::{StoreEra, StoreVersion},
+        ranges::{MapPartition, MapReplica},
         registry::Evacuation,
         time::{StoreTime, Time},
     },
@@ -89,8 +89,17 @@
         let state = &mut *self.state.borrow_mut();
         let replica = &mut state.replicas[table];
         let is_restored = replica.is_read() && row_set.version.era() > replica.version.era();
-        if is_restored && WATCHED[table] == RowTable::Servers {
-            state.registry.on_store_restored(self.clock.now());
+        match WATCHED[table] {
+            RowTable::Servers if is_restored => {
+                state.registry.on_store_restored(self.clock.now());
+            }
+            RowTable::Ranges if is_restored => {
+                state
+                    .maps
+                    .values_mut()
+                    .for_each(MapReplica::on_store_restored);
+            }
+            _ => {}
         }
         let keys = row_set.rows.iter().map(|row| &row.key);
         let removed_before = match is_restored {
@@ -132,6 +141,9 @@
                 RowTable::Ranges | RowTable::Members => self.apply_range_row(&mut state, row),
             }
         }
+        if WATCHED[table] == RowTable::Ranges {
+            state.maps.values_mut().for_each(MapReplica::forget_older);
+        }
         drop(state);
         self.publish_view();
         self.plan_trigger.notify_one();
@@ -242,11 +254,14 @@
 
     fn apply_range_row(&self, state: &mut ControlState, row: &Row) {
         if row.key == PLANNER_KEY {
-            state.leadership = row
-                .value
-                .as_deref()
-                .and_then(|value| parse_leadership(value, row.version));
-            log::info!("{} {:?}", events::PLANNER, state.leadership);
+            let named = row.value.as_deref();
+            let named = named.and_then(|value| parse_leadership(value, row.version));
+            let known = state.leadership.take();
+            state.leadership = newest_leadership(known, named, row);
+            match &state.leadership {
+                Some(leadership) => log::info!("{} {leadership}", events::PLANNER),
+                None => log::info!("{} none, row {}", events::PLANNER, row.version),
+            }
         }
         if row.key == FORMER_PLANNERS_KEY {
             state.former_planners = row
@@ -273,12 +288,12 @@
     let (range, version) = (key.range, row.version);
     let map = state.maps.entry(key.service).or_default();
     let Some(value) = row.value.as_deref() else {
-        return Arc::make_mut(map).remove(range, version);
+        return map.stored_mut().remove(range, version);
     };
     let wire = serde_json::from_slice::<MapWire>(value).map_err(|error| error.to_string());
     match wire.and_then(|wire| wire.into_slices(range)) {
         Ok(slices) => {
-            Arc::make_mut(map).insert(MapPartition {
+            map.stored_mut().insert(MapPartition {
                 range,
                 version,
                 slices,
@@ -305,10 +320,30 @@
         predecessors: predecessors
             .filter_map(|(name, incarnation)| planner_id(name, *incarnation))
             .collect(),
+        claim: StoreVersion::new(StoreEra(wire.era), version.number())?,
         version,
     })
 }
 
+/// The leadership after a change of its row. A row of a copy may name a former planner, or be
+/// missing: the newest leadership known is then kept, to be claimed again.
+fn newest_leadership(
+    known: Option<Leadership>,
+    named: Option<Leadership>,
+    row: &Row,
+) -> Option<Leadership> {
+    if named.as_ref().is_some_and(|named| !named.has_lapsed()) {
+        return named;
+    }
+    let known = known.filter(|known| known.claim.era() < row.version.era());
+    let newest = known.into_iter().chain(named).max_by_key(|one| one.claim)?;
+    let version = match row.value {
+        Some(_) => row.version,
+        None => StoreVersion::new(row.version.era(), 0)?,
+    };
+    Some(Leadership { version, ..newest })
+}
+
 fn parse_former_planners(value: &[u8]) -> BTreeMap<PlannerId, StoreTime> {
     let wire = serde_json::from_slice::<FormerPlannersWire>(value).inspect_err(|error| {
         log::error!("{} {FORMER_PLANNERS_KEY}: {error}", events::OWN_ROW_REFUSED)
--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -66,6 +66,9 @@
     pub instance: String,
     /// Incarnation of that instance: a number drawn at each start of its process.
     pub start: u64,
+    /// Era of the store in which the planner claimed the leadership.
+    #[serde(default)]
+    pub era: u32,
     /// Former planners that may still be acting: instance name and incarnation.
     #[serde(default)]
     pub before: Vec<(String, u64)>,
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -22,8 +22,8 @@
             FetchTimes, Fetches, Freshness, FreshnessTimes, HeartbeatSchedule, Sender, StoreHealth,
             StoreOutage, VersionTracker,
         },
-        id::{InstanceId, ServerName, ServiceName, StoreEra, StoreVersion},
-        ranges::{MapPartition, PartitionedMap},
+        id::{Epoch, InstanceId, ServerName, ServiceName, StoreEra, StoreVersion},
+        ranges::{MapPartition, MapReplica},
         registry::{Registry, RegistryTimes},
         routes::RouteConfig,
         slowstart::{COLD_WINDOW, SlowStartGroup},
@@ -38,6 +38,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::BTreeMap,
+        fmt,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -67,10 +68,38 @@
     pub planner: PlannerId,
     /// Former planners that may still be acting.
     pub predecessors: Vec<PlannerId>,
-    /// Version of the row in the store.
+    /// Version of the row when the planner claimed the leadership.
+    pub claim: StoreVersion,
+    /// Version of the row in the store; its number is 0 if there is none. Differs from
+    /// `claim` if the store came back from a copy since, so that the row may name an earlier
+    /// planner.
     pub version: StoreVersion,
 }
 
+impl fmt::Display for Leadership {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (planner, predecessors) = (&self.planner, self.predecessors.len());
+        write!(
+            f,
+            "{} (incarnation {}), claimed at {}, row {}, {predecessors} predecessors",
+            planner.instance, planner.incarnation, self.claim, self.version
+        )
+    }
+}
+
+impl Leadership {
+    /// Whether the store came back from a copy since the claim. The planner must claim the
+    /// leadership again before it acts.
+    pub fn has_lapsed(&self) -> bool {
+        self.claim != self.version
+    }
+
+    /// Lowest epoch of the era in which the planner claimed the leadership.
+    pub fn epoch_floor(&self) -> Epoch {
+        Epoch::first_of(self.claim.era())
+    }
+}
+
 /// State of the control thread.
 #[derive(Debug)]
 pub struct ControlState {
@@ -81,7 +110,7 @@
     /// Newest valid configuration.
     pub config: Option<Arc<RouteConfig>>,
     /// Owners of keys, by service.
-    pub maps: BTreeMap<ServiceName, Arc<PartitionedMap>>,
+    pub maps: BTreeMap<ServiceName, MapReplica>,
     /// Current planner; `None` until the store has named one.
     pub leadership: Option<Leadership>,
     /// Other instances.
@@ -431,14 +460,14 @@
     ) {
         let mut state = self.state.borrow_mut();
         let map = state.maps.entry(service.clone()).or_default();
-        let map = Arc::make_mut(map);
         for part in parts {
-            map.insert(MapPartition {
+            map.stored_mut().insert(MapPartition {
                 range: part.range,
                 version,
                 slices: part.slices.clone(),
             });
         }
+        map.forget_older();
         drop(state);
         self.publish_view();
     }
@@ -468,7 +497,11 @@
         self.shared.publish(View {
             config: Arc::clone(config),
             servers,
-            maps: state.maps.clone(),
+            maps: state
+                .maps
+                .iter()
+                .map(|(service, map)| (service.clone(), Arc::clone(map.newest())))
+                .collect(),
             instance_count: state.peers.instance_count(now),
             reporting_count,
             report_interval: HeartbeatSchedule::for_instances(reporting_count)
@@ -537,7 +570,7 @@
             leadership: state
                 .leadership
                 .as_ref()
-                .map_or(0, |leadership| leadership.version.0),
+                .map_or(0, |leadership| leadership.claim.0),
             loads: loads.into_iter().map(Into::into).collect(),
             crashes: self.crash_report(),
         }
--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -63,11 +63,11 @@
         claimant: &Claimant<'_>,
         now: Time,
     ) -> bool {
-        let version = state
+        let claim = state
             .leadership
             .as_ref()
-            .map_or(StoreVersion::NONE, |row| row.version);
-        self.planner_silence.record_claim(version, now);
+            .map_or(StoreVersion::NONE, |row| row.claim);
+        self.planner_silence.record_claim(claim, now);
         if !self.is_vacant(state, claimant, now) {
             self.vacant_since = None;
             return false;
@@ -76,7 +76,11 @@
             return false;
         }
         let vacant_since = *self.vacant_since.get_or_insert(now);
-        now - vacant_since >= CLAIM_STAGGER * claim_rank(state, claimant.settings, now)
+        let rank = match is_own(state, claimant) {
+            true => 0,
+            false => claim_rank(state, claimant.settings, now),
+        };
+        now - vacant_since >= CLAIM_STAGGER * rank
     }
 
     /// Restarts the delay after a claim, so that other instances get their turn.
@@ -92,7 +96,9 @@
         if planner.instance == claimant.settings.instance {
             // If the answer to a claim was lost, the row names this incarnation although
             // it does not plan.
-            return planner.incarnation != claimant.incarnation || !state.is_planning;
+            return planner.incarnation != claimant.incarnation
+                || !state.is_planning
+                || leadership.has_lapsed();
         }
         if has_ended(state, planner) {
             return true;
@@ -117,6 +123,15 @@
     }
 }
 
+/// Whether this incarnation was the last to claim the leadership. The others wait for it.
+fn is_own(state: &ControlState, claimant: &Claimant<'_>) -> bool {
+    let planner = state.leadership.as_ref().map(|row| &row.planner);
+    planner.is_some_and(|planner| {
+        planner.instance == claimant.settings.instance
+            && planner.incarnation == claimant.incarnation
+    })
+}
+
 /// Whether an incarnation has certainly ended: a heartbeat of another incarnation of the
 /// same instance was received.
 pub fn has_ended(state: &ControlState, planner: &PlannerId) -> bool {
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -8,10 +8,11 @@
     crate::{
         edge::control::{
             codec::{LeadershipWire, PLANNER_KEY},
-            controller::{Controller, PlannerId},
+            controller::{Controller, Leadership, PlannerId},
             election::{Claimant, Election},
             refresh,
             replica::TableReplica,
+            watch::RANGES,
         },
         events,
     },
@@ -40,17 +41,21 @@
     is_ready && election.should_claim(&state, &claimant, now)
 }
 
-/// Claims the leadership row. Returns the new term, or `None` if the claim failed.
+/// Claims the leadership row. Returns the new term, or `None` if the claim failed. `former` is
+/// the term of this instance that lapsed when the store came back from a copy, if there is one.
 pub async fn claim_leadership<A: Adapter>(
     controller: &Rc<Controller<A>>,
     election: &mut Election,
     lease_times: LeaseTimes,
+    former: &mut Option<Term>,
 ) -> Option<Term> {
     let current = controller.state.borrow().leadership.clone();
+    let era = controller.state.borrow().replicas[RANGES].version.era();
     let predecessors = former_planners::still_acting(controller, current.as_ref());
     let wire = LeadershipWire {
         instance: controller.settings.instance.to_string(),
         start: controller.incarnation,
+        era: era.0,
         before: predecessors
             .iter()
             .map(|planner| (planner.instance.to_string(), planner.incarnation))
@@ -85,7 +90,15 @@
     if !refresh::read_maps(controller).await {
         return None;
     }
-    let term = begin_term(controller, predecessors, lease_times)?;
+    let leadership = claimed_leadership(controller)?;
+    let is_unbroken = former
+        .as_ref()
+        .is_some_and(|former| is_unbroken(controller, former, current.as_ref(), &leadership));
+    let former = former.take().filter(|_| is_unbroken);
+    let term = match former {
+        Some(former) => resume_term(controller, former, leadership, predecessors),
+        None => begin_term(controller, leadership, predecessors, lease_times),
+    };
     if !term.predecessors.is_empty() {
         let (leadership, predecessors) = (term.leadership.clone(), term.predecessors.clone());
         let controller = Rc::clone(controller);
@@ -100,25 +113,66 @@
     Some(term)
 }
 
+/// The leadership row, if it names this incarnation as of the current era of the store.
+fn claimed_leadership<A: Adapter>(controller: &Controller<A>) -> Option<Leadership> {
+    let leadership = controller.state.borrow().leadership.clone()?;
+    let is_own = leadership.planner.instance == controller.settings.instance
+        && leadership.planner.incarnation == controller.incarnation;
+    (is_own && !leadership.has_lapsed()).then_some(leadership)
+}
+
+/// Whether no other instance can have planned between a term that lapsed and its renewal.
+/// `current` is the leadership that was known before.
+fn is_unbroken<A: Adapter>(
+    controller: &Controller<A>,
+    former: &Term,
+    current: Option<&Leadership>,
+    renewed: &Leadership,
+) -> bool {
+    let claim = former.leadership.claim;
+    let state = controller.state.borrow();
+    let now = controller.clock.now();
+    let mut peers = state.peers.live(now);
+    let is_outbid = peers.any(|(_, peer)| {
+        let heartbeat = peer.heartbeat.as_ref();
+        heartbeat.is_some_and(|heartbeat| {
+            heartbeat.leadership > claim.0 && heartbeat.leadership != renewed.claim.0
+        })
+    });
+    // In an era that this instance has missed, others may have planned.
+    let is_next_era = renewed.claim.era().0 == claim.era().0 + 1;
+    current.is_some_and(|current| current.claim == claim) && is_next_era && !is_outbid
+}
+
+fn resume_term<A: Adapter>(
+    controller: &Controller<A>,
+    former: Term,
+    leadership: Leadership,
+    predecessors: Vec<PlannerId>,
+) -> Term {
+    log::info!(
+        "{} this instance plans on, row version {}",
+        events::PLANNER,
+        leadership.version
+    );
+    former.resume(leadership, predecessors, controller.clock.now())
+}
+
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
+    leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
-) -> Option<Term> {
+) -> Term {
     let mut state = controller.state.borrow_mut();
-    let leadership = state.leadership.clone()?;
-    if leadership.planner.instance != controller.settings.instance
-        || leadership.planner.incarnation != controller.incarnation
-    {
-        return None;
-    }
     let now = controller.clock.now();
     let foreign_leases_end =
         former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
         let book = LeaseTracker::new(lease_times, foreign_leases_end);
-        let mut reconciler = Reconciler::new(map.to_map()?, book);
+        let reconciler = Reconciler::new(map.newest().to_map()?, book);
+        let mut reconciler = reconciler.with_floor(leadership.epoch_floor());
         for update in controller.shared.recent_moves(service, now) {
             reconciler.restore_release(&update);
         }
@@ -134,10 +188,10 @@
         leadership.version
     );
     controller.heartbeat_trigger.notify_one();
-    Some(Term {
+    Term {
         leadership,
         predecessors,
         plans,
         balance_clock: BalanceTimer::new(now),
-    })
+    }
 }
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -48,8 +48,7 @@
     map: &RangeMap,
     leadership_version: StoreVersion,
 ) -> CommitOutcome {
-    let stored = controller.state.borrow().maps.get(service).cloned();
-    let stored = stored.unwrap_or_default();
+    let stored = stored_map(controller, service);
     let slices_max =
         (controller.settings.row_bytes_max / ROW_BYTES_PER_SLICE).clamp(1, SLICES_PER_PART_MAX);
     let mut newest = stored.max_version();
@@ -71,6 +70,15 @@
     (OrderOutcome::Done { handover: None }, newest)
 }
 
+fn stored_map<A: Adapter>(
+    controller: &Controller<A>,
+    service: &ServiceName,
+) -> Arc<PartitionedMap> {
+    let state = controller.state.borrow();
+    let map = state.maps.get(service);
+    map.map(|map| Arc::clone(map.stored())).unwrap_or_default()
+}
+
 /// Difference between a map and the stored one.
 struct MapChanges {
     parts: Vec<MapPartition>,
@@ -156,6 +164,11 @@
     while controller.is_planning_under(leadership_version) {
         let call_started = controller.clock.now();
         match send_commit(controller, commit).await {
+            // The store came back from a copy before it executed the commit.
+            Ok(version) if version.era() != leadership_version.era() => {
+                controller.on_store_success(call_started, None);
+                return (OrderOutcome::Unknown, StoreVersion::NONE);
+            }
             Ok(version) => {
                 controller.on_store_success(call_started, None);
                 controller.confirm_ranges(call_started);
@@ -204,8 +217,7 @@
     if !refresh::read_maps(controller).await {
         return None;
     }
-    let state = controller.state.borrow();
-    let stored = state.maps.get(service).map(Arc::clone).unwrap_or_default();
+    let stored = stored_map(controller, service);
     if parts.iter().all(|part| stored.matches(part)) {
         return Some((OrderOutcome::Done { handover: None }, stored.max_version()));
     }
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -8,7 +8,10 @@
         term::{OrderResult, Term},
     },
     crate::{
-        edge::control::{controller::Controller, election::Election},
+        edge::control::{
+            controller::{Controller, Leadership},
+            election::Election,
+        },
         events,
     },
     citron_core::{
@@ -49,11 +52,14 @@
         );
         let event = event.await.unwrap_or(Event::Timer);
         resign_if_lost(&controller, &mut term);
-        if term.is_none() && should_claim_leadership(&controller, &mut election) {
-            term = claim_leadership(&controller, &mut election, lease_times).await;
+        let holds_leadership = term.is_some() && !has_lapsed(&controller);
+        if !holds_leadership && should_claim_leadership(&controller, &mut election) {
+            let claimed =
+                claim_leadership(&controller, &mut election, lease_times, &mut term).await;
+            term = claimed.or(term);
             planned_at = Time::ZERO;
         }
-        let Some(term) = &mut term else {
+        let Some(term) = term.as_mut().filter(|_| !has_lapsed(&controller)) else {
             next_wake = controller.clock.now() + PLAN_INTERVAL;
             continue;
         };
@@ -170,6 +176,13 @@
     orders.retain(|address| state.registry.servers_at(address).next().is_some());
 }
 
+/// Whether the store came back from a copy, so that the leadership must be claimed again.
+fn has_lapsed<A: Adapter>(controller: &Controller<A>) -> bool {
+    let state = controller.state.borrow();
+    let leadership = state.leadership.as_ref();
+    leadership.is_some_and(Leadership::has_lapsed)
+}
+
 /// Ends the term if another incarnation has the leadership, or if this instance is
 /// leaving.
 fn resign_if_lost<A: Adapter>(controller: &Controller<A>, term: &mut Option<Term>) {
@@ -178,7 +191,7 @@
     let is_replaced = state
         .leadership
         .as_ref()
-        .is_some_and(|leadership| leadership.version > held.leadership.version);
+        .is_some_and(|leadership| leadership.claim > held.leadership.claim);
     if is_replaced || controller.is_leaving() {
         state.is_planning = false;
         drop(state);
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -16,6 +16,7 @@
             Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
         },
         registry::{PlannedOwners, ServerRecord},
+        time::Time,
     },
     citron_ports::Adapter,
     std::collections::BTreeMap,
@@ -88,7 +89,7 @@
                     // The store holds another map, which takes precedence.
                     let state = controller.state.borrow();
                     let map = state.maps.get(&result.service);
-                    if let Some(map) = map.and_then(|map| map.to_map()) {
+                    if let Some(map) = map.and_then(|map| map.newest().to_map()) {
                         plan.reconciler.reload(map);
                     }
                 }
@@ -102,6 +103,22 @@
         }
     }
 
+    /// Continues under a leadership that this instance claimed again after the store came back
+    /// from a copy. Nobody else has moved keys since, so what this term knows counts.
+    pub fn resume(self, leadership: Leadership, predecessors: Vec<PlannerId>, now: Time) -> Self {
+        let floor = leadership.epoch_floor();
+        let mut plans = self.plans;
+        for plan in plans.values_mut() {
+            plan.reconciler.resume(floor, now);
+        }
+        Self {
+            leadership,
+            predecessors,
+            plans,
+            balance_clock: self.balance_clock,
+        }
+    }
+
     /// Stops waiting for leases granted by former planners, once all of these have
     /// stopped.
     pub fn settle_predecessors<A: Adapter>(&mut self, controller: &Controller<A>) {
@@ -146,12 +163,14 @@
             .balance_clock
             .is_due(has_sudden_change, may_balance, now);
         let owners = planned_owners(controller, &state);
+        let floor = self.leadership.epoch_floor();
         for service in config.services().filter(|service| service.is_sharded) {
             let name = &service.name;
             let plan = self.plans.entry(name.clone()).or_insert_with(|| {
                 let book = LeaseTracker::new(lease_times, now);
+                let map = RangeMap::starting_at(floor);
                 ServicePlan {
-                    reconciler: Reconciler::new(RangeMap::new(), book),
+                    reconciler: Reconciler::new(map, book).with_floor(floor),
                     demand: Demand::default(),
                 }
             });
--- a/crates/core/src/id/number.rs
+++ b/crates/core/src/id/number.rs
@@ -55,6 +55,23 @@
     /// reused.
     Epoch, u64, 0, u64::MAX
 );
+/// Bits of an epoch that count within an era of the store.
+const EPOCH_COUNTER_BITS: u32 = 32;
+
+impl Epoch {
+    /// The lowest epoch of an era of the store, above all epochs of earlier eras. A store that
+    /// comes back from a copy no longer tells which epochs were given out since.
+    ///
+    /// ```
+    /// use citron_core::id::{Epoch, StoreEra};
+    /// assert_eq!(Epoch::first_of(StoreEra(0)), Epoch(0));
+    /// assert!(Epoch::first_of(StoreEra(2)) > Epoch(Epoch::first_of(StoreEra(1)).0 + 1_000_000));
+    /// ```
+    pub fn first_of(era: StoreEra) -> Self {
+        Self(u64::from(era.0) << EPOCH_COUNTER_BITS)
+    }
+}
+
 number_type!(
     /// Random number that distinguishes process starts of the same instance.
     Incarnation, u64, 0, u64::MAX
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -61,10 +61,15 @@
 impl RangeMap {
     /// Creates a map in which no key has an owner.
     pub fn new() -> Self {
+        Self::starting_at(Epoch(0))
+    }
+
+    /// Creates a map in which no key has an owner, and owners get epochs above `floor`.
+    pub fn starting_at(floor: Epoch) -> Self {
         let unowned = Slice {
             range: KeyRange::ALL,
             owner: None,
-            epoch: Epoch(0),
+            epoch: floor,
             handover: None,
             expiry: None,
         };
@@ -136,21 +141,76 @@
         epochs.max().unwrap_or(Epoch(0))
     }
 
+    /// Whether all keys have an epoch of at least `floor`, apart from those whose owner gets no
+    /// further grant.
+    pub fn has_reached(&self, floor: Epoch) -> bool {
+        let mut slices = self.slices.iter();
+        slices.all(|slice| slice.epoch >= floor || slice.expiry.is_some())
+    }
+
+    /// Raises the epochs of all keys to at least `floor`, apart from those whose owner gets no
+    /// further grant.
+    pub fn raise_to(&mut self, floor: Epoch) {
+        for slice in &mut self.slices {
+            if slice.expiry.is_none() {
+                slice.epoch = slice.epoch.max(floor);
+            }
+        }
+        self.merge_adjacent();
+    }
+
+    /// Combines two states of a map, neither of which may be complete: of each key the slice
+    /// with the higher epoch, and of two with the same epoch the one whose owner gets no
+    /// further grant.
+    ///
+    /// ```
+    /// use citron_core::ranges::{RangeKey, RangeMap};
+    /// let (one, two) = ("s-1".parse().unwrap(), "s-2".parse().unwrap());
+    /// let mut older = RangeMap::new();
+    /// older.assign("0-99".parse().unwrap(), &one, None);
+    /// let mut newer = older.clone();
+    /// newer.assign("50-99".parse().unwrap(), &two, None);
+    /// older.assign("200-299".parse().unwrap(), &one, None);
+    /// let both = older.newest_of(&newer);
+    /// let owner = |key| both.slice(RangeKey(key)).owner.clone();
+    /// assert_eq!([owner(0), owner(50), owner(200)], [Some(one.clone()), Some(two), Some(one)]);
+    /// ```
+    pub fn newest_of(&self, other: &Self) -> Self {
+        let rank = |slice: &Slice| (slice.epoch, slice.expiry);
+        let newest = |slice: &Slice, found: &Slice| {
+            let newer = match rank(found) > rank(slice) {
+                true => found,
+                false => slice,
+            };
+            newer.clipped_to(slice.range.intersection(found.range)?)
+        };
+        let pairs = self.slices.iter().flat_map(|slice| {
+            let overlapping = other.overlapping(slice.range);
+            overlapping.filter_map(move |found| newest(slice, found))
+        });
+        let mut newest = Self {
+            slices: pairs.collect(),
+        };
+        newest.merge_adjacent();
+        newest
+    }
+
     /// Assigns `range` to `owner` under a new epoch, one above the highest epoch of its
     /// keys.
     pub fn assign(&mut self, range: KeyRange, owner: &ServerName, handover: Option<String>) {
-        self.assign_all([(range, owner.clone(), handover)]);
+        self.assign_all([(range, owner.clone(), handover)], Epoch(0));
     }
 
-    /// Like [`Self::assign`] for many disjoint ranges in one pass.
+    /// Like [`Self::assign`] for many disjoint ranges in one pass, under epochs above `floor`.
     pub fn assign_all(
         &mut self,
         owners: impl IntoIterator<Item = (KeyRange, ServerName, Option<String>)>,
+        floor: Epoch,
     ) {
         let assigned = owners.into_iter().map(|(range, owner, handover)| Slice {
             range,
             owner: Some(owner),
-            epoch: Epoch(self.max_epoch(range).0 + 1),
+            epoch: Epoch(self.max_epoch(range).max(floor).0 + 1),
             handover,
             expiry: None,
         });
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -12,6 +12,7 @@
 mod key;
 mod leases;
 mod map;
+mod map_replica;
 mod move_log;
 mod partitions;
 mod reconciler;
@@ -25,6 +26,7 @@
     key::{KeyRange, RangeKey},
     leases::{LeaseTimes, LeaseTracker},
     map::{RangeMap, Slice},
+    map_replica::MapReplica,
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler},
--- a/crates/core/src/ranges/reconciler/commits.rs
+++ b/crates/core/src/ranges/reconciler/commits.rs
@@ -40,7 +40,8 @@
             return;
         }
         let expiries = self.expiries(now, clock, owners);
-        let is_unchanged = expiries.is_empty() && self.seen_epochs.is_empty();
+        let is_unchanged =
+            expiries.is_empty() && self.seen_epochs.is_empty() && self.map.has_reached(self.floor);
         if is_unchanged && !self.moves.iter().any(Move::is_free) {
             return;
         }
@@ -54,7 +55,8 @@
             }
             MovePhase::Releasing { .. } => None,
         };
-        updated.assign_all(self.moves.iter().filter_map(owner));
+        updated.raise_to(self.floor);
+        updated.assign_all(self.moves.iter().filter_map(owner), self.floor);
         updated.set_expiries(expiries);
         if updated != self.map {
             self.clear_used_handovers(&mut updated);
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -42,6 +42,10 @@
     seen_epochs: Vec<(KeyRange, Epoch)>,
     /// When the commit in progress was ordered.
     commit_started: Option<Time>,
+    /// Lowest epoch of the era of the store. The map is written anew until it has reached it.
+    floor: Epoch,
+    /// Whether leases below `floor` may be renewed: no other planner can have moved the keys.
+    renews_below_floor: bool,
 }
 
 impl Reconciler {
@@ -55,9 +59,27 @@
             awaiting_grant: BTreeSet::new(),
             seen_epochs: Vec::new(),
             commit_started: None,
+            floor: Epoch(0),
+            renews_below_floor: false,
         }
     }
 
+    /// Sets the lowest epoch of the era of the store in which the term began.
+    pub fn with_floor(self, floor: Epoch) -> Self {
+        Self { floor, ..self }
+    }
+
+    /// Continues in a new era of the store, which came back from an older copy, with `floor` as
+    /// its lowest epoch. The map known here is the newer one, and is written again. Orders in
+    /// progress are sent anew: their outcomes are not reported any more.
+    pub fn resume(&mut self, floor: Epoch, now: Time) {
+        self.floor = floor;
+        self.renews_below_floor = true;
+        self.commit_started = None;
+        self.renewals = Renewals::default();
+        self.restart_releases(now);
+    }
+
     /// Restores a release ordered by an earlier planner whose move may be incomplete: the
     /// owner has seen the epoch of the release and rejects grants below it.
     pub fn restore_release(&mut self, notice: &MoveNotice) {
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -233,7 +233,7 @@
                 handover: None,
             },
         };
-        let epoch = Epoch(self.map.max_epoch(range).0 + 1);
+        let epoch = Epoch(self.map.max_epoch(range).max(self.floor).0 + 1);
         let last_granted = from
             .as_ref()
             .map_or(Time::ZERO, |from| self.leases.last_sent(from));
@@ -268,6 +268,15 @@
         }
     }
 
+    /// Sends the releases in progress again.
+    pub(super) fn restart_releases(&mut self, now: Time) {
+        for pending in &mut self.moves {
+            if let MovePhase::Releasing { send_at } = &mut pending.phase {
+                *send_at = Some(now);
+            }
+        }
+    }
+
     /// Applies the outcome of a release; a failed one is sent again after [`RETRY_DELAY`].
     pub(super) fn complete_release(
         &mut self,
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -158,8 +158,13 @@
                 range.intersection(slice.range).is_some() && slice.epoch < *seen
             })
         };
-        let held =
-            |slice: &&Slice| slice.owner.is_some() && slice.expiry.is_none() && !is_outdated(slice);
+        let may_grant = |slice: &Slice| self.renews_below_floor || slice.epoch >= self.floor;
+        let held = |slice: &&Slice| {
+            slice.owner.is_some()
+                && slice.expiry.is_none()
+                && may_grant(slice)
+                && !is_outdated(slice)
+        };
         let owned = self.map.slices().iter().filter(held);
         let moving = self.moving_ranges();
         let parts = owned.flat_map(|slice| {
--- a/crates/core/tests/growth.rs
+++ b/crates/core/tests/growth.rs
@@ -4,7 +4,7 @@
 use {
     allocation_counter::measure,
     citron_core::{
-        id::{ServerName, ServiceName, Slots},
+        id::{Epoch, ServerName, ServiceName, Slots},
         ranges::{
             BalanceLimits, Balancer, Capacity, Demand, KeyRange, LeaseTimes, LeaseTracker, Order,
             OrderOutcome, PartitionedMap, PlanScope, RangeKey, RangeMap, Reconciler,
@@ -194,7 +194,10 @@
             first: RangeKey((number * 2) as u16),
             last: RangeKey((number * 2 + 1) as u16),
         };
-        map.assign_all((0..servers).map(|number| (range(number), name(number), None)));
+        map.assign_all(
+            (0..servers).map(|number| (range(number), name(number), None)),
+            Epoch(0),
+        );
         let parts = partition_ranges(&map, &PartitionedMap::default(), 256);
         let slices = parts.iter().map(|part| map.slices_in(*part).len());
         assert!(slices.clone().max().unwrap() <= 256);
