A planner that takes over in a restored store fences all servers first

After all instances were killed while the store was away, a key had two owners for 8.5 s: the copy names former owners, and nobody remembers the moves that it lacks.

Cause: a new planner trusts the map that it reads, and grants by it at once.

Change: a planner that takes over a map which no planner of the era has written releases, at each registered server, all keys that the map does not assign to it, under the first epoch of the era (Fence). Until all have answered, or every lease of any earlier planner has run out, nothing is granted or moved; leases that run go on. Then the map is written under epochs of the era, which marks it as settled for later planners. Planners that the copy lacks count as acting until all instances are heard and none plans, or for as long as a planner acts without the store. What the instance remembers of the map goes before the copy.

The model of planners, servers and the store plays restores: copies up to 4 s old, planners that live on, are killed or cut off, commits that are executed late.

Why it works: a release is never refused and lets the server reject all lower epochs, so that neither a forgotten owner nor a late grant of a forgotten planner survives it.

--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Whether all peers were heard recently, and none of them plans.
+    pub fn all_follow(&self, now: Time) -> bool {
+        let timeouts = self.loss_timeouts();
+        let follows = |peer: &Peer| {
+            let heartbeat = peer.heartbeat.as_ref();
+            timeouts.is_live(peer, now) && heartbeat.is_some_and(|heartbeat| !heartbeat.planning)
+        };
+        self.peers.values().all(follows)
+    }
+
     /// Recipients of the current round of heartbeats.
     ///
     /// With few instances (full mesh), each sends to all others, and to those of other
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -97,7 +97,13 @@
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors),
-        None => begin_term(controller, leadership, predecessors, lease_times),
+        None => begin_term(
+            controller,
+            current.as_ref(),
+            leadership,
+            predecessors,
+            lease_times,
+        ),
     };
     if !term.predecessors.is_empty() {
         let (leadership, predecessors) = (term.leadership.clone(), term.predecessors.clone());
@@ -158,21 +164,30 @@
     former.resume(leadership, predecessors, controller.clock.now())
 }
 
+/// Begins a term after that of `former`, the leadership before the claim.
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
+    former: Option<&Leadership>,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
 ) -> Term {
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
-    let foreign_leases_end =
-        former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
+    let floor = leadership.epoch_floor();
+    let is_restored = former.is_some_and(|former| former.claim.era() < leadership.claim.era());
+    let foreign_leases_end = match is_restored && !state.peers.all_follow(now) {
+        // The copy may lack the claims of planners that this instance has never heard of.
+        true => now + lease_times.outage_limit,
+        false => former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now),
+    };
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
         let book = LeaseTracker::new(lease_times, foreign_leases_end);
-        let reconciler = Reconciler::new(map.newest().to_map()?, book);
-        let mut reconciler = reconciler.with_floor(leadership.epoch_floor());
+        let mut reconciler = Reconciler::new(map.newest().to_map()?, book).with_floor(floor);
+        if !reconciler.map().has_reached(floor) {
+            reconciler.fence(now);
+        }
         for update in controller.shared.recent_moves(service, now) {
             reconciler.restore_release(&update);
         }
@@ -192,6 +207,8 @@
         leadership,
         predecessors,
         plans,
+        is_restored,
+        unlisted_until: is_restored.then_some(foreign_leases_end),
         balance_clock: BalanceTimer::new(now),
     }
 }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -55,6 +55,11 @@
     pub predecessors: Vec<PlannerId>,
     /// Plans by service.
     pub plans: BTreeMap<ServiceName, ServicePlan>,
+    /// Whether the store came back from a copy since the leadership before this one was
+    /// claimed. Keys may then be held that no map mentions.
+    pub is_restored: bool,
+    /// Time until which planners that the copy lacks may act; `None` once they have stopped.
+    pub unlisted_until: Option<Time>,
     /// Decides when to move keys for balance.
     pub balance_clock: BalanceTimer,
 }
@@ -115,6 +120,8 @@
             leadership,
             predecessors,
             plans,
+            is_restored: self.is_restored,
+            unlisted_until: self.unlisted_until,
             balance_clock: self.balance_clock,
         }
     }
@@ -122,18 +129,20 @@
     /// Stops waiting for leases granted by former planners, once all of these have
     /// stopped.
     pub fn settle_predecessors<A: Adapter>(&mut self, controller: &Controller<A>) {
-        if self.predecessors.is_empty() {
+        if self.predecessors.is_empty() && self.unlisted_until.is_none() {
             return;
         }
+        let now = controller.clock.now();
         let state = controller.state.borrow();
+        if state.peers.all_follow(now) {
+            self.unlisted_until = None;
+        }
         let version = self.leadership.version;
         self.predecessors
             .retain(|planner| !has_stopped_planning(&state, planner, version));
-        if self.predecessors.is_empty() {
+        if self.predecessors.is_empty() && self.unlisted_until.is_none() {
             for plan in self.plans.values_mut() {
-                plan.reconciler
-                    .leases_mut()
-                    .bound_previous(controller.clock.now());
+                plan.reconciler.leases_mut().bound_previous(now);
             }
         }
     }
@@ -164,17 +173,25 @@
             .is_due(has_sudden_change, may_balance, now);
         let owners = planned_owners(controller, &state);
         let floor = self.leadership.epoch_floor();
+        let (is_restored, unlisted_until) = (self.is_restored, self.unlisted_until);
         for service in config.services().filter(|service| service.is_sharded) {
             let name = &service.name;
             let plan = self.plans.entry(name.clone()).or_insert_with(|| {
-                let book = LeaseTracker::new(lease_times, now);
+                let foreign_leases_end = unlisted_until.unwrap_or(now);
+                let book = LeaseTracker::new(lease_times, foreign_leases_end);
                 let map = RangeMap::starting_at(floor);
+                let mut reconciler = Reconciler::new(map, book).with_floor(floor);
+                if is_restored {
+                    reconciler.fence(now);
+                }
                 ServicePlan {
-                    reconciler: Reconciler::new(map, book).with_floor(floor),
+                    reconciler,
                     demand: Demand::default(),
                 }
             });
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
+            let names = servers.iter().map(|known| &known.entry.name);
+            plan.reconciler.fence_servers(names, now);
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
--- /dev/null
+++ b/crates/core/src/ranges/fence.rs
@@ -0,0 +1,171 @@
+//! Releases by which a planner makes sure that servers hold no keys but those of its map.
+
+use {
+    super::{
+        KeyRange, Order, OrderOutcome, OwnerState, Owners, RangeMap, key::subtract,
+        reconciler::RETRY_DELAY,
+    },
+    crate::{
+        id::{Epoch, ServerName},
+        time::Time,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Time after which all servers that run are registered in a store that came back from a copy.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2_200);
+/// Largest number of releases in progress. Sent together, thousands of them would occupy a
+/// small processor for seconds.
+const IN_PROGRESS_MAX: usize = 40;
+/// How long a release without an answer counts as in progress, so that servers that do not
+/// answer do not hold up the releases at others.
+const IN_PROGRESS_TIME: Duration = Duration::from_millis(100);
+
+/// Releases of all keys at all servers to which a map does not assign them.
+///
+/// A planner that takes over after the store came back from a copy does not know which moves
+/// the copy lacks: any server may hold any key. Once all servers have answered, each holds at
+/// most what the map assigns to it, and rejects late grants of earlier planners for the rest.
+///
+/// ```
+/// use citron_core::{
+///     id::Epoch,
+///     ranges::{Fence, Order, OrderOutcome, OwnerState, Owners, RangeMap},
+///     id::ServerName, time::Time,
+/// };
+/// use std::time::Duration;
+/// struct AllServing;
+/// impl Owners for AllServing {
+///     fn state(&self, _: &ServerName) -> OwnerState { OwnerState::Serving }
+/// }
+/// let (one, two) = ("s-1".parse().unwrap(), "s-2".parse().unwrap());
+/// let mut map = RangeMap::new();
+/// map.assign("0-99".parse().unwrap(), &one, None);
+/// let now = Time::ZERO;
+/// let mut fence = Fence::new(Epoch(7), now);
+/// fence.include(&map, [&one, &two], now);
+/// let orders = fence.orders(now, &AllServing);
+/// let released = |order: &Order| match order {
+///     Order::Release { server, range, .. } => format!("{server} {range}"),
+///     _ => String::new(),
+/// };
+/// let released: Vec<String> = orders.iter().map(released).collect();
+/// assert_eq!(released, ["s-1 100-65535", "s-2 0-65535"]);
+/// let later = now + Duration::from_secs(3);
+/// assert!(!fence.is_done(later));
+/// fence.complete(&one, "100-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
+/// fence.complete(&two, "0-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
+/// assert!(fence.is_done(later));
+/// ```
+#[derive(Debug)]
+pub struct Fence {
+    epoch: Epoch,
+    started: Time,
+    included: BTreeSet<ServerName>,
+    /// Releases without an answer.
+    unanswered: BTreeMap<(ServerName, KeyRange), ReleaseState>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum ReleaseState {
+    /// To be sent at that time.
+    Due(Time),
+    /// Sent at that time, and not completed.
+    Sent(Time),
+}
+
+impl Fence {
+    /// Creates a fence with the epoch of its releases.
+    pub fn new(epoch: Epoch, now: Time) -> Self {
+        Self {
+            epoch,
+            started: now,
+            included: BTreeSet::new(),
+            unanswered: BTreeMap::new(),
+        }
+    }
+
+    /// Adds registered servers that were unknown so far.
+    pub fn include<'a>(
+        &mut self,
+        map: &RangeMap,
+        servers: impl IntoIterator<Item = &'a ServerName>,
+        now: Time,
+    ) {
+        for server in servers {
+            if self.included.contains(server) {
+                continue;
+            }
+            self.included.insert(server.clone());
+            let owned = map.owned_by(server);
+            let others = owned.fold(vec![KeyRange::ALL], |parts, slice| {
+                subtract(parts, slice.range)
+            });
+            for range in others {
+                self.unanswered
+                    .insert((server.clone(), range), ReleaseState::Due(now));
+            }
+        }
+    }
+
+    /// Returns the releases that are due. Servers whose process has ended are skipped.
+    pub fn orders(&mut self, now: Time, owners: &impl Owners) -> Vec<Order> {
+        self.unanswered
+            .retain(|(server, _), _| owners.state(server) != OwnerState::Ended);
+        let in_progress = |state: &&ReleaseState| match state {
+            ReleaseState::Due(_) => false,
+            ReleaseState::Sent(sent) => now - *sent < IN_PROGRESS_TIME,
+        };
+        let in_progress = self.unanswered.values().filter(in_progress).count();
+        let mut due: Vec<(Time, (ServerName, KeyRange))> = Vec::new();
+        for (release, state) in &self.unanswered {
+            match state {
+                ReleaseState::Due(at) if *at <= now => due.push((*at, release.clone())),
+                _ => {}
+            }
+        }
+        due.sort();
+        due.truncate(IN_PROGRESS_MAX.saturating_sub(in_progress));
+        let mut orders = Vec::with_capacity(due.len());
+        for (_, release) in due {
+            let (server, range) = release.clone();
+            self.unanswered.insert(release, ReleaseState::Sent(now));
+            let epoch = self.epoch;
+            orders.push(Order::Release {
+                server,
+                range,
+                epoch,
+            });
+        }
+        orders
+    }
+
+    /// Applies the outcome of a release; a failed one is sent again.
+    pub fn complete(
+        &mut self,
+        server: &ServerName,
+        range: KeyRange,
+        outcome: &OrderOutcome,
+        now: Time,
+    ) {
+        let release = (server.clone(), range);
+        match outcome {
+            OrderOutcome::Done { .. } => {
+                self.unanswered.remove(&release);
+            }
+            _ => {
+                if let Some(state) = self.unanswered.get_mut(&release) {
+                    *state = ReleaseState::Due(now + RETRY_DELAY);
+                }
+            }
+        }
+    }
+
+    /// Whether all servers have answered, and none can still be unknown.
+    pub fn is_done(&self, now: Time) -> bool {
+        self.unanswered.is_empty() && now - self.started >= REGISTRATION_TIME
+    }
+}
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -9,6 +9,7 @@
 mod balance_timer;
 mod demand;
 mod error;
+mod fence;
 mod key;
 mod leases;
 mod map;
@@ -23,6 +24,7 @@
     balance_timer::BalanceTimer,
     demand::{Demand, KeyDemand},
     error::RangeError,
+    fence::Fence,
     key::{KeyRange, RangeKey},
     leases::{LeaseTimes, LeaseTracker},
     map::{RangeMap, Slice},
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -7,9 +7,9 @@
 mod send_window;
 
 use {
-    super::{Balancer, KeyRange, LeaseTracker, MoveNotice, OwnerHint, RangeMap},
+    super::{Balancer, Fence, KeyRange, LeaseTracker, MoveNotice, OwnerHint, RangeMap},
     crate::{
-        id::Epoch,
+        id::{Epoch, ServerName},
         time::{StoreClock, Time},
     },
     moves::{Move, not_moving},
@@ -20,7 +20,7 @@
 pub use order::{Order, OrderOutcome, OwnerState, Owners, PlanScope};
 
 /// Delay before a failed order is sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Reconciler for one service's keys, run by the planner.
 ///
@@ -46,6 +46,8 @@
     floor: Epoch,
     /// Whether leases below `floor` may be renewed: no other planner can have moved the keys.
     renews_below_floor: bool,
+    /// Present until servers are known to hold no keys but those of the map.
+    fence: Option<Fence>,
 }
 
 impl Reconciler {
@@ -61,6 +63,7 @@
             commit_started: None,
             floor: Epoch(0),
             renews_below_floor: false,
+            fence: None,
         }
     }
 
@@ -69,12 +72,40 @@
         Self { floor, ..self }
     }
 
+    /// Makes sure that servers hold no keys but those of the map before anything is granted:
+    /// the store came back from a copy, which may lack moves of earlier planners.
+    pub fn fence(&mut self, now: Time) {
+        self.fence = Some(Fence::new(self.floor, now));
+    }
+
+    /// Adds registered servers to the fence, if there is one.
+    pub fn fence_servers<'a>(
+        &mut self,
+        servers: impl IntoIterator<Item = &'a ServerName>,
+        now: Time,
+    ) {
+        if let Some(fence) = &mut self.fence {
+            fence.include(&self.map, servers, now);
+        }
+    }
+
+    /// Whether moves and grants wait for the fence.
+    fn is_fencing(&mut self, now: Time) -> bool {
+        let is_over =
+            |fence: &Fence| fence.is_done(now) || now >= self.leases.lease_end(Time::ZERO);
+        if self.fence.as_ref().is_some_and(is_over) {
+            self.fence = None;
+        }
+        self.fence.is_some()
+    }
+
     /// Continues in a new era of the store, which came back from an older copy, with `floor` as
     /// its lowest epoch. The map known here is the newer one, and is written again. Orders in
     /// progress are sent anew: their outcomes are not reported any more.
     pub fn resume(&mut self, floor: Epoch, now: Time) {
+        self.renews_below_floor |= self.map.has_reached(self.floor);
         self.floor = floor;
-        self.renews_below_floor = true;
+        self.fence = self.fence.take().map(|_| Fence::new(floor, now));
         self.commit_started = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
@@ -137,6 +168,9 @@
         balancer: &mut Balancer<'_>,
         scope: PlanScope,
     ) {
+        if self.is_fencing(now) {
+            return;
+        }
         self.compute_loads(balancer);
         self.free_expired(now, clock, owners);
         self.retarget(owners, balancer);
@@ -149,6 +183,10 @@
     /// Returns the orders that are due. Scans only the moves and the orders due, not
     /// every slice.
     pub fn orders(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) -> Vec<Order> {
+        if self.is_fencing(now) {
+            let fence = self.fence.as_mut();
+            return fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
+        }
         let mut orders = Vec::new();
         self.free_expired(now, clock, owners);
         // Keys released during a store outage would have no owner until it ends.
@@ -182,9 +220,14 @@
     pub fn complete(&mut self, order: &Order, outcome: OrderOutcome, now: Time) -> bool {
         match order {
             Order::Grant(slice) => return self.complete_grant(slice, outcome, now),
-            Order::Release { range, epoch, .. } => {
-                self.complete_release(*range, *epoch, outcome, now)
-            }
+            Order::Release {
+                server,
+                range,
+                epoch,
+            } => match &mut self.fence {
+                Some(fence) => fence.complete(server, *range, &outcome, now),
+                None => self.complete_release(*range, *epoch, outcome, now),
+            },
             Order::Commit(map) => self.complete_commit(map, &outcome),
         }
         false
--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -4,7 +4,7 @@
 //! accepts keys only under an epoch above every epoch under which others held them.
 //! Injected faults: planners are cut off from the store, killed and replaced; servers
 //! crash, restart, leave and execute orders late; answers are lost; server clocks run 2%
-//! slow.
+//! slow; the store comes back from an older copy.
 
 mod planner;
 mod server;
@@ -31,6 +31,9 @@
             World::with_one_way_links(seed, Some(flaw))
         }
         Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
+        Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
+            World::with_restores(seed, Some(flaw))
+        }
         _ => World::new(seed, Some(flaw)),
     };
     (0..STEPS).any(|_| {
@@ -66,7 +69,9 @@
     let one_way = (0..SEEDS).map(|seed| correct_walk(seed, World::with_one_way_links(seed, None)));
     let killed = (0..SEEDS).map(|seed| correct_walk(seed, World::with_planner_kills(seed, None)));
     let late = (0..SEEDS).map(|seed| correct_walk(seed, World::with_late_commits(seed, None)));
-    let walks: Vec<WalkResult> = plain.chain(one_way).chain(killed).chain(late).collect();
+    let restored = (0..SEEDS).map(|seed| correct_walk(seed, World::with_restores(seed, None)));
+    let walks = plain.chain(one_way).chain(killed).chain(late);
+    let walks: Vec<WalkResult> = walks.chain(restored).collect();
     // Runs without commits, or without held keys, would pass without testing anything.
     let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
     let held_share: f64 =
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -3,20 +3,23 @@
 use {
     crate::{planner::Planner, server::Server},
     citron_core::{
-        id::ServerName,
+        id::{Epoch, ServerName, StoreEra},
         ranges::{
-            BalanceLimits, Balancer, Capacity, Demand, LeaseTimes, LeaseTracker, MoveNotice, Order,
-            OrderOutcome, OwnerHint, OwnerState, Owners, PlanScope, RangeMap, Reconciler,
+            BalanceLimits, Balancer, Capacity, Demand, KeyRange, LeaseTimes, LeaseTracker,
+            MoveNotice, Order, OrderOutcome, OwnerHint, OwnerState, Owners, PlanScope, RangeMap,
+            Reconciler, Slice,
         },
         time::{StoreClock, StoreTime, Time},
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::time::Duration,
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Simulated time per step.
 const STEP: Duration = Duration::from_millis(50);
+/// Age of the oldest copy from which the store comes back.
+const COPY_AGE_MAX: Duration = Duration::from_secs(4);
 /// Servers started at first; a crashed or leaving one is replaced.
 const SERVERS: usize = 5;
 
@@ -50,10 +53,18 @@
     EarlyExpiry,
     /// Every other planner's estimate of the store's clock is 8 s ahead.
     ClockAhead,
+    /// A new planner trusts the map of a store that came back from a copy.
+    TrustCopy,
+    /// A planner that lives on takes the map of the copy for its own.
+    ForgetMoves,
+    /// Epochs are counted on from those of the copy.
+    ReuseEpochs,
+    /// Commits of an earlier era match versions that are given out again.
+    MatchReusedVersions,
 }
 
 impl Flaw {
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 16] = [
         Self::IgnorePreviousPlanners,
         Self::OnlyLastPlanner,
         Self::RenewWithoutStore,
@@ -66,6 +77,10 @@
         Self::AssumeUnsentGrant,
         Self::EarlyExpiry,
         Self::ClockAhead,
+        Self::TrustCopy,
+        Self::ForgetMoves,
+        Self::ReuseEpochs,
+        Self::MatchReusedVersions,
     ];
 }
 
@@ -84,6 +99,8 @@
 #[derive(Debug)]
 struct DelayedCommit {
     due: Time,
+    /// Era in which the commit was sent, which its condition names.
+    era: StoreEra,
     planner: u64,
     map: RangeMap,
 }
@@ -115,6 +132,17 @@
     planner_kills: bool,
     /// Whether the store loses answers to commits and executes some commits late.
     late_commits: bool,
+    /// Whether the store comes back from a copy at times.
+    restores: bool,
+    /// Number of times that the store came back from a copy.
+    era: StoreEra,
+    /// Maps of the last seconds, with the times at which they were written.
+    copies: VecDeque<(Time, RangeMap)>,
+    /// Keys, server and epoch of every grant that was accepted.
+    accepted: Vec<(KeyRange, ServerName, Epoch)>,
+    /// Description of a grant under an epoch that is not above all under which other servers
+    /// held the keys.
+    epoch_error: Option<String>,
 }
 
 /// Listed servers as the planners see them.
@@ -159,6 +187,11 @@
             one_way_links: false,
             planner_kills: false,
             late_commits: false,
+            restores: false,
+            era: StoreEra(0),
+            copies: VecDeque::new(),
+            accepted: Vec::new(),
+            epoch_error: None,
         };
         for _ in 0..SERVERS {
             world.start_server();
@@ -195,6 +228,16 @@
         }
     }
 
+    /// Creates a world in which the store comes back from copies up to [`COPY_AGE_MAX`] old,
+    /// and planners are killed or cut off meanwhile.
+    pub fn with_restores(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            restores: true,
+            late_commits: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
@@ -206,8 +249,11 @@
         }
     }
 
-    /// Checks that no two servers hold the same key.
+    /// Checks that no two servers hold the same key, and that epochs rise from one to the next.
     pub fn check(&self) -> Result<(), String> {
+        if let Some(error) = &self.epoch_error {
+            return Err(error.clone());
+        }
         let active = |server: &Server| {
             let unexpired = server.held.iter().filter(|range| range.until > self.now);
             unexpired.cloned().collect::<Vec<_>>()
@@ -278,6 +324,9 @@
         if self.chance(5) {
             self.cut_links();
         }
+        if self.restores && self.chance(8) {
+            self.restore_store();
+        }
         if self.chance(1) {
             for planner in &mut self.planners {
                 planner.is_connected = true;
@@ -285,6 +334,55 @@
         }
     }
 
+    /// Brings the store back from a copy. The leader, if it is there to see that, goes on with
+    /// its own map; otherwise another instance takes over with what it remembers.
+    fn restore_store(&mut self) {
+        let copy = self.rng.random_range(0..=self.copies.len());
+        let newest = self.map.clone();
+        if let Some((_, map)) = self.copies.get(copy) {
+            self.map = map.clone();
+        }
+        self.copies.clear();
+        self.version += 1;
+        self.era = StoreEra(self.era.0 + 1);
+        let (floor, now, leader, flaw) = (self.floor(), self.now, self.leader, self.flaw);
+        let (copied, version) = (self.map.clone(), self.version);
+        let mut planners = self.planners.iter_mut();
+        let lives_on = planners.find(|planner| planner.number == leader && planner.is_connected);
+        if let Some(planner) = lives_on
+            && self.rng.random_range(0..1_000) < 600
+        {
+            planner.version = version;
+            planner.outcomes.clear();
+            planner.reconciler.resume(floor, now);
+            if flaw == Some(Flaw::ForgetMoves) {
+                planner.reconciler.reload(copied);
+            }
+            return;
+        }
+        let is_killed = self.chance(500);
+        self.take_over(is_killed);
+        let remembered = match self.chance(500) {
+            true => copied.newest_of(&newest),
+            false => copied,
+        };
+        let Some(planner) = self.planners.last_mut() else {
+            return;
+        };
+        planner.reconciler.reload(remembered);
+        if flaw != Some(Flaw::TrustCopy) {
+            planner.reconciler.fence(now);
+        }
+    }
+
+    /// Lowest epoch of the current era.
+    fn floor(&self) -> Epoch {
+        match self.flaw {
+            Some(Flaw::ReuseEpochs) => Epoch(0),
+            _ => Epoch::first_of(self.era),
+        }
+    }
+
     /// Changes which servers each planner reaches.
     fn cut_links(&mut self) {
         let names: Vec<ServerName> = self
@@ -359,7 +457,10 @@
             times.lease /= 2;
         }
         let leases = LeaseTracker::new(times, previous_until);
-        let mut reconciler = Reconciler::new(self.map.clone(), leases);
+        let mut reconciler = Reconciler::new(self.map.clone(), leases).with_floor(self.floor());
+        if self.has_unfenced_map() {
+            reconciler.fence(self.now);
+        }
         for notice in std::mem::take(&mut self.releases) {
             if self.late_commits && self.chance(700) {
                 reconciler.restore_release(&notice);
@@ -379,6 +480,11 @@
         });
     }
 
+    /// Whether no planner of this era has written its map yet.
+    fn has_unfenced_map(&self) -> bool {
+        self.flaw != Some(Flaw::TrustCopy) && !self.map.has_reached(self.floor())
+    }
+
     fn plan(&mut self, index: usize) {
         let now = self.now;
         let capacities = self.capacities();
@@ -423,6 +529,7 @@
         let orders = {
             let clock = planner.clock.clone();
             let reconciler = &mut planner.reconciler;
+            reconciler.fence_servers(self.servers.iter().map(|server| &server.name), now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
         for order in orders {
@@ -476,7 +583,13 @@
         if self.late_commits && self.chance(60) {
             let due = self.now + Duration::from_millis(self.rng.random_range(500..3_000));
             let planner = number;
-            return self.delayed.push(DelayedCommit { due, planner, map });
+            let era = self.era;
+            return self.delayed.push(DelayedCommit {
+                due,
+                era,
+                planner,
+                map,
+            });
         }
         // A commit without an answer is sent again and then read back.
         let answered = match self.late_commits && self.chance(60) {
@@ -492,6 +605,9 @@
     }
 
     fn apply(&mut self, map: RangeMap) {
+        self.copies.push_back((self.now, self.map.clone()));
+        let now = self.now;
+        self.copies.retain(|(at, _)| now - *at < COPY_AGE_MAX);
         self.map = match self.flaw {
             Some(Flaw::EarlyExpiry) => expire_early(&map, self.times.max_validity()),
             _ => map,
@@ -507,8 +623,15 @@
         let (due, later): (Vec<_>, Vec<_>) =
             delayed.into_iter().partition(|commit| commit.due <= now);
         self.delayed = later;
-        for DelayedCommit { planner, map, .. } in due {
+        for DelayedCommit {
+            era, planner, map, ..
+        } in due
+        {
             let is_checked = self.flaw != Some(Flaw::NoLeaderCheck);
+            let is_former = era != self.era && self.flaw != Some(Flaw::MatchReusedVersions);
+            if is_former {
+                continue;
+            }
             let planners = self.planners.iter();
             let mut found = planners.filter(|known| known.number == planner);
             let is_current_version = found
@@ -622,7 +745,11 @@
         };
         match &sent.order {
             Order::Grant(slice) => match server.grant(slice, lease, sent.arrival) {
-                true => OrderOutcome::Done { handover: None },
+                true => {
+                    let is_late = sent.execution > sent.arrival;
+                    self.record_accepted(slice, name, is_late);
+                    OrderOutcome::Done { handover: None }
+                }
                 false => OrderOutcome::Outdated,
             },
             Order::Release { range, epoch, .. } => {
@@ -635,6 +762,26 @@
         }
     }
 
+    /// Checks the epoch of a grant against those of other servers. A grant that was executed
+    /// late may be below them: its lease counts from its arrival.
+    fn record_accepted(&mut self, slice: &Slice, server: ServerName, is_late: bool) {
+        let is_above = |(range, other, epoch): &&(KeyRange, ServerName, Epoch)| {
+            *other != server && *epoch >= slice.epoch && range.intersection(slice.range).is_some()
+        };
+        let conflict = self.accepted.iter().find(is_above);
+        if let Some((range, other, epoch)) = conflict.filter(|_| !is_late) {
+            let now = self.now;
+            self.epoch_error = Some(format!(
+                "{server} takes {} under {} after {other} had {range} under {epoch} at {now}",
+                slice.range, slice.epoch
+            ));
+        }
+        let grant = (slice.range, server, slice.epoch);
+        if !self.accepted.contains(&grant) {
+            self.accepted.push(grant);
+        }
+    }
+
     /// What a planner concludes about an order without an answer.
     fn unanswered(&self, order: &Order) -> OrderOutcome {
         match (order, self.flaw) {
