Commits name the era's term, so that a late one matches no version given out again

The store executed a commit of a former leadership after a restore: the next leadership and the next map had been given the same versions as those in its condition.

Cause: a condition names versions, and a restored store gives versions out again. A commit without an answer may be executed seconds later.

Change: a claim of the leadership also writes a row for its era and removes those of earlier eras. Commits require that row besides the leadership. Its key names the era, and it is not written again once it is removed, since a commit is sent only after its claim was read back.

--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -2,7 +2,7 @@
 
 use {
     citron_core::{
-        id::{Epoch, ServerName, ServiceName},
+        id::{Epoch, ServerName, ServiceName, StoreEra},
         ranges::{KeyRange, RangeKey, Slice},
         time::StoreTime,
     },
@@ -14,12 +14,39 @@
 pub const PLANNER_KEY: &str = "planner";
 /// Row key of the list of former planners.
 pub const FORMER_PLANNERS_KEY: &str = "formers";
+/// Prefix of the row key of a term; the era of the store follows.
+const TERM_KEY_PREFIX: &str = "term/";
 /// Prefix of the row keys of maps. The service name follows; if the row holds only a part
 /// of the keys, [`MAP_RANGE_SEPARATOR`] and the key range come after it.
 const MAP_KEY_PREFIX: &str = "map.";
 /// Separates the service name, which cannot contain it, from the key range of a part.
 const MAP_RANGE_SEPARATOR: char = '/';
 
+/// Row key of the term that runs in an era of the store.
+///
+/// Each claim of the leadership writes the row of its era and removes those of earlier ones, and
+/// each commit requires the row of the era in which it was sent. Versions alone do not tell
+/// eras apart: a store that came back from a copy gives them out again, and a commit of before
+/// could match them when the store executes it late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TermKey(pub StoreEra);
+
+impl fmt::Display for TermKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{TERM_KEY_PREFIX}{}", self.0)
+    }
+}
+
+impl FromStr for TermKey {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let era = text.strip_prefix(TERM_KEY_PREFIX);
+        let era = era.ok_or("not the key of a term row")?;
+        era.parse().map(Self).map_err(error_text)
+    }
+}
+
 /// Row key of a map, or of a part of a map.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MapKey {
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        codec::{PLANNER_KEY, TermKey},
         demand::DemandTracker,
         heartbeat, members,
         metrics::ControlMetrics,
@@ -29,7 +30,7 @@
         slowstart::{COLD_WINDOW, SlowStartGroup},
         time::{StoreClock, StoreTime, Time},
     },
-    citron_ports::{Adapter, RowSet, StoreError},
+    citron_ports::{Adapter, RowSet, RowTable, StoreError},
     citron_wire::{
         heartbeat::{CrashesWire, Heartbeat},
         relay::AgeWire,
@@ -94,6 +95,15 @@
         self.claim != self.version
     }
 
+    /// Preconditions of a commit under this leadership.
+    pub fn preconditions(&self) -> Vec<(RowTable, String, StoreVersion)> {
+        let term_key = TermKey(self.claim.era());
+        let keys = [PLANNER_KEY.to_string(), term_key.to_string()];
+        let keys = keys.into_iter();
+        keys.map(|key| (RowTable::Ranges, key, self.claim))
+            .collect()
+    }
+
     /// Lowest epoch of the era in which the planner claimed the leadership.
     pub fn epoch_floor(&self) -> Epoch {
         Epoch::first_of(self.claim.era())
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         edge::control::{
-            codec::{LeadershipWire, PLANNER_KEY},
+            codec::{LeadershipWire, PLANNER_KEY, TermKey},
             controller::{Controller, Leadership, PlannerId},
             election::{Claimant, Election},
             refresh,
@@ -16,7 +16,7 @@
         },
         events,
     },
-    citron_core::id::StoreVersion,
+    citron_core::id::{StoreEra, StoreVersion},
     citron_core::ranges::{BalanceTimer, Demand, LeaseTimes, LeaseTracker, Reconciler},
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     std::rc::Rc,
@@ -69,12 +69,19 @@
                 .as_ref()
                 .map_or(StoreVersion::NONE, |leadership| leadership.version),
         )],
-        writes: vec![(
-            RowTable::Ranges,
-            PLANNER_KEY.to_string(),
-            serde_json::to_vec(&wire).ok()?,
-        )],
-        removes: Vec::new(),
+        writes: vec![
+            (
+                RowTable::Ranges,
+                PLANNER_KEY.to_string(),
+                serde_json::to_vec(&wire).ok()?,
+            ),
+            (
+                RowTable::Ranges,
+                TermKey(era).to_string(),
+                wire.instance.clone().into_bytes(),
+            ),
+        ],
+        removes: earlier_terms(controller, era),
     };
     let result = controller.adapter.store().commit(&commit).await;
     election.restart_claim_delay(controller.clock.now());
@@ -119,6 +126,17 @@
     Some(term)
 }
 
+/// Rows of terms of earlier eras.
+fn earlier_terms<A: Adapter>(controller: &Controller<A>, era: StoreEra) -> Vec<(RowTable, String)> {
+    let state = controller.state.borrow();
+    let keys = state.replicas[RANGES].live_keys();
+    let terms = keys.filter_map(|key| key.parse::<TermKey>().ok());
+    let earlier = terms.filter(|term| term.0 < era);
+    earlier
+        .map(|term| (RowTable::Ranges, term.to_string()))
+        .collect()
+}
+
 /// The leadership row, if it names this incarnation as of the current era of the store.
 fn claimed_leadership<A: Adapter>(controller: &Controller<A>) -> Option<Leadership> {
     let leadership = controller.state.borrow().leadership.clone()?;
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         edge::control::{
-            codec::{MapKey, MapWire, PLANNER_KEY},
-            controller::Controller,
+            codec::{MapKey, MapWire},
+            controller::{Controller, Leadership},
             refresh, watch,
         },
         events,
@@ -36,6 +36,8 @@
 const SLICES_PER_PART_MAX: usize = 64;
 /// Largest number of entries that the store accepts in a transaction.
 const TRANSACTION_ENTRIES_MAX: usize = 100;
+/// Number of rows that name the leadership in the condition of a commit.
+const LEADERSHIP_ROWS: usize = 2;
 /// Largest number of parts in a transaction; each part needs a condition and a write.
 const TRANSACTION_PARTS_MAX: usize = 40;
 
@@ -46,20 +48,20 @@
     controller: &Controller<A>,
     service: &ServiceName,
     map: &RangeMap,
-    leadership_version: StoreVersion,
+    leadership: &Leadership,
 ) -> CommitOutcome {
     let stored = stored_map(controller, service);
     let slices_max =
         (controller.settings.row_bytes_max / ROW_BYTES_PER_SLICE).clamp(1, SLICES_PER_PART_MAX);
     let mut newest = stored.max_version();
     for changes in MapChanges::between(&stored, map, slices_max).into_transactions() {
-        let commit = changes.to_row_commit(service, leadership_version, &stored);
+        let commit = changes.to_row_commit(service, leadership, &stored);
         match write_transaction(
             controller,
             service,
             &changes.parts,
             &commit,
-            leadership_version,
+            leadership.version,
         )
         .await
         {
@@ -111,7 +113,7 @@
             let removes_max = if parts.len() == TRANSACTION_PARTS_MAX {
                 0
             } else {
-                TRANSACTION_ENTRIES_MAX - 1 - 2 * parts.len()
+                TRANSACTION_ENTRIES_MAX - LEADERSHIP_ROWS - 2 * parts.len()
             };
             let removes = removes.by_ref().take(removes_max).collect();
             transactions.push(Self { parts, removes });
@@ -122,7 +124,7 @@
     fn to_row_commit(
         &self,
         service: &ServiceName,
-        leadership_version: StoreVersion,
+        leadership: &Leadership,
         stored: &PartitionedMap,
     ) -> RowCommit {
         let key = |range: KeyRange| {
@@ -130,11 +132,7 @@
             MapKey { service, range }.to_string()
         };
         let mut commit = RowCommit {
-            expected: vec![(
-                RowTable::Ranges,
-                PLANNER_KEY.to_string(),
-                leadership_version,
-            )],
+            expected: leadership.preconditions(),
             ..RowCommit::default()
         };
         for part in &self.parts {
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::edge::control::{
-        codec::{FORMER_PLANNERS_KEY, FormerPlannersWire, PLANNER_KEY},
+        codec::{FORMER_PLANNERS_KEY, FormerPlannersWire},
         controller::{ControlState, Controller, Leadership, PlannerId},
         election::has_ended,
     },
@@ -73,11 +73,7 @@
         return;
     };
     let commit = RowCommit {
-        expected: vec![(
-            RowTable::Ranges,
-            PLANNER_KEY.to_string(),
-            leadership.version,
-        )],
+        expected: leadership.preconditions(),
         writes: vec![(RowTable::Ranges, FORMER_PLANNERS_KEY.to_string(), value)],
         removes: Vec::new(),
     };
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -90,7 +90,7 @@
                 let task = OrderTask {
                     controller: Rc::clone(&controller),
                     orders: Rc::clone(&orders),
-                    leadership_version: term.leadership.version,
+                    leadership: term.leadership.clone(),
                     decided_at: iteration_start,
                 };
                 spawn_local(task.run(service, order, lease_times, result_sender.clone()));
@@ -129,7 +129,7 @@
 struct OrderTask<A> {
     controller: Rc<Controller<A>>,
     orders: Rc<OrderClient>,
-    leadership_version: StoreVersion,
+    leadership: Leadership,
     decided_at: Time,
 }
 
@@ -148,7 +148,7 @@
                 (OrderOutcome::NotSent, StoreVersion::NONE)
             }
             Order::Commit(map) => {
-                commit_map(&self.controller, &service, map, self.leadership_version).await
+                commit_map(&self.controller, &service, map, &self.leadership).await
             }
             order => (
                 self.orders
@@ -161,7 +161,7 @@
         self.controller.metrics.count_order(&order, is_done);
         let result = OrderResult {
             service,
-            leadership_version: self.leadership_version,
+            leadership_version: self.leadership.version,
             order,
             end,
             version,
--- a/crates/citronproxy/src/edge/control/replica.rs
+++ b/crates/citronproxy/src/edge/control/replica.rs
@@ -83,6 +83,12 @@
         self.apply(row_set, newest_change)
     }
 
+    /// Keys of the rows of the table.
+    pub fn live_keys(&self) -> impl Iterator<Item = &str> {
+        let live = self.rows.values().filter(|row| row.value.is_some());
+        live.map(|row| row.key.as_str())
+    }
+
     /// Whether the row is known to have been removed.
     pub fn is_removed(&self, key: &str) -> bool {
         self.rows.get(key).is_some_and(|row| row.value.is_none())
