A planner fences servers also where a copy names no planner at all

A key had two owners for 4.8 s.

Cause: without a former leadership a deployment counted as new, and nothing was fenced.

Change: the era of the store decides. In one above 0 the store may have lost a leadership.

Evidence: keys_have_one_owner_when_a_copy_names_no_planner failed before (7.5 s) and passes. It works as any takeover in a restored store does; the price is 2.2 s at the first start of a deployment at a store that has been restored before.

--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -193,7 +193,9 @@
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
     let floor = leadership.epoch_floor();
-    let is_restored = former.is_some_and(|former| former.claim.era() < leadership.claim.era());
+    // A copy without a leadership may be older than the first one.
+    let former_era = former.map_or(StoreEra(0), |former| former.claim.era());
+    let is_restored = former_era < leadership.claim.era();
     let foreign_leases_end = match is_restored && !state.peers.all_follow(now) {
         // The copy may lack the claims of planners that this instance has never heard of.
         true => now + lease_times.outage_limit,
