No denials for five seconds in a restored store

All instances had been killed, and the store had come back from a copy without them.

Cause: a configuration read a moment ago was good enough to deny a request, also where the store may have lost a newer one.

Change: for five seconds from the first contact with an era above 0, which is the time for operators to write again, callers are told to come back instead (Lag::Restored). An instance that starts does not know how long ago the era began, and waits as long.

What remains: such an instance routes by the configuration of the copy until the operators have written the newer one again.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -20,8 +20,8 @@
     },
     citron_core::{
         freshness::{
-            FetchTimes, Fetches, Freshness, FreshnessTimes, HeartbeatSchedule, Sender, StoreHealth,
-            StoreOutage, VersionTracker,
+            FetchTimes, Fetches, Freshness, FreshnessTimes, HeartbeatSchedule, REWRITE_TIME,
+            Sender, StoreHealth, StoreOutage, VersionTracker,
         },
         id::{Epoch, InstanceId, ServerName, ServiceName, StoreEra, StoreVersion},
         ranges::{MapPartition, MapReplica},
@@ -357,7 +357,8 @@
         (0..WATCHED.len()).for_each(|table| self.publish_freshness(table));
     }
 
-    /// Logs and exports a new era of the store.
+    /// Records, logs and exports a new era of the store. An instance that starts does not know
+    /// how long ago the era began.
     pub fn record_era(&self, row_set: &RowSet) {
         let era = row_set.version.era();
         let known_era = *self.store_era.borrow();
@@ -366,6 +367,10 @@
         }
         self.store_era.send_replace(Some(era));
         self.metrics.store_era.set(era.0.into());
+        if era > StoreEra(0) {
+            let rewritten_at = self.clock.now() + REWRITE_TIME;
+            self.shared.freshness().set_restored_until(rewritten_at);
+        }
         if let Some(known_era) = known_era {
             let (event, number) = (events::STORE_RESTORED, row_set.version.number());
             log::warn!("{event} era {era} after {known_era}, version {number}");
--- a/crates/citronproxy/src/edge/freshness.rs
+++ b/crates/citronproxy/src/edge/freshness.rs
@@ -23,6 +23,8 @@
     /// Microseconds plus one; 0 if the table was never read.
     as_of_micros: [AtomicU64; 3],
     lag: AtomicU8,
+    /// Microseconds until which the configuration may lack what a copy of the store lacked.
+    restored_until_micros: AtomicU64,
 }
 
 impl SharedFreshness {
@@ -37,12 +39,21 @@
         self.lag.store(lag as u8, Ordering::Release);
     }
 
+    /// Sets until when the operators may write again what a restored store lacks.
+    pub fn set_restored_until(&self, until: Time) {
+        let micros = until.as_micros();
+        self.restored_until_micros.store(micros, Ordering::Release);
+    }
+
     /// Age and lag of the configuration.
     pub fn config_standing(&self, now: Time) -> Staleness {
         let age = self.ages(now).config;
         let lag = match self.lag.load(Ordering::Acquire) {
             advertised if advertised == Lag::Advertised as u8 => Lag::Advertised,
             unreadable if unreadable == Lag::Unreadable as u8 => Lag::Unreadable,
+            _ if now.as_micros() < self.restored_until_micros.load(Ordering::Acquire) => {
+                Lag::Restored
+            }
             _ => Lag::None,
         };
         Staleness { age, lag }
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -22,6 +22,6 @@
     heartbeats::{HEARTBEAT_TIMEOUT, HeartbeatSchedule, Sender},
     holder::HolderLiveness,
     lag::LagTimer,
-    staleness::{Lag, StaleReason, Staleness, VersionTracker},
+    staleness::{Lag, REWRITE_TIME, StaleReason, Staleness, VersionTracker},
     times::{FreshnessTimes, PropagationTimes, Role},
 };
--- a/crates/core/src/freshness/staleness.rs
+++ b/crates/core/src/freshness/staleness.rs
@@ -8,6 +8,10 @@
     thiserror::Error,
 };
 
+/// How long operators may take to write again what the store lacks after it came back from a
+/// copy.
+pub const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Lag of a table copy behind a version that is known to exist.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Lag {
@@ -18,6 +22,9 @@
     Advertised,
     /// A row of a higher version could not be decoded.
     Unreadable,
+    /// The store came back from a copy, which may lack what the operators have not written
+    /// again yet.
+    Restored,
 }
 
 /// Reason why a table that decides requests may be out of date.
@@ -35,6 +42,9 @@
     /// The store has a newer version that cannot be decoded.
     #[error("a newer one cannot be read")]
     Unreadable,
+    /// The store came back from a copy within [`REWRITE_TIME`].
+    #[error("the store came back from a copy")]
+    Restored,
 }
 
 /// Staleness of a table copy. A final negative response requires a copy that is not
@@ -66,6 +76,7 @@
         match (self.lag, self.age) {
             (Lag::Unreadable, _) => Some(StaleReason::Unreadable),
             (Lag::Advertised, _) => Some(StaleReason::Lagging),
+            (Lag::Restored, _) => Some(StaleReason::Restored),
             (Lag::None, None) => Some(StaleReason::UnknownAge),
             (Lag::None, Some(age)) => (age > times.outage_age).then_some(StaleReason::Expired(age)),
         }
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -6,6 +6,7 @@
         address_index::AddressIndex,
     },
     crate::{
+        freshness::REWRITE_TIME,
         id::{DomainName, ServerName, ServiceName},
         ranges::{OwnerState, Owners},
         time::Time,
@@ -31,9 +32,6 @@
 /// heartbeat intervals, with a margin.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(4);
 
-/// How long operators may take to write again what a restored store lacks.
-const REWRITE_TIME: Duration = Duration::from_secs(5);
-
 /// The servers of a service, ordered by name and shared between threads.
 pub type ServerList = Arc<Vec<Arc<ServerRecord>>>;
 
