Services without a map are fenced by every planner of an era above 0

The planner had claimed the leadership again after a restore and was killed with all instances before it had written its map; the next one found a leadership of the era, no map, and took the service for new.

Cause: that a leadership was claimed in the era was taken as proof that its planner had fenced.

Change: the epochs of a map alone tell that. Planners that the copy lacks count as acting for as long as one acts without the store, from when the instance learned of the era, not only at the first claim.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -165,6 +165,9 @@
     pub store_up: latest::Sender<bool>,
     /// Era of the store, once it has answered; tasks wait for it to rise.
     pub store_era: latest::Sender<Option<StoreEra>>,
+    /// When this instance learned of the era of the store; `None` if the store never came back
+    /// from a copy.
+    pub restored_at: Cell<Option<Time>>,
     /// When this instance had written its member row, or tried to, and had read those of
     /// the others.
     pub registered_at: Cell<Option<Time>>,
@@ -284,6 +287,7 @@
             state: RefCell::new(state),
             store_up: latest::Sender::new(false),
             store_era: latest::Sender::new(None),
+            restored_at: Cell::default(),
             registered_at: Cell::default(),
             long_polls: refresh::LongPolls::default(),
             demands: RefCell::default(),
@@ -368,8 +372,11 @@
         self.store_era.send_replace(Some(era));
         self.metrics.store_era.set(era.0.into());
         if era > StoreEra(0) {
-            let rewritten_at = self.clock.now() + REWRITE_TIME;
-            self.shared.freshness().set_restored_until(rewritten_at);
+            let now = self.clock.now();
+            self.restored_at.set(Some(now));
+            self.shared
+                .freshness()
+                .set_restored_until(now + REWRITE_TIME);
         }
         if let Some(known_era) = known_era {
             let (event, number) = (events::STORE_RESTORED, row_set.version.number());
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -8,7 +8,7 @@
     crate::{
         edge::control::{
             codec::{LeadershipWire, PLANNER_KEY, TermKey},
-            controller::{Controller, Leadership, PlannerId},
+            controller::{ControlState, Controller, Leadership, PlannerId},
             election::{Claimant, Election},
             refresh,
             replica::TableReplica,
@@ -18,8 +18,9 @@
     },
     citron_core::id::{StoreEra, StoreVersion},
     citron_core::ranges::{BalanceTimer, Demand, LeaseTimes, LeaseTracker, Reconciler},
+    citron_core::time::Time,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     tokio::task::spawn_local,
 };
 
@@ -104,13 +105,7 @@
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors),
-        None => begin_term(
-            controller,
-            current.as_ref(),
-            leadership,
-            predecessors,
-            lease_times,
-        ),
+        None => begin_term(controller, leadership, predecessors, lease_times),
     };
     if !term.predecessors.is_empty() {
         let (leadership, predecessors) = (term.leadership.clone(), term.predecessors.clone());
@@ -182,10 +177,21 @@
     former.resume(leadership, predecessors, controller.clock.now())
 }
 
-/// Begins a term after that of `former`, the leadership before the claim.
+/// Time until which planners may act whose claims the copy lacks from which the store came back,
+/// and of which this instance has never heard; `None` if there are none.
+fn unlisted_planners_end<A: Adapter>(
+    controller: &Controller<A>,
+    state: &ControlState,
+    outage_limit: Duration,
+) -> Option<Time> {
+    let now = controller.clock.now();
+    let restored_at = controller.restored_at.get()?;
+    let until = restored_at + outage_limit;
+    (until > now && !state.peers.all_follow(now)).then_some(until)
+}
+
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
-    former: Option<&Leadership>,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
@@ -193,14 +199,10 @@
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
     let floor = leadership.epoch_floor();
-    // A copy without a leadership may be older than the first one.
-    let former_era = former.map_or(StoreEra(0), |former| former.claim.era());
-    let is_restored = former_era < leadership.claim.era();
-    let foreign_leases_end = match is_restored && !state.peers.all_follow(now) {
-        // The copy may lack the claims of planners that this instance has never heard of.
-        true => now + lease_times.outage_limit,
-        false => former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now),
-    };
+    let stopped_by =
+        former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
+    let unlisted_until = unlisted_planners_end(controller, &state, lease_times.outage_limit);
+    let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
         let book = LeaseTracker::new(lease_times, foreign_leases_end);
@@ -223,12 +225,13 @@
         leadership.version
     );
     controller.heartbeat_trigger.notify_one();
+    let leadership_era = leadership.claim.era();
     Term {
         leadership,
         predecessors,
         plans,
-        is_restored,
-        unlisted_until: is_restored.then_some(foreign_leases_end),
+        is_restored: leadership_era > StoreEra(0),
+        unlisted_until,
         balance_clock: BalanceTimer::new(now),
     }
 }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -55,8 +55,8 @@
     pub predecessors: Vec<PlannerId>,
     /// Plans by service.
     pub plans: BTreeMap<ServiceName, ServicePlan>,
-    /// Whether the store came back from a copy since the leadership before this one was
-    /// claimed. Keys may then be held that no map mentions.
+    /// Whether the store has ever come back from a copy. Keys may then be held that no map
+    /// mentions, as the planner before may have ended before it wrote one.
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
