Tests: a stated limit expires, and does not begin with a burst of all instances

Each of the two new tests fails with its safeguard off (30 s made 300,000; the random first credit made 1.0), and no other one does.

--- a/crates/core/tests/stated_limits.rs
+++ b/crates/core/tests/stated_limits.rs
@@ -322,3 +322,40 @@
     );
     assert_eq!(changed, [(server, LimitStatement::Unlimited)]);
 }
+
+/// Guards against a limit that is kept for good: the server that stated it gets no request any
+/// more in whose response it could withdraw the limit.
+#[test]
+fn a_limit_that_is_not_stated_again_expires() {
+    let at = |seconds| Time::ZERO + Duration::from_secs(seconds);
+    let server: ServerName = "s-1".parse().unwrap();
+    let mut limits = StatedLimits::default();
+    limits.record_statement(&server, LimitStatement::Limited(Rate(2.0)), at(10), 0.5);
+    assert_eq!(limits.limit(&server, at(39)), Some(Rate(2.0)));
+    assert_eq!(limits.limit(&server, at(41)), None);
+    assert_eq!(limits.limited_count(at(41)), 0);
+    assert!(limits.reports(at(41)).is_empty());
+}
+
+/// Guards against a burst when a limit is heard of: each instance lets its next request through.
+#[test]
+fn instances_that_hear_of_a_limit_together_do_not_all_send_a_request() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let server: ServerName = "s-1".parse().unwrap();
+    let instances = LARGE.instances;
+    let now = Time::ZERO + Duration::from_secs(10);
+    let admits_next = |random: f64| {
+        let mut limits = StatedLimits::default();
+        for number in 0..20 {
+            let earlier = now - Duration::from_millis(50 * (20 - number));
+            assert!(limits.admit(&server, instances as f64, earlier).is_ok());
+        }
+        let limit = LimitStatement::Limited(Rate(LARGE.limit));
+        limits.record_statement(&server, limit, now, random);
+        limits.admit(&server, instances as f64, now).is_ok()
+    };
+    let admitted = (0..instances).filter(|_| admits_next(rng.random()));
+    let admitted = admitted.count();
+    let allowed = FACTOR * LARGE.limit * WINDOW.as_secs_f64() + EXTRA;
+    assert!((admitted as f64) < allowed, "{admitted} of {instances}");
+}
