A disputed address is settled after a second restore, too; the registry's part in a module

Read in the diff, before anybody saw it: a server whose address is disputed when the store is restored once more was doubted, its dispute was dropped meanwhile, and nothing took it back. an_address_conflict_outlasts_a_second_restore_and_ends failed before and passes: a dispute stays until the doubt is over.

The registry's handling of restored stores moves to registry/restored.rs, otherwise unchanged.

--- a/crates/core/src/registry/mod.rs
+++ b/crates/core/src/registry/mod.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod entry;
 mod planned_owners;
+mod restored;
 mod server_record;
 mod servers;
 mod times;
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -4,9 +4,9 @@
     super::{
         AddressClaim, RegistryTimes, ServerEntry, ServerRecord, ServerState,
         address_index::AddressIndex,
+        restored::{Doubt, RestoredEvacuation},
     },
     crate::{
-        freshness::REWRITE_TIME,
         id::{DomainName, ServerName, ServiceName},
         ranges::{OwnerState, Owners},
         time::Time,
@@ -28,10 +28,6 @@
 /// late entry `ready` must not revive the server.
 const STATEMENT_RETENTION: Duration = Duration::from_secs(3_600);
 
-/// Time after which the store has certainly removed the entry of a server that is gone: three
-/// heartbeat intervals, with a margin.
-const ENTRY_EXPIRY: Duration = Duration::from_secs(4);
-
 /// The servers of a service, ordered by name and shared between threads.
 pub type ServerList = Arc<Vec<Arc<ServerRecord>>>;
 
@@ -61,41 +57,17 @@
     /// Servers with a disputed address.
     disputed: BTreeSet<ServerName>,
     /// Servers that had left before the store came back from a copy.
-    doubted: BTreeMap<ServerName, Doubt>,
+    pub(super) doubted: BTreeMap<ServerName, Doubt>,
     /// Evacuated failure domains, and when this instance learned of each evacuation.
     evacuated_domains: BTreeMap<DomainName, Time>,
     /// Evacuations that a copy of the store has, or lacks, other than the newer state known
     /// here. They take effect unless the operators write again.
-    restored_evacuations: BTreeMap<DomainName, RestoredEvacuation>,
+    pub(super) restored_evacuations: BTreeMap<DomainName, RestoredEvacuation>,
     /// Failure domains whose evacuation has ended, and until when their servers count as
     /// cold.
     cold_domains: BTreeMap<DomainName, Time>,
     /// Servers that stated that they leave, and when. The store may tell later or never.
-    stated_leaving: BTreeMap<ServerName, Time>,
-}
-
-/// Doubt about the entry of a server that had left: a copy of the store may list it as it was
-/// before.
-#[derive(Debug, Clone, Copy)]
-struct Doubt {
-    until: Time,
-    /// Whether the store lists the server as ready.
-    is_listed: bool,
-}
-
-/// Change of an evacuation that a copy of the store implies, and when it takes effect.
-#[derive(Debug, Clone, Copy)]
-enum RestoredEvacuation {
-    Begun { at: Time },
-    Ended { at: Time, warm_up: Duration },
-}
-
-impl RestoredEvacuation {
-    fn at(&self) -> Time {
-        match self {
-            Self::Begun { at } | Self::Ended { at, .. } => *at,
-        }
-    }
+    pub(super) stated_leaving: BTreeMap<ServerName, Time>,
 }
 
 impl Registry {
@@ -139,42 +111,6 @@
         &self.stated_leaving
     }
 
-    /// Handles an evacuation that ended before the store came back from a copy that has it.
-    /// It begins unless the operators write again.
-    pub fn begin_restored_evacuation(&mut self, domain: DomainName, now: Time) {
-        let change = RestoredEvacuation::Begun {
-            at: now + REWRITE_TIME,
-        };
-        self.restored_evacuations.insert(domain, change);
-    }
-
-    /// Handles an evacuation that began before the store came back from a copy that lacks
-    /// it. It ends unless the operators write again; `warm_up` is as for
-    /// [`Self::end_evacuation`].
-    pub fn end_restored_evacuation(&mut self, domain: DomainName, warm_up: Duration, now: Time) {
-        let change = RestoredEvacuation::Ended {
-            at: now + REWRITE_TIME,
-            warm_up,
-        };
-        self.restored_evacuations.insert(domain, change);
-    }
-
-    fn apply_restored_evacuations(&mut self, now: Time) {
-        let is_due = |change: &RestoredEvacuation| change.at() <= now;
-        let pending = std::mem::take(&mut self.restored_evacuations);
-        let (due, pending) = pending.into_iter().partition(|(_, change)| is_due(change));
-        self.restored_evacuations = pending;
-        let due: BTreeMap<DomainName, RestoredEvacuation> = due;
-        for (domain, change) in due {
-            match change {
-                RestoredEvacuation::Begun { .. } => self.evacuate(domain, now),
-                RestoredEvacuation::Ended { warm_up, .. } => {
-                    self.end_evacuation(&domain, warm_up, now)
-                }
-            }
-        }
-    }
-
     /// Marks a failure domain as evacuated: its servers get no more requests.
     pub fn evacuate(&mut self, domain: DomainName, now: Time) {
         self.restored_evacuations.remove(&domain);
@@ -214,7 +150,7 @@
     }
 
     /// Changes the record of a server.
-    fn update(&mut self, name: &ServerName, change: impl FnOnce(&mut ServerRecord)) {
+    pub(super) fn update(&mut self, name: &ServerName, change: impl FnOnce(&mut ServerRecord)) {
         let Some(record) = self.servers.get_mut(name) else {
             return;
         };
@@ -271,41 +207,6 @@
         self.rejoin_until = now + self.times.rejoin;
     }
 
-    /// Handles that the store came back from an older copy of its rows. Must run before the
-    /// rows of the copy are applied: it lacks the entries of servers that registered since,
-    /// and lists servers that have left since as ready.
-    pub fn on_store_restored(&mut self, now: Time) {
-        self.on_store_recovered(now);
-        let doubt = Doubt {
-            until: now + ENTRY_EXPIRY,
-            is_listed: false,
-        };
-        let left = self.iter().filter(|record| !record.is_listed());
-        let names: Vec<ServerName> = left.map(|record| record.entry.name.clone()).collect();
-        for name in names {
-            self.doubted.insert(name, doubt);
-        }
-    }
-
-    /// Takes servers back whose entries outlasted the doubt: the store would have removed
-    /// them if the servers were gone. Returns whether there were any.
-    fn end_doubts(&mut self, now: Time) -> bool {
-        let is_over = |doubt: &Doubt| doubt.until <= now;
-        let over = self.doubted.iter().filter(|(_, doubt)| is_over(doubt));
-        let listed = over.filter(|(_, doubt)| doubt.is_listed);
-        let names: Vec<ServerName> = listed.map(|(name, _)| name.clone()).collect();
-        self.doubted.retain(|_, doubt| !is_over(doubt));
-        for name in &names {
-            let stated = self.stated_leaving.get(name).copied();
-            self.update(name, |record| {
-                if !record.has_address_conflict() {
-                    record.leaving_since = stated;
-                }
-            });
-        }
-        !names.is_empty()
-    }
-
     /// Takes servers back whose address is no longer disputed: the entries of all others at the
     /// address were removed, while theirs was not. Returns whether there were any.
     fn end_disputes(&mut self) -> bool {
@@ -314,7 +215,7 @@
         self.disputed = disputed;
         let settled: BTreeSet<ServerName> = settled;
         for name in &settled {
-            let is_listed = !self.removed.contains(name) && !self.doubted.contains_key(name);
+            let is_listed = !self.removed.contains(name);
             let stated = self.stated_leaving.get(name).copied();
             self.update(name, |record| {
                 let is_ready = record.entry.state == ServerState::Ready;
@@ -331,6 +232,9 @@
         let Some(record) = self.get(name) else {
             return true;
         };
+        if self.doubted.contains_key(name) {
+            return false;
+        }
         let mut others = self.servers_at(&record.entry.address);
         others.all(|other| {
             let other = &other.entry.name;
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -436,3 +436,18 @@
     assert_eq!(registry.state(&name), OwnerState::Leaving);
     assert_eq!(state(&registry, "s-2"), OwnerState::Leaving);
 }
+
+/// Guards against a server that gets no requests any more after two restores in a row: the second
+/// one comes while its address is still disputed, and the dispute ends before the doubt.
+#[test]
+fn an_address_conflict_outlasts_a_second_restore_and_ends() {
+    let (mut registry, name) = registry();
+    registry.on_store_restored(at(1_000));
+    registry.apply_entry(entry("s-0", 1, ServerState::Ready), at(1_000));
+    registry.on_store_restored(at(2_000));
+    registry.apply_entry(entry("s-1", 1, ServerState::Ready), at(2_000));
+    registry.remove_entry("s-0", at(2_100));
+    registry.tick(at(4_500));
+    registry.tick(at(6_100));
+    assert_eq!(registry.state(&name), OwnerState::Serving);
+}
