Test of crash entries: the request after a lift waits until the lift is applied

Traced in the source: a lift is a message to the traffic thread, the request comes by its socket, and nothing orders the two. The query of the entries goes by the same queue as the lift, so its answer tells that the lift is applied; that the entry is gone is checked in addition.

--- a/crates/citronproxy/tests/crashes.rs
+++ b/crates/citronproxy/tests/crashes.rs
@@ -45,6 +45,8 @@
     assert_eq!(entries[0].label, "POST /kegs/a");
     let lift = citronproxy::traffic::CrashEvent::Lift(entries[0].fingerprint);
     path.handle.send_crash_event(&lift);
+    // The traffic thread handles the lift before this query, but perhaps after a request.
+    assert!(path.handle.crash_entries().await.is_empty());
     let reply = post(path.address, "/kegs/a", "", "bad").await.unwrap();
     assert_eq!(reply.body, "fine");
 }
