--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -95,6 +95,11 @@
         self.claim != self.version
     }
 
+    /// Whether this incarnation of an instance was the last to claim the leadership.
+    pub fn is_held_by(&self, instance: &InstanceId, incarnation: u64) -> bool {
+        self.planner.instance == *instance && self.planner.incarnation == incarnation
+    }
+
     /// Preconditions of a commit under this leadership.
     pub fn preconditions(&self) -> Vec<(RowTable, String, StoreVersion)> {
         let term_key = TermKey(self.claim.era());
--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -125,11 +125,8 @@
 
 /// Whether this incarnation was the last to claim the leadership. The others wait for it.
 fn is_own(state: &ControlState, claimant: &Claimant<'_>) -> bool {
-    let planner = state.leadership.as_ref().map(|row| &row.planner);
-    planner.is_some_and(|planner| {
-        planner.instance == claimant.settings.instance
-            && planner.incarnation == claimant.incarnation
-    })
+    let leadership = state.leadership.as_ref();
+    leadership.is_some_and(|row| row.is_held_by(&claimant.settings.instance, claimant.incarnation))
 }
 
 /// Whether an incarnation has certainly ended: a heartbeat of another incarnation of the
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -135,8 +135,7 @@
 /// The leadership row, if it names this incarnation as of the current era of the store.
 fn claimed_leadership<A: Adapter>(controller: &Controller<A>) -> Option<Leadership> {
     let leadership = controller.state.borrow().leadership.clone()?;
-    let is_own = leadership.planner.instance == controller.settings.instance
-        && leadership.planner.incarnation == controller.incarnation;
+    let is_own = leadership.is_held_by(&controller.settings.instance, controller.incarnation);
     (is_own && !leadership.has_lapsed()).then_some(leadership)
 }
 
