A cut of an instance's links is confirmed by checks of servers

Only if none responds within 250 ms do the links count as cut. Servers that an instance of another failure domain does not reach either, and servers that are not listed any more, say nothing of the links.

Result: an_attempt_at_a_working_server_outlasts_the_end_of_others, before and after a stop signal: 2 runs of the request where 1 is right before this change, passes with it.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -260,6 +260,7 @@
             let is_registered = |name: &ServerName| state.registry.get(name).is_some();
             controller.shared.loads().retain(is_registered);
             controller.shared.limits().retain(is_registered);
+            controller.shared.reach().retain(is_registered);
             drop(state);
             controller.publish_view();
         }
--- a/crates/citronproxy/src/edge/shared.rs
+++ b/crates/citronproxy/src/edge/shared.rs
@@ -6,7 +6,7 @@
     arc_swap::ArcSwapOption,
     citron_core::{
         crash::{CrashConfig, CrashTracker},
-        dispatch::{Failure, LoadTracker, PermitAnswer, PermitRequest, Reach, StatedLimits},
+        dispatch::{Failure, Links, LoadTracker, PermitAnswer, PermitRequest, Reach, StatedLimits},
         id::{ServerName, ServiceName},
         ranges::{MoveLog, MoveNotice, OwnerHint, RangeKey, Slice},
         time::Time,
@@ -79,7 +79,7 @@
     loads: Mutex<LoadTracker>,
     limits: Mutex<StatedLimits>,
     reach: Mutex<Reach>,
-    cut_off: watch::Sender<bool>,
+    links: watch::Sender<Links>,
     permit_calls: Handoff<PermitCall>,
     leaving_servers: Handoff<(ServerName, Time)>,
     pending_keys: Mutex<Vec<(ServiceName, RangeKey)>>,
@@ -97,7 +97,7 @@
             loads: Mutex::default(),
             limits: Mutex::default(),
             reach: Mutex::default(),
-            cut_off: watch::Sender::new(false),
+            links: watch::Sender::new(Links::Sound),
             permit_calls: Handoff::default(),
             leaving_servers: Handoff::default(),
             pending_keys: Mutex::default(),
@@ -162,32 +162,52 @@
         self.update_reach(server, |reach| reach.record_silence(server, started, now));
     }
 
-    /// Records a result at a server, and notifies subscribers if a cut begins or ends.
+    /// Records that an instance of another failure domain does not reach a server either.
+    pub fn record_ended(&self, server: &ServerName, now: Time) {
+        self.reach().record_ended(server, now);
+    }
+
+    /// Records that no server has responded to checks that began at `started`.
+    pub fn record_failed_checks(&self, started: Time, now: Time) {
+        let mut reach = self.reach();
+        if reach.record_failed_checks(started, now) {
+            log::warn!(
+                "{} no server responds to this instance, nor to its checks",
+                events::SERVERS_UNREACHED
+            );
+            self.links.send_replace(Links::CutOff);
+        }
+    }
+
+    /// Records a result at a server, and notifies subscribers of what begins or ends by it.
     fn update_reach(&self, server: &ServerName, record: impl FnOnce(&mut Reach) -> bool) {
         let mut reach = self.reach();
+        let was_cut_off = reach.is_cut_off();
         if !record(&mut reach) {
             return;
         }
-        let is_cut_off = reach.is_cut_off();
-        match is_cut_off {
-            true => log::warn!(
-                "{} {server} does not respond, and no other server does",
-                events::SERVERS_UNREACHED
-            ),
-            false => log::info!("{} {server} responds again", events::SERVERS_REACHED),
+        let links = reach.links();
+        match links {
+            Links::Sound if was_cut_off => {
+                log::info!("{} {server} responds again", events::SERVERS_REACHED);
+            }
+            Links::Sound => log::debug!("{server} responds; the links are sound"),
+            Links::Suspected | Links::CutOff => {
+                log::debug!("{server} does not respond, and no other server does; checking");
+            }
         }
         // Under the lock, so that two threads cannot notify in another order than they record.
-        self.cut_off.send_replace(is_cut_off);
+        self.links.send_replace(links);
     }
 
     /// Whether no server responds to this instance.
     pub fn is_cut_off(&self) -> bool {
-        *self.cut_off.borrow()
+        *self.links.borrow() == Links::CutOff
     }
 
-    /// Subscribes to whether no server responds to this instance.
-    pub fn subscribe_cut_off(&self) -> watch::Receiver<bool> {
-        self.cut_off.subscribe()
+    /// Subscribes to what this instance concludes about its links to the servers.
+    pub fn subscribe_links(&self) -> watch::Receiver<Links> {
+        self.links.subscribe()
     }
 
     /// Asks the planner for a permit. Returns `None` if it does not answer in time.
--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -16,7 +16,7 @@
     },
     citron_core::{
         crash::Fingerprint,
-        dispatch::{RejectReason, retry_after_rest},
+        dispatch::{Links, RejectReason, retry_after_rest},
         id::{Epoch, InstanceId, ServerName, ServiceName},
         ranges::{RangeKey, Slice},
         registry::ServerRecord,
@@ -164,14 +164,14 @@
         if self.request.idempotency != Idempotency::Idempotent || self.origin == Origin::Peer {
             return Some(attempt.await);
         }
-        let mut cut_off = self.state.shared.subscribe_cut_off();
-        if *cut_off.borrow() {
+        let mut links = self.state.shared.subscribe_links();
+        if *links.borrow() == Links::CutOff {
             return Some(attempt.await);
         }
         tokio::select! {
             result = attempt => Some(result),
             // The sender is part of the shared state and lives as long as the process.
-            _ = cut_off.wait_for(|cut_off| *cut_off) => None,
+            _ = links.wait_for(|links| *links == Links::CutOff) => None,
         }
     }
 
@@ -203,6 +203,10 @@
             DetourResult::Unreached(response) => {
                 let now = self.state.clock.now();
                 if let Some(owner) = owner {
+                    // An instance of this failure domain may be behind the same cut.
+                    if !peer.is_near {
+                        self.state.shared.record_ended(&owner, now);
+                    }
                     self.state.unreached.borrow_mut().insert(owner, now);
                 }
                 (self.detours.len() >= DETOURS_MAX).then(|| self.not_run(response))
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -51,6 +51,12 @@
         servers.map_or(&[], |servers| servers.as_slice())
     }
 
+    /// The server of that name in any service, if it is known.
+    pub fn find_server(&self, name: &ServerName) -> Option<&Arc<ServerRecord>> {
+        let mut services = self.servers.keys();
+        services.find_map(|service| self.server(service, name))
+    }
+
     /// The server of that name in a service, if it is known.
     pub fn server(&self, service: &ServiceName, name: &ServerName) -> Option<&Arc<ServerRecord>> {
         let servers = self.servers(service);
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -18,7 +18,7 @@
     load::{AttemptOutcome, ServerLoad, run_share},
     load_tracker::{LoadTracker, PeerLoad},
     permits::{Denial, PermitAnswer, PermitIssuer, PermitRequest, used_rate},
-    reach::{Failure, Reach, Reachability},
+    reach::{Failure, Links, Reach, Reachability},
     reported_load::{ReportedLoad, ReportedLoadError},
     select::{
         Candidate, Decision, RejectReason, TimeLimits, retry_after_rest, sample_size, select_server,
