An attempt that may be running is not given up for a cut

Cause: once the links counted as cut, every idempotent attempt in progress was dropped without a log line, also at servers that were at work; the work was done twice, and after SIGTERM the request was lost.

Change: such an attempt goes on until its deadline or the end of its connection. A second one is made beside it through another instance, within the retry budget and the attempts of the route; the first response wins, and a log line tells of the other. A request whose client closes its connection leaves a log line as well.

--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -26,7 +26,7 @@
     },
     http::{Response, StatusCode},
     rand::Rng,
-    std::{cell::Cell, sync::Arc, time::Duration},
+    std::{cell::Cell, future::pending, pin::pin, sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -69,6 +69,23 @@
     Detour(DetourPeer, Option<ServerName>),
 }
 
+/// Ends of an attempt at a server and of one beside it through another instance. One of them
+/// is missing if it was not made, or was given up because the other has responded.
+#[derive(Debug)]
+struct SendEnd {
+    direct: Option<AttemptResult>,
+    detour: Option<(DetourPeer, DetourResult)>,
+}
+
+impl SendEnd {
+    fn direct(result: AttemptResult) -> Self {
+        Self {
+            direct: Some(result),
+            detour: None,
+        }
+    }
+}
+
 /// A client's request in progress.
 #[derive(Debug)]
 pub struct ActiveRequest<'a> {
@@ -111,7 +128,14 @@
     /// Runs the request until it has a response or its deadline passes.
     pub async fn run(mut self) -> Response<ResponseBody> {
         let remaining = self.request.deadline - self.state.clock.now();
+        let mut abandonment = AbandonmentLog {
+            state: self.state,
+            request_id: self.request_id,
+            started: self.started,
+            is_abandoned: true,
+        };
         let result = timeout(remaining, self.retry_loop()).await;
+        abandonment.is_abandoned = false;
         let response = result.unwrap_or_else(|_| self.give_up("the deadline passed"));
         let mut metrics = self.state.local_metrics.borrow_mut();
         metrics.count_request(
@@ -141,38 +165,104 @@
                     None => continue,
                 },
             };
-            let result = self.send_to(&server).await;
+            let end = self.send_to(&server).await;
             self.request.may_be_sent.set(false);
-            let Some(result) = result else {
-                self.has_uncertain_attempt = true;
-                match self.may_retry(server.entry.name.clone()) {
-                    true => continue,
-                    false => return self.give_up("no try is left"),
-                }
-            };
-            self.log_attempt(&server, &result);
-            if let Some(response) = self.on_attempt_end(server, result) {
+            if let Some(response) = self.on_send_end(server, end) {
                 return response;
             }
         }
     }
 
-    /// Sends the request to a server. Returns `None` if the attempt was abandoned as no server
-    /// responds to this instance, which requests that must not run twice do not do.
-    async fn send_to(&self, server: &ServerRecord) -> Option<AttemptResult> {
-        let attempt = send(self.state, server, &self.request);
-        if self.request.idempotency != Idempotency::Idempotent || self.origin == Origin::Peer {
-            return Some(attempt.await);
+    /// Sends the request to a server. If this instance is cut off from all servers meanwhile,
+    /// and the request may run twice, a second attempt is made through another instance. The
+    /// first one goes on: its server may be at work, and the response may still come.
+    async fn send_to(&self, server: &ServerRecord) -> SendEnd {
+        let direct = send(self.state, server, &self.request);
+        let mut direct = pin!(direct);
+        let peer = tokio::select! {
+            result = &mut direct => return SendEnd::direct(result),
+            peer = self.wait_for_second_attempt() => peer,
+        };
+        let through = peer.clone();
+        let detour = detour::send(self.state, &through, &self.request);
+        let mut detour = pin!(detour);
+        tokio::select! {
+            result = &mut direct => match result {
+                AttemptResult::Responded(_) => {
+                    self.log_superseded(&format!("detour through {}", peer.instance));
+                    SendEnd::direct(result)
+                }
+                _ => SendEnd { direct: Some(result), detour: Some((peer, detour.await)) },
+            },
+            result = &mut detour => match result {
+                DetourResult::Responded(response) if !means_not_run(response.status()) => {
+                    self.log_superseded(&format!("attempt at server {}", server.entry.name));
+                    let result = DetourResult::Responded(response);
+                    SendEnd { direct: None, detour: Some((peer, result)) }
+                }
+                result => SendEnd { direct: Some(direct.await), detour: Some((peer, result)) },
+            },
         }
+    }
+
+    /// Waits until a second attempt may be made, and returns the instance for it. Never
+    /// returns if the request must not run twice.
+    async fn wait_for_second_attempt(&self) -> DetourPeer {
         let mut links = self.state.shared.subscribe_links();
-        if *links.borrow() == Links::CutOff {
-            return Some(attempt.await);
+        // The sender is part of the shared state and lives as long as the process.
+        let _ = links.wait_for(|links| *links == Links::CutOff).await;
+        let view = self.state.shared.view();
+        let hop = view.and_then(|view| self.detour(&view, None));
+        let attempts = self.tried.len() - self.unsent as usize + 1;
+        match hop {
+            Some(Hop::Detour(peer, _))
+                if self.request.idempotency == Idempotency::Idempotent
+                    && attempts < self.max_attempts()
+                    && self.has_time()
+                    && self.state.take_retry(self.service) =>
+            {
+                peer
+            }
+            _ => pending().await,
         }
-        tokio::select! {
-            result = attempt => Some(result),
-            // The sender is part of the shared state and lives as long as the process.
-            _ = links.wait_for(|links| *links == Links::CutOff) => None,
+    }
+
+    /// Handles the end of the attempts that [`Self::send_to`] made. Returns the response if no
+    /// further attempt follows.
+    fn on_send_end(
+        &mut self,
+        server: Arc<ServerRecord>,
+        end: SendEnd,
+    ) -> Option<Response<ResponseBody>> {
+        if let Some(result) = &end.direct {
+            self.log_attempt(&server, result);
         }
+        let (direct, (peer, detour)) = match (end.direct, end.detour) {
+            (Some(direct), None) => return self.on_attempt_end(server, direct),
+            (Some(direct @ AttemptResult::Responded(_)), Some((peer, result))) => {
+                self.log_detour(&peer, &result);
+                self.detours.push(peer.instance);
+                return self.on_attempt_end(server, direct);
+            }
+            (direct, Some(detour)) => (direct, detour),
+            (None, None) => return None,
+        };
+        if let Some(AttemptResult::Lost(_)) = direct {
+            self.has_uncertain_attempt = true;
+            crash::detect_crash(self.state, &server.entry, self.fingerprint(), &self.request);
+        }
+        self.tried.push(server.entry.name.clone());
+        self.on_detour_end(peer, None, detour)
+    }
+
+    /// Logs an attempt that is given up since the response came from another one.
+    fn log_superseded(&self, attempt: &str) {
+        log::info!(
+            "{} id={} waited={:?}: {attempt} given up, another attempt has responded",
+            events::TRY_FAILED,
+            self.request_id,
+            self.elapsed()
+        );
     }
 
     /// Sends the request through another instance. Returns the response if no further attempt
@@ -184,14 +274,19 @@
     ) -> Option<Response<ResponseBody>> {
         let result = detour::send(self.state, &peer, &self.request).await;
         self.request.may_be_sent.set(false);
+        self.on_detour_end(peer, owner, result)
+    }
+
+    /// Handles the end of an attempt through another instance. Returns the response if no
+    /// further attempt follows.
+    fn on_detour_end(
+        &mut self,
+        peer: DetourPeer,
+        owner: Option<ServerName>,
+        result: DetourResult,
+    ) -> Option<Response<ResponseBody>> {
         self.detours.push(peer.instance.clone());
-        if !matches!(result, DetourResult::Responded(_)) {
-            let (id, instance) = (self.request_id, &peer.instance);
-            log::info!(
-                "{} id={id} through {instance}: {result}",
-                events::TRY_FAILED
-            );
-        }
+        self.log_detour(&peer, &result);
         match result {
             DetourResult::Responded(response) if means_not_run(response.status()) => {
                 Some(self.not_run(response))
@@ -584,6 +679,17 @@
         }
     }
 
+    /// Logs an attempt through another instance that failed.
+    fn log_detour(&self, peer: &DetourPeer, result: &DetourResult) {
+        if !matches!(result, DetourResult::Responded(_)) {
+            let (id, instance) = (self.request_id, &peer.instance);
+            log::info!(
+                "{} id={id} through {instance}: {result}",
+                events::TRY_FAILED
+            );
+        }
+    }
+
     /// Logs an attempt that failed. Other responses are not logged.
     fn log_attempt(&self, server: &ServerRecord, result: &AttemptResult) {
         if let AttemptResult::Responded(response) = result
@@ -602,6 +708,27 @@
     }
 }
 
+/// Logs a request that is dropped before it has a response, with the attempt in progress.
+struct AbandonmentLog<'a> {
+    state: &'a TrafficState,
+    request_id: &'a str,
+    started: Time,
+    is_abandoned: bool,
+}
+
+impl Drop for AbandonmentLog<'_> {
+    fn drop(&mut self) {
+        if self.is_abandoned {
+            log::info!(
+                "{} id={} waited={:?}: the connection of its client has closed",
+                events::TRY_FAILED,
+                self.request_id,
+                self.state.clock.now() - self.started
+            );
+        }
+    }
+}
+
 /// Whether clients take the status to mean that the request has not run and will not run.
 fn means_not_run(status: StatusCode) -> bool {
     matches!(
