A connection that does not open for 150 ms raises the suspicion of a cut

Change: a connection that is being opened counts as unreachable after 150 ms rather than at its time limit of 400 ms. It only starts checks. The test of silent servers asserts the same times as before for the suspicion, and the checks in addition.

--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -210,7 +210,9 @@
                     CallError::NotSent(_) => {
                         shared.record_failure(server, Failure::Unreachable, started, now);
                     }
-                    CallError::OutcomeUnknown(_) => shared.record_silence(server, started, now),
+                    CallError::OutcomeUnknown(_) => {
+                        shared.record_silence(server, Failure::Failing, started, now);
+                    }
                 }
             }
         }
--- a/crates/citronproxy/src/edge/shared.rs
+++ b/crates/citronproxy/src/edge/shared.rs
@@ -158,8 +158,10 @@
     }
 
     /// Records that a server has not responded for a while to what was sent at `started`.
-    pub fn record_silence(&self, server: &ServerName, started: Time, now: Time) {
-        self.update_reach(server, |reach| reach.record_silence(server, started, now));
+    pub fn record_silence(&self, server: &ServerName, failure: Failure, started: Time, now: Time) {
+        self.update_reach(server, |reach| {
+            reach.record_silence(server, failure, started, now)
+        });
     }
 
     /// Records that an instance of another failure domain does not reach a server either.
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -49,6 +49,9 @@
 /// Time without a response after which a server counts as not responding, if no other one
 /// responds meanwhile either.
 const SILENCE_MAX: Duration = Duration::from_millis(800);
+/// The same for a connection that is being opened, which takes milliseconds unless packets
+/// are lost.
+const CONNECT_SILENCE_MAX: Duration = Duration::from_millis(150);
 /// Longest idle time of a connection that an idempotent request may reuse if the server
 /// announces no keep-alive timeout.
 const DEFAULT_IDLE_MAX: Duration = Duration::from_secs(6);
@@ -262,7 +265,9 @@
         .pool
         .acquire(address, reuse_policy(state, service, outgoing.idempotency));
     let started = state.clock.now();
-    let connected = timeout(CONNECT_TIMEOUT, checked_out).await;
+    let connected = timeout(CONNECT_TIMEOUT, checked_out);
+    let silence = (CONNECT_SILENCE_MAX, Failure::Unreachable);
+    let connected = watch_silence(state, server, started, silence, connected).await;
     let connection = match connected {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) if error.is_reset() => {
@@ -295,7 +300,8 @@
     let request = build_request(state, server, outgoing);
     outgoing.may_be_sent.set(true);
     let sent = pooled.connection_mut().sender.try_send_request(request);
-    let sent = watch_silence(state, server, in_flight.started, sent).await;
+    let silence = (SILENCE_MAX, Failure::Failing);
+    let sent = watch_silence(state, server, in_flight.started, silence, sent).await;
     match sent {
         Ok(response) => {
             let now = state.clock.now();
@@ -320,22 +326,22 @@
     }
 }
 
-/// Waits for a response, and records when the server has been silent for
-/// [`SILENCE_MAX`].
+/// Waits for a connection or a response, and records a failure of the server when it has been
+/// silent for this long.
 async fn watch_silence<T>(
     state: &TrafficState,
     server: &ServerRecord,
     started: Time,
+    (silence_max, failure): (Duration, Failure),
     response: impl Future<Output = T>,
 ) -> T {
     let mut response = pin!(response);
-    if let Ok(response) = timeout(SILENCE_MAX, &mut response).await {
+    if let Ok(response) = timeout(silence_max, &mut response).await {
         return response;
     }
     let now = state.clock.now();
-    state
-        .shared
-        .record_silence(&server.entry.name, started, now);
+    let name = &server.entry.name;
+    state.shared.record_silence(name, failure, started, now);
     response.await
 }
 
--- a/crates/core/src/dispatch/reach.rs
+++ b/crates/core/src/dispatch/reach.rs
@@ -146,9 +146,14 @@
     /// Records that a server has not responded for a while to what was sent at `started`.
     /// It may be slow, so that this counts only if no other server has responded since
     /// either. Returns whether a suspicion begins.
-    pub fn record_silence(&mut self, server: &ServerName, started: Time, now: Time) -> bool {
-        self.is_since_response(started)
-            && self.record_failure(server, Failure::Failing, started, now)
+    pub fn record_silence(
+        &mut self,
+        server: &ServerName,
+        failure: Failure,
+        started: Time,
+        now: Time,
+    ) -> bool {
+        self.is_since_response(started) && self.record_failure(server, failure, started, now)
     }
 
     /// Records that an instance of another failure domain does not reach the server either.
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -43,15 +43,18 @@
     assert!(!reach.is_cut_off());
 }
 
-/// Guards against requests that wait for their deadline on connections that pass no bytes.
+/// Guards against requests that wait for their deadline on connections that pass no bytes, and
+/// against a cut that is concluded from silence alone, as of servers with long requests.
 #[test]
-fn servers_that_are_all_silent_for_a_second_are_cut_off() {
+fn servers_that_are_all_silent_for_a_second_are_cut_off_if_checks_fail_too() {
     let mut reach = reached();
-    assert!(!reach.record_silence(&server(0), at(1_010), at(1_810)));
-    assert!(!reach.record_silence(&server(1), at(1_020), at(1_820)));
-    assert!(!reach.record_silence(&server(2), at(1_030), at(1_830)));
-    assert!(reach.record_silence(&server(3), at(1_220), at(2_020)));
+    let failing = Failure::Failing;
+    assert!(!reach.record_silence(&server(0), failing, at(1_010), at(1_810)));
+    assert!(!reach.record_silence(&server(1), failing, at(1_020), at(1_820)));
+    assert!(!reach.record_silence(&server(2), failing, at(1_030), at(1_830)));
+    assert!(reach.record_silence(&server(3), failing, at(1_220), at(2_020)));
     assert_eq!(reach.links(), Links::Suspected);
+    assert!(!reach.is_cut_off());
     assert!(reach.record_failed_checks(at(2_020), at(2_270)));
     assert!(reach.is_cut_off());
 }
@@ -114,7 +117,7 @@
             let server = server(number as usize);
             assert!(!reach.record_failure(&server, Failure::Failing, now, now));
             let started = at(begin.saturating_sub(500));
-            assert!(!reach.record_silence(&server, started, now));
+            assert!(!reach.record_silence(&server, Failure::Failing, started, now));
         }
         assert_eq!(reach.state(at(begin + 600)), Reachability::Reached);
         reach.record_response(&server(5), at(begin + 890));
@@ -129,7 +132,7 @@
     for number in 0..6 {
         let server = server(number);
         assert!(!reach.record_failure(&server, Failure::Unreachable, at(900), at(1_400)));
-        assert!(!reach.record_silence(&server, at(900), at(2_700)));
+        assert!(!reach.record_silence(&server, Failure::Failing, at(900), at(2_700)));
     }
     assert!(!reach.is_cut_off());
 }
