The steps of a request are decided in core

Cause: what follows an event of a request (a further attempt, a wait, a rejection with its Retry-After, a detour) was decided in 35 functions of edge/traffic/active_request.rs between their I/O, and could be tested with running servers only.

Change: citron_core::request::RequestProgress takes events with their time and returns the next step. Shared state (retry budget, rest and rejection rate of a server, links, quarantine) comes through the trait RequestContext, which edge/traffic/request_scope.rs implements. Constants, order of checks, log texts and responses are those of before. A detour beside an attempt that was given up counts that attempt as one that may have run; the I/O gives it up only for a response that it forwards, so that nothing follows from this today. detect_crash takes the shared state and the clock instead of the traffic state, which keeps crash.rs out of the dependency cycle.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -24,6 +24,7 @@
         },
         id::{ServerName, ServiceName},
         registry::ServerRecord,
+        request::AttemptEnd,
         routes::Idempotency,
         time::Time,
     },
@@ -75,6 +76,21 @@
     Lost(String),
 }
 
+impl AttemptResult {
+    /// The end of the attempt by which the next step is decided.
+    pub fn into_end(self) -> AttemptEnd<Response<ResponseBody>> {
+        match self {
+            Self::Responded(response) => {
+                AttemptEnd::Responded(response.status().as_u16(), response)
+            }
+            Self::Refused => AttemptEnd::Refused,
+            Self::Misdirected => AttemptEnd::Misdirected,
+            Self::NotSent(_) | Self::Closed => AttemptEnd::NotSent,
+            Self::Lost(_) => AttemptEnd::Lost,
+        }
+    }
+}
+
 impl fmt::Display for AttemptResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/citronproxy/src/edge/traffic/crash.rs
+++ b/crates/citronproxy/src/edge/traffic/crash.rs
@@ -1,7 +1,6 @@
 //! Detects whether a server that closed a connection has crashed.
 
 use {
-    super::{attempt::OutgoingRequest, thread::TrafficState},
     crate::{clock::Clock, edge::shared::SharedState},
     citron_core::{crash::Fingerprint, registry::ServerEntry},
     std::{io::ErrorKind, sync::Arc, time::Duration},
@@ -39,18 +38,17 @@
 /// connections.
 ///
 /// A reset alone proves nothing: connections are also reset by the network, and requests
-/// that were lost that way must not be refused as the cause of a crash.
+/// that were lost that way must not be refused as the cause of a crash. `label` describes the
+/// request to operators.
 pub fn detect_crash(
-    state: &TrafficState,
+    shared: Arc<SharedState>,
+    clock: Clock,
     server: &ServerEntry,
     fingerprint: Fingerprint,
-    request: &OutgoingRequest<'_>,
+    label: String,
 ) {
-    let shared = Arc::clone(&state.shared);
-    let clock = state.clock;
     let name = server.name.clone();
     let address = server.address;
-    let label = format!("{} {}", request.head.method, request.head.uri);
     spawn_local(async move {
         sleep(PROBE_DELAY).await;
         let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -9,11 +9,12 @@
         thread::TrafficState,
     },
     crate::{
-        edge::view::{DetourPeer, View},
+        edge::view::View,
         traffic::{pool::Reuse, request::strip_hop_by_hop},
     },
     citron_core::{
         id::{InstanceId, ServerName},
+        request::{DetourEnd, DetourPeer, means_not_run},
         routes::Idempotency,
         time::Time,
     },
@@ -35,15 +36,6 @@
 /// come first.
 pub const GUESTS_MAX: usize = 64;
 
-/// From whom a request was received.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// A client.
-    Client,
-    /// Another instance. The request takes no further detour.
-    Peer,
-}
-
 /// Result of a detour.
 #[derive(Debug)]
 pub enum DetourResult {
@@ -57,6 +49,23 @@
     Lost(String),
 }
 
+impl DetourResult {
+    /// Whether this ends the request, so that an attempt beside it is given up.
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::Responded(response) if !means_not_run(response.status().as_u16()))
+    }
+
+    /// The end of the attempt by which the next step is decided.
+    pub fn into_end(self) -> DetourEnd<Response<ResponseBody>> {
+        match self {
+            Self::Responded(response) => DetourEnd::Responded(response.status().as_u16(), response),
+            Self::Unreached(response) => DetourEnd::Unreached(response),
+            Self::NotSent(_) => DetourEnd::NotSent,
+            Self::Lost(_) => DetourEnd::Lost,
+        }
+    }
+}
+
 impl fmt::Display for DetourResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -5,7 +5,9 @@
         active_request::ActiveRequest,
         attempt::OutgoingRequest,
         denial::{Denial, refuse},
-        detour::{GUESTS_MAX, Origin, mark_unreached},
+        detour::{GUESTS_MAX, mark_unreached},
+        request_log::RequestLog,
+        request_scope::RequestScope,
         response::ResponseBody,
         thread::TrafficState,
     },
@@ -19,8 +21,8 @@
     },
     citron_core::{
         ranges::RangeKey,
+        request::{Origin, RequestProgress, RequestTraits},
         routes::{Idempotency, RouteConfig, RouteRule},
-        routing::Outcome,
         time::Time,
     },
     http::{HeaderName, HeaderValue, Response, header, request::Parts},
@@ -208,31 +210,38 @@
         }
         state.count_request(service);
     }
-    let active = ActiveRequest {
-        state,
+    let progress = RequestProgress::new(RequestTraits {
         origin,
+        is_keyed,
+        idempotency: rule.idempotency,
+        started,
+        latency_objective: rule.latency_objective,
+        deadline,
+        max_attempts: rule.max_attempts,
+    });
+    let request = OutgoingRequest {
+        head,
+        body,
+        idempotency: rule.idempotency,
+        objective: started + rule.latency_objective,
+        deadline,
+        is_keyed,
+        may_be_sent: Cell::default(),
+    };
+    let active = ActiveRequest {
         rule,
-        service,
-        key,
-        request: OutgoingRequest {
-            head,
-            body,
-            idempotency: rule.idempotency,
-            objective: started + rule.latency_objective,
-            deadline,
-            is_keyed,
-            may_be_sent: Cell::default(),
+        scope: RequestScope {
+            state,
+            service,
+            key,
+            request,
         },
-        started,
-        request_id: state.request_id(head),
-        tried: Vec::new(),
-        detours: Vec::new(),
-        unsent: 0,
-        stale_owner: None,
-        misdirected: 0,
-        has_uncertain_attempt: false,
-        attempts: 0,
-        outcome: Cell::new(Outcome::Ran),
+        log: RequestLog {
+            request_id: state.request_id(head),
+            started,
+            clock: state.clock,
+        },
+        progress,
     };
     active.run().await
 }
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -11,6 +11,8 @@
 mod permit;
 mod pooled_connection;
 mod readiness;
+mod request_log;
+mod request_scope;
 mod response;
 mod target;
 mod thread;
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -4,18 +4,16 @@
     super::{attempt::reuse_policy, thread::TrafficState},
     crate::edge::view::View,
     citron_core::{
-        dispatch::{
-            Admission, Candidate, Decision, PermitRequest, RejectReason, TimeLimits, sample_size,
-            select_server,
-        },
-        id::{Epoch, ServerName, ServiceName},
+        dispatch::{Admission, Candidate, Decision, TimeLimits, sample_size, select_server},
+        id::{ServerName, ServiceName},
         ranges::{OwnerHint, RangeKey},
         registry::ServerRecord,
+        request::{Overload, RETRY_JITTER, StaleOwner, Target},
         routes::Idempotency,
         time::Time,
     },
     rand::{Rng, seq::index},
-    std::{collections::BTreeMap, fmt, ops::Range, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// Retry-After of a request above the concurrency limit of its service: about the time
@@ -24,64 +22,10 @@
 /// Upper bound of Retry-After if all servers are cold and have received their share of
 /// requests.
 const COLD_RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
-/// Jitter factor of Retry-After. Without it, clients rejected together would return
-/// together.
-pub const RETRY_JITTER: Range<f64> = 0.85..1.15;
-
 /// Number of servers of a service up to which all are compared for each request. Of more
 /// servers, a sample is compared.
 const SAMPLE_MAX: usize = 128;
 
-/// Result of the selection.
-#[derive(Debug)]
-pub enum Target {
-    /// Send the request to this server.
-    Server(Arc<ServerRecord>),
-    /// Send the request to this server if there is a permit for it.
-    LimitedServer(Arc<ServerRecord>, PermitRequest),
-    /// Reject the request with this Retry-After.
-    Reject(Duration, Overload),
-    /// The key is moving to another server.
-    KeyMoving,
-    /// No server of the service is available, or none will own the key soon.
-    Unavailable,
-}
-
-/// Reason for which a request is rejected. The text is sent in the body of the response.
-#[derive(Debug, Clone, Copy)]
-pub enum Overload {
-    /// No server has capacity.
-    Servers(RejectReason),
-    /// The concurrency limit of this instance at the service is reached.
-    ConcurrencyLimit,
-    /// This instance's share of the requests to cold servers is used up.
-    ColdServers,
-    /// The servers state limits on their requests, which other requests use up.
-    StatedLimits,
-}
-
-impl Overload {
-    /// Whether the request may find capacity if it waits for a moment.
-    pub fn may_end_soon(self) -> bool {
-        match self {
-            Self::Servers(reason) => reason.may_end_soon(),
-            Self::StatedLimits => false,
-            Self::ConcurrencyLimit | Self::ColdServers => true,
-        }
-    }
-}
-
-impl fmt::Display for Overload {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Servers(reason) => reason.fmt(f),
-            Self::ConcurrencyLimit => f.write_str("over the limit that late answers set"),
-            Self::ColdServers => f.write_str("cold servers take no more now"),
-            Self::StatedLimits => f.write_str("servers limit their requests"),
-        }
-    }
-}
-
 /// Properties of a request by which its server is selected.
 #[derive(Debug)]
 pub struct TargetQuery<'a> {
@@ -101,18 +45,6 @@
     pub stale_owner: Option<&'a StaleOwner>,
 }
 
-/// Owner that rejected a request for its key: it has released the key, or its grant has
-/// not arrived yet.
-#[derive(Debug)]
-pub struct StaleOwner {
-    /// Name of the server.
-    pub owner: ServerName,
-    /// Epoch of the map entry that named the server as the owner.
-    pub epoch: Epoch,
-    /// Time at which the request may be sent to the server again under the same epoch.
-    pub retry_at: Time,
-}
-
 /// Selects the server for a request: the owner of its key, or the best server of the
 /// service if the request has no key.
 pub fn select_target(state: &TrafficState, view: &View, query: &TargetQuery<'_>) -> Target {
--- a/crates/citronproxy/src/edge/traffic/thread.rs
+++ b/crates/citronproxy/src/edge/traffic/thread.rs
@@ -2,12 +2,8 @@
 
 use {
     super::{
-        concurrency::ConcurrencyLimits,
-        detour::{Origin, UnreachedServers},
-        handler,
-        idle_limits::IdleLimits,
-        readiness,
-        response::ResponseBody,
+        concurrency::ConcurrencyLimits, detour::UnreachedServers, handler, idle_limits::IdleLimits,
+        readiness, response::ResponseBody,
     },
     crate::{
         clock::Clock,
@@ -28,6 +24,7 @@
         freshness::{FreshnessTimes, StaleReason},
         id::ServiceName,
         registry::SendBounds,
+        request::Origin,
         routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
         slowstart::SlowStartLimiter,
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -2,15 +2,17 @@
 
 use {
     citron_core::{
-        id::{InstanceId, ServerName, ServiceName},
+        id::{ServerName, ServiceName},
         ranges::PartitionedMap,
         registry::{ServerList, ServerRecord},
         routes::RouteConfig,
         slowstart::SlowStartGroup,
     },
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
+pub use citron_core::request::DetourPeer;
+
 /// Snapshot of what the control thread knows, as of one moment.
 #[derive(Debug, Clone)]
 pub struct View {
@@ -33,17 +35,6 @@
     pub slow_start_group: Option<Arc<SlowStartGroup>>,
 }
 
-/// Another instance through which requests may be sent.
-#[derive(Debug, Clone)]
-pub struct DetourPeer {
-    /// Name of the instance.
-    pub instance: InstanceId,
-    /// Address on which it takes requests of other instances.
-    pub address: SocketAddr,
-    /// Whether it is in the failure domain of this instance.
-    pub is_near: bool,
-}
-
 impl View {
     /// Servers of a service, ordered by name.
     pub fn servers(&self, service: &ServiceName) -> &[Arc<ServerRecord>] {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod ranges;
 pub mod registry;
+pub mod request;
 pub mod routes;
 pub mod routing;
 pub mod slo;
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,15 @@
+//! What an instance does next with a client's request, from its receipt to its response.
+
+mod context;
+mod event;
+mod progress;
+mod step;
+mod target;
+
+pub use {
+    context::RequestContext,
+    event::{AttemptEnd, DetourEnd, Event, means_not_run},
+    progress::{Origin, RequestProgress, RequestTraits},
+    step::{FinalResponse, Reason, Step, Wake},
+    target::{DetourPeer, Overload, RETRY_JITTER, StaleOwner, Target},
+};
