A request that was not written by its deadline gets 503

Cause: an attempt counted as one that may have reached its server from the moment at which the request was handed to the task of its connection. That task writes it later; at a deadline in between, the response was 504 although no byte was sent. Requests that must not run twice are held back for 4 ms on a new connection, and deadlines close to that end hit this most.

Change: an exchange that ends or is dropped records whether bytes were written to the socket (SentMark), for servers and for detours.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -6,6 +6,7 @@
         idle_limits::ReuseRecorder,
         pooled_connection::PooledConnection,
         response::{ResponseBody, StreamingBody},
+        sent_mark::SentMark,
         thread::TrafficState,
     },
     crate::{
@@ -204,8 +205,8 @@
     pub deadline: Time,
     /// Whether the request has a key and therefore goes to the owner of the key.
     pub is_keyed: bool,
-    /// Whether an attempt is in progress whose request may have reached its server. It is
-    /// false until the attempt has a connection.
+    /// Whether an attempt that was given up may have reached its server: any byte of the
+    /// request was written. It is set when the exchange ends or is dropped.
     pub may_be_sent: Cell<bool>,
 }
 
@@ -303,13 +304,12 @@
         return ExchangeResult::Failed(AttemptResult::Closed);
     }
     let mut pooled = PooledConnection::new(&state.pool, address, connection);
-    let written_before = pooled.connection_mut().socket.written_bytes();
+    let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let idle = state.clock.now() - pooled.connection_mut().socket.last_read();
     let reused = pooled.connection_mut().is_reused;
     let recorder =
         reused.then(|| ReuseRecorder::start(&state.idle_limits, service, idle, state.clock));
     let request = build_request(state, server, outgoing);
-    outgoing.may_be_sent.set(true);
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let sent = watch_silence(state, server, in_flight.started, sent).await;
     match sent {
@@ -328,7 +328,7 @@
                 .for_each(ReuseRecorder::record_disconnect);
             record_failure(state, server, Failure::Failing, in_flight.started);
             let reason = error.into_error().to_string();
-            match pooled.connection_mut().socket.written_bytes() > written_before {
+            match mark.is_sent() {
                 true => ExchangeResult::Failed(AttemptResult::Lost(reason)),
                 false => not_sent(reason),
             }
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -6,6 +6,7 @@
         attempt::{ExchangeResult, OutgoingRequest, outgoing_request, read_body},
         pooled_connection::PooledConnection,
         response::ResponseBody,
+        sent_mark::SentMark,
         thread::TrafficState,
     },
     crate::{
@@ -126,16 +127,14 @@
         Err(_) => return DetourResult::NotSent("timed out connecting".to_string()),
     };
     let mut pooled = PooledConnection::new(&state.pool, peer.address, connection);
-    let written_before = pooled.connection_mut().socket.written_bytes();
+    let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let request = outgoing_request(state, outgoing);
-    outgoing.may_be_sent.set(true);
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let response = match sent.await {
         Ok(response) => response,
         Err(error) => {
             let reason = error.into_error().to_string();
-            let is_sent = pooled.connection_mut().socket.written_bytes() > written_before;
-            return match is_sent {
+            return match mark.is_sent() {
                 true => DetourResult::Lost(reason),
                 false => DetourResult::NotSent(reason),
             };
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod request_log;
 mod request_scope;
 mod response;
+mod sent_mark;
 mod target;
 mod thread;
 
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -25,7 +25,7 @@
 mod response_body;
 mod route_wait;
 mod slo_counters;
-mod socket;
+pub(crate) mod socket;
 mod state;
 mod target;
 mod worker;
