--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -11,7 +11,10 @@
 mod permit;
 mod pooled_connection;
 mod readiness;
+mod request_log;
+mod request_scope;
 mod response;
+mod sent_mark;
 mod target;
 mod thread;
 
