Slot broker: decides which requests get a server's slots

Sixty instances that each see a few of a server's requests let late ones take the slots of those that could still meet their objective. Pure module, not called yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod routes;
 pub mod routing;
 pub mod slo;
+pub mod slots;
 pub mod slowstart;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/slots/shared_use.rs
@@ -0,0 +1,72 @@
+//! Use of a server by others than its broker.
+
+use {
+    crate::{dispatch::ReportedLoad, time::Time},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Time for which reported requests of others count.
+const REPORT_TTL: Duration = Duration::from_secs(1);
+/// Time for which a refusal without reported load counts as one request of others.
+const REFUSAL_TTL: Duration = Duration::from_millis(500);
+/// Most refusals that count at a time.
+const REFUSALS_MAX: usize = 256;
+/// Weight of a report that is lower than those before. Single reports are too low, as
+/// requests of the broker on their way to the server are not in them.
+const LOWER_REPORT_WEIGHT: f64 = 0.2;
+
+/// Requests at a server that its broker has not granted.
+///
+/// A lease covers the whole time of its request at the server, so a report that exceeds the
+/// leases shows requests of others. Without reports, refusals show them.
+#[derive(Debug, Default)]
+pub struct SharedUse {
+    reported: f64,
+    reported_until: Time,
+    refusals: VecDeque<Time>,
+}
+
+impl SharedUse {
+    /// Requests of others at the server.
+    pub fn requests(&self, now: Time) -> u32 {
+        let counted = self.refusals.iter().filter(|end| **end > now).count();
+        let reported = match now < self.reported_until {
+            true => self.reported.round() as u32,
+            false => 0,
+        };
+        reported.max(u32::try_from(counted).unwrap_or(u32::MAX))
+    }
+
+    /// Records that the server refused a request while `leases` others were granted.
+    pub fn record_refusal(&mut self, load: Option<ReportedLoad>, leases: u32, now: Time) {
+        if let Some(load) = load {
+            self.record_load(&load, leases, now);
+        }
+        if now < self.reported_until {
+            return;
+        }
+        self.refusals.retain(|end| *end > now);
+        if self.refusals.len() < REFUSALS_MAX {
+            self.refusals.push_back(now + REFUSAL_TTL);
+        }
+    }
+
+    /// Records the load that the server reports while `leases` other requests are granted.
+    pub fn record_load(&mut self, load: &ReportedLoad, leases: u32, now: Time) {
+        let others = f64::from(
+            load.running
+                .saturating_add(load.waiting)
+                .saturating_sub(leases),
+        );
+        if now >= self.reported_until {
+            self.reported = 0.0;
+        }
+        match others >= self.reported {
+            true => self.reported = others,
+            false => self.reported += (others - self.reported) * LOWER_REPORT_WEIGHT,
+        }
+        if others > 0.0 {
+            self.reported_until = now + REPORT_TTL;
+        }
+    }
+}
