Slot broker: estimates that follow slow servers, outliers and other users

A single request of five times the run time made all others appear late; at a slow server the factor on the wait left no room for a queue; reports of others' requests were taken at their maximum, so capacity stayed unused. Samples are limited to three times the average, the wait gets half of the margin, and reports are averaged.

--- a/crates/core/src/slots/config.rs
+++ b/crates/core/src/slots/config.rs
@@ -5,11 +5,12 @@
 /// Tuning values of a [`super::SlotBroker`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct SlotConfig {
-    /// Factor on the expected time to the response within which a request is queued.
+    /// Factor on the expected run time with which a request must meet its objective to be
+    /// queued. Half of the excess over 1 applies to the expected wait.
     ///
     /// Run times spread by about 30%, so the 95th percentile is 1.5 times the mean. The
-    /// same factor on the wait leaves time for a server that slows down meanwhile, and the
-    /// queue that remains is still long enough to keep all slots busy.
+    /// factor on the wait leaves time for a server that slows down meanwhile; the queue that
+    /// remains is still long enough to keep all slots busy.
     pub queue_margin: f64,
     /// The same factor when a queued request's turn comes and others wait behind it. The
     /// uncertainty of the wait is over by then.
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod grant_shares;
 mod health;
+mod outlook;
 mod request;
 mod retry_times;
 mod run_time;
--- a/crates/core/src/slots/run_time.rs
+++ b/crates/core/src/slots/run_time.rs
@@ -12,6 +12,10 @@
 /// Range of reported slowdowns that are used; others are taken for errors of the server.
 const SLOWDOWN_RANGE: [f64; 2] = [0.2, 5.0];
 
+/// Largest sample, as a multiple of the average. A single request of 5 times the run time
+/// would otherwise let all others appear late for a while; three times is what a whole
+/// server slows down by.
+const SAMPLE_MAX: f64 = 3.0;
 /// Range of run times that count, in seconds; others are taken for errors.
 const RUN_TIME_RANGE_S: [f64; 2] = [0.001, 60.0];
 
@@ -55,6 +59,10 @@
     pub fn record(&mut self, run_time: f64, slowdown_at_start: f64, now: Time) {
         let slowdown = (slowdown_at_start + self.slowdown(now)) / 2.0;
         let [min, max] = RUN_TIME_RANGE_S;
+        let max = match self.samples {
+            0 => max,
+            _ => max.min(self.normal * SAMPLE_MAX),
+        };
         let sample = (run_time / slowdown).clamp(min, max);
         self.samples = self.samples.saturating_add(1);
         let weight = EWMA_WEIGHT.max(1.0 / f64::from(self.samples));
--- a/crates/core/src/slots/server_slots.rs
+++ b/crates/core/src/slots/server_slots.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         DenyReason, SlotAnswer, SlotConfig, SlotOutcome, SlotRequest, grant_shares::GrantShares,
-        retry_times::RetryTimes, run_time::RunTime, shared_use::SharedUse,
+        outlook::Outlook, retry_times::RetryTimes, run_time::RunTime, shared_use::SharedUse,
     },
     crate::{dispatch::run_share, id::Slots, time::Time},
     std::{collections::BTreeMap, fmt::Debug, time::Duration},
@@ -48,48 +48,6 @@
     late_until: Time,
 }
 
-/// Estimates for one decision.
-#[derive(Debug, Clone, Copy)]
-struct Outlook {
-    now: Time,
-    /// Expected run time, in seconds.
-    run_time: f64,
-    /// Slots that others leave free.
-    slots: u32,
-    /// Requests that may be in flight.
-    limit: usize,
-    travel: f64,
-}
-
-impl Outlook {
-    /// Expected wait, in seconds, for a slot of the server behind `ahead` requests.
-    fn wait(&self, ahead: usize) -> f64 {
-        let excess = (ahead + 1).saturating_sub(self.slots as usize);
-        excess as f64 * self.interval()
-    }
-
-    /// Expected time, in seconds, until a request behind `ahead` others is granted.
-    fn wait_for_grant(&self, ahead: usize, is_late: bool) -> f64 {
-        let limit = match is_late {
-            true => self.slots as usize,
-            false => self.limit,
-        };
-        (ahead + 1).saturating_sub(limit) as f64 * self.interval()
-    }
-
-    /// Mean time between two completions, in seconds.
-    fn interval(&self) -> f64 {
-        self.run_time / f64::from(self.slots)
-    }
-
-    /// Whether the response behind `ahead` requests is expected before the objective, with
-    /// `margin` times the expected time.
-    fn is_in_time(&self, ahead: usize, objective: Time, margin: f64) -> bool {
-        let left = (objective - self.now).as_secs_f64();
-        margin * (self.wait(ahead) + self.run_time) + self.travel <= left
-    }
-}
-
 impl<R: Debug + Clone + Ord> ServerSlots<R> {
     pub fn new(config: SlotConfig, slots: Slots) -> Self {
         Self {
--- a/crates/core/src/slots/shared_use.rs
+++ b/crates/core/src/slots/shared_use.rs
@@ -11,9 +11,8 @@
 const REFUSAL_TTL: Duration = Duration::from_millis(500);
 /// Most refusals that count at a time.
 const REFUSALS_MAX: usize = 256;
-/// Weight of a report that is lower than those before. Single reports are too low, as
-/// requests of the broker on their way to the server are not in them.
-const LOWER_REPORT_WEIGHT: f64 = 0.2;
+/// Weight of a new report in the moving average: others come and go within a run time.
+const REPORT_WEIGHT: f64 = 0.2;
 
 /// Requests at a server that its broker has not granted.
 ///
@@ -39,10 +38,10 @@
 
     /// Records that the server refused a request while `leases` others were granted.
     pub fn record_refusal(&mut self, load: Option<ReportedLoad>, leases: u32, now: Time) {
-        if let Some(load) = load {
-            self.record_load(&load, leases, now);
-        }
-        if now < self.reported_until {
+        let reported = load.map_or(0.0, |load| others(&load, leases));
+        if reported > 0.0 {
+            self.reported = reported.max(self.requests(now).into());
+            self.reported_until = now + REPORT_TTL;
             return;
         }
         self.refusals.retain(|end| *end > now);
@@ -53,20 +52,18 @@
 
     /// Records the load that the server reports while `leases` other requests are granted.
     pub fn record_load(&mut self, load: &ReportedLoad, leases: u32, now: Time) {
-        let others = f64::from(
-            load.running
-                .saturating_add(load.waiting)
-                .saturating_sub(leases),
-        );
-        if now >= self.reported_until {
-            self.reported = 0.0;
-        }
-        match others >= self.reported {
-            true => self.reported = others,
-            false => self.reported += (others - self.reported) * LOWER_REPORT_WEIGHT,
+        let others = others(load, leases);
+        match now < self.reported_until {
+            true => self.reported += (others - self.reported) * REPORT_WEIGHT,
+            false => self.reported = others,
         }
         if others > 0.0 {
             self.reported_until = now + REPORT_TTL;
         }
     }
 }
+
+fn others(load: &ReportedLoad, leases: u32) -> f64 {
+    let all = load.running.saturating_add(load.waiting);
+    all.saturating_sub(leases).into()
+}
