Slot brokers: datagrams, exchange between instances, and requests for slots

An instance knows of 2 to 3 requests in flight at a server that has up to 20. Instances can now ask the server's broker for a slot before an attempt, and release it afterwards. The request path does not do so yet. Off unless the setting slot_brokers is present.

core/slots/exchange.rs holds both sides of the exchange and core/slots/wait.rs the wait of one request, without I/O. The control thread sends and receives, the view names the instances that may be brokers, and edge/traffic/slot.rs asks.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -11,6 +11,7 @@
         permits::Permits,
         planner, reach, refresh, relay,
         replica::TableReplica,
+        slots::Slots,
         statements,
         watch::{self, CONFIG, RANGES, SERVERS, WATCHED},
     },
@@ -188,6 +189,8 @@
     pub relay: relay::Relay,
     /// Permits for requests to servers with rate limits.
     pub permits: Permits,
+    /// Slots of servers that brokers allocate.
+    pub slots: Slots,
     /// Key moves that wait to be broadcast.
     pub move_outbox: MoveOutbox,
     /// Number of peers that appeared, or reappeared, since the last published view.
@@ -248,9 +251,11 @@
         let changed = controller.state.borrow_mut().registry.tick(now);
         // The links of other instances may change as well while this one depends on them.
         let is_cut_off = controller.shared.is_cut_off();
-        if (controller.update_slow_start_group() || is_cut_off || controller.new_peers.get() > 0)
-            && !changed
-        {
+        let is_outdated = controller.update_slow_start_group()
+            || is_cut_off
+            || controller.new_peers.get() > 0
+            || controller.broker_candidates_changed();
+        if is_outdated && !changed {
             controller.publish_view();
         }
         if changed {
@@ -292,6 +297,7 @@
         };
         Self {
             adapter,
+            slots: Slots::new(settings.peer_address),
             settings,
             clock,
             shared,
@@ -542,6 +548,7 @@
             report_interval: HeartbeatSchedule::for_instances(reporting_count)
                 .interval(Sender::SameDomain),
             detours: state.peers.detours(now),
+            broker_candidates: self.update_broker_candidates(),
             slow_start_group: state.slow_start_group.clone(),
         });
     }
--- a/crates/citronproxy/src/edge/control/heartbeat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         controller::Controller, key_report, moves, peers::HeartbeatRound, permits, refresh, relay,
-        statements,
+        slots, statements,
     },
     crate::{edge::EdgeError, events},
     citron_core::{
@@ -47,6 +47,7 @@
         key_report::run(&controller, &socket),
         moves::run(&controller, &socket),
         permits::run(&controller, &socket),
+        slots::run(&controller, &socket),
         receive_loop(&controller, &socket)
     );
 }
@@ -216,6 +217,15 @@
             permits::answer_request(controller, socket, from, wire);
         }
         Some(Datagram::PermitAnswer(wire)) => permits::apply_answer(controller, wire),
+        Some(Datagram::SlotRequest(wire)) => {
+            slots::receive(controller, socket, from, wire.try_into());
+        }
+        Some(Datagram::SlotAnswer(wire)) => {
+            slots::receive(controller, socket, from, Ok(wire.into()));
+        }
+        Some(Datagram::SlotRelease(wire)) => {
+            slots::receive(controller, socket, from, wire.try_into());
+        }
         None => {
             let size = bytes.len();
             log::warn!(
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::metrics::register,
-    citron_core::{freshness::Age, ranges::Order},
+    citron_core::{
+        freshness::Age,
+        ranges::Order,
+        slots::{DenyReason, SlotAnswer},
+    },
     prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry},
     std::time::Duration,
 };
@@ -19,6 +23,8 @@
     key_orders: IntCounterVec,
     /// Requests for permits that the planner decided on, by result.
     permits: IntCounterVec,
+    /// Answers to this instance's requests for slots.
+    slot_requests: IntCounterVec,
     /// Age of the oldest watched table, in seconds.
     oldest_table_age: Gauge,
     /// Version of the configuration in force.
@@ -35,6 +41,10 @@
     pub cut_off: IntGauge,
     /// Servers that state a rate limit.
     pub limited_servers: IntGauge,
+    /// Requests that wait for a slot at this instance as the broker.
+    pub slot_queue: IntGauge,
+    /// Slots that this instance has allocated as the broker.
+    pub slot_leases: IntGauge,
 }
 
 impl ControlMetrics {
@@ -68,6 +78,19 @@
                 "Requests for servers with a rate limit that the planner admitted or not.",
                 &["result"],
             )?,
+            slot_requests: counter(
+                "citron_slot_requests_total",
+                "Answers of brokers to this instance's requests for slots of servers.",
+                &["answer"],
+            )?,
+            slot_queue: gauge(
+                "citron_slot_queue",
+                "Requests that wait for a slot at this instance as the broker.",
+            )?,
+            slot_leases: gauge(
+                "citron_slot_leases",
+                "Slots of servers that this instance has allocated as the broker.",
+            )?,
             oldest_table_age: register(
                 registry,
                 Gauge::new(
@@ -124,6 +147,20 @@
             .inc();
     }
 
+    /// Counts an answer to a request for a slot.
+    pub fn count_slot_answer(&self, answer: &SlotAnswer) {
+        let label = match answer {
+            SlotAnswer::Granted => "granted",
+            SlotAnswer::Queued(_) => "queued",
+            SlotAnswer::Denied { reason, .. } => match reason {
+                DenyReason::Full => "full",
+                DenyReason::Shed => "shed",
+                DenyReason::Leaving => "leaving",
+            },
+        };
+        self.slot_requests.with_label_values(&[label]).inc();
+    }
+
     /// Sets the age of the oldest watched table from the ages of all.
     pub fn set_table_age(&self, ages: &[Age]) {
         let oldest = ages.iter().flatten().max();
--- a/crates/citronproxy/src/edge/control/mod.rs
+++ b/crates/citronproxy/src/edge/control/mod.rs
@@ -18,6 +18,7 @@
 mod refresh;
 mod relay;
 mod replica;
+mod slots;
 mod statements;
 mod transfer;
 mod watch;
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -170,6 +170,24 @@
             .filter(move |(_, peer)| timeouts.is_live(peer, now))
     }
 
+    /// Peers that are not known to be lost or leaving. In a partial mesh, few heartbeats of
+    /// other failure domains are heard: their instances count as present, and one that told
+    /// that it leaves does so again after a while, as its restart may not be heard.
+    pub fn present(&self, now: Time) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let timeouts = self.loss_timeouts();
+        let is_present = move |peer: &Peer| {
+            let (Some(heartbeat), Some(last_heard)) = (&peer.heartbeat, peer.last_heard) else {
+                return self.is_active(peer, now);
+            };
+            let is_far = peer.domain.as_ref() != Some(&self.domain);
+            if is_far && !self.is_full_mesh() {
+                return !heartbeat.leaving || now - last_heard > SILENT_AFTER;
+            }
+            !heartbeat.leaving && timeouts.is_live(peer, now)
+        };
+        self.peers.iter().filter(move |(_, peer)| is_present(peer))
+    }
+
     /// Silence after which a peer counts as lost, by failure domain.
     fn loss_timeouts(&self) -> LossTimeouts<'_> {
         let reporting_count = match self.is_full_mesh() {
--- a/crates/citronproxy/src/edge/mod.rs
+++ b/crates/citronproxy/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 mod settings;
 mod shared;
+mod slots;
 mod statements;
 mod traffic;
 mod view;
@@ -19,5 +20,5 @@
 pub use {
     error::EdgeError,
     run::run,
-    settings::{EdgeSettings, RetrySettings},
+    settings::{EdgeSettings, RetrySettings, SlotBrokerSettings},
 };
--- a/crates/citronproxy/src/edge/settings.rs
+++ b/crates/citronproxy/src/edge/settings.rs
@@ -3,11 +3,11 @@
 use {
     crate::settings::{SettingsError, parse},
     citron_core::{
-        id::{DomainName, InstanceId},
+        id::{DomainName, InstanceId, Slots},
         slowstart::ColdBound,
     },
     serde::Deserialize,
-    std::{net::SocketAddr, path::Path, time::Duration},
+    std::{io::Read, net::SocketAddr, path::Path, time::Duration},
 };
 
 /// Largest row that the store is assumed to accept if the settings do not say, in bytes.
@@ -23,6 +23,29 @@
     pub extra: f64,
 }
 
+/// When brokers allocate the slots of servers.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlotBrokerSettings {
+    /// Least number of instances for each slot of a server. Where fewer instances share a
+    /// slot, an instance's own view of the load is sufficient.
+    pub instances_per_slot: f64,
+}
+
+impl SlotBrokerSettings {
+    /// Whether a broker allocates the slots of a server.
+    ///
+    /// ```
+    /// use {citron_core::id::Slots, citronproxy::edge::SlotBrokerSettings};
+    /// let settings = SlotBrokerSettings { instances_per_slot: 4.0 };
+    /// assert!(settings.applies_to(Slots(4), 16));
+    /// assert!(!settings.applies_to(Slots(6), 16));
+    /// ```
+    pub fn applies_to(&self, slots: Slots, instances: usize) -> bool {
+        instances as f64 >= self.instances_per_slot * f64::from(slots.0)
+    }
+}
+
 /// Settings of one instance.
 #[derive(Debug, Clone)]
 pub struct EdgeSettings {
@@ -61,6 +84,8 @@
     /// Share of a processor that the instance may use, in percent. Instances with a
     /// larger share are preferred as planner and as readers of the store.
     pub cpu_percent: u32,
+    /// When brokers allocate the slots of servers; never if unset.
+    pub slot_brokers: Option<SlotBrokerSettings>,
 }
 
 #[derive(Deserialize)]
@@ -87,6 +112,8 @@
     row_bytes: Option<usize>,
     #[serde(default)]
     metrics: Option<SocketAddr>,
+    #[serde(default)]
+    slot_brokers: Option<SlotBrokerSettings>,
 }
 
 /// How far the request rate of cold servers may exceed their rated one, over all
@@ -116,7 +143,19 @@
     /// [`SettingsError`] names the file, the field or line, what was found and what is
     /// allowed.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let raw: RawSettings = parse::load(path)?;
+        Self::from_raw(path, parse::load(path)?)
+    }
+
+    /// Reads and validates settings from any source; `path` only names the source in
+    /// errors.
+    ///
+    /// # Errors
+    /// As [`EdgeSettings::load`].
+    pub fn read(path: &Path, source: impl Read) -> Result<Self, SettingsError> {
+        Self::from_raw(path, parse::read(path, source)?)
+    }
+
+    fn from_raw(path: &Path, raw: RawSettings) -> Result<Self, SettingsError> {
         Ok(Self {
             instance: parse::name(path, "instance", &raw.instance)?,
             domain: parse::name(path, "domain", &raw.domain)?,
@@ -138,6 +177,23 @@
             lease_max: parse::seconds(path, "lease_max_s", raw.lease_max_s)?,
             row_bytes_max: raw.row_bytes.unwrap_or(DEFAULT_ROW_BYTES_MAX),
             cpu_percent: (raw.cpu_share * 100.0) as u32,
+            slot_brokers: parse_slot_brokers(path, raw.slot_brokers)?,
         })
     }
 }
+
+fn parse_slot_brokers(
+    path: &Path,
+    raw: Option<SlotBrokerSettings>,
+) -> Result<Option<SlotBrokerSettings>, SettingsError> {
+    let is_valid = |settings: &SlotBrokerSettings| settings.instances_per_slot > 0.0;
+    match raw.filter(|settings| !is_valid(settings)) {
+        None => Ok(raw),
+        Some(settings) => Err(SettingsError::Value {
+            file: path.to_path_buf(),
+            field: "slot_brokers.instances_per_slot".to_string(),
+            found: settings.instances_per_slot.to_string(),
+            allowed: "a number above 0".to_string(),
+        }),
+    }
+}
--- a/crates/citronproxy/src/edge/shared.rs
+++ b/crates/citronproxy/src/edge/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the threads of an instance.
 
 use {
-    super::{freshness::SharedFreshness, view::View},
+    super::{freshness::SharedFreshness, slots::SlotCall, view::View},
     crate::events,
     arc_swap::ArcSwapOption,
     citron_core::{
@@ -81,6 +81,7 @@
     reach: Mutex<Reach>,
     cut_off: watch::Sender<bool>,
     permit_calls: Handoff<PermitCall>,
+    slot_calls: Handoff<SlotCall>,
     leaving_servers: Handoff<(ServerName, Time)>,
     pending_keys: Mutex<Vec<(ServiceName, RangeKey)>>,
     crashes: Mutex<CrashTracker>,
@@ -99,6 +100,7 @@
             reach: Mutex::default(),
             cut_off: watch::Sender::new(false),
             permit_calls: Handoff::default(),
+            slot_calls: Handoff::default(),
             leaving_servers: Handoff::default(),
             pending_keys: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(CrashConfig::PER_START)),
@@ -202,6 +204,16 @@
         self.permit_calls.next().await
     }
 
+    /// Leaves a step of a request for a slot for the control thread.
+    pub fn push_slot_call(&self, call: SlotCall) {
+        self.slot_calls.push(call);
+    }
+
+    /// Waits for steps of requests for slots, and returns them.
+    pub async fn next_slot_calls(&self) -> Vec<SlotCall> {
+        self.slot_calls.next().await
+    }
+
     /// Records that a server stated at `now` that it leaves, for the control thread.
     pub fn record_leaving(&self, server: &ServerName, now: Time) {
         self.leaving_servers.push((server.clone(), now));
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -12,6 +12,8 @@
 mod pooled_connection;
 mod readiness;
 mod response;
+#[expect(dead_code, reason = "the selection of targets does not call it yet")]
+mod slot;
 mod target;
 mod thread;
 
--- a/crates/citronproxy/src/edge/traffic/thread.rs
+++ b/crates/citronproxy/src/edge/traffic/thread.rs
@@ -8,6 +8,7 @@
         idle_limits::IdleLimits,
         readiness,
         response::ResponseBody,
+        slot::SlotClient,
     },
     crate::{
         clock::Clock,
@@ -100,6 +101,8 @@
     pub send_bounds: SendBounds,
     /// Servers that other instances did not reach either.
     pub unreached: RefCell<UnreachedServers>,
+    /// Requests for slots of servers.
+    pub slots: SlotClient,
     /// Number of requests of other instances in progress.
     pub guests: Cell<usize>,
     /// Counts since the metrics were last read.
@@ -214,6 +217,7 @@
         idle_limits: Rc::default(),
         cold_limiter: RefCell::default(),
         unreached: RefCell::default(),
+        slots: SlotClient::new(metrics.registry())?,
         guests: Cell::default(),
         local_metrics: RefCell::new(metrics.local()),
         metrics,
--- a/crates/citronproxy/src/edge/view.rs
+++ b/crates/citronproxy/src/edge/view.rs
@@ -1,6 +1,7 @@
 //! View by which requests are routed.
 
 use {
+    super::slots::BrokerCandidate,
     citron_core::{
         id::{InstanceId, ServerName, ServiceName},
         ranges::PartitionedMap,
@@ -28,6 +29,9 @@
     pub report_interval: Duration,
     /// Other instances through which requests may be sent.
     pub detours: Vec<DetourPeer>,
+    /// Instances that may be brokers, this one included, ordered by name except for this one;
+    /// empty if brokers are off.
+    pub broker_candidates: Arc<[BrokerCandidate]>,
     /// Instances among which the request rate of cold servers is divided. While `None`,
     /// cold servers of services with slow start get no requests.
     pub slow_start_group: Option<Arc<SlowStartGroup>>,
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -124,6 +124,10 @@
     SERVERS_UNREACHED = 425, "servers-unreached";
     /// A backend server responds to this instance again.
     SERVERS_REACHED = 426, "servers-reached";
+    /// The broker of a server does not answer this instance's requests for slots.
+    BROKER_SILENT = 427, "broker-silent";
+    /// A broker that did not answer answers again.
+    BROKER_BACK = 428, "broker-back";
     /// Another instance became the planner, or this one became it or ceased to be it.
     PLANNER = 430, "planner";
     /// A row that citronproxy writes itself cannot be read; the last valid one stays in
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -7,6 +7,7 @@
 mod caller_age;
 mod choose;
 mod config;
+mod exchange;
 mod grant_shares;
 mod health;
 mod outlook;
@@ -15,12 +16,15 @@
 mod run_time;
 mod server_slots;
 mod shared_use;
+mod wait;
 
 pub use {
     broker::{SlotBroker, SlotStats},
     caller_age::CallerAges,
     choose::choose_broker,
     config::SlotConfig,
+    exchange::{SlotExchange, SlotMessage, SlotOutput},
     health::BrokerHealth,
     request::{DenyReason, SlotAnswer, SlotOutcome, SlotRequest},
+    wait::{ANSWER_TIMEOUT, SlotWait, WaitStep},
 };
--- a/crates/wire/src/heartbeat/datagram.rs
+++ b/crates/wire/src/heartbeat/datagram.rs
@@ -1,7 +1,11 @@
 //! Datagrams between instances.
 
 use {
-    super::{Heartbeat, MovesWire, PermitAnswerWire, PermitRequestWire, StatementsWire},
+    super::{
+        Heartbeat, MovesWire, PermitAnswerWire, PermitRequestWire, SlotAnswerWire, SlotReleaseWire,
+        SlotRequestWire, StatementsWire,
+    },
+    citron_core::slots::SlotMessage,
     serde::{Deserialize, Serialize},
 };
 
@@ -24,6 +28,28 @@
     PermitRequest(PermitRequestWire),
     /// Answer to a request for a permit.
     PermitAnswer(PermitAnswerWire),
+    /// Request for a slot of a server, sent to its broker.
+    SlotRequest(SlotRequestWire),
+    /// Answer to a request for a slot.
+    SlotAnswer(SlotAnswerWire),
+    /// End of a request for a slot, sent to the broker.
+    SlotRelease(SlotReleaseWire),
+}
+
+impl From<&SlotMessage> for Datagram {
+    fn from(message: &SlotMessage) -> Self {
+        match message {
+            SlotMessage::Request { number, request } => {
+                Self::SlotRequest(SlotRequestWire::new(*number, request))
+            }
+            SlotMessage::Answer { number, answer } => {
+                Self::SlotAnswer(SlotAnswerWire::new(*number, *answer))
+            }
+            SlotMessage::Release { number, outcome } => {
+                Self::SlotRelease(SlotReleaseWire::new(*number, outcome))
+            }
+        }
+    }
 }
 
 /// Keys of recent requests for one service.
--- a/crates/wire/src/heartbeat/mod.rs
+++ b/crates/wire/src/heartbeat/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 mod moves;
 mod permits;
+mod slots;
 mod statements;
 
 pub use {
@@ -16,5 +17,6 @@
     message::{Heartbeat, ReachWire},
     moves::{MoveWire, MovesWire},
     permits::{PermitAnswerWire, PermitRequestWire},
+    slots::{SlotAnswerWire, SlotReleaseWire, SlotRequestWire, SlotWireError},
     statements::{LeavingWire, LimitWire, StatementsWire},
 };
