Slot broker: one margin instead of two

The second margin, applied when a queued request's turn comes, gained too little for its own setting. Tests now also cover later requests that push queued ones back, and a single long request.

--- a/crates/core/src/slots/config.rs
+++ b/crates/core/src/slots/config.rs
@@ -12,9 +12,6 @@
     /// factor on the wait leaves time for a server that slows down meanwhile; the queue that
     /// remains is still long enough to keep all slots busy.
     pub queue_margin: f64,
-    /// The same factor when a queued request's turn comes and others wait behind it. The
-    /// uncertainty of the wait is over by then.
-    pub grant_margin: f64,
     /// Time for the grant, the request and the response between instances and servers,
     /// subtracted from the time left to the objective: three messages of up to 2 ms.
     pub travel: Duration,
@@ -49,7 +46,6 @@
     /// The values used in production.
     pub const STANDARD: Self = Self {
         queue_margin: 1.5,
-        grant_margin: 1.25,
         travel: Duration::from_millis(6),
         initial_run_time: Duration::from_millis(200),
         queue_max: 64,
--- a/crates/core/src/slots/server_slots.rs
+++ b/crates/core/src/slots/server_slots.rs
@@ -164,21 +164,14 @@
         while position < self.queue.len() {
             let queued = &self.queue[position];
             let ahead = self.leases.len() + position;
-            let is_next = position == 0;
-            let slot_is_free = self.leases.len() < outlook.slots as usize;
-            let may_grant = is_next
-                && match queued.is_late {
-                    true => slot_is_free,
-                    false => self.leases.len() < outlook.limit,
-                };
-            // The margin makes room for those behind; the only one may try.
-            let margin = match may_grant && self.queue.len() > 1 {
-                true => self.config.grant_margin,
-                false => 1.0,
+            let limit = match queued.is_late {
+                true => outlook.slots as usize,
+                false => outlook.limit,
             };
+            let may_grant = position == 0 && self.leases.len() < limit;
             let is_possible = match queued.is_late {
                 true => now < queued.late_until && outlook.is_in_time(0, queued.deadline, 1.0),
-                false => outlook.is_in_time(ahead, queued.objective, margin),
+                false => outlook.is_in_time(ahead, queued.objective, 1.0),
             };
             if !is_possible {
                 let queued = self.queue.remove(position);
@@ -276,11 +269,10 @@
             let queued = &queue[*position];
             let ahead = self.leases.len() + position;
             let starts_now = ahead < outlook.slots as usize;
-            let margin = match *position == own {
-                // A slow server would be idle between arrivals if nobody could queue.
-                true if queue.len() == 1 => 1.0,
+            // A slow server would be idle between arrivals if nobody could queue.
+            let margin = match *position == own && queue.len() > 1 {
                 true => self.config.queue_margin,
-                false => self.config.grant_margin,
+                false => 1.0,
             };
             !queued.is_late && !starts_now && !outlook.is_in_time(ahead, queued.objective, margin)
         };
--- a/crates/core/tests/slots/requests.rs
+++ b/crates/core/tests/slots/requests.rs
@@ -66,7 +66,8 @@
     let mut broker = busy_broker();
     let queued = (3..30).filter(|id| !is_denied(answer(&mut broker, *id, 800)));
     let queued: Vec<u64> = queued.collect();
-    let later = (30..60).filter(|id| is_denied(answer(&mut broker, *id, 700)));
+    // Each has less time left than the one before, and would go first.
+    let later = (30..60).filter(|id| is_denied(answer(&mut broker, *id, 850 - 5 * id)));
     assert!(later.count() > 20);
     let mut leases = VecDeque::from([0, 1, 2]);
     let mut granted = Vec::new();
@@ -173,6 +174,27 @@
     assert!(deviation < expected / 10, "{wait:?} for {expected:?}");
 }
 
+/// Guards against a single long request that lets others appear late: the expected time of
+/// a request that waits for two others, twice 120 ms, must not grow by a third.
+#[test]
+fn a_long_request_among_many() {
+    let mut broker = SlotBroker::default();
+    for id in 0..21 {
+        broker.request(id, request(500), at(id), 0.5);
+        let millis = if id == 20 { 600 } else { 120 };
+        let span = Duration::from_millis(millis);
+        broker.release(&id, SlotOutcome::Ran { span, load: None }, at(id));
+    }
+    for id in 21..24 {
+        broker.request(id, request(500), at(30), 0.5);
+    }
+    let answers = broker.request(24, request(320), at(30), 0.5);
+    assert!(
+        matches!(answers[..], [(24, SlotAnswer::Queued(_))]),
+        "{answers:?}"
+    );
+}
+
 /// Guards against one broker for all servers, or another one for a server after the loss
 /// of an instance that was not its broker.
 #[test]
