Slot brokers: requests with keys ask for a slot before they are sent

Where the broker does not answer, the estimates of before decide.

The rejection of a request of another instance says that the server does not respond rather than that none does; its test asserts the new text.

--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -9,18 +9,20 @@
         request_log::{AbandonmentLog, RequestLog},
         request_scope::RequestScope,
         response::{ResponseBody, local_response, not_run_response},
+        slot::{self, SlotDecision, SlotLease, SlotQuery},
         target::{TargetQuery, select_target},
     },
     crate::{edge::view::View, events, events::Event as LogEvent},
     citron_core::{
         dispatch::Links,
-        id::ServerName,
+        id::{InstanceId, ServerName},
         registry::ServerRecord,
         request::{
             DetourPeer, Event, FinalResponse, Reason, RequestContext, RequestProgress, Step,
             Target, Wake,
         },
         routes::RouteRule,
+        slots::SlotOutcome,
     },
     http::{Response, StatusCode},
     std::{fmt, future::pending, pin::pin, sync::Arc, time::Duration},
@@ -58,6 +60,12 @@
     pub log: RequestLog<'a>,
     /// What was done so far, which decides the next step.
     pub progress: RequestProgress,
+    /// Time for which the client waits, as it stated with the request.
+    pub client_timeout: Duration,
+    /// Slot for the next attempt, if a broker has granted one.
+    pub slot: Option<SlotLease>,
+    /// Broker that denied a slot.
+    pub denied_by: Option<InstanceId>,
 }
 
 impl ActiveRequest<'_> {
@@ -90,14 +98,17 @@
         loop {
             step = match step {
                 Step::Send(server) => {
-                    let end = self.send_to(&server).await;
+                    let slot = self.slot.take();
+                    let end = self.send_to(&server, slot).await;
                     self.scope.request.may_be_sent.set(false);
                     self.on_send_end(&server, end)
                 }
                 Step::Detour(peer, owner) => self.send_through(peer, owner).await,
-                Step::ReadView | Step::Select | Step::AcquirePermit(..) | Step::Wait { .. } => {
-                    self.select_hop().await
-                }
+                Step::ReadView
+                | Step::Select
+                | Step::AcquireSlot(_)
+                | Step::AcquirePermit(..)
+                | Step::Wait { .. } => self.select_hop().await,
                 Step::Respond(response) => return self.respond(response),
             };
         }
@@ -117,6 +128,9 @@
             if let Step::Select = step {
                 step = self.handle(Event::Selected(self.select(&view)));
             }
+            if let Step::AcquireSlot(server) = step {
+                step = self.acquire_slot(&view, server).await;
+            }
             if let Step::AcquirePermit(server, request) = step {
                 step = self.handle(match permit::acquire(state, &view, request).await {
                     true => Event::PermitGranted(server),
@@ -138,6 +152,42 @@
         }
     }
 
+    /// Asks the broker of a server for a slot, which is kept for the attempt.
+    async fn acquire_slot(&mut self, view: &View, server: Arc<ServerRecord>) -> Step<Reply> {
+        let query = SlotQuery {
+            route: &self.rule.name,
+            priority: self.rule.priority,
+            timeout: self.client_timeout,
+            objective: self.scope.request.objective,
+            deadline: self.scope.request.deadline,
+        };
+        let event = match slot::acquire(self.scope.state, view, &server, &query).await {
+            SlotDecision::Granted(lease) => {
+                self.slot = Some(lease);
+                Event::SlotGranted(server)
+            }
+            SlotDecision::Denied {
+                retry_after,
+                reason,
+                broker,
+            } => {
+                self.denied_by = Some(broker);
+                Event::SlotDenied {
+                    retry_after,
+                    reason,
+                }
+            }
+            SlotDecision::Unavailable => Event::SlotUnavailable,
+        };
+        let step = self.handle(event);
+        if !matches!(step, Step::Send(_))
+            && let Some(lease) = self.slot.take()
+        {
+            lease.close(SlotOutcome::Unused);
+        }
+        step
+    }
+
     /// Reports an event and returns the next step.
     fn handle(&mut self, event: Event<Reply>) -> Step<Reply> {
         let now = self.scope.state.clock.now();
@@ -155,6 +205,7 @@
             idempotency: request.idempotency,
             tried: self.progress.tried(),
             stale_owner: self.progress.stale_owner(),
+            asks_brokers: self.progress.asks_brokers(),
         };
         select_target(self.scope.state, view, &query)
     }
@@ -162,9 +213,9 @@
     /// Sends the request to a server. If this instance is cut off from all servers meanwhile,
     /// and the request may run twice, a second attempt is made through another instance. The
     /// first one goes on: its server may be at work, and the response may still come.
-    async fn send_to(&self, server: &ServerRecord) -> SendEnd {
+    async fn send_to(&self, server: &ServerRecord, slot: Option<SlotLease>) -> SendEnd {
         let (state, request) = (self.scope.state, &self.scope.request);
-        let mut direct = pin!(send(state, server, request));
+        let mut direct = pin!(send(state, server, request, slot));
         let peer = tokio::select! {
             result = &mut direct => return SendEnd::direct(result),
             peer = self.wait_for_second_attempt() => peer,
@@ -271,9 +322,11 @@
                 reason,
                 is_unreached,
             } => {
+                let broker = self.denied_by.as_ref();
+                let broker = broker.map_or_else(String::new, |broker| format!(" broker={broker}"));
                 self.log_end(
                     events::REQUEST_REFUSED,
-                    format_args!(" again={retry_after:?}"),
+                    format_args!("{broker} again={retry_after:?}"),
                     reason,
                 );
                 let mut response = not_run_response(retry_after, &reason.to_string());
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -7,6 +7,7 @@
         pooled_connection::PooledConnection,
         response::{ResponseBody, StreamingBody},
         sent_mark::SentMark,
+        slot::SlotLease,
         thread::TrafficState,
     },
     crate::{
@@ -27,6 +28,7 @@
         registry::ServerRecord,
         request::AttemptEnd,
         routes::Idempotency,
+        slots::SlotOutcome,
         time::Time,
     },
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts},
@@ -132,6 +134,8 @@
     response_limit: Option<Duration>,
     /// Load that the server reported with its response.
     reported_load: Option<ReportedLoad>,
+    /// Slot of the server, if its broker has granted one.
+    slot: Option<SlotLease>,
 }
 
 impl InFlightGuard {
@@ -154,6 +158,7 @@
             response_limit: (!remaining.is_zero()).then(|| remaining.mul_f64(ON_TIME_SHARE)),
             run_fraction,
             reported_load: None,
+            slot: None,
             outcome: AttemptOutcome::Other,
             clock: state.clock,
         }
@@ -164,6 +169,17 @@
         self.outcome = AttemptOutcome::Ran;
     }
 
+    /// What the broker of the server learns of the attempt; `None` if it was given up.
+    fn slot_outcome(&self, span: Duration) -> Option<SlotOutcome> {
+        let load = self.reported_load;
+        match self.outcome {
+            AttemptOutcome::Ran | AttemptOutcome::Failed => Some(SlotOutcome::Ran { span, load }),
+            AttemptOutcome::Full | AttemptOutcome::Shed => Some(SlotOutcome::Refused { load }),
+            AttemptOutcome::Closed | AttemptOutcome::Lost => Some(SlotOutcome::Failed),
+            AttemptOutcome::Other => None,
+        }
+    }
+
     /// Timeliness of the attempt, by which the concurrency limit is adjusted.
     fn timeliness(&self, elapsed: Duration) -> Timeliness {
         let is_late = self.response_limit.map(|limit| elapsed > limit);
@@ -189,6 +205,9 @@
         let mut loads = self.shared.loads();
         loads.end(&self.server, self.outcome, elapsed, self.run_fraction, now);
         drop(loads);
+        if let (Some(outcome), Some(slot)) = (self.slot_outcome(elapsed), self.slot.take()) {
+            slot.close(outcome);
+        }
         self.capacity_freed.notify_waiters();
     }
 }
@@ -213,13 +232,16 @@
     pub may_be_sent: Cell<bool>,
 }
 
-/// Sends a request to a server and reads the response.
+/// Sends a request to a server and reads the response. `slot` is held until the response has
+/// been read to its end.
 pub async fn send(
     state: &TrafficState,
     server: &ServerRecord,
     outgoing: &OutgoingRequest<'_>,
+    slot: Option<SlotLease>,
 ) -> AttemptResult {
     let mut in_flight = InFlightGuard::new(state, server, outgoing);
+    in_flight.slot = slot;
     let result = exchange(state, server, outgoing, &mut in_flight).await;
     in_flight.outcome = match &result {
         // A streamed response takes the guard over and sets the outcome at the end of its
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -125,7 +125,8 @@
     let Some(rule) = config.rule(host(&head), head.uri.path()) else {
         return deny(Denial::NoRoute, &head);
     };
-    let deadline = started + client_timeout(state, &head).min(rule.timeout);
+    let client_timeout = client_timeout(state, &head);
+    let deadline = started + client_timeout.min(rule.timeout);
     let body = ClientBody::new(body, config.limits.max_body_bytes, REPLAY_BUFFER_BYTES);
     if body.declared_length() > config.limits.max_body_bytes {
         return deny(Denial::BodyTooLarge, &head);
@@ -147,6 +148,7 @@
         body: &body,
         started,
         deadline,
+        client_timeout,
     };
     let response = forward(state, config, rule, received).await;
     match body_error(&body) {
@@ -176,6 +178,7 @@
     body: &'a Rc<ClientBody>,
     started: Time,
     deadline: Time,
+    client_timeout: Duration,
 }
 
 /// Selects the service, reads the key and runs the request.
@@ -191,6 +194,7 @@
         body,
         started,
         deadline,
+        client_timeout,
     } = received;
     let service = rule.split.pick(rand::rng().random());
     let is_keyed = config
@@ -242,6 +246,9 @@
             clock: state.clock,
         },
         progress,
+        client_timeout,
+        slot: None,
+        denied_by: None,
     };
     active.run().await
 }
--- a/crates/citronproxy/src/edge/traffic/mod.rs
+++ b/crates/citronproxy/src/edge/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod request_scope;
 mod response;
 mod sent_mark;
+mod slot;
 mod target;
 mod thread;
 
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -1,7 +1,7 @@
 //! Selection of the server to which a request is sent next.
 
 use {
-    super::{attempt::reuse_policy, thread::TrafficState},
+    super::{attempt::reuse_policy, slot::uses_broker, thread::TrafficState},
     crate::edge::view::View,
     citron_core::{
         dispatch::{Admission, Candidate, Decision, TimeLimits, sample_size, select_server},
@@ -43,6 +43,8 @@
     pub tried: &'a [ServerName],
     /// Owner that rejected the request because it did not hold the key.
     pub stale_owner: Option<&'a StaleOwner>,
+    /// Whether brokers may be asked for a slot; not after one has not answered.
+    pub asks_brokers: bool,
 }
 
 /// Selects the server for a request: the owner of its key, or the best server of the
@@ -229,6 +231,7 @@
             same_domain,
             has_connection: state.pool.has_idle(&server.entry.address, reuse_policy),
             load_factor,
+            is_brokered: query.asks_brokers && uses_broker(state, view, server),
         }
     };
     let loads = state.shared.loads();
@@ -269,6 +272,7 @@
         }
         return match admission {
             Admission::NeedsPermit(request) => Target::LimitedServer(Arc::clone(server), request),
+            _ if to_candidate(server).is_brokered => Target::BrokeredServer(Arc::clone(server)),
             _ => Target::Server(Arc::clone(server)),
         };
     }
--- a/crates/core/src/dispatch/select.rs
+++ b/crates/core/src/dispatch/select.rs
@@ -61,6 +61,9 @@
     /// Actual requests at the server for each one known to this instance; above 1 where
     /// only some of the instances report to it.
     pub load_factor: f64,
+    /// Whether a broker decides on requests for the server, so that its queue as this
+    /// instance estimates it is left out of account.
+    pub is_brokered: bool,
 }
 
 /// Time limits of a request, and the number of servers to compare.
@@ -240,6 +243,7 @@
         let wait = queue_time(in_flight, entry.slots.0, run_time);
         let reason = match () {
             () if load.is_unreachable(self.now) => Some(RejectReason::Unreachable),
+            () if candidate.is_brokered => None,
             () if load.is_full(self.now) => Some(RejectReason::Refusing),
             () if run_time + wait > time_limit(limits, run_time) => {
                 Some(RejectReason::QueueTooLong)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod routes;
 pub mod routing;
 pub mod slo;
+pub mod slots;
 pub mod slowstart;
 pub mod table;
 pub mod time;
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -5,8 +5,9 @@
     crate::{
         id::{InstanceId, ServerName},
         registry::ServerRecord,
+        slots::DenyReason,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// What has happened to a request. `R` is a response that can be forwarded.
@@ -18,6 +19,17 @@
     ViewRead,
     /// The selection by that view has ended.
     Selected(Target),
+    /// The broker of the server granted a slot.
+    SlotGranted(Arc<ServerRecord>),
+    /// The broker of the server has no slot for the request.
+    SlotDenied {
+        /// Time after which the client may send the request again.
+        retry_after: Duration,
+        /// Reason of the broker.
+        reason: DenyReason,
+    },
+    /// No broker answers.
+    SlotUnavailable,
     /// There is a permit for a request to the server.
     PermitGranted(Arc<ServerRecord>),
     /// There is no permit for the server that was selected.
--- a/crates/core/src/request/progress.rs
+++ b/crates/core/src/request/progress.rs
@@ -101,6 +101,8 @@
     /// Whether an attempt that has ended, or is in progress at the deadline, may have run
     /// the request.
     may_have_run: bool,
+    /// Whether brokers may be asked for a slot.
+    asks_brokers: bool,
     /// Number of attempts, for metrics.
     attempts: u32,
     /// Outcome that the response reports to the client.
@@ -118,6 +120,7 @@
             stale_owner: None,
             misdirected: 0,
             may_have_run: false,
+            asks_brokers: true,
             attempts: 0,
             outcome: Outcome::Ran,
         }
@@ -133,6 +136,12 @@
         self.stale_owner.as_ref()
     }
 
+    /// Whether brokers may be asked for a slot. After one that did not answer, the load that
+    /// this instance knows of decides.
+    pub fn asks_brokers(&self) -> bool {
+        self.asks_brokers
+    }
+
     /// Number of attempts so far.
     pub fn attempts(&self) -> u32 {
         self.attempts
@@ -161,6 +170,15 @@
                 .into(),
             Event::ViewRead => self.on_view(now, context),
             Event::Selected(target) => self.on_target(target, now, context),
+            Event::SlotGranted(server) => self.on_slot(server, now, context),
+            Event::SlotDenied {
+                retry_after,
+                reason,
+            } => self.reject(retry_after, Reason::NoSlot(reason), now).into(),
+            Event::SlotUnavailable => {
+                self.asks_brokers = false;
+                Step::ReadView
+            }
             Event::PermitGranted(server) => self.send(server, now, context),
             // The selection takes another server, or rejects.
             Event::PermitDenied => Step::ReadView,
@@ -223,7 +241,7 @@
             return self.send_through(peer, None, now, context);
         }
         match context.is_surely_cut_off() || self.traits.origin == Origin::Peer {
-            true => self.reject_unreached(now).into(),
+            true => self.reject_unreached(Reason::Unreached, now).into(),
             false => Step::Select,
         }
     }
@@ -238,6 +256,7 @@
     ) -> Step<R> {
         match target {
             Target::Server(server) => self.send(server, now, context),
+            Target::BrokeredServer(server) => Step::AcquireSlot(server),
             Target::LimitedServer(server, request) => Step::AcquirePermit(server, request),
             Target::Reject(retry_after, overload) => {
                 self.on_overload(retry_after, overload, now, context)
@@ -266,7 +285,7 @@
     ) -> Step<R> {
         if overload == Overload::Servers(RejectReason::Unreachable) {
             if self.traits.origin == Origin::Peer {
-                return self.reject_unreached(now).into();
+                return self.reject_unreached(Reason::OwnerUnreached, now).into();
             }
             let owner = context.owner();
             if let Some(peer) = self.choose_detour(owner.as_ref(), context) {
@@ -289,6 +308,21 @@
         wait(Wake::CapacityFreed, now)
     }
 
+    /// Sends the request to a server whose broker has granted a slot, unless the key has moved
+    /// to another one while the request was queued.
+    fn on_slot<R>(
+        &mut self,
+        server: Arc<ServerRecord>,
+        now: Time,
+        context: &impl RequestContext,
+    ) -> Step<R> {
+        let owner = context.owner();
+        if owner.is_some_and(|owner| owner != server.entry.name) {
+            return Step::ReadView;
+        }
+        self.send(server, now, context)
+    }
+
     /// Sends the request to a server that admits it.
     fn send<R>(
         &mut self,
@@ -542,8 +576,8 @@
 
     /// Rejects a request that no server would get. If it came from another instance, that one
     /// may try a third.
-    fn reject_unreached<R>(&mut self, now: Time) -> FinalResponse<R> {
-        let mut response = self.reject(MOVE_RETRY_AFTER, Reason::Unreached, now);
+    fn reject_unreached<R>(&mut self, reason: Reason, now: Time) -> FinalResponse<R> {
+        let mut response = self.reject(MOVE_RETRY_AFTER, reason, now);
         if let FinalResponse::Reject { is_unreached, .. } = &mut response {
             *is_unreached = self.traits.origin == Origin::Peer;
         }
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{DetourPeer, Overload},
-    crate::{dispatch::PermitRequest, id::ServerName, registry::ServerRecord, time::Time},
+    crate::{
+        dispatch::PermitRequest, id::ServerName, registry::ServerRecord, slots::DenyReason,
+        time::Time,
+    },
     std::{fmt, sync::Arc, time::Duration},
 };
 
@@ -13,6 +16,8 @@
     ReadView,
     /// Select a server by the view that was read.
     Select,
+    /// Ask the broker of the server for a slot.
+    AcquireSlot(Arc<ServerRecord>),
     /// Ask for a permit for the server.
     AcquirePermit(Arc<ServerRecord>, PermitRequest),
     /// Wait until the time has come or the event occurs, then read the view.
@@ -76,8 +81,12 @@
     NoConfiguration,
     /// The servers do not respond to this instance.
     Unreached,
+    /// The server for the request of another instance does not respond to this one either.
+    OwnerUnreached,
     /// The selection found no capacity.
     Overload(Overload),
+    /// The broker of the server denied a slot.
+    NoSlot(DenyReason),
     /// The key moves for longer than the request may wait.
     KeyMoving,
     /// No server is available for longer than the request may wait.
@@ -100,8 +109,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Overload(overload) => return overload.fmt(f),
+            Self::NoSlot(reason) => return write!(f, "no slot of the owner: {reason}"),
             Self::NoConfiguration => "no configuration is known",
             Self::Unreached => "no server responds to this instance",
+            Self::OwnerUnreached => "the server does not respond to this instance either",
             Self::KeyMoving => "the key is changing hands",
             Self::NoServer => "no server is there",
             Self::OwnerResting => "the owner of the key has asked for rest",
--- a/crates/core/src/request/target.rs
+++ b/crates/core/src/request/target.rs
@@ -19,6 +19,8 @@
 pub enum Target {
     /// Send the request to this server.
     Server(Arc<ServerRecord>),
+    /// Send the request to this server if its broker grants a slot.
+    BrokeredServer(Arc<ServerRecord>),
     /// Send the request to this server if there is a permit for it.
     LimitedServer(Arc<ServerRecord>, PermitRequest),
     /// Reject the request with this Retry-After.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -48,6 +48,7 @@
         same_domain: true,
         has_connection: true,
         load_factor: 1.0,
+        is_brokered: false,
     });
     select_server(tracker, candidates, limits, NOW, || 0.5)
 }
@@ -173,6 +174,7 @@
             same_domain: true,
             has_connection: true,
             load_factor: 1.0,
+            is_brokered: false,
         })
     };
     let decision = select_server(&tracker, candidates(), millis(600, 2_500), later, || 0.5);
@@ -199,6 +201,7 @@
             same_domain: true,
             has_connection: server.entry.name == servers[0].entry.name,
             load_factor: 1.0,
+            is_brokered: false,
         });
         select_server(tracker, candidates, millis(800, 3_000), NOW, || {
             draws.next().unwrap()
@@ -290,6 +293,7 @@
             same_domain: true,
             has_connection: false,
             load_factor: 1.0,
+            is_brokered: false,
         });
         match select_server(tracker, candidates, millis(600, 2_500), now, || 0.5) {
             Decision::Reject { reason, .. } => Some(reason),
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -12,6 +12,7 @@
         },
         routes::Idempotency,
         routing::Outcome,
+        slots::DenyReason,
         time::Time,
     },
     insta::assert_snapshot,
@@ -212,6 +213,7 @@
     match step {
         Step::ReadView => "read view".to_string(),
         Step::Select => "select".to_string(),
+        Step::AcquireSlot(server) => format!("slot of {}", server.entry.name),
         Step::AcquirePermit(server, _) => format!("permit for {}", server.entry.name),
         Step::Wait { until, wake } => format!("wait until {:?}, {wake:?}", *until - START),
         Step::Send(server) => format!("send to {}", server.entry.name),
@@ -275,6 +277,46 @@
     assert_eq!(step(&mut progress, granted, 3, &context), "send to s-1");
 }
 
+/// Guards against requests that crowd a server although its broker has no slot for them, and
+/// against a broker that is asked again and again while it does not answer.
+#[test]
+fn a_brokered_server_gets_the_request_only_with_a_slot() {
+    let selected = || Event::Selected(Target::BrokeredServer(server("owner")));
+    let (mut progress, context) = (at_most_once(), Context::default());
+    let next = step(&mut progress, selected(), 0, &context);
+    assert_eq!(next, "slot of owner");
+    let granted = Event::SlotGranted(server("owner"));
+    assert_eq!(step(&mut progress, granted, 3, &context), "send to owner");
+
+    let denied = Event::SlotDenied {
+        retry_after: RETRY_AFTER,
+        reason: DenyReason::Full,
+    };
+    let next = step(&mut at_most_once(), denied, 3, &context);
+    let rejection = "no slot of the owner: all slots are taken";
+    assert_eq!(
+        next,
+        format!("reject, again in {RETRY_AFTER:?}: {rejection}")
+    );
+
+    let mut progress = at_most_once();
+    let next = step(&mut progress, Event::SlotUnavailable, 60, &context);
+    assert_eq!(
+        (next.as_str(), progress.asks_brokers()),
+        ("read view", false)
+    );
+}
+
+/// Guards against a slot of the former owner that is used after the key has moved while the
+/// request was queued for it.
+#[test]
+fn a_slot_is_not_used_after_the_key_has_moved() {
+    let (mut progress, context) = (idempotent(), Context::default());
+    let granted = Event::SlotGranted(server("former"));
+    assert_eq!(step(&mut progress, granted, 200, &context), "read view");
+    assert_eq!(progress.attempts(), 0);
+}
+
 /// Guards against requests that wait without limit or are rejected without a wait. Capacity
 /// may be freed within an eighth of the objective; a key moves for longer.
 #[test]
@@ -560,6 +602,9 @@
     assert_eq!(next, rejected);
     context.is_cut_off = false;
     let unreachable = || Event::Selected(Target::Reject(Duration::ZERO, UNREACHABLE));
+    // The server may have ended; that says nothing of this instance's links.
+    let rejected = "reject, again in 300ms, marked: the server does not respond to this \
+        instance either";
     assert_eq!(step(&mut from_peer(), unreachable(), 0, &context), rejected);
 }
 
--- a/crates/core/tests/stale_reports/simulation.rs
+++ b/crates/core/tests/stale_reports/simulation.rs
@@ -263,6 +263,7 @@
                 server: &server.known,
                 has_connection: from.idle[index].iter().any(is_fresh),
                 same_domain: server.domain == from.domain,
+                is_brokered: false,
                 load_factor: match server.domain == from.domain && !shape.is_sharded {
                     true => 1.0,
                     false => shape.domains as f64,
