--- a/crates/core/src/routing/local_response.rs
+++ b/crates/core/src/routing/local_response.rs
@@ -57,7 +57,7 @@
         Self::ClientDisconnected,
     ];
 
-    /// HTTP status; 499 appears only in logs.
+    /// HTTP status of a response to a request that may have run; 499 appears only in logs.
     pub fn status(self) -> u16 {
         match self {
             Self::NoOwner | Self::Unconfirmed | Self::Overloaded => 503,
@@ -106,18 +106,24 @@
 
 impl LocalResponse {
     /// Creates the response to a request that no server runs; the client may retry after
-    /// `wait`.
+    /// `wait`. Its status is never 502 or 504, which guarantee nothing.
     ///
     /// ```
     /// use {citron_core::routing::{Outcome, FailureReason, LocalResponse}, std::time::Duration};
     /// let response = LocalResponse::not_run(FailureReason::Overloaded, Duration::from_millis(1_200));
     /// assert_eq!((response.status, response.retry_after), (503, Some(2)));
     /// assert_eq!(response.outcome, Outcome::NotRun);
+    /// let response = LocalResponse::not_run(FailureReason::Unreachable, Duration::ZERO);
+    /// assert_eq!(response.status, 503);
     /// ```
     pub fn not_run(reason: FailureReason, wait: Duration) -> Self {
+        let status = match reason.status() {
+            502 | 504 => 503,
+            status => status,
+        };
         Self {
             reason,
-            status: reason.status(),
+            status,
             outcome: Outcome::NotRun,
             retry_after: Some(whole_seconds(wait)),
         }
