Brokers are asked only for servers that may be contended

Change: an instance asks if it cannot rule out that a request has to wait: its estimate of the requests at the server is above half of the slots, the server refused lately, its run time is unknown, or a broker made a request wait or denied it within two seconds.

--- a/crates/citronproxy/src/edge/traffic/slot.rs
+++ b/crates/citronproxy/src/edge/traffic/slot.rs
@@ -271,6 +271,10 @@
                         continue;
                     };
                     state.slots.record_answer(&broker.instance);
+                    if answer != SlotAnswer::Granted {
+                        let mut loads = state.shared.loads();
+                        loads.record_contention(&self.server.entry.name, now);
+                    }
                     wait.record_answer(answer, state.clock.now());
                 }
                 WaitStep::Repeat => state.shared.push_slot_call(SlotCall::Repeat {
--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -220,6 +220,7 @@
     let remote_load_factor = view.instance_count as f64 / view.reporting_count.max(1) as f64;
     let remote_load_factor = remote_load_factor.max(1.0);
     let reuse_policy = reuse_policy(state, query.service, query.idempotency);
+    let loads = state.shared.loads();
     let to_candidate = |server: &'a Arc<ServerRecord>| {
         let same_domain = server.entry.domain == state.settings.domain;
         let load_factor = match same_domain && query.key.is_none() {
@@ -231,10 +232,15 @@
             same_domain,
             has_connection: state.pool.has_idle(&server.entry.address, reuse_policy),
             load_factor,
-            is_brokered: query.asks_brokers && uses_broker(state, view, server),
+            is_brokered: query.asks_brokers
+                && uses_broker(state, view, server)
+                && loads.get(&server.entry.name).may_be_contended(
+                    server.entry.slots,
+                    load_factor,
+                    now,
+                ),
         }
     };
-    let loads = state.shared.loads();
     let mut rng = rand::rng();
     let mut limited: BTreeMap<ServerName, Duration> = BTreeMap::new();
     loop {
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -28,6 +28,13 @@
 /// slow only for a while, and without this limit would never be tried again.
 const RUN_TIME_TTL: Duration = Duration::from_secs(4);
 
+/// Fraction of a server's slots from which on requests may have to wait for one. An instance
+/// knows the requests of others by reports that are older than a request runs.
+const CONTENDED_SHARE: f64 = 0.5;
+/// Time for which a request that had to wait, or was denied a slot, shows that others may
+/// have to as well: a burst lasts some seconds.
+const CONTENDED_TIME: Duration = Duration::from_secs(2);
+
 /// Outcome of an attempt, as far as it tells about the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -76,6 +83,7 @@
     losses: u32,
     unreachable_until: Time,
     rest_until: Time,
+    contended_until: Time,
 }
 
 impl ServerLoad {
@@ -134,6 +142,21 @@
         now < self.full_until
     }
 
+    /// Whether a request for the server may have to wait for a slot. `load_factor` is that of
+    /// [`Self::expected_in_flight`].
+    pub fn may_be_contended(&self, slots: Slots, load_factor: f64, now: Time) -> bool {
+        let in_flight = self.expected_in_flight(load_factor, now) + 1.0;
+        now < self.contended_until
+            || self.is_full(now)
+            || self.run_time(now).is_none()
+            || in_flight > f64::from(slots.0) * CONTENDED_SHARE
+    }
+
+    /// Records that a request had to wait for a slot of the server, or was denied one.
+    pub fn record_contention(&mut self, now: Time) {
+        self.contended_until = now + CONTENDED_TIME;
+    }
+
     /// Time for which the server has asked this instance for rest; `None` if it has not.
     pub fn remaining_rest(&self, now: Time) -> Option<Duration> {
         (now < self.rest_until).then(|| self.rest_until - now)
--- a/crates/core/src/dispatch/load_tracker.rs
+++ b/crates/core/src/dispatch/load_tracker.rs
@@ -88,6 +88,12 @@
             .record_rejection();
     }
 
+    /// Records that a request had to wait for a slot of a server, or was denied one.
+    pub fn record_contention(&mut self, server: &ServerName, now: Time) {
+        let load = self.servers.entry(server.clone()).or_default();
+        load.record_contention(now);
+    }
+
     /// Records that a server asks this instance for rest until `until`. Returns whether it
     /// was not at rest before.
     pub fn record_rest(&mut self, server: &ServerName, until: Time, now: Time) -> bool {
