A single read without a response no longer costs the leadership

Cause: a planner's read of the ranges that got no response failed 1.1 s after the last answer, and StoreHealth marks the store as lost for any failure more than 1 s after it. The next heartbeat reported that, and another instance claimed the leadership. A write that failed while reads were delayed, and a long poll that began before the last answer, had the same effect.

Change: - A read of changes without a response within 300 ms is repeated on another connection, within the same 600 ms.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -475,13 +475,25 @@
         );
     }
 
-    /// Records that a call to the store failed. `call` names the call in the log.
-    pub fn on_store_failure(&self, call: &str, error: &StoreError) {
+    /// Records that a read from the store, begun at `call_started`, failed. `call` names the
+    /// call in the log.
+    pub fn on_store_read_failure(&self, call: &str, call_started: Time, error: &StoreError) {
+        let now = self.clock.now();
+        let health = &mut self.state.borrow_mut().store_health;
+        health.record_failed_read(call_started, now);
+        self.on_store_failure(call, error, health.is_up());
+    }
+
+    /// Records that a write to the store failed. `call` names the call in the log.
+    pub fn on_store_write_failure(&self, call: &str, error: &StoreError) {
+        let now = self.clock.now();
+        let health = &mut self.state.borrow_mut().store_health;
+        health.record_failed_write(now);
+        self.on_store_failure(call, error, health.is_up());
+    }
+
+    fn on_store_failure(&self, call: &str, error: &StoreError, is_up: bool) {
         self.metrics.count_store_call(false);
-        let mut state = self.state.borrow_mut();
-        state.store_health.record_failure(self.clock.now());
-        let is_up = state.store_health.is_up();
-        drop(state);
         if is_up {
             return log::info!("{} {call}: {error}", events::STORE_CALL_FAILED);
         }
--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -175,7 +175,7 @@
 
 impl RetryDelay {
     async fn wait_after<A: Adapter>(&mut self, controller: &Controller<A>, error: &StoreError) {
-        controller.on_store_failure("members", error);
+        controller.on_store_write_failure("members", error);
         let delay = match error {
             StoreError::Throttled => {
                 let seconds = rand::rng().random_range(THROTTLED_DELAY_SECS);
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -93,7 +93,7 @@
     match result {
         Ok(_) | Err(StoreError::Conflict) => {}
         Err(error) => {
-            controller.on_store_failure("claim", &error);
+            controller.on_store_write_failure("claim", &error);
             return None;
         }
     }
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -186,7 +186,7 @@
                 sleep(INVALID_RETRY_DELAY).await;
                 return (OrderOutcome::Unknown, StoreVersion::NONE);
             }
-            Err(error) => controller.on_store_failure("commit", &error),
+            Err(error) => controller.on_store_write_failure("commit", &error),
         }
         watch::wait_for_store(controller).await;
     }
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -97,7 +97,7 @@
     };
     // Without the row, the next planner waits longer, but nothing else goes wrong.
     if let Err(error) = controller.adapter.store().commit(&commit).await {
-        controller.on_store_failure("former planners", &error);
+        controller.on_store_write_failure("former planners", &error);
     }
 }
 
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -15,13 +15,21 @@
     },
     citron_ports::{Adapter, RowSet, RowStore, RowTable, StoreError},
     citron_wire::heartbeat::Heartbeat,
-    std::{cell::Cell, future::Future, rc::Rc, time::Duration},
-    tokio::{sync::Notify, time::sleep},
+    std::{cell::Cell, future::Future, pin::pin, rc::Rc, time::Duration},
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
 /// How long the store may take to begin its response. It usually takes a few
 /// milliseconds, and a quarter of a second when it is slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Delay after which a read without a response is repeated on another connection. A planner
+/// whose read failed gives up the leadership, and a single lost response must not cause that.
+/// Above the response time of a slow store, and half of [`RESPONSE_TIMEOUT`], so that both
+/// reads have the same time and an unreachable store is detected no later.
+const SECOND_CALL_DELAY: Duration = Duration::from_millis(300);
 /// Longest interval between two checks, as the role of the instance may change meanwhile.
 const CHECK_INTERVAL_MAX: Duration = Duration::from_millis(200);
 /// A long poll counts as stalled when a change that it should have returned arrived
@@ -154,7 +162,7 @@
     match read.await {
         Ok(row_set) => controller.on_table_read(RANGES, row_set, true, call_started),
         Err(error) => {
-            controller.on_store_failure("maps", &error);
+            controller.on_store_read_failure("maps", call_started, &error);
             return false;
         }
     }
@@ -176,7 +184,7 @@
             is_snapshot,
             call_started,
         )),
-        Err(error) => on_read_failure(controller, table, &error),
+        Err(error) => on_read_failure(controller, table, call_started, &error),
     }
 }
 
@@ -190,9 +198,13 @@
 ) -> Result<(RowSet, bool), StoreError> {
     let store = controller.adapter.store();
     let after = controller.state.borrow().replicas[table].version;
-    let mut transfer = TableTransfer::from_store(controller, table, RESPONSE_TIMEOUT);
-    let changes = store.changes(WATCHED[table], after, Duration::ZERO, &mut transfer);
-    match changes.await {
+    let changes = async |timeout| {
+        let mut transfer = TableTransfer::from_store(controller, table, timeout);
+        let changes = store.changes(WATCHED[table], after, Duration::ZERO, &mut transfer);
+        changes.await
+    };
+    let is_arriving = || controller.is_transferring(table);
+    match call_twice(changes, is_arriving).await {
         Err(StoreError::Compacted) => {
             let mut transfer = TableTransfer::from_store(controller, table, RESPONSE_TIMEOUT);
             Ok((store.rows(WATCHED[table], &mut transfer).await?, true))
@@ -201,6 +213,32 @@
     }
 }
 
+/// Makes a call, and a second one beside it if the first has no response in time. The first
+/// successful response counts. `is_arriving` tells whether a response has begun.
+async fn call_twice<T>(
+    call: impl AsyncFn(Duration) -> Result<T, StoreError>,
+    is_arriving: impl Fn() -> bool,
+) -> Result<T, StoreError> {
+    let mut first = pin!(call(RESPONSE_TIMEOUT));
+    if let Ok(response) = timeout(SECOND_CALL_DELAY, &mut first).await {
+        return response;
+    }
+    if is_arriving() {
+        return first.await;
+    }
+    let mut second = pin!(call(RESPONSE_TIMEOUT - SECOND_CALL_DELAY));
+    tokio::select! {
+        response = &mut first => match response {
+            Err(_) => second.await,
+            response => response,
+        },
+        response = &mut second => match response {
+            Err(_) => first.await,
+            response => response,
+        },
+    }
+}
+
 fn apply_read<A: Adapter>(
     controller: &Controller<A>,
     table: usize,
@@ -219,6 +257,7 @@
 fn on_read_failure<A: Adapter>(
     controller: &Controller<A>,
     table: usize,
+    call_started: Time,
     error: &StoreError,
 ) -> Option<StoreVersion> {
     let now = controller.clock.now();
@@ -233,7 +272,7 @@
         "{} {row_table:?} from the store: {error}",
         events::TABLE_NOT_FETCHED
     );
-    controller.on_store_failure(&format!("{row_table:?}"), error);
+    controller.on_store_read_failure(&format!("{row_table:?}"), call_started, error);
     None
 }
 
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -117,7 +117,7 @@
             }
             Err(StoreError::Compacted) => is_snapshot = true,
             Err(error) => {
-                controller.on_store_failure(&format!("{row_table:?}"), &error);
+                controller.on_store_read_failure(&format!("{row_table:?}"), call_started, &error);
                 wait_for_store(&controller).await;
             }
         }
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -74,3 +74,40 @@
     health.record_failure(at(1_100));
     assert!(!health.is_up());
 }
+
+/// Guards against a change of planner because a write got no response while a busy processor
+/// delayed the reads.
+#[test]
+fn writes_alone_do_not_lose_the_store() {
+    let mut health = StoreHealth::default();
+    health.record_answer(at(0));
+    health.record_failed_write(at(1_200));
+    health.record_failed_write(at(2_000));
+    assert!(health.is_up());
+    health.record_failed_read(at(1_500), at(2_100));
+    assert!(!health.is_up());
+}
+
+/// Guards against late detection of an unreachable store: a write that fails after a read has
+/// failed need not wait for another read.
+#[test]
+fn a_write_confirms_a_failed_read() {
+    let mut health = StoreHealth::default();
+    health.record_answer(at(0));
+    health.record_failed_read(at(500), at(600));
+    assert!(health.is_up());
+    health.record_failed_write(at(1_100));
+    assert!(!health.is_up());
+    health.record_answer(at(1_200));
+    health.record_failed_write(at(2_500));
+    assert!(health.is_up());
+}
+
+/// Guards against a change of planner because a long poll got no response, while later reads did.
+#[test]
+fn a_read_that_began_before_the_last_answer_does_not_lose_the_store() {
+    let mut health = StoreHealth::default();
+    health.record_answer(at(12_000));
+    health.record_failed_read(at(0), at(13_500));
+    assert!(health.is_up());
+}
