A commit without a response is read back after 0.3 s

Cause: a commit whose response was lost was sent again after 0.86 s, and found executed only by the conflict that the repetition met, if that got a response. The keys of its moves had no owner meanwhile.

Change: while a commit waits for its response, rows that the planner reads anyway (its long poll returns them within milliseconds) show that it has been executed; the rows are then read from the store before the commit counts as done. After 0.3 s instead of 0.8 s, the commit is read back and, unless it was executed, sent again under the same versions. A late execution of an earlier attempt still fails by its condition.

--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -23,9 +23,11 @@
 /// Result of a commit, and the version of the newest row after it.
 pub type CommitOutcome = (OrderOutcome, StoreVersion);
 
-/// How long a commit may remain unanswered before it is sent again under the same
-/// condition. Above the response time of a store that is sixty times slower than usual.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a commit may remain unanswered before it is read back and sent again under the
+/// same condition. Above the response time of a store that is sixty times slower than usual.
+/// The keys of a move have no owner meanwhile. A commit that takes longer is executed at most
+/// once all the same, and is found by reading.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay after the store has rejected a map as invalid; the next map may be smaller.
 const INVALID_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Bytes of a row that are reserved for each slice. A slice with the name of its owner
@@ -41,9 +43,14 @@
 /// Largest number of parts in a transaction; each part needs a condition and a write.
 const TRANSACTION_PARTS_MAX: usize = 40;
 
+/// How often the planner checks whether rows that it has read contain a commit that was not
+/// answered. The store answers a long poll within milliseconds of the commit.
+const READ_BACK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Writes the changed parts of a map, on condition that the leadership row and the rows
 /// of the parts are unchanged since this planner read them. A transaction whose response
-/// is lost is sent again: its condition holds only once, and the rows can be read back.
+/// is lost is read back and, unless it was executed, sent again under the same condition,
+/// which holds only once.
 pub async fn commit_map<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
@@ -161,7 +168,17 @@
 ) -> CommitOutcome {
     while controller.is_planning_under(leadership_version) {
         let call_started = controller.clock.now();
-        match send_commit(controller, commit).await {
+        let response = tokio::select! {
+            response = send_commit(controller, commit) => response,
+            () = has_been_read(controller, service, parts) => {
+                log::info!(
+                    "{} commit: executed, but not answered",
+                    events::STORE_CALL_FAILED
+                );
+                Err(StoreError::Conflict)
+            }
+        };
+        match response {
             // The store came back from a copy before it executed the commit.
             Ok(version) if version.era() != leadership_version.era() => {
                 controller.on_store_success(call_started, None);
@@ -178,6 +195,12 @@
                     return committed;
                 }
             }
+            Err(error @ StoreError::OutcomeUnknown(_)) => {
+                controller.on_store_write_failure("commit", &error);
+                if let Some(committed) = read_back(controller, service, parts).await {
+                    return committed;
+                }
+            }
             Err(StoreError::Invalid(reason)) => {
                 let sizes = commit.writes.iter().map(|(_, _, value)| value.len());
                 let largest = sizes.max().unwrap_or_default();
@@ -215,9 +238,49 @@
     if !refresh::read_maps(controller).await {
         return None;
     }
+    let outdated = (OrderOutcome::Outdated, StoreVersion::NONE);
+    Some(stored_commit(controller, service, parts).unwrap_or(outdated))
+}
+
+/// Reads the maps after a commit without a response. Returns `None` if the commit has not been
+/// executed yet, or if the store could not be read; it may then be sent again, as it is
+/// executed at most once.
+async fn read_back<A: Adapter>(
+    controller: &Controller<A>,
+    service: &ServiceName,
+    parts: &[MapPartition],
+) -> Option<CommitOutcome> {
+    let is_read = refresh::read_maps(controller).await;
+    is_read
+        .then(|| stored_commit(controller, service, parts))
+        .flatten()
+}
+
+/// Outcome of a commit that the store, as known here, has executed; `None` if it has not. One
+/// that only removes rows cannot be recognised.
+fn stored_commit<A: Adapter>(
+    controller: &Controller<A>,
+    service: &ServiceName,
+    parts: &[MapPartition],
+) -> Option<CommitOutcome> {
     let stored = stored_map(controller, service);
-    if parts.iter().all(|part| stored.matches(part)) {
-        return Some((OrderOutcome::Done { handover: None }, stored.max_version()));
+    let is_stored = parts.iter().all(|part| stored.matches(part));
+    is_stored.then(|| (OrderOutcome::Done { handover: None }, stored.max_version()))
+}
+
+/// Waits until rows that were read contain all parts of a commit, and the response to the commit
+/// has had time to arrive.
+async fn has_been_read<A: Adapter>(
+    controller: &Controller<A>,
+    service: &ServiceName,
+    parts: &[MapPartition],
+) {
+    let is_stored = || !parts.is_empty() && stored_commit(controller, service, parts).is_some();
+    loop {
+        sleep(READ_BACK_INTERVAL).await;
+        if is_stored() {
+            sleep(READ_BACK_INTERVAL).await;
+            return;
+        }
     }
-    Some((OrderOutcome::Outdated, StoreVersion::NONE))
 }
