First assignment no longer waits for single late servers

Cause: keys without an owner were assigned once no server had registered for a second, or after 3 s with requests and 10 s without. One server after the other that registered late kept the first assignment waiting for all of that time.

Change: the set of servers also counts as complete when at most a tenth of them are newer than a second. The rule is a function in core; servers that are still registering in numbers are waited for as before.

--- a/crates/citronproxy/src/edge/control/planner/capacity.rs
+++ b/crates/citronproxy/src/edge/control/planner/capacity.rs
@@ -1,25 +1,13 @@
 //! Capacities of backend servers, by which keys are distributed.
 
-use {
-    citron_core::{
-        dispatch::{LoadTracker, StatedLimits},
-        ranges::Capacity,
-        registry::ServerRecord,
-        slowstart::SlowStart,
-        time::Time,
-    },
-    std::time::Duration,
+use citron_core::{
+    dispatch::{LoadTracker, StatedLimits},
+    ranges::Capacity,
+    registry::ServerRecord,
+    slowstart::SlowStart,
+    time::Time,
 };
 
-/// Time since the last registration of a server after which the set counts as complete:
-/// servers that start together register within this time of one another.
-const NEWEST_AGE_MIN: Duration = Duration::from_millis(1_000);
-/// Longest wait for more servers while callers request keys of the service.
-const OLDEST_AGE_MAX_REQUESTED: Duration = Duration::from_secs(3);
-/// Longest wait while nobody requests keys. Thousands of servers take some seconds to
-/// register, and those that miss the first distribution would receive keys only one by
-/// one.
-const OLDEST_AGE_MAX_IDLE: Duration = Duration::from_secs(10);
 /// Run time of a request that is assumed before any was measured, in seconds.
 const DEFAULT_RUN_SECS: f64 = 0.2;
 /// Bounds of a server's speed relative to the mean of its service. Without them, the few
@@ -28,20 +16,6 @@
 /// Fraction of its speed that a cold server is expected to reach.
 const COLD_SPEED_FACTOR: f64 = 0.5;
 
-/// Whether the set of a service's servers seems complete: the newest one has been
-/// registered for long enough, or the oldest one has waited for as long as allowed.
-pub fn is_server_set_complete(servers: &[&ServerRecord], is_requested: bool, now: Time) -> bool {
-    let ages = || servers.iter().map(|known| now - known.first_seen);
-    let newest = ages().min().unwrap_or_default();
-    let oldest = ages().max().unwrap_or_default();
-    let oldest_max = if is_requested {
-        OLDEST_AGE_MAX_REQUESTED
-    } else {
-        OLDEST_AGE_MAX_IDLE
-    };
-    newest > NEWEST_AGE_MIN || oldest > oldest_max
-}
-
 /// Computes the capacities of servers from measured run times and stated limits. Cold
 /// servers that would crash above a certain rate, and those that state a limit, receive no
 /// more keys.
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -1,7 +1,7 @@
 //! One term of the planner: the time during which this instance has the leadership.
 
 use {
-    super::capacity::{capacities, is_server_set_complete},
+    super::capacity::capacities,
     crate::{
         edge::control::{
             controller::{ControlState, Controller, Leadership, PlannerId},
@@ -13,7 +13,7 @@
         id::{ServiceName, StoreVersion},
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, KeyRange, LeaseTimes, LeaseTracker,
-            Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
+            Order, OrderOutcome, PlanScope, RangeMap, Reconciler, is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
@@ -195,7 +195,8 @@
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
-            let may_assign = is_server_set_complete(&open, is_requested, now);
+            let ages: Vec<_> = open.iter().map(|known| now - known.first_seen).collect();
+            let may_assign = is_server_set_complete(&ages, is_requested);
             let capacities = capacities(
                 &open,
                 service.slow_start,
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -17,6 +17,7 @@
 mod move_log;
 mod partitions;
 mod reconciler;
+mod server_set;
 mod windows;
 
 pub use {
@@ -32,5 +33,6 @@
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler},
+    server_set::is_server_set_complete,
     windows::DemandWindows,
 };
