First assignment follows slots, speeds and known demand

Cause: the first assignment gave every server the same number of keys. Servers of speed 0.7 had 1.42 times the mean utilization at even demand, and with 73 servers of one range each, 14.9 times where a twentieth of the keys gets half of the requests, although the demand may be known by then.

Change: stripes have shares in proportion to the rates of their servers (slots and measured speed), by observed demand plus 100 requests spread evenly, so that few observed requests do not concentrate keys.

--- a/crates/core/src/ranges/balance/mod.rs
+++ b/crates/core/src/ranges/balance/mod.rs
@@ -4,6 +4,7 @@
 mod merge;
 mod plan;
 mod rebalance;
+mod stripes;
 
 pub use {
     limits::{BalanceLimits, Capacity, Reassignment},
--- a/crates/core/src/ranges/balance/plan.rs
+++ b/crates/core/src/ranges/balance/plan.rs
@@ -13,11 +13,6 @@
 /// demand count as well. Over the whole key space this is a thousandth of a server's
 /// usual load.
 const IDLE_KEY_RATE: f64 = 1e-6;
-/// Number of stripes for the first assignment of a service's keys. Each is renewed
-/// separately, which adds up to about 60 orders per second.
-const TOTAL_STRIPES: usize = 120;
-/// Maximum number of stripes per server.
-const MAX_STRIPES_PER_SERVER: usize = 6;
 /// Share of the mean server load up to which a range is reassigned without being split.
 const UNSPLIT_FRACTION: f64 = 0.5;
 
@@ -163,37 +158,6 @@
         parts
     }
 
-    /// Divides keys that never had an owner into stripes over all servers. Busy keys lie
-    /// close together: with one contiguous range per server, a single server would own
-    /// all of them until demand is known.
-    pub fn assign_stripes(&mut self, range: KeyRange) -> Vec<(KeyRange, ServerName)> {
-        let servers: Vec<ServerName> = self
-            .recipients()
-            .map(|(server, _)| server.clone())
-            .collect();
-        if servers.is_empty() {
-            return Vec::new();
-        }
-        let stripes_per_server = (TOTAL_STRIPES / servers.len()).clamp(1, MAX_STRIPES_PER_SERVER);
-        let stripe_keys = range
-            .len()
-            .div_ceil((stripes_per_server * servers.len()) as u32)
-            .max(1);
-        let mut parts = Vec::new();
-        let mut next = Some(range.first);
-        while let Some(first) = next.filter(|first| *first <= range.last) {
-            let end = u32::from(first.0) + stripe_keys - 1;
-            let last = RangeKey(end.min(u32::from(range.last.0)) as u16);
-            let part = KeyRange { first, last };
-            parts.push((part, servers[parts.len() % servers.len()].clone()));
-            next = part.next_key();
-        }
-        for (part, server) in &parts {
-            self.add_load(server, *part);
-        }
-        parts
-    }
-
     /// Splits `left`, the upper end of `range`, at the key below which lies `fraction` of
     /// the weight of `range`. Keys without demand have a small weight, so that an idle
     /// range is split evenly.
@@ -232,7 +196,7 @@
     }
 
     /// Requests per second for `range`, with a small addition for each key.
-    fn weight(&self, range: KeyRange) -> f64 {
+    pub(super) fn weight(&self, range: KeyRange) -> f64 {
         self.demand.rate(range) + f64::from(range.len()) * IDLE_KEY_RATE
     }
 
