Planners store learned loads for their successors (keep_loads)

Cause: a new planner knew neither the speeds of servers nor the demand for keys, and assigned keys without an owner by slots until it had measured both itself.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -270,6 +270,9 @@
                 .map(parse_former_planners)
                 .unwrap_or_default();
         }
+        if self.settings.keep_loads {
+            self.load_rows.apply(row);
+        }
         if let Ok(key) = row.key.parse::<MapKey>() {
             apply_map(state, key, row);
         }
--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -3,11 +3,16 @@
 use {
     citron_core::{
         id::{Epoch, ServerName, ServiceName, StoreEra},
-        ranges::{KeyRange, RangeKey, Slice},
+        ranges::{DemandShares, KeyRange, LearnedLoads, RangeKey, Slice, Speed},
         time::StoreTime,
     },
     serde::{Deserialize, Serialize, Serializer},
-    std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr},
+    std::{
+        collections::{BTreeMap, HashMap},
+        fmt,
+        net::SocketAddr,
+        str::FromStr,
+    },
 };
 
 /// Row key of the planner's leadership.
@@ -19,6 +24,8 @@
 /// Prefix of the row keys of maps. The service name follows; if the row holds only a part
 /// of the keys, [`MAP_RANGE_SEPARATOR`] and the key range come after it.
 const MAP_KEY_PREFIX: &str = "map.";
+/// Prefix of the row keys of learned loads; the service name follows.
+const LOADS_KEY_PREFIX: &str = "loads.";
 /// Separates the service name, which cannot contain it, from the key range of a part.
 const MAP_RANGE_SEPARATOR: char = '/';
 
@@ -82,6 +89,26 @@
     }
 }
 
+/// Row key of the learned loads of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadsKey(pub ServiceName);
+
+impl fmt::Display for LoadsKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{LOADS_KEY_PREFIX}{}", self.0)
+    }
+}
+
+impl FromStr for LoadsKey {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let service = text.strip_prefix(LOADS_KEY_PREFIX);
+        let service = service.ok_or("not the key of a row of learned loads")?;
+        service.parse().map(Self).map_err(error_text)
+    }
+}
+
 fn error_text(error: impl fmt::Display) -> String {
     error.to_string()
 }
@@ -212,3 +239,60 @@
         Ok(slices)
     }
 }
+
+/// Learned loads of a service: speeds of servers relative to the mean, in percent, and the last
+/// keys of parts with equal demand.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LoadsWire {
+    speeds: BTreeMap<String, u16>,
+    #[serde(default)]
+    demand: Vec<u16>,
+}
+
+impl From<&LearnedLoads> for LoadsWire {
+    fn from(loads: &LearnedLoads) -> Self {
+        let percent = |speed: &Speed| (speed.get() * 100.0).round() as u16;
+        let speeds = loads.speeds.iter();
+        let last_keys = loads.demand.last_keys().iter();
+        Self {
+            speeds: speeds
+                .map(|(server, speed)| (server.to_string(), percent(speed)))
+                .collect(),
+            demand: last_keys.map(|key| key.0).collect(),
+        }
+    }
+}
+
+impl TryFrom<LoadsWire> for LearnedLoads {
+    type Error = String;
+
+    fn try_from(wire: LoadsWire) -> Result<Self, String> {
+        let speed = |(server, percent): (String, u16)| {
+            let server = server.parse().map_err(error_text)?;
+            Ok((server, Speed::new(f64::from(percent) / 100.0)))
+        };
+        let speeds = wire.speeds.into_iter().map(speed);
+        let last_keys = wire.demand.into_iter().map(RangeKey).collect();
+        Ok(Self {
+            speeds: speeds.collect::<Result<_, String>>()?,
+            demand: DemandShares::new(last_keys).map_err(error_text)?,
+        })
+    }
+}
+
+impl LoadsWire {
+    /// Encodes loads in at most `bytes_max` bytes, with fewer of the speeds if necessary. None
+    /// if the demand alone is larger.
+    pub fn encode(mut loads: LearnedLoads, bytes_max: usize) -> Option<Vec<u8>> {
+        loop {
+            let value = serde_json::to_vec(&Self::from(&loads)).ok()?;
+            if value.len() <= bytes_max {
+                return Some(value);
+            }
+            if loads.speeds.is_empty() {
+                return None;
+            }
+            loads.truncate(loads.speeds.len() / 2);
+        }
+    }
+}
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -182,6 +182,8 @@
     pub long_polls: refresh::LongPolls,
     /// Demand for keys. Only the planner collects it.
     pub demands: RefCell<DemandTracker>,
+    /// What planners have learned of the load of services.
+    pub load_rows: planner::LoadRows,
     /// Transfers of tables to this instance that are in progress.
     pub fetches: RefCell<Fetches<{ WATCHED.len() }>>,
     /// Exchange of tables with other instances.
@@ -303,6 +305,7 @@
             registered_at: Cell::default(),
             long_polls: refresh::LongPolls::default(),
             demands: RefCell::default(),
+            load_rows: planner::LoadRows::default(),
             fetches: RefCell::new(Fetches::new(FetchTimes::STANDARD)),
             relay: relay::Relay::default(),
             permits: Permits::default(),
--- a/crates/citronproxy/src/edge/control/planner/mod.rs
+++ b/crates/citronproxy/src/edge/control/planner/mod.rs
@@ -5,8 +5,9 @@
 mod claim;
 mod commit;
 mod former_planners;
+mod load_rows;
 mod orders;
 mod run;
 mod term;
 
-pub use run::run;
+pub use {load_rows::LoadRows, run::run};
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -4,6 +4,7 @@
     super::{
         claim::{claim_leadership, should_claim_leadership},
         commit::commit_map,
+        load_rows,
         orders::OrderClient,
         term::{OrderResult, Term},
     },
@@ -81,6 +82,7 @@
         if Term::may_act(&controller, &lease_times) {
             if iteration_start - planned_at >= PLAN_INTERVAL {
                 term.plan(&controller, lease_times);
+                load_rows::write_due(&controller, term);
                 drop_unused_connections(&controller, &orders);
                 planned_at = iteration_start;
             }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -197,8 +197,10 @@
             let is_requested = controller.demands.borrow().is_requested(name);
             let ages: Vec<_> = open.iter().map(|known| now - known.first_seen).collect();
             let may_assign = is_server_set_complete(&ages, is_requested);
+            let learned = controller.load_rows.learned(name, &open);
             let capacities = capacities(
                 &open,
+                &learned,
                 service.slow_start,
                 &controller.shared.loads(),
                 &controller.shared.limits(),
@@ -207,8 +209,17 @@
             if may_rebalance {
                 plan.demand = controller.demands.borrow().current(name, now);
             }
+            // Learned shares have no window, so that nothing is moved for balance by them.
+            let learned_demand = match plan.demand.is_reliable() {
+                true => Demand::default(),
+                false => learned.demand.to_demand(),
+            };
+            let demand = match learned_demand.rate(KeyRange::ALL) > 0.0 {
+                true => &learned_demand,
+                false => &plan.demand,
+            };
             let limits = BalanceLimits::STANDARD;
-            let mut balance = Balancer::new(limits, &capacities, &plan.demand);
+            let mut balance = Balancer::new(limits, &capacities, demand);
             let scope = PlanScope {
                 may_assign,
                 may_rebalance,
@@ -228,6 +239,12 @@
         }
     }
 
+    /// Whether the outcome of a commit of any map is not known yet.
+    pub fn has_open_commit(&self) -> bool {
+        let mut plans = self.plans.values();
+        plans.any(|plan| plan.reconciler.is_commit_open())
+    }
+
     /// Returns the orders that are due.
     pub fn due_orders<A: Adapter>(
         &mut self,
--- a/crates/citronproxy/src/edge/settings.rs
+++ b/crates/citronproxy/src/edge/settings.rs
@@ -58,6 +58,9 @@
     pub lease_max: Duration,
     /// Largest row that the store accepts, in bytes.
     pub row_bytes_max: usize,
+    /// Whether the planner stores the speeds of servers and the shares of demand that it
+    /// learned, in a row for each service, and assigns keys by those of former planners.
+    pub keep_loads: bool,
     /// Share of a processor that the instance may use, in percent. Instances with a
     /// larger share are preferred as planner and as readers of the store.
     pub cpu_percent: u32,
@@ -86,6 +89,8 @@
     #[serde(default)]
     row_bytes: Option<usize>,
     #[serde(default)]
+    keep_loads: bool,
+    #[serde(default)]
     metrics: Option<SocketAddr>,
 }
 
@@ -137,6 +142,7 @@
             metrics_address: raw.metrics,
             lease_max: parse::seconds(path, "lease_max_s", raw.lease_max_s)?,
             row_bytes_max: raw.row_bytes.unwrap_or(DEFAULT_ROW_BYTES_MAX),
+            keep_loads: raw.keep_loads,
             cpu_percent: (raw.cpu_share * 100.0) as u32,
         })
     }
--- a/crates/core/src/ranges/demand.rs
+++ b/crates/core/src/ranges/demand.rs
@@ -33,6 +33,27 @@
 }
 
 impl Demand {
+    /// Demand without a window, from the requests per second of each key. Keys of at least
+    /// `hot_rate` are hot.
+    pub(super) fn from_rates(rates: &[f64], hot_rate: f64) -> Self {
+        let mut sum = 0.0;
+        let mut cumulative = Vec::with_capacity(rates.len() + 1);
+        cumulative.push(0.0);
+        for rate in rates {
+            sum += rate;
+            cumulative.push(sum as f32);
+        }
+        let keys = rates.iter().enumerate();
+        let hot = keys.filter(|(_, rate)| **rate >= hot_rate);
+        Self {
+            cumulative,
+            hot_keys: hot
+                .map(|(key, rate)| (RangeKey(key as u16), *rate))
+                .collect(),
+            window_secs: 0.0,
+        }
+    }
+
     /// Requests per second for `range`.
     pub fn rate(&self, range: KeyRange) -> f64 {
         self.rate_below(usize::from(range.last.0) + 1) - self.rate_below(usize::from(range.first.0))
--- a/crates/core/src/ranges/error.rs
+++ b/crates/core/src/ranges/error.rs
@@ -39,4 +39,12 @@
         /// The highest earlier epoch.
         highest: u64,
     },
+    /// Keys that should ascend do not.
+    #[error("key {before} is followed by the lower key {after}")]
+    Unordered {
+        /// The key that is followed by a lower one.
+        before: RangeKey,
+        /// The lower key.
+        after: RangeKey,
+    },
 }
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -11,6 +11,7 @@
 mod error;
 mod fence;
 mod key;
+mod learned_loads;
 mod leases;
 mod map;
 mod map_replica;
@@ -27,6 +28,7 @@
     error::RangeError,
     fence::Fence,
     key::{KeyRange, RangeKey},
+    learned_loads::{DemandShares, LearnedLoads, LoadLearner, Speed},
     leases::{LeaseTimes, LeaseTracker},
     map::{RangeMap, Slice},
     map_replica::MapReplica,
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -126,6 +126,11 @@
         self.moves.len()
     }
 
+    /// Whether the outcome of a commit is not known yet.
+    pub fn is_commit_open(&self) -> bool {
+        self.commit_started.is_some()
+    }
+
     /// Restarts from the map in the store. The record of sent grants is kept.
     pub fn reload(&mut self, map: RangeMap) {
         self.map = map;
