--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -1,7 +1,7 @@
 //! One term of the planner: the time during which this instance has the leadership.
 
 use {
-    super::capacity::{capacities, is_server_set_complete},
+    super::capacity::capacities,
     crate::{
         edge::control::{
             controller::{ControlState, Controller, Leadership, PlannerId},
@@ -13,7 +13,7 @@
         id::{ServiceName, StoreVersion},
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, KeyRange, LeaseTimes, LeaseTracker,
-            Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
+            Order, OrderOutcome, PlanScope, RangeMap, Reconciler, is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
@@ -195,9 +195,12 @@
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
-            let may_assign = is_server_set_complete(&open, is_requested, now);
+            let ages: Vec<_> = open.iter().map(|known| now - known.first_seen).collect();
+            let may_assign = is_server_set_complete(&ages, is_requested);
+            let learned = controller.load_rows.learned(name, &open);
             let capacities = capacities(
                 &open,
+                &learned,
                 service.slow_start,
                 &controller.shared.loads(),
                 &controller.shared.limits(),
@@ -206,8 +209,17 @@
             if may_rebalance {
                 plan.demand = controller.demands.borrow().current(name, now);
             }
+            // Learned shares have no window, so that nothing is moved for balance by them.
+            let learned_demand = match plan.demand.is_reliable() {
+                true => Demand::default(),
+                false => learned.demand.to_demand(),
+            };
+            let demand = match learned_demand.rate(KeyRange::ALL) > 0.0 {
+                true => &learned_demand,
+                false => &plan.demand,
+            };
             let limits = BalanceLimits::STANDARD;
-            let mut balance = Balancer::new(limits, &capacities, &plan.demand);
+            let mut balance = Balancer::new(limits, &capacities, demand);
             let scope = PlanScope {
                 may_assign,
                 may_rebalance,
@@ -227,6 +239,12 @@
         }
     }
 
+    /// Whether the outcome of a commit of any map is not known yet.
+    pub fn has_open_commit(&self) -> bool {
+        let mut plans = self.plans.values();
+        plans.any(|plan| plan.reconciler.is_commit_open())
+    }
+
     /// Returns the orders that are due.
     pub fn due_orders<A: Adapter>(
         &mut self,
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -11,12 +11,14 @@
 mod error;
 mod fence;
 mod key;
+mod learned_loads;
 mod leases;
 mod map;
 mod map_replica;
 mod move_log;
 mod partitions;
 mod reconciler;
+mod server_set;
 mod windows;
 
 pub use {
@@ -26,11 +28,13 @@
     error::RangeError,
     fence::Fence,
     key::{KeyRange, RangeKey},
+    learned_loads::{DemandShares, LearnedLoads, LoadLearner, Speed},
     leases::{LeaseTimes, LeaseTracker},
     map::{RangeMap, Slice},
     map_replica::MapReplica,
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler},
+    server_set::is_server_set_complete,
     windows::DemandWindows,
 };
