Another broker is asked when one stays silent; callers with unusual timeouts

Cause: instances that are gone stay in the table of members of other failure domains, so that their servers had no broker for these; and one caller with a long timeout made all others of its route appear late for 30 s.

Change: a broker that has been silent for 3 s is passed over between the requests that find out whether it is back. The timeout of a first try is the one that a tenth of the latest 64 requests reach, rather than the largest.

--- a/crates/citronproxy/src/edge/traffic/slot.rs
+++ b/crates/citronproxy/src/edge/traffic/slot.rs
@@ -183,12 +183,19 @@
     };
     let mut leaving: Vec<&InstanceId> = Vec::new();
     loop {
+        let now = state.clock.now();
         let candidates = view.broker_candidates.iter();
-        let staying = candidates.filter(|candidate| !leaving.contains(&&candidate.instance));
-        let Some(broker) = find_broker(server, staying) else {
+        let broker = {
+            let health = state.slots.health.borrow();
+            let may_answer = |candidate: &&BrokerCandidate| {
+                let instance = &candidate.instance;
+                !leaving.contains(&instance) && !health.is_lost(instance, now)
+            };
+            find_broker(server, candidates.filter(may_answer))
+        };
+        let Some(broker) = broker else {
             return SlotDecision::Unavailable;
         };
-        let now = state.clock.now();
         if !state.slots.begin_request(&broker.instance, now) {
             return SlotDecision::Unavailable;
         }
--- a/crates/core/src/slots/caller_age.rs
+++ b/crates/core/src/slots/caller_age.rs
@@ -2,20 +2,27 @@
 
 use {
     crate::time::Time,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
 };
 
 /// Time for which a timeout counts.
 const WINDOW: Duration = Duration::from_secs(30);
-/// Parts of the window; a timeout counts for at least all but one of them.
-const PARTS: usize = 6;
+/// Most timeouts that count for a route.
+const TIMEOUTS_MAX: usize = 64;
+/// Share of the timeouts that must reach the one of a first try, as a divisor. A few callers
+/// with longer timeouts than others do not make these appear late.
+const FIRST_TRY_DIVISOR: usize = 10;
 /// Most routes that are recorded.
 const ROUTES_MAX: usize = 1_024;
 
-/// Largest timeouts that callers have lately sent, by route.
+/// Timeouts that callers have lately sent, by route.
 ///
 /// A caller that retries sends what is left of its timeout, so the difference from the
-/// largest one is the time that it has waited.
+/// timeout of first tries is the time that it has waited. Callers retry a few times, so that
+/// at least a tenth of the requests are first tries.
 ///
 /// ```
 /// use {citron_core::{slots::CallerAges, time::Time}, std::time::Duration};
@@ -29,20 +36,17 @@
     routes: BTreeMap<String, Timeouts>,
 }
 
-/// Largest timeout of each part of the window, with the part's number since the origin.
+/// Latest timeouts of a route, with the times at which they were received.
 #[derive(Debug, Default)]
-struct Timeouts {
-    parts: [(u64, Duration); PARTS],
-}
+struct Timeouts(VecDeque<(Time, Duration)>);
 
 impl CallerAges {
     /// Records the timeout that a caller sent. Returns the time that the caller has
     /// already waited; zero if there are too many routes to tell.
     pub fn observe(&mut self, route: &str, timeout: Duration, now: Time) -> Duration {
-        let part = part_of(now);
         if !self.routes.contains_key(route) {
             if self.routes.len() >= ROUTES_MAX {
-                self.routes.retain(|_, timeouts| timeouts.is_recent(part));
+                self.routes.retain(|_, timeouts| timeouts.is_recent(now));
             }
             if self.routes.len() >= ROUTES_MAX {
                 return Duration::ZERO;
@@ -51,32 +55,26 @@
         }
         let timeouts = self.routes.get_mut(route);
         timeouts.map_or(Duration::ZERO, |timeouts| {
-            timeouts.record(timeout, part).saturating_sub(timeout)
+            timeouts.record(timeout, now).saturating_sub(timeout)
         })
     }
 }
 
 impl Timeouts {
-    /// Records a timeout. Returns the largest one of the window.
-    fn record(&mut self, timeout: Duration, part: u64) -> Duration {
-        let current = &mut self.parts[(part % PARTS as u64) as usize];
-        if current.0 != part {
-            *current = (part, Duration::ZERO);
+    /// Records a timeout. Returns that of first tries.
+    fn record(&mut self, timeout: Duration, now: Time) -> Duration {
+        self.0.push_back((now, timeout));
+        let is_old = |(at, _): &(Time, Duration)| now - *at >= WINDOW;
+        while self.0.len() > TIMEOUTS_MAX || self.0.front().is_some_and(is_old) {
+            self.0.pop_front();
         }
-        current.1 = current.1.max(timeout);
-        let recent = self.parts.iter().filter(|(of, _)| counts(*of, part));
-        recent.map(|(_, max)| *max).max().unwrap_or(timeout)
+        let mut recent: Vec<Duration> = self.0.iter().map(|(_, timeout)| *timeout).collect();
+        recent.sort_unstable_by(|a, b| b.cmp(a));
+        let index = recent.len().div_ceil(FIRST_TRY_DIVISOR).saturating_sub(1);
+        recent.get(index).copied().unwrap_or(timeout)
     }
 
-    fn is_recent(&self, part: u64) -> bool {
-        self.parts.iter().any(|(of, _)| counts(*of, part))
+    fn is_recent(&self, now: Time) -> bool {
+        self.0.back().is_some_and(|(at, _)| now - *at < WINDOW)
     }
 }
-
-fn counts(of: u64, part: u64) -> bool {
-    of + PARTS as u64 > part
-}
-
-fn part_of(now: Time) -> u64 {
-    now.as_micros() / (WINDOW.as_micros() as u64 / PARTS as u64)
-}
--- a/crates/core/src/slots/health.rs
+++ b/crates/core/src/slots/health.rs
@@ -9,6 +9,9 @@
 const PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Upper bound of that time; it doubles with each unanswered request that follows.
 const PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Time without an answer after which another instance is asked instead of the broker. It
+/// exceeds short freezes, so that the servers of a broker do not get two of them for these.
+const LOST_AFTER: Duration = Duration::from_secs(3);
 /// Time after which the record of a broker that is no longer asked is dropped.
 const IDLE_MAX: Duration = Duration::from_secs(60);
 
@@ -31,6 +34,7 @@
 
 #[derive(Debug)]
 struct Pause {
+    since: Time,
     length: Duration,
     until: Time,
 }
@@ -43,6 +47,13 @@
             .is_none_or(|pause| now >= pause.until)
     }
 
+    /// Whether another instance should be asked instead of a broker, as it has been
+    /// unresponsive for long. It is still asked after each pause.
+    pub fn is_lost(&self, broker: &InstanceId, now: Time) -> bool {
+        let pause = self.silent.get(broker);
+        pause.is_some_and(|pause| now - pause.since >= LOST_AFTER && now < pause.until)
+    }
+
     /// Records that a request was sent to a broker. An unresponsive broker gets no other
     /// until this one is answered or the pause has passed again.
     pub fn record_request(&mut self, broker: &InstanceId, now: Time) {
@@ -69,6 +80,7 @@
             return false;
         }
         let pause = Pause {
+            since: now,
             length: PAUSE_MIN,
             until: now + PAUSE_MIN,
         };
--- a/crates/core/tests/slots/failures.rs
+++ b/crates/core/tests/slots/failures.rs
@@ -136,6 +136,22 @@
     assert!(!health.record_answer(&broker));
 }
 
+/// Guards against servers without a broker for good: an instance that is gone stays in the
+/// table of members of other failure domains, and another one has to take its place.
+#[test]
+fn a_broker_that_stays_silent_is_replaced() {
+    let broker = "n-1".parse().unwrap();
+    let mut health = BrokerHealth::default();
+    health.record_silence(&broker, at(0));
+    assert!(!health.is_lost(&broker, at(2_900)));
+    health.record_request(&broker, at(2_950));
+    assert!(health.is_lost(&broker, at(3_000)));
+    // A request now and then finds out whether it is back.
+    assert!(!health.is_lost(&broker, at(9_000)));
+    health.record_answer(&broker);
+    assert!(!health.is_lost(&broker, at(9_100)));
+}
+
 /// Guards against callers whose age is unknown, or taken from a timeout of long ago.
 #[test]
 fn callers_that_return_with_the_rest_of_their_timeout() {
@@ -151,6 +167,17 @@
     assert_eq!(observe(2_000, 90_000), 0);
 }
 
+/// Guards against one caller with a long timeout that makes all others appear late.
+#[test]
+fn a_caller_with_an_unusual_timeout() {
+    let mut ages = CallerAges::default();
+    for millis in 0..200 {
+        let timeout = if millis == 100 { 60 } else { 3 };
+        let waited = ages.observe("views", Duration::from_secs(timeout), at(millis));
+        assert_eq!(waited, Duration::ZERO);
+    }
+}
+
 /// Guards against memory that grows with the names of routes.
 #[test]
 fn routes_of_caller_ages_are_bounded() {
