--- a/crates/citronproxy/src/edge/control/reach.rs
+++ b/crates/citronproxy/src/edge/control/reach.rs
@@ -43,8 +43,10 @@
         }
         announce(&controller);
         while controller.shared.is_cut_off() {
-            for check in any_servers(&controller, CHECKED_SERVERS) {
-                spawn_local(check_server(Rc::clone(&controller), check));
+            if let Some(view) = controller.shared.view() {
+                for check in random_servers(&view, CHECKED_SERVERS, |_| true) {
+                    spawn_local(check_server(Rc::clone(&controller), check));
+                }
             }
             sleep(CHECK_INTERVAL).await;
         }
@@ -110,8 +112,8 @@
     result.is_ok()
 }
 
-/// Checks of the servers that responded last, and of some others at random, so that no failure
-/// domain is left out for long.
+/// Checks of the servers that responded last, and of some others at random. Half of these are
+/// in the own failure domain, which is within reach when the domain is cut off.
 fn likely_servers<A: Adapter>(controller: &Controller<A>) -> Vec<Check> {
     let Some(view) = controller.shared.view() else {
         return Vec::new();
@@ -124,7 +126,11 @@
         .iter()
         .filter_map(|name| to_check(&view, view.find_server(name)?));
     let mut checks: Vec<Check> = known.take(CONFIRMING_SERVERS / 2).collect();
-    for check in any_servers(controller, CONFIRMING_SERVERS) {
+    let domain = &controller.settings.domain;
+    let near = random_servers(&view, CONFIRMING_SERVERS / 4, |server| {
+        server.entry.domain == *domain
+    });
+    for check in near.chain(random_servers(&view, CONFIRMING_SERVERS, |_| true)) {
         let is_new = checks.iter().all(|known| known.server != check.server);
         if is_new && checks.len() < CONFIRMING_SERVERS {
             checks.push(check);
@@ -134,17 +140,17 @@
 }
 
 /// Checks of some available servers, at random.
-fn any_servers<A: Adapter>(controller: &Controller<A>, count: usize) -> Vec<Check> {
-    let Some(view) = controller.shared.view() else {
-        return Vec::new();
-    };
+fn random_servers(
+    view: &View,
+    count: usize,
+    is_eligible: impl Fn(&ServerRecord) -> bool,
+) -> impl Iterator<Item = Check> {
     let servers = view.servers.values().flat_map(|list| list.as_slice());
-    let available = servers.filter(|server| server.is_available());
-    let chosen = available.choose_multiple(&mut rand::rng(), count);
-    let checks = chosen.into_iter();
-    checks
-        .filter_map(|server| to_check(&view, server))
-        .collect()
+    let eligible = servers.filter(|server| server.is_available() && is_eligible(server));
+    let chosen = eligible.choose_multiple(&mut rand::rng(), count);
+    chosen
+        .into_iter()
+        .filter_map(|server| to_check(view, server))
 }
 
 fn to_check(view: &View, server: &ServerRecord) -> Option<Check> {
