--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -30,7 +30,7 @@
 
 /// Fraction of a server's slots from which on requests may have to wait for one. An instance
 /// knows the requests of others by reports that are older than a request runs.
-const CONTENDED_SHARE: f64 = 0.5;
+const CONTENDED_SHARE: f64 = 0.75;
 /// Time for which a request that had to wait, or was denied a slot, shows that others may
 /// have to as well: a burst lasts some seconds.
 const CONTENDED_TIME: Duration = Duration::from_secs(2);
