Rejections for lack of a slot can be followed to their broker

Result: a_denied_slot_is_explained_with_its_broker is new and passes; the other tests of citronctl pass unchanged.

--- a/crates/citronctl/src/commands/explain.rs
+++ b/crates/citronctl/src/commands/explain.rs
@@ -25,7 +25,9 @@
 const ANSWERED_OUTCOME: &str = "answered by a server after the failed attempts below";
 /// Events about the state of servers, services and the platform. The latest ones before
 /// the end of a request are shown as its context.
-const CONTEXT_EVENTS: [&str; 6] = ["C0400", "C0401", "C0410", "C0420", "C0430", "C0434"];
+const CONTEXT_EVENTS: [&str; 8] = [
+    "C0400", "C0401", "C0410", "C0420", "C0427", "C0428", "C0430", "C0434",
+];
 
 /// Prints the lines of a request in order of time, and the latest earlier context events.
 ///
@@ -95,11 +97,12 @@
     lines
 }
 
-/// Returns the servers and services named in the lines of a request.
+/// Returns the servers, brokers and services named in the lines of a request.
 fn mentioned_names(request_lines: &[&LogLine]) -> Vec<String> {
     let words = request_lines.iter().flat_map(|line| line.text.split(' '));
     let values = words.filter_map(|word| {
         let server = word.strip_prefix("server=");
+        let server = server.or_else(|| word.strip_prefix("broker="));
         server.or_else(|| word.strip_prefix("service="))
     });
     let mut mentioned_names: Vec<String> = values.map(str::to_string).collect();
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -243,6 +243,32 @@
     assert_eq!(shell.run("explain ab12").code, 2);
 }
 
+const BROKER_LOG: &str = "\
+[2026-12-02T10:00:01.000Z WARN  citronproxy::edge] C0427 broker-silent west-3 at 10.2.0.3:7, asked for a slot of i-7f
+[2026-12-02T10:00:01.500Z WARN  citronproxy::edge] C0427 broker-silent west-9 at 10.2.0.9:7, asked for a slot of i-80
+[2026-12-02T10:00:02.000Z INFO  citronproxy::edge] C0428 broker-back west-3 answers again
+[2026-12-02T10:00:03.300Z INFO  citronproxy::edge] C0500 request-refused id=cd34 route=r-1 service=balances server=i-7f waited=3ms tried=0 broker=west-3 again=300ms: no slot of the owner (all slots are taken)
+";
+
+/// Guards against a rejection for lack of a slot that cannot be followed to the instance that
+/// denied it.
+#[test]
+fn a_denied_slot_is_explained_with_its_broker() {
+    let shell = Shell {
+        admin: "127.0.0.1:1".parse().unwrap(),
+    };
+    let log = File::write("broker.log", BROKER_LOG);
+    let text = expect_success(shell.run(&format!("explain cd34 {}", log.path())));
+    for expected in [
+        "server=i-7f",
+        "broker=west-3",
+        "C0427 broker-silent",
+        "C0428",
+    ] {
+        assert!(text.contains(expected), "{expected}: {text}");
+    }
+}
+
 /// The summary counts the refusals and failed attempts in the files of two instances, by
 /// reason and time.
 #[test]
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -109,7 +109,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Overload(overload) => return overload.fmt(f),
-            Self::NoSlot(reason) => return write!(f, "no slot of the owner: {reason}"),
+            Self::NoSlot(reason) => return write!(f, "no slot of the owner ({reason})"),
             Self::NoConfiguration => "no configuration is known",
             Self::Unreached => "no server responds to this instance",
             Self::OwnerUnreached => "the server does not respond to this instance either",
