A refusal with slots free takes none away

While servers refuse 55 in 100 requests with slots free, the broker took one slot off for half a second for each refusal, down to one slot.

Change: where the refusal reports the server's load and no requests beyond the granted ones, nothing is taken off.

--- a/crates/core/src/slots/shared_use.rs
+++ b/crates/core/src/slots/shared_use.rs
@@ -39,10 +39,14 @@
 
     /// Records that the server refused a request while `leases` others were granted.
     pub fn record_refusal(&mut self, load: Option<ReportedLoad>, leases: u32, now: Time) {
-        let reported = load.map_or(0.0, |load| excess(&load, leases));
-        if reported > 0.0 {
-            self.reported = reported.max(self.requests(now).into());
-            self.reported_until = now + REPORT_TTL;
+        if let Some(load) = load {
+            // A server that refuses although it reports no other requests has another reason
+            // than a lack of slots, and may accept the next request.
+            let excess = excess(&load, leases);
+            if excess > 0.0 {
+                self.reported = excess.max(self.requests(now).into());
+                self.reported_until = now + REPORT_TTL;
+            }
             return;
         }
         self.refusals.retain(|end| *end > now);
--- a/crates/core/tests/slots/failures.rs
+++ b/crates/core/tests/slots/failures.rs
@@ -112,6 +112,15 @@
     }
 }
 
+/// Guards against a server that refuses half of its requests with slots free and then gets
+/// hardly any: it does not lack slots.
+#[test]
+fn refusals_of_a_server_with_free_slots() {
+    let mut broker = SlotBroker::default();
+    refuse(&mut broker, "0,0,4".parse().ok(), 50);
+    assert_eq!(granted_at(&mut broker, 100), 6);
+}
+
 /// Guards against requests that all wait for a broker that does not answer, and against
 /// one that is never asked again.
 #[test]
