Refusals without a report take at most half of a server's slots

Each refusal took a slot off for half a second, down to one.

Change: at most half of the slots are taken off.

--- a/crates/core/src/slots/server_slots.rs
+++ b/crates/core/src/slots/server_slots.rs
@@ -196,7 +196,7 @@
     }
 
     fn outlook(&self, now: Time) -> Outlook {
-        let others = self.shared_use.requests(now);
+        let others = self.shared_use.requests(self.slots, now);
         // Keeps the server busy while a release and the next grant travel.
         let spare = (self.slots.0 / 2).max(1);
         Outlook {
@@ -299,7 +299,7 @@
     }
 
     fn grant(&mut self, queued: Queued<R>, now: Time) -> (R, SlotAnswer) {
-        let others = self.shared_use.requests(now);
+        let others = self.shared_use.requests(self.slots, now);
         let in_flight = u32::try_from(self.leases.len()).unwrap_or(u32::MAX);
         let in_flight = in_flight.saturating_add(others).min(u32::MAX - 1);
         let lease = Lease {
--- a/crates/core/src/slots/shared_use.rs
+++ b/crates/core/src/slots/shared_use.rs
@@ -1,7 +1,7 @@
 //! Use of a server by others than its broker.
 
 use {
-    crate::{dispatch::ReportedLoad, time::Time},
+    crate::{dispatch::ReportedLoad, id::Slots, time::Time},
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -18,7 +18,9 @@
 ///
 /// A lease covers the whole time of its request at the server, so reports that exceed the
 /// leases on average show requests of others. Single reports may exceed or fall short of them,
-/// as releases travel. Without reports, refusals show requests of others.
+/// as releases travel. Without reports, refusals show requests of others, or a server that
+/// refuses for another reason: they take at most half of the slots, and a queue of others
+/// shows in the run times as well.
 #[derive(Debug, Default)]
 pub struct SharedUse {
     reported: f64,
@@ -27,14 +29,19 @@
 }
 
 impl SharedUse {
-    /// Requests of others at the server.
-    pub fn requests(&self, now: Time) -> u32 {
+    /// Requests of others at the server, of which refusals account for at most half of `slots`.
+    pub fn requests(&self, slots: Slots, now: Time) -> u32 {
         let counted = self.refusals.iter().filter(|end| **end > now).count();
-        let reported = match now < self.reported_until {
-            true => self.reported.max(0.0).round() as u32,
-            false => 0,
-        };
-        reported.max(u32::try_from(counted).unwrap_or(u32::MAX))
+        let counted = u32::try_from(counted).unwrap_or(u32::MAX).min(slots.0 / 2);
+        let reported = self.reported_at(now).max(0.0).round() as u32;
+        reported.max(counted)
+    }
+
+    fn reported_at(&self, now: Time) -> f64 {
+        match now < self.reported_until {
+            true => self.reported,
+            false => 0.0,
+        }
     }
 
     /// Records that the server refused a request while `leases` others were granted.
@@ -44,7 +51,7 @@
             // than a lack of slots, and may accept the next request.
             let excess = excess(&load, leases);
             if excess > 0.0 {
-                self.reported = excess.max(self.requests(now).into());
+                self.reported = excess.max(self.reported_at(now));
                 self.reported_until = now + REPORT_TTL;
             }
             return;
