--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -11,6 +11,7 @@
 mod grant_shares;
 mod health;
 mod outlook;
+mod recent_demand;
 mod request;
 mod retry_times;
 mod run_time;
--- a/crates/core/src/slots/server_slots.rs
+++ b/crates/core/src/slots/server_slots.rs
@@ -2,11 +2,8 @@
 
 use {
     super::{
-        DenyReason, SlotAnswer, SlotConfig, SlotOutcome, SlotRequest,
-        grant_shares::{GrantShares, RecentDemand},
-        outlook::Outlook,
-        retry_times::RetryTimes,
-        run_time::RunTime,
+        DenyReason, SlotAnswer, SlotConfig, SlotOutcome, SlotRequest, grant_shares::GrantShares,
+        outlook::Outlook, recent_demand::RecentDemand, retry_times::RetryTimes, run_time::RunTime,
         shared_use::SharedUse,
     },
     crate::{dispatch::run_share, id::Slots, time::Time},
