--- a/crates/core/src/dispatch/reach.rs
+++ b/crates/core/src/dispatch/reach.rs
@@ -82,7 +82,7 @@
 pub struct Reach {
     last_response: Option<Time>,
     servers: BTreeMap<ServerName, ServerEvidence>,
-    suspected_since: Option<Time>,
+    is_suspected: bool,
     cut_off_since: Option<Time>,
 }
 
@@ -114,8 +114,10 @@
         evidence.failure = None;
         evidence.has_ended = false;
         evidence.last_response = Some(now);
-        let was_cut_off = self.cut_off_since.take().is_some();
-        self.suspected_since.take().is_some() || was_cut_off
+        let ends = self.links() != Links::Sound;
+        self.is_suspected = false;
+        self.cut_off_since = None;
+        ends
     }
 
     /// Records that an attempt at a server failed, which began at `started`. Returns whether a
@@ -139,7 +141,7 @@
         let quiet = now - self.last_response.unwrap_or(started);
         let begins = (unreachable.count() >= UNREACHABLE_SERVERS && quiet >= UNREACHABLE_TIME)
             || (failures.len() >= FAILING_SERVERS && quiet >= FAILING_TIME);
-        self.suspected_since = begins.then_some(now);
+        self.is_suspected = begins;
         begins
     }
 
@@ -214,10 +216,10 @@
 
     /// What this instance concludes about its own links.
     pub fn links(&self) -> Links {
-        match (self.cut_off_since, self.suspected_since) {
+        match (self.cut_off_since, self.is_suspected) {
             (Some(_), _) => Links::CutOff,
-            (None, Some(_)) => Links::Suspected,
-            (None, None) => Links::Sound,
+            (None, true) => Links::Suspected,
+            (None, false) => Links::Sound,
         }
     }
 
