Whether a broker is asked is decided without another candidate

The selection built a second candidate of the chosen server, with a look at the pool's idle connections, only to read whether its broker is to be asked. No change of behaviour; the linter of the crate passes, tests were not run on this commit when it was made.

--- a/crates/citronproxy/src/edge/traffic/target.rs
+++ b/crates/citronproxy/src/edge/traffic/target.rs
@@ -221,26 +221,26 @@
     let remote_load_factor = remote_load_factor.max(1.0);
     let reuse_policy = reuse_policy(state, query.service, query.idempotency);
     let loads = state.shared.loads();
-    let to_candidate = |server: &'a Arc<ServerRecord>| {
+    let load_factor = |server: &ServerRecord| {
         let same_domain = server.entry.domain == state.settings.domain;
-        let load_factor = match same_domain && query.key.is_none() {
+        match same_domain && query.key.is_none() {
             true => 1.0,
             false => remote_load_factor,
-        };
-        Candidate {
-            server,
-            same_domain,
-            has_connection: state.pool.has_idle(&server.entry.address, reuse_policy),
-            load_factor,
-            is_brokered: query.asks_brokers
-                && uses_broker(state, view, server)
-                && loads.get(&server.entry.name).may_be_contended(
-                    server.entry.slots,
-                    load_factor,
-                    now,
-                ),
         }
     };
+    let is_brokered = |server: &ServerRecord| {
+        let (load, slots) = (loads.get(&server.entry.name), server.entry.slots);
+        query.asks_brokers
+            && uses_broker(state, view, server)
+            && load.may_be_contended(slots, load_factor(server), now)
+    };
+    let to_candidate = |server: &'a Arc<ServerRecord>| Candidate {
+        server,
+        same_domain: server.entry.domain == state.settings.domain,
+        has_connection: state.pool.has_idle(&server.entry.address, reuse_policy),
+        load_factor: load_factor(server),
+        is_brokered: is_brokered(server),
+    };
     let mut rng = rand::rng();
     let mut limited: BTreeMap<ServerName, Duration> = BTreeMap::new();
     loop {
@@ -278,7 +278,7 @@
         }
         return match admission {
             Admission::NeedsPermit(request) => Target::LimitedServer(Arc::clone(server), request),
-            _ if to_candidate(server).is_brokered => Target::BrokeredServer(Arc::clone(server)),
+            _ if is_brokered(server) => Target::BrokeredServer(Arc::clone(server)),
             _ => Target::Server(Arc::clone(server)),
         };
     }
