Logs tell which planner gave a server its keys, and why keys became free

C0436 (keys-freed) tells range, owner, epoch and reason, C0437 (keys-held) the first grant that a server accepted from a planner, both with the claim, whose first part is the era of the store; C0438 that another process answered a release. C0430 names the former planners that may still act and for how long, and the term after which a planner plans on. citron_keys_freed_total counts reasons. More than 48 changes at once are counted in one line, as log lines cost processor time.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -65,6 +65,12 @@
     pub incarnation: u64,
 }
 
+impl fmt::Display for PlannerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} (incarnation {})", self.instance, self.incarnation)
+    }
+}
+
 /// The current planner, and the version of the row that names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Leadership {
@@ -82,13 +88,20 @@
 
 impl fmt::Display for Leadership {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (planner, predecessors) = (&self.planner, self.predecessors.len());
-        write!(
-            f,
-            "{} (incarnation {}), claimed at {}, row {}, {predecessors} predecessors",
-            planner.instance, planner.incarnation, self.claim, self.version
-        )
+        let (planner, claim, row) = (&self.planner, self.claim, self.version);
+        write!(f, "{planner}, claimed at {claim}, row {row}, predecessors:")?;
+        write_list(f, &self.predecessors)
+    }
+}
+
+/// Writes the names of planners, or `none`.
+fn write_list(f: &mut fmt::Formatter<'_>, planners: &[PlannerId]) -> fmt::Result {
+    if planners.is_empty() {
+        return write!(f, " none");
     }
+    planners
+        .iter()
+        .try_for_each(|planner| write!(f, " {planner}"))
 }
 
 impl Leadership {
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -4,7 +4,7 @@
     crate::metrics::register,
     citron_core::{
         freshness::Age,
-        ranges::Order,
+        ranges::{FreeReason, Order},
         slots::{DenyReason, SlotAnswer},
     },
     prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry},
@@ -21,6 +21,8 @@
     table_fetches: IntCounterVec,
     /// Orders to servers and commits, by kind and result.
     key_orders: IntCounterVec,
+    /// Ranges of keys that became free for their next owner, by reason.
+    keys_freed: IntCounterVec,
     /// Requests for permits that the planner decided on, by result.
     permits: IntCounterVec,
     /// Answers to this instance's requests for slots.
@@ -73,6 +75,11 @@
                 "Grants, releases and commits of the planner.",
                 &["order", "result"],
             )?,
+            keys_freed: counter(
+                "citron_keys_freed_total",
+                "Ranges of keys whose former owner counts as holding them no more.",
+                &["reason"],
+            )?,
             permits: counter(
                 "citron_permits_total",
                 "Requests for servers with a rate limit that the planner admitted or not.",
@@ -140,6 +147,11 @@
             .inc();
     }
 
+    /// Counts a range of keys that became free.
+    pub fn count_freed(&self, reason: FreeReason) {
+        self.keys_freed.with_label_values(&[reason.name()]).inc();
+    }
+
     /// Counts a decision about a permit.
     pub fn count_permit(&self, granted: bool) {
         self.permits
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -173,9 +173,9 @@
     predecessors: Vec<PlannerId>,
 ) -> Term {
     log::info!(
-        "{} this instance plans on, row version {}",
+        "{} this instance plans on after the term claimed at {}: {leadership}",
         events::PLANNER,
-        leadership.version
+        former.leadership.claim
     );
     former.resume(leadership, predecessors, controller.clock.now())
 }
@@ -224,9 +224,11 @@
     state.is_planning = true;
     controller.permits.issuer.borrow_mut().clear();
     log::info!(
-        "{} this instance is now the planner, row version {}",
+        "{} this instance is now the planner: {leadership}; earlier planners may grant for {:?}, \
+         those that the store lost for {:?}",
         events::PLANNER,
-        leadership.version
+        stopped_by - now,
+        unlisted_until.map(|until| until - now),
     );
     controller.heartbeat_trigger.notify_one();
     let leadership_era = leadership.claim.era();
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -8,8 +8,8 @@
     bytes::Bytes,
     citron_core::{
         dispatch::Failure,
-        id::ServerName,
-        ranges::{LeaseTimes, Order, OrderOutcome, Slice},
+        id::{Epoch, ServerName},
+        ranges::{KeyRange, LeaseTimes, Order, OrderOutcome, Slice},
     },
     citron_ports::{Adapter, CallError, HttpClient},
     http::{HeaderValue, Request, Response, StatusCode},
@@ -71,11 +71,15 @@
                     .call(controller, server, request, RELEASE_TIMEOUT)
                     .await;
                 let mut outcome = release_outcome(controller, &response);
+                if is_misdirected(&response) {
+                    log_replacement(server, *range, *epoch);
+                }
                 if response.is_ok()
                     && outcome == OrderOutcome::Unknown
                     && self.is_replaced(controller, server).await
                 {
                     outcome = OrderOutcome::Done { handover: None };
+                    log_replacement(server, *range, *epoch);
                 }
                 log::debug!("release {range} at {server}, epoch {epoch}: {outcome:?}");
                 outcome
@@ -245,6 +249,11 @@
     Some((address, service.health_path.clone()))
 }
 
+fn log_replacement(server: &ServerName, range: KeyRange, epoch: Epoch) {
+    let event = events::SERVER_REPLACED;
+    log::info!("{event} {server}, release of {range} under epoch {epoch}");
+}
+
 /// Whether a server has asked this instance for rest.
 fn is_resting<A: Adapter>(controller: &Controller<A>, server: &ServerName) -> bool {
     let loads = controller.shared.loads();
@@ -262,9 +271,12 @@
         },
         // The order names the incarnation it is meant for, and another one has answered
         // at that address. The released process has therefore ended and holds no keys.
-        Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
-            OrderOutcome::Done { handover: None }
-        }
+        response if is_misdirected(response) => OrderOutcome::Done { handover: None },
         _ => OrderOutcome::Unknown,
     }
 }
+
+fn is_misdirected(response: &Result<Response<Bytes>, CallError>) -> bool {
+    let response = response.as_ref();
+    response.is_ok_and(|response| response.status() == StatusCode::MISDIRECTED_REQUEST)
+}
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -98,6 +98,7 @@
                 spawn_local(task.run(service, order, lease_times, result_sender.clone()));
             }
         }
+        term.log_key_events(&controller);
         let now = controller.clock.now();
         next_wake = now + ORDER_INTERVAL;
         idle_until = now + ((now - iteration_start) * IDLE_FACTOR).min(IDLE_MAX);
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -12,8 +12,9 @@
     citron_core::{
         id::{ServiceName, StoreVersion},
         ranges::{
-            BalanceLimits, BalanceTimer, Balancer, Demand, KeyRange, LeaseTimes, LeaseTracker,
-            Order, OrderOutcome, PlanScope, RangeMap, Reconciler, is_server_set_complete,
+            BalanceLimits, BalanceTimer, Balancer, Demand, KeyEvent, KeyRange, LeaseTimes,
+            LeaseTracker, Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
+            is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
@@ -22,6 +23,10 @@
     std::collections::BTreeMap,
 };
 
+/// Largest number of changes of possession that are logged one by one; beyond it, only their
+/// count is logged.
+const LOGGED_EVENTS_MAX: usize = 48;
+
 /// Result of an order of one service.
 #[derive(Debug)]
 pub struct OrderResult {
@@ -82,9 +87,10 @@
             match result.end {
                 OrderOutcome::Done { .. } => {
                     log::info!(
-                        "{} service={} version={} slices={} moves={}",
+                        "{} service={} claim={} version={} slices={} moves={}",
                         events::KEYS_MOVED,
                         result.service,
+                        self.leadership.claim,
                         result.version,
                         plan.reconciler.map().slices().len(),
                         plan.reconciler.move_count()
@@ -108,6 +114,34 @@
         }
     }
 
+    /// Logs and counts the changes of possession since the last call. With the claims in the
+    /// logs of all planners, they tell which planner gave a server its keys.
+    pub fn log_key_events<A: Adapter>(&mut self, controller: &Controller<A>) {
+        let claim = self.leadership.claim;
+        for (service, plan) in &mut self.plans {
+            let changes = plan.reconciler.take_events();
+            for change in &changes {
+                if let KeyEvent::Freed { reason, .. } = change {
+                    controller.metrics.count_freed(*reason);
+                }
+            }
+            if changes.len() > LOGGED_EVENTS_MAX {
+                let is_freed = |change: &&KeyEvent| matches!(change, KeyEvent::Freed { .. });
+                let freed = changes.iter().filter(is_freed).count();
+                let (event, held) = (events::KEYS_HELD, changes.len() - freed);
+                log::info!("{event} service={service} claim={claim} freed={freed} held={held}");
+                continue;
+            }
+            for change in changes {
+                let event = match change {
+                    KeyEvent::Freed { .. } => events::KEYS_FREED,
+                    KeyEvent::Held { .. } => events::KEYS_HELD,
+                };
+                log::info!("{event} service={service} claim={claim} {change}");
+            }
+        }
+    }
+
     /// Continues under a leadership that this instance claimed again after the store came back
     /// from a copy. Nobody else has moved keys since, so what this term knows counts.
     pub fn resume(self, leadership: Leadership, predecessors: Vec<PlannerId>, now: Time) -> Self {
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -141,6 +141,12 @@
     KEYS_MOVED = 434, "keys-moved";
     /// The store did not accept a row that citronproxy writes.
     ROW_REJECTED = 435, "row-rejected";
+    /// Keys of a former owner count as free.
+    KEYS_FREED = 436, "keys-freed";
+    /// A backend server has accepted the first grant of its keys from this planner.
+    KEYS_HELD = 437, "keys-held";
+    /// Another process answered at the address of a backend server whose keys were released.
+    SERVER_REPLACED = 438, "server-replaced";
     /// A message arrived from an instance that was unknown or had been silent.
     INSTANCE_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -34,7 +34,9 @@
     map_replica::MapReplica,
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
-    reconciler::{Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler},
+    reconciler::{
+        FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler,
+    },
     server_set::is_server_set_complete,
     windows::DemandWindows,
 };
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -1,6 +1,7 @@
 //! State machine that moves the keys of one service by grants, releases and commits.
 
 mod commits;
+mod event;
 mod moves;
 mod order;
 mod renewals;
@@ -17,6 +18,7 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
+pub use event::{FreeReason, KeyEvent};
 pub use order::{Order, OrderOutcome, OwnerState, Owners, PlanScope};
 
 /// Delay before a failed order is sent again.
@@ -48,6 +50,8 @@
     renews_below_floor: bool,
     /// Present until servers are known to hold no keys but those of the map.
     fence: Option<Fence>,
+    /// Changes of possession that have not been taken yet.
+    events: Vec<KeyEvent>,
 }
 
 impl Reconciler {
@@ -64,6 +68,7 @@
             floor: Epoch(0),
             renews_below_floor: false,
             fence: None,
+            events: Vec::new(),
         }
     }
 
@@ -141,6 +146,16 @@
         self.commit_started = None;
     }
 
+    /// Takes the changes of possession since the last call.
+    pub fn take_events(&mut self) -> Vec<KeyEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Whether keys are released everywhere before any is granted or moved.
+    pub fn has_fence(&self) -> bool {
+        self.fence.is_some()
+    }
+
     /// The map as last committed.
     pub fn map(&self) -> &RangeMap {
         &self.map
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -1,7 +1,9 @@
 //! Moves of keys: planning and progress.
 
 use {
-    super::{Order, OrderOutcome, OwnerState, Owners, RETRY_DELAY, Reconciler},
+    super::{
+        FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, RETRY_DELAY, Reconciler,
+    },
     crate::{
         id::{Epoch, ServerName},
         ranges::{Balancer, KeyRange, Reassignment, key::subtract},
@@ -67,6 +69,16 @@
     pub fn is_free(&self) -> bool {
         matches!(self.phase, MovePhase::Free { .. })
     }
+
+    /// The event that the keys of the old owner are free; `None` if they never had one.
+    fn freed(&self, reason: FreeReason) -> Option<KeyEvent> {
+        Some(KeyEvent::Freed {
+            range: self.range,
+            from: self.from.clone()?,
+            epoch: self.epoch,
+            reason,
+        })
+    }
 }
 
 impl Reconciler {
@@ -76,23 +88,26 @@
             let MovePhase::Releasing { .. } = pending.phase else {
                 continue;
             };
-            let is_free = match &pending.from {
-                None => true,
-                Some(from) => {
-                    let has_ended = owners.state(from) == OwnerState::Ended;
-                    let slice = self.map.slice(pending.range.first);
-                    let has_expired = slice
-                        .expiry
-                        .is_some_and(|expiry| clock.is_past(expiry, now));
-                    has_ended || has_expired || now >= self.leases.lease_end(pending.last_granted)
-                }
-            };
-            if is_free {
-                pending.phase = MovePhase::Free {
-                    since: now,
-                    handover: None,
+            if let Some(from) = &pending.from {
+                let slice = self.map.slice(pending.range.first);
+                let has_expired = slice
+                    .expiry
+                    .is_some_and(|expiry| clock.is_past(expiry, now));
+                let reason = if owners.state(from) == OwnerState::Ended {
+                    FreeReason::OwnerEnded
+                } else if has_expired {
+                    FreeReason::ExpiryPassed
+                } else if now >= self.leases.lease_end(pending.last_granted) {
+                    FreeReason::LeaseExpired
+                } else {
+                    continue;
                 };
+                self.events.extend(pending.freed(reason));
             }
+            pending.phase = MovePhase::Free {
+                since: now,
+                handover: None,
+            };
         }
     }
 
@@ -289,16 +304,20 @@
             .moves
             .iter_mut()
             .find(|pending| pending.range == range && pending.epoch == epoch);
-        let Some(pending) = found else { return };
-        if let MovePhase::Releasing { send_at } = &mut pending.phase {
-            match outcome {
-                OrderOutcome::Done { handover } => {
-                    let since = now;
-                    pending.phase = MovePhase::Free { since, handover };
-                }
-                OrderOutcome::Outdated | OrderOutcome::Unknown | OrderOutcome::NotSent => {
-                    *send_at = Some(now + RETRY_DELAY);
-                }
+        let Some(pending) = found.filter(|pending| !pending.is_free()) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Done { handover } => {
+                self.events.extend(pending.freed(FreeReason::Released));
+                pending.phase = MovePhase::Free {
+                    since: now,
+                    handover,
+                };
+            }
+            OrderOutcome::Outdated | OrderOutcome::Unknown | OrderOutcome::NotSent => {
+                let send_at = Some(now + RETRY_DELAY);
+                pending.phase = MovePhase::Releasing { send_at };
             }
         }
     }
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Order, OrderOutcome, RETRY_DELAY, Reconciler, moves::not_moving, send_window::SendWindow,
+        KeyEvent, Order, OrderOutcome, RETRY_DELAY, Reconciler, moves::not_moving,
+        send_window::SendWindow,
     },
     crate::{
         id::Epoch,
@@ -217,6 +218,13 @@
         }
         let entry = (renewal.is_held, renewal.due, slice.range);
         self.renewals.queue.insert(entry);
+        if is_first && let Some(owner) = &slice.owner {
+            self.events.push(KeyEvent::Held {
+                range: slice.range,
+                server: owner.clone(),
+                epoch: slice.epoch,
+            });
+        }
         is_first && self.clear_awaiting(slice.range)
     }
 
