A heartbeat from before a claim does not show that its maker has ended

What callers saw: two servers held the same keys for up to 10.8 s, both at work on them (OWNER).

Cause: an instance counted as ended if the last heartbeat heard from it came from another process than the row of the leadership names. Incarnations are random numbers without an order, so that a heartbeat of the process before was taken for one of the process after. The instance that had heard only that one claimed at once, and left the living planner out of its predecessors, in the row as well, so that later planners did not wait for its leases either: they waited 10.5 s from their claim, while it may renew for 15 s without the store.

A heartbeat shows the end of a holder now only if it names the claim of that holder or a later one: its process lived after the claim, and processes of an instance follow one another. Heartbeats of another process do not keep the holder alive either. The same class: heartbeats counted as proof that their senders do not plan (all_follow) without the claim that they follow; they must name the claim now.

A process that has restarted and not yet read its own former claim no longer makes the leadership vacant at once; others wait for 1.5 s of silence, as for any planner.

--- a/crates/citronproxy/src/edge/control/election.rs
+++ b/crates/citronproxy/src/edge/control/election.rs
@@ -11,9 +11,12 @@
     },
     crate::edge::EdgeSettings,
     citron_core::{
-        dispatch::Reachability, freshness::HolderLiveness, id::StoreVersion, time::Time,
+        dispatch::Reachability,
+        freshness::HolderLiveness,
+        id::{Incarnation, StoreVersion},
+        time::Time,
     },
-    citron_wire::heartbeat::{Heartbeat, ReachWire},
+    citron_wire::heartbeat::ReachWire,
     std::time::Duration,
 };
 
@@ -108,7 +111,7 @@
                 || !state.is_planning
                 || leadership.has_lapsed();
         }
-        if has_ended(state, planner) {
+        if has_ended(state, planner, leadership.claim) {
             return true;
         }
         // Until this instance is registered, the others do not know its address, so that
@@ -116,15 +119,20 @@
         let Some(registered_at) = claimant.registered_at else {
             return false;
         };
+        // Heartbeats of another process of the instance are none of the planner.
         let peer = state.peers.get(&planner.instance);
-        let last_heard = peer.and_then(|peer| peer.last_heard);
+        let heard = peer.and_then(|peer| {
+            let heartbeat = peer.heartbeat.as_ref()?;
+            (heartbeat.start == planner.incarnation).then_some((peer.last_heard, heartbeat))
+        });
+        let last_heard = heard.and_then(|(last_heard, _)| last_heard);
         if self
             .planner_silence
             .is_lost(last_heard.max(Some(registered_at)), now)
         {
             return true;
         }
-        let Some(heartbeat) = peer.and_then(|peer| peer.heartbeat.as_ref()) else {
+        let Some((_, heartbeat)) = heard else {
             return false;
         };
         // It has resigned, as its orders reach no server, and waits for another planner.
@@ -149,26 +157,21 @@
     leadership.is_some_and(|row| row.is_held_by(&claimant.settings.instance, claimant.incarnation))
 }
 
-/// Whether an incarnation has certainly ended: a heartbeat of another incarnation of the
-/// same instance was received.
-pub fn has_ended(state: &ControlState, planner: &PlannerId) -> bool {
-    let peer = state.peers.get(&planner.instance);
-    let heartbeat = peer.and_then(|peer| peer.heartbeat.as_ref());
-    heartbeat.is_some_and(|heartbeat| heartbeat.start != planner.incarnation)
+/// Whether a planner that claimed the leadership at `claim` or before has certainly ended.
+pub fn has_ended(state: &ControlState, planner: &PlannerId, claim: StoreVersion) -> bool {
+    let report = state.peers.holder_report(&planner.instance);
+    report.is_some_and(|report| report.shows_end(Incarnation(planner.incarnation), claim))
 }
 
-/// Whether a former planner has certainly stopped, given that `version` of the leadership
-/// row names another one.
+/// Whether a former planner has certainly stopped, given that another one claimed the
+/// leadership at `successor`.
 pub fn has_stopped_planning(
     state: &ControlState,
     planner: &PlannerId,
-    version: StoreVersion,
+    successor: StoreVersion,
 ) -> bool {
-    let peer = state.peers.get(&planner.instance);
-    let heartbeat = peer.and_then(|peer| peer.heartbeat.as_ref());
-    let stopped_planning =
-        |heartbeat: &Heartbeat| !heartbeat.planning && heartbeat.leadership >= version.0;
-    has_ended(state, planner) || heartbeat.is_some_and(stopped_planning)
+    let report = state.peers.holder_report(&planner.instance);
+    report.is_some_and(|report| report.shows_stop(Incarnation(planner.incarnation), successor))
 }
 
 /// Whether the planner's heartbeats reach this instance. In a partial mesh, they reach
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -3,8 +3,8 @@
 use {
     crate::edge::view::DetourPeer,
     citron_core::{
-        freshness::{HeartbeatSchedule, PropagationTimes, Sender},
-        id::{DomainName, InstanceId},
+        freshness::{HeartbeatSchedule, HolderReport, PropagationTimes, Sender},
+        id::{DomainName, Incarnation, InstanceId, StoreVersion},
         slowstart::GroupMembers,
         time::Time,
     },
@@ -44,6 +44,15 @@
         let heartbeat = self.heartbeat.as_ref();
         heartbeat.is_some_and(|heartbeat| heartbeat.reach == ReachWire::CutOff)
     }
+
+    fn holder_report(&self) -> Option<HolderReport> {
+        let heartbeat = self.heartbeat.as_ref()?;
+        Some(HolderReport {
+            incarnation: Incarnation(heartbeat.start),
+            is_planning: heartbeat.planning,
+            claim: StoreVersion(heartbeat.leadership),
+        })
+    }
 }
 
 /// All other instances.
@@ -202,12 +211,18 @@
         }
     }
 
-    /// Whether all peers were heard recently, and none of them plans.
-    pub fn all_follow(&self, now: Time) -> bool {
+    /// What the last heartbeat of a peer tells about the leadership.
+    pub fn holder_report(&self, name: &InstanceId) -> Option<HolderReport> {
+        self.peers.get(name).and_then(Peer::holder_report)
+    }
+
+    /// Whether all peers were heard recently, know of a claim of the leadership and do not
+    /// plan. What they told before that claim proves nothing.
+    pub fn all_follow(&self, claim: StoreVersion, now: Time) -> bool {
         let timeouts = self.loss_timeouts();
         let follows = |peer: &Peer| {
-            let heartbeat = peer.heartbeat.as_ref();
-            timeouts.is_live(peer, now) && heartbeat.is_some_and(|heartbeat| !heartbeat.planning)
+            let report = peer.holder_report();
+            timeouts.is_live(peer, now) && report.is_some_and(|report| report.follows(claim))
         };
         self.peers.values().all(follows)
     }
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -185,12 +185,13 @@
 fn unlisted_planners_end<A: Adapter>(
     controller: &Controller<A>,
     state: &ControlState,
+    claim: StoreVersion,
     outage_limit: Duration,
 ) -> Option<Time> {
     let now = controller.clock.now();
     let restored_at = controller.restored_at.get()?;
     let until = restored_at + outage_limit;
-    (until > now && !state.peers.all_follow(now)).then_some(until)
+    (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
 fn begin_term<A: Adapter>(
@@ -204,7 +205,8 @@
     let floor = leadership.epoch_floor();
     let stopped_by =
         former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
-    let unlisted_until = unlisted_planners_end(controller, &state, lease_times.outage_limit);
+    let (claim, outage_limit) = (leadership.claim, lease_times.outage_limit);
+    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -34,7 +34,7 @@
     predecessors.retain(|planner| {
         let stopped_by = state.former_planners.get(planner);
         let has_stopped = stopped_by.is_some_and(|time| state.store_clock.is_past(*time, now));
-        planner.instance != *own_name && !has_stopped && !has_ended(&state, planner)
+        planner.instance != *own_name && !has_stopped && !has_ended(&state, planner, current.claim)
     });
     predecessors
 }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -168,12 +168,12 @@
         }
         let now = controller.clock.now();
         let state = controller.state.borrow();
-        if state.peers.all_follow(now) {
+        if state.peers.all_follow(self.leadership.claim, now) {
             self.unlisted_until = None;
         }
-        let version = self.leadership.version;
+        let claim = self.leadership.claim;
         self.predecessors
-            .retain(|planner| !has_stopped_planning(&state, planner, version));
+            .retain(|planner| !has_stopped_planning(&state, planner, claim));
         if self.predecessors.is_empty() && self.unlisted_until.is_none() {
             for plan in self.plans.values_mut() {
                 plan.reconciler.leases_mut().bound_previous(now);
--- a/crates/core/src/freshness/holder.rs
+++ b/crates/core/src/freshness/holder.rs
@@ -2,9 +2,60 @@
 
 use {
     super::HEARTBEAT_TIMEOUT,
-    crate::{id::StoreVersion, time::Time},
+    crate::{
+        id::{Incarnation, StoreVersion},
+        time::Time,
+    },
 };
 
+/// What the last heartbeat of an instance tells about its incarnations as holders of the
+/// leadership.
+///
+/// Incarnations have no order: the heartbeat may come from a process before the holder. Only
+/// the claim that it names tells that it was sent after that claim. Processes of an instance
+/// follow one another, so that all before its sender have ended then.
+///
+/// ```
+/// use citron_core::{freshness::HolderReport, id::{Incarnation, StoreVersion}};
+/// let report = |incarnation, claim| HolderReport {
+///     incarnation: Incarnation(incarnation),
+///     is_planning: false,
+///     claim: StoreVersion(claim),
+/// };
+/// let (holder, claim) = (Incarnation(2), StoreVersion(7));
+/// assert!(report(3, 7).shows_end(holder, claim));
+/// assert!(!report(1, 5).shows_end(holder, claim));
+/// assert!(!report(2, 7).shows_end(holder, claim));
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct HolderReport {
+    /// The process that sent the heartbeat.
+    pub incarnation: Incarnation,
+    /// Whether it acted as the holder.
+    pub is_planning: bool,
+    /// Last claim of the leadership that it knew.
+    pub claim: StoreVersion,
+}
+
+impl HolderReport {
+    /// Whether an incarnation of the instance has certainly ended, which claimed the leadership
+    /// at `claim` or before.
+    pub fn shows_end(&self, holder: Incarnation, claim: StoreVersion) -> bool {
+        self.incarnation != holder && self.claim >= claim
+    }
+
+    /// Whether an incarnation of the instance certainly acts no more as the holder, after
+    /// another instance claimed the leadership at `successor`.
+    pub fn shows_stop(&self, holder: Incarnation, successor: StoreVersion) -> bool {
+        self.follows(successor) || self.shows_end(holder, successor)
+    }
+
+    /// Whether the instance knows of a claim, and does not act as the holder.
+    pub fn follows(&self, claim: StoreVersion) -> bool {
+        !self.is_planning && self.claim >= claim
+    }
+}
+
 /// Liveness of the holder of the leadership, by its latest claim and heartbeat.
 ///
 /// A claim counts like a heartbeat: when many instances start together, most of them read
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -20,7 +20,7 @@
     fetches::{Fetch, FetchTimes, Fetches},
     health::StoreHealth,
     heartbeats::{HEARTBEAT_TIMEOUT, HeartbeatSchedule, Sender},
-    holder::HolderLiveness,
+    holder::{HolderLiveness, HolderReport},
     lag::LagTimer,
     staleness::{Lag, REWRITE_TIME, StaleReason, Staleness, VersionTracker},
     times::{FreshnessTimes, PropagationTimes, Role},
