--- a/crates/fakes/src/link/relay.rs
+++ b/crates/fakes/src/link/relay.rs
@@ -13,7 +13,10 @@
             TcpListener, TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
-        sync::watch,
+        sync::{
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+            watch,
+        },
         time::{Instant, sleep, sleep_until},
     },
 };
@@ -43,6 +46,8 @@
     truncated_replies: u32,
     /// Number of reply bytes that pass on such a connection.
     truncate_after: usize,
+    /// How long a request is held back while the last reply passes again, if it does.
+    repeat_hold: Option<Duration>,
 }
 
 /// Network link from a local address to a target, which stops with its runtime.
@@ -77,6 +82,7 @@
                 close_generation: 0,
                 truncated_replies: 0,
                 truncate_after: 0,
+                repeat_hold: None,
             }),
         };
         tokio::spawn(accept(listener, link.state.clone()));
@@ -108,13 +114,21 @@
         self.state.send_modify(|state| state.rate = Some(rate));
     }
 
-    /// Ends a cut, blocked replies, a delay and a rate limit.
+    /// Sends the last reply of a connection once more whenever the next request on it arrives,
+    /// and holds that request back for this time. A reply is taken to be what is read at once.
+    pub fn repeat_replies(&self, hold: Duration) {
+        self.state
+            .send_modify(|state| state.repeat_hold = Some(hold));
+    }
+
+    /// Ends a cut, blocked replies, a delay, a rate limit and repeated replies.
     pub fn heal(&self) {
         self.state.send_modify(|state| {
             state.is_cut = false;
             state.blocks_replies = false;
             state.delay = Duration::ZERO;
             state.rate = None;
+            state.repeat_hold = None;
         });
     }
 
@@ -195,13 +209,14 @@
     let _ = upstream.set_nodelay(true);
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
+    let (request_tx, request_rx) = unbounded_channel();
     let forward = copy_bytes(
         client_read,
         upstream_write,
         state.clone(),
         forward,
         usize::MAX,
-        None,
+        Direction::Forward(request_tx),
     );
     let backward = copy_bytes(
         upstream_read,
@@ -209,7 +224,7 @@
         state.clone(),
         backward,
         limit,
-        Some(rate_slot),
+        Direction::Backward(request_rx, rate_slot),
     );
     tokio::select! {
         _ = state.wait_for(|state| state.close_generation != close_generation) => {}
@@ -245,17 +260,39 @@
     sleep_until(until).await;
 }
 
+/// What is particular to a direction.
+enum Direction {
+    /// From the client, with a channel for requests before which the last reply is repeated.
+    Forward(UnboundedSender<()>),
+    /// To the client.
+    Backward(UnboundedReceiver<()>, RateSlot),
+}
+
 async fn copy_bytes(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<State>,
     open: impl Fn(&State) -> bool,
     mut limit: usize,
-    rate_slot: Option<RateSlot>,
+    mut direction: Direction,
 ) {
     let mut buffer = vec![0; 16 << 10];
+    let mut last_passed = Vec::new();
     loop {
-        let Ok(read) = from.read(&mut buffer).await else {
+        let read = match &mut direction {
+            Direction::Forward(_) => from.read(&mut buffer).await,
+            Direction::Backward(requests, _) => loop {
+                tokio::select! {
+                    read = from.read(&mut buffer) => break read,
+                    Some(()) = requests.recv() => {
+                        if to.write_all(&last_passed).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            },
+        };
+        let Ok(read) = read else {
             return;
         };
         if !wait_open(&from, &mut state, &open).await {
@@ -265,12 +302,23 @@
             let _ = to.shutdown().await;
             return;
         }
-        if let Some(rate_slot) = &rate_slot {
-            let rate = state.borrow().rate;
-            wait_for_rate(rate_slot, rate, read).await;
+        let State {
+            rate, repeat_hold, ..
+        } = *state.borrow();
+        match (&direction, repeat_hold) {
+            (Direction::Backward(_, rate_slot), _) => wait_for_rate(rate_slot, rate, read).await,
+            // The first request on a connection has no reply before it.
+            (Direction::Forward(requests), Some(hold)) if !last_passed.is_empty() => {
+                // The other direction may have ended.
+                let _ = requests.send(());
+                sleep(hold).await;
+            }
+            (Direction::Forward(_), _) => {}
         }
         let passed = read.min(limit);
         limit -= passed;
+        last_passed.clear();
+        last_passed.extend_from_slice(&buffer[..passed]);
         if to.write_all(&buffer[..passed]).await.is_err() || limit == 0 {
             return;
         }
--- a/crates/fakes/tests/link.rs
+++ b/crates/fakes/tests/link.rs
@@ -1,4 +1,4 @@
-//! Concurrency test of the fake network link.
+//! Tests of the fake network link.
 
 use {
     citron_fakes::link::Link,
@@ -12,6 +12,7 @@
         time::Duration,
     },
     tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         runtime::Runtime,
     },
@@ -51,3 +52,25 @@
     });
     ended.recv_timeout(TEST_TIMEOUT).expect("the link hangs");
 }
+
+/// Guards against a link that repeats no reply, or lets the next request pass before it has.
+#[tokio::test]
+async fn the_last_reply_arrives_again_before_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = Link::start(listener.local_addr().unwrap()).await.unwrap();
+    link.repeat_replies(Duration::from_millis(50));
+    let mut client = TcpStream::connect(link.address).await.unwrap();
+    let (mut server, _) = listener.accept().await.unwrap();
+    let mut part = [0; 2];
+    client.write_all(b"q1").await.unwrap();
+    server.read_exact(&mut part).await.unwrap();
+    server.write_all(b"r1").await.unwrap();
+    client.read_exact(&mut part).await.unwrap();
+    assert_eq!(&part, b"r1");
+    client.write_all(b"q2").await.unwrap();
+    // The server has not written a second reply.
+    client.read_exact(&mut part).await.unwrap();
+    assert_eq!(&part, b"r1");
+    server.read_exact(&mut part).await.unwrap();
+    assert_eq!(&part, b"q2");
+}
