Reproduction: a response to another call ends an order

Orders share kept connections and carry no id, so an additional response that arrives where the next one is expected is taken for the response to the next call. Two servers then own the same keys.

The front of a server sends its response to a grant once more when a release arrives on the same connection, and passes the release on 2 s later.

--- a/crates/ports/tests/http_client.rs
+++ b/crates/ports/tests/http_client.rs
@@ -3,11 +3,11 @@
 use {
     bytes::Bytes,
     citron_ports::{CallError, HttpClient, IdleTimeout},
-    http::Request,
+    http::{Request, Response, StatusCode},
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         time::Instant,
     },
 };
@@ -132,3 +132,43 @@
         "{ended:?}"
     );
 }
+
+/// Reads a request, and writes responses.
+async fn respond(stream: &mut TcpStream, responses: &[&str]) {
+    let mut read = [0; 1_024];
+    assert!(stream.read(&mut read).await.unwrap() > 0);
+    stream
+        .write_all(responses.concat().as_bytes())
+        .await
+        .unwrap();
+}
+
+/// Sends an order, which takes no response but its own.
+async fn order(client: &HttpClient) -> Result<Response<Bytes>, CallError> {
+    client.call(request(), TIMEOUT * 10).await
+}
+
+const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against an additional response to a call that is taken for the response to the next
+/// call on the connection.
+#[tokio::test]
+async fn an_additional_response_is_not_taken_for_that_to_the_next_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        respond(&mut first, &[DONE]).await;
+        respond(&mut first, &[DONE]).await;
+        let (mut second, _) = listener.accept().await.unwrap();
+        respond(
+            &mut second,
+            &["HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n"],
+        )
+        .await;
+        tokio::time::sleep(TIMEOUT * 100).await;
+    });
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+    let second = order(&client).await.map(|response| response.status());
+    assert!(!matches!(second, Ok(StatusCode::OK)), "{second:?}");
+}
