A response ends an order only if it belongs to it

What callers saw: two servers held the same keys, both under epochs that rose, for as long as the first one took to carry out its release.

Cause: orders carried no id and share kept connections. The next response on the connection counted as that to the order: an additional 200 ended a release that the server had not carried out, an additional 421 proved that a server had ended that was alive. A late health response with another id could do the same.

Now each order and health check has a random request id, which servers repeat. A response with another id is discarded with its connection, logged (C0439) and counted; the outcome is unknown, as after a lost response. A response without an id counts as proof only if nothing else can have arrived on the connection, as it is the first call there. Otherwise the connection is closed and the order is sent again on a new one, within the same time limit, so that leases count as before. A second sending that fails does not count as not sent. A handover of the first response is kept.

A 409 is taken with proof only. So a server that repeats no ids costs a new connection for each release, none for each renewal.

`order` in the tests of the HTTP client now calls `call_identified`, and the test asks for the response on the second connection, which is stricter.

--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -7,7 +7,7 @@
         ranges::Order,
         slots::{DenyReason, SlotAnswer},
     },
-    prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry},
+    prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
     std::time::Duration,
 };
 
@@ -21,6 +21,8 @@
     table_fetches: IntCounterVec,
     /// Orders to servers and commits, by kind and result.
     key_orders: IntCounterVec,
+    /// Discarded responses of servers to other calls than the order that received them.
+    pub stray_responses: IntCounter,
     /// Requests for permits that the planner decided on, by result.
     permits: IntCounterVec,
     /// Answers to this instance's requests for slots.
@@ -73,6 +75,13 @@
                 "Grants, releases and commits of the planner.",
                 &["order", "result"],
             )?,
+            stray_responses: register(
+                registry,
+                IntCounter::new(
+                    "citron_stray_responses_total",
+                    "Responses of servers to other calls than the order that received them.",
+                )?,
+            )?,
             permits: counter(
                 "citron_permits_total",
                 "Requests for servers with a rate limit that the planner admitted or not.",
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -11,7 +11,7 @@
         id::ServerName,
         ranges::{LeaseTimes, Order, OrderOutcome, Slice},
     },
-    citron_ports::{Adapter, CallError, HttpClient},
+    citron_ports::{Adapter, CallError, HttpClient, Reply},
     http::{HeaderValue, Request, Response, StatusCode},
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::sync::Semaphore,
@@ -67,11 +67,11 @@
                     Some(connection) => connection.releases.acquire().await.ok(),
                     None => None,
                 };
-                let response = self
-                    .call(controller, server, request, RELEASE_TIMEOUT)
+                let reply = self
+                    .call(controller, server, request, ends_release, RELEASE_TIMEOUT)
                     .await;
-                let mut outcome = release_outcome(controller, &response);
-                if response.is_ok()
+                let mut outcome = release_outcome(controller, &reply);
+                if reply.is_ok()
                     && outcome == OrderOutcome::Unknown
                     && self.is_replaced(controller, server).await
                 {
@@ -103,20 +103,28 @@
         let Ok(request) = Request::get(path).body(Bytes::new()) else {
             return false;
         };
-        let response = self
-            .connection_at(address)
-            .client
-            .call(request, HEALTH_TIMEOUT)
+        let headers = controller.adapter.headers();
+        let is_other = |response: &Response<Bytes>| {
+            let responder = response.headers().get(&headers.server_start);
+            responder.is_some_and(|id| id.as_bytes() != server.id().as_bytes())
+        };
+        let client = self.connection_at(address).client;
+        let reply = client
+            .call_identified(request, &headers.request_id, is_other, HEALTH_TIMEOUT)
             .await;
-        let Ok(response) = response else { return false };
-        let responder = response
-            .headers()
-            .get(&controller.adapter.headers().server_start);
-        let is_other = responder.is_some_and(|id| id.as_bytes() != server.id().as_bytes());
-        if !is_other {
+        let response = match reply {
+            Ok(reply) => reply.response,
+            Err(CallError::OtherCall(reason)) => {
+                record_stray(controller, server, &reason);
+                return false;
+            }
+            Err(CallError::NotSent(_) | CallError::OutcomeUnknown(_)) => return false,
+        };
+        let is_replaced = is_other(&response);
+        if !is_replaced {
             record_order_response(controller, server, &response);
         }
-        is_other
+        is_replaced
     }
 
     fn connection_at(&self, address: SocketAddr) -> Connection {
@@ -148,10 +156,16 @@
             return OrderOutcome::Unknown;
         };
         let request = controller.adapter.grant_request(slice, lease_times.lease);
-        let response = self
-            .call(controller, owner, request, lease_times.order_timeout)
+        let reply = self
+            .call(
+                controller,
+                owner,
+                request,
+                refuses_grant,
+                lease_times.order_timeout,
+            )
             .await;
-        match response.map(|response| response.status()) {
+        match reply.map(|reply| reply.response.status()) {
             Ok(StatusCode::OK) => OrderOutcome::Done { handover: None },
             Ok(StatusCode::CONFLICT) => {
                 log::info!(
@@ -174,7 +188,7 @@
                 log::debug!("grant of {} to {owner} failed: {error}", slice.range);
                 match error {
                     CallError::NotSent(_) => OrderOutcome::NotSent,
-                    CallError::OutcomeUnknown(_) => OrderOutcome::Unknown,
+                    CallError::OutcomeUnknown(_) | CallError::OtherCall(_) => OrderOutcome::Unknown,
                 }
             }
         }
@@ -185,8 +199,9 @@
         controller: &Controller<A>,
         server: &ServerName,
         mut request: Request<Bytes>,
+        needs_proof: impl Fn(&Response<Bytes>) -> bool,
         timeout: Duration,
-    ) -> Result<Response<Bytes>, CallError> {
+    ) -> Result<Reply, CallError> {
         let Some(connection) = self.connection_to(controller, server) else {
             return Err(CallError::NotSent(
                 "the server is not registered".to_string(),
@@ -197,11 +212,15 @@
             request.headers_mut().insert(header, name);
         }
         let started = controller.clock.now();
-        let response = connection.client.call(request, timeout).await;
-        match &response {
-            Ok(response) => {
+        let name = &controller.adapter.headers().request_id;
+        let reply = connection
+            .client
+            .call_identified(request, name, needs_proof, timeout)
+            .await;
+        match &reply {
+            Ok(reply) => {
                 controller.record_response(server);
-                record_order_response(controller, server, response);
+                record_order_response(controller, server, &reply.response);
             }
             Err(error) => {
                 let now = controller.clock.now();
@@ -213,10 +232,14 @@
                     CallError::OutcomeUnknown(_) => {
                         shared.record_silence(server, Failure::Failing, started, now);
                     }
+                    CallError::OtherCall(reason) => {
+                        controller.record_response(server);
+                        record_stray(controller, server, reason);
+                    }
                 }
             }
         }
-        response
+        reply
     }
 
     /// Drops connections to addresses that are no longer used.
@@ -252,18 +275,46 @@
     rest.is_some()
 }
 
+/// Counts and logs a response of a server to another call than the order that received it.
+fn record_stray<A: Adapter>(controller: &Controller<A>, server: &ServerName, reason: &str) {
+    controller.metrics.stray_responses.inc();
+    log::warn!(
+        "{} from {server}, discarded, outcome unknown: {reason}",
+        events::STRAY_RESPONSE
+    );
+}
+
+/// Whether a response to a grant shows that its epoch is outdated, if it belongs to it. A
+/// successful one needs no proof: it puts off the next grant and ends the handover, while the
+/// lease counts from the time at which the grant was sent in any case.
+fn refuses_grant(response: &Response<Bytes>) -> bool {
+    response.status() == StatusCode::CONFLICT
+}
+
+/// Whether a response to a release shows that the server holds the keys no more, if it belongs
+/// to it.
+fn ends_release(response: &Response<Bytes>) -> bool {
+    // The order names the incarnation it is meant for. If another one has answered at that
+    // address, the released process has ended and holds no keys.
+    matches!(
+        response.status(),
+        StatusCode::OK | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 fn release_outcome<A: Adapter>(
     controller: &Controller<A>,
-    response: &Result<Response<Bytes>, CallError>,
+    reply: &Result<Reply, CallError>,
 ) -> OrderOutcome {
-    match response {
-        Ok(response) if response.status() == StatusCode::OK => OrderOutcome::Done {
-            handover: controller.adapter.decode_handover(response.headers()),
-        },
-        // The order names the incarnation it is meant for, and another one has answered
-        // at that address. The released process has therefore ended and holds no keys.
-        Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
-            OrderOutcome::Done { handover: None }
+    match reply {
+        Ok(reply) if ends_release(&reply.response) => {
+            let responses = reply.unproven.iter().chain([&reply.response]);
+            let done = responses.filter(|response| response.status() == StatusCode::OK);
+            let mut handovers =
+                done.filter_map(|response| controller.adapter.decode_handover(response.headers()));
+            OrderOutcome::Done {
+                handover: handovers.next_back(),
+            }
         }
         _ => OrderOutcome::Unknown,
     }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -141,6 +141,8 @@
     KEYS_MOVED = 434, "keys-moved";
     /// The store did not accept a row that citronproxy writes.
     ROW_REJECTED = 435, "row-rejected";
+    /// A response of a server to another call than the order that received it was discarded.
+    STRAY_RESPONSE = 439, "stray-response";
     /// A message arrived from an instance that was unknown or had been silent.
     INSTANCE_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -148,6 +148,8 @@
 fn platform_error(error: CallError) -> PlatformError {
     match error {
         CallError::NotSent(reason) => PlatformError::Unreachable(reason),
-        CallError::OutcomeUnknown(reason) => PlatformError::OutcomeUnknown(reason),
+        CallError::OutcomeUnknown(reason) | CallError::OtherCall(reason) => {
+            PlatformError::OutcomeUnknown(reason)
+        }
     }
 }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -1,8 +1,9 @@
 //! HTTP client of one address, with a pool of idle connections.
 
 use {
+    crate::reply::{Origin, Reply},
     bytes::{Bytes, BytesMut},
-    http::{HeaderValue, Request, Response, header},
+    http::{HeaderName, HeaderValue, Request, Response, header},
     http_body_util::{BodyExt, Full},
     hyper::{
         body::Incoming,
@@ -42,6 +43,20 @@
     /// The request was sent, and the peer may have run it.
     #[error("no response: {0}")]
     OutcomeUnknown(String),
+    /// The request was sent, and the response to another call arrived. The peer may have run
+    /// the request.
+    #[error("no response: received that to another call, {0}")]
+    OtherCall(String),
+}
+
+impl CallError {
+    /// The error of a call of which an earlier request was sent.
+    fn after_sending(self) -> Self {
+        match self {
+            Self::NotSent(reason) => Self::OutcomeUnknown(reason),
+            Self::OutcomeUnknown(_) | Self::OtherCall(_) => self,
+        }
+    }
 }
 
 /// Time limit for receiving a response.
@@ -140,6 +155,67 @@
         self.fetch(request, &mut Deadline(deadline)).await
     }
 
+    /// As [`Self::call`], under a random id in the header `name`, which the peer repeats. A
+    /// response with the id of another call is discarded with its connection.
+    ///
+    /// A response without an id may be an additional one to an earlier call on the connection.
+    /// If `needs_proof` says so, the connection is closed and the request is sent again on a
+    /// new one, on which no other response can arrive.
+    ///
+    /// # Errors
+    /// [`CallError::NotSent`] only if the peer cannot have received the request,
+    /// [`CallError::OtherCall`] if the response to another call arrived.
+    pub async fn call_identified(
+        &self,
+        request: Request<Bytes>,
+        name: &HeaderName,
+        needs_proof: impl Fn(&Response<Bytes>) -> bool,
+        time_limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let mut limit = Deadline(Instant::now() + time_limit);
+        let idle = self.take_idle();
+        let exchange = self.exchange_identified(idle, request.clone(), name, &mut limit);
+        let (response, connection, origin) = exchange.await?;
+        if origin == Origin::Call || !needs_proof(&response) {
+            self.return_idle(connection);
+            let unproven = None;
+            return Ok(Reply { response, unproven });
+        }
+        drop(connection);
+        let exchange = self.exchange_identified(None, request, name, &mut limit);
+        let (proven, connection, _) = exchange.await.map_err(CallError::after_sending)?;
+        self.return_idle(connection);
+        Ok(Reply {
+            response: proven,
+            unproven: Some(response),
+        })
+    }
+
+    /// Sends a request under a random id, on a new connection if none is given. The origin of
+    /// the response is not another call.
+    async fn exchange_identified(
+        &self,
+        connection: Option<Connection>,
+        mut request: Request<Bytes>,
+        name: &HeaderName,
+        limit: &mut impl ReadTimeout,
+    ) -> Result<(Response<Bytes>, Connection, Origin), CallError> {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let id = HeaderValue::from_str(&id).map_err(not_sent)?;
+        request.headers_mut().insert(name, id.clone());
+        let is_new = connection.is_none();
+        let (response, connection) = self.exchange(connection, request, limit).await?;
+        let origin = Origin::of(&response, (name, &id), is_new);
+        if origin == Origin::OtherCall {
+            let other = response.headers().get(name);
+            return Err(CallError::OtherCall(format!(
+                "status {}, id {other:?} instead of {id:?}",
+                response.status()
+            )));
+        }
+        Ok((response, connection, origin))
+    }
+
     /// Sends a request and reads the whole response. When `limit` expires, the connection
     /// is reset.
     ///
@@ -147,24 +223,38 @@
     /// [`CallError::NotSent`] only if the peer cannot have received the request.
     pub async fn fetch(
         &self,
-        mut request: Request<Bytes>,
+        request: Request<Bytes>,
         limit: &mut impl ReadTimeout,
     ) -> Result<Response<Bytes>, CallError> {
+        let idle = self.take_idle();
+        let (response, connection) = self.exchange(idle, request, limit).await?;
+        self.return_idle(connection);
+        Ok(response)
+    }
+
+    /// Sends a request and reads the whole response, on a new connection if none is given.
+    async fn exchange(
+        &self,
+        connection: Option<Connection>,
+        mut request: Request<Bytes>,
+        limit: &mut impl ReadTimeout,
+    ) -> Result<(Response<Bytes>, Connection), CallError> {
         let host = HeaderValue::from_str(&self.address.to_string()).map_err(not_sent)?;
         request.headers_mut().insert(header::HOST, host);
-        let connection = timeout(limit.remaining(), self.connection()).await;
-        let mut connection = connection.map_err(not_sent)??;
+        let mut connection = match connection {
+            Some(connection) => connection,
+            None => {
+                let connected = timeout(limit.remaining(), self.connect()).await;
+                connected.map_err(not_sent)??
+            }
+        };
         let sent = connection.sender.send_request(request.map(Full::new));
         let sent = timeout(limit.remaining(), sent)
             .await
             .map_err(|_| timed_out(0))?;
         let (head, body) = sent.map_err(outcome_unknown)?.into_parts();
         let bytes = self.read_body(body, limit).await?;
-        let mut idle = self.idle();
-        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push(connection);
-        }
-        Ok(Response::from_parts(head, bytes))
+        Ok((Response::from_parts(head, bytes), connection))
     }
 
     async fn read_body(
@@ -193,10 +283,7 @@
         }
     }
 
-    async fn connection(&self) -> Result<Connection, CallError> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(connection);
-        }
+    async fn connect(&self) -> Result<Connection, CallError> {
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let stream = connected.map_err(not_sent)?.map_err(not_sent)?;
         configure_socket(&stream).map_err(not_sent)?;
@@ -220,6 +307,13 @@
         Some(idle.remove(index))
     }
 
+    fn return_idle(&self, connection: Connection) {
+        let mut idle = self.idle();
+        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(connection);
+        }
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<Connection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -12,6 +12,7 @@
 mod machines;
 mod memory;
 mod objects;
+mod reply;
 mod rows;
 mod servers;
 mod table_service;
@@ -28,6 +29,7 @@
     machines::{Machine, MachineList, MachineState},
     memory::MemoryPlatform,
     objects::ObjectStore,
+    reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
     table_service::TableService,
--- a/crates/ports/tests/http_client.rs
+++ b/crates/ports/tests/http_client.rs
@@ -2,9 +2,9 @@
 
 use {
     bytes::Bytes,
-    citron_ports::{CallError, HttpClient, IdleTimeout},
-    http::{Request, Response, StatusCode},
-    std::time::Duration,
+    citron_ports::{CallError, HttpClient, IdleTimeout, Reply},
+    http::{HeaderName, Request, Response, StatusCode},
+    std::{collections::BTreeSet, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -133,22 +133,37 @@
     );
 }
 
-/// Reads a request, and writes responses.
-async fn respond(stream: &mut TcpStream, responses: &[&str]) {
+/// Reads a request, and writes responses in which `{id}` stands for the request's id. Returns
+/// the id.
+async fn respond(stream: &mut TcpStream, responses: &[&str]) -> String {
     let mut read = [0; 1_024];
-    assert!(stream.read(&mut read).await.unwrap() > 0);
-    stream
-        .write_all(responses.concat().as_bytes())
-        .await
-        .unwrap();
+    let size = stream.read(&mut read).await.unwrap();
+    let request = std::str::from_utf8(&read[..size]).unwrap();
+    let mut lines = request.lines();
+    let id = lines.find_map(|line| line.strip_prefix("request-id: "));
+    let id = id.unwrap().to_string();
+    let responses = responses.concat().replace("{id}", &id);
+    stream.write_all(responses.as_bytes()).await.unwrap();
+    id
 }
 
 /// Sends an order, which takes no response but its own.
 async fn order(client: &HttpClient) -> Result<Response<Bytes>, CallError> {
-    client.call(request(), TIMEOUT * 10).await
+    let name = HeaderName::from_static("request-id");
+    let reply = client.call_identified(request(), &name, |_| true, TIMEOUT * 10);
+    reply.await.map(|reply| reply.response)
+}
+
+/// As [`order`], for a response that needs no proof.
+async fn unproven_order(client: &HttpClient) -> Result<Reply, CallError> {
+    let name = HeaderName::from_static("request-id");
+    let reply = client.call_identified(request(), &name, |_| false, TIMEOUT * 10);
+    reply.await
 }
 
 const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const NAMED: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n";
+const FULL: &str = "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n";
 
 /// Guards against an additional response to a call that is taken for the response to the next
 /// call on the connection.
@@ -161,14 +176,93 @@
         respond(&mut first, &[DONE]).await;
         respond(&mut first, &[DONE]).await;
         let (mut second, _) = listener.accept().await.unwrap();
-        respond(
-            &mut second,
-            &["HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n"],
-        )
-        .await;
+        respond(&mut second, &[FULL]).await;
         tokio::time::sleep(TIMEOUT * 100).await;
     });
     assert_eq!(order(&client).await.unwrap().status(), 200);
     let second = order(&client).await.map(|response| response.status());
-    assert!(!matches!(second, Ok(StatusCode::OK)), "{second:?}");
+    assert!(
+        matches!(second, Ok(StatusCode::SERVICE_UNAVAILABLE)),
+        "{second:?}"
+    );
+}
+
+/// Guards against a response with the id of another call that is taken, and against further
+/// calls on its connection, whose responses would be those to the calls before.
+#[tokio::test]
+async fn a_response_with_another_id_is_discarded_with_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        let id = respond(&mut first, &[NAMED]).await;
+        respond(&mut first, &[&NAMED.replace("{id}", &id)]).await;
+        let (mut second, _) = listener.accept().await.unwrap();
+        respond(&mut second, &[NAMED]).await;
+        tokio::time::sleep(TIMEOUT * 100).await;
+    });
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+    let other = unproven_order(&client).await;
+    assert!(matches!(other, Err(CallError::OtherCall(_))), "{other:?}");
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+}
+
+/// Guards against a connection for each call to a peer that repeats ids, and against equal ids
+/// of two calls.
+#[tokio::test]
+async fn calls_whose_ids_are_repeated_share_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    let served = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut ids = BTreeSet::new();
+        for _ in 0..5 {
+            ids.insert(respond(&mut stream, &[NAMED]).await);
+        }
+        ids
+    });
+    for _ in 0..5 {
+        assert_eq!(order(&client).await.unwrap().status(), 200);
+    }
+    assert_eq!(served.await.unwrap().len(), 5);
+}
+
+/// Guards against a connection for each call to a peer that repeats no ids, if the response
+/// needs no proof.
+#[tokio::test]
+async fn calls_that_need_no_proof_share_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for _ in 0..5 {
+            respond(&mut stream, &[DONE]).await;
+        }
+        tokio::time::sleep(TIMEOUT * 100).await;
+    });
+    for _ in 0..5 {
+        let reply = unproven_order(&client).await.unwrap();
+        assert!(reply.unproven.is_none());
+    }
+}
+
+/// Guards against a request that may have run and is reported as not sent, as it could not be
+/// sent a second time.
+#[tokio::test]
+async fn a_request_that_cannot_be_sent_again_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(listener);
+        respond(&mut stream, &[DONE]).await;
+        respond(&mut stream, &[DONE]).await;
+        tokio::time::sleep(TIMEOUT * 100).await;
+    });
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+    let second = order(&client).await;
+    assert!(
+        matches!(second, Err(CallError::OutcomeUnknown(_))),
+        "{second:?}"
+    );
 }
