--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -7,7 +7,7 @@
         ranges::{FreeReason, Order},
         slots::{DenyReason, SlotAnswer},
     },
-    prometheus::{Gauge, IntCounterVec, IntGauge, Opts, Registry},
+    prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
     std::time::Duration,
 };
 
@@ -23,6 +23,8 @@
     key_orders: IntCounterVec,
     /// Ranges of keys that became free for their next owner, by reason.
     keys_freed: IntCounterVec,
+    /// Discarded responses of servers to other calls than the order that received them.
+    pub stray_responses: IntCounter,
     /// Requests for permits that the planner decided on, by result.
     permits: IntCounterVec,
     /// Answers to this instance's requests for slots.
@@ -80,6 +82,13 @@
                 "Ranges of keys whose former owner counts as holding them no more.",
                 &["reason"],
             )?,
+            stray_responses: register(
+                registry,
+                IntCounter::new(
+                    "citron_stray_responses_total",
+                    "Responses of servers to other calls than the order that received them.",
+                )?,
+            )?,
             permits: counter(
                 "citron_permits_total",
                 "Requests for servers with a rate limit that the planner admitted or not.",
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -147,6 +147,8 @@
     KEYS_HELD = 437, "keys-held";
     /// Another process answered at the address of a backend server whose keys were released.
     SERVER_REPLACED = 438, "server-replaced";
+    /// A response of a server to another call than the order that received it was discarded.
+    STRAY_RESPONSE = 439, "stray-response";
     /// A message arrived from an instance that was unknown or had been silent.
     INSTANCE_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
