A server that restarts keeps renewed keys while others get them: reproduction

A renewal names the server by its id. One that is sent before the planner knows of the restart is accepted by the new process, which has forgotten all epochs. The entry of the new process then shows that the former one has ended, and its keys are free at once, without a release: another server is granted them while the new process holds them until the end of its lease.

--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -404,3 +404,101 @@
     assert!(at(115) > at(100) + times.max_validity());
     assert_eq!(map.slice(RangeKey(0)).owner, Some(other));
 }
+
+/// Servers whose process has ended, as a later one is known; all others serve.
+struct EndedServers<'a>(&'a [ServerName]);
+
+impl Owners for EndedServers<'_> {
+    fn state(&self, server: &ServerName) -> OwnerState {
+        if self.0.contains(server) {
+            OwnerState::Ended
+        } else {
+            OwnerState::Serving
+        }
+    }
+}
+
+/// Planner of two servers, driven order by order.
+struct TestPlanner {
+    reconciler: Reconciler,
+    ended: Vec<ServerName>,
+    clock: StoreClock,
+}
+
+impl TestPlanner {
+    /// Starts with the first half of the keys at server 1, the second at server 2.
+    fn new() -> Self {
+        let mut map = RangeMap::new();
+        map.assign(range(0, 32_767), &server(1), None);
+        map.assign(range(32_768, u16::MAX), &server(2), None);
+        let leases = LeaseTracker::new(LeaseTimes::STANDARD, Time::ZERO);
+        Self {
+            reconciler: Reconciler::new(map, leases),
+            ended: Vec::new(),
+            clock: StoreClock::default(),
+        }
+    }
+
+    /// Plans, and returns the orders that are due. Keys can move to server 2 only.
+    fn tick(&mut self, now: Time) -> Vec<Order> {
+        let demand = Demand::default();
+        let capacities = [Capacity {
+            server: server(2),
+            rate: 20.0,
+            accepts_keys: true,
+        }];
+        let mut balancer = Balancer::new(BalanceLimits::STANDARD, &capacities, &demand);
+        let scope = PlanScope {
+            may_assign: true,
+            may_rebalance: false,
+        };
+        let ended = EndedServers(&self.ended);
+        let reconciler = &mut self.reconciler;
+        reconciler.tick(now, &self.clock, &ended, &mut balancer, scope)
+    }
+
+    fn complete(&mut self, order: &Order, outcome: OrderOutcome, now: Time) {
+        self.reconciler.complete(order, outcome, now);
+    }
+}
+
+const DONE: OrderOutcome = OrderOutcome::Done { handover: None };
+
+fn is_release(order: &Order) -> bool {
+    matches!(order, Order::Release { .. })
+}
+
+fn is_commit(order: &Order) -> bool {
+    matches!(order, Order::Commit(_))
+}
+
+/// Guards against keys that become free with the end of their owner's process: the process that
+/// has taken its address may hold them by a renewal that was meant for the former one.
+#[test]
+fn keys_of_an_ended_owner_wait_for_a_release_or_the_lease() {
+    let times = LeaseTimes::STANDARD;
+    let start = Time::from_micros(100_000_000);
+    let after = |millis| start + Duration::from_millis(millis);
+    for is_answered in [true, false] {
+        let mut planner = TestPlanner::new();
+        for order in planner.tick(start) {
+            planner.complete(&order, DONE, start);
+        }
+        planner.ended.push(server(1));
+        let orders = planner.tick(after(50));
+        let release = orders.iter().find(|order| is_release(order)).cloned();
+        let release = release.expect("a release");
+        let commits = orders.iter().filter(|order| is_commit(order)).count();
+        assert_eq!(commits, 0, "no release was answered: {orders:?}");
+        if is_answered {
+            planner.complete(&release, DONE, after(60));
+            let orders = planner.tick(after(60));
+            assert!(orders.iter().any(is_commit), "{orders:?}");
+            continue;
+        }
+        let before_end = start + times.max_validity() - Duration::from_millis(1);
+        assert!(!planner.tick(before_end).iter().any(is_commit));
+        let orders = planner.tick(start + times.max_validity());
+        assert!(orders.iter().any(is_commit), "{orders:?}");
+    }
+}
