Keys of a server that has ended wait for a release or for the lease

That a process has ended counted as if it had released its keys. But the next process at its address may hold them: renewals name a server by its id only, and one that was sent before the planner knew of the restart is accepted by a process that has forgotten all epochs.

Now the keys of an ended owner become free as those of any other: when the release at its address is answered, or when the last lease that may have reached the address has run out. The release goes to the address of the ended process: the next one with the same id carries it out and refuses renewals under lower epochs from then on, one with another id carries it out or refuses it with 421 as it checks the id of orders, and then has taken no renewal either. A server that is back at its address thus still loses no time. If nobody answers there, the keys wait for the lease, 10.5 s after the last grant at most; before, they were free at once. A cheaper rule is not known: nothing in a response tells processes with the same id apart, and a refused connection is no proof.

The fence still skips ended servers, as their successors are fenced by their own names and a release at the address of all that the map does not give the former one would take the successor's keys. But they are now dropped when the servers are included again, not when orders are due: a fence could be over between the two, without the successor.

The model's servers now start again at the address of a crashed one, take the orders meant for it, and register up to four seconds later. The flaw "a leaving server counts as ended" is now that releases at leaving servers count as done, as the state `Ended` frees nothing any more; a new flaw is that those at ended servers do.

Not closed, as no planner can: a server that restarts after it has released keys accepts renewals of a former planner that is cut off, and the first renewal after a restart arrives under the epoch of the former process.

--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -191,7 +191,7 @@
             });
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
             let names = servers.iter().map(|known| &known.entry.name);
-            plan.reconciler.fence_servers(names, now);
+            plan.reconciler.fence_servers(names, &owners, now);
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -46,7 +46,7 @@
 /// map.assign("0-99".parse().unwrap(), &one, None);
 /// let now = Time::ZERO;
 /// let mut fence = Fence::new(Epoch(7), now);
-/// fence.include(&map, [&one, &two], now);
+/// fence.include(&map, [&one, &two], &AllServing, now);
 /// let orders = fence.orders(now, &AllServing);
 /// let released = |order: &Order| match order {
 ///     Order::Release { server, range, .. } => format!("{server} {range}"),
@@ -88,11 +88,13 @@
         }
     }
 
-    /// Adds registered servers that were unknown so far.
+    /// Adds registered servers that were unknown so far, and drops those whose process has
+    /// ended: the next process at the address is registered, and added in the same call.
     pub fn include<'a>(
         &mut self,
         map: &RangeMap,
         servers: impl IntoIterator<Item = &'a ServerName>,
+        owners: &impl Owners,
         now: Time,
     ) {
         for server in servers {
@@ -109,12 +111,12 @@
                     .insert((server.clone(), range), ReleaseState::Due(now));
             }
         }
+        self.unanswered
+            .retain(|(server, _), _| owners.state(server) != OwnerState::Ended);
     }
 
     /// Returns the releases that are due. Servers whose process has ended are skipped.
     pub fn orders(&mut self, now: Time, owners: &impl Owners) -> Vec<Order> {
-        self.unanswered
-            .retain(|(server, _), _| owners.state(server) != OwnerState::Ended);
         let in_progress = |state: &&ReleaseState| match state {
             ReleaseState::Due(_) => false,
             ReleaseState::Sent(sent) => now - *sent < IN_PROGRESS_TIME,
@@ -123,7 +125,11 @@
         let mut due: Vec<(Time, (ServerName, KeyRange))> = Vec::new();
         for (release, state) in &self.unanswered {
             match state {
-                ReleaseState::Due(at) if *at <= now => due.push((*at, release.clone())),
+                ReleaseState::Due(at)
+                    if *at <= now && owners.state(&release.0) != OwnerState::Ended =>
+                {
+                    due.push((*at, release.clone()))
+                }
                 _ => {}
             }
         }
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -28,8 +28,9 @@
 /// planner failure at any point is safe: before the commit the old owner rejects renewals
 /// under its old epoch and gets a higher epoch from the next planner; after the commit
 /// the new owner gets the grant from the next planner. If a release is not answered, the
-/// keys wait until the old owner's last lease ends, unless the process of the old owner
-/// has certainly ended.
+/// keys wait until the old owner's last lease ends, even if its process has certainly ended:
+/// the next process at its address may hold them by a renewal that was sent before the
+/// planner knew of it.
 #[derive(Debug)]
 pub struct Reconciler {
     map: RangeMap,
@@ -82,10 +83,11 @@
     pub fn fence_servers<'a>(
         &mut self,
         servers: impl IntoIterator<Item = &'a ServerName>,
+        owners: &impl Owners,
         now: Time,
     ) {
         if let Some(fence) = &mut self.fence {
-            fence.include(&self.map, servers, now);
+            fence.include(&self.map, servers, owners, now);
         }
     }
 
@@ -177,7 +179,7 @@
             return;
         }
         self.compute_loads(balancer);
-        self.free_expired(now, clock, owners);
+        self.free_expired(now, clock);
         self.retarget(owners, balancer);
         self.reassign_unserved(now, owners, balancer, scope.may_assign);
         if scope.may_rebalance && !self.is_commit_overdue(now) {
@@ -193,7 +195,7 @@
             return fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
         }
         let mut orders = Vec::new();
-        self.free_expired(now, clock, owners);
+        self.free_expired(now, clock);
         // Keys released during a store outage would have no owner until it ends.
         if !self.is_commit_overdue(now) {
             self.send_releases(now, &mut orders);
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -70,21 +70,21 @@
 }
 
 impl Reconciler {
-    /// Frees keys whose owner's process has ended or whose lease has run out.
-    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) {
+    /// Frees keys that never had an owner or whose lease has run out. That the owner's process
+    /// has ended frees nothing: the next process at its address may have accepted a renewal.
+    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock) {
         for pending in &mut self.moves {
             let MovePhase::Releasing { .. } = pending.phase else {
                 continue;
             };
             let is_free = match &pending.from {
                 None => true,
-                Some(from) => {
-                    let has_ended = owners.state(from) == OwnerState::Ended;
+                Some(_) => {
                     let slice = self.map.slice(pending.range.first);
                     let has_expired = slice
                         .expiry
                         .is_some_and(|expiry| clock.is_past(expiry, now));
-                    has_ended || has_expired || now >= self.leases.lease_end(pending.last_granted)
+                    has_expired || now >= self.leases.lease_end(pending.last_granted)
                 }
             };
             if is_free {
--- a/crates/core/src/ranges/reconciler/order.rs
+++ b/crates/core/src/ranges/reconciler/order.rs
@@ -23,7 +23,8 @@
     /// Listed as leaving, or no longer listed; it may still run requests.
     Leaving,
     /// This process has certainly ended: a later one with the same id or address is
-    /// known, by the start times that both report.
+    /// known, by the start times that both report. That one may have accepted grants meant
+    /// for this one.
     Ended,
 }
 
--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -27,9 +27,8 @@
     let mut world = match flaw {
         // The next grant makes up for a single lost answer, and a planner without the
         // store is harmless to servers that its successor reaches.
-        Flaw::AssumeUnsentGrant | Flaw::RenewWithoutStore => {
-            World::with_one_way_links(seed, Some(flaw))
-        }
+        Flaw::AssumeUnsentGrant => World::with_frequent_cuts(seed, Some(flaw)),
+        Flaw::RenewWithoutStore => World::with_one_way_links(seed, Some(flaw)),
         Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
         Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
             World::with_restores(seed, Some(flaw))
@@ -67,10 +66,11 @@
 fn no_key_is_held_twice() {
     let plain = (0..SEEDS).map(|seed| correct_walk(seed, World::new(seed, None)));
     let one_way = (0..SEEDS).map(|seed| correct_walk(seed, World::with_one_way_links(seed, None)));
+    let cut = (0..SEEDS).map(|seed| correct_walk(seed, World::with_frequent_cuts(seed, None)));
     let killed = (0..SEEDS).map(|seed| correct_walk(seed, World::with_planner_kills(seed, None)));
     let late = (0..SEEDS).map(|seed| correct_walk(seed, World::with_late_commits(seed, None)));
     let restored = (0..SEEDS).map(|seed| correct_walk(seed, World::with_restores(seed, None)));
-    let walks = plain.chain(one_way).chain(killed).chain(late);
+    let walks = plain.chain(one_way).chain(cut).chain(killed).chain(late);
     let walks: Vec<WalkResult> = walks.chain(restored).collect();
     // Runs without commits, or without held keys, would pass without testing anything.
     let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
--- a/crates/core/tests/ranges_model/server.rs
+++ b/crates/core/tests/ranges_model/server.rs
@@ -23,6 +23,8 @@
     pub name: ServerName,
     pub is_up: bool,
     pub is_leaving: bool,
+    /// When planners learn of the process.
+    pub registers_at: Time,
     pub held: Vec<HeldRange>,
     /// Epochs seen with grants and releases, by range.
     seen_epochs: Vec<(KeyRange, Epoch)>,
@@ -31,11 +33,12 @@
 }
 
 impl Server {
-    pub fn new(name: ServerName, has_slow_clock: bool) -> Self {
+    pub fn new(name: ServerName, registers_at: Time, has_slow_clock: bool) -> Self {
         Self {
             name,
             is_up: true,
             is_leaving: false,
+            registers_at,
             held: Vec::new(),
             seen_epochs: Vec::new(),
             has_slow_clock,
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -22,6 +22,8 @@
 const COPY_AGE_MAX: Duration = Duration::from_secs(4);
 /// Servers started at first; a crashed or leaving one is replaced.
 const SERVERS: usize = 5;
+/// Longest time from the start of a process at the address of a former one until it registers.
+const REGISTRATION_DELAY_MAX_MS: u64 = 4_000;
 
 /// Safeguard that is removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +39,10 @@
     ShortLease,
     /// An unanswered release counts as done.
     AssumeReleased,
-    /// A leaving server counts as ended.
+    /// A leaving server counts as having released its keys.
     AssumeLeavingEnded,
+    /// A server whose process has ended counts as having released its keys.
+    AssumeEndedReleased,
     /// Maps are written without checking the leadership.
     NoLeaderCheck,
     /// An unanswered commit counts as done.
@@ -64,13 +68,14 @@
 }
 
 impl Flaw {
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::IgnorePreviousPlanners,
         Self::OnlyLastPlanner,
         Self::RenewWithoutStore,
         Self::ShortLease,
         Self::AssumeReleased,
         Self::AssumeLeavingEnded,
+        Self::AssumeEndedReleased,
         Self::NoLeaderCheck,
         Self::AssumeCommitted,
         Self::NoQuietPeriod,
@@ -113,8 +118,6 @@
     flaw: Option<Flaw>,
     times: LeaseTimes,
     servers: Vec<Server>,
-    /// Processes that have certainly ended, by name.
-    ended: Vec<ServerName>,
     planners: Vec<Planner>,
     leader: u64,
     map: RangeMap,
@@ -128,6 +131,8 @@
     pub commits: u64,
     /// Whether some servers receive only grants, and their answers are lost.
     one_way_links: bool,
+    /// Whether links change four times as often.
+    frequent_cuts: bool,
     /// Whether planners are killed when they are replaced, and none is cut off.
     planner_kills: bool,
     /// Whether the store loses answers to commits and executes some commits late.
@@ -148,24 +153,37 @@
 /// Listed servers as the planners see them.
 struct Listed<'a> {
     servers: &'a [Server],
-    ended: &'a [ServerName],
-    flaw: Option<Flaw>,
+    now: Time,
 }
 
 impl Owners for Listed<'_> {
     fn state(&self, server: &ServerName) -> OwnerState {
-        if self.ended.contains(server) {
+        let registered = self.servers.iter();
+        let mut registered = registered.filter(|known| known.registers_at <= self.now);
+        if registered
+            .clone()
+            .any(|known| is_successor(&known.name, server))
+        {
             return OwnerState::Ended;
         }
-        let found = self.servers.iter().find(|known| known.name == *server);
-        match found {
-            Some(known) if known.is_up && !known.is_leaving => OwnerState::Serving,
-            _ if self.flaw == Some(Flaw::AssumeLeavingEnded) => OwnerState::Ended,
+        // The entry of a crashed process stays until the next one at its address registers.
+        let is_listed = |known: &Server| {
+            let mut others = self.servers.iter();
+            known.is_up || others.any(|other| is_successor(&other.name, &known.name))
+        };
+        match registered.find(|known| known.name == *server) {
+            Some(known) if is_listed(known) && !known.is_leaving => OwnerState::Serving,
             _ => OwnerState::Leaving,
         }
     }
 }
 
+/// Whether a process started later than another one at the same address. Processes at one
+/// address have the same id.
+fn is_successor(one: &ServerName, other: &ServerName) -> bool {
+    one.id() == other.id() && one.start_time() > other.start_time()
+}
+
 impl World {
     pub fn new(seed: u64, flaw: Option<Flaw>) -> Self {
         let mut world = Self {
@@ -174,7 +192,6 @@
             flaw,
             times: LeaseTimes::STANDARD,
             servers: Vec::new(),
-            ended: Vec::new(),
             planners: Vec::new(),
             leader: 0,
             map: RangeMap::new(),
@@ -185,6 +202,7 @@
             servers_started: 0,
             commits: 0,
             one_way_links: false,
+            frequent_cuts: false,
             planner_kills: false,
             late_commits: false,
             restores: false,
@@ -210,6 +228,14 @@
         }
     }
 
+    /// Like [`Self::with_one_way_links`], with links that change four times as often.
+    pub fn with_frequent_cuts(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            frequent_cuts: true,
+            ..Self::with_one_way_links(seed, flaw)
+        }
+    }
+
     /// Creates a world in which planners are killed and replaced in quick succession, so
     /// that the end of a lease is written by one planner and read by the next.
     pub fn with_planner_kills(seed: u64, flaw: Option<Flaw>) -> Self {
@@ -321,7 +347,8 @@
         if self.chance(4) {
             self.take_over(true);
         }
-        if self.chance(5) {
+        let cuts = if self.frequent_cuts { 20 } else { 5 };
+        if self.chance(cuts) {
             self.cut_links();
         }
         if self.restores && self.chance(8) {
@@ -402,24 +429,36 @@
         }
     }
 
+    /// Ends a process. Another one starts, either at its address, knowing nothing of its keys,
+    /// or elsewhere.
     fn crash_server(&mut self) {
         let at = self.rng.random_range(0..self.servers.len());
         let restarts = self.chance(600);
         let server = &mut self.servers[at];
-        server.is_up = false;
-        let name = server.name.clone();
-        if restarts {
-            // A later process at the same address proves that this one has ended.
-            self.ended.push(name);
+        let was_up = std::mem::take(&mut server.is_up);
+        let id = server.name.id().to_string();
+        // Its connections are lost.
+        self.in_transit
+            .retain(|sent| server_of(&sent.order).is_none_or(|name| name.id() != id));
+        if restarts && was_up {
+            let delay = self.rng.random_range(0..REGISTRATION_DELAY_MAX_MS);
+            self.start_process(&id, self.now + Duration::from_millis(delay));
+        } else {
+            self.start_server();
         }
-        self.start_server();
     }
 
     fn start_server(&mut self) {
+        let id = format!("s-{}", self.servers_started + 1);
+        self.start_process(&id, self.now);
+    }
+
+    fn start_process(&mut self, id: &str, registers_at: Time) {
         self.servers_started += 1;
-        let name = format!("s-{}", self.servers_started).parse().unwrap();
+        let name = format!("{id}@{}", self.servers_started).parse().unwrap();
         let has_slow_clock = self.chance(500);
-        self.servers.push(Server::new(name, has_slow_clock));
+        self.servers
+            .push(Server::new(name, registers_at, has_slow_clock));
         if self.servers.len() > SERVERS + 6 {
             let removable = self.servers.iter().position(|server| {
                 let is_holding = server.held.iter().any(|range| range.until > self.now);
@@ -517,8 +556,7 @@
         }
         let listed = Listed {
             servers: &self.servers,
-            ended: &self.ended,
-            flaw: self.flaw,
+            now,
         };
         let demand = Demand::default();
         let mut balancer = Balancer::new(BalanceLimits::STANDARD, &capacities, &demand);
@@ -529,7 +567,9 @@
         let orders = {
             let clock = planner.clock.clone();
             let reconciler = &mut planner.reconciler;
-            reconciler.fence_servers(self.servers.iter().map(|server| &server.name), now);
+            let servers = self.servers.iter();
+            let registered = servers.filter(|server| server.registers_at <= now);
+            reconciler.fence_servers(registered.map(|server| &server.name), &listed, now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
         for order in orders {
@@ -544,7 +584,8 @@
         let open = self
             .servers
             .iter()
-            .filter(|server| server.is_up && !server.is_leaving);
+            .filter(|server| server.is_up && !server.is_leaving)
+            .filter(|server| server.registers_at <= self.now);
         let capacity = |server: &Server| Capacity {
             server: server.name.clone(),
             rate: 20.0,
@@ -673,16 +714,12 @@
             true => arrival + Duration::from_millis(self.rng.random_range(2_000..12_000)),
             false => arrival,
         };
-        let to = match &order {
-            Order::Grant(slice) => slice.owner.clone(),
-            Order::Release { server, .. } => Some(server.clone()),
-            Order::Commit(_) => None,
-        };
+        let to = server_of(&order).cloned();
         let planner = &self.planners[index];
         let is_unreachable = to
             .as_ref()
             .is_some_and(|to| planner.unreachable.contains(to));
-        let is_one_way = to.is_some_and(|to| planner.one_way.contains(&to));
+        let is_one_way = to.as_ref().is_some_and(|to| planner.one_way.contains(to));
         if let Order::Release { range, epoch, .. } = &order {
             self.releases.push(MoveNotice {
                 range: *range,
@@ -691,6 +728,15 @@
             });
         }
         let is_release = matches!(order, Order::Release { .. });
+        if let Some(to) = to.as_ref().filter(|_| is_release)
+            && self.counts_as_released(to)
+        {
+            let outcome = OrderOutcome::Done { handover: None };
+            self.planners[index]
+                .outcomes
+                .push((self.now, order, outcome));
+            return;
+        }
         let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
         let is_answered = !is_late && !is_one_way;
         if is_lost || !is_answered {
@@ -716,6 +762,17 @@
         });
     }
 
+    /// Whether a release is not sent and counts as done.
+    fn counts_as_released(&self, server: &ServerName) -> bool {
+        let (servers, now) = (&self.servers[..], self.now);
+        let state = Listed { servers, now }.state(server);
+        match self.flaw {
+            Some(Flaw::AssumeLeavingEnded) => state == OwnerState::Leaving,
+            Some(Flaw::AssumeEndedReleased) => state == OwnerState::Ended,
+            _ => false,
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
@@ -731,23 +788,29 @@
 
     fn carry_out(&mut self, sent: &OrderInTransit) -> OrderOutcome {
         let lease = self.times.lease;
-        let name = match &sent.order {
-            Order::Grant(slice) => slice.owner.clone().unwrap(),
-            Order::Release { server, .. } => server.clone(),
-            Order::Commit(_) => return OrderOutcome::Unknown,
+        let Some(name) = server_of(&sent.order) else {
+            return OrderOutcome::Unknown;
         };
-        let found = self
-            .servers
-            .iter_mut()
-            .find(|server| server.name == name && server.is_up);
+        if !self.servers.iter().any(|server| server.name == *name) {
+            return OrderOutcome::NotSent;
+        }
+        let is_leader = sent.planner == self.leader;
+        let mut servers = self.servers.iter_mut();
+        // Orders name the server by its id, so that the process after it takes them. No planner
+        // can prevent that one from taking renewals of a former planner.
+        let found = servers.find(|server| {
+            let is_addressed = server.name == *name || is_leader && server.name.id() == name.id();
+            is_addressed && server.is_up
+        });
         let Some(server) = found else {
             return OrderOutcome::NotSent;
         };
+        let server_name = server.name.clone();
         match &sent.order {
             Order::Grant(slice) => match server.grant(slice, lease, sent.arrival) {
                 true => {
                     let is_late = sent.execution > sent.arrival;
-                    self.record_accepted(slice, name, is_late);
+                    self.record_accepted(slice, server_name, is_late);
                     OrderOutcome::Done { handover: None }
                 }
                 false => OrderOutcome::Outdated,
@@ -763,10 +826,15 @@
     }
 
     /// Checks the epoch of a grant against those of other servers. A grant that was executed
-    /// late may be below them: its lease counts from its arrival.
+    /// late may be below them: its lease counts from its arrival. A renewal may have reached
+    /// the process after the one that it was meant for, under the same epoch.
     fn record_accepted(&mut self, slice: &Slice, server: ServerName, is_late: bool) {
         let is_above = |(range, other, epoch): &&(KeyRange, ServerName, Epoch)| {
-            *other != server && *epoch >= slice.epoch && range.intersection(slice.range).is_some()
+            let is_renewal = other.id() == server.id() && *epoch == slice.epoch;
+            *other != server
+                && !is_renewal
+                && *epoch >= slice.epoch
+                && range.intersection(slice.range).is_some()
         };
         let conflict = self.accepted.iter().find(is_above);
         if let Some((range, other, epoch)) = conflict.filter(|_| !is_late) {
@@ -813,6 +881,15 @@
     }
 }
 
+/// The server that an order is sent to.
+fn server_of(order: &Order) -> Option<&ServerName> {
+    match order {
+        Order::Grant(slice) => slice.owner.as_ref(),
+        Order::Release { server, .. } => Some(server),
+        Order::Commit(_) => None,
+    }
+}
+
 fn store_time(now: Time) -> StoreTime {
     StoreTime(now.as_micros() / 1_000)
 }
