The outcome of an order settles no other order

What callers saw: nothing that was traced to it.

The outcome of a grant was matched by range and epoch. After a reload, the same slice is granted anew while earlier grants are under way: "not sent" for one of these struck the record of the later one, whose lease was then not waited for if the server was lost. The outcome of a commit was not matched at all, so that a late one brought back the map from before a reload and hid the commit in progress.

A grant now bears the time at which it was ordered. Its outcome settles the renewal with that time only, and strikes the record of exactly that time, whether the slice is still granted or not. A commit's outcome must be of the map that is being written; that of a release also of the server, and for the fence of its epoch. A commit that reaches the store twice is not affected: both have the same map.

Results from before a restore of the store were dropped already, as they name another leadership.

--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -171,7 +171,7 @@
     /// Counts an order, by its kind and result.
     pub fn count_order(&self, order: &Order, done: bool) {
         let kind = match order {
-            Order::Grant(_) => "grant",
+            Order::Grant { .. } => "grant",
             Order::Release { .. } => "release",
             Order::Commit(_) => "commit",
         };
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -54,7 +54,7 @@
         lease_times: &LeaseTimes,
     ) -> OrderOutcome {
         match order {
-            Order::Grant(slice) => self.grant(controller, slice, lease_times).await,
+            Order::Grant { slice, .. } => self.grant(controller, slice, lease_times).await,
             Order::Release {
                 server,
                 range,
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -102,7 +102,7 @@
             }
         }
         if plan.reconciler.complete(&result.order, result.end, now)
-            && let Order::Grant(slice) = &result.order
+            && let Order::Grant { slice, .. } = &result.order
         {
             controller.announce_owner(&result.service, slice);
         }
--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -56,8 +56,8 @@
 /// assert_eq!(released, ["s-1 100-65535", "s-2 0-65535"]);
 /// let later = now + Duration::from_secs(3);
 /// assert!(!fence.is_done(later));
-/// fence.complete(&one, "100-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
-/// fence.complete(&two, "0-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
+/// fence.complete(&one, "100-65535".parse().unwrap(), Epoch(7), &OrderOutcome::Done { handover: None }, now);
+/// fence.complete(&two, "0-65535".parse().unwrap(), Epoch(7), &OrderOutcome::Done { handover: None }, now);
 /// assert!(fence.is_done(later));
 /// ```
 #[derive(Debug)]
@@ -149,14 +149,19 @@
         orders
     }
 
-    /// Applies the outcome of a release; a failed one is sent again.
+    /// Applies the outcome of a release; a failed one is sent again. One with another epoch
+    /// is not of this fence.
     pub fn complete(
         &mut self,
         server: &ServerName,
         range: KeyRange,
+        epoch: Epoch,
         outcome: &OrderOutcome,
         now: Time,
     ) {
+        if epoch != self.epoch {
+            return;
+        }
         let release = (server.clone(), range);
         match outcome {
             OrderOutcome::Done { .. } => {
--- a/crates/core/src/ranges/reconciler/commits.rs
+++ b/crates/core/src/ranges/reconciler/commits.rs
@@ -36,7 +36,7 @@
         owners: &impl Owners,
         orders: &mut Vec<Order>,
     ) {
-        if self.commit_started.is_some() || self.is_batching(now) {
+        if self.open_commit.is_some() || self.is_batching(now) {
             return;
         }
         let expiries = self.expiries(now, clock, owners);
@@ -60,7 +60,7 @@
         updated.set_expiries(expiries);
         if updated != self.map {
             self.clear_used_handovers(&mut updated);
-            self.commit_started = Some(now);
+            self.open_commit = Some((now, updated.clone()));
             orders.push(Order::Commit(updated));
         } else {
             self.drop_raised();
@@ -101,8 +101,8 @@
 
     /// Whether the commit in progress is overdue.
     pub(super) fn is_commit_overdue(&self, now: Time) -> bool {
-        self.commit_started
-            .is_some_and(|started| now - started > OVERDUE_AFTER)
+        let open = self.open_commit.as_ref();
+        open.is_some_and(|(started, _)| now - *started > OVERDUE_AFTER)
     }
 
     /// Whether more keys are expected to become free within the batch window.
@@ -131,7 +131,11 @@
 
     /// Applies the outcome of a commit: on success its moves end and their grants become due.
     pub(super) fn complete_commit(&mut self, map: &RangeMap, outcome: &OrderOutcome) {
-        self.commit_started = None;
+        // One from before a reload says nothing about the commit in progress.
+        if self.open_commit.as_ref().is_none_or(|open| open.1 != *map) {
+            return;
+        }
+        self.open_commit = None;
         if !matches!(outcome, OrderOutcome::Done { .. }) {
             return;
         }
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -41,8 +41,8 @@
     awaiting_grant: BTreeSet<KeyRange>,
     /// Epochs that owners have seen and that are above the epoch of their slice.
     seen_epochs: Vec<(KeyRange, Epoch)>,
-    /// When the commit in progress was ordered.
-    commit_started: Option<Time>,
+    /// When the commit in progress was ordered, and what it writes.
+    open_commit: Option<(Time, RangeMap)>,
     /// Lowest epoch of the era of the store. The map is written anew until it has reached it.
     floor: Epoch,
     /// Whether leases below `floor` may be renewed: no other planner can have moved the keys.
@@ -61,7 +61,7 @@
             renewals: Renewals::default(),
             awaiting_grant: BTreeSet::new(),
             seen_epochs: Vec::new(),
-            commit_started: None,
+            open_commit: None,
             floor: Epoch(0),
             renews_below_floor: false,
             fence: None,
@@ -108,7 +108,7 @@
         self.renews_below_floor |= self.map.has_reached(self.floor);
         self.floor = floor;
         self.fence = self.fence.take().map(|_| Fence::new(floor, now));
-        self.commit_started = None;
+        self.open_commit = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
     }
@@ -130,7 +130,7 @@
 
     /// Whether the outcome of a commit is not known yet.
     pub fn is_commit_open(&self) -> bool {
-        self.commit_started.is_some()
+        self.open_commit.is_some()
     }
 
     /// Restarts from the map in the store. The record of sent grants is kept.
@@ -140,7 +140,7 @@
         self.renewals = Renewals::default();
         self.awaiting_grant.clear();
         self.seen_epochs.clear();
-        self.commit_started = None;
+        self.open_commit = None;
     }
 
     /// The map as last committed.
@@ -226,14 +226,16 @@
     /// released for a move.
     pub fn complete(&mut self, order: &Order, outcome: OrderOutcome, now: Time) -> bool {
         match order {
-            Order::Grant(slice) => return self.complete_grant(slice, outcome, now),
+            Order::Grant { slice, ordered_at } => {
+                return self.complete_grant(slice, *ordered_at, outcome, now);
+            }
             Order::Release {
                 server,
                 range,
                 epoch,
             } => match &mut self.fence {
-                Some(fence) => fence.complete(server, *range, &outcome, now),
-                None => self.complete_release(*range, *epoch, outcome, now),
+                Some(fence) => fence.complete(server, *range, *epoch, &outcome, now),
+                None => self.complete_release(server, *range, *epoch, outcome, now),
             },
             Order::Commit(map) => self.complete_commit(map, &outcome),
         }
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -280,15 +280,18 @@
     /// Applies the outcome of a release; a failed one is sent again after [`RETRY_DELAY`].
     pub(super) fn complete_release(
         &mut self,
+        server: &ServerName,
         range: KeyRange,
         epoch: Epoch,
         outcome: OrderOutcome,
         now: Time,
     ) {
-        let found = self
-            .moves
-            .iter_mut()
-            .find(|pending| pending.range == range && pending.epoch == epoch);
+        let mut moves = self.moves.iter_mut();
+        let found = moves.find(|pending| {
+            pending.range == range
+                && pending.epoch == epoch
+                && pending.from.as_ref() == Some(server)
+        });
         let Some(pending) = found else { return };
         if let MovePhase::Releasing { send_at } = &mut pending.phase {
             match outcome {
--- a/crates/core/src/ranges/reconciler/order.rs
+++ b/crates/core/src/ranges/reconciler/order.rs
@@ -3,6 +3,7 @@
 use crate::{
     id::{Epoch, ServerName},
     ranges::{KeyRange, RangeMap, Slice},
+    time::Time,
 };
 
 /// Which moves a plan may start.
@@ -39,7 +40,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Order {
     /// Grant a slice to its owner for the duration of a lease.
-    Grant(Slice),
+    Grant {
+        /// The slice.
+        slice: Slice,
+        /// When the grant was ordered, which tells it from others of the same slice.
+        ordered_at: Time,
+    },
     /// Have a server release keys, under an epoch above that of its grant.
     Release {
         /// The server.
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -143,10 +143,11 @@
             let slice = self.map.slice(range.first);
             let Some(owner) = &slice.owner else { continue };
             self.leases.record_sent(owner, now);
-            orders.push(Order::Grant(Slice {
-                range,
-                ..slice.clone()
-            }));
+            let slice = slice.clone();
+            orders.push(Order::Grant {
+                slice: Slice { range, ..slice },
+                ordered_at: now,
+            });
         }
     }
 
@@ -179,24 +180,23 @@
     pub(super) fn complete_grant(
         &mut self,
         slice: &Slice,
+        ordered_at: Time,
         outcome: OrderOutcome,
         now: Time,
     ) -> bool {
-        let Some(renewal) = self.renewals.by_range.get_mut(&slice.range) else {
-            return false;
+        self.renewals.window.remove(ordered_at, slice.range);
+        if let (OrderOutcome::NotSent, Some(owner)) = (&outcome, &slice.owner) {
+            self.leases.record_unsent(owner, ordered_at);
+        }
+        // After a reload, the slice may have been granted again since.
+        let renewal = self.renewals.by_range.get_mut(&slice.range);
+        let is_own = |renewal: &&mut Renewal| {
+            renewal.epoch == slice.epoch && renewal.sent_at == Some(ordered_at)
         };
-        if renewal.epoch != slice.epoch {
+        let Some(renewal) = renewal.filter(is_own) else {
             return false;
-        }
-        let sent_at = renewal.sent_at.take();
-        if let Some(sent_at) = sent_at {
-            self.renewals.window.remove(sent_at, slice.range);
-        }
-        if let (OrderOutcome::NotSent, Some(sent_at), Some(owner)) =
-            (&outcome, sent_at, &slice.owner)
-        {
-            self.leases.record_unsent(owner, sent_at);
-        }
+        };
+        renewal.sent_at = None;
         let mut is_first = false;
         match outcome {
             OrderOutcome::Done { .. } => {
--- a/crates/core/tests/growth.rs
+++ b/crates/core/tests/growth.rs
@@ -174,7 +174,7 @@
         let reconciler = &mut planner.reconciler;
         let orders = reconciler.orders(now, &planner.clock, &planner.registry);
         for order in orders {
-            assert!(matches!(order, Order::Grant(_)));
+            assert!(matches!(order, Order::Grant { .. }));
             granted += 1;
             let outcome = OrderOutcome::Done { handover: None };
             planner.reconciler.complete(&order, outcome, now);
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -502,3 +502,60 @@
         assert!(orders.iter().any(is_commit), "{orders:?}");
     }
 }
+
+/// Guards against a grant that counts as not sent because an earlier one of the same keys was not:
+/// its lease would not be waited for.
+#[test]
+fn the_late_outcome_of_a_grant_settles_no_other_one() {
+    let times = LeaseTimes::STANDARD;
+    let start = Time::from_micros(100_000_000);
+    let after = |millis| start + Duration::from_millis(millis);
+    let mut planner = TestPlanner::new();
+    let earlier = planner.tick(start);
+    let map = planner.reconciler.map().clone();
+    planner.reconciler.reload(map);
+    let later = planner.tick(after(400));
+    assert_eq!((earlier.len(), later.len()), (2, 2));
+    for order in earlier {
+        planner.complete(&order, OrderOutcome::NotSent, after(500));
+    }
+    for order in later {
+        planner.complete(&order, OrderOutcome::Unknown, after(600));
+    }
+    planner.ended.push(server(1));
+    let orders = planner.tick(after(650));
+    assert!(orders.iter().any(is_release), "{orders:?}");
+    let end = after(400) + times.max_validity();
+    let orders = planner.tick(end - Duration::from_millis(1));
+    assert!(!orders.iter().any(is_commit), "{orders:?}");
+    assert!(planner.tick(end).iter().any(is_commit));
+}
+
+/// Guards against a map from before a reload that comes back with the late outcome of its commit.
+#[test]
+fn the_late_outcome_of_a_commit_settles_no_other_one() {
+    let start = Time::from_micros(100_000_000);
+    let after = |millis| start + Duration::from_millis(millis);
+    let mut planner = TestPlanner::new();
+    let stored = planner.reconciler.map().clone();
+    planner.ended.push(server(1));
+    let mut commits = planner.tick(start);
+    planner.reconciler.reload(raised(&stored));
+    commits.extend(planner.tick(after(1_000)));
+    commits.retain(is_commit);
+    assert_eq!(commits.len(), 2, "{commits:?}");
+    let before = planner.reconciler.map().clone();
+    planner.complete(&commits[0], DONE, after(1_020));
+    assert!(planner.reconciler.is_commit_open());
+    assert_eq!(*planner.reconciler.map(), before);
+    planner.complete(&commits[1], DONE, after(1_030));
+    assert!(!planner.reconciler.is_commit_open());
+    assert_eq!(Order::Commit(planner.reconciler.map().clone()), commits[1]);
+}
+
+/// The map with higher epochs, as another planner would have written it.
+fn raised(map: &RangeMap) -> RangeMap {
+    let mut raised = map.clone();
+    raised.raise_to(Epoch(7));
+    raised
+}
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -807,7 +807,7 @@
         };
         let server_name = server.name.clone();
         match &sent.order {
-            Order::Grant(slice) => match server.grant(slice, lease, sent.arrival) {
+            Order::Grant { slice, .. } => match server.grant(slice, lease, sent.arrival) {
                 true => {
                     let is_late = sent.execution > sent.arrival;
                     self.record_accepted(slice, server_name, is_late);
@@ -856,7 +856,7 @@
             (Order::Release { .. }, Some(Flaw::AssumeReleased)) => {
                 OrderOutcome::Done { handover: None }
             }
-            (Order::Grant(_), Some(Flaw::AssumeUnsentGrant)) => OrderOutcome::NotSent,
+            (Order::Grant { .. }, Some(Flaw::AssumeUnsentGrant)) => OrderOutcome::NotSent,
             _ => OrderOutcome::Unknown,
         }
     }
@@ -884,7 +884,7 @@
 /// The server that an order is sent to.
 fn server_of(order: &Order) -> Option<&ServerName> {
     match order {
-        Order::Grant(slice) => slice.owner.as_ref(),
+        Order::Grant { slice, .. } => slice.owner.as_ref(),
         Order::Release { server, .. } => Some(server),
         Order::Commit(_) => None,
     }
