Removed rows of a map count as removed once none is stored

What callers saw: nothing that was traced to it. A transaction that only removes rows of a map counted as executed as soon as its response was lost, as all of its no parts were stored. The rows stayed until the next commit. Executed late by the store, it removed whatever stood there by then, as its condition named the leadership only: a row that was written again since would be gone, and its keys with it (read, not reproduced).

A commit now counts as executed once all of its parts are stored and none of the rows that it removes. Each removal is conditional on the version of its row; a transaction takes fewer of them for that. Removals that were answered are applied to the own copy at once, as the next commit would name them again otherwise, under a condition that no longer holds.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -27,7 +27,7 @@
             Sender, StoreHealth, StoreOutage, VersionTracker,
         },
         id::{Epoch, InstanceId, ServerName, ServiceName, StoreEra, StoreVersion},
-        ranges::{MapPartition, MapReplica},
+        ranges::{KeyRange, MapPartition, MapReplica},
         registry::{Registry, RegistryTimes},
         routes::RouteConfig,
         slowstart::{COLD_WINDOW, SlowStartGroup},
@@ -513,10 +513,14 @@
         &self,
         service: &ServiceName,
         parts: &[MapPartition],
+        removes: &[KeyRange],
         version: StoreVersion,
     ) {
         let mut state = self.state.borrow_mut();
         let map = state.maps.entry(service.clone()).or_default();
+        for range in removes {
+            map.stored_mut().remove(*range, version);
+        }
         for part in parts {
             map.stored_mut().insert(MapPartition {
                 range: part.range,
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -63,15 +63,7 @@
     let mut newest = stored.max_version();
     for changes in MapChanges::between(&stored, map, slices_max).into_transactions() {
         let commit = changes.to_row_commit(service, leadership, &stored);
-        match write_transaction(
-            controller,
-            service,
-            &changes.parts,
-            &commit,
-            leadership.version,
-        )
-        .await
-        {
+        match write_transaction(controller, service, &changes, &commit, leadership.version).await {
             (OrderOutcome::Done { .. }, version) => newest = version,
             end => return end,
         }
@@ -120,7 +112,8 @@
             let removes_max = if parts.len() == TRANSACTION_PARTS_MAX {
                 0
             } else {
-                TRANSACTION_ENTRIES_MAX - LEADERSHIP_ROWS - 2 * parts.len()
+                // Each part and each removed row needs a condition beside its entry.
+                (TRANSACTION_ENTRIES_MAX - LEADERSHIP_ROWS) / 2 - parts.len()
             };
             let removes = removes.by_ref().take(removes_max).collect();
             transactions.push(Self { parts, removes });
@@ -152,9 +145,14 @@
                 .push((RowTable::Ranges, key.clone(), version));
             commit.writes.push((RowTable::Ranges, key, value));
         }
-        let removes = self.removes.iter();
-        let removes = removes.map(|range| (RowTable::Ranges, key(*range)));
-        commit.removes = removes.collect();
+        for range in &self.removes {
+            let (key, version) = (key(*range), stored.version(*range));
+            // Executed late, the removal must not apply to a row that was written since.
+            commit
+                .expected
+                .push((RowTable::Ranges, key.clone(), version));
+            commit.removes.push((RowTable::Ranges, key));
+        }
         commit
     }
 }
@@ -162,7 +160,7 @@
 async fn write_transaction<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
-    parts: &[MapPartition],
+    changes: &MapChanges,
     commit: &RowCommit,
     leadership_version: StoreVersion,
 ) -> CommitOutcome {
@@ -170,7 +168,7 @@
         let call_started = controller.clock.now();
         let response = tokio::select! {
             response = send_commit(controller, commit) => response,
-            () = has_been_read(controller, service, parts) => {
+            () = has_been_read(controller, service, changes) => {
                 log::info!(
                     "{} commit: executed, but not answered",
                     events::STORE_CALL_FAILED
@@ -187,17 +185,18 @@
             Ok(version) => {
                 controller.on_store_success(call_started, None);
                 controller.confirm_ranges(call_started);
-                controller.apply_committed_parts(service, parts, version);
+                let MapChanges { parts, removes } = changes;
+                controller.apply_committed_parts(service, parts, removes, version);
                 return (OrderOutcome::Done { handover: None }, version);
             }
             Err(StoreError::Conflict) => {
-                if let Some(committed) = resolve_conflict(controller, service, parts).await {
+                if let Some(committed) = resolve_conflict(controller, service, changes).await {
                     return committed;
                 }
             }
             Err(error @ StoreError::OutcomeUnknown(_)) => {
                 controller.on_store_write_failure("commit", &error);
-                if let Some(committed) = read_back(controller, service, parts).await {
+                if let Some(committed) = read_back(controller, service, changes).await {
                     return committed;
                 }
             }
@@ -233,13 +232,13 @@
 async fn resolve_conflict<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
-    parts: &[MapPartition],
+    changes: &MapChanges,
 ) -> Option<CommitOutcome> {
     if !refresh::read_maps(controller).await {
         return None;
     }
     let outdated = (OrderOutcome::Outdated, StoreVersion::NONE);
-    Some(stored_commit(controller, service, parts).unwrap_or(outdated))
+    Some(stored_commit(controller, service, changes).unwrap_or(outdated))
 }
 
 /// Reads the maps after a commit without a response. Returns `None` if the commit has not been
@@ -248,34 +247,35 @@
 async fn read_back<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
-    parts: &[MapPartition],
+    changes: &MapChanges,
 ) -> Option<CommitOutcome> {
     let is_read = refresh::read_maps(controller).await;
     is_read
-        .then(|| stored_commit(controller, service, parts))
+        .then(|| stored_commit(controller, service, changes))
         .flatten()
 }
 
-/// Outcome of a commit that the store, as known here, has executed; `None` if it has not. One
-/// that only removes rows cannot be recognised.
+/// Outcome of a commit that the store, as known here, has executed; `None` if it has not.
 fn stored_commit<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
-    parts: &[MapPartition],
+    changes: &MapChanges,
 ) -> Option<CommitOutcome> {
     let stored = stored_map(controller, service);
-    let is_stored = parts.iter().all(|part| stored.matches(part));
-    is_stored.then(|| (OrderOutcome::Done { handover: None }, stored.max_version()))
+    let is_stored = changes.parts.iter().all(|part| stored.matches(part));
+    let is_removed = |range: &KeyRange| stored.partition(*range).is_none();
+    let is_executed = is_stored && changes.removes.iter().all(is_removed);
+    is_executed.then(|| (OrderOutcome::Done { handover: None }, stored.max_version()))
 }
 
-/// Waits until rows that were read contain all parts of a commit, and the response to the commit
+/// Waits until rows that were read contain all changes of a commit, and the response to the commit
 /// has had time to arrive.
 async fn has_been_read<A: Adapter>(
     controller: &Controller<A>,
     service: &ServiceName,
-    parts: &[MapPartition],
+    changes: &MapChanges,
 ) {
-    let is_stored = || !parts.is_empty() && stored_commit(controller, service, parts).is_some();
+    let is_stored = || stored_commit(controller, service, changes).is_some();
     loop {
         sleep(READ_BACK_INTERVAL).await;
         if is_stored() {
