Keys whose rows are missing are not granted while they may be held

What callers saw: nothing that was traced to it. If the stored map of a service lacks keys, as a row is missing or a new instance cannot read it, a new planner took the service for one without owners, and granted all its keys under epochs in use, without a release.

The planner now waits until former planners have stopped and all leases have ended, and logs C0442 once a term. If the map is complete by then, it is used. If not, the known slices stay with their owners, and the missing keys get owners under an epoch far above the known ones. Waiting for good is no option: the first map of a large service takes several transactions, and a planner that is lost between them leaves a part of it.

--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -20,7 +20,7 @@
     citron_core::ranges::{BalanceTimer, Demand, LeaseTimes, LeaseTracker, Reconciler},
     citron_core::time::Time,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
-    std::{rc::Rc, time::Duration},
+    std::{collections::BTreeSet, rc::Rc, time::Duration},
     tokio::task::spawn_local,
 };
 
@@ -236,6 +236,8 @@
         plans,
         is_restored: leadership_era > StoreEra(0),
         unlisted_until,
+        foreign_grants_until: foreign_leases_end,
+        incomplete_maps: BTreeSet::new(),
         balance_clock: BalanceTimer::new(now),
     }
 }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -10,16 +10,17 @@
         events,
     },
     citron_core::{
-        id::{ServiceName, StoreVersion},
+        id::{Epoch, ServiceName, StoreVersion},
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, KeyRange, LeaseTimes, LeaseTracker,
-            Order, OrderOutcome, PlanScope, RangeMap, Reconciler, is_server_set_complete,
+            MapReplica, Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
+            is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
     },
     citron_ports::Adapter,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Result of an order of one service.
@@ -60,6 +61,10 @@
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
+    /// Time until which former planners may have sent grants, as known at the start.
+    pub foreign_grants_until: Time,
+    /// Services whose stored map lacks keys.
+    pub incomplete_maps: BTreeSet<ServiceName>,
     /// Decides when to move keys for balance.
     pub balance_clock: BalanceTimer,
 }
@@ -122,6 +127,8 @@
             plans,
             is_restored: self.is_restored,
             unlisted_until: self.unlisted_until,
+            foreign_grants_until: self.foreign_grants_until,
+            incomplete_maps: self.incomplete_maps,
             balance_clock: self.balance_clock,
         }
     }
@@ -176,10 +183,28 @@
         let (is_restored, unlisted_until) = (self.is_restored, self.unlisted_until);
         for service in config.services().filter(|service| service.is_sharded) {
             let name = &service.name;
+            let map = if self.plans.contains_key(name) {
+                None
+            } else {
+                let all_leases_end = self.foreign_grants_until + lease_times.max_validity();
+                match unplanned_map(&state, name, floor, now >= all_leases_end) {
+                    Some(map) => Some(map),
+                    None => {
+                        if self.incomplete_maps.insert(name.clone()) {
+                            log::error!(
+                                "{} {name}: the stored map lacks keys",
+                                events::MAP_INCOMPLETE
+                            );
+                        }
+                        continue;
+                    }
+                }
+            };
+            let foreign_grants_until = self.foreign_grants_until;
             let plan = self.plans.entry(name.clone()).or_insert_with(|| {
-                let foreign_leases_end = unlisted_until.unwrap_or(now);
+                let foreign_leases_end = unlisted_until.unwrap_or(now).max(foreign_grants_until);
                 let book = LeaseTracker::new(lease_times, foreign_leases_end);
-                let map = RangeMap::starting_at(floor);
+                let map = map.unwrap_or_else(|| RangeMap::starting_at(floor));
                 let mut reconciler = Reconciler::new(map, book).with_floor(floor);
                 if is_restored {
                     reconciler.fence(now);
@@ -263,6 +288,22 @@
     }
 }
 
+/// Map of a service without a plan; `None` if the stored one lacks keys and servers may hold
+/// these. Nobody knows who does, so that they cannot be released.
+fn unplanned_map(
+    state: &ControlState,
+    service: &ServiceName,
+    floor: Epoch,
+    have_leases_ended: bool,
+) -> Option<RangeMap> {
+    let stored = state.maps.get(service).map(MapReplica::newest);
+    let Some(stored) = stored.filter(|map| map.ranges().next().is_some()) else {
+        return Some(RangeMap::starting_at(floor));
+    };
+    let complete = stored.to_map();
+    complete.or_else(|| have_leases_ended.then(|| stored.to_filled_map()))
+}
+
 /// States of owners by which moves are planned now.
 fn planned_owners<'a, A: Adapter>(
     controller: &Controller<A>,
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -145,6 +145,8 @@
     INSTANCE_HEARD = 440, "instance-heard";
     /// A message from another instance cannot be read.
     MESSAGE_REFUSED = 441, "message-refused";
+    /// The stored map of a service does not cover all keys; its keys are not planned meanwhile.
+    MAP_INCOMPLETE = 442, "map-incomplete";
     /// A request was refused; it has not been executed.
     REQUEST_REFUSED = 500, "request-refused";
     /// The outcome of a request is unknown.
--- a/crates/core/src/ranges/partitions.rs
+++ b/crates/core/src/ranges/partitions.rs
@@ -1,11 +1,15 @@
 //! Maps stored as several rows.
 
 use {
-    super::{KeyRange, RangeKey, RangeMap, Slice},
-    crate::id::StoreVersion,
+    super::{KeyRange, RangeKey, RangeMap, Slice, key::subtract},
+    crate::id::{Epoch, StoreVersion},
     std::{collections::BTreeMap, sync::Arc},
 };
 
+/// Distance of the epoch of missing keys from the highest known one. Each commit raises epochs
+/// by one, and keys move a few thousand times at most more often than others.
+const MISSING_EPOCHS: u64 = 1 << 20;
+
 /// Slices of a key range, as read from one version of a stored row.
 #[derive(Debug, PartialEq, Eq)]
 pub struct MapPartition {
@@ -119,6 +123,47 @@
 
     /// Combines the partitions into one map; `None` if some keys are in no partition.
     pub fn to_map(&self) -> Option<RangeMap> {
+        RangeMap::from_slices(self.known_slices()).ok()
+    }
+
+    /// Combines the partitions into one map, in which keys that are in no partition have no
+    /// owner. Their epoch is above any that they can have had.
+    ///
+    /// ```
+    /// use citron_core::id::StoreVersion;
+    /// use citron_core::ranges::{MapPartition, PartitionedMap, RangeKey, RangeMap};
+    /// let mut map = RangeMap::new();
+    /// map.assign("0-65535".parse().unwrap(), &"s-1".parse().unwrap(), None);
+    /// let range = "0-99".parse().unwrap();
+    /// let slices = map.slices_in(range);
+    /// let mut parted = PartitionedMap::default();
+    /// parted.insert(MapPartition { range, version: StoreVersion(7), slices });
+    /// assert_eq!(parted.to_map(), None);
+    /// let filled = parted.to_filled_map();
+    /// assert_eq!(filled.slice(RangeKey(99)).owner, map.slice(RangeKey(99)).owner);
+    /// assert_eq!(filled.slice(RangeKey(100)).owner, None);
+    /// assert!(filled.slice(RangeKey(100)).epoch > map.slice(RangeKey(100)).epoch);
+    /// ```
+    pub fn to_filled_map(&self) -> RangeMap {
+        let known = self.known_slices();
+        let highest = known.iter().map(|slice| slice.epoch).max();
+        let epoch = Epoch(highest.unwrap_or_default().0 + MISSING_EPOCHS);
+        let ranges = known.iter().map(|slice| slice.range);
+        let missing = ranges.fold(vec![KeyRange::ALL], subtract);
+        let mut slices = known;
+        slices.extend(missing.into_iter().map(|range| Slice {
+            range,
+            owner: None,
+            epoch,
+            handover: None,
+            expiry: None,
+        }));
+        slices.sort_by_key(|slice| slice.range);
+        RangeMap::from_slices(slices).unwrap_or_else(|_| RangeMap::starting_at(epoch))
+    }
+
+    /// Slices of the keys that are in a partition, in key order.
+    fn known_slices(&self) -> Vec<Slice> {
         let clip = |(first, (last, partition)): (&RangeKey, &(RangeKey, Arc<MapPartition>))| {
             let covered = KeyRange {
                 first: *first,
@@ -129,8 +174,7 @@
                 .filter_map(|slice| slice.clipped_to(covered))
                 .collect::<Vec<_>>()
         };
-        let slices = self.segments.iter().flat_map(clip).collect();
-        RangeMap::from_slices(slices).ok()
+        self.segments.iter().flat_map(clip).collect()
     }
 
     /// Computes `segments` from all partitions, lowest version first.
