--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -46,7 +46,7 @@
 /// map.assign("0-99".parse().unwrap(), &one, None);
 /// let now = Time::ZERO;
 /// let mut fence = Fence::new(Epoch(7), now);
-/// fence.include(&map, [&one, &two], now);
+/// fence.include(&map, [&one, &two], &AllServing, now);
 /// let orders = fence.orders(now, &AllServing);
 /// let released = |order: &Order| match order {
 ///     Order::Release { server, range, .. } => format!("{server} {range}"),
@@ -56,8 +56,8 @@
 /// assert_eq!(released, ["s-1 100-65535", "s-2 0-65535"]);
 /// let later = now + Duration::from_secs(3);
 /// assert!(!fence.is_done(later));
-/// fence.complete(&one, "100-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
-/// fence.complete(&two, "0-65535".parse().unwrap(), &OrderOutcome::Done { handover: None }, now);
+/// fence.complete(&one, "100-65535".parse().unwrap(), Epoch(7), &OrderOutcome::Done { handover: None }, now);
+/// fence.complete(&two, "0-65535".parse().unwrap(), Epoch(7), &OrderOutcome::Done { handover: None }, now);
 /// assert!(fence.is_done(later));
 /// ```
 #[derive(Debug)]
@@ -88,11 +88,13 @@
         }
     }
 
-    /// Adds registered servers that were unknown so far.
+    /// Adds registered servers that were unknown so far, and drops those whose process has
+    /// ended: the next process at the address is registered, and added in the same call.
     pub fn include<'a>(
         &mut self,
         map: &RangeMap,
         servers: impl IntoIterator<Item = &'a ServerName>,
+        owners: &impl Owners,
         now: Time,
     ) {
         for server in servers {
@@ -109,12 +111,12 @@
                     .insert((server.clone(), range), ReleaseState::Due(now));
             }
         }
+        self.unanswered
+            .retain(|(server, _), _| owners.state(server) != OwnerState::Ended);
     }
 
     /// Returns the releases that are due. Servers whose process has ended are skipped.
     pub fn orders(&mut self, now: Time, owners: &impl Owners) -> Vec<Order> {
-        self.unanswered
-            .retain(|(server, _), _| owners.state(server) != OwnerState::Ended);
         let in_progress = |state: &&ReleaseState| match state {
             ReleaseState::Due(_) => false,
             ReleaseState::Sent(sent) => now - *sent < IN_PROGRESS_TIME,
@@ -123,7 +125,11 @@
         let mut due: Vec<(Time, (ServerName, KeyRange))> = Vec::new();
         for (release, state) in &self.unanswered {
             match state {
-                ReleaseState::Due(at) if *at <= now => due.push((*at, release.clone())),
+                ReleaseState::Due(at)
+                    if *at <= now && owners.state(&release.0) != OwnerState::Ended =>
+                {
+                    due.push((*at, release.clone()))
+                }
                 _ => {}
             }
         }
@@ -143,14 +149,19 @@
         orders
     }
 
-    /// Applies the outcome of a release; a failed one is sent again.
+    /// Applies the outcome of a release; a failed one is sent again. One with another epoch
+    /// is not of this fence.
     pub fn complete(
         &mut self,
         server: &ServerName,
         range: KeyRange,
+        epoch: Epoch,
         outcome: &OrderOutcome,
         now: Time,
     ) {
+        if epoch != self.epoch {
+            return;
+        }
         let release = (server.clone(), range);
         match outcome {
             OrderOutcome::Done { .. } => {
--- a/crates/core/src/ranges/reconciler/event.rs
+++ b/crates/core/src/ranges/reconciler/event.rs
@@ -13,8 +13,6 @@
 pub enum FreeReason {
     /// The release was answered.
     Released,
-    /// The process of the owner has ended.
-    OwnerEnded,
     /// The last lease that may have been granted has run out, by this planner's record.
     LeaseExpired,
     /// The end of the last lease, as written to the map, has passed.
@@ -31,7 +29,6 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Released => "released",
-            Self::OwnerEnded => "owner-ended",
             Self::LeaseExpired => "lease-expired",
             Self::ExpiryPassed => "expiry-passed",
         }
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -30,8 +30,9 @@
 /// planner failure at any point is safe: before the commit the old owner rejects renewals
 /// under its old epoch and gets a higher epoch from the next planner; after the commit
 /// the new owner gets the grant from the next planner. If a release is not answered, the
-/// keys wait until the old owner's last lease ends, unless the process of the old owner
-/// has certainly ended.
+/// keys wait until the old owner's last lease ends, even if its process has certainly ended:
+/// the next process at its address may hold them by a renewal that was sent before the
+/// planner knew of it.
 #[derive(Debug)]
 pub struct Reconciler {
     map: RangeMap,
@@ -42,8 +43,8 @@
     awaiting_grant: BTreeSet<KeyRange>,
     /// Epochs that owners have seen and that are above the epoch of their slice.
     seen_epochs: Vec<(KeyRange, Epoch)>,
-    /// When the commit in progress was ordered.
-    commit_started: Option<Time>,
+    /// When the commit in progress was ordered, and what it writes.
+    open_commit: Option<(Time, RangeMap)>,
     /// Lowest epoch of the era of the store. The map is written anew until it has reached it.
     floor: Epoch,
     /// Whether leases below `floor` may be renewed: no other planner can have moved the keys.
@@ -64,7 +65,7 @@
             renewals: Renewals::default(),
             awaiting_grant: BTreeSet::new(),
             seen_epochs: Vec::new(),
-            commit_started: None,
+            open_commit: None,
             floor: Epoch(0),
             renews_below_floor: false,
             fence: None,
@@ -87,10 +88,11 @@
     pub fn fence_servers<'a>(
         &mut self,
         servers: impl IntoIterator<Item = &'a ServerName>,
+        owners: &impl Owners,
         now: Time,
     ) {
         if let Some(fence) = &mut self.fence {
-            fence.include(&self.map, servers, now);
+            fence.include(&self.map, servers, owners, now);
         }
     }
 
@@ -111,7 +113,7 @@
         self.renews_below_floor |= self.map.has_reached(self.floor);
         self.floor = floor;
         self.fence = self.fence.take().map(|_| Fence::new(floor, now));
-        self.commit_started = None;
+        self.open_commit = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
     }
@@ -133,7 +135,7 @@
 
     /// Whether the outcome of a commit is not known yet.
     pub fn is_commit_open(&self) -> bool {
-        self.commit_started.is_some()
+        self.open_commit.is_some()
     }
 
     /// Restarts from the map in the store. The record of sent grants is kept.
@@ -143,7 +145,7 @@
         self.renewals = Renewals::default();
         self.awaiting_grant.clear();
         self.seen_epochs.clear();
-        self.commit_started = None;
+        self.open_commit = None;
     }
 
     /// Takes the changes of possession since the last call.
@@ -192,7 +194,7 @@
             return;
         }
         self.compute_loads(balancer);
-        self.free_expired(now, clock, owners);
+        self.free_expired(now, clock);
         self.retarget(owners, balancer);
         self.reassign_unserved(now, owners, balancer, scope.may_assign);
         if scope.may_rebalance && !self.is_commit_overdue(now) {
@@ -208,7 +210,7 @@
             return fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
         }
         let mut orders = Vec::new();
-        self.free_expired(now, clock, owners);
+        self.free_expired(now, clock);
         // Keys released during a store outage would have no owner until it ends.
         if !self.is_commit_overdue(now) {
             self.send_releases(now, &mut orders);
@@ -239,14 +241,16 @@
     /// released for a move.
     pub fn complete(&mut self, order: &Order, outcome: OrderOutcome, now: Time) -> bool {
         match order {
-            Order::Grant(slice) => return self.complete_grant(slice, outcome, now),
+            Order::Grant { slice, ordered_at } => {
+                return self.complete_grant(slice, *ordered_at, outcome, now);
+            }
             Order::Release {
                 server,
                 range,
                 epoch,
             } => match &mut self.fence {
-                Some(fence) => fence.complete(server, *range, &outcome, now),
-                None => self.complete_release(*range, *epoch, outcome, now),
+                Some(fence) => fence.complete(server, *range, *epoch, &outcome, now),
+                None => self.complete_release(server, *range, *epoch, outcome, now),
             },
             Order::Commit(map) => self.complete_commit(map, &outcome),
         }
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -82,20 +82,19 @@
 }
 
 impl Reconciler {
-    /// Frees keys whose owner's process has ended or whose lease has run out.
-    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) {
+    /// Frees keys that never had an owner or whose lease has run out. That the owner's process
+    /// has ended frees nothing: the next process at its address may have accepted a renewal.
+    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock) {
         for pending in &mut self.moves {
             let MovePhase::Releasing { .. } = pending.phase else {
                 continue;
             };
-            if let Some(from) = &pending.from {
+            if pending.from.is_some() {
                 let slice = self.map.slice(pending.range.first);
                 let has_expired = slice
                     .expiry
                     .is_some_and(|expiry| clock.is_past(expiry, now));
-                let reason = if owners.state(from) == OwnerState::Ended {
-                    FreeReason::OwnerEnded
-                } else if has_expired {
+                let reason = if has_expired {
                     FreeReason::ExpiryPassed
                 } else if now >= self.leases.lease_end(pending.last_granted) {
                     FreeReason::LeaseExpired
@@ -295,18 +294,18 @@
     /// Applies the outcome of a release; a failed one is sent again after [`RETRY_DELAY`].
     pub(super) fn complete_release(
         &mut self,
+        server: &ServerName,
         range: KeyRange,
         epoch: Epoch,
         outcome: OrderOutcome,
         now: Time,
     ) {
-        let found = self
-            .moves
-            .iter_mut()
-            .find(|pending| pending.range == range && pending.epoch == epoch);
-        let Some(pending) = found.filter(|pending| !pending.is_free()) else {
-            return;
-        };
+        let mut moves = self.moves.iter_mut();
+        let found = moves.find(|pending| {
+            let is_from = pending.from.as_ref() == Some(server);
+            is_from && pending.range == range && pending.epoch == epoch && !pending.is_free()
+        });
+        let Some(pending) = found else { return };
         match outcome {
             OrderOutcome::Done { handover } => {
                 self.events.extend(pending.freed(FreeReason::Released));
--- a/crates/core/src/ranges/reconciler/order.rs
+++ b/crates/core/src/ranges/reconciler/order.rs
@@ -3,6 +3,7 @@
 use crate::{
     id::{Epoch, ServerName},
     ranges::{KeyRange, RangeMap, Slice},
+    time::Time,
 };
 
 /// Which moves a plan may start.
@@ -23,7 +24,8 @@
     /// Listed as leaving, or no longer listed; it may still run requests.
     Leaving,
     /// This process has certainly ended: a later one with the same id or address is
-    /// known, by the start times that both report.
+    /// known, by the start times that both report. That one may have accepted grants meant
+    /// for this one.
     Ended,
 }
 
@@ -38,7 +40,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Order {
     /// Grant a slice to its owner for the duration of a lease.
-    Grant(Slice),
+    Grant {
+        /// The slice.
+        slice: Slice,
+        /// When the grant was ordered, which tells it from others of the same slice.
+        ordered_at: Time,
+    },
     /// Have a server release keys, under an epoch above that of its grant.
     Release {
         /// The server.
