--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -216,7 +216,7 @@
             self.send_releases(now, &mut orders);
         }
         self.commit_free_keys(now, clock, owners, &mut orders);
-        self.send_renewals(now, &mut orders);
+        self.send_renewals(now, owners, &mut orders);
         orders
     }
 
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        KeyEvent, Order, OrderOutcome, RETRY_DELAY, Reconciler, moves::not_moving,
-        send_window::SendWindow,
+        KeyEvent, Order, OrderOutcome, OwnerState, Owners, RETRY_DELAY, Reconciler,
+        moves::not_moving, send_window::SendWindow,
     },
     crate::{
         id::Epoch,
@@ -131,11 +131,26 @@
         }
         due.into_iter().map(|(_, _, range)| range).collect()
     }
+
+    /// Has a grant that was taken as due wait.
+    fn postpone(&mut self, range: KeyRange, now: Time) {
+        self.window.remove(now, range);
+        if let Some(renewal) = self.by_range.get_mut(&range) {
+            renewal.sent_at = None;
+            renewal.due = now + RETRY_DELAY;
+            self.queue.insert((renewal.is_held, renewal.due, range));
+        }
+    }
 }
 
 impl Reconciler {
     /// Orders the grants that are due, first grants and renewals alike.
-    pub(super) fn send_renewals(&mut self, now: Time, orders: &mut Vec<Order>) {
+    pub(super) fn send_renewals(
+        &mut self,
+        now: Time,
+        owners: &impl Owners,
+        orders: &mut Vec<Order>,
+    ) {
         if self.renewals.is_stale {
             let parts = self.renewable_ranges();
             self.renewals.sync(&parts, now);
@@ -143,6 +158,11 @@
         for range in self.renewals.take_due(now) {
             let slice = self.map.slice(range.first);
             let Some(owner) = &slice.owner else { continue };
+            // The next process at the address would take the grant as its own.
+            if owners.state(owner) == OwnerState::Ended {
+                self.renewals.postpone(range, now);
+                continue;
+            }
             self.leases.record_sent(owner, now);
             let slice = slice.clone();
             orders.push(Order::Grant {
