A replaced planner claims again in the model of the ranges

The model resumed only the last planner after a restore of the store; the product resumes any planner whose claim the copy names, if it has missed no era and heard of no later claim.

Copies now name the leader of their time. In a configuration of its own, a planner that was cut off from the store and from the other instances claims again once the copy names it, whether its successor has ended, acts without the store, or reads that it is replaced. The leader too resumes only if the copy names it. `World::resume` is the only caller of `Reconciler::resume`.

--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -45,6 +45,8 @@
 /// Activity in a run of the correct rules.
 struct WalkResult {
     commits: u64,
+    /// Number of replaced planners that claimed again and continued with their own map.
+    replaced_resumes: u64,
     /// Share of all keys that were held, averaged over the steps.
     held_share: f64,
 }
@@ -59,6 +61,7 @@
     }
     WalkResult {
         commits: world.commits,
+        replaced_resumes: world.replaced_resumes,
         held_share: held_share / f64::from(STEPS),
     }
 }
@@ -80,6 +83,18 @@
     assert!(held_share > 0.5, "average share of held keys: {held_share}");
 }
 
+/// Guards against a planner that continues with its own map although others have moved keys: it
+/// was cut off, and the store came back from a copy that lacks their claims.
+#[test]
+fn no_key_is_held_twice_when_a_replaced_planner_claims_again() {
+    let walk = |seed| correct_walk(seed, World::with_replaced_planners(seed, None));
+    let walks: Vec<WalkResult> = (0..SEEDS).map(walk).collect();
+    let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
+    let replaced: u64 = walks.iter().map(|walk| walk.replaced_resumes).sum();
+    assert!(commits > 20 * SEEDS, "{commits} commits");
+    assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
+}
+
 /// Guards against a model that would not detect a missing safeguard. Each flaw removes
 /// one safeguard, and the model must notice.
 #[test]
--- a/crates/core/tests/ranges_model/planner.rs
+++ b/crates/core/tests/ranges_model/planner.rs
@@ -1,20 +1,32 @@
 //! Planner of the model: the real reconciler and its view of the store.
 
 use citron_core::{
-    id::ServerName,
+    id::{ServerName, StoreEra},
     ranges::{Order, OrderOutcome, Reconciler},
     time::{StoreClock, Time},
 };
 
-/// One term of one instance as planner.
+/// Number of a claim of the leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Claim(pub u64);
+
+/// One instance as planner, from its first claim on.
 #[derive(Debug)]
 pub struct Planner {
     pub number: u64,
+    /// Its last claim.
+    pub claim: Claim,
+    /// Last claim that it has heard of.
+    pub heard_claim: Claim,
+    /// Era of its last claim.
+    pub era: StoreEra,
     pub reconciler: Reconciler,
     /// Version of the map's row that the reconciler started from.
     pub version: u64,
     /// Whether it reaches the store.
     pub is_connected: bool,
+    /// Whether no heartbeat of another instance reaches it.
+    pub is_isolated: bool,
     /// Time of the last answer from the store.
     pub confirmed: Time,
     /// Its estimate of the store's clock.
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -1,7 +1,10 @@
 //! Simulated environment of the planners: servers, network, store and faults.
 
 use {
-    crate::{planner::Planner, server::Server},
+    crate::{
+        planner::{Claim, Planner},
+        server::Server,
+    },
     citron_core::{
         id::{Epoch, ServerName, StoreEra},
         ranges::{
@@ -105,6 +108,14 @@
     map: RangeMap,
 }
 
+/// Rows of the store before they were written at some time.
+#[derive(Debug, Clone)]
+struct Copy {
+    at: Time,
+    map: RangeMap,
+    leader: Claim,
+}
+
 /// Simulation of planners, servers and the store.
 #[derive(Debug)]
 pub struct World {
@@ -116,7 +127,10 @@
     /// Processes that have certainly ended, by name.
     ended: Vec<ServerName>,
     planners: Vec<Planner>,
-    leader: u64,
+    /// Claim that the leadership row names.
+    leader: Claim,
+    /// Number of claims so far.
+    claims: u64,
     map: RangeMap,
     version: u64,
     in_transit: Vec<OrderInTransit>,
@@ -136,8 +150,12 @@
     restores: bool,
     /// Number of times that the store came back from a copy.
     era: StoreEra,
-    /// Maps of the last seconds, with the times at which they were written.
-    copies: VecDeque<(Time, RangeMap)>,
+    /// Rows of the last seconds.
+    copies: VecDeque<Copy>,
+    /// Whether planners that were cut off and replaced claim again after a restore.
+    replaced_planners: bool,
+    /// Number of replaced planners that continued with their own map.
+    pub replaced_resumes: u64,
     /// Keys, server and epoch of every grant that was accepted.
     accepted: Vec<(KeyRange, ServerName, Epoch)>,
     /// Description of a grant under an epoch that is not above all under which other servers
@@ -176,7 +194,8 @@
             servers: Vec::new(),
             ended: Vec::new(),
             planners: Vec::new(),
-            leader: 0,
+            leader: Claim(0),
+            claims: 0,
             map: RangeMap::new(),
             version: 0,
             in_transit: Vec::new(),
@@ -190,6 +209,8 @@
             restores: false,
             era: StoreEra(0),
             copies: VecDeque::new(),
+            replaced_planners: false,
+            replaced_resumes: 0,
             accepted: Vec::new(),
             epoch_error: None,
         };
@@ -238,6 +259,15 @@
         }
     }
 
+    /// Creates a world with restores after which planners that were cut off and replaced, and
+    /// that the copy names, claim again.
+    pub fn with_replaced_planners(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            replaced_planners: true,
+            ..Self::with_restores(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
@@ -308,13 +338,10 @@
             }
         } else if self.chance(6) {
             // The planner is cut off and does not know that another takes over.
-            let leader = self.leader;
-            if let Some(planner) = self
-                .planners
-                .iter_mut()
-                .find(|planner| planner.number == leader)
-            {
+            let is_isolated = self.replaced_planners && self.chance(700);
+            if let Some(planner) = self.leading_planner() {
                 planner.is_connected = false;
+                planner.is_isolated = is_isolated;
             }
             self.take_over(false);
         }
@@ -330,42 +357,51 @@
         if self.chance(1) {
             for planner in &mut self.planners {
                 planner.is_connected = true;
+                planner.is_isolated = false;
             }
         }
+        let leader = self.leader;
+        let in_touch = self.planners.iter_mut().filter(|known| !known.is_isolated);
+        in_touch.for_each(|planner| planner.heard_claim = leader);
+    }
+
+    /// The planner that the leadership row names, if its process lives.
+    fn leading_planner(&mut self) -> Option<&mut Planner> {
+        let leader = self.leader;
+        let mut planners = self.planners.iter_mut();
+        planners.find(|planner| planner.claim == leader)
     }
 
-    /// Brings the store back from a copy. The leader, if it is there to see that, goes on with
-    /// its own map; otherwise another instance takes over with what it remembers.
+    /// Brings the store back from a copy. A planner that the copy names and that is there to
+    /// see that may go on with its own map; otherwise another instance takes over with what it
+    /// remembers.
     fn restore_store(&mut self) {
-        let copy = self.rng.random_range(0..=self.copies.len());
-        let newest = self.map.clone();
-        if let Some((_, map)) = self.copies.get(copy) {
-            self.map = map.clone();
+        let copy = self.pick_copy();
+        let (newest, replaced) = (self.map.clone(), self.leader);
+        if let Some(copy) = self.copies.get(copy) {
+            self.map = copy.map.clone();
+            self.leader = copy.leader;
         }
         self.copies.clear();
         self.version += 1;
         self.era = StoreEra(self.era.0 + 1);
-        let (floor, now, leader, flaw) = (self.floor(), self.now, self.leader, self.flaw);
-        let (copied, version) = (self.map.clone(), self.version);
-        let mut planners = self.planners.iter_mut();
-        let lives_on = planners.find(|planner| planner.number == leader && planner.is_connected);
-        if let Some(planner) = lives_on
-            && self.rng.random_range(0..1_000) < 600
-        {
-            planner.version = version;
-            planner.outcomes.clear();
-            planner.reconciler.resume(floor, now);
-            if flaw == Some(Flaw::ForgetMoves) {
-                planner.reconciler.reload(copied);
+        let (copied, flaw) = (self.map.clone(), self.flaw);
+        if self.may_resume() && self.chance(600) {
+            if self.leader != replaced {
+                self.replaced_resumes += 1;
+                self.disturb_planner(replaced);
             }
-            return;
+            return self.resume();
         }
-        let is_killed = self.chance(500);
-        self.take_over(is_killed);
+        if self.chance(500) {
+            self.planners.retain(|planner| planner.claim != replaced);
+        }
+        self.take_over(false);
         let remembered = match self.chance(500) {
             true => copied.newest_of(&newest),
             false => copied,
         };
+        let now = self.now;
         let Some(planner) = self.planners.last_mut() else {
             return;
         };
@@ -375,6 +411,84 @@
         }
     }
 
+    /// Index of the copy from which the store comes back; beyond the last one for its newest
+    /// rows.
+    fn pick_copy(&mut self) -> usize {
+        let is_replaced = |planner: &&Planner| planner.is_isolated && planner.claim != self.leader;
+        let replaced = self.planners.iter().rfind(is_replaced);
+        let names = |copy: &Copy| replaced.is_some_and(|known| known.claim == copy.leader);
+        match self.copies.iter().rposition(names) {
+            Some(index) if self.replaced_planners => index,
+            _ => self.rng.random_range(0..=self.copies.len()),
+        }
+    }
+
+    /// Whether the planner that the copy names is there to claim again, and continues with its
+    /// own map: it has missed no era and heard of no later claim.
+    fn may_resume(&mut self) -> bool {
+        let (era, may_return) = (self.era, self.replaced_planners);
+        self.leading_planner().is_some_and(|planner| {
+            let is_back = planner.is_connected || (may_return && planner.is_isolated);
+            let is_unbroken = planner.era.0 + 1 == era.0 && planner.heard_claim <= planner.claim;
+            is_back && is_unbroken && !planner.is_stopped
+        })
+    }
+
+    /// Ends the planner with this claim, cuts it off, or lets it read that it is replaced.
+    fn disturb_planner(&mut self, claim: Claim) {
+        match self.rng.random_range(0..3) {
+            0 => self.planners.retain(|planner| planner.claim != claim),
+            1 => {
+                let mut planners = self.planners.iter_mut();
+                if let Some(planner) = planners.find(|planner| planner.claim == claim) {
+                    planner.is_connected = false;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Has the planner that the row names claim the leadership again and continue with its own
+    /// map.
+    fn resume(&mut self) {
+        let claimant = self.leader;
+        let claim = self.next_claim();
+        let (floor, now, era, version) = (self.floor(), self.now, self.era, self.version);
+        let copied = self.map.clone();
+        let forgets_moves = self.flaw == Some(Flaw::ForgetMoves);
+        let mut planners = self.planners.iter_mut();
+        let Some(planner) = planners.find(|planner| planner.claim == claimant) else {
+            return;
+        };
+        // Orders of its former claim may still be carried out, but count no more.
+        planner.outcomes.clear();
+        if planner.is_isolated {
+            let number = planner.number;
+            let sent = self.in_transit.iter_mut();
+            sent.filter(|sent| sent.planner == number)
+                .for_each(|sent| sent.is_answered = false);
+        }
+        planner.claim = claim;
+        planner.heard_claim = claim;
+        planner.era = era;
+        planner.version = version;
+        planner.is_connected = true;
+        planner.is_isolated = false;
+        planner.confirmed = now;
+        planner.reconciler.resume(floor, now);
+        if forgets_moves {
+            planner.reconciler.reload(copied);
+        }
+    }
+
+    /// Writes the leadership row.
+    fn next_claim(&mut self) -> Claim {
+        self.record_copy();
+        self.claims += 1;
+        self.leader = Claim(self.claims);
+        self.leader
+    }
+
     /// Lowest epoch of the current era.
     fn floor(&self) -> Epoch {
         match self.flaw {
@@ -434,16 +548,15 @@
     /// Makes another instance the leader; `is_killed` if the process of the former leader
     /// has ended.
     fn take_over(&mut self, is_killed: bool) {
+        let former = self.leader;
         if is_killed {
-            let leader = self.leader;
-            self.planners.retain(|planner| planner.number != leader);
+            self.planners.retain(|planner| planner.claim != former);
         }
         self.planners
             .retain(|planner| self.now - planner.confirmed < Duration::from_secs(60));
-        let former = self.leader;
-        self.leader += 1;
+        let claim = self.next_claim();
         let may_still_act = self.planners.iter().any(|planner| {
-            let known = self.flaw != Some(Flaw::OnlyLastPlanner) || planner.number == former;
+            let known = self.flaw != Some(Flaw::OnlyLastPlanner) || planner.claim == former;
             known && !planner.is_stopped
         });
         let previous_until = match (self.flaw, may_still_act) {
@@ -467,10 +580,14 @@
             }
         }
         self.planners.push(Planner {
-            number: self.leader,
+            number: claim.0,
+            claim,
+            heard_claim: claim,
+            era: self.era,
             reconciler,
             version: self.version,
             is_connected: true,
+            is_isolated: false,
             confirmed: self.now,
             clock: StoreClock::default(),
             outcomes: Vec::new(),
@@ -499,7 +616,7 @@
                 _ => Duration::ZERO,
             };
             planner.clock.record(now, now, store_time(now + ahead));
-            if planner.number != self.leader && self.flaw != Some(Flaw::NoLeaderCheck) {
+            if planner.claim != self.leader && self.flaw != Some(Flaw::NoLeaderCheck) {
                 // It reads that another instance leads, and stops planning.
                 planner.is_stopped = true;
                 return;
@@ -558,7 +675,7 @@
         let flaw = self.flaw;
         let planner = &mut self.planners[index];
         let order = Order::Commit(map.clone());
-        let is_leading = planner.number == self.leader || flaw == Some(Flaw::NoLeaderCheck);
+        let is_leading = planner.claim == self.leader || flaw == Some(Flaw::NoLeaderCheck);
         let is_current_version =
             planner.version == self.version || flaw == Some(Flaw::NoLeaderCheck);
         if !planner.is_connected || (is_lost && flaw != Some(Flaw::AssumeCommitted)) {
@@ -605,9 +722,7 @@
     }
 
     fn apply(&mut self, map: RangeMap) {
-        self.copies.push_back((self.now, self.map.clone()));
-        let now = self.now;
-        self.copies.retain(|(at, _)| now - *at < COPY_AGE_MAX);
+        self.record_copy();
         self.map = match self.flaw {
             Some(Flaw::EarlyExpiry) => expire_early(&map, self.times.max_validity()),
             _ => map,
@@ -616,6 +731,17 @@
         self.commits += 1;
     }
 
+    /// Keeps the rows as they are before a write.
+    fn record_copy(&mut self) {
+        let at = self.now;
+        self.copies.retain(|copy| at - copy.at < COPY_AGE_MAX);
+        self.copies.push_back(Copy {
+            at,
+            map: self.map.clone(),
+            leader: self.leader,
+        });
+    }
+
     /// Executes delayed commits whose condition is still met.
     fn apply_delayed_commits(&mut self) {
         let now = self.now;
@@ -632,12 +758,11 @@
             if is_former {
                 continue;
             }
-            let planners = self.planners.iter();
-            let mut found = planners.filter(|known| known.number == planner);
-            let is_current_version = found
-                .next()
-                .is_some_and(|known| known.version == self.version);
-            if is_checked && (planner != self.leader || !is_current_version) {
+            let mut planners = self.planners.iter();
+            let found = planners.find(|known| known.number == planner);
+            let meets_condition = found
+                .is_some_and(|known| known.version == self.version && known.claim == self.leader);
+            if is_checked && !meets_condition {
                 self.reload(planner);
                 continue;
             }
