The model of the ranges checks each grant by the three clauses of ownership

The model compared what servers hold every 50 ms, and said neither who had granted the keys nor for how long they were held twice. A key given while another server still works on it was not seen: servers of the model ran no requests.

Each grant is now checked at the moment of its execution against the holds, the work and the epochs of all other servers. Servers begin requests of up to 2 s on keys that they hold, and answer a release when those on its keys have ended. A violation tells clause, keys, both servers with their epochs, the planner, claim and era that granted each, and the length of the overlap, for which the run goes on. Any overlap fails, as before.

Two configurations are new: planners that reach only some servers, each others, for up to 45 s, and restores within seconds of each other while a fence is in progress. The walks of the configurations run side by side.

--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -1,13 +1,15 @@
 //! Randomized model test of planners, servers and a store in virtual time.
 //!
-//! Invariants checked after each step: no two servers hold the same key, and a server
-//! accepts keys only under an epoch above every epoch under which others held them.
+//! Invariants checked at each grant: no two servers hold the same key, no server takes a key
+//! on which another one still works, and a server accepts keys only under an epoch above every
+//! epoch under which others held them.
 //! Injected faults: planners are cut off from the store, killed and replaced; servers
 //! crash, restart, leave and execute orders late; answers are lost; server clocks run 2%
-//! slow; the store comes back from an older copy.
+//! slow; planners reach only some servers; the store comes back from an older copy.
 
 mod planner;
 mod server;
+mod violation;
 mod world;
 
 use {
@@ -25,11 +27,10 @@
 
 fn is_caught(seed: u64, flaw: Flaw) -> bool {
     let mut world = match flaw {
-        // The next grant makes up for a single lost answer, and a planner without the
-        // store is harmless to servers that its successor reaches.
-        Flaw::AssumeUnsentGrant | Flaw::RenewWithoutStore => {
-            World::with_one_way_links(seed, Some(flaw))
-        }
+        // The next grant makes up for a single lost answer.
+        Flaw::AssumeUnsentGrant => World::with_one_way_links(seed, Some(flaw)),
+        // A planner without the store is harmless to servers that its successor reaches.
+        Flaw::RenewWithoutStore => World::with_partitions(seed, Some(flaw)),
         Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
         Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
             World::with_restores(seed, Some(flaw))
@@ -38,7 +39,7 @@
     };
     (0..STEPS).any(|_| {
         world.step();
-        world.check().is_err()
+        world.has_violation()
     })
 }
 
@@ -55,8 +56,11 @@
     let mut held_share = 0.0;
     for _ in 0..STEPS {
         world.step();
-        let checked = world.check();
-        checked.unwrap_or_else(|what| panic!("seed {seed}: {what}"));
+        if world.has_violation()
+            && let Some(violation) = world.violation_at_end()
+        {
+            panic!("seed {seed}: {violation}");
+        }
         held_share += world.held_share();
     }
     WalkResult {
@@ -66,16 +70,14 @@
     }
 }
 
-#[test]
-fn no_key_is_held_twice() {
-    let plain = (0..SEEDS).map(|seed| correct_walk(seed, World::new(seed, None)));
-    let one_way = (0..SEEDS).map(|seed| correct_walk(seed, World::with_one_way_links(seed, None)));
-    let killed = (0..SEEDS).map(|seed| correct_walk(seed, World::with_planner_kills(seed, None)));
-    let late = (0..SEEDS).map(|seed| correct_walk(seed, World::with_late_commits(seed, None)));
-    let restored = (0..SEEDS).map(|seed| correct_walk(seed, World::with_restores(seed, None)));
-    let walks = plain.chain(one_way).chain(killed).chain(late);
-    let walks: Vec<WalkResult> = walks.chain(restored).collect();
-    // Runs without commits, or without held keys, would pass without testing anything.
+/// Walks through one configuration of the world with several seeds.
+fn walk_all(create: fn(u64, Option<Flaw>) -> World) -> Vec<WalkResult> {
+    let walks = (0..SEEDS).map(|seed| correct_walk(seed, create(seed, None)));
+    walks.collect()
+}
+
+/// Runs without commits, or without held keys, would pass without testing anything.
+fn assert_activity(walks: &[WalkResult]) {
     let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
     let held_share: f64 =
         walks.iter().map(|walk| walk.held_share).sum::<f64>() / walks.len() as f64;
@@ -83,15 +85,41 @@
     assert!(held_share > 0.5, "average share of held keys: {held_share}");
 }
 
+#[test]
+fn no_key_is_held_twice() {
+    let configurations = [
+        World::new,
+        World::with_one_way_links,
+        World::with_planner_kills,
+        World::with_late_commits,
+        World::with_restores,
+    ];
+    let walks = thread::scope(|scope| {
+        let walks = configurations.map(|create| scope.spawn(move || walk_all(create)));
+        walks.map(|walks| walks.join().unwrap())
+    });
+    assert_activity(&walks.into_iter().flatten().collect::<Vec<_>>());
+}
+
+/// Guards against double holds by planners that reach different servers, each of them only some.
+#[test]
+fn no_key_is_held_twice_in_partitions() {
+    assert_activity(&walk_all(World::with_partitions));
+}
+
+/// Guards against double holds after a restore of the store while a fence is in progress.
+#[test]
+fn no_key_is_held_twice_after_restores_in_quick_succession() {
+    assert_activity(&walk_all(World::with_restore_bursts));
+}
+
 /// Guards against a planner that continues with its own map although others have moved keys: it
 /// was cut off, and the store came back from a copy that lacks their claims.
 #[test]
 fn no_key_is_held_twice_when_a_replaced_planner_claims_again() {
-    let walk = |seed| correct_walk(seed, World::with_replaced_planners(seed, None));
-    let walks: Vec<WalkResult> = (0..SEEDS).map(walk).collect();
-    let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
+    let walks = walk_all(World::with_replaced_planners);
     let replaced: u64 = walks.iter().map(|walk| walk.replaced_resumes).sum();
-    assert!(commits > 20 * SEEDS, "{commits} commits");
+    assert_activity(&walks);
     assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
 }
 
--- a/crates/core/tests/ranges_model/planner.rs
+++ b/crates/core/tests/ranges_model/planner.rs
@@ -1,9 +1,12 @@
 //! Planner of the model: the real reconciler and its view of the store.
 
-use citron_core::{
-    id::{ServerName, StoreEra},
-    ranges::{Order, OrderOutcome, Reconciler},
-    time::{StoreClock, Time},
+use {
+    crate::violation::Granter,
+    citron_core::{
+        id::{ServerName, StoreEra},
+        ranges::{Order, OrderOutcome, Reconciler},
+        time::{StoreClock, Time},
+    },
 };
 
 /// Number of a claim of the leadership.
@@ -40,3 +43,14 @@
     /// Outcomes of orders that have not reached it yet, by arrival.
     pub outcomes: Vec<(Time, Order, OrderOutcome)>,
 }
+
+impl Planner {
+    /// Sender of its grants.
+    pub fn granter(&self) -> Granter {
+        Granter {
+            planner: self.number,
+            claim: self.claim,
+            era: self.era,
+        }
+    }
+}
--- a/crates/core/tests/ranges_model/server.rs
+++ b/crates/core/tests/ranges_model/server.rs
@@ -1,20 +1,42 @@
 //! Backend server of the model, which holds keys under leases.
 
 use {
+    crate::violation::Granter,
     citron_core::{
         id::{Epoch, ServerName},
-        ranges::{KeyRange, Slice},
+        ranges::{KeyRange, RangeKey, Slice},
         time::Time,
     },
+    rand::Rng,
     std::time::Duration,
 };
 
+/// Longest time that a request takes, in milliseconds.
+const WORK_MAX: u64 = 2_000;
+
 /// Keys that a server may serve until the end of their lease.
 #[derive(Debug, Clone)]
 pub struct HeldRange {
     pub range: KeyRange,
     pub epoch: Epoch,
     pub until: Time,
+    pub granter: Granter,
+}
+
+/// Request in progress on one key.
+#[derive(Debug, Clone)]
+pub struct Work {
+    pub key: KeyRange,
+    /// The hold under which it began, as renewed since. The work ends with it.
+    pub hold: HeldRange,
+    ends: Time,
+}
+
+impl Work {
+    /// When the work ends at the latest.
+    pub fn end(&self) -> Time {
+        self.ends.min(self.hold.until)
+    }
 }
 
 /// One process of a server.
@@ -24,6 +46,7 @@
     pub is_up: bool,
     pub is_leaving: bool,
     pub held: Vec<HeldRange>,
+    pub work: Vec<Work>,
     /// Epochs seen with grants and releases, by range.
     seen_epochs: Vec<(KeyRange, Epoch)>,
     /// Whether the clock runs 2% slow.
@@ -37,6 +60,7 @@
             is_up: true,
             is_leaving: false,
             held: Vec::new(),
+            work: Vec::new(),
             seen_epochs: Vec::new(),
             has_slow_clock,
         }
@@ -44,25 +68,59 @@
 
     /// Executes a grant that arrived at `received_at`, possibly much earlier than now.
     /// Returns `false` if the server has seen a higher epoch.
-    pub fn grant(&mut self, slice: &Slice, lease: Duration, received_at: Time) -> bool {
+    pub fn grant(
+        &mut self,
+        slice: &Slice,
+        lease: Duration,
+        received_at: Time,
+        granter: Granter,
+    ) -> bool {
         if self.max_seen_epoch(slice.range) > slice.epoch {
             return false;
         }
         let factor = if self.has_slow_clock { 1.02 } else { 1.0 };
         self.remove_keys(slice.range);
         self.seen_epochs.push((slice.range, slice.epoch));
-        self.held.push(HeldRange {
+        let hold = HeldRange {
             range: slice.range,
             epoch: slice.epoch,
             until: received_at + lease.mul_f64(factor),
-        });
+            granter,
+        };
+        let work = self.work.iter_mut();
+        work.filter(|work| work.key.intersection(hold.range).is_some())
+            .for_each(|work| work.hold = hold.clone());
+        self.held.push(hold);
         true
     }
 
-    /// Releases keys regardless of the epoch under which they are held.
-    pub fn release(&mut self, range: KeyRange, epoch: Epoch) {
+    /// Releases keys regardless of the epoch under which they are held. Returns the end of the
+    /// work on them, at which the release is answered.
+    pub fn release(&mut self, range: KeyRange, epoch: Epoch) -> Time {
         self.remove_keys(range);
         self.seen_epochs.push((range, epoch));
+        let work = self.work.iter();
+        let ends = work.filter(|work| work.key.intersection(range).is_some());
+        ends.map(Work::end).max().unwrap_or_default()
+    }
+
+    /// Begins a request on a random key that is held. Returns the key.
+    pub fn begin_work(&mut self, rng: &mut impl Rng, now: Time) -> Option<KeyRange> {
+        self.work.retain(|work| work.end() > now);
+        let unexpired = self.held.iter().filter(|held| held.until > now);
+        let unexpired: Vec<&HeldRange> = unexpired.collect();
+        if unexpired.is_empty() {
+            return None;
+        }
+        let hold = unexpired[rng.random_range(0..unexpired.len())].clone();
+        let key = RangeKey(rng.random_range(hold.range.first.0..=hold.range.last.0));
+        let key = KeyRange {
+            first: key,
+            last: key,
+        };
+        let ends = now + Duration::from_millis(rng.random_range(50..WORK_MAX));
+        self.work.push(Work { key, hold, ends });
+        Some(key)
     }
 
     fn max_seen_epoch(&self, range: KeyRange) -> Epoch {
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -3,14 +3,15 @@
 use {
     crate::{
         planner::{Claim, Planner},
-        server::Server,
+        server::{HeldRange, Server, Work},
+        violation::{Breach, Granter, Holder, Violation},
     },
     citron_core::{
         id::{Epoch, ServerName, StoreEra},
         ranges::{
             BalanceLimits, Balancer, Capacity, Demand, KeyRange, LeaseTimes, LeaseTracker,
             MoveNotice, Order, OrderOutcome, OwnerHint, OwnerState, Owners, PlanScope, RangeMap,
-            Reconciler, Slice,
+            Reconciler,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -23,6 +24,10 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Age of the oldest copy from which the store comes back.
 const COPY_AGE_MAX: Duration = Duration::from_secs(4);
+/// Longest partition, longer than a planner acts without the store and its leases last.
+const PARTITION_MAX: Duration = Duration::from_secs(45);
+/// Duration of a series of restores.
+const BURST: Duration = Duration::from_secs(3);
 /// Servers started at first; a crashed or leaving one is replaced.
 const SERVERS: usize = 5;
 
@@ -93,7 +98,7 @@
     arrival: Time,
     /// Time of execution; later than the arrival if the server is delayed.
     execution: Time,
-    planner: u64,
+    granter: Granter,
     order: Order,
     is_answered: bool,
 }
@@ -154,13 +159,19 @@
     copies: VecDeque<Copy>,
     /// Whether planners that were cut off and replaced claim again after a restore.
     replaced_planners: bool,
+    /// Whether planners are partitioned from parts of the servers for a long time.
+    partitions: bool,
+    /// End of the partition, and the servers on the smaller side.
+    partition: (Time, Vec<ServerName>),
+    /// Whether restores follow one another within seconds.
+    restore_bursts: bool,
+    /// End of a series of restores.
+    burst_until: Time,
     /// Number of replaced planners that continued with their own map.
     pub replaced_resumes: u64,
-    /// Keys, server and epoch of every grant that was accepted.
-    accepted: Vec<(KeyRange, ServerName, Epoch)>,
-    /// Description of a grant under an epoch that is not above all under which other servers
-    /// held the keys.
-    epoch_error: Option<String>,
+    /// Keys and holder of every grant that was accepted.
+    accepted: Vec<(KeyRange, Holder)>,
+    violation: Option<Violation>,
 }
 
 /// Listed servers as the planners see them.
@@ -210,9 +221,13 @@
             era: StoreEra(0),
             copies: VecDeque::new(),
             replaced_planners: false,
+            partitions: false,
+            partition: (Time::ZERO, Vec::new()),
+            restore_bursts: false,
+            burst_until: Time::ZERO,
             replaced_resumes: 0,
             accepted: Vec::new(),
-            epoch_error: None,
+            violation: None,
         };
         for _ in 0..SERVERS {
             world.start_server();
@@ -268,43 +283,104 @@
         }
     }
 
+    /// Creates a world in which planners are partitioned from parts of the servers for up to
+    /// [`PARTITION_MAX`]: some reach only the servers that the others do not reach.
+    pub fn with_partitions(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            partitions: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
+    /// Creates a world with partitions in which restores of the store follow one another within
+    /// seconds, before servers have answered the releases of a fence.
+    pub fn with_restore_bursts(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            partitions: true,
+            restore_bursts: true,
+            ..Self::with_restores(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.inject_faults();
         self.deliver();
+        self.update_violation(self.now);
+        self.begin_work();
         self.apply_delayed_commits();
         for index in 0..self.planners.len() {
             self.plan(index);
         }
     }
 
-    /// Checks that no two servers hold the same key, and that epochs rise from one to the next.
-    pub fn check(&self) -> Result<(), String> {
-        if let Some(error) = &self.epoch_error {
-            return Err(error.clone());
+    /// Whether two servers have held the same key or worked on it, or an epoch has not risen from
+    /// one to the next.
+    pub fn has_violation(&self) -> bool {
+        self.violation.is_some()
+    }
+
+    /// The violation after its end, at the latest after the end of all leases.
+    pub fn violation_at_end(&mut self) -> Option<Violation> {
+        let ends = self.now + self.times.max_validity();
+        while self.now < ends {
+            self.step();
         }
-        let active = |server: &Server| {
-            let unexpired = server.held.iter().filter(|range| range.until > self.now);
-            unexpired.cloned().collect::<Vec<_>>()
-        };
-        let up: Vec<&Server> = self.servers.iter().filter(|server| server.is_up).collect();
-        for (at, one) in up.iter().enumerate() {
-            for other in &up[at + 1..] {
-                for (a, b) in active(one)
-                    .iter()
-                    .flat_map(|a| active(other).into_iter().map(move |b| (a.clone(), b)))
-                {
-                    if let Some(range) = a.range.intersection(b.range) {
-                        return Err(format!(
-                            "{range} is held by {} under {} and {} under {} at {}",
-                            one.name, a.epoch, other.name, b.epoch, self.now
-                        ));
-                    }
-                }
+        self.violation.clone()
+    }
+
+    /// Lets servers begin requests.
+    fn begin_work(&mut self) {
+        let now = self.now;
+        for server in self.servers.iter_mut().filter(|server| server.is_up) {
+            if self.rng.random_range(0..1_000) >= 300 {
+                continue;
             }
+            let Some(key) = server.begin_work(&mut self.rng, now) else {
+                continue;
+            };
+            let Some(violation) = &mut self.violation else {
+                continue;
+            };
+            let is_within = key.intersection(violation.range).is_some() && now < violation.until;
+            let holders = violation.holders.iter().zip(&mut violation.has_begun);
+            holders
+                .filter(|(holder, _)| is_within && holder.server == server.name)
+                .for_each(|(_, has_begun)| *has_begun = true);
+        }
+    }
+
+    /// Until when a server holds keys of a range, as far as is known.
+    fn held_until(&self, server: &ServerName, range: KeyRange) -> Time {
+        let mut up = self.servers.iter().filter(|known| known.is_up);
+        let found = up.find(|known| known.name == *server);
+        let held = found.into_iter().flat_map(|known| &known.held);
+        let held = held.filter(|held| held.range.intersection(range).is_some());
+        held.map(|held| held.until).max().unwrap_or_default()
+    }
+
+    /// Updates the end of a double hold after a change at `at`.
+    fn update_violation(&mut self, at: Time) {
+        let Some(Violation {
+            breach: Breach::HeldTwice,
+            range,
+            holders: [one, other],
+            until,
+            ..
+        }) = &self.violation
+        else {
+            return;
+        };
+        // A later double hold of the same keys is another one.
+        if *until <= at {
+            return;
+        }
+        let held = self.held_until(&one.server, *range);
+        let ends = held.min(self.held_until(&other.server, *range)).max(at);
+        if let Some(violation) = &mut self.violation {
+            violation.until = ends;
         }
-        Ok(())
     }
 
     /// Share of all keys that some server holds.
@@ -324,6 +400,11 @@
     }
 
     fn inject_faults(&mut self) {
+        // Each new planner waits anew for the leases of those before it.
+        let (cuts, kills) = match self.partitions {
+            true => (3, 1),
+            false => (6, 4),
+        };
         if self.chance(6) {
             self.crash_server();
         }
@@ -336,7 +417,7 @@
             if self.chance(20) {
                 self.take_over(true);
             }
-        } else if self.chance(6) {
+        } else if self.chance(cuts) {
             // The planner is cut off and does not know that another takes over.
             let is_isolated = self.replaced_planners && self.chance(700);
             if let Some(planner) = self.leading_planner() {
@@ -345,13 +426,24 @@
             }
             self.take_over(false);
         }
-        if self.chance(4) {
+        if self.chance(kills) {
             self.take_over(true);
         }
-        if self.chance(5) {
+        if self.partitions {
+            self.partition_links();
+        } else if self.chance(5) {
             self.cut_links();
         }
-        if self.restores && self.chance(8) {
+        let is_burst = self.now < self.burst_until;
+        let restores = match self.restore_bursts {
+            true if is_burst => 40,
+            true => 2,
+            false => 8,
+        };
+        if self.restores && self.chance(restores) {
+            if self.restore_bursts && !is_burst {
+                self.burst_until = self.now + BURST;
+            }
             self.restore_store();
         }
         if self.chance(1) {
@@ -465,7 +557,7 @@
         if planner.is_isolated {
             let number = planner.number;
             let sent = self.in_transit.iter_mut();
-            sent.filter(|sent| sent.planner == number)
+            sent.filter(|sent| sent.granter.planner == number)
                 .for_each(|sent| sent.is_answered = false);
         }
         planner.claim = claim;
@@ -516,6 +608,36 @@
         }
     }
 
+    /// Begins and ends partitions. Planners and servers that appear meanwhile are on the larger
+    /// side.
+    fn partition_links(&mut self) {
+        if self.now < self.partition.0 {
+            return;
+        }
+        for planner in &mut self.planners {
+            planner.unreachable.clear();
+        }
+        if !self.chance(8) {
+            return;
+        }
+        // Between two series of restores, fences are to end.
+        let longest = match self.restore_bursts {
+            true => PARTITION_MAX / 6,
+            false => PARTITION_MAX,
+        };
+        let millis = self.rng.random_range(0..=longest.as_millis() as u64);
+        let names = self.servers.iter().map(|server| server.name.clone());
+        let names: Vec<ServerName> = names.collect();
+        let (small, large): (Vec<_>, Vec<_>) = names.into_iter().partition(|_| self.chance(250));
+        for index in 0..self.planners.len() {
+            self.planners[index].unreachable = match self.chance(700) {
+                true => large.clone(),
+                false => small.clone(),
+            };
+        }
+        self.partition = (self.now + Duration::from_millis(millis), small);
+    }
+
     fn crash_server(&mut self) {
         let at = self.rng.random_range(0..self.servers.len());
         let restarts = self.chance(600);
@@ -579,6 +701,10 @@
                 reconciler.restore_release(&notice);
             }
         }
+        let unreachable = match self.now < self.partition.0 {
+            true => self.partition.1.clone(),
+            false => Vec::new(),
+        };
         self.planners.push(Planner {
             number: claim.0,
             claim,
@@ -591,7 +717,7 @@
             confirmed: self.now,
             clock: StoreClock::default(),
             outcomes: Vec::new(),
-            unreachable: Vec::new(),
+            unreachable,
             one_way: Vec::new(),
             is_stopped: false,
         });
@@ -816,6 +942,7 @@
             });
         }
         let is_release = matches!(order, Order::Release { .. });
+        let granter = planner.granter();
         let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
         let is_answered = !is_late && !is_one_way;
         if is_lost || !is_answered {
@@ -835,7 +962,7 @@
         self.in_transit.push(OrderInTransit {
             arrival,
             execution,
-            planner: self.planners[index].number,
+            granter,
             order,
             is_answered,
         });
@@ -843,67 +970,109 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
+        let (mut due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
             .in_transit
             .drain(..)
             .partition(|sent| sent.execution <= now);
         self.in_transit = later;
+        due.sort_by_key(|sent| sent.execution);
         for sent in due {
-            let outcome = self.carry_out(&sent);
-            self.answer(&sent, outcome);
+            let (outcome, answered) = self.carry_out(&sent);
+            self.answer(&sent, outcome, answered);
+            self.update_violation(sent.execution);
         }
     }
 
-    fn carry_out(&mut self, sent: &OrderInTransit) -> OrderOutcome {
+    /// Executes an order. Returns its outcome and the time of the response.
+    fn carry_out(&mut self, sent: &OrderInTransit) -> (OrderOutcome, Time) {
         let lease = self.times.lease;
+        let now = self.now;
         let name = match &sent.order {
             Order::Grant(slice) => slice.owner.clone().unwrap(),
             Order::Release { server, .. } => server.clone(),
-            Order::Commit(_) => return OrderOutcome::Unknown,
+            Order::Commit(_) => return (OrderOutcome::Unknown, now),
         };
         let found = self
             .servers
             .iter_mut()
             .find(|server| server.name == name && server.is_up);
         let Some(server) = found else {
-            return OrderOutcome::NotSent;
+            return (OrderOutcome::NotSent, now);
         };
         match &sent.order {
-            Order::Grant(slice) => match server.grant(slice, lease, sent.arrival) {
-                true => {
-                    let is_late = sent.execution > sent.arrival;
-                    self.record_accepted(slice, name, is_late);
-                    OrderOutcome::Done { handover: None }
+            Order::Grant(slice) => {
+                if !server.grant(slice, lease, sent.arrival, sent.granter) {
+                    return (OrderOutcome::Outdated, now);
                 }
-                false => OrderOutcome::Outdated,
-            },
+                let holder = Holder {
+                    server: name,
+                    epoch: slice.epoch,
+                    granter: sent.granter,
+                };
+                self.record_accepted(slice.range, holder, sent);
+                (OrderOutcome::Done { handover: None }, now)
+            }
             Order::Release { range, epoch, .. } => {
-                server.release(*range, *epoch);
-                OrderOutcome::Done {
-                    handover: Some("warm".to_string()),
-                }
+                let work_end = server.release(*range, *epoch);
+                let handover = Some("warm".to_string());
+                (OrderOutcome::Done { handover }, now.max(work_end))
             }
-            Order::Commit(_) => OrderOutcome::Unknown,
+            Order::Commit(_) => (OrderOutcome::Unknown, now),
         }
     }
 
-    /// Checks the epoch of a grant against those of other servers. A grant that was executed
-    /// late may be below them: its lease counts from its arrival.
-    fn record_accepted(&mut self, slice: &Slice, server: ServerName, is_late: bool) {
-        let is_above = |(range, other, epoch): &&(KeyRange, ServerName, Epoch)| {
-            *other != server && *epoch >= slice.epoch && range.intersection(slice.range).is_some()
+    /// Checks a grant against the holds, the work and the epochs of other servers. The epoch of
+    /// a grant that was executed late may be below them: its lease counts from its arrival.
+    fn record_accepted(&mut self, range: KeyRange, next: Holder, sent: &OrderInTransit) {
+        let is_late = sent.execution > sent.arrival;
+        let since = sent.execution;
+        let own_until = self.held_until(&next.server, range);
+        let violation = |breach, range, former, until| Violation {
+            breach,
+            range,
+            holders: [former, next.clone()],
+            since,
+            until,
+            has_begun: [false, false],
+        };
+        let is_other = |server: &&Server| server.is_up && server.name != next.server;
+        let others: Vec<&Server> = self.servers.iter().filter(is_other).collect();
+        let holder = |server: &Server, hold: &HeldRange| Holder {
+            server: server.name.clone(),
+            epoch: hold.epoch,
+            granter: hold.granter,
+        };
+        let held = others.iter().find_map(|server| {
+            let mut held = server.held.iter();
+            let overlap = held.find_map(|held| Some((held, held.range.intersection(range)?)))?;
+            let until = overlap.0.until.min(own_until);
+            let former = holder(server, overlap.0);
+            (until > since).then(|| violation(Breach::HeldTwice, overlap.1, former, until))
+        });
+        let at_work = others.iter().find_map(|server| {
+            let is_on_keys = |work: &&Work| work.key.intersection(range).is_some();
+            let mut work = server.work.iter().filter(is_on_keys);
+            let work = work.find(|work| work.end().min(own_until) > since)?;
+            let former = holder(server, &work.hold);
+            Some(violation(Breach::StillAtWork, work.key, former, work.end()))
+        });
+        let is_above = |(taken, other): &&(KeyRange, Holder)| {
+            other.server != next.server
+                && other.epoch >= next.epoch
+                && taken.intersection(range).is_some()
         };
         let conflict = self.accepted.iter().find(is_above);
-        if let Some((range, other, epoch)) = conflict.filter(|_| !is_late) {
-            let now = self.now;
-            self.epoch_error = Some(format!(
-                "{server} takes {} under {} after {other} had {range} under {epoch} at {now}",
-                slice.range, slice.epoch
-            ));
-        }
-        let grant = (slice.range, server, slice.epoch);
-        if !self.accepted.contains(&grant) {
-            self.accepted.push(grant);
+        let low_epoch = conflict.filter(|_| !is_late).map(|(taken, former)| {
+            let range = taken.intersection(range).unwrap_or(range);
+            violation(Breach::LowEpoch, range, former.clone(), since)
+        });
+        let found = held.or(at_work).or(low_epoch);
+        self.violation = self.violation.take().or(found);
+        let is_known = |(taken, other): &(KeyRange, Holder)| {
+            *taken == range && other.server == next.server && other.epoch == next.epoch
+        };
+        if !self.accepted.iter().any(is_known) {
+            self.accepted.push((range, next));
         }
     }
 
@@ -919,7 +1088,7 @@
     }
 
     /// Reports the outcome of an order to its planner, or loses the answer.
-    fn answer(&mut self, sent: &OrderInTransit, outcome: OrderOutcome) {
+    fn answer(&mut self, sent: &OrderInTransit, outcome: OrderOutcome, at: Time) {
         if !sent.is_answered {
             return;
         }
@@ -927,11 +1096,10 @@
             true => self.unanswered(&sent.order),
             false => outcome,
         };
-        let at = self.now;
         let planner = self
             .planners
             .iter_mut()
-            .find(|planner| planner.number == sent.planner);
+            .find(|planner| planner.number == sent.granter.planner);
         if let Some(planner) = planner {
             planner.outcomes.push((at, sent.order.clone(), outcome));
         }
