Servers of the model restart under their id

A server may start again under the id that it had and knows nothing of before. Orders name the id only, so those to the former process reach the next one until the planner learns of the restart. The reconciler then takes the keys of the former process for free at once (`free_expired` with `OwnerState::Ended`), although the next one holds them by the renewals that it accepted.

In a configuration of its own, servers restart at once under their id, and planners learn of it up to 1 s later. Orders that had reached the former process are lost with it. The epochs of two lives of one server are not compared with each other.

--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -123,6 +123,13 @@
     assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
 }
 
+/// Guards against orders to a former process that give keys to the next one with its id, while
+/// the planner takes the keys of the former one for free.
+#[test]
+fn no_key_is_held_twice_when_servers_restart_under_their_id() {
+    assert_activity(&walk_all(World::with_same_ids));
+}
+
 /// Guards against a model that would not detect a missing safeguard. Each flaw removes
 /// one safeguard, and the model must notice.
 #[test]
--- a/crates/core/tests/ranges_model/server.rs
+++ b/crates/core/tests/ranges_model/server.rs
@@ -43,6 +43,10 @@
 #[derive(Debug)]
 pub struct Server {
     pub name: ServerName,
+    /// Name under which planners know it: that of the former process until it has registered.
+    pub listed: ServerName,
+    pub started: Time,
+    pub registers: Time,
     pub is_up: bool,
     pub is_leaving: bool,
     pub held: Vec<HeldRange>,
@@ -56,7 +60,10 @@
 impl Server {
     pub fn new(name: ServerName, has_slow_clock: bool) -> Self {
         Self {
+            listed: name.clone(),
             name,
+            started: Time::ZERO,
+            registers: Time::ZERO,
             is_up: true,
             is_leaving: false,
             held: Vec::new(),
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -26,6 +26,8 @@
 const COPY_AGE_MAX: Duration = Duration::from_secs(4);
 /// Longest partition, longer than a planner acts without the store and its leases last.
 const PARTITION_MAX: Duration = Duration::from_secs(45);
+/// Longest time from the start of a server to its registration.
+const REGISTRATION_MAX: Duration = Duration::from_secs(1);
 /// Duration of a series of restores.
 const BURST: Duration = Duration::from_secs(3);
 /// Servers started at first; a crashed or leaving one is replaced.
@@ -167,6 +169,8 @@
     restore_bursts: bool,
     /// End of a series of restores.
     burst_until: Time,
+    /// Whether servers restart under their former id, at the same address.
+    same_ids: bool,
     /// Number of replaced planners that continued with their own map.
     pub replaced_resumes: u64,
     /// Keys and holder of every grant that was accepted.
@@ -186,7 +190,7 @@
         if self.ended.contains(server) {
             return OwnerState::Ended;
         }
-        let found = self.servers.iter().find(|known| known.name == *server);
+        let found = self.servers.iter().find(|known| known.listed == *server);
         match found {
             Some(known) if known.is_up && !known.is_leaving => OwnerState::Serving,
             _ if self.flaw == Some(Flaw::AssumeLeavingEnded) => OwnerState::Ended,
@@ -225,6 +229,7 @@
             partition: (Time::ZERO, Vec::new()),
             restore_bursts: false,
             burst_until: Time::ZERO,
+            same_ids: false,
             replaced_resumes: 0,
             accepted: Vec::new(),
             violation: None,
@@ -302,10 +307,21 @@
         }
     }
 
+    /// Creates a world in which servers restart under their former id at the same address.
+    /// Planners learn of it up to [`REGISTRATION_MAX`] later; until then their orders to the
+    /// former process reach the new one.
+    pub fn with_same_ids(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            same_ids: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.inject_faults();
+        self.register_servers();
         self.deliver();
         self.update_violation(self.now);
         self.begin_work();
@@ -641,6 +657,9 @@
     fn crash_server(&mut self) {
         let at = self.rng.random_range(0..self.servers.len());
         let restarts = self.chance(600);
+        if self.same_ids && restarts && self.servers[at].is_up {
+            return self.restart_server(at);
+        }
         let server = &mut self.servers[at];
         server.is_up = false;
         let name = server.name.clone();
@@ -651,6 +670,36 @@
         self.start_server();
     }
 
+    /// Replaces a server by a new process with the same id, which knows nothing of before.
+    fn restart_server(&mut self, at: usize) {
+        self.servers_started += 1;
+        let former = &self.servers[at];
+        let name = format!("{}@{}", former.name.id(), self.servers_started);
+        let millis = self
+            .rng
+            .random_range(0..=REGISTRATION_MAX.as_millis() as u64);
+        let has_slow_clock = self.rng.random_range(0..1_000) < 500;
+        let listed = former.listed.clone();
+        let mut server = Server::new(name.parse().unwrap(), has_slow_clock);
+        server.listed = listed;
+        server.started = self.now;
+        server.registers = self.now + Duration::from_millis(millis);
+        self.servers[at] = server;
+    }
+
+    /// Registers servers that have started. A later process at the same address proves that the
+    /// former one has ended.
+    fn register_servers(&mut self) {
+        let now = self.now;
+        let started = self.servers.iter_mut();
+        for server in started.filter(|server| server.listed != server.name) {
+            if server.is_up && server.registers <= now {
+                self.ended.push(server.listed.clone());
+                server.listed = server.name.clone();
+            }
+        }
+    }
+
     fn start_server(&mut self) {
         self.servers_started += 1;
         let name = format!("s-{}", self.servers_started).parse().unwrap();
@@ -772,7 +821,7 @@
         let orders = {
             let clock = planner.clock.clone();
             let reconciler = &mut planner.reconciler;
-            reconciler.fence_servers(self.servers.iter().map(|server| &server.name), now);
+            reconciler.fence_servers(self.servers.iter().map(|server| &server.listed), now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
         for order in orders {
@@ -789,7 +838,7 @@
             .iter()
             .filter(|server| server.is_up && !server.is_leaving);
         let capacity = |server: &Server| Capacity {
-            server: server.name.clone(),
+            server: server.listed.clone(),
             rate: 20.0,
             accepts_keys: true,
         };
@@ -995,17 +1044,20 @@
         let found = self
             .servers
             .iter_mut()
-            .find(|server| server.name == name && server.is_up);
+            .find(|server| server.name.id() == name.id() && server.is_up);
         let Some(server) = found else {
             return (OrderOutcome::NotSent, now);
         };
+        if server.started > sent.arrival {
+            return (OrderOutcome::Unknown, now);
+        }
         match &sent.order {
             Order::Grant(slice) => {
                 if !server.grant(slice, lease, sent.arrival, sent.granter) {
                     return (OrderOutcome::Outdated, now);
                 }
                 let holder = Holder {
-                    server: name,
+                    server: server.name.clone(),
                     epoch: slice.epoch,
                     granter: sent.granter,
                 };
@@ -1057,7 +1109,7 @@
             Some(violation(Breach::StillAtWork, work.key, former, work.end()))
         });
         let is_above = |(taken, other): &&(KeyRange, Holder)| {
-            other.server != next.server
+            other.server.id() != next.server.id()
                 && other.epoch >= next.epoch
                 && taken.intersection(range).is_some()
         };
