The model takes a stray response for that to a release

The flaw TrustStrayResponse lets such a release count as done, while the server carries it out seconds later. Without it the response is dropped, and the release stays without an answer, as it does in all configurations already.

--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -71,10 +71,13 @@
     ReuseEpochs,
     /// Commits of an earlier era match versions that are given out again.
     MatchReusedVersions,
+    /// A response that belongs to another call counts as that to a release which the server has
+    /// not carried out yet.
+    TrustStrayResponse,
 }
 
 impl Flaw {
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::IgnorePreviousPlanners,
         Self::OnlyLastPlanner,
         Self::RenewWithoutStore,
@@ -91,6 +94,7 @@
         Self::ForgetMoves,
         Self::ReuseEpochs,
         Self::MatchReusedVersions,
+        Self::TrustStrayResponse,
     ];
 }
 
@@ -994,7 +998,13 @@
         let granter = planner.granter();
         let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
         let is_answered = !is_late && !is_one_way;
-        if is_lost || !is_answered {
+        let is_stray = self.flaw == Some(Flaw::TrustStrayResponse) && is_release && is_late;
+        if is_stray && !is_lost {
+            let outcome = OrderOutcome::Done { handover: None };
+            self.planners[index]
+                .outcomes
+                .push((arrival, order.clone(), outcome));
+        } else if is_lost || !is_answered {
             let timeout = self.now + self.times.order_timeout;
             // No connection is made to a server that cannot be reached.
             let outcome = match is_unreachable {
