The model reloads maps while orders are in progress

In a configuration of its own the leading planner reloads the newest map that it knows while no commit is open, and links fail for moments, so that an outcome NotSent may come after a later grant.

--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -113,6 +113,13 @@
     assert_activity(&walk_all(World::with_restore_bursts));
 }
 
+/// Guards against outcomes of orders that are taken for those of later ones after a reload of the
+/// map.
+#[test]
+fn no_key_is_held_twice_when_outcomes_come_after_a_reload() {
+    assert_activity(&walk_all(World::with_late_outcomes));
+}
+
 /// Guards against a planner that continues with its own map although others have moved keys: it
 /// was cut off, and the store came back from a copy that lacks their claims.
 #[test]
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -175,6 +175,8 @@
     burst_until: Time,
     /// Whether servers restart under their former id, at the same address.
     same_ids: bool,
+    /// Whether planners reload their map at times, and learn of orders that were sent before.
+    late_outcomes: bool,
     /// Number of replaced planners that continued with their own map.
     pub replaced_resumes: u64,
     /// Keys and holder of every grant that was accepted.
@@ -234,6 +236,7 @@
             restore_bursts: false,
             burst_until: Time::ZERO,
             same_ids: false,
+            late_outcomes: false,
             replaced_resumes: 0,
             accepted: Vec::new(),
             violation: None,
@@ -321,6 +324,15 @@
         }
     }
 
+    /// Creates a world in which planners reload their map while orders are in progress, whose
+    /// outcomes are reported later, and links fail for moments.
+    pub fn with_late_outcomes(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            late_outcomes: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
@@ -451,9 +463,12 @@
         }
         if self.partitions {
             self.partition_links();
-        } else if self.chance(5) {
+        } else if self.chance(if self.late_outcomes { 30 } else { 5 }) {
             self.cut_links();
         }
+        if self.late_outcomes && self.chance(15) {
+            self.reload_newest();
+        }
         let is_burst = self.now < self.burst_until;
         let restores = match self.restore_bursts {
             true if is_burst => 40,
@@ -956,6 +971,19 @@
         }
     }
 
+    /// Has the leading planner start again from the newest map that it knows, while orders are
+    /// in progress.
+    fn reload_newest(&mut self) {
+        let stored = self.map.clone();
+        let Some(planner) = self.leading_planner() else {
+            return;
+        };
+        if planner.is_connected && !planner.reconciler.is_commit_open() {
+            let newest = stored.newest_of(planner.reconciler.map());
+            planner.reconciler.reload(newest);
+        }
+    }
+
     fn reload(&mut self, number: u64) {
         let mut planners = self.planners.iter_mut();
         if let Some(known) = planners.find(|known| known.number == number) {
