--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -1,13 +1,15 @@
 //! Randomized model test of planners, servers and a store in virtual time.
 //!
-//! Invariants checked after each step: no two servers hold the same key, and a server
-//! accepts keys only under an epoch above every epoch under which others held them.
+//! Invariants checked at each grant: no two servers hold the same key, no server takes a key
+//! on which another one still works, and a server accepts keys only under an epoch above every
+//! epoch under which others held them.
 //! Injected faults: planners are cut off from the store, killed and replaced; servers
 //! crash, restart, leave and execute orders late; answers are lost; server clocks run 2%
-//! slow; the store comes back from an older copy.
+//! slow; planners reach only some servers; the store comes back from an older copy.
 
 mod planner;
 mod server;
+mod violation;
 mod world;
 
 use {
@@ -25,10 +27,10 @@
 
 fn is_caught(seed: u64, flaw: Flaw) -> bool {
     let mut world = match flaw {
-        // The next grant makes up for a single lost answer, and a planner without the
-        // store is harmless to servers that its successor reaches.
-        Flaw::AssumeUnsentGrant => World::with_frequent_cuts(seed, Some(flaw)),
-        Flaw::RenewWithoutStore => World::with_one_way_links(seed, Some(flaw)),
+        // The next grant makes up for a single lost answer.
+        Flaw::AssumeUnsentGrant => World::with_one_way_links(seed, Some(flaw)),
+        // A planner without the store is harmless to servers that its successor reaches.
+        Flaw::RenewWithoutStore => World::with_partitions(seed, Some(flaw)),
         Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
         Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
             World::with_restores(seed, Some(flaw))
@@ -37,13 +39,15 @@
     };
     (0..STEPS).any(|_| {
         world.step();
-        world.check().is_err()
+        world.has_violation()
     })
 }
 
 /// Activity in a run of the correct rules.
 struct WalkResult {
     commits: u64,
+    /// Number of replaced planners that claimed again and continued with their own map.
+    replaced_resumes: u64,
     /// Share of all keys that were held, averaged over the steps.
     held_share: f64,
 }
@@ -52,27 +56,28 @@
     let mut held_share = 0.0;
     for _ in 0..STEPS {
         world.step();
-        let checked = world.check();
-        checked.unwrap_or_else(|what| panic!("seed {seed}: {what}"));
+        if world.has_violation()
+            && let Some(violation) = world.violation_at_end()
+        {
+            panic!("seed {seed}: {violation}");
+        }
         held_share += world.held_share();
     }
     WalkResult {
         commits: world.commits,
+        replaced_resumes: world.replaced_resumes,
         held_share: held_share / f64::from(STEPS),
     }
 }
 
-#[test]
-fn no_key_is_held_twice() {
-    let plain = (0..SEEDS).map(|seed| correct_walk(seed, World::new(seed, None)));
-    let one_way = (0..SEEDS).map(|seed| correct_walk(seed, World::with_one_way_links(seed, None)));
-    let cut = (0..SEEDS).map(|seed| correct_walk(seed, World::with_frequent_cuts(seed, None)));
-    let killed = (0..SEEDS).map(|seed| correct_walk(seed, World::with_planner_kills(seed, None)));
-    let late = (0..SEEDS).map(|seed| correct_walk(seed, World::with_late_commits(seed, None)));
-    let restored = (0..SEEDS).map(|seed| correct_walk(seed, World::with_restores(seed, None)));
-    let walks = plain.chain(one_way).chain(cut).chain(killed).chain(late);
-    let walks: Vec<WalkResult> = walks.chain(restored).collect();
-    // Runs without commits, or without held keys, would pass without testing anything.
+/// Walks through one configuration of the world with several seeds.
+fn walk_all(create: fn(u64, Option<Flaw>) -> World) -> Vec<WalkResult> {
+    let walks = (0..SEEDS).map(|seed| correct_walk(seed, create(seed, None)));
+    walks.collect()
+}
+
+/// Runs without commits, or without held keys, would pass without testing anything.
+fn assert_activity(walks: &[WalkResult]) {
     let commits: u64 = walks.iter().map(|walk| walk.commits).sum();
     let held_share: f64 =
         walks.iter().map(|walk| walk.held_share).sum::<f64>() / walks.len() as f64;
@@ -80,6 +85,58 @@
     assert!(held_share > 0.5, "average share of held keys: {held_share}");
 }
 
+#[test]
+fn no_key_is_held_twice() {
+    let configurations = [
+        World::new,
+        World::with_one_way_links,
+        World::with_planner_kills,
+        World::with_late_commits,
+        World::with_restores,
+    ];
+    let walks = thread::scope(|scope| {
+        let walks = configurations.map(|create| scope.spawn(move || walk_all(create)));
+        walks.map(|walks| walks.join().unwrap())
+    });
+    assert_activity(&walks.into_iter().flatten().collect::<Vec<_>>());
+}
+
+/// Guards against double holds by planners that reach different servers, each of them only some.
+#[test]
+fn no_key_is_held_twice_in_partitions() {
+    assert_activity(&walk_all(World::with_partitions));
+}
+
+/// Guards against double holds after a restore of the store while a fence is in progress.
+#[test]
+fn no_key_is_held_twice_after_restores_in_quick_succession() {
+    assert_activity(&walk_all(World::with_restore_bursts));
+}
+
+/// Guards against outcomes of orders that are taken for those of later ones after a reload of the
+/// map.
+#[test]
+fn no_key_is_held_twice_when_outcomes_come_after_a_reload() {
+    assert_activity(&walk_all(World::with_late_outcomes));
+}
+
+/// Guards against a planner that continues with its own map although others have moved keys: it
+/// was cut off, and the store came back from a copy that lacks their claims.
+#[test]
+fn no_key_is_held_twice_when_a_replaced_planner_claims_again() {
+    let walks = walk_all(World::with_replaced_planners);
+    let replaced: u64 = walks.iter().map(|walk| walk.replaced_resumes).sum();
+    assert_activity(&walks);
+    assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
+}
+
+/// Guards against orders to a former process that give keys to the next one with its id, while
+/// the planner takes the keys of the former one for free.
+#[test]
+fn no_key_is_held_twice_when_servers_restart_under_their_id() {
+    assert_activity(&walk_all(World::with_same_ids));
+}
+
 /// Guards against a model that would not detect a missing safeguard. Each flaw removes
 /// one safeguard, and the model must notice.
 #[test]
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -1,13 +1,17 @@
 //! Simulated environment of the planners: servers, network, store and faults.
 
 use {
-    crate::{planner::Planner, server::Server},
+    crate::{
+        planner::{Claim, Planner},
+        server::{HeldRange, Server, Work},
+        violation::{Breach, Granter, Holder, Violation},
+    },
     citron_core::{
         id::{Epoch, ServerName, StoreEra},
         ranges::{
             BalanceLimits, Balancer, Capacity, Demand, KeyRange, LeaseTimes, LeaseTracker,
             MoveNotice, Order, OrderOutcome, OwnerHint, OwnerState, Owners, PlanScope, RangeMap,
-            Reconciler, Slice,
+            Reconciler,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -20,10 +24,14 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Age of the oldest copy from which the store comes back.
 const COPY_AGE_MAX: Duration = Duration::from_secs(4);
+/// Longest partition, longer than a planner acts without the store and its leases last.
+const PARTITION_MAX: Duration = Duration::from_secs(45);
+/// Longest time from the start of a server to its registration.
+const REGISTRATION_MAX: Duration = Duration::from_secs(1);
+/// Duration of a series of restores.
+const BURST: Duration = Duration::from_secs(3);
 /// Servers started at first; a crashed or leaving one is replaced.
 const SERVERS: usize = 5;
-/// Longest time from the start of a process at the address of a former one until it registers.
-const REGISTRATION_DELAY_MAX_MS: u64 = 4_000;
 
 /// Safeguard that is removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,10 +47,8 @@
     ShortLease,
     /// An unanswered release counts as done.
     AssumeReleased,
-    /// A leaving server counts as having released its keys.
+    /// A leaving server counts as ended.
     AssumeLeavingEnded,
-    /// A server whose process has ended counts as having released its keys.
-    AssumeEndedReleased,
     /// Maps are written without checking the leadership.
     NoLeaderCheck,
     /// An unanswered commit counts as done.
@@ -65,6 +71,9 @@
     ReuseEpochs,
     /// Commits of an earlier era match versions that are given out again.
     MatchReusedVersions,
+    /// A response that belongs to another call counts as that to a release which the server has
+    /// not carried out yet.
+    TrustStrayResponse,
 }
 
 impl Flaw {
@@ -75,7 +84,6 @@
         Self::ShortLease,
         Self::AssumeReleased,
         Self::AssumeLeavingEnded,
-        Self::AssumeEndedReleased,
         Self::NoLeaderCheck,
         Self::AssumeCommitted,
         Self::NoQuietPeriod,
@@ -86,6 +94,7 @@
         Self::ForgetMoves,
         Self::ReuseEpochs,
         Self::MatchReusedVersions,
+        Self::TrustStrayResponse,
     ];
 }
 
@@ -95,7 +104,7 @@
     arrival: Time,
     /// Time of execution; later than the arrival if the server is delayed.
     execution: Time,
-    planner: u64,
+    granter: Granter,
     order: Order,
     is_answered: bool,
 }
@@ -110,6 +119,14 @@
     map: RangeMap,
 }
 
+/// Rows of the store before they were written at some time.
+#[derive(Debug, Clone)]
+struct Copy {
+    at: Time,
+    map: RangeMap,
+    leader: Claim,
+}
+
 /// Simulation of planners, servers and the store.
 #[derive(Debug)]
 pub struct World {
@@ -118,8 +135,13 @@
     flaw: Option<Flaw>,
     times: LeaseTimes,
     servers: Vec<Server>,
+    /// Processes that have certainly ended, by name.
+    ended: Vec<ServerName>,
     planners: Vec<Planner>,
-    leader: u64,
+    /// Claim that the leadership row names.
+    leader: Claim,
+    /// Number of claims so far.
+    claims: u64,
     map: RangeMap,
     version: u64,
     in_transit: Vec<OrderInTransit>,
@@ -131,8 +153,6 @@
     pub commits: u64,
     /// Whether some servers receive only grants, and their answers are lost.
     one_way_links: bool,
-    /// Whether links change four times as often.
-    frequent_cuts: bool,
     /// Whether planners are killed when they are replaced, and none is cut off.
     planner_kills: bool,
     /// Whether the store loses answers to commits and executes some commits late.
@@ -141,49 +161,50 @@
     restores: bool,
     /// Number of times that the store came back from a copy.
     era: StoreEra,
-    /// Maps of the last seconds, with the times at which they were written.
-    copies: VecDeque<(Time, RangeMap)>,
-    /// Keys, server and epoch of every grant that was accepted.
-    accepted: Vec<(KeyRange, ServerName, Epoch)>,
-    /// Description of a grant under an epoch that is not above all under which other servers
-    /// held the keys.
-    epoch_error: Option<String>,
+    /// Rows of the last seconds.
+    copies: VecDeque<Copy>,
+    /// Whether planners that were cut off and replaced claim again after a restore.
+    replaced_planners: bool,
+    /// Whether planners are partitioned from parts of the servers for a long time.
+    partitions: bool,
+    /// End of the partition, and the servers on the smaller side.
+    partition: (Time, Vec<ServerName>),
+    /// Whether restores follow one another within seconds.
+    restore_bursts: bool,
+    /// End of a series of restores.
+    burst_until: Time,
+    /// Whether servers restart under their former id, at the same address.
+    same_ids: bool,
+    /// Whether planners reload their map at times, and learn of orders that were sent before.
+    late_outcomes: bool,
+    /// Number of replaced planners that continued with their own map.
+    pub replaced_resumes: u64,
+    /// Keys and holder of every grant that was accepted.
+    accepted: Vec<(KeyRange, Holder)>,
+    violation: Option<Violation>,
 }
 
 /// Listed servers as the planners see them.
 struct Listed<'a> {
     servers: &'a [Server],
-    now: Time,
+    ended: &'a [ServerName],
+    flaw: Option<Flaw>,
 }
 
 impl Owners for Listed<'_> {
     fn state(&self, server: &ServerName) -> OwnerState {
-        let registered = self.servers.iter();
-        let mut registered = registered.filter(|known| known.registers_at <= self.now);
-        if registered
-            .clone()
-            .any(|known| is_successor(&known.name, server))
-        {
+        if self.ended.contains(server) {
             return OwnerState::Ended;
         }
-        // The entry of a crashed process stays until the next one at its address registers.
-        let is_listed = |known: &Server| {
-            let mut others = self.servers.iter();
-            known.is_up || others.any(|other| is_successor(&other.name, &known.name))
-        };
-        match registered.find(|known| known.name == *server) {
-            Some(known) if is_listed(known) && !known.is_leaving => OwnerState::Serving,
+        let found = self.servers.iter().find(|known| known.listed == *server);
+        match found {
+            Some(known) if known.is_up && !known.is_leaving => OwnerState::Serving,
+            _ if self.flaw == Some(Flaw::AssumeLeavingEnded) => OwnerState::Ended,
             _ => OwnerState::Leaving,
         }
     }
 }
 
-/// Whether a process started later than another one at the same address. Processes at one
-/// address have the same id.
-fn is_successor(one: &ServerName, other: &ServerName) -> bool {
-    one.id() == other.id() && one.start_time() > other.start_time()
-}
-
 impl World {
     pub fn new(seed: u64, flaw: Option<Flaw>) -> Self {
         let mut world = Self {
@@ -192,8 +213,10 @@
             flaw,
             times: LeaseTimes::STANDARD,
             servers: Vec::new(),
+            ended: Vec::new(),
             planners: Vec::new(),
-            leader: 0,
+            leader: Claim(0),
+            claims: 0,
             map: RangeMap::new(),
             version: 0,
             in_transit: Vec::new(),
@@ -202,14 +225,21 @@
             servers_started: 0,
             commits: 0,
             one_way_links: false,
-            frequent_cuts: false,
             planner_kills: false,
             late_commits: false,
             restores: false,
             era: StoreEra(0),
             copies: VecDeque::new(),
+            replaced_planners: false,
+            partitions: false,
+            partition: (Time::ZERO, Vec::new()),
+            restore_bursts: false,
+            burst_until: Time::ZERO,
+            same_ids: false,
+            late_outcomes: false,
+            replaced_resumes: 0,
             accepted: Vec::new(),
-            epoch_error: None,
+            violation: None,
         };
         for _ in 0..SERVERS {
             world.start_server();
@@ -228,14 +258,6 @@
         }
     }
 
-    /// Like [`Self::with_one_way_links`], with links that change four times as often.
-    pub fn with_frequent_cuts(seed: u64, flaw: Option<Flaw>) -> Self {
-        Self {
-            frequent_cuts: true,
-            ..Self::with_one_way_links(seed, flaw)
-        }
-    }
-
     /// Creates a world in which planners are killed and replaced in quick succession, so
     /// that the end of a lease is written by one planner and read by the next.
     pub fn with_planner_kills(seed: u64, flaw: Option<Flaw>) -> Self {
@@ -264,43 +286,133 @@
         }
     }
 
+    /// Creates a world with restores after which planners that were cut off and replaced, and
+    /// that the copy names, claim again.
+    pub fn with_replaced_planners(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            replaced_planners: true,
+            ..Self::with_restores(seed, flaw)
+        }
+    }
+
+    /// Creates a world in which planners are partitioned from parts of the servers for up to
+    /// [`PARTITION_MAX`]: some reach only the servers that the others do not reach.
+    pub fn with_partitions(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            partitions: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
+    /// Creates a world with partitions in which restores of the store follow one another within
+    /// seconds, before servers have answered the releases of a fence.
+    pub fn with_restore_bursts(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            partitions: true,
+            restore_bursts: true,
+            ..Self::with_restores(seed, flaw)
+        }
+    }
+
+    /// Creates a world in which servers restart under their former id at the same address.
+    /// Planners learn of it up to [`REGISTRATION_MAX`] later; until then their orders to the
+    /// former process reach the new one.
+    pub fn with_same_ids(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            same_ids: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
+    /// Creates a world in which planners reload their map while orders are in progress, whose
+    /// outcomes are reported later, and links fail for moments.
+    pub fn with_late_outcomes(seed: u64, flaw: Option<Flaw>) -> Self {
+        Self {
+            late_outcomes: true,
+            ..Self::new(seed, flaw)
+        }
+    }
+
     /// Advances the simulation by [`STEP`].
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         self.inject_faults();
+        self.register_servers();
         self.deliver();
+        self.update_violation(self.now);
+        self.begin_work();
         self.apply_delayed_commits();
         for index in 0..self.planners.len() {
             self.plan(index);
         }
     }
 
-    /// Checks that no two servers hold the same key, and that epochs rise from one to the next.
-    pub fn check(&self) -> Result<(), String> {
-        if let Some(error) = &self.epoch_error {
-            return Err(error.clone());
+    /// Whether two servers have held the same key or worked on it, or an epoch has not risen from
+    /// one to the next.
+    pub fn has_violation(&self) -> bool {
+        self.violation.is_some()
+    }
+
+    /// The violation after its end, at the latest after the end of all leases.
+    pub fn violation_at_end(&mut self) -> Option<Violation> {
+        let ends = self.now + self.times.max_validity();
+        while self.now < ends {
+            self.step();
+        }
+        self.violation.clone()
+    }
+
+    /// Lets servers begin requests.
+    fn begin_work(&mut self) {
+        let now = self.now;
+        for server in self.servers.iter_mut().filter(|server| server.is_up) {
+            if self.rng.random_range(0..1_000) >= 300 {
+                continue;
+            }
+            let Some(key) = server.begin_work(&mut self.rng, now) else {
+                continue;
+            };
+            let Some(violation) = &mut self.violation else {
+                continue;
+            };
+            let is_within = key.intersection(violation.range).is_some() && now < violation.until;
+            let holders = violation.holders.iter().zip(&mut violation.has_begun);
+            holders
+                .filter(|(holder, _)| is_within && holder.server == server.name)
+                .for_each(|(_, has_begun)| *has_begun = true);
         }
-        let active = |server: &Server| {
-            let unexpired = server.held.iter().filter(|range| range.until > self.now);
-            unexpired.cloned().collect::<Vec<_>>()
+    }
+
+    /// Until when a server holds keys of a range, as far as is known.
+    fn held_until(&self, server: &ServerName, range: KeyRange) -> Time {
+        let mut up = self.servers.iter().filter(|known| known.is_up);
+        let found = up.find(|known| known.name == *server);
+        let held = found.into_iter().flat_map(|known| &known.held);
+        let held = held.filter(|held| held.range.intersection(range).is_some());
+        held.map(|held| held.until).max().unwrap_or_default()
+    }
+
+    /// Updates the end of a double hold after a change at `at`.
+    fn update_violation(&mut self, at: Time) {
+        let Some(Violation {
+            breach: Breach::HeldTwice,
+            range,
+            holders: [one, other],
+            until,
+            ..
+        }) = &self.violation
+        else {
+            return;
         };
-        let up: Vec<&Server> = self.servers.iter().filter(|server| server.is_up).collect();
-        for (at, one) in up.iter().enumerate() {
-            for other in &up[at + 1..] {
-                for (a, b) in active(one)
-                    .iter()
-                    .flat_map(|a| active(other).into_iter().map(move |b| (a.clone(), b)))
-                {
-                    if let Some(range) = a.range.intersection(b.range) {
-                        return Err(format!(
-                            "{range} is held by {} under {} and {} under {} at {}",
-                            one.name, a.epoch, other.name, b.epoch, self.now
-                        ));
-                    }
-                }
-            }
+        // A later double hold of the same keys is another one.
+        if *until <= at {
+            return;
+        }
+        let held = self.held_until(&one.server, *range);
+        let ends = held.min(self.held_until(&other.server, *range)).max(at);
+        if let Some(violation) = &mut self.violation {
+            violation.until = ends;
         }
-        Ok(())
     }
 
     /// Share of all keys that some server holds.
@@ -320,6 +432,11 @@
     }
 
     fn inject_faults(&mut self) {
+        // Each new planner waits anew for the leases of those before it.
+        let (cuts, kills) = match self.partitions {
+            true => (3, 1),
+            false => (6, 4),
+        };
         if self.chance(6) {
             self.crash_server();
         }
@@ -332,67 +449,86 @@
             if self.chance(20) {
                 self.take_over(true);
             }
-        } else if self.chance(6) {
+        } else if self.chance(cuts) {
             // The planner is cut off and does not know that another takes over.
-            let leader = self.leader;
-            if let Some(planner) = self
-                .planners
-                .iter_mut()
-                .find(|planner| planner.number == leader)
-            {
+            let is_isolated = self.replaced_planners && self.chance(700);
+            if let Some(planner) = self.leading_planner() {
                 planner.is_connected = false;
+                planner.is_isolated = is_isolated;
             }
             self.take_over(false);
         }
-        if self.chance(4) {
+        if self.chance(kills) {
             self.take_over(true);
         }
-        let cuts = if self.frequent_cuts { 20 } else { 5 };
-        if self.chance(cuts) {
+        if self.partitions {
+            self.partition_links();
+        } else if self.chance(if self.late_outcomes { 30 } else { 5 }) {
             self.cut_links();
         }
-        if self.restores && self.chance(8) {
+        if self.late_outcomes && self.chance(15) {
+            self.reload_newest();
+        }
+        let is_burst = self.now < self.burst_until;
+        let restores = match self.restore_bursts {
+            true if is_burst => 40,
+            true => 2,
+            false => 8,
+        };
+        if self.restores && self.chance(restores) {
+            if self.restore_bursts && !is_burst {
+                self.burst_until = self.now + BURST;
+            }
             self.restore_store();
         }
         if self.chance(1) {
             for planner in &mut self.planners {
                 planner.is_connected = true;
+                planner.is_isolated = false;
             }
         }
+        let leader = self.leader;
+        let in_touch = self.planners.iter_mut().filter(|known| !known.is_isolated);
+        in_touch.for_each(|planner| planner.heard_claim = leader);
+    }
+
+    /// The planner that the leadership row names, if its process lives.
+    fn leading_planner(&mut self) -> Option<&mut Planner> {
+        let leader = self.leader;
+        let mut planners = self.planners.iter_mut();
+        planners.find(|planner| planner.claim == leader)
     }
 
-    /// Brings the store back from a copy. The leader, if it is there to see that, goes on with
-    /// its own map; otherwise another instance takes over with what it remembers.
+    /// Brings the store back from a copy. A planner that the copy names and that is there to
+    /// see that may go on with its own map; otherwise another instance takes over with what it
+    /// remembers.
     fn restore_store(&mut self) {
-        let copy = self.rng.random_range(0..=self.copies.len());
-        let newest = self.map.clone();
-        if let Some((_, map)) = self.copies.get(copy) {
-            self.map = map.clone();
+        let copy = self.pick_copy();
+        let (newest, replaced) = (self.map.clone(), self.leader);
+        if let Some(copy) = self.copies.get(copy) {
+            self.map = copy.map.clone();
+            self.leader = copy.leader;
         }
         self.copies.clear();
         self.version += 1;
         self.era = StoreEra(self.era.0 + 1);
-        let (floor, now, leader, flaw) = (self.floor(), self.now, self.leader, self.flaw);
-        let (copied, version) = (self.map.clone(), self.version);
-        let mut planners = self.planners.iter_mut();
-        let lives_on = planners.find(|planner| planner.number == leader && planner.is_connected);
-        if let Some(planner) = lives_on
-            && self.rng.random_range(0..1_000) < 600
-        {
-            planner.version = version;
-            planner.outcomes.clear();
-            planner.reconciler.resume(floor, now);
-            if flaw == Some(Flaw::ForgetMoves) {
-                planner.reconciler.reload(copied);
+        let (copied, flaw) = (self.map.clone(), self.flaw);
+        if self.may_resume() && self.chance(600) {
+            if self.leader != replaced {
+                self.replaced_resumes += 1;
+                self.disturb_planner(replaced);
             }
-            return;
+            return self.resume();
         }
-        let is_killed = self.chance(500);
-        self.take_over(is_killed);
+        if self.chance(500) {
+            self.planners.retain(|planner| planner.claim != replaced);
+        }
+        self.take_over(false);
         let remembered = match self.chance(500) {
             true => copied.newest_of(&newest),
             false => copied,
         };
+        let now = self.now;
         let Some(planner) = self.planners.last_mut() else {
             return;
         };
@@ -402,6 +538,84 @@
         }
     }
 
+    /// Index of the copy from which the store comes back; beyond the last one for its newest
+    /// rows.
+    fn pick_copy(&mut self) -> usize {
+        let is_replaced = |planner: &&Planner| planner.is_isolated && planner.claim != self.leader;
+        let replaced = self.planners.iter().rfind(is_replaced);
+        let names = |copy: &Copy| replaced.is_some_and(|known| known.claim == copy.leader);
+        match self.copies.iter().rposition(names) {
+            Some(index) if self.replaced_planners => index,
+            _ => self.rng.random_range(0..=self.copies.len()),
+        }
+    }
+
+    /// Whether the planner that the copy names is there to claim again, and continues with its
+    /// own map: it has missed no era and heard of no later claim.
+    fn may_resume(&mut self) -> bool {
+        let (era, may_return) = (self.era, self.replaced_planners);
+        self.leading_planner().is_some_and(|planner| {
+            let is_back = planner.is_connected || (may_return && planner.is_isolated);
+            let is_unbroken = planner.era.0 + 1 == era.0 && planner.heard_claim <= planner.claim;
+            is_back && is_unbroken && !planner.is_stopped
+        })
+    }
+
+    /// Ends the planner with this claim, cuts it off, or lets it read that it is replaced.
+    fn disturb_planner(&mut self, claim: Claim) {
+        match self.rng.random_range(0..3) {
+            0 => self.planners.retain(|planner| planner.claim != claim),
+            1 => {
+                let mut planners = self.planners.iter_mut();
+                if let Some(planner) = planners.find(|planner| planner.claim == claim) {
+                    planner.is_connected = false;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Has the planner that the row names claim the leadership again and continue with its own
+    /// map.
+    fn resume(&mut self) {
+        let claimant = self.leader;
+        let claim = self.next_claim();
+        let (floor, now, era, version) = (self.floor(), self.now, self.era, self.version);
+        let copied = self.map.clone();
+        let forgets_moves = self.flaw == Some(Flaw::ForgetMoves);
+        let mut planners = self.planners.iter_mut();
+        let Some(planner) = planners.find(|planner| planner.claim == claimant) else {
+            return;
+        };
+        // Orders of its former claim may still be carried out, but count no more.
+        planner.outcomes.clear();
+        if planner.is_isolated {
+            let number = planner.number;
+            let sent = self.in_transit.iter_mut();
+            sent.filter(|sent| sent.granter.planner == number)
+                .for_each(|sent| sent.is_answered = false);
+        }
+        planner.claim = claim;
+        planner.heard_claim = claim;
+        planner.era = era;
+        planner.version = version;
+        planner.is_connected = true;
+        planner.is_isolated = false;
+        planner.confirmed = now;
+        planner.reconciler.resume(floor, now);
+        if forgets_moves {
+            planner.reconciler.reload(copied);
+        }
+    }
+
+    /// Writes the leadership row.
+    fn next_claim(&mut self) -> Claim {
+        self.record_copy();
+        self.claims += 1;
+        self.leader = Claim(self.claims);
+        self.leader
+    }
+
     /// Lowest epoch of the current era.
     fn floor(&self) -> Epoch {
         match self.flaw {
@@ -429,36 +643,87 @@
         }
     }
 
-    /// Ends a process. Another one starts, either at its address, knowing nothing of its keys,
-    /// or elsewhere.
+    /// Begins and ends partitions. Planners and servers that appear meanwhile are on the larger
+    /// side.
+    fn partition_links(&mut self) {
+        if self.now < self.partition.0 {
+            return;
+        }
+        for planner in &mut self.planners {
+            planner.unreachable.clear();
+        }
+        if !self.chance(8) {
+            return;
+        }
+        // Between two series of restores, fences are to end.
+        let longest = match self.restore_bursts {
+            true => PARTITION_MAX / 6,
+            false => PARTITION_MAX,
+        };
+        let millis = self.rng.random_range(0..=longest.as_millis() as u64);
+        let names = self.servers.iter().map(|server| server.name.clone());
+        let names: Vec<ServerName> = names.collect();
+        let (small, large): (Vec<_>, Vec<_>) = names.into_iter().partition(|_| self.chance(250));
+        for index in 0..self.planners.len() {
+            self.planners[index].unreachable = match self.chance(700) {
+                true => large.clone(),
+                false => small.clone(),
+            };
+        }
+        self.partition = (self.now + Duration::from_millis(millis), small);
+    }
+
     fn crash_server(&mut self) {
         let at = self.rng.random_range(0..self.servers.len());
         let restarts = self.chance(600);
+        if self.same_ids && restarts && self.servers[at].is_up {
+            return self.restart_server(at);
+        }
         let server = &mut self.servers[at];
-        let was_up = std::mem::take(&mut server.is_up);
-        let id = server.name.id().to_string();
-        // Its connections are lost.
-        self.in_transit
-            .retain(|sent| server_of(&sent.order).is_none_or(|name| name.id() != id));
-        if restarts && was_up {
-            let delay = self.rng.random_range(0..REGISTRATION_DELAY_MAX_MS);
-            self.start_process(&id, self.now + Duration::from_millis(delay));
-        } else {
-            self.start_server();
+        server.is_up = false;
+        let name = server.name.clone();
+        if restarts {
+            // A later process at the same address proves that this one has ended.
+            self.ended.push(name);
         }
+        self.start_server();
     }
 
-    fn start_server(&mut self) {
-        let id = format!("s-{}", self.servers_started + 1);
-        self.start_process(&id, self.now);
+    /// Replaces a server by a new process with the same id, which knows nothing of before.
+    fn restart_server(&mut self, at: usize) {
+        self.servers_started += 1;
+        let former = &self.servers[at];
+        let name = format!("{}@{}", former.name.id(), self.servers_started);
+        let millis = self
+            .rng
+            .random_range(0..=REGISTRATION_MAX.as_millis() as u64);
+        let has_slow_clock = self.rng.random_range(0..1_000) < 500;
+        let listed = former.listed.clone();
+        let mut server = Server::new(name.parse().unwrap(), has_slow_clock);
+        server.listed = listed;
+        server.started = self.now;
+        server.registers = self.now + Duration::from_millis(millis);
+        self.servers[at] = server;
     }
 
-    fn start_process(&mut self, id: &str, registers_at: Time) {
+    /// Registers servers that have started. A later process at the same address proves that the
+    /// former one has ended.
+    fn register_servers(&mut self) {
+        let now = self.now;
+        let started = self.servers.iter_mut();
+        for server in started.filter(|server| server.listed != server.name) {
+            if server.is_up && server.registers <= now {
+                self.ended.push(server.listed.clone());
+                server.listed = server.name.clone();
+            }
+        }
+    }
+
+    fn start_server(&mut self) {
         self.servers_started += 1;
-        let name = format!("{id}@{}", self.servers_started).parse().unwrap();
+        let name = format!("s-{}", self.servers_started).parse().unwrap();
         let has_slow_clock = self.chance(500);
-        self.servers
-            .push(Server::new(name, registers_at, has_slow_clock));
+        self.servers.push(Server::new(name, has_slow_clock));
         if self.servers.len() > SERVERS + 6 {
             let removable = self.servers.iter().position(|server| {
                 let is_holding = server.held.iter().any(|range| range.until > self.now);
@@ -473,16 +738,15 @@
     /// Makes another instance the leader; `is_killed` if the process of the former leader
     /// has ended.
     fn take_over(&mut self, is_killed: bool) {
+        let former = self.leader;
         if is_killed {
-            let leader = self.leader;
-            self.planners.retain(|planner| planner.number != leader);
+            self.planners.retain(|planner| planner.claim != former);
         }
         self.planners
             .retain(|planner| self.now - planner.confirmed < Duration::from_secs(60));
-        let former = self.leader;
-        self.leader += 1;
+        let claim = self.next_claim();
         let may_still_act = self.planners.iter().any(|planner| {
-            let known = self.flaw != Some(Flaw::OnlyLastPlanner) || planner.number == former;
+            let known = self.flaw != Some(Flaw::OnlyLastPlanner) || planner.claim == former;
             known && !planner.is_stopped
         });
         let previous_until = match (self.flaw, may_still_act) {
@@ -505,15 +769,23 @@
                 reconciler.restore_release(&notice);
             }
         }
+        let unreachable = match self.now < self.partition.0 {
+            true => self.partition.1.clone(),
+            false => Vec::new(),
+        };
         self.planners.push(Planner {
-            number: self.leader,
+            number: claim.0,
+            claim,
+            heard_claim: claim,
+            era: self.era,
             reconciler,
             version: self.version,
             is_connected: true,
+            is_isolated: false,
             confirmed: self.now,
             clock: StoreClock::default(),
             outcomes: Vec::new(),
-            unreachable: Vec::new(),
+            unreachable,
             one_way: Vec::new(),
             is_stopped: false,
         });
@@ -538,7 +810,7 @@
                 _ => Duration::ZERO,
             };
             planner.clock.record(now, now, store_time(now + ahead));
-            if planner.number != self.leader && self.flaw != Some(Flaw::NoLeaderCheck) {
+            if planner.claim != self.leader && self.flaw != Some(Flaw::NoLeaderCheck) {
                 // It reads that another instance leads, and stops planning.
                 planner.is_stopped = true;
                 return;
@@ -556,7 +828,8 @@
         }
         let listed = Listed {
             servers: &self.servers,
-            now,
+            ended: &self.ended,
+            flaw: self.flaw,
         };
         let demand = Demand::default();
         let mut balancer = Balancer::new(BalanceLimits::STANDARD, &capacities, &demand);
@@ -567,9 +840,7 @@
         let orders = {
             let clock = planner.clock.clone();
             let reconciler = &mut planner.reconciler;
-            let servers = self.servers.iter();
-            let registered = servers.filter(|server| server.registers_at <= now);
-            reconciler.fence_servers(registered.map(|server| &server.name), &listed, now);
+            reconciler.fence_servers(self.servers.iter().map(|server| &server.listed), now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
         for order in orders {
@@ -584,10 +855,9 @@
         let open = self
             .servers
             .iter()
-            .filter(|server| server.is_up && !server.is_leaving)
-            .filter(|server| server.registers_at <= self.now);
+            .filter(|server| server.is_up && !server.is_leaving);
         let capacity = |server: &Server| Capacity {
-            server: server.name.clone(),
+            server: server.listed.clone(),
             rate: 20.0,
             accepts_keys: true,
         };
@@ -599,7 +869,7 @@
         let flaw = self.flaw;
         let planner = &mut self.planners[index];
         let order = Order::Commit(map.clone());
-        let is_leading = planner.number == self.leader || flaw == Some(Flaw::NoLeaderCheck);
+        let is_leading = planner.claim == self.leader || flaw == Some(Flaw::NoLeaderCheck);
         let is_current_version =
             planner.version == self.version || flaw == Some(Flaw::NoLeaderCheck);
         if !planner.is_connected || (is_lost && flaw != Some(Flaw::AssumeCommitted)) {
@@ -646,9 +916,7 @@
     }
 
     fn apply(&mut self, map: RangeMap) {
-        self.copies.push_back((self.now, self.map.clone()));
-        let now = self.now;
-        self.copies.retain(|(at, _)| now - *at < COPY_AGE_MAX);
+        self.record_copy();
         self.map = match self.flaw {
             Some(Flaw::EarlyExpiry) => expire_early(&map, self.times.max_validity()),
             _ => map,
@@ -657,6 +925,17 @@
         self.commits += 1;
     }
 
+    /// Keeps the rows as they are before a write.
+    fn record_copy(&mut self) {
+        let at = self.now;
+        self.copies.retain(|copy| at - copy.at < COPY_AGE_MAX);
+        self.copies.push_back(Copy {
+            at,
+            map: self.map.clone(),
+            leader: self.leader,
+        });
+    }
+
     /// Executes delayed commits whose condition is still met.
     fn apply_delayed_commits(&mut self) {
         let now = self.now;
@@ -673,12 +952,11 @@
             if is_former {
                 continue;
             }
-            let planners = self.planners.iter();
-            let mut found = planners.filter(|known| known.number == planner);
-            let is_current_version = found
-                .next()
-                .is_some_and(|known| known.version == self.version);
-            if is_checked && (planner != self.leader || !is_current_version) {
+            let mut planners = self.planners.iter();
+            let found = planners.find(|known| known.number == planner);
+            let meets_condition = found
+                .is_some_and(|known| known.version == self.version && known.claim == self.leader);
+            if is_checked && !meets_condition {
                 self.reload(planner);
                 continue;
             }
@@ -693,6 +971,19 @@
         }
     }
 
+    /// Has the leading planner start again from the newest map that it knows, while orders are
+    /// in progress.
+    fn reload_newest(&mut self) {
+        let stored = self.map.clone();
+        let Some(planner) = self.leading_planner() else {
+            return;
+        };
+        if planner.is_connected && !planner.reconciler.is_commit_open() {
+            let newest = stored.newest_of(planner.reconciler.map());
+            planner.reconciler.reload(newest);
+        }
+    }
+
     fn reload(&mut self, number: u64) {
         let mut planners = self.planners.iter_mut();
         if let Some(known) = planners.find(|known| known.number == number) {
@@ -714,12 +1005,16 @@
             true => arrival + Duration::from_millis(self.rng.random_range(2_000..12_000)),
             false => arrival,
         };
-        let to = server_of(&order).cloned();
+        let to = match &order {
+            Order::Grant { slice, .. } => slice.owner.clone(),
+            Order::Release { server, .. } => Some(server.clone()),
+            Order::Commit(_) => None,
+        };
         let planner = &self.planners[index];
         let is_unreachable = to
             .as_ref()
             .is_some_and(|to| planner.unreachable.contains(to));
-        let is_one_way = to.as_ref().is_some_and(|to| planner.one_way.contains(to));
+        let is_one_way = to.is_some_and(|to| planner.one_way.contains(&to));
         if let Order::Release { range, epoch, .. } = &order {
             self.releases.push(MoveNotice {
                 range: *range,
@@ -728,18 +1023,16 @@
             });
         }
         let is_release = matches!(order, Order::Release { .. });
-        if let Some(to) = to.as_ref().filter(|_| is_release)
-            && self.counts_as_released(to)
-        {
+        let granter = planner.granter();
+        let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
+        let is_answered = !is_late && !is_one_way;
+        let is_stray = self.flaw == Some(Flaw::TrustStrayResponse) && is_release && is_late;
+        if is_stray && !is_lost {
             let outcome = OrderOutcome::Done { handover: None };
             self.planners[index]
                 .outcomes
-                .push((self.now, order, outcome));
-            return;
-        }
-        let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
-        let is_answered = !is_late && !is_one_way;
-        if is_lost || !is_answered {
+                .push((arrival, order.clone(), outcome));
+        } else if is_lost || !is_answered {
             let timeout = self.now + self.times.order_timeout;
             // No connection is made to a server that cannot be reached.
             let outcome = match is_unreachable {
@@ -756,97 +1049,120 @@
         self.in_transit.push(OrderInTransit {
             arrival,
             execution,
-            planner: self.planners[index].number,
+            granter,
             order,
             is_answered,
         });
     }
 
-    /// Whether a release is not sent and counts as done.
-    fn counts_as_released(&self, server: &ServerName) -> bool {
-        let (servers, now) = (&self.servers[..], self.now);
-        let state = Listed { servers, now }.state(server);
-        match self.flaw {
-            Some(Flaw::AssumeLeavingEnded) => state == OwnerState::Leaving,
-            Some(Flaw::AssumeEndedReleased) => state == OwnerState::Ended,
-            _ => false,
-        }
-    }
-
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
+        let (mut due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
             .in_transit
             .drain(..)
             .partition(|sent| sent.execution <= now);
         self.in_transit = later;
+        due.sort_by_key(|sent| sent.execution);
         for sent in due {
-            let outcome = self.carry_out(&sent);
-            self.answer(&sent, outcome);
+            let (outcome, answered) = self.carry_out(&sent);
+            self.answer(&sent, outcome, answered);
+            self.update_violation(sent.execution);
         }
     }
 
-    fn carry_out(&mut self, sent: &OrderInTransit) -> OrderOutcome {
+    /// Executes an order. Returns its outcome and the time of the response.
+    fn carry_out(&mut self, sent: &OrderInTransit) -> (OrderOutcome, Time) {
         let lease = self.times.lease;
-        let Some(name) = server_of(&sent.order) else {
-            return OrderOutcome::Unknown;
+        let now = self.now;
+        let name = match &sent.order {
+            Order::Grant { slice, .. } => slice.owner.clone().unwrap(),
+            Order::Release { server, .. } => server.clone(),
+            Order::Commit(_) => return (OrderOutcome::Unknown, now),
         };
-        if !self.servers.iter().any(|server| server.name == *name) {
-            return OrderOutcome::NotSent;
-        }
-        let is_leader = sent.planner == self.leader;
-        let mut servers = self.servers.iter_mut();
-        // Orders name the server by its id, so that the process after it takes them. No planner
-        // can prevent that one from taking renewals of a former planner.
-        let found = servers.find(|server| {
-            let is_addressed = server.name == *name || is_leader && server.name.id() == name.id();
-            is_addressed && server.is_up
-        });
+        let found = self
+            .servers
+            .iter_mut()
+            .find(|server| server.name.id() == name.id() && server.is_up);
         let Some(server) = found else {
-            return OrderOutcome::NotSent;
+            return (OrderOutcome::NotSent, now);
         };
-        let server_name = server.name.clone();
+        if server.started > sent.arrival {
+            return (OrderOutcome::Unknown, now);
+        }
         match &sent.order {
-            Order::Grant { slice, .. } => match server.grant(slice, lease, sent.arrival) {
-                true => {
-                    let is_late = sent.execution > sent.arrival;
-                    self.record_accepted(slice, server_name, is_late);
-                    OrderOutcome::Done { handover: None }
+            Order::Grant { slice, .. } => {
+                if !server.grant(slice, lease, sent.arrival, sent.granter) {
+                    return (OrderOutcome::Outdated, now);
                 }
-                false => OrderOutcome::Outdated,
-            },
+                let holder = Holder {
+                    server: server.name.clone(),
+                    epoch: slice.epoch,
+                    granter: sent.granter,
+                };
+                self.record_accepted(slice.range, holder, sent);
+                (OrderOutcome::Done { handover: None }, now)
+            }
             Order::Release { range, epoch, .. } => {
-                server.release(*range, *epoch);
-                OrderOutcome::Done {
-                    handover: Some("warm".to_string()),
-                }
+                let work_end = server.release(*range, *epoch);
+                let handover = Some("warm".to_string());
+                (OrderOutcome::Done { handover }, now.max(work_end))
             }
-            Order::Commit(_) => OrderOutcome::Unknown,
+            Order::Commit(_) => (OrderOutcome::Unknown, now),
         }
     }
 
-    /// Checks the epoch of a grant against those of other servers. A grant that was executed
-    /// late may be below them: its lease counts from its arrival. A renewal may have reached
-    /// the process after the one that it was meant for, under the same epoch.
-    fn record_accepted(&mut self, slice: &Slice, server: ServerName, is_late: bool) {
-        let is_above = |(range, other, epoch): &&(KeyRange, ServerName, Epoch)| {
-            let is_renewal = other.id() == server.id() && *epoch == slice.epoch;
-            *other != server
-                && !is_renewal
-                && *epoch >= slice.epoch
-                && range.intersection(slice.range).is_some()
+    /// Checks a grant against the holds, the work and the epochs of other servers. The epoch of
+    /// a grant that was executed late may be below them: its lease counts from its arrival.
+    fn record_accepted(&mut self, range: KeyRange, next: Holder, sent: &OrderInTransit) {
+        let is_late = sent.execution > sent.arrival;
+        let since = sent.execution;
+        let own_until = self.held_until(&next.server, range);
+        let violation = |breach, range, former, until| Violation {
+            breach,
+            range,
+            holders: [former, next.clone()],
+            since,
+            until,
+            has_begun: [false, false],
+        };
+        let is_other = |server: &&Server| server.is_up && server.name != next.server;
+        let others: Vec<&Server> = self.servers.iter().filter(is_other).collect();
+        let holder = |server: &Server, hold: &HeldRange| Holder {
+            server: server.name.clone(),
+            epoch: hold.epoch,
+            granter: hold.granter,
+        };
+        let held = others.iter().find_map(|server| {
+            let mut held = server.held.iter();
+            let overlap = held.find_map(|held| Some((held, held.range.intersection(range)?)))?;
+            let until = overlap.0.until.min(own_until);
+            let former = holder(server, overlap.0);
+            (until > since).then(|| violation(Breach::HeldTwice, overlap.1, former, until))
+        });
+        let at_work = others.iter().find_map(|server| {
+            let is_on_keys = |work: &&Work| work.key.intersection(range).is_some();
+            let mut work = server.work.iter().filter(is_on_keys);
+            let work = work.find(|work| work.end().min(own_until) > since)?;
+            let former = holder(server, &work.hold);
+            Some(violation(Breach::StillAtWork, work.key, former, work.end()))
+        });
+        let is_above = |(taken, other): &&(KeyRange, Holder)| {
+            other.server.id() != next.server.id()
+                && other.epoch >= next.epoch
+                && taken.intersection(range).is_some()
         };
         let conflict = self.accepted.iter().find(is_above);
-        if let Some((range, other, epoch)) = conflict.filter(|_| !is_late) {
-            let now = self.now;
-            self.epoch_error = Some(format!(
-                "{server} takes {} under {} after {other} had {range} under {epoch} at {now}",
-                slice.range, slice.epoch
-            ));
-        }
-        let grant = (slice.range, server, slice.epoch);
-        if !self.accepted.contains(&grant) {
-            self.accepted.push(grant);
+        let low_epoch = conflict.filter(|_| !is_late).map(|(taken, former)| {
+            let range = taken.intersection(range).unwrap_or(range);
+            violation(Breach::LowEpoch, range, former.clone(), since)
+        });
+        let found = held.or(at_work).or(low_epoch);
+        self.violation = self.violation.take().or(found);
+        let is_known = |(taken, other): &(KeyRange, Holder)| {
+            *taken == range && other.server == next.server && other.epoch == next.epoch
+        };
+        if !self.accepted.iter().any(is_known) {
+            self.accepted.push((range, next));
         }
     }
 
@@ -862,7 +1178,7 @@
     }
 
     /// Reports the outcome of an order to its planner, or loses the answer.
-    fn answer(&mut self, sent: &OrderInTransit, outcome: OrderOutcome) {
+    fn answer(&mut self, sent: &OrderInTransit, outcome: OrderOutcome, at: Time) {
         if !sent.is_answered {
             return;
         }
@@ -870,26 +1186,16 @@
             true => self.unanswered(&sent.order),
             false => outcome,
         };
-        let at = self.now;
         let planner = self
             .planners
             .iter_mut()
-            .find(|planner| planner.number == sent.planner);
+            .find(|planner| planner.number == sent.granter.planner);
         if let Some(planner) = planner {
             planner.outcomes.push((at, sent.order.clone(), outcome));
         }
     }
 }
 
-/// The server that an order is sent to.
-fn server_of(order: &Order) -> Option<&ServerName> {
-    match order {
-        Order::Grant { slice, .. } => slice.owner.as_ref(),
-        Order::Release { server, .. } => Some(server),
-        Order::Commit(_) => None,
-    }
-}
-
 fn store_time(now: Time) -> StoreTime {
     StoreTime(now.as_micros() / 1_000)
 }
