A planner that claims again after a restore continues behind a fence

What callers saw: two servers held the same keys for 8.4 to 8.5 s (OWNER): a planner was cut off from the store and from its successor, which claimed, moved keys and ended; the store came back from a copy older than the claim; the first planner found its own claim there, heard of no later one, and planned on with its own map.

Cause: that no later claim is known was taken as proof that there was none. Neither the row of a copy nor silence of the others proves it.

A term that continues in a new era now releases all keys at all servers to which its map does not give them, and keys in motion everywhere, before anything is granted or moved, as a new planner does. Until then only what was granted before is renewed, under its former epochs, and no later than 15 s after the last confirmation in the former era: that is what other planners assume that a planner without the store may do. Servers that left longer ago than any planner may have renewed there are not waited for. A term is in force only under the claim that it was begun or continued with.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -131,6 +131,32 @@
     }
 }
 
+/// When the store last confirmed the maps and the leadership to this instance.
+#[derive(Debug, Default)]
+pub struct RangesConfirmed {
+    era: StoreEra,
+    /// Start of the last call in this era that returned the rows, or wrote under the condition
+    /// that they are unchanged.
+    pub at: Time,
+    /// The same for the last era before it in which there was such a call.
+    pub before_era: Time,
+}
+
+impl RangesConfirmed {
+    /// Records a call begun at `call_started`. Responses of an earlier era confirm nothing.
+    fn record(&mut self, era: StoreEra, call_started: Time) {
+        if era > self.era {
+            *self = Self {
+                era,
+                at: call_started,
+                before_era: self.at,
+            };
+        } else if era == self.era {
+            self.at = self.at.max(call_started);
+        }
+    }
+}
+
 /// State of the control thread.
 #[derive(Debug)]
 pub struct ControlState {
@@ -148,10 +174,9 @@
     pub peers: Peers,
     /// Whether this instance is the planner.
     pub is_planning: bool,
-    /// Start of the last store call that returned the maps and the leadership, or wrote
-    /// under the condition that they are unchanged. Reads of other tables do not confirm
-    /// to a planner that it still has the leadership.
-    pub ranges_confirmed_at: Time,
+    /// Confirmations of the maps and the leadership. Reads of other tables do not confirm to
+    /// a planner that it still has the leadership.
+    pub ranges_confirmed: RangesConfirmed,
     /// Former planners, and the store time by which each has certainly stopped.
     pub former_planners: BTreeMap<PlannerId, StoreTime>,
     /// Estimate of the store's clock.
@@ -303,7 +328,7 @@
             leadership: None,
             peers: Peers::new(settings.domain.clone()),
             is_planning: false,
-            ranges_confirmed_at: Time::ZERO,
+            ranges_confirmed: RangesConfirmed::default(),
             former_planners: BTreeMap::new(),
             store_clock: StoreClock::default(),
             store_health: StoreHealth::default(),
@@ -352,10 +377,10 @@
     }
 
     /// Records that a call begun at `call_started` returned the maps and the leadership,
-    /// or wrote under the condition that they are unchanged.
-    pub fn confirm_ranges(&self, call_started: Time) {
+    /// or wrote under the condition that they are unchanged, in this era of the store.
+    pub fn confirm_ranges(&self, era: StoreEra, call_started: Time) {
         let mut state = self.state.borrow_mut();
-        state.ranges_confirmed_at = state.ranges_confirmed_at.max(call_started);
+        state.ranges_confirmed.record(era, call_started);
     }
 
     /// Records that the store answered a call begun at `call_started`. `store_time` is
@@ -384,7 +409,7 @@
     ) {
         self.on_store_success(call_started, row_set.store_time);
         if table == RANGES {
-            self.confirm_ranges(call_started);
+            self.confirm_ranges(row_set.version.era(), call_started);
         }
         self.record_store_read(table, call_started);
         for other in 0..WATCHED.len() {
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -17,7 +17,7 @@
         events,
     },
     citron_core::id::{StoreEra, StoreVersion},
-    citron_core::ranges::{BalanceTimer, Demand, LeaseTimes, LeaseTracker, Reconciler},
+    citron_core::ranges::{BalanceTimer, Demand, EraStart, LeaseTimes, LeaseTracker, Reconciler},
     citron_core::time::Time,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
@@ -108,7 +108,7 @@
         .is_some_and(|former| is_unbroken(controller, former, current.as_ref(), &leadership));
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
-        Some(former) => resume_term(controller, former, leadership, predecessors),
+        Some(former) => resume_term(controller, former, leadership, predecessors, lease_times),
         None => begin_term(controller, leadership, predecessors, lease_times),
     };
     if !term.predecessors.is_empty() {
@@ -143,8 +143,9 @@
     (is_own && !leadership.has_lapsed()).then_some(leadership)
 }
 
-/// Whether no other instance can have planned between a term that lapsed and its renewal.
-/// `current` is the leadership that was known before.
+/// Whether no other instance is known to have planned between a term that lapsed and its
+/// renewal. One of which this instance has not heard may have, so that the term continues
+/// behind a fence. `current` is the leadership that was known before.
 fn is_unbroken<A: Adapter>(
     controller: &Controller<A>,
     former: &Term,
@@ -171,13 +172,27 @@
     former: Term,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
+    lease_times: LeaseTimes,
 ) -> Term {
+    let state = controller.state.borrow();
+    let (now, outage_limit) = (controller.clock.now(), lease_times.outage_limit);
+    let stopped_by = former_planners::stopped_by(&state, &predecessors, outage_limit, now);
+    let claim = leadership.claim;
+    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
+    let era = EraStart {
+        floor: leadership.epoch_floor(),
+        former_until: state.ranges_confirmed.before_era + outage_limit,
+        others_until: stopped_by.max(unlisted_until.unwrap_or_default()),
+    };
     log::info!(
-        "{} this instance plans on after the term claimed at {}: {leadership}",
+        "{} this instance plans on after the term claimed at {}: {leadership}; renews former \
+         leases for {:?}, earlier planners may grant for {:?}",
         events::PLANNER,
-        former.leadership.claim
+        former.leadership.claim,
+        era.former_until - now,
+        era.others_until - now,
     );
-    former.resume(leadership, predecessors, controller.clock.now())
+    former.resume(leadership, predecessors, unlisted_until, era, now)
 }
 
 /// Time until which planners may act whose claims the copy lacks from which the store came back,
--- a/crates/citronproxy/src/edge/control/planner/commit.rs
+++ b/crates/citronproxy/src/edge/control/planner/commit.rs
@@ -184,7 +184,7 @@
             }
             Ok(version) => {
                 controller.on_store_success(call_started, None);
-                controller.confirm_ranges(call_started);
+                controller.confirm_ranges(version.era(), call_started);
                 let MapChanges { parts, removes } = changes;
                 controller.apply_committed_parts(service, parts, removes, version);
                 return (OrderOutcome::Done { handover: None }, version);
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -53,14 +53,16 @@
         );
         let event = event.await.unwrap_or(Event::Timer);
         resign_if_lost(&controller, &mut term);
-        let holds_leadership = term.is_some() && !has_lapsed(&controller);
+        let holds_leadership = term
+            .as_ref()
+            .is_some_and(|term| is_in_force(&controller, term));
         if !holds_leadership && should_claim_leadership(&controller, &mut election) {
             let claimed =
                 claim_leadership(&controller, &mut election, lease_times, &mut term).await;
             term = claimed.or(term);
             planned_at = Time::ZERO;
         }
-        let Some(term) = term.as_mut().filter(|_| !has_lapsed(&controller)) else {
+        let Some(term) = term.as_mut().filter(|term| is_in_force(&controller, term)) else {
             next_wake = controller.clock.now() + PLAN_INTERVAL;
             continue;
         };
@@ -179,11 +181,12 @@
     orders.retain(|address| state.registry.servers_at(address).next().is_some());
 }
 
-/// Whether the store came back from a copy, so that the leadership must be claimed again.
-fn has_lapsed<A: Adapter>(controller: &Controller<A>) -> bool {
+/// Whether a term is the one under which this instance has the leadership now. It is not once
+/// the store came back from a copy, until the leadership has been claimed again.
+fn is_in_force<A: Adapter>(controller: &Controller<A>, term: &Term) -> bool {
     let state = controller.state.borrow();
     let leadership = state.leadership.as_ref();
-    leadership.is_some_and(Leadership::has_lapsed)
+    leadership.is_some_and(|row| !row.has_lapsed() && row.claim == term.leadership.claim)
 }
 
 /// Ends the term if another incarnation has the leadership, if this instance is leaving, or
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -12,9 +12,9 @@
     citron_core::{
         id::{Epoch, ServiceName, StoreVersion},
         ranges::{
-            BalanceLimits, BalanceTimer, Balancer, Demand, KeyEvent, KeyRange, LeaseTimes,
-            LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, RangeMap, Reconciler,
-            is_server_set_complete,
+            BalanceLimits, BalanceTimer, Balancer, Demand, EraStart, KeyEvent, KeyRange,
+            LeaseTimes, LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, RangeMap,
+            Reconciler, is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
@@ -147,20 +147,26 @@
     }
 
     /// Continues under a leadership that this instance claimed again after the store came back
-    /// from a copy. Nobody else has moved keys since, so what this term knows counts.
-    pub fn resume(self, leadership: Leadership, predecessors: Vec<PlannerId>, now: Time) -> Self {
-        let floor = leadership.epoch_floor();
+    /// from a copy.
+    pub fn resume(
+        self,
+        leadership: Leadership,
+        predecessors: Vec<PlannerId>,
+        unlisted_until: Option<Time>,
+        era: EraStart,
+        now: Time,
+    ) -> Self {
         let mut plans = self.plans;
         for plan in plans.values_mut() {
-            plan.reconciler.resume(floor, now);
+            plan.reconciler.resume(era, now);
         }
         Self {
             leadership,
             predecessors,
             plans,
-            is_restored: self.is_restored,
-            unlisted_until: self.unlisted_until,
-            foreign_grants_until: self.foreign_grants_until,
+            is_restored: true,
+            unlisted_until,
+            foreign_grants_until: self.foreign_grants_until.max(era.others_until),
             incomplete_maps: self.incomplete_maps,
             balance_clock: self.balance_clock,
         }
@@ -190,7 +196,7 @@
     /// Whether the store has recently confirmed the leadership. Otherwise another planner
     /// may have it by now, and relies on this one to stop.
     pub fn may_act<A: Adapter>(controller: &Controller<A>, lease_times: &LeaseTimes) -> bool {
-        controller.clock.now() - controller.state.borrow().ranges_confirmed_at
+        controller.clock.now() - controller.state.borrow().ranges_confirmed.at
             <= lease_times.outage_limit
     }
 
@@ -248,7 +254,14 @@
                 }
             });
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
-            let names = servers.iter().map(|known| &known.entry.name);
+            let may_hold = |known: &&&ServerRecord| {
+                let left = known.leaving_since;
+                left.is_none_or(|since| now - since <= lease_times.max_holding())
+            };
+            let records = servers.iter().map(|known| &**known);
+            let names = records
+                .filter(|known| may_hold(&known))
+                .map(|known| &known.entry.name);
             plan.reconciler.fence_servers(names, &owners, now);
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        KeyRange, Order, OrderOutcome, OwnerState, Owners, RangeMap, key::subtract,
-        reconciler::RETRY_DELAY,
+        KeyRange, Order, OrderOutcome, OwnerState, Owners, RangeMap,
+        key::subtract,
+        reconciler::{RETRY_DELAY, not_moving},
     },
     crate::{
         id::{Epoch, ServerName},
@@ -24,7 +25,8 @@
 /// answer do not hold up the releases at others.
 const IN_PROGRESS_TIME: Duration = Duration::from_millis(100);
 
-/// Releases of all keys at all servers to which a map does not assign them.
+/// Releases of all keys at all servers to which a map does not assign them, and of keys in
+/// motion at all servers.
 ///
 /// A planner that takes over after the store came back from a copy does not know which moves
 /// the copy lacks: any server may hold any key. Once all servers have answered, each holds at
@@ -46,7 +48,7 @@
 /// map.assign("0-99".parse().unwrap(), &one, None);
 /// let now = Time::ZERO;
 /// let mut fence = Fence::new(Epoch(7), now);
-/// fence.include(&map, [&one, &two], &AllServing, now);
+/// fence.include(&map, &[], [&one, &two], &AllServing, now);
 /// let orders = fence.orders(now, &AllServing);
 /// let released = |order: &Order| match order {
 ///     Order::Release { server, range, .. } => format!("{server} {range}"),
@@ -90,9 +92,11 @@
 
     /// Adds registered servers that were unknown so far, and drops those whose process has
     /// ended: the next process at the address is registered, and added in the same call.
+    /// `moving` are disjoint ranges in key order that no server is to hold.
     pub fn include<'a>(
         &mut self,
         map: &RangeMap,
+        moving: &[KeyRange],
         servers: impl IntoIterator<Item = &'a ServerName>,
         owners: &impl Owners,
         now: Time,
@@ -103,9 +107,8 @@
             }
             self.included.insert(server.clone());
             let owned = map.owned_by(server);
-            let others = owned.fold(vec![KeyRange::ALL], |parts, slice| {
-                subtract(parts, slice.range)
-            });
+            let kept = owned.flat_map(|slice| not_moving(slice.range, moving));
+            let others = kept.fold(vec![KeyRange::ALL], subtract);
             for range in others {
                 self.unanswered
                     .insert((server.clone(), range), ReleaseState::Due(now));
--- a/crates/core/src/ranges/leases.rs
+++ b/crates/core/src/ranges/leases.rs
@@ -66,6 +66,15 @@
     }
 }
 
+impl LeaseTimes {
+    /// Longest time for which a server may hold keys after the planners in contact with the
+    /// store have learned that it is gone: a planner that is cut off renews for as long as it
+    /// may act.
+    pub fn max_holding(&self) -> Duration {
+        self.outage_limit + self.max_validity()
+    }
+}
+
 /// Times of the grants sent to one server.
 #[derive(Debug, Default)]
 struct SentGrants {
@@ -136,6 +145,11 @@
         self.previous_until = self.previous_until.min(until);
     }
 
+    /// Records that other planners may send grants until `until`.
+    pub fn extend_previous(&mut self, until: Time) {
+        self.previous_until = self.previous_until.max(until);
+    }
+
     /// Time of the last grant from this planner that may have reached the server.
     pub fn last_sent(&self, server: &ServerName) -> Time {
         let Some(sent) = self.grants.get(server) else {
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -35,7 +35,8 @@
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{
-        FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope, Reconciler,
+        EraStart, FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope,
+        Reconciler,
     },
     server_set::is_server_set_complete,
     windows::DemandWindows,
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -13,17 +13,31 @@
         id::{Epoch, ServerName},
         time::{StoreClock, Time},
     },
-    moves::{Move, not_moving},
+    moves::Move,
     renewals::Renewals,
     std::{collections::BTreeSet, time::Duration},
 };
 
+pub(super) use moves::not_moving;
+
 pub use event::{FreeReason, KeyEvent};
 pub use order::{Order, OrderOutcome, OwnerState, Owners, PlanScope};
 
 /// Delay before a failed order is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Limits under which a planner continues in a new era of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct EraStart {
+    /// Lowest epoch of the era.
+    pub floor: Epoch,
+    /// Time until which this planner may renew what it granted in the former era: as long as
+    /// without the store, counted from the last confirmation of its leadership in that era.
+    pub former_until: Time,
+    /// Time until which other planners may grant.
+    pub others_until: Time,
+}
+
 /// Reconciler for one service's keys, run by the planner.
 ///
 /// A move is a release by the old owner, a commit of the new owner, and a grant to it. A
@@ -47,8 +61,8 @@
     open_commit: Option<(Time, RangeMap)>,
     /// Lowest epoch of the era of the store. The map is written anew until it has reached it.
     floor: Epoch,
-    /// Whether leases below `floor` may be renewed: no other planner can have moved the keys.
-    renews_below_floor: bool,
+    /// Time until which leases of earlier eras are renewed.
+    former_until: Time,
     /// Present until servers are known to hold no keys but those of the map.
     fence: Option<Fence>,
     /// Changes of possession that have not been taken yet.
@@ -67,7 +81,7 @@
             seen_epochs: Vec::new(),
             open_commit: None,
             floor: Epoch(0),
-            renews_below_floor: false,
+            former_until: Time::ZERO,
             fence: None,
             events: Vec::new(),
         }
@@ -91,8 +105,11 @@
         owners: &impl Owners,
         now: Time,
     ) {
-        if let Some(fence) = &mut self.fence {
-            fence.include(&self.map, servers, owners, now);
+        if self.fence.is_some() {
+            let moving = self.moving_ranges();
+            if let Some(fence) = &mut self.fence {
+                fence.include(&self.map, &moving, servers, owners, now);
+            }
         }
     }
 
@@ -106,18 +123,32 @@
         self.fence.is_some()
     }
 
-    /// Continues in a new era of the store, which came back from an older copy, with `floor` as
-    /// its lowest epoch. The map known here is the newer one, and is written again. Orders in
-    /// progress are sent anew: their outcomes are not reported any more.
-    pub fn resume(&mut self, floor: Epoch, now: Time) {
-        self.renews_below_floor |= self.map.has_reached(self.floor);
-        self.floor = floor;
-        self.fence = self.fence.take().map(|_| Fence::new(floor, now));
+    /// Continues with the map known here in a new era of the store, which came back from an
+    /// older copy. Orders in progress are sent anew: their outcomes are not reported any more.
+    ///
+    /// The copy may lack the claim of another planner, and the moves that it made. Keys are
+    /// therefore released at all servers that do not own them by this map before anything is
+    /// granted or moved. Only leases granted before are renewed meanwhile, and for no longer
+    /// than other planners expect this one to act.
+    pub fn resume(&mut self, era: EraStart, now: Time) {
+        let former_until = match self.is_settled() {
+            true => era.former_until,
+            false => era.former_until.min(self.former_until),
+        };
+        self.former_until = former_until;
+        self.floor = era.floor;
+        self.leases.extend_previous(era.others_until);
+        self.fence(now);
         self.open_commit = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
     }
 
+    /// Whether servers hold no keys but those of the map, all of them under epochs of this era.
+    fn is_settled(&self) -> bool {
+        self.fence.is_none() && self.map.has_reached(self.floor)
+    }
+
     /// Restores a release ordered by an earlier planner whose move may be incomplete: the
     /// owner has seen the epoch of the release and rejects grants below it.
     pub fn restore_release(&mut self, notice: &MoveNotice) {
@@ -207,7 +238,11 @@
     pub fn orders(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) -> Vec<Order> {
         if self.is_fencing(now) {
             let fence = self.fence.as_mut();
-            return fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
+            let mut orders = fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
+            if now < self.former_until {
+                self.send_renewals(now, owners, &mut orders);
+            }
+            return orders;
         }
         let mut orders = Vec::new();
         self.free_expired(now, clock);
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -151,6 +151,10 @@
         owners: &impl Owners,
         orders: &mut Vec<Order>,
     ) {
+        if self.former_until != Time::ZERO && now >= self.former_until {
+            self.former_until = Time::ZERO;
+            self.renewals.invalidate();
+        }
         if self.renewals.is_stale {
             let parts = self.renewable_ranges();
             self.renewals.sync(&parts, now);
@@ -180,7 +184,8 @@
                 range.intersection(slice.range).is_some() && slice.epoch < *seen
             })
         };
-        let may_grant = |slice: &Slice| self.renews_below_floor || slice.epoch >= self.floor;
+        let renews_former = self.former_until != Time::ZERO;
+        let may_grant = |slice: &Slice| renews_former || slice.epoch >= self.floor;
         let held = |slice: &&Slice| {
             slice.owner.is_some()
                 && slice.expiry.is_none()
--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -31,6 +31,7 @@
         Flaw::AssumeUnsentGrant => World::with_one_way_links(seed, Some(flaw)),
         // A planner without the store is harmless to servers that its successor reaches.
         Flaw::RenewWithoutStore => World::with_partitions(seed, Some(flaw)),
+        Flaw::AssumeEndedReleased => World::with_same_ids(seed, Some(flaw)),
         Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
         Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
             World::with_restores(seed, Some(flaw))
@@ -39,7 +40,7 @@
     };
     (0..STEPS).any(|_| {
         world.step();
-        world.has_violation()
+        world.has_violation() || world.lowered_epoch.is_some()
     })
 }
 
@@ -61,6 +62,7 @@
         {
             panic!("seed {seed}: {violation}");
         }
+        assert_eq!(world.lowered_epoch, None, "seed {seed}");
         held_share += world.held_share();
     }
     WalkResult {
@@ -72,7 +74,11 @@
 
 /// Walks through one configuration of the world with several seeds.
 fn walk_all(create: fn(u64, Option<Flaw>) -> World) -> Vec<WalkResult> {
-    let walks = (0..SEEDS).map(|seed| correct_walk(seed, create(seed, None)));
+    walk_seeds(SEEDS, create)
+}
+
+fn walk_seeds(seeds: u64, create: fn(u64, Option<Flaw>) -> World) -> Vec<WalkResult> {
+    let walks = (0..seeds).map(|seed| correct_walk(seed, create(seed, None)));
     walks.collect()
 }
 
@@ -124,7 +130,7 @@
 /// was cut off, and the store came back from a copy that lacks their claims.
 #[test]
 fn no_key_is_held_twice_when_a_replaced_planner_claims_again() {
-    let walks = walk_all(World::with_replaced_planners);
+    let walks = walk_seeds(2 * SEEDS, World::with_replaced_planners);
     let replaced: u64 = walks.iter().map(|walk| walk.replaced_resumes).sum();
     assert_activity(&walks);
     assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
--- a/crates/core/tests/ranges_model/server.rs
+++ b/crates/core/tests/ranges_model/server.rs
@@ -48,9 +48,9 @@
     pub started: Time,
     pub registers: Time,
     pub is_up: bool,
+    /// When its process ended, if it did.
+    pub ended: Option<Time>,
     pub is_leaving: bool,
-    /// When planners learn of the process.
-    pub registers_at: Time,
     pub held: Vec<HeldRange>,
     pub work: Vec<Work>,
     /// Epochs seen with grants and releases, by range.
@@ -60,15 +60,15 @@
 }
 
 impl Server {
-    pub fn new(name: ServerName, registers_at: Time, has_slow_clock: bool) -> Self {
+    pub fn new(name: ServerName, has_slow_clock: bool) -> Self {
         Self {
             listed: name.clone(),
             name,
             started: Time::ZERO,
             registers: Time::ZERO,
             is_up: true,
+            ended: None,
             is_leaving: false,
-            registers_at,
             held: Vec::new(),
             work: Vec::new(),
             seen_epochs: Vec::new(),
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -9,9 +9,9 @@
     citron_core::{
         id::{Epoch, ServerName, StoreEra},
         ranges::{
-            BalanceLimits, Balancer, Capacity, Demand, KeyRange, LeaseTimes, LeaseTracker,
-            MoveNotice, Order, OrderOutcome, OwnerHint, OwnerState, Owners, PlanScope, RangeMap,
-            Reconciler,
+            BalanceLimits, Balancer, Capacity, Demand, EraStart, KeyRange, LeaseTimes,
+            LeaseTracker, MoveNotice, Order, OrderOutcome, OwnerHint, OwnerState, Owners,
+            PlanScope, RangeMap, Reconciler, Slice,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -47,8 +47,10 @@
     ShortLease,
     /// An unanswered release counts as done.
     AssumeReleased,
-    /// A leaving server counts as ended.
+    /// A leaving server counts as having released its keys.
     AssumeLeavingEnded,
+    /// A server whose process has ended counts as having released its keys.
+    AssumeEndedReleased,
     /// Maps are written without checking the leadership.
     NoLeaderCheck,
     /// An unanswered commit counts as done.
@@ -77,13 +79,14 @@
 }
 
 impl Flaw {
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::IgnorePreviousPlanners,
         Self::OnlyLastPlanner,
         Self::RenewWithoutStore,
         Self::ShortLease,
         Self::AssumeReleased,
         Self::AssumeLeavingEnded,
+        Self::AssumeEndedReleased,
         Self::NoLeaderCheck,
         Self::AssumeCommitted,
         Self::NoQuietPeriod,
@@ -182,13 +185,14 @@
     /// Keys and holder of every grant that was accepted.
     accepted: Vec<(KeyRange, Holder)>,
     violation: Option<Violation>,
+    /// First commit that lowered the epoch of a key.
+    pub lowered_epoch: Option<Slice>,
 }
 
 /// Listed servers as the planners see them.
 struct Listed<'a> {
     servers: &'a [Server],
     ended: &'a [ServerName],
-    flaw: Option<Flaw>,
 }
 
 impl Owners for Listed<'_> {
@@ -199,7 +203,6 @@
         let found = self.servers.iter().find(|known| known.listed == *server);
         match found {
             Some(known) if known.is_up && !known.is_leaving => OwnerState::Serving,
-            _ if self.flaw == Some(Flaw::AssumeLeavingEnded) => OwnerState::Ended,
             _ => OwnerState::Leaving,
         }
     }
@@ -240,6 +243,7 @@
             replaced_resumes: 0,
             accepted: Vec::new(),
             violation: None,
+            lowered_epoch: None,
         };
         for _ in 0..SERVERS {
             world.start_server();
@@ -473,6 +477,7 @@
         let restores = match self.restore_bursts {
             true if is_burst => 40,
             true => 2,
+            false if self.replaced_planners => 4,
             false => 8,
         };
         if self.restores && self.chance(restores) {
@@ -583,6 +588,12 @@
         let (floor, now, era, version) = (self.floor(), self.now, self.era, self.version);
         let copied = self.map.clone();
         let forgets_moves = self.flaw == Some(Flaw::ForgetMoves);
+        let outage_limit = self.times.outage_limit;
+        let may_act = |known: &Planner| !known.is_stopped && known.claim != claimant;
+        let others_until = match self.planners.iter().any(may_act) {
+            true => now + outage_limit,
+            false => now,
+        };
         let mut planners = self.planners.iter_mut();
         let Some(planner) = planners.find(|planner| planner.claim == claimant) else {
             return;
@@ -601,8 +612,13 @@
         planner.version = version;
         planner.is_connected = true;
         planner.is_isolated = false;
+        let era_start = EraStart {
+            floor,
+            former_until: planner.confirmed + outage_limit,
+            others_until,
+        };
         planner.confirmed = now;
-        planner.reconciler.resume(floor, now);
+        planner.reconciler.resume(era_start, now);
         if forgets_moves {
             planner.reconciler.reload(copied);
         }
@@ -679,8 +695,10 @@
         if self.same_ids && restarts && self.servers[at].is_up {
             return self.restart_server(at);
         }
+        let now = self.now;
         let server = &mut self.servers[at];
         server.is_up = false;
+        server.ended = Some(now);
         let name = server.name.clone();
         if restarts {
             // A later process at the same address proves that this one has ended.
@@ -829,7 +847,6 @@
         let listed = Listed {
             servers: &self.servers,
             ended: &self.ended,
-            flaw: self.flaw,
         };
         let demand = Demand::default();
         let mut balancer = Balancer::new(BalanceLimits::STANDARD, &capacities, &demand);
@@ -840,7 +857,10 @@
         let orders = {
             let clock = planner.clock.clone();
             let reconciler = &mut planner.reconciler;
-            reconciler.fence_servers(self.servers.iter().map(|server| &server.listed), now);
+            let retention = self.times.max_holding();
+            let known = |server: &&Server| server.ended.is_none_or(|at| now - at <= retention);
+            let names = self.servers.iter().filter(known);
+            reconciler.fence_servers(names.map(|server| &server.listed), &listed, now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
         for order in orders {
@@ -917,6 +937,9 @@
 
     fn apply(&mut self, map: RangeMap) {
         self.record_copy();
+        let mut written = map.slices().iter();
+        let lowered = written.find(|slice| slice.epoch < self.map.max_epoch(slice.range));
+        self.lowered_epoch = self.lowered_epoch.take().or(lowered.cloned());
         self.map = match self.flaw {
             Some(Flaw::EarlyExpiry) => expire_early(&map, self.times.max_validity()),
             _ => map,
@@ -948,14 +971,17 @@
         } in due
         {
             let is_checked = self.flaw != Some(Flaw::NoLeaderCheck);
-            let is_former = era != self.era && self.flaw != Some(Flaw::MatchReusedVersions);
-            if is_former {
+            // The versions that its condition names may have been given out again.
+            let is_former = era != self.era;
+            if is_former && self.flaw != Some(Flaw::MatchReusedVersions) {
                 continue;
             }
             let mut planners = self.planners.iter();
             let found = planners.find(|known| known.number == planner);
-            let meets_condition = found
-                .is_some_and(|known| known.version == self.version && known.claim == self.leader);
+            let meets_condition = is_former
+                || found.is_some_and(|known| {
+                    known.version == self.version && known.claim == self.leader
+                });
             if is_checked && !meets_condition {
                 self.reload(planner);
                 continue;
@@ -1023,6 +1049,13 @@
             });
         }
         let is_release = matches!(order, Order::Release { .. });
+        if let Order::Release { server, .. } = &order
+            && self.counts_as_released(server)
+        {
+            let outcome = OrderOutcome::Done { handover: None };
+            let outcomes = &mut self.planners[index].outcomes;
+            return outcomes.push((self.now, order, outcome));
+        }
         let granter = planner.granter();
         let is_lost = is_unreachable || (is_one_way && is_release) || self.chance(50);
         let is_answered = !is_late && !is_one_way;
@@ -1055,6 +1088,19 @@
         });
     }
 
+    /// Whether a release is not sent and counts as done.
+    fn counts_as_released(&self, server: &ServerName) -> bool {
+        let listed = Listed {
+            servers: &self.servers,
+            ended: &self.ended,
+        };
+        match self.flaw {
+            Some(Flaw::AssumeLeavingEnded) => listed.state(server) == OwnerState::Leaving,
+            Some(Flaw::AssumeEndedReleased) => listed.state(server) == OwnerState::Ended,
+            _ => false,
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (mut due, later): (Vec<OrderInTransit>, Vec<OrderInTransit>) = self
