--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         edge::control::{
-            codec::{LeadershipWire, PLANNER_KEY, TermKey},
+            codec::{FORMER_PLANNERS_KEY, LeadershipWire, PLANNER_KEY, TermKey},
             controller::{ControlState, Controller, Leadership, PlannerId},
             election::{Claimant, Election},
             refresh,
@@ -64,13 +64,21 @@
             .collect(),
     };
     let commit = RowCommit {
-        expected: vec![(
-            RowTable::Ranges,
-            PLANNER_KEY.to_string(),
-            current
-                .as_ref()
-                .map_or(StoreVersion::NONE, |leadership| leadership.version),
-        )],
+        expected: vec![
+            (
+                RowTable::Ranges,
+                PLANNER_KEY.to_string(),
+                current
+                    .as_ref()
+                    .map_or(StoreVersion::NONE, |leadership| leadership.version),
+            ),
+            // A stop time of this incarnation, written since, would outlive the claim.
+            (
+                RowTable::Ranges,
+                FORMER_PLANNERS_KEY.to_string(),
+                former_planners_version(controller),
+            ),
+        ],
         writes: vec![
             (
                 RowTable::Ranges,
@@ -125,6 +133,12 @@
     Some(term)
 }
 
+/// Version of the row of stop times.
+fn former_planners_version<A: Adapter>(controller: &Controller<A>) -> StoreVersion {
+    let state = controller.state.borrow();
+    state.replicas[RANGES].live_version(FORMER_PLANNERS_KEY)
+}
+
 /// Rows of terms of earlier eras.
 fn earlier_terms<A: Adapter>(controller: &Controller<A>, era: StoreEra) -> Vec<(RowTable, String)> {
     let state = controller.state.borrow();
--- a/crates/citronproxy/src/edge/control/replica.rs
+++ b/crates/citronproxy/src/edge/control/replica.rs
@@ -89,6 +89,12 @@
         live.map(|row| row.key.as_str())
     }
 
+    /// Version of a row; [`StoreVersion::NONE`] if there is none.
+    pub fn live_version(&self, key: &str) -> StoreVersion {
+        let row = self.rows.get(key).filter(|row| row.value.is_some());
+        row.map_or(StoreVersion::NONE, |row| row.version)
+    }
+
     /// Whether the row is known to have been removed.
     pub fn is_removed(&self, key: &str) -> bool {
         self.rows.get(key).is_some_and(|row| row.value.is_none())
