--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -254,14 +254,12 @@
                 }
             });
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
-            let may_hold = |known: &&&ServerRecord| {
+            let may_hold = |known: &ServerRecord| {
                 let left = known.leaving_since;
                 left.is_none_or(|since| now - since <= lease_times.max_holding())
             };
-            let records = servers.iter().map(|known| &**known);
-            let names = records
-                .filter(|known| may_hold(&known))
-                .map(|known| &known.entry.name);
+            let fenced = servers.iter().filter(|known| may_hold(known));
+            let names = fenced.map(|known| &known.entry.name);
             plan.reconciler.fence_servers(names, &owners, now);
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
