A fence trusts no slice whose lease is to end, and waits for the table of servers

Found by a review of the change, by reading: a copy may tell the end of a lease (expiry) although the keys were granted anew since. A map of such slices counted as written in the era, so that a new planner did not fence, and a fence left these slices at their former owner. A fence could also end before the table of servers was read in the era, and so miss a server that the copy lacks no more; it now begins with the first table of its era, and ends by time at the latest.

Tests: ranges::a_fence_releases_keys_whose_lease_is_to_end, ranges::a_fence_waits_until_servers_are_included; the model decides on a fence by the same function.

--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -241,8 +241,8 @@
     let plans = maps.filter_map(|(service, map)| {
         let book = LeaseTracker::new(lease_times, foreign_leases_end);
         let mut reconciler = Reconciler::new(map.newest().to_map()?, book).with_floor(floor);
-        if !reconciler.map().has_reached(floor) {
-            reconciler.fence(now);
+        if !reconciler.map().is_above(floor) {
+            reconciler.fence();
         }
         for update in controller.shared.recent_moves(service, now) {
             reconciler.restore_release(&update);
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -6,6 +6,7 @@
         edge::control::{
             controller::{ControlState, Controller, Leadership, PlannerId},
             election::has_stopped_planning,
+            watch::SERVERS,
         },
         events,
     },
@@ -246,7 +247,7 @@
                 let map = map.unwrap_or_else(|| RangeMap::starting_at(floor));
                 let mut reconciler = Reconciler::new(map, book).with_floor(floor);
                 if is_restored {
-                    reconciler.fence(now);
+                    reconciler.fence();
                 }
                 ServicePlan {
                     reconciler,
@@ -260,7 +261,10 @@
             };
             let fenced = servers.iter().filter(|known| may_hold(known));
             let names = fenced.map(|known| &known.entry.name);
-            plan.reconciler.fence_servers(names, &owners, now);
+            // A table of before may lack servers that hold keys.
+            if state.replicas[SERVERS].version.era() >= self.leadership.claim.era() {
+                plan.reconciler.fence_servers(names, &owners, now);
+            }
             let servers = servers.iter().map(|known| &**known);
             let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -47,7 +47,7 @@
 /// let mut map = RangeMap::new();
 /// map.assign("0-99".parse().unwrap(), &one, None);
 /// let now = Time::ZERO;
-/// let mut fence = Fence::new(Epoch(7), now);
+/// let mut fence = Fence::new(Epoch(7));
 /// fence.include(&map, &[], [&one, &two], &AllServing, now);
 /// let orders = fence.orders(now, &AllServing);
 /// let released = |order: &Order| match order {
@@ -65,7 +65,8 @@
 #[derive(Debug)]
 pub struct Fence {
     epoch: Epoch,
-    started: Time,
+    /// When servers were included first, by a table read in the era of the fence.
+    started: Option<Time>,
     included: BTreeSet<ServerName>,
     /// Releases without an answer.
     unanswered: BTreeMap<(ServerName, KeyRange), ReleaseState>,
@@ -81,10 +82,10 @@
 
 impl Fence {
     /// Creates a fence with the epoch of its releases.
-    pub fn new(epoch: Epoch, now: Time) -> Self {
+    pub fn new(epoch: Epoch) -> Self {
         Self {
             epoch,
-            started: now,
+            started: None,
             included: BTreeSet::new(),
             unanswered: BTreeMap::new(),
         }
@@ -101,12 +102,14 @@
         owners: &impl Owners,
         now: Time,
     ) {
+        self.started.get_or_insert(now);
         for server in servers {
             if self.included.contains(server) {
                 continue;
             }
             self.included.insert(server.clone());
-            let owned = map.owned_by(server);
+            // An owner whose lease is to end may hold the keys by a grant that the copy lacks.
+            let owned = map.owned_by(server).filter(|slice| slice.expiry.is_none());
             let kept = owned.flat_map(|slice| not_moving(slice.range, moving));
             let others = kept.fold(vec![KeyRange::ALL], subtract);
             for range in others {
@@ -180,6 +183,7 @@
 
     /// Whether all servers have answered, and none can still be unknown.
     pub fn is_done(&self, now: Time) -> bool {
-        self.unanswered.is_empty() && now - self.started >= REGISTRATION_TIME
+        let is_over = |started| now - started >= REGISTRATION_TIME;
+        self.unanswered.is_empty() && self.started.is_some_and(is_over)
     }
 }
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -148,6 +148,12 @@
         slices.all(|slice| slice.epoch >= floor || slice.expiry.is_some())
     }
 
+    /// Whether all keys have an epoch of at least `floor`. Otherwise the map may be older than
+    /// grants of the era before, also where it tells the end of a lease.
+    pub fn is_above(&self, floor: Epoch) -> bool {
+        self.slices.iter().all(|slice| slice.epoch >= floor)
+    }
+
     /// Raises the epochs of all keys to at least `floor`, apart from those whose owner gets no
     /// further grant.
     pub fn raise_to(&mut self, floor: Epoch) {
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -94,8 +94,8 @@
 
     /// Makes sure that servers hold no keys but those of the map before anything is granted:
     /// the store came back from a copy, which may lack moves of earlier planners.
-    pub fn fence(&mut self, now: Time) {
-        self.fence = Some(Fence::new(self.floor, now));
+    pub fn fence(&mut self) {
+        self.fence = Some(Fence::new(self.floor));
     }
 
     /// Adds registered servers to the fence, if there is one.
@@ -138,7 +138,7 @@
         self.former_until = former_until;
         self.floor = era.floor;
         self.leases.extend_previous(era.others_until);
-        self.fence(now);
+        self.fence();
         self.open_commit = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -4,7 +4,7 @@
     citron_core::{
         id::{Epoch, ServerName},
         ranges::{
-            BalanceLimits, Balancer, Capacity, Demand, KeyDemand, KeyRange, LeaseTimes,
+            BalanceLimits, Balancer, Capacity, Demand, Fence, KeyDemand, KeyRange, LeaseTimes,
             LeaseTracker, Order, OrderOutcome, OwnerState, Owners, PlanScope, RangeKey, RangeMap,
             Reconciler, Slice,
         },
@@ -559,3 +559,37 @@
     raised.raise_to(Epoch(7));
     raised
 }
+
+/// Guards against an owner that keeps keys through a fence because the map tells the end of its
+/// lease: the copy may lack a later grant to it.
+#[test]
+fn a_fence_releases_keys_whose_lease_is_to_end() {
+    let mut map = RangeMap::new();
+    map.assign(range(0, 99), &server(1), None);
+    map.set_expiry(range(0, 99), StoreTime(5_000));
+    assert!(map.has_reached(Epoch(7)));
+    assert!(!map.is_above(Epoch(7)));
+    let now = Time::from_micros(100_000_000);
+    let mut fence = Fence::new(Epoch(7));
+    let nobody = EndedServers(&[]);
+    fence.include(&map, &[], [&server(1)], &nobody, now);
+    let orders = fence.orders(now, &nobody);
+    let expected = Order::Release {
+        server: server(1),
+        range: KeyRange::ALL,
+        epoch: Epoch(7),
+    };
+    assert_eq!(orders, [expected]);
+}
+
+/// Guards against a fence that ends before the table of servers was read in its era.
+#[test]
+fn a_fence_waits_until_servers_are_included() {
+    let start = Time::from_micros(100_000_000);
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut fence = Fence::new(Epoch(7));
+    assert!(!fence.is_done(after(60)));
+    fence.include(&RangeMap::new(), &[], [], &EndedServers(&[]), after(60));
+    assert!(!fence.is_done(after(61)));
+    assert!(fence.is_done(after(63)));
+}
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -533,13 +533,12 @@
             true => copied.newest_of(&newest),
             false => copied,
         };
-        let now = self.now;
         let Some(planner) = self.planners.last_mut() else {
             return;
         };
         planner.reconciler.reload(remembered);
         if flaw != Some(Flaw::TrustCopy) {
-            planner.reconciler.fence(now);
+            planner.reconciler.fence();
         }
     }
 
@@ -780,7 +779,7 @@
         let leases = LeaseTracker::new(times, previous_until);
         let mut reconciler = Reconciler::new(self.map.clone(), leases).with_floor(self.floor());
         if self.has_unfenced_map() {
-            reconciler.fence(self.now);
+            reconciler.fence();
         }
         for notice in std::mem::take(&mut self.releases) {
             if self.late_commits && self.chance(700) {
@@ -811,7 +810,7 @@
 
     /// Whether no planner of this era has written its map yet.
     fn has_unfenced_map(&self) -> bool {
-        self.flaw != Some(Flaw::TrustCopy) && !self.map.has_reached(self.floor())
+        self.flaw != Some(Flaw::TrustCopy) && !self.map.is_above(self.floor())
     }
 
     fn plan(&mut self, index: usize) {
