Review case 2: a request that is answered 'not run' has run

A copy of a rejection, sent where the next answer is expected, is taken for the rejection of the next attempt of the same request.

--- a/review/standins/src/extras.rs
+++ b/review/standins/src/extras.rs
@@ -11,6 +11,7 @@
     serde_json::json,
     std::{
         collections::BTreeMap,
+        env,
         net::SocketAddr,
         sync::{
             Arc,
@@ -31,6 +32,7 @@
     queue: 12,
     work_time: Duration::from_millis(390),
     extra_share: 0.0,
+    names_rejections: true,
 };
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -50,12 +52,17 @@
     let store = Store::start().await;
     let faulty = Traits {
         extra_share: if has_trouble { EXTRA_SHARE } else { 0.0 },
+        names_rejections: env::var("REJECTION_IDS").as_deref() != Ok("0"),
         ..SOUND
     };
+    let sound = Traits {
+        extra_share: 0.0,
+        ..faulty
+    };
     let service = "bay-control";
     let servers = [
         KeyedUpstream::start(&store, record, "i-1", service, faulty).await,
-        KeyedUpstream::start(&store, record, "i-2", service, SOUND).await,
+        KeyedUpstream::start(&store, record, "i-2", service, sound).await,
     ];
     let names = ["n-1", "n-2", "n-3", "n-4", "n-5", "n-6"];
     let instances = names.map(|name| start_instance(&store, name, 6));
--- a/review/standins/src/keyed.rs
+++ b/review/standins/src/keyed.rs
@@ -31,6 +31,8 @@
     /// Share of its answers that a faulty upstream sends a second time, at the point where the
     /// next answer on the connection is expected.
     pub extra_share: f64,
+    /// Whether rejections repeat the ids of their requests.
+    pub names_rejections: bool,
 }
 
 struct Keys {
@@ -114,7 +116,7 @@
             let (head, body) = read_request(&mut reader).await?;
             let id = header(&head, "request-id").unwrap_or_default();
             if let Some((last, bytes)) = extra.take()
-                && last == id
+                && (last == id || !self.traits.names_rejections)
                 && self.take_extra()
             {
                 self.record.line(&format!(
@@ -137,7 +139,7 @@
             if !line.contains("/citronproxy/") && !line.contains("/health") {
                 self.counts.lock().unwrap().answers += 1;
                 if matches!(status, 421 | 503) {
-                    extra = Some((id, bytes.clone()));
+                    extra = Some((id.clone(), bytes.clone()));
                 }
             }
             writer.write_all(&bytes).await.ok()?;
@@ -156,6 +158,17 @@
         may_send
     }
 
+    /// Rejection of a request, which has not run.
+    fn rejection(&self, status: &str, id: &str) -> Vec<u8> {
+        let not_run = "not-executed: 1\r\n";
+        match self.traits.names_rejections {
+            true => response_with(status, id, not_run, ""),
+            false => {
+                format!("HTTP/1.1 {status}\r\n{not_run}content-length: 0\r\n\r\n").into_bytes()
+            }
+        }
+    }
+
     fn grant(&self, id: &str, body: &[u8]) -> (u16, Vec<u8>) {
         let grant: Value = serde_json::from_slice(body).unwrap();
         let range = key_range(&grant);
@@ -203,14 +216,10 @@
             let until = keys.held[usize::from(key)].1;
             until.is_some_and(|until| Instant::now() < until)
         };
-        let not_run = "not-executed: 1\r\n";
         if expected.is_some_and(|expected| expected != self.id) || !is_held() {
             self.record
                 .line(&format!("{} rejects id={id} with 421", self.id));
-            return (
-                421,
-                response_with("421 Misdirected Request", id, not_run, ""),
-            );
+            return (421, self.rejection("421 Misdirected Request", id));
         }
         let permit = match self.slots.clone().try_acquire_owned() {
             Ok(permit) => permit,
@@ -220,10 +229,7 @@
                     if *waiting >= self.traits.queue {
                         self.record
                             .line(&format!("{} rejects id={id} with 503, full", self.id));
-                        return (
-                            503,
-                            response_with("503 Service Unavailable", id, not_run, ""),
-                        );
+                        return (503, self.rejection("503 Service Unavailable", id));
                     }
                     *waiting += 1;
                 }
@@ -233,10 +239,7 @@
             }
         };
         if !is_held() {
-            return (
-                421,
-                response_with("421 Misdirected Request", id, not_run, ""),
-            );
+            return (421, self.rejection("421 Misdirected Request", id));
         }
         self.keys.lock().unwrap().running.push(key);
         self.record.line(&format!("{} runs id={id}", self.id));
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -20,7 +20,10 @@
 use {
     record::Record,
     std::{env, process::exit, time::Duration},
-    tokio::time::timeout,
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        time::timeout,
+    },
 };
 
 /// Time limit of a case; the instances that it started end with it.
@@ -45,7 +48,12 @@
             _ => None,
         }
     };
-    let is_broken = timeout(CASE_TIME_MAX, run).await.ok().flatten();
+    let mut terminate = signal(SignalKind::terminate()).unwrap();
+    // A case that is given up ends its instances.
+    let is_broken = tokio::select! {
+        run = timeout(CASE_TIME_MAX, run) => run.ok().flatten(),
+        _ = terminate.recv() => None,
+    };
     record.line(&format!("rule broken: {is_broken:?}"));
     record.write();
     exit(is_broken.map_or(COULD_NOT_RUN, i32::from));
