Review case 2: a cut-off planner's renewal makes two holders of the same keys

A server that has started again under its id takes a renewal under the former epoch, while another one holds the keys.

--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -9,13 +9,24 @@
 
 /// Starts an instance; `grace_s` is the time that the platform gives it after SIGTERM.
 pub fn start_instance(store: &Store, name: &str, grace_s: u32) -> Instance {
-    Instance::start_with(store.address, name, |settings| {
+    start_instance_with(store.address, name, grace_s, |_| {})
+}
+
+/// As [`start_instance`], with the address of a link to the store and edited settings.
+pub fn start_instance_with(
+    store: SocketAddr,
+    name: &str,
+    grace_s: u32,
+    edit: impl FnOnce(&mut Value),
+) -> Instance {
+    Instance::start_with(store, name, |settings| {
         settings["leave_s"] = grace_s.into();
         settings["slot_brokers"] = json!({"instances_per_slot": 8});
         // Fields of deployments whose servers may be cold or whose zones may be evacuated.
         for name in ["cold", "evacuate_s"] {
             settings.as_object_mut().unwrap().remove(name);
         }
+        edit(settings);
     })
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -13,6 +13,7 @@
 mod extras;
 mod keyed;
 mod pipelined;
+mod reborn;
 mod record;
 mod uploads;
 mod upstream;
@@ -44,6 +45,7 @@
         match case.as_str() {
             "uploads" => Some(uploads::run(&record, has_trouble).await),
             "extras" => Some(extras::run(&record, has_trouble).await),
+            "reborn" => Some(reborn::run(&record, has_trouble).await),
             "pipelined" => Some(pipelined::run(&record, has_trouble).await),
             _ => None,
         }
