Grants go only to processes that have seen what other planners ordered

Cause: a planner that is cut off from the store goes on renewing for 15 s. If a server starts again under its id meanwhile, the planner opens a new connection to it, and the new process, which has seen no epoch, takes a renewal of keys that another planner has moved. The id is all that the planner checked, and it is the same.

Why this works: a connection ends with the process that accepted it. Grants are sent only on connections to processes that have been running since before the store last confirmed the leadership, so that they have seen every order of other planners since. New connections inherit from older ones that are answered later; otherwise the store is asked first.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -48,7 +48,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{Notify, watch as latest},
+        sync::{Mutex, Notify, watch as latest},
         task::LocalSet,
         time::sleep,
     },
@@ -238,6 +238,8 @@
     /// Value of [`Peers::membership_edits`] as of which the slow-start group was
     /// computed.
     grouped_edits: Cell<u64>,
+    /// Held during a read that confirms the leadership, which serves all who wait for it.
+    pub confirmation: Mutex<()>,
     /// Wakes the planner.
     pub plan_trigger: Notify,
     /// Triggers a round of heartbeats to all recipients at once.
@@ -357,6 +359,7 @@
             move_outbox: MoveOutbox::default(),
             new_peers: Cell::default(),
             grouped_edits: Cell::default(),
+            confirmation: Mutex::new(()),
             plan_trigger: Notify::new(),
             heartbeat_trigger: Notify::new(),
             metrics,
@@ -383,6 +386,22 @@
         state.ranges_confirmed.record(era, call_started);
     }
 
+    /// Whether the store has confirmed a leadership of this instance in a call begun at `since`
+    /// or later, and nothing has replaced it.
+    pub fn is_confirmed_since(&self, leadership: &Leadership, since: Time) -> bool {
+        let state = self.state.borrow();
+        let in_force = state.leadership.as_ref();
+        let is_in_force =
+            in_force.is_some_and(|row| !row.has_lapsed() && row.claim == leadership.claim);
+        is_in_force && state.ranges_confirmed.at >= since
+    }
+
+    /// Whether the store has confirmed the leadership in a call of the former era begun at
+    /// `since` or later.
+    pub fn was_confirmed_in_former_era(&self, since: Time) -> bool {
+        self.state.borrow().ranges_confirmed.before_era >= since
+    }
+
     /// Records that the store answered a call begun at `call_started`. `store_time` is
     /// the store's clock, if the answer contains it.
     pub fn on_store_success(&self, call_started: Time, store_time: Option<StoreTime>) {
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -25,6 +25,8 @@
     keys_freed: IntCounterVec,
     /// Discarded responses of servers to other calls than the order that received them.
     pub stray_responses: IntCounter,
+    /// Grants that were not sent, as another process may be listening at the server's address.
+    pub withheld_grants: IntCounter,
     /// Requests for permits that the planner decided on, by result.
     permits: IntCounterVec,
     /// Answers to this instance's requests for slots.
@@ -89,6 +91,13 @@
                     "Responses of servers to other calls than the order that received them.",
                 )?,
             )?,
+            withheld_grants: register(
+                registry,
+                IntCounter::new(
+                    "citron_withheld_grants_total",
+                    "Grants not sent, as another process may be listening at the server's address.",
+                )?,
+            )?,
             permits: counter(
                 "citron_permits_total",
                 "Requests for servers with a rate limit that the planner admitted or not.",
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        edge::control::{controller::Controller, statements::record_order_response},
+        edge::control::{
+            controller::{Controller, Leadership},
+            refresh,
+            statements::record_order_response,
+        },
         events,
     },
     bytes::Bytes,
@@ -13,7 +17,13 @@
     },
     citron_ports::{Adapter, CallError, HttpClient, Reply},
     http::{HeaderValue, Request, Response, StatusCode},
-    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::sync::Semaphore,
 };
 
@@ -42,19 +52,24 @@
 struct Connection {
     client: HttpClient,
     releases: Rc<Semaphore>,
+    /// Whether the last grant was withheld, as the process at the address may be another one.
+    is_withheld: Rc<Cell<bool>>,
 }
 
 impl OrderClient {
-    /// Sends an order to a server and returns its result. Commits are not sent to
-    /// servers.
+    /// Sends an order under a leadership to a server and returns its result. Commits are not
+    /// sent to servers.
     pub async fn send<A: Adapter>(
         &self,
-        controller: &Controller<A>,
+        controller: &Rc<Controller<A>>,
+        leadership: &Leadership,
         order: &Order,
         lease_times: &LeaseTimes,
     ) -> OrderOutcome {
         match order {
-            Order::Grant { slice, .. } => self.grant(controller, slice, lease_times).await,
+            Order::Grant { slice, .. } => {
+                self.grant(controller, leadership, slice, lease_times).await
+            }
             Order::Release {
                 server,
                 range,
@@ -68,7 +83,14 @@
                     None => None,
                 };
                 let reply = self
-                    .call(controller, server, request, ends_release, RELEASE_TIMEOUT)
+                    .call(
+                        controller,
+                        server,
+                        request,
+                        ends_release,
+                        async |_| true,
+                        RELEASE_TIMEOUT,
+                    )
                     .await;
                 let mut outcome = release_outcome(controller, &reply);
                 if is_misdirected(&reply) {
@@ -114,7 +136,13 @@
         };
         let client = self.connection_at(address).client;
         let reply = client
-            .call_identified(request, &headers.request_id, is_other, HEALTH_TIMEOUT)
+            .call_identified(
+                request,
+                &headers.request_id,
+                is_other,
+                async |_| true,
+                HEALTH_TIMEOUT,
+            )
             .await;
         let response = match reply {
             Ok(reply) => reply.response,
@@ -122,7 +150,9 @@
                 record_stray(controller, server, &reason);
                 return false;
             }
-            Err(CallError::NotSent(_) | CallError::OutcomeUnknown(_)) => return false,
+            Err(CallError::NotSent(_) | CallError::NotAdmitted | CallError::OutcomeUnknown(_)) => {
+                return false;
+            }
         };
         let is_replaced = is_other(&response);
         if !is_replaced {
@@ -136,6 +166,7 @@
         let connection = connections.entry(address).or_insert_with(|| Connection {
             client: HttpClient::new(address, RESPONSE_BYTES_MAX),
             releases: Rc::new(Semaphore::new(RELEASES_PER_SERVER_MAX)),
+            is_withheld: Rc::default(),
         });
         connection.clone()
     }
@@ -150,9 +181,13 @@
         Some(self.connection_at(known.entry.address))
     }
 
+    /// Sends a grant, unless the process at the server's address may have started after
+    /// another planner has moved keys: it would not know the higher epoch, and take the keys
+    /// that another server holds.
     async fn grant<A: Adapter>(
         &self,
-        controller: &Controller<A>,
+        controller: &Rc<Controller<A>>,
+        leadership: &Leadership,
         slice: &Slice,
         lease_times: &LeaseTimes,
     ) -> OrderOutcome {
@@ -160,15 +195,31 @@
             return OrderOutcome::Unknown;
         };
         let request = controller.adapter.grant_request(slice, lease_times.lease);
+        if !*controller.store_up.borrow() {
+            self.keep_spare(controller, owner, lease_times.order_timeout)
+                .await;
+        }
+        let is_former = slice.epoch < leadership.epoch_floor();
+        let admits = async |known_since: Instant| {
+            let age = known_since.elapsed();
+            let since = controller.clock.now() - age;
+            if is_former {
+                controller.was_confirmed_in_former_era(since)
+            } else {
+                refresh::confirm_leadership(controller, leadership, since).await
+            }
+        };
         let reply = self
             .call(
                 controller,
                 owner,
                 request,
                 refuses_grant,
+                admits,
                 lease_times.order_timeout,
             )
             .await;
+        self.record_admission(controller, owner, &reply);
         match reply.map(|reply| reply.response.status()) {
             Ok(StatusCode::OK) => OrderOutcome::Done { handover: None },
             Ok(StatusCode::CONFLICT) => {
@@ -191,7 +242,7 @@
             Err(error) => {
                 log::debug!("grant of {} to {owner} failed: {error}", slice.range);
                 match error {
-                    CallError::NotSent(_) => OrderOutcome::NotSent,
+                    CallError::NotSent(_) | CallError::NotAdmitted => OrderOutcome::NotSent,
                     CallError::OutcomeUnknown(_) | CallError::OtherCall(_) => OrderOutcome::Unknown,
                 }
             }
@@ -204,6 +255,7 @@
         server: &ServerName,
         mut request: Request<Bytes>,
         needs_proof: impl Fn(&Response<Bytes>) -> bool,
+        admits: impl AsyncFn(Instant) -> bool,
         timeout: Duration,
     ) -> Result<Reply, CallError> {
         let Some(connection) = self.connection_to(controller, server) else {
@@ -219,7 +271,7 @@
         let name = &controller.adapter.headers().request_id;
         let reply = connection
             .client
-            .call_identified(request, name, needs_proof, timeout)
+            .call_identified(request, name, needs_proof, admits, timeout)
             .await;
         match &reply {
             Ok(reply) => {
@@ -233,6 +285,7 @@
                     CallError::NotSent(_) => {
                         shared.record_failure(server, Failure::Unreachable, started, now);
                     }
+                    CallError::NotAdmitted => {}
                     CallError::OutcomeUnknown(_) => {
                         shared.record_silence(server, Failure::Failing, started, now);
                     }
@@ -246,6 +299,51 @@
         reply
     }
 
+    /// Keeps a second connection to a server while the store does not answer: if the server
+    /// closes the only one, nothing tells whether a new one leads to the same process.
+    async fn keep_spare<A: Adapter>(
+        &self,
+        controller: &Controller<A>,
+        server: &ServerName,
+        timeout: Duration,
+    ) {
+        let Some(connection) = self.connection_to(controller, server) else {
+            return;
+        };
+        if let Err(error) = connection.client.keep_spare(timeout).await {
+            log::debug!("spare connection to {server}: {error}");
+        }
+    }
+
+    /// Logs when grants to a server begin to be withheld, and when they end to be.
+    fn record_admission<A: Adapter>(
+        &self,
+        controller: &Controller<A>,
+        server: &ServerName,
+        reply: &Result<Reply, CallError>,
+    ) {
+        let Some(connection) = self.connection_to(controller, server) else {
+            return;
+        };
+        let is_withheld = matches!(reply, Err(CallError::NotAdmitted));
+        if is_withheld {
+            controller.metrics.withheld_grants.inc();
+        }
+        if is_withheld != connection.is_withheld.replace(is_withheld) {
+            let event = events::GRANTS_WITHHELD;
+            let (state, confirmed) = (
+                if is_withheld {
+                    "withheld"
+                } else {
+                    "sent again"
+                },
+                controller.state.borrow().ranges_confirmed.at,
+            );
+            let age = controller.clock.now() - confirmed;
+            log::warn!("{event} to {server}: {state}, leadership confirmed {age:?} ago");
+        }
+    }
+
     /// Drops connections to addresses that are no longer used.
     pub fn retain(&self, is_used: impl Fn(&SocketAddr) -> bool) {
         self.connections
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -157,7 +157,7 @@
             }
             order => (
                 self.orders
-                    .send(&self.controller, order, &lease_times)
+                    .send(&self.controller, &self.leadership, order, &lease_times)
                     .await,
                 StoreVersion::NONE,
             ),
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        controller::Controller,
+        controller::{Controller, Leadership},
         transfer::TableTransfer,
         watch::{self, CONFIG, RANGES, SERVERS, WATCHED, jitter_factor},
     },
@@ -169,6 +169,24 @@
     true
 }
 
+/// Whether the store confirms that this instance has had a leadership at `since` and later.
+/// Reads the leadership if it was not confirmed since.
+pub async fn confirm_leadership<A: Adapter>(
+    controller: &Rc<Controller<A>>,
+    leadership: &Leadership,
+    since: Time,
+) -> bool {
+    if controller.is_confirmed_since(leadership, since) {
+        return true;
+    }
+    let _reading = controller.confirmation.lock().await;
+    // The store is read on in any case, so that its return is noticed.
+    if !controller.is_confirmed_since(leadership, since) && *controller.store_up.borrow() {
+        refresh_table(controller, RANGES).await;
+    }
+    controller.is_confirmed_since(leadership, since)
+}
+
 /// Reads the changes of a table without waiting for new ones, and applies them. Returns
 /// the store's version, or `None` if the read failed.
 async fn refresh_table<A: Adapter>(
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -155,6 +155,9 @@
     MESSAGE_REFUSED = 441, "message-refused";
     /// The stored map of a service does not cover all keys; its keys are not planned meanwhile.
     MAP_INCOMPLETE = 442, "map-incomplete";
+    /// Grants to a server begin or end to be withheld, as another process may be listening at
+    /// its address.
+    GRANTS_WITHHELD = 443, "grants-withheld";
     /// A request was refused; it has not been executed.
     REQUEST_REFUSED = 500, "request-refused";
     /// The outcome of a request is unknown.
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -148,6 +148,7 @@
 fn platform_error(error: CallError) -> PlatformError {
     match error {
         CallError::NotSent(reason) => PlatformError::Unreachable(reason),
+        error @ CallError::NotAdmitted => PlatformError::Unreachable(error.to_string()),
         CallError::OutcomeUnknown(reason) | CallError::OtherCall(reason) => {
             PlatformError::OutcomeUnknown(reason)
         }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -1,7 +1,10 @@
 //! HTTP client of one address, with a pool of idle connections.
 
 use {
-    crate::reply::{Origin, Reply},
+    crate::{
+        process_life::ProcessLife,
+        reply::{Origin, Reply},
+    },
     bytes::{Bytes, BytesMut},
     http::{HeaderName, HeaderValue, Request, Response, header},
     http_body_util::{BodyExt, Full},
@@ -12,6 +15,7 @@
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
+        cmp::Reverse,
         fmt::Display,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -47,6 +51,10 @@
     /// the request.
     #[error("no response: received that to another call, {0}")]
     OtherCall(String),
+    /// The request was not sent, as the process at the address may have started too recently
+    /// to be the one that it is meant for.
+    #[error("not sent: the process at the address may be another one by now")]
+    NotAdmitted,
 }
 
 impl CallError {
@@ -54,6 +62,7 @@
     fn after_sending(self) -> Self {
         match self {
             Self::NotSent(reason) => Self::OutcomeUnknown(reason),
+            Self::NotAdmitted => Self::OutcomeUnknown(self.to_string()),
             Self::OutcomeUnknown(_) | Self::OtherCall(_) => self,
         }
     }
@@ -112,6 +121,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    opened: Instant,
 }
 
 impl Drop for Connection {
@@ -122,12 +132,21 @@
     }
 }
 
+/// A connection that a request may be sent on.
+#[derive(Debug)]
+struct CheckedConnection {
+    connection: Connection,
+    /// Whether it has carried no call before.
+    is_new: bool,
+}
+
 /// HTTP client of one address. Clones share the pool of idle connections.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     address: SocketAddr,
     max_bytes: usize,
     idle: Arc<Mutex<Vec<Connection>>>,
+    life: Arc<Mutex<ProcessLife>>,
 }
 
 impl HttpClient {
@@ -138,6 +157,7 @@
             address,
             max_bytes,
             idle: Arc::default(),
+            life: Arc::default(),
         }
     }
 
@@ -162,57 +182,113 @@
     /// If `needs_proof` says so, the connection is closed and the request is sent again on a
     /// new one, on which no other response can arrive.
     ///
+    /// The request is sent only if `admits` allows it, given the time since when the process
+    /// at the other end of the connection has certainly been running. Connections to the
+    /// process known for longest are preferred.
+    ///
     /// # Errors
     /// [`CallError::NotSent`] only if the peer cannot have received the request,
-    /// [`CallError::OtherCall`] if the response to another call arrived.
+    /// [`CallError::OtherCall`] if the response to another call arrived,
+    /// [`CallError::NotAdmitted`] if `admits` did not allow it.
     pub async fn call_identified(
         &self,
         request: Request<Bytes>,
         name: &HeaderName,
         needs_proof: impl Fn(&Response<Bytes>) -> bool,
+        admits: impl AsyncFn(Instant) -> bool,
         time_limit: Duration,
     ) -> Result<Reply, CallError> {
         let mut limit = Deadline(Instant::now() + time_limit);
-        let idle = self.take_idle();
-        let exchange = self.exchange_identified(idle, request.clone(), name, &mut limit);
+        let idle = self.take_longest_known();
+        let connection = self.admitted(idle, &admits, &limit).await?;
+        let exchange = self.exchange_identified(connection, request.clone(), name, &mut limit);
         let (response, connection, origin) = exchange.await?;
         if origin == Origin::Call || !needs_proof(&response) {
-            self.return_idle(connection);
+            self.return_idle(connection.connection);
             let unproven = None;
             return Ok(Reply { response, unproven });
         }
         drop(connection);
-        let exchange = self.exchange_identified(None, request, name, &mut limit);
+        let connection = self.admitted(None, &admits, &limit).await;
+        let connection = connection.map_err(CallError::after_sending)?;
+        let exchange = self.exchange_identified(connection, request, name, &mut limit);
         let (proven, connection, _) = exchange.await.map_err(CallError::after_sending)?;
-        self.return_idle(connection);
+        self.return_idle(connection.connection);
         Ok(Reply {
             response: proven,
             unproven: Some(response),
         })
     }
 
-    /// Sends a request under a random id, on a new connection if none is given. The origin of
-    /// the response is not another call.
-    async fn exchange_identified(
+    /// Opens a connection if only one is idle. It leads to the same process as soon as a call
+    /// on another one that begins now is answered, and remains if the peer closes that.
+    ///
+    /// # Errors
+    /// [`CallError::NotSent`] if the connection cannot be opened.
+    pub async fn keep_spare(&self, time_limit: Duration) -> Result<(), CallError> {
+        if self.idle().len() != 1 {
+            return Ok(());
+        }
+        let connected = timeout(time_limit, self.connect()).await;
+        self.return_idle(connected.map_err(not_sent)??);
+        Ok(())
+    }
+
+    /// The given connection, or a new one, if `admits` allows to use it. Otherwise the
+    /// connection becomes idle: a later call on another one may show that both lead to the
+    /// same process.
+    async fn admitted(
         &self,
         connection: Option<Connection>,
+        admits: &impl AsyncFn(Instant) -> bool,
+        limit: &impl ReadTimeout,
+    ) -> Result<CheckedConnection, CallError> {
+        let is_new = connection.is_none();
+        let connection = match connection {
+            Some(connection) => connection,
+            None => {
+                let connected = timeout(limit.remaining(), self.connect()).await;
+                connected.map_err(not_sent)??
+            }
+        };
+        let known_since = self.life().known_since(connection.opened);
+        let is_admitted = timeout(limit.remaining(), admits(known_since)).await;
+        match is_admitted {
+            Ok(true) => Ok(CheckedConnection { connection, is_new }),
+            Ok(false) | Err(_) => {
+                self.return_idle(connection);
+                Err(CallError::NotAdmitted)
+            }
+        }
+    }
+
+    /// Sends a request under a random id. The origin of the response is not another call.
+    async fn exchange_identified(
+        &self,
+        connection: CheckedConnection,
         mut request: Request<Bytes>,
         name: &HeaderName,
         limit: &mut impl ReadTimeout,
-    ) -> Result<(Response<Bytes>, Connection, Origin), CallError> {
+    ) -> Result<(Response<Bytes>, CheckedConnection, Origin), CallError> {
         let id = format!("{:016x}", rand::random::<u64>());
         let id = HeaderValue::from_str(&id).map_err(not_sent)?;
         request.headers_mut().insert(name, id.clone());
-        let is_new = connection.is_none();
-        let (response, connection) = self.exchange(connection, request, limit).await?;
+        let CheckedConnection { connection, is_new } = connection;
+        let called = Instant::now();
+        let (response, connection) = self.exchange(Some(connection), request, limit).await?;
         let origin = Origin::of(&response, (name, &id), is_new);
-        if origin == Origin::OtherCall {
-            let other = response.headers().get(name);
-            return Err(CallError::OtherCall(format!(
-                "status {}, id {other:?} instead of {id:?}",
-                response.status()
-            )));
+        match origin {
+            Origin::Call => self.life().record_response(connection.opened, called),
+            Origin::Unknown => {}
+            Origin::OtherCall => {
+                let other = response.headers().get(name);
+                return Err(CallError::OtherCall(format!(
+                    "status {}, id {other:?} instead of {id:?}",
+                    response.status()
+                )));
+            }
         }
+        let connection = CheckedConnection { connection, is_new };
         Ok((response, connection, origin))
     }
 
@@ -294,8 +370,11 @@
                 log::debug!("connection to {address} failed: {error}");
             }
         });
-        let driver = driver.abort_handle();
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            sender,
+            driver: driver.abort_handle(),
+            opened: Instant::now(),
+        })
     }
 
     fn take_idle(&self) -> Option<Connection> {
@@ -307,6 +386,25 @@
         Some(idle.remove(index))
     }
 
+    /// Takes an idle connection to the process that is known for longest.
+    fn take_longest_known(&self) -> Option<Connection> {
+        let mut idle = self.idle();
+        idle.retain(|connection| !connection.sender.is_closed());
+        let life = self.life();
+        let ready = idle
+            .iter()
+            .enumerate()
+            .filter(|(_, connection)| connection.sender.is_ready());
+        // The last one of several that are equal, as it was used last.
+        let (index, _) =
+            ready.max_by_key(|(_, connection)| Reverse(life.known_since(connection.opened)))?;
+        Some(idle.remove(index))
+    }
+
+    fn life(&self) -> MutexGuard<'_, ProcessLife> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn return_idle(&self, connection: Connection) {
         let mut idle = self.idle();
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -12,6 +12,7 @@
 mod machines;
 mod memory;
 mod objects;
+mod process_life;
 mod reply;
 mod rows;
 mod servers;
@@ -29,6 +30,7 @@
     machines::{Machine, MachineList, MachineState},
     memory::MemoryPlatform,
     objects::ObjectStore,
+    process_life::ProcessLife,
     reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
--- a/crates/ports/tests/http_client.rs
+++ b/crates/ports/tests/http_client.rs
@@ -150,14 +150,14 @@
 /// Sends an order, which takes no response but its own.
 async fn order(client: &HttpClient) -> Result<Response<Bytes>, CallError> {
     let name = HeaderName::from_static("request-id");
-    let reply = client.call_identified(request(), &name, |_| true, TIMEOUT * 10);
+    let reply = client.call_identified(request(), &name, |_| true, async |_| true, TIMEOUT * 10);
     reply.await.map(|reply| reply.response)
 }
 
 /// As [`order`], for a response that needs no proof.
 async fn unproven_order(client: &HttpClient) -> Result<Reply, CallError> {
     let name = HeaderName::from_static("request-id");
-    let reply = client.call_identified(request(), &name, |_| false, TIMEOUT * 10);
+    let reply = client.call_identified(request(), &name, |_| false, async |_| true, TIMEOUT * 10);
     reply.await
 }
 
@@ -266,3 +266,60 @@
         "{second:?}"
     );
 }
+
+/// Sends an order that is only for a process known to have been running since a time.
+async fn order_for(client: &HttpClient, since: Instant) -> Result<StatusCode, CallError> {
+    let name = HeaderName::from_static("request-id");
+    let admits = async |known_since| Instant::from_std(known_since) <= since;
+    let reply = client.call_identified(request(), &name, |_| true, admits, TIMEOUT * 10);
+    reply.await.map(|reply| reply.response.status())
+}
+
+/// Guards against an order that reaches the next process at an address.
+#[tokio::test]
+async fn an_order_for_a_former_process_is_not_sent_to_the_next_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    let next = tokio::spawn(async move {
+        let (mut former, _) = listener.accept().await.unwrap();
+        respond(&mut former, &[NAMED]).await;
+        drop(former);
+        let (mut next, _) = listener.accept().await.unwrap();
+        let mut read = [0; 1_024];
+        tokio::time::timeout(TIMEOUT, next.read(&mut read)).await
+    });
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+    let since = Instant::now();
+    tokio::time::sleep(TIMEOUT / 10).await;
+    let refused = order_for(&client, since).await;
+    assert!(
+        matches!(refused, Err(CallError::NotAdmitted)),
+        "{refused:?}"
+    );
+    let received = next.await.unwrap();
+    assert!(received.is_err(), "{received:?}");
+}
+
+/// Guards against a process that counts as another one, as it has closed the connection on
+/// which it was known.
+#[tokio::test]
+async fn a_spare_connection_leads_to_the_process_that_closes_the_first() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = HttpClient::new(listener.local_addr().unwrap(), 1_024);
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        respond(&mut first, &[NAMED]).await;
+        let (mut spare, _) = listener.accept().await.unwrap();
+        respond(&mut first, &[NAMED]).await;
+        drop(first);
+        respond(&mut spare, &[NAMED]).await;
+        tokio::time::sleep(TIMEOUT * 100).await;
+    });
+    assert_eq!(order(&client).await.unwrap().status(), 200);
+    let since = Instant::now();
+    client.keep_spare(TIMEOUT).await.unwrap();
+    for _ in 0..2 {
+        assert_eq!(order_for(&client, since).await.unwrap(), 200);
+        tokio::time::sleep(TIMEOUT / 10).await;
+    }
+}
