The response of a server that rejects an upload and closes is read

Callers saw: 502, which promises nothing, for an upload that its server had rejected with 503 and Not-Executed before it had read the body.

Cause: the server closes the connection after its response. The next write of the body fails, and the HTTP library gives the exchange up without reading what has arrived.

Why this works: after a write that failed since the peer has closed, writing waits, and reading returns the response, or the end of the stream, which ends the exchange as before.

--- a/crates/citronproxy/src/traffic/socket.rs
+++ b/crates/citronproxy/src/traffic/socket.rs
@@ -105,16 +105,50 @@
 }
 
 /// Socket that records reads and writes in its [`SocketState`].
+///
+/// A server may reject a request before it has read the body, and close the connection. The
+/// response is then received although writing fails, so that a failed write ends the exchange
+/// only when nothing more can be read.
 #[derive(Debug)]
 pub struct TrackedStream {
     stream: TcpStream,
     socket: Rc<SocketState>,
+    has_write_failed: bool,
 }
 
 impl TrackedStream {
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream, socket: Rc<SocketState>) -> Self {
-        Self { stream, socket }
+        Self {
+            stream,
+            socket,
+            has_write_failed: false,
+        }
+    }
+
+    /// Result of a write; pending from the first one on that failed as the peer has closed the
+    /// connection. The end of the stream is then the next thing to be read.
+    fn after_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.socket.count_written(&written);
+        let is_closed_by_peer = |error: &io::Error| {
+            matches!(
+                error.kind(),
+                ErrorKind::ConnectionReset | ErrorKind::BrokenPipe
+            )
+        };
+        match &written {
+            Poll::Ready(Err(error)) if is_closed_by_peer(error) => {
+                if !std::mem::replace(&mut self.has_write_failed, true) {
+                    cx.waker().wake_by_ref();
+                }
+                Poll::Pending
+            }
+            _ => written,
+        }
     }
 }
 
@@ -141,8 +175,7 @@
     ) -> Poll<io::Result<usize>> {
         self.socket.check_permit()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.socket.count_written(&written);
-        written
+        self.after_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -152,8 +185,7 @@
     ) -> Poll<io::Result<usize>> {
         self.socket.check_permit()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.socket.count_written(&written);
-        written
+        self.after_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
