No byte of a request body is dropped before it was sent

Cause: the body is read ahead up to 512 KiB. The part that exceeded the limit dropped the copy, which no attempt had received yet. Attempts then began where the reading had stopped; nothing kept a second one from that either.

Why this works: a copy is dropped only when an attempt receives bytes behind it, and bytes behind it go only to an attempt that has received all before them. Requests whose body is not whole any more are not sent again.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -330,7 +330,7 @@
         record_failure(state, server, Failure::Failing, started);
         return ExchangeResult::Failed(AttemptResult::Closed);
     }
-    let mut pooled = PooledConnection::new(&state.pool, address, connection);
+    let mut pooled = PooledConnection::new(&state.pool, address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let idle = state.clock.now() - pooled.connection_mut().socket.last_read();
     let reused = pooled.connection_mut().is_reused;
@@ -339,7 +339,11 @@
     let request = build_request(state, server, outgoing);
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let silence = (SILENCE_MAX, Failure::Failing);
-    let sent = watch_silence(state, server, in_flight.started, silence, sent).await;
+    let sent = match outgoing.body.is_complete() {
+        true => watch_silence(state, server, in_flight.started, silence, sent).await,
+        // The server may wait for the rest of the body before it responds.
+        false => sent.await,
+    };
     match sent {
         Ok(response) => {
             let now = state.clock.now();
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -126,7 +126,7 @@
         Ok(Err(error)) => return DetourResult::NotSent(error.to_string()),
         Err(_) => return DetourResult::NotSent("timed out connecting".to_string()),
     };
-    let mut pooled = PooledConnection::new(&state.pool, peer.address, connection);
+    let mut pooled = PooledConnection::new(&state.pool, peer.address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let request = outgoing_request(state, outgoing);
     let sent = pooled.connection_mut().sender.try_send_request(request);
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -32,10 +32,6 @@
     tokio::time::timeout,
 };
 
-/// Bytes of a body that are buffered before anything is sent. A buffered body can be sent
-/// to another server, and a server that responds early cannot leave the client with half
-/// of its message unsent. The limit is larger than the uploads that clients send today.
-const REPLAY_BUFFER_BYTES: usize = 512 * 1_024;
 /// Time after the start within which an instance usually has its first view.
 const FIRST_VIEW_TIME: Duration = Duration::from_millis(1_500);
 /// Longest time for which a request waits for the first view.
@@ -127,7 +123,7 @@
     };
     let client_timeout = client_timeout(state, &head);
     let deadline = started + client_timeout.min(rule.timeout);
-    let body = ClientBody::new(body, config.limits.max_body_bytes, REPLAY_BUFFER_BYTES);
+    let body = ClientBody::new(body, config.limits.max_body_bytes, &state.buffers);
     if body.declared_length() > config.limits.max_body_bytes {
         return deny(Denial::BodyTooLarge, &head);
     }
--- a/crates/citronproxy/src/edge/traffic/pooled_connection.rs
+++ b/crates/citronproxy/src/edge/traffic/pooled_connection.rs
@@ -1,8 +1,11 @@
 //! Connection to a backend server, checked out of the pool for one exchange.
 
 use {
-    crate::traffic::pool::{Connection, Pool},
-    std::net::SocketAddr,
+    crate::traffic::{
+        pool::{Connection, Pool},
+        request_body::ClientBody,
+    },
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Connection of a pool with one exchange in progress.
@@ -14,15 +17,24 @@
     pool: Pool,
     address: SocketAddr,
     connection: Connection,
+    /// Body of the request that is sent on the connection.
+    body: Rc<ClientBody>,
 }
 
 impl PooledConnection {
-    /// Wraps `connection`, which was taken from `pool` for the server at `address`.
-    pub fn new(pool: &Pool, address: SocketAddr, connection: Connection) -> Self {
+    /// Wraps `connection`, which was taken from `pool` to send a request with this body to
+    /// the server at `address`.
+    pub fn new(
+        pool: &Pool,
+        address: SocketAddr,
+        connection: Connection,
+        body: &Rc<ClientBody>,
+    ) -> Self {
         Self {
             pool: pool.clone(),
             address,
             connection,
+            body: Rc::clone(body),
         }
     }
 
@@ -32,8 +44,11 @@
     }
 
     /// Returns the connection to the pool. If part of the request is still being written,
-    /// the pool hands the connection out only after the write has ended.
+    /// the pool hands the connection out only after the write has ended. Resets the connection
+    /// if the body has not been received to its end: the server would wait for the rest of it.
     pub fn return_to_pool(self) {
-        self.pool.release(self.address, self.connection);
+        if self.body.is_complete() {
+            self.pool.release(self.address, self.connection);
+        }
     }
 }
--- a/crates/citronproxy/src/edge/traffic/request_scope.rs
+++ b/crates/citronproxy/src/edge/traffic/request_scope.rs
@@ -29,7 +29,7 @@
     pub fn fingerprint(&self) -> Fingerprint {
         let head = self.request.head;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let body = self.request.body.buffered();
+        let body = self.request.body.identity();
         Fingerprint::from_parts(&[head.method.as_str().as_bytes(), path.as_bytes(), &body])
     }
 
@@ -98,6 +98,14 @@
         crashes.refused_for(self.fingerprint(), self.state.clock.now())
     }
 
+    fn can_resend(&self) -> bool {
+        self.request.body.is_replayable()
+    }
+
+    fn can_send_twice(&self) -> bool {
+        self.request.body.is_buffered()
+    }
+
     fn random(&self) -> f64 {
         rand::random()
     }
--- a/crates/citronproxy/src/edge/traffic/thread.rs
+++ b/crates/citronproxy/src/edge/traffic/thread.rs
@@ -15,9 +15,10 @@
         },
         events, logs,
         traffic::{
-            Limits, connection,
+            BufferBudget, Limits, connection,
             metrics::{LocalMetrics, Metrics},
             pool::Pool,
+            request_body::BufferLimits,
         },
     },
     citron_core::{
@@ -68,6 +69,14 @@
 /// itself, and clients are spread unevenly over the instances.
 const BUDGET_SHARE: f64 = 0.8;
 
+/// Bytes of a body that are buffered before anything is sent. A buffered body can be sent
+/// to another server, and a server that responds early cannot leave the client with half
+/// of its message unsent. The limit is larger than the uploads that clients send today.
+const REPLAY_BUFFER_BYTES: usize = 512 * 1_024;
+/// Memory for the buffered beginnings of all bodies, in bytes: a fraction of the memory of
+/// the smallest machines.
+const REPLAY_BUFFERS_BYTES: usize = 8 * 1_024 * 1_024;
+
 /// State of the traffic thread.
 #[derive(Debug)]
 pub struct TrafficState {
@@ -99,6 +108,8 @@
     pub unreached: RefCell<UnreachedServers>,
     /// Requests for slots of servers.
     pub slots: SlotClient,
+    /// Limits of the buffered beginnings of request bodies.
+    pub buffers: BufferLimits,
     /// Number of requests of other instances in progress.
     pub guests: Cell<usize>,
     /// Counts since the metrics were last read.
@@ -214,6 +225,10 @@
         cold_limiter: RefCell::default(),
         unreached: RefCell::default(),
         slots: SlotClient::new(metrics.registry())?,
+        buffers: BufferLimits {
+            per_body: REPLAY_BUFFER_BYTES,
+            budget: Rc::new(BufferBudget::new(REPLAY_BUFFERS_BYTES)),
+        },
         guests: Cell::default(),
         local_metrics: RefCell::new(metrics.local()),
         metrics,
--- a/crates/citronproxy/src/traffic/crash_log.rs
+++ b/crates/citronproxy/src/traffic/crash_log.rs
@@ -112,19 +112,19 @@
     }
 }
 
-/// Fingerprint of a request: method, path, idempotency key, length, and the body as far
-/// as it is buffered, which is all of a small one.
+/// Fingerprint of a request: method, path, idempotency key, length, and the identity of the
+/// body, which is all of a small one.
 pub fn fingerprint(head: &Parts, body: &ClientBody) -> Fingerprint {
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let key = head.headers.get(IDEMPOTENCY_KEY);
     let key = key.map_or(&b""[..], |key| key.as_bytes());
     let length = body.declared_length().to_le_bytes();
-    let prefix = body.buffered();
+    let body = body.identity();
     Fingerprint::from_parts(&[
         head.method.as_str().as_bytes(),
         path.as_bytes(),
         key,
         &length,
-        &prefix,
+        &body,
     ])
 }
--- a/crates/citronproxy/src/traffic/mod.rs
+++ b/crates/citronproxy/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! each traffic thread.
 
 mod attempts;
+mod buffer_budget;
 mod command;
 pub(crate) mod connection;
 mod crash_log;
@@ -31,6 +32,7 @@
 mod worker;
 
 pub use {
+    buffer_budget::{BufferBudget, Reservation},
     crash_log::CrashEvent,
     deadline::HEADER_TIMEOUT,
     handle::TrafficHandle,
--- a/crates/citronproxy/src/traffic/proxy.rs
+++ b/crates/citronproxy/src/traffic/proxy.rs
@@ -10,7 +10,7 @@
         local_response::{local_response, outcome_of, unavailable},
         phase::Phase,
         request::{host, prepare_forward},
-        request_body::{ClientBody, REPLAY_MAX_BYTES},
+        request_body::ClientBody,
         response_body::ResponseBody,
         state::ThreadState,
     },
@@ -128,7 +128,7 @@
         let attempts = Attempts {
             state: Rc::clone(&self.state),
             head,
-            body: ClientBody::new(body, max, REPLAY_MAX_BYTES),
+            body: ClientBody::new(body, max, &self.state.buffers),
             deadline,
             refused_revision: Cell::new(None),
             last_server: RefCell::default(),
--- a/crates/citronproxy/src/traffic/state.rs
+++ b/crates/citronproxy/src/traffic/state.rs
@@ -2,8 +2,15 @@
 
 use {
     super::{
-        crash_log::CrashLog, handle::TrafficHandle, in_flight::InFlightTable,
-        limiters::ServerLimiters, limits::Limits, metrics::LocalMetrics, pool::Pool,
+        buffer_budget::BufferBudget,
+        crash_log::CrashLog,
+        handle::TrafficHandle,
+        in_flight::InFlightTable,
+        limiters::ServerLimiters,
+        limits::Limits,
+        metrics::LocalMetrics,
+        pool::Pool,
+        request_body::{BufferLimits, REPLAY_MAX_BYTES},
     },
     crate::clock::Clock,
     citron_core::{
@@ -20,6 +27,9 @@
     },
 };
 
+/// Memory for the copies of all request bodies of a thread, in bytes.
+const BUFFER_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// State of one traffic thread, not accessed by other threads.
 #[derive(Debug)]
 pub struct ThreadState {
@@ -41,6 +51,8 @@
     pub clock: Clock,
     /// Limits for clients and their requests.
     pub limits: Limits,
+    /// Limits of the copies of request bodies.
+    pub buffers: BufferLimits,
     /// Number of requests that wait for a route.
     pub waiting: Cell<usize>,
     retries: RefCell<FxHashMap<ServiceName, RetryPolicy>>,
@@ -61,6 +73,10 @@
             pool: Pool::new(clock),
             clock,
             limits,
+            buffers: BufferLimits {
+                per_body: REPLAY_MAX_BYTES,
+                budget: Rc::new(BufferBudget::new(BUFFER_BYTES)),
+            },
             waiting: Cell::new(0),
             retries: RefCell::default(),
             hedges: RefCell::default(),
--- a/crates/core/src/request/context.rs
+++ b/crates/core/src/request/context.rs
@@ -42,6 +42,12 @@
     /// Remaining quarantine of requests like this one; `None` if there is none.
     fn quarantine_left(&self) -> Option<Duration>;
 
+    /// Whether the body of the request can be sent from its beginning again.
+    fn can_resend(&self) -> bool;
+
+    /// Whether the request can be sent while it is being sent elsewhere.
+    fn can_send_twice(&self) -> bool;
+
     /// Random number, uniform in 0 to 1.
     fn random(&self) -> f64;
 }
--- a/crates/core/src/request/progress.rs
+++ b/crates/core/src/request/progress.rs
@@ -228,6 +228,7 @@
         let may_send = self.traits.idempotency == Idempotency::Idempotent
             && attempts < self.traits.max_attempts as usize
             && self.has_time(now)
+            && context.can_send_twice()
             && context.take_retry();
         may_send.then_some(peer)
     }
@@ -370,7 +371,7 @@
             AttemptEnd::Responded(status, response) => {
                 return self.on_response(server, status, response, now, context);
             }
-            AttemptEnd::NotSent => self.may_try_another(server, now),
+            AttemptEnd::NotSent => self.may_try_another(server, now, context),
             AttemptEnd::Refused => {
                 if let Some(rest) = self.owner_rest(&server, context) {
                     self.tried.push(server);
@@ -389,10 +390,19 @@
         };
         match should_retry {
             true => Step::ReadView,
-            false => self.give_up(Reason::NoTryLeft, now, context).into(),
+            false => self.give_up_attempts(now, context),
         }
     }
 
+    /// Ends a request of which no further attempt is made.
+    fn give_up_attempts<R>(&mut self, now: Time, context: &impl RequestContext) -> Step<R> {
+        let reason = match context.can_resend() {
+            true => Reason::NoTryLeft,
+            false => Reason::BodyConsumed,
+        };
+        self.give_up(reason, now, context).into()
+    }
+
     /// Forwards a response, or retries the request. Server errors are retried if the request
     /// is idempotent.
     fn on_response<R>(
@@ -436,19 +446,22 @@
                 self.may_have_run = true;
                 FinalResponse::Forward(response).into()
             }
-            DetourEnd::Unreached(response) => match self.detours.len() >= DETOURS_MAX {
-                true => self.forward_rejection(response, now).into(),
-                false => Step::ReadView,
-            },
-            DetourEnd::NotSent => Step::ReadView,
+            DetourEnd::Unreached(response) => {
+                match self.detours.len() < DETOURS_MAX && context.can_resend() {
+                    true => Step::ReadView,
+                    false => self.forward_rejection(response, now).into(),
+                }
+            }
+            DetourEnd::NotSent if context.can_resend() => Step::ReadView,
+            DetourEnd::NotSent => self.give_up_attempts(now, context),
             DetourEnd::Lost => {
                 self.may_have_run = true;
                 let may_retry = self.traits.idempotency == Idempotency::Idempotent
-                    && self.has_time(now)
+                    && self.may_resend(now, context)
                     && context.take_retry();
                 match may_retry {
                     true => Step::ReadView,
-                    false => self.give_up(Reason::NoTryLeft, now, context).into(),
+                    false => self.give_up_attempts(now, context),
                 }
             }
         }
@@ -489,17 +502,22 @@
     fn may_retry(&mut self, server: ServerName, now: Time, context: &impl RequestContext) -> bool {
         self.tried.push(server);
         self.sent_attempts() < self.traits.max_attempts as usize
-            && self.has_time(now)
+            && self.may_resend(now, context)
             && context.take_retry()
     }
 
     /// Records a server to which the request could not be sent. Whether another server
     /// may be tried: this causes no load at the service, so that it takes no token from
     /// the retry budget.
-    fn may_try_another(&mut self, unreached: ServerName, now: Time) -> bool {
+    fn may_try_another(
+        &mut self,
+        unreached: ServerName,
+        now: Time,
+        context: &impl RequestContext,
+    ) -> bool {
         self.tried.push(unreached);
         self.unsent += 1;
-        self.unsent < UNSENT_MAX && self.has_time(now)
+        self.unsent < UNSENT_MAX && self.may_resend(now, context)
     }
 
     /// Records a rejection by an owner that did not hold the key. Whether the request may
@@ -526,8 +544,14 @@
             epoch: context.epoch(),
             retry_at,
         });
-        let may_resend = self.misdirected <= MISDIRECTED_MAX + 1 && self.has_time(now);
-        may_resend && context.take_retry()
+        self.misdirected <= MISDIRECTED_MAX + 1
+            && self.may_resend(now, context)
+            && context.take_retry()
+    }
+
+    /// Whether the body and the deadline allow another attempt.
+    fn may_resend(&self, now: Time, context: &impl RequestContext) -> bool {
+        self.has_time(now) && context.can_resend()
     }
 
     /// Whether enough time is left to the deadline for another attempt.
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -97,6 +97,8 @@
     Quarantined,
     /// No further attempt is allowed.
     NoTryLeft,
+    /// Part of the body was sent and is not known any more.
+    BodyConsumed,
     /// Another instance rejected the request after an attempt that may have run.
     RejectedElsewhere,
     /// The server responded with a status that clients take for a guarantee.
@@ -118,6 +120,7 @@
             Self::OwnerResting => "the owner of the key has asked for rest",
             Self::Quarantined => "requests like it crash servers",
             Self::NoTryLeft => "no try is left",
+            Self::BodyConsumed => "part of its body was sent and cannot be sent again",
             Self::RejectedElsewhere => "another instance rejected it after an attempt",
             Self::ServerFailed => "the server failed",
             Self::DeadlinePassed => "the deadline passed",
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -48,6 +48,7 @@
     clients_per_admission: f64,
     rejections: RefCell<Vec<ServerName>>,
     quarantine: Option<Duration>,
+    is_body_consumed: bool,
 }
 
 impl Default for Context {
@@ -67,6 +68,7 @@
             clients_per_admission: 1.0,
             rejections: RefCell::default(),
             quarantine: None,
+            is_body_consumed: false,
         }
     }
 }
@@ -99,6 +101,14 @@
         Some(name("owner"))
     }
 
+    fn can_resend(&self) -> bool {
+        !self.is_body_consumed
+    }
+
+    fn can_send_twice(&self) -> bool {
+        !self.is_body_consumed
+    }
+
     fn epoch(&self) -> Epoch {
         Epoch(7)
     }
@@ -762,3 +772,44 @@
         }
     }
 }
+
+/// Guards against a second attempt of a request of whose body only the rest is left.
+#[test]
+fn a_request_whose_body_is_not_whole_is_rejected_at_once() {
+    let context = Context {
+        is_body_consumed: true,
+        ..Context::default()
+    };
+    let ends: [Case<AttemptEnd<u16>>; 5] = [
+        ("not sent", || AttemptEnd::NotSent),
+        ("refused", || AttemptEnd::Refused),
+        ("misdirected", || AttemptEnd::Misdirected),
+        ("lost", || AttemptEnd::Lost),
+        ("failed", || responded(500)),
+    ];
+    let detours: [Case<DetourEnd<u16>>; 3] = [
+        ("not sent by detour", || DetourEnd::NotSent),
+        ("unreached by detour", || DetourEnd::Unreached(503)),
+        ("lost by detour", || DetourEnd::Lost),
+    ];
+    let mut lines = String::new();
+    for (label, end) in ends {
+        let next = step(&mut idempotent(), ended(end()), 10, &context);
+        writeln!(lines, "{label}: {next}").unwrap();
+    }
+    for (label, end) in detours {
+        let next = step(&mut idempotent(), detour_ended(end()), 10, &context);
+        writeln!(lines, "{label}: {next}").unwrap();
+    }
+    assert!(idempotent().second_attempt(after(10), &context).is_none());
+    assert_snapshot!(lines, @r"
+    not sent: reject, again in 200ms: part of its body was sent and cannot be sent again
+    refused: reject, again in 200ms: part of its body was sent and cannot be sent again
+    misdirected: reject, again in 200ms: part of its body was sent and cannot be sent again
+    lost: 502: part of its body was sent and cannot be sent again
+    failed: forward 500
+    not sent by detour: reject, again in 200ms: part of its body was sent and cannot be sent again
+    unreached by detour: forward 503
+    lost by detour: 502: part of its body was sent and cannot be sent again
+    ");
+}
