Bytes without end from a server end its connection

Callers would see: no outcome, as a response without end is passed on for as long as the client reads; 504 at the deadline after some 20 MB of interim responses; reads of chunk sizes without end.

Cause: the HTTP library limits heads, extensions and trailers, and nothing else. After its first 64 KiB a response had no deadline.

Why this works: each connection has a budget of bytes that is renewed only by progress, and streamed responses end at the client's deadline, in a way that cannot look complete.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -59,6 +59,8 @@
 /// Longest idle time of a connection that an idempotent request may reuse if the server
 /// announces no keep-alive timeout.
 const DEFAULT_IDLE_MAX: Duration = Duration::from_secs(6);
+/// Longest wait for the rest of a refusal, so that its connection can be used again.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 /// Responses up to this size are buffered completely before any of it is forwarded, so
 /// that the request can be retried if the connection fails in between.
 const BUFFERED_BODY_MAX_BYTES: usize = 64 * 1_024;
@@ -164,6 +166,11 @@
         }
     }
 
+    /// Server that the request was sent to.
+    pub fn server(&self) -> &ServerName {
+        &self.server
+    }
+
     /// Ends the guard after the response was read to its end.
     pub fn complete(mut self) {
         self.outcome = AttemptOutcome::Ran;
@@ -223,8 +230,10 @@
     pub idempotency: Idempotency,
     /// Time by which the latency objective expects the response.
     pub objective: Time,
-    /// Time at which the client stops waiting.
+    /// Time at which the client stops waiting, or its route's timeout ends.
     pub deadline: Time,
+    /// Time at which the client stops waiting. A response that has begun may take until then.
+    pub client_deadline: Time,
     /// Whether the request has a key and therefore goes to the owner of the key.
     pub is_keyed: bool,
     /// Whether an attempt that was given up may have reached its server: any byte of the
@@ -337,6 +346,7 @@
     let recorder =
         reused.then(|| ReuseRecorder::start(&state.idle_limits, service, idle, state.clock));
     let request = build_request(state, server, outgoing);
+    pooled.connection_mut().socket.record_progress();
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let silence = (SILENCE_MAX, Failure::Failing);
     let sent = match outgoing.body.is_complete() {
@@ -536,14 +546,26 @@
     }
     if is_refusal(state, &head) {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        drain_body(pooled, body).await;
+        // The head says all; the connection is worth only a short wait.
+        if timeout(DRAIN_TIMEOUT, drain_body(pooled, body))
+            .await
+            .is_err()
+        {
+            log::debug!("refusal of {}: its body does not end", server.entry.name);
+        }
         return ExchangeResult::Failed(match is_misdirected {
             true => AttemptResult::Misdirected,
             false => AttemptResult::Refused,
         });
     }
     strip_hop_by_hop(&mut head.headers);
-    read_body(head, body, pooled).await
+    read_body(
+        head,
+        body,
+        pooled,
+        outgoing.client_deadline - state.clock.now(),
+    )
+    .await
 }
 
 /// Whether the response belongs to this request, by the echoed request id.
@@ -578,17 +600,21 @@
 }
 
 /// Buffers a small body completely. A larger one is streamed after its buffered first
-/// part.
+/// part, for as long as the client waits.
 pub async fn read_body(
     head: http::response::Parts,
     mut body: Incoming,
-    pooled: PooledConnection,
+    mut pooled: PooledConnection,
+    remaining: Duration,
 ) -> ExchangeResult {
     let mut buffer = BytesMut::new();
     while buffer.len() <= BUFFERED_BODY_MAX_BYTES && !body.is_end_stream() {
         match body.frame().await {
             None => break,
-            Some(Ok(frame)) => buffer.extend(frame.into_data().unwrap_or_default()),
+            Some(Ok(frame)) => {
+                pooled.connection_mut().socket.record_progress();
+                buffer.extend(frame.into_data().unwrap_or_default());
+            }
             Some(Err(error)) => {
                 return ExchangeResult::Failed(AttemptResult::Lost(error.to_string()));
             }
@@ -603,6 +629,7 @@
         rest: body,
         connection: Some(pooled),
         in_flight: None,
+        deadline: Box::pin(sleep(remaining)),
     };
     ExchangeResult::Streaming(head, Box::new(body))
 }
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -129,6 +129,7 @@
     let mut pooled = PooledConnection::new(&state.pool, peer.address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let request = outgoing_request(state, outgoing);
+    pooled.connection_mut().socket.record_progress();
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let response = match sent.await {
         Ok(response) => response,
@@ -145,7 +146,8 @@
     let is_rejection = head.status == StatusCode::SERVICE_UNAVAILABLE;
     let is_unreached = is_rejection && head.headers.remove(UNREACHED).is_some();
     strip_hop_by_hop(&mut head.headers);
-    let response = match read_body(head, body, pooled).await {
+    let remaining = outgoing.client_deadline - state.clock.now();
+    let response = match read_body(head, body, pooled, remaining).await {
         ExchangeResult::Complete(response) => response,
         ExchangeResult::Streaming(head, body) => {
             Response::from_parts(head, ResponseBody::Streaming(body))
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -225,6 +225,7 @@
         idempotency: rule.idempotency,
         objective: started + rule.latency_objective,
         deadline,
+        client_deadline: started + client_timeout,
         is_keyed,
         may_be_sent: Cell::default(),
     };
--- a/crates/citronproxy/src/edge/traffic/response.rs
+++ b/crates/citronproxy/src/edge/traffic/response.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{attempt::InFlightGuard, pooled_connection::PooledConnection},
+    crate::events,
     bytes::Bytes,
     http::{HeaderValue, Response, StatusCode, header},
     http_body::{Body, Frame, SizeHint},
@@ -12,11 +13,24 @@
         task::{Context, Poll, ready},
         time::Duration,
     },
+    thiserror::Error,
+    tokio::time::Sleep,
 };
 
 /// Retry-After of an instance whose configuration may be out of date.
 pub const STALE_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Reason why a response ends early.
+#[derive(Debug, Error)]
+pub enum ResponseBodyError {
+    /// The connection to the server failed.
+    #[error("response truncated: {0}")]
+    Truncated(#[from] hyper::Error),
+    /// The client has stopped waiting.
+    #[error("the response did not end before the client's deadline")]
+    DeadlinePassed,
+}
+
 /// Body of a response to a client.
 #[derive(Debug)]
 pub enum ResponseBody {
@@ -40,6 +54,8 @@
     pub connection: Option<PooledConnection>,
     /// Guard that counts the request as in flight at the server.
     pub in_flight: Option<InFlightGuard>,
+    /// Time at which the client stops waiting. A server may send bytes without end.
+    pub deadline: Pin<Box<Sleep>>,
 }
 
 impl ResponseBody {
@@ -51,12 +67,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = ResponseBodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Streaming(body) => body.poll(cx),
@@ -78,17 +94,37 @@
 }
 
 impl StreamingBody {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(self.cut())));
+        }
         let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
         match &frame {
             None => self.finish(),
             Some(Err(_)) => drop(self.connection.take()),
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => {
+                if let Some(connection) = &mut self.connection {
+                    connection.connection_mut().socket.record_progress();
+                }
+            }
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+    }
+
+    /// Ends a response whose client waits no longer, and resets the server's connection.
+    fn cut(&mut self) -> ResponseBodyError {
+        drop(self.connection.take());
+        let in_flight = self.in_flight.take();
+        let server = in_flight.map_or("-".to_string(), |guard| guard.server().to_string());
+        let error = ResponseBodyError::DeadlinePassed;
+        log::info!("{} server={server}: {error}", events::TRY_FAILED);
+        error
     }
 
     fn finish(&mut self) {
--- a/crates/citronproxy/src/traffic/exchange.rs
+++ b/crates/citronproxy/src/traffic/exchange.rs
@@ -72,6 +72,7 @@
         runs_until: Time,
     ) -> Result<Response<Incoming>, ExchangeError> {
         self.connection.socket.set_permit(permit);
+        self.connection.socket.record_progress();
         self.in_flight.mark_written(runs_until);
         let sent = self.connection.sender.try_send_request(request).await;
         sent.map_err(|error| {
@@ -87,6 +88,11 @@
         })
     }
 
+    /// Records that a part of the response was received.
+    pub fn record_progress(&self) {
+        self.connection.socket.record_progress();
+    }
+
     /// Whether the request body is small enough to be buffered completely.
     pub fn is_replayable(&self) -> bool {
         self.body.is_replayable()
--- a/crates/citronproxy/src/traffic/response_body.rs
+++ b/crates/citronproxy/src/traffic/response_body.rs
@@ -107,6 +107,9 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Ok(frame))) => {
+                if let Some(exchange) = &self.exchange {
+                    exchange.record_progress();
+                }
                 self.stall_timer = None;
                 self.bytes += frame.data_ref().map_or(0, Bytes::len);
                 self.finish_at_end();
--- a/crates/citronproxy/src/traffic/socket.rs
+++ b/crates/citronproxy/src/traffic/socket.rs
@@ -3,6 +3,7 @@
 use {
     crate::clock::Clock,
     citron_core::{routing::Snapshot, time::Time},
+    citron_ports::ReadBudget,
     std::{
         cell::{Cell, RefCell},
         io::{self, ErrorKind, IoSlice},
@@ -18,6 +19,10 @@
     },
 };
 
+/// Bytes that a server may send from the beginning of a request, or from any part of the
+/// response, to the next part. Several times as much as a head, or a buffer of the connection.
+const PART_BYTES_MAX: usize = 256 * 1_024;
+
 /// Permit to start writing one request.
 #[derive(Debug, Clone)]
 pub struct WritePermit {
@@ -45,6 +50,7 @@
     last_read: Cell<Time>,
     permit: RefCell<Option<WritePermit>>,
     is_write_denied: Cell<bool>,
+    budget: ReadBudget,
 }
 
 impl SocketState {
@@ -56,9 +62,16 @@
             last_read: Cell::new(clock.now()),
             permit: RefCell::new(None),
             is_write_denied: Cell::new(false),
+            budget: ReadBudget::new(PART_BYTES_MAX),
         })
     }
 
+    /// Records that a request begins, or that a part of its response was received. Reading
+    /// fails if too many bytes come without either.
+    pub fn record_progress(&self) {
+        self.budget.reset();
+    }
+
     /// Number of bytes handed to the kernel. If it does not change during an exchange,
     /// the server has received nothing of the request.
     pub fn written_bytes(&self) -> u64 {
@@ -160,8 +173,10 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let size = buf.filled().len() - before;
+        if size > 0 {
             self.socket.last_read.set(self.socket.clock.now());
+            self.socket.budget.spend(size)?;
         }
         read
     }
--- /dev/null
+++ b/crates/fakes/src/flood/mod.rs
@@ -0,0 +1,6 @@
+//! Server in trouble, which sends bytes without end.
+
+mod kind;
+mod server;
+
+pub use {kind::FloodKind, server::FloodServer};
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform, backend servers, and network links with faults.
 
 pub mod backend;
+pub mod flood;
 pub mod link;
 pub mod platform;
 pub mod scripted;
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         process_life::ProcessLife,
+        read_budget::{MeteredStream, ReadBudget},
         reply::{Origin, Reply},
     },
     bytes::{Bytes, BytesMut},
@@ -38,6 +39,11 @@
 /// one backend server when many of its keys move.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// Bytes that may come before and behind the body of a response.
+const HEAD_BYTES_MAX: usize = 128 * 1_024;
+/// Largest size of a body with its framing, as a multiple of its own size.
+const FRAMING_FACTOR: usize = 2;
+
 /// Error of an HTTP call.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -122,6 +128,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     opened: Instant,
+    budget: ReadBudget,
 }
 
 impl Drop for Connection {
@@ -324,6 +331,7 @@
                 connected.map_err(not_sent)??
             }
         };
+        connection.budget.reset();
         let sent = connection.sender.send_request(request.map(Full::new));
         let sent = timeout(limit.remaining(), sent)
             .await
@@ -363,7 +371,12 @@
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let stream = connected.map_err(not_sent)?.map_err(not_sent)?;
         configure_socket(&stream).map_err(not_sent)?;
-        let (sender, driver) = handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
+        let budget = ReadBudget::new(HEAD_BYTES_MAX + FRAMING_FACTOR * self.max_bytes);
+        let io = TokioIo::new(MeteredStream {
+            stream,
+            budget: budget.clone(),
+        });
+        let (sender, driver) = handshake(io).await.map_err(not_sent)?;
         let address = self.address;
         let driver = tokio::spawn(async move {
             if let Err(error) = driver.await {
@@ -374,6 +387,7 @@
             sender,
             driver: driver.abort_handle(),
             opened: Instant::now(),
+            budget,
         })
     }
 
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod objects;
 mod process_life;
+mod read_budget;
 mod reply;
 mod rows;
 mod servers;
@@ -31,6 +32,7 @@
     memory::MemoryPlatform,
     objects::ObjectStore,
     process_life::ProcessLife,
+    read_budget::ReadBudget,
     reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
