Pipelined requests that were sent to servers are answered before the close

Cause: the HTTP library is told to shut down 2.7 s after SIGTERM, and closes after the request that it has read. Requests behind it that were started ahead are dropped.

Evidence: connections::pipelined_requests_are_answered_by_an_instance_that_leaves failed before and passes.

Why this works: the library is told once none of the requests that were started ahead is left; no further one is started while the instance leaves.

--- a/crates/citronproxy/src/traffic/connection.rs
+++ b/crates/citronproxy/src/traffic/connection.rs
@@ -60,7 +60,7 @@
 }
 
 /// Serves a client connection until the client closes it, or until `closing` resolves and
-/// the current request is answered.
+/// the requests that were started are answered.
 pub async fn serve<S>(stream: TcpStream, limits: Limits, closing: impl Future, handler: S)
 where
     S: RequestHandler,
@@ -90,16 +90,24 @@
     );
     let mut closing = pin!(closing);
     let mut is_closing = false;
+    let mut is_shut_down = false;
     let ended = poll_fn(|cx| {
-        if !is_closing && closing.as_mut().poll(cx).is_ready() {
-            is_closing = true;
-            served.as_mut().graceful_shutdown();
-        }
-        let ended = served.as_mut().poll(cx);
-        if ended.is_pending() {
-            connection.poll_pipelined(cx);
+        is_closing = is_closing || closing.as_mut().poll(cx).is_ready();
+        loop {
+            // The library closes the connection after the request that it has read.
+            if is_closing && !is_shut_down && !connection.has_started_ahead() {
+                is_shut_down = true;
+                served.as_mut().graceful_shutdown();
+            }
+            let ended = served.as_mut().poll(cx);
+            if ended.is_pending() {
+                connection.poll_pipelined(cx);
+            }
+            let is_due = is_closing && !is_shut_down && !connection.has_started_ahead();
+            if ended.is_ready() || !is_due {
+                return ended;
+            }
         }
-        ended
     });
     if let Err(error) = ended.await {
         log::debug!("client connection ended: {error}");
@@ -160,6 +168,11 @@
         Ok(response)
     }
 
+    /// Whether a pipelined request was started that the HTTP library has not read yet.
+    fn has_started_ahead(&self) -> bool {
+        self.pipelined.borrow().iter().any(Option::is_some)
+    }
+
     /// Borrows the guard for reading, after updating the maximum size of heads.
     fn guard_for_read(&self) -> RefMut<'_, GuardStream> {
         let mut guard = self.guard.borrow_mut();
