A request that may run once uses no connection twice

Cause: a server's refusal arrives a second time, where the next response is expected. The next request on the connection is often the same one, sent again under its id, so that the copy counts as the refusal of the second attempt. The id names a request and not an attempt.

Why this works: the copy arrives on the connection of the first attempt, and a request that may run once is sent again only on another one.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -13,7 +13,7 @@
     crate::{
         edge::{shared::SharedState, statements},
         traffic::{
-            pool::{Connection, Reuse},
+            pool::{Connection, ConnectionId, Reuse},
             request::{keep_alive_timeout, strip_hop_by_hop},
             request_body::{ClientBody, UpstreamBody},
         },
@@ -34,7 +34,14 @@
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{cell::Cell, fmt, pin::pin, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        fmt,
+        pin::pin,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -239,6 +246,19 @@
     /// Whether an attempt that was given up may have reached its server: any byte of the
     /// request was written. It is set when the exchange ends or is dropped.
     pub may_be_sent: Cell<bool>,
+    /// Connections that have carried the request. A second response to an earlier attempt may
+    /// arrive there, and looks like that to a later one.
+    pub carriers: RefCell<Vec<ConnectionId>>,
+}
+
+impl OutgoingRequest<'_> {
+    /// Records a connection that is about to carry the request. One that may run twice takes
+    /// any response.
+    fn record_carrier(&self, connection: ConnectionId) {
+        if self.idempotency == Idempotency::AtMostOnce {
+            self.carriers.borrow_mut().push(connection);
+        }
+    }
 }
 
 /// Sends a request to a server and reads the response. `slot` is held until the response has
@@ -309,9 +329,9 @@
 ) -> ExchangeResult {
     let address = server.entry.address;
     let service = &server.entry.service;
-    let checked_out = state
-        .pool
-        .acquire(address, reuse_policy(state, service, outgoing.idempotency));
+    let carriers = outgoing.carriers.borrow().clone();
+    let reuse = reuse_policy(state, service, outgoing.idempotency);
+    let checked_out = state.pool.acquire(address, reuse, &carriers);
     let started = state.clock.now();
     let connected = timeout(CONNECT_TIMEOUT, checked_out);
     let silence = (CONNECT_SILENCE_MAX, Failure::Unreachable);
@@ -339,6 +359,7 @@
         record_failure(state, server, Failure::Failing, started);
         return ExchangeResult::Failed(AttemptResult::Closed);
     }
+    outgoing.record_carrier(connection.id);
     let mut pooled = PooledConnection::new(&state.pool, address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
     let idle = state.clock.now() - pooled.connection_mut().socket.last_read();
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -120,7 +120,11 @@
         Idempotency::Idempotent => Reuse::ANY,
         Idempotency::AtMostOnce => Reuse::RECENT,
     };
-    let connection = timeout(CONNECT_TIMEOUT, state.pool.acquire(peer.address, reuse)).await;
+    let connection = timeout(
+        CONNECT_TIMEOUT,
+        state.pool.acquire(peer.address, reuse, &[]),
+    )
+    .await;
     let connection = match connection {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => return DetourResult::NotSent(error.to_string()),
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -28,7 +28,13 @@
     http::{HeaderName, HeaderValue, Response, header, request::Parts},
     hyper::body::Incoming,
     rand::Rng,
-    std::{cell::Cell, rc::Rc, str::FromStr, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -228,6 +234,7 @@
         client_deadline: started + client_timeout,
         is_keyed,
         may_be_sent: Cell::default(),
+        carriers: RefCell::default(),
     };
     let active = ActiveRequest {
         rule,
--- a/crates/citronproxy/src/traffic/attempts.rs
+++ b/crates/citronproxy/src/traffic/attempts.rs
@@ -161,7 +161,7 @@
             ConnectionPolicy::Trusted => Reuse::RECENT,
             ConnectionPolicy::New => Reuse::Never,
         };
-        let connection = match self.state.pool.acquire(address, reuse).await {
+        let connection = match self.state.pool.acquire(address, reuse, &[]).await {
             Ok(connection) => connection,
             Err(error) => {
                 log::debug!("no connection to {address}: {error}");
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -11,7 +11,14 @@
     hyper_util::rt::TokioIo,
     rustc_hash::FxHashMap,
     socket2::SockRef,
-    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        fmt,
+        io::ErrorKind,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     thiserror::Error,
     tokio::{
         net::TcpStream,
@@ -57,9 +64,21 @@
     }
 }
 
+/// Number of a connection, unique within its pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
+impl fmt::Display for ConnectionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Connection that carries one exchange at a time and is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
+    /// Number of the connection.
+    pub id: ConnectionId,
     /// Sends requests on the connection.
     pub sender: SendRequest<UpstreamBody>,
     /// State of the socket.
@@ -119,6 +138,7 @@
 #[derive(Debug, Clone)]
 pub struct Pool {
     idle: Rc<RefCell<FxHashMap<SocketAddr, Vec<Connection>>>>,
+    next_id: Rc<Cell<u64>>,
     clock: Clock,
 }
 
@@ -127,11 +147,12 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             idle: Rc::default(),
+            next_id: Rc::default(),
             clock,
         }
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection, other than those in `excluded`, or opens a new one.
     ///
     /// # Errors
     /// [`ConnectError`] if no idle connection is usable and no new one can be opened.
@@ -139,8 +160,9 @@
         &self,
         address: SocketAddr,
         reuse: Reuse,
+        excluded: &[ConnectionId],
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(address, reuse) {
+        match self.take_idle(address, reuse, excluded) {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
@@ -164,7 +186,10 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
         Ok(Connection {
+            id: ConnectionId(id),
             sender,
             socket,
             is_reused: false,
@@ -202,14 +227,21 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        reuse: Reuse,
+        excluded: &[ConnectionId],
+    ) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| {
             !connection.sender.is_closed() && now - connection.socket.last_read() < IDLE_TIMEOUT
         });
-        let usable = |connection: &Connection| connection.is_usable(reuse, now);
+        let usable = |connection: &Connection| {
+            connection.is_usable(reuse, now) && !excluded.contains(&connection.id)
+        };
         let position = connections.iter().rposition(usable)?;
         Some(connections.remove(position))
     }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -39,6 +39,9 @@
 /// one backend server when many of its keys move.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// Longest time for which a response to an earlier call may have been on its way: after that,
+/// keepalive probes have reset the connection.
+const MAX_TRANSIT: Duration = Duration::from_secs(4);
 /// Bytes that may come before and behind the body of a response.
 const HEAD_BYTES_MAX: usize = 128 * 1_024;
 /// Largest size of a body with its framing, as a multiple of its own size.
@@ -286,7 +289,11 @@
         let origin = Origin::of(&response, (name, &id), is_new);
         match origin {
             Origin::Call => self.life().record_response(connection.opened, called),
-            Origin::Unknown => {}
+            Origin::Unknown => {
+                if let Some(sent) = called.checked_sub(MAX_TRANSIT) {
+                    self.life().record_response(connection.opened, sent);
+                }
+            }
             Origin::OtherCall => {
                 let other = response.headers().get(name);
                 return Err(CallError::OtherCall(format!(
--- a/crates/ports/src/process_life.rs
+++ b/crates/ports/src/process_life.rs
@@ -26,8 +26,11 @@
 
 impl ProcessLife {
     /// Records a response to a call begun at `called`, on a connection opened at `opened`. The
-    /// response must be known to belong to the call.
+    /// response must be known to have been sent later than that.
     pub fn record_response(&mut self, opened: Instant, called: Instant) {
+        if called < opened {
+            return;
+        }
         let period = match self.period {
             Some((since, until)) if opened <= until => (since.min(opened), until.max(called)),
             _ => (opened, called),
