A chunked response with a length is passed on whole

Callers saw: 5 bytes that look complete, of an answer of 100,000 bytes in chunks that has Content-Length: 5 as well.

Cause: Transfer-Encoding, which overrides the length (RFC 9112, 6.3), is removed before the response is passed on, and the length is not.

Evidence: response_lengths::a_chunked_response_with_a_length_is_passed_on_whole got 5 bytes before and gets 100,000.

Why this works: the length goes together with the encoding; counted and logged (C0504).

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -12,6 +12,7 @@
     },
     crate::{
         edge::{shared::SharedState, statements},
+        events,
         traffic::{
             pool::{Connection, ConnectionId, Reuse},
             request::{keep_alive_timeout, strip_hop_by_hop},
@@ -539,6 +540,22 @@
     }
 }
 
+/// Records a response with two statements of its length, of which one is ignored.
+fn record_ignored_length(
+    state: &TrafficState,
+    server: &ServerRecord,
+    head: &http::response::Parts,
+) {
+    let headers = &head.headers;
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
+    {
+        state.local_metrics.borrow_mut().count_ignored_length();
+        let (event, name) = (events::LENGTH_IGNORED, &server.entry.name);
+        log::warn!("{event} server={name}: both Transfer-Encoding and Content-Length");
+    }
+}
+
 /// Checks the response head, and reads the body up to the size that is buffered.
 async fn read_response(
     state: &TrafficState,
@@ -579,6 +596,7 @@
             false => AttemptResult::Refused,
         });
     }
+    record_ignored_length(state, server, &head);
     strip_hop_by_hop(&mut head.headers);
     read_body(
         head,
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -166,4 +166,6 @@
     TRY_FAILED = 502, "try-failed";
     /// A request was denied; this instance answered it with a final response.
     REQUEST_DENIED = 503, "request-denied";
+    /// A response has both `Transfer-Encoding` and `Content-Length`; the latter was ignored.
+    LENGTH_IGNORED = 504, "length-ignored";
 }
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -30,6 +30,7 @@
     invalid_loads: IntCounter,
     invalid_limits: IntCounter,
     invalid_rests: IntCounter,
+    ignored_lengths: IntCounter,
 }
 
 impl Metrics {
@@ -73,7 +74,12 @@
             "citron_bad_rests_total",
             "Rejections whose Retry-After could not be read.",
         )?;
+        let ignored_lengths = IntCounter::new(
+            "citron_ignored_lengths_total",
+            "Answers with both Transfer-Encoding and Content-Length, which was ignored.",
+        )?;
         Ok(Self {
+            ignored_lengths: register(&registry, ignored_lengths)?,
             invalid_rests: register(&registry, invalid_rests)?,
             invalid_limits: register(&registry, invalid_limits)?,
             invalid_loads: register(&registry, invalid_loads)?,
@@ -96,6 +102,7 @@
             invalid_loads: self.invalid_loads.local(),
             invalid_limits: self.invalid_limits.local(),
             invalid_rests: self.invalid_rests.local(),
+            ignored_lengths: self.ignored_lengths.local(),
             latency: self.latency.local(),
         }
     }
@@ -133,6 +140,7 @@
     invalid_loads: LocalIntCounter,
     invalid_limits: LocalIntCounter,
     invalid_rests: LocalIntCounter,
+    ignored_lengths: LocalIntCounter,
     latency: LocalHistogramVec,
 }
 
@@ -187,6 +195,11 @@
         self.invalid_rests.inc();
     }
 
+    /// Counts a response whose `Content-Length` was ignored.
+    pub fn count_ignored_length(&mut self) {
+        self.ignored_lengths.inc();
+    }
+
     /// Adds the counts to the shared metrics.
     pub fn flush(&mut self) {
         self.requests.flush();
@@ -195,6 +208,7 @@
         self.invalid_loads.flush();
         self.invalid_limits.flush();
         self.invalid_rests.flush();
+        self.ignored_lengths.flush();
         self.latency.flush();
     }
 }
--- a/crates/citronproxy/src/traffic/request.rs
+++ b/crates/citronproxy/src/traffic/request.rs
@@ -49,6 +49,10 @@
 
 /// Removes hop-by-hop headers: those listed in `Connection`, and the well-known ones.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    // The encoding determines the end of the body (RFC 9112, section 6.3).
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
