--- a/crates/fakes/src/flood/server.rs
+++ b/crates/fakes/src/flood/server.rs
@@ -9,15 +9,19 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
+        time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        time::sleep,
     },
 };
 
 /// Size of a write in bytes.
 const WRITE_BYTES: usize = 64 * 1_024;
+/// Pause between two writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Server that answers requests without a body, or with one that comes with their head. It
 /// floods the requests whose path begins with one of the given prefixes, and answers others
@@ -120,6 +124,8 @@
             result = stream.write_all(block.as_bytes()).await;
             let bytes = block.len() as u64;
             self.written_bytes.fetch_add(bytes, Ordering::Relaxed);
+            // Leaves processor time to the fakes of other tests in the process.
+            sleep(WRITE_INTERVAL).await;
         }
         self.ended.fetch_add(1, Ordering::Relaxed);
         Some(())
