--- a/crates/fakes/src/flood/kind.rs
+++ b/crates/fakes/src/flood/kind.rs
@@ -1,5 +1,14 @@
 //! Places in a response at which bytes without end come.
 
+/// Header lines that a protocol asks for, each with its line break.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HeaderLines {
+    /// Lines of all responses.
+    pub response: &'static str,
+    /// Line by which a rejection guarantees that the request has not run.
+    pub rejection: &'static str,
+}
+
 /// Place in a response at which bytes without end come, until the peer closes the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FloodKind {
@@ -54,11 +63,11 @@
         matches!(self, Self::Length | Self::UntilClose | Self::Chunks)
     }
 
-    /// Beginning of the response to a request with this id.
-    pub fn beginning(self, id: &str) -> String {
+    /// Beginning of the response to a request with this id, with header lines of the protocol.
+    pub fn beginning(self, id: &str, lines: &HeaderLines) -> String {
         let head = |status: &str, fields: &str| {
-            let signature = "server-signature: signed\r\n";
-            format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{signature}{fields}")
+            let lines = lines.response;
+            format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{lines}{fields}")
         };
         let chunked = "transfer-encoding: chunked\r\n\r\n";
         match self {
@@ -72,10 +81,10 @@
             Self::ChunkExtension => head("200 OK", &format!("{chunked}5;")),
             Self::Trailers => head("200 OK", &format!("{chunked}2\r\nok\r\n0\r\n")),
             Self::Excess => head("200 OK", "content-length: 2\r\n\r\nok"),
-            Self::Rejection => head(
-                "503 x",
-                "not-executed: 1\r\ncontent-length: 900000000000000\r\n\r\n",
-            ),
+            Self::Rejection => {
+                let length = "content-length: 900000000000000\r\n\r\n";
+                head("503 x", &format!("{}{length}", lines.rejection))
+            }
         }
     }
 
--- a/crates/fakes/src/flood/mod.rs
+++ b/crates/fakes/src/flood/mod.rs
@@ -3,4 +3,7 @@
 mod kind;
 mod server;
 
-pub use {kind::FloodKind, server::FloodServer};
+pub use {
+    kind::{FloodKind, HeaderLines},
+    server::FloodServer,
+};
--- a/crates/fakes/src/flood/server.rs
+++ b/crates/fakes/src/flood/server.rs
@@ -1,7 +1,7 @@
 //! Server that responds with a flood where it is told to.
 
 use {
-    super::FloodKind,
+    super::{FloodKind, HeaderLines},
     std::{
         io,
         net::SocketAddr,
@@ -33,6 +33,7 @@
     /// What is sent to requests with these prefixes.
     flood: Arc<Mutex<Option<FloodKind>>>,
     prefixes: &'static [&'static str],
+    lines: HeaderLines,
     /// Floods that began and that were ended by the peer.
     begun: Arc<AtomicU64>,
     ended: Arc<AtomicU64>,
@@ -44,12 +45,13 @@
     ///
     /// # Errors
     /// If no port is free.
-    pub async fn start(prefixes: &'static [&'static str]) -> io::Result<Self> {
+    pub async fn start(prefixes: &'static [&'static str], lines: HeaderLines) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let server = Self {
             address: listener.local_addr()?,
             flood: Arc::default(),
             prefixes,
+            lines,
             begun: Arc::default(),
             ended: Arc::default(),
             written_bytes: Arc::default(),
@@ -105,9 +107,9 @@
             match flood.filter(|_| is_flooded) {
                 Some(flood) => return self.send_flood(stream, flood, id).await,
                 None => {
+                    let lines = self.lines.response;
                     let response = format!(
-                        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-signature: signed\r\n\
-                         content-length: 0\r\n\r\n"
+                        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{lines}content-length: 0\r\n\r\n"
                     );
                     stream.write_all(response.as_bytes()).await.ok()?;
                 }
@@ -119,7 +121,9 @@
         self.begun.fetch_add(1, Ordering::Relaxed);
         let pattern = kind.pattern();
         let block = pattern.repeat(WRITE_BYTES / pattern.len());
-        let mut result = stream.write_all(kind.beginning(id).as_bytes()).await;
+        let mut result = stream
+            .write_all(kind.beginning(id, &self.lines).as_bytes())
+            .await;
         while result.is_ok() {
             result = stream.write_all(block.as_bytes()).await;
             let bytes = block.len() as u64;
--- a/crates/ports/tests/endless_responses.rs
+++ b/crates/ports/tests/endless_responses.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    citron_fakes::flood::{FloodKind, FloodServer},
+    citron_fakes::flood::{FloodKind, FloodServer, HeaderLines},
     citron_ports::{HttpClient, IdleTimeout},
     http::{HeaderName, Request},
     std::time::Duration,
@@ -36,7 +36,9 @@
 /// and how many bytes were taken. The response of a flood behind it is complete.
 async fn check(call: impl AsyncFn(&HttpClient) -> bool) {
     for kind in FloodKind::ALL {
-        let server = FloodServer::start(&["/flooded"]).await.unwrap();
+        let server = FloodServer::start(&["/flooded"], HeaderLines::default())
+            .await
+            .unwrap();
         server.set_flood(Some(kind));
         let client = HttpClient::new(server.address, MAX_BODY_BYTES);
         let has_response = timeout(GUARD, call(&client)).await;
