--- a/crates/citronproxy/src/traffic/request_body.rs
+++ b/crates/citronproxy/src/traffic/request_body.rs
@@ -22,6 +22,9 @@
 /// Default maximum number of bytes of a body that are buffered, so that it can be sent
 /// again after a refusal.
 pub const REPLAY_MAX_BYTES: usize = 64 * 1_024;
+/// Memory that each part of a copy takes beside its bytes. A client may send chunks of one
+/// byte.
+const PART_OVERHEAD: usize = 64;
 /// Largest part of a body that is not whole by which it is told from others.
 const IDENTITY_MAX_BYTES: usize = 16 * 1_024;
 
@@ -242,7 +245,7 @@
     /// Adds bytes that no attempt has received to the copy. It is full once it has reached its
     /// limits, and may exceed them by these bytes.
     fn append(&mut self, data: &Bytes, max_buffered: usize) {
-        let is_within = self.reservation.grow(data.len());
+        let is_within = self.reservation.grow(data.len() + PART_OVERHEAD);
         self.buffered.push(data.clone());
         self.buffered_bytes += data.len() as u64;
         self.is_full = !is_within || self.buffered_bytes >= max_buffered as u64;
@@ -253,7 +256,7 @@
         let size = self.buffered_bytes + data.len() as u64;
         let is_missing = self.buffered_bytes + (data.len() as u64) < self.read_bytes;
         let has_room = !self.is_full && !is_missing && size <= max_buffered as u64;
-        if has_room && self.reservation.grow(data.len()) {
+        if has_room && self.reservation.grow(data.len() + PART_OVERHEAD) {
             self.buffered.push(data.clone());
             self.buffered_bytes = size;
             return;
