A read that confirms the leadership outlasts the order that waits for it

Orders wait for a read of the leadership before the first grant on a new connection, and the read was part of the order that had begun it: when the store needs longer than an order may take, each attempt began another read and ended it. Now the read is a task of its own and serves the next attempt.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -48,7 +48,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{Mutex, Notify, watch as latest},
+        sync::{Notify, watch as latest},
         task::LocalSet,
         time::sleep,
     },
@@ -238,8 +238,8 @@
     /// Value of [`Peers::membership_edits`] as of which the slow-start group was
     /// computed.
     grouped_edits: Cell<u64>,
-    /// Held during a read that confirms the leadership, which serves all who wait for it.
-    pub confirmation: Mutex<()>,
+    /// Reads of the leadership that orders wait for.
+    pub confirmations: refresh::Confirmations,
     /// Wakes the planner.
     pub plan_trigger: Notify,
     /// Triggers a round of heartbeats to all recipients at once.
@@ -359,7 +359,7 @@
             move_outbox: MoveOutbox::default(),
             new_peers: Cell::default(),
             grouped_edits: Cell::default(),
-            confirmation: Mutex::new(()),
+            confirmations: refresh::Confirmations::default(),
             plan_trigger: Notify::new(),
             heartbeat_trigger: Notify::new(),
             metrics,
@@ -386,14 +386,17 @@
         state.ranges_confirmed.record(era, call_started);
     }
 
+    /// Whether nothing is known to have replaced a leadership of this instance.
+    pub fn is_in_force(&self, leadership: &Leadership) -> bool {
+        let state = self.state.borrow();
+        let newest = state.leadership.as_ref();
+        newest.is_some_and(|row| !row.has_lapsed() && row.claim == leadership.claim)
+    }
+
     /// Whether the store has confirmed a leadership of this instance in a call begun at `since`
     /// or later, and nothing has replaced it.
     pub fn is_confirmed_since(&self, leadership: &Leadership, since: Time) -> bool {
-        let state = self.state.borrow();
-        let in_force = state.leadership.as_ref();
-        let is_in_force =
-            in_force.is_some_and(|row| !row.has_lapsed() && row.claim == leadership.claim);
-        is_in_force && state.ranges_confirmed.at >= since
+        self.is_in_force(leadership) && self.state.borrow().ranges_confirmed.at >= since
     }
 
     /// Whether the store has confirmed the leadership in a call of the former era begun at
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -184,9 +184,7 @@
 /// Whether a term is the one under which this instance has the leadership now. It is not once
 /// the store came back from a copy, until the leadership has been claimed again.
 fn is_in_force<A: Adapter>(controller: &Controller<A>, term: &Term) -> bool {
-    let state = controller.state.borrow();
-    let leadership = state.leadership.as_ref();
-    leadership.is_some_and(|row| !row.has_lapsed() && row.claim == term.leadership.claim)
+    controller.is_in_force(&term.leadership)
 }
 
 /// Ends the term if another incarnation has the leadership, if this instance is leaving, or
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -18,6 +18,7 @@
     std::{cell::Cell, future::Future, pin::pin, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
+        task::spawn_local,
         time::{sleep, timeout},
     },
 };
@@ -169,22 +170,41 @@
     true
 }
 
+/// Reads of the leadership that orders wait for. One serves all that began to wait before it.
+#[derive(Debug, Default)]
+pub struct Confirmations {
+    is_reading: Cell<bool>,
+    read_ended: Notify,
+}
+
 /// Whether the store confirms that this instance has had a leadership at `since` and later.
-/// Reads the leadership if it was not confirmed since.
+/// Reads the leadership if it was not confirmed since. A read goes on if the caller gives up,
+/// so that it serves the next one.
 pub async fn confirm_leadership<A: Adapter>(
     controller: &Rc<Controller<A>>,
     leadership: &Leadership,
     since: Time,
 ) -> bool {
-    if controller.is_confirmed_since(leadership, since) {
-        return true;
-    }
-    let _reading = controller.confirmation.lock().await;
-    // The store is read on in any case, so that its return is noticed.
-    if !controller.is_confirmed_since(leadership, since) && *controller.store_up.borrow() {
-        refresh_table(controller, RANGES).await;
+    loop {
+        if controller.is_confirmed_since(leadership, since) {
+            return true;
+        }
+        // The store is read on in any case, so that its return is noticed.
+        if !controller.is_in_force(leadership) || !*controller.store_up.borrow() {
+            return false;
+        }
+        let confirmations = &controller.confirmations;
+        let read_ended = confirmations.read_ended.notified();
+        if !confirmations.is_reading.replace(true) {
+            let controller = Rc::clone(controller);
+            spawn_local(async move {
+                refresh_table(&controller, RANGES).await;
+                controller.confirmations.is_reading.set(false);
+                controller.confirmations.read_ended.notify_waiters();
+            });
+        }
+        read_ended.await;
     }
-    controller.is_confirmed_since(leadership, since)
 }
 
 /// Reads the changes of a table without waiting for new ones, and applies them. Returns
