Opening a spare connection takes its time from the order's

Found by reading: a grant could be sent up to 0.7 s later than the planner counts leases by, as the time for the spare connection came before that of the order. It now takes 100 ms of it at most.

--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -33,6 +33,9 @@
 /// How long a server may take to answer a health check; like a request, the check waits
 /// for a free slot.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long opening a spare connection may take of the time of an order. Servers are
+/// milliseconds away.
+const SPARE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Largest response body that is read, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 * 1_024;
 
@@ -195,9 +198,10 @@
             return OrderOutcome::Unknown;
         };
         let request = controller.adapter.grant_request(slice, lease_times.lease);
+        // All of it takes no longer than an order may: leases are counted by that.
+        let deadline = Instant::now() + lease_times.order_timeout;
         if !*controller.store_up.borrow() {
-            self.keep_spare(controller, owner, lease_times.order_timeout)
-                .await;
+            self.keep_spare(controller, owner).await;
         }
         let is_former = slice.epoch < leadership.epoch_floor();
         let admits = async |known_since: Instant| {
@@ -216,7 +220,7 @@
                 request,
                 refuses_grant,
                 admits,
-                lease_times.order_timeout,
+                deadline.saturating_duration_since(Instant::now()),
             )
             .await;
         self.record_admission(controller, owner, &reply);
@@ -301,16 +305,11 @@
 
     /// Keeps a second connection to a server while the store does not answer: if the server
     /// closes the only one, nothing tells whether a new one leads to the same process.
-    async fn keep_spare<A: Adapter>(
-        &self,
-        controller: &Controller<A>,
-        server: &ServerName,
-        timeout: Duration,
-    ) {
+    async fn keep_spare<A: Adapter>(&self, controller: &Controller<A>, server: &ServerName) {
         let Some(connection) = self.connection_to(controller, server) else {
             return;
         };
-        if let Err(error) = connection.client.keep_spare(timeout).await {
+        if let Err(error) = connection.client.keep_spare(SPARE_TIMEOUT).await {
             log::debug!("spare connection to {server}: {error}");
         }
     }
@@ -331,16 +330,13 @@
         }
         if is_withheld != connection.is_withheld.replace(is_withheld) {
             let event = events::GRANTS_WITHHELD;
-            let (state, confirmed) = (
-                if is_withheld {
-                    "withheld"
-                } else {
-                    "sent again"
-                },
-                controller.state.borrow().ranges_confirmed.at,
-            );
-            let age = controller.clock.now() - confirmed;
-            log::warn!("{event} to {server}: {state}, leadership confirmed {age:?} ago");
+            let change = match is_withheld {
+                true => "withheld",
+                false => "sent again",
+            };
+            let confirmed_at = controller.state.borrow().ranges_confirmed.at;
+            let age = controller.clock.now() - confirmed_at;
+            log::warn!("{event} to {server}: {change}, leadership confirmed {age:?} ago");
         }
     }
 
