--- a/crates/citronproxy/src/traffic/request_body.rs
+++ b/crates/citronproxy/src/traffic/request_body.rs
@@ -149,14 +149,14 @@
         self.hint.exact().unwrap_or(0)
     }
 
-    /// Bytes by which the body is told from others: all of it if it was complete before it was
-    /// first sent, and otherwise the beginning of what was known by then. The result is the
-    /// same before, between and after attempts.
+    /// Bytes by which the body is told from others: the copy, or if that is full, the beginning
+    /// of what was known when the body was first sent. The latter is the same before, between
+    /// and after attempts.
     pub fn identity(&self) -> Vec<u8> {
         let state = self.state.borrow();
         match &state.identity {
-            Some(identity) => identity.to_vec(),
-            None => state.beginning(),
+            Some(identity) if state.is_full => identity.to_vec(),
+            _ => state.beginning(),
         }
     }
 
@@ -267,10 +267,10 @@
         self.reservation.release();
     }
 
-    /// The whole body if it is complete, and otherwise the beginning of the copy.
+    /// The copy, or its beginning if it is full and the body goes on.
     fn beginning(&self) -> Vec<u8> {
         let mut bytes = self.buffered.concat();
-        if self.read_state != ReadState::Complete {
+        if self.is_full && self.read_state != ReadState::Complete {
             bytes.truncate(IDENTITY_MAX_BYTES);
         }
         bytes
