A late response of a former process tells nothing of the next one

Found by reading. The planner could take a new process at an address for the one before it: if the former one answered a release, ended, and the next one answered a grant before the release's response was taken up, the two periods were merged although nothing joins them.

Evidence: process_life::a_late_response_... failed before (the new process counted as known since second 0, not 3). Why this works: periods are merged only if they overlap; one that ended before the known one began is left out.

--- a/crates/ports/src/process_life.rs
+++ b/crates/ports/src/process_life.rs
@@ -31,11 +31,12 @@
         if called < opened {
             return;
         }
-        let period = match self.period {
+        self.period = Some(match self.period {
+            // An earlier process, whose response arrives late.
+            Some((since, until)) if called < since => (since, until),
             Some((since, until)) if opened <= until => (since.min(opened), until.max(called)),
             _ => (opened, called),
-        };
-        self.period = Some(period);
+        });
     }
 
     /// Time since when the process at the other end of a connection has certainly been
