Of a large body only the part that identifies it is copied

No behaviour changes: the whole kept beginning, 512 KiB, was joined before each large upload to take its first 16 KiB. The number of a connection stands in its log line.

--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -181,15 +181,15 @@
             .handshake(io)
             .await;
         let (sender, driver) = handshake?;
+        let id = ConnectionId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = driver.await {
-                log::debug!("connection to {address} ended: {error}");
+                log::debug!("connection {id} to {address} ended: {error}");
             }
         });
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
         Ok(Connection {
-            id: ConnectionId(id),
+            id,
             sender,
             socket,
             is_reused: false,
--- a/crates/citronproxy/src/traffic/request_body.rs
+++ b/crates/citronproxy/src/traffic/request_body.rs
@@ -268,9 +268,14 @@
 
     /// The copy, or its beginning if it is full and the body goes on.
     fn beginning(&self) -> Vec<u8> {
-        let mut bytes = self.buffered.concat();
-        if self.is_full && self.read_state != ReadState::Complete {
-            bytes.truncate(IDENTITY_MAX_BYTES);
+        let max_bytes = match self.is_full && self.read_state != ReadState::Complete {
+            true => IDENTITY_MAX_BYTES,
+            false => usize::MAX,
+        };
+        let mut bytes = Vec::new();
+        for part in &self.buffered {
+            let room = max_bytes - bytes.len();
+            bytes.extend_from_slice(&part[..part.len().min(room)]);
         }
         bytes
     }
