Logs tell what shows that a request has not run

Callers saw nothing of this: a line of a refusal or a failed attempt named the server and the reason, but not the evidence, so that the hypotheses of the incident could not be told apart.

C0502, C0500 and C0501 now name the connection of the attempt, whether it had carried requests before, and how many bytes were written; C0502 of a refusal also its proof: the id of the request, the first response on a connection, another process at the address, or none. citron_refusals_total counts these. A rejection by another instance leaves a line where it is forwarded.

The proof is worked out in core (ResponseOrigin), with ids that are repeated more than once compared all.

--- a/crates/citronproxy/src/edge/traffic/active_request.rs
+++ b/crates/citronproxy/src/edge/traffic/active_request.rs
@@ -77,7 +77,8 @@
         let result = timeout(remaining, self.run_steps()).await;
         abandonment.cancel();
         let response = result.unwrap_or_else(|_| {
-            let may_be_sent = self.scope.request.may_be_sent.get();
+            let sent = self.scope.request.sent.get();
+            let may_be_sent = sent.is_some_and(|sent| sent.is_sent());
             let now = state.clock.now();
             let response = self.progress.expire(may_be_sent, now, &self.scope);
             self.respond(response)
@@ -100,8 +101,9 @@
                 Step::Send(server) => {
                     let slot = self.slot.take();
                     let end = self.send_to(&server, slot).await;
-                    self.scope.request.may_be_sent.set(false);
-                    self.on_send_end(&server, end)
+                    let step = self.on_send_end(&server, end);
+                    self.scope.request.sent.set(None);
+                    step
                 }
                 Step::Detour(peer, owner) => self.send_through(peer, owner).await,
                 Step::ReadView
@@ -300,8 +302,8 @@
     async fn send_through(&mut self, peer: DetourPeer, owner: Option<ServerName>) -> Step<Reply> {
         let state = self.scope.state;
         let result = detour::send(state, &peer, &self.scope.request).await;
-        self.scope.request.may_be_sent.set(false);
         self.log_detour(&peer, &result);
+        self.scope.request.sent.set(None);
         if let (DetourResult::Unreached(_), Some(owner)) = (&result, owner) {
             let now = state.clock.now();
             // An instance of this failure domain may be behind the same cut.
@@ -355,21 +357,29 @@
     fn log_end(&self, event: LogEvent, details: fmt::Arguments<'_>, reason: Reason) {
         let owner = self.scope.owner();
         log::info!(
-            "{event} id={} route={} service={} server={} waited={:?} tried={} {}{details}: {reason}",
+            "{event} id={} route={} service={} server={} waited={:?} tried={} {}{details}{}: {reason}",
             self.log.request_id,
             self.rule.name,
             self.scope.service,
             owner.map_or("-".to_string(), |owner| owner.to_string()),
             self.elapsed(),
             self.progress.tried().len(),
-            self.scope.state.table_ages()
+            self.scope.state.table_ages(),
+            self.sent_text()
         );
     }
 
-    /// Logs an attempt through another instance that failed.
+    /// What the attempt in progress has written, or that which has just ended.
+    fn sent_text(&self) -> String {
+        let sent = self.scope.request.sent.get();
+        sent.map_or_else(String::new, |sent| format!(" {sent}"))
+    }
+
+    /// Logs an attempt through another instance that failed or was rejected there.
     fn log_detour(&self, peer: &DetourPeer, result: &DetourResult) {
-        if !matches!(result, DetourResult::Responded(_)) {
-            self.log.failed_detour(&peer.instance, result);
+        if !result.is_final() {
+            self.log
+                .failed_detour(&peer.instance, &self.sent_text(), result);
         }
     }
 
@@ -381,12 +391,14 @@
             return;
         }
         log::info!(
-            "{} id={} server={} epoch={} waited={:?}: {result}",
+            "{} id={} server={} epoch={} waited={:?}{}{}: {result}",
             events::TRY_FAILED,
             self.log.request_id,
             server.entry.name,
             self.scope.epoch(),
-            self.elapsed()
+            self.elapsed(),
+            self.sent_text(),
+            result.proof_text()
         );
     }
 }
--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -6,7 +6,7 @@
         idle_limits::ReuseRecorder,
         pooled_connection::PooledConnection,
         response::{ResponseBody, StreamingBody},
-        sent_mark::SentMark,
+        sent_mark::{SentMark, SentRecord},
         slot::SlotLease,
         thread::TrafficState,
     },
@@ -27,7 +27,7 @@
         },
         id::{ServerName, ServiceName},
         registry::ServerRecord,
-        request::AttemptEnd,
+        request::{AttemptEnd, NamedRequest, RefusalProof, ResponseOrigin},
         routes::Idempotency,
         slots::SlotOutcome,
         time::Time,
@@ -79,10 +79,10 @@
     /// The server sent a response, which can be forwarded.
     Responded(Response<ResponseBody>),
     /// The server guaranteed that the request has not run.
-    Refused,
+    Refused(Option<RefusalProof>),
     /// The address belongs to another start of the server, or the server does not own the
     /// key. The request has not run.
-    Misdirected,
+    Misdirected(Option<RefusalProof>),
     /// No byte of the request was sent.
     NotSent(String),
     /// The server closed a new connection before anything was sent on it: its connection
@@ -93,14 +93,25 @@
 }
 
 impl AttemptResult {
+    /// The proof of a refusal, for logs, with a space before; empty if it is no refusal.
+    pub fn proof_text(&self) -> String {
+        match self {
+            Self::Refused(proof) | Self::Misdirected(proof) => match proof {
+                Some(proof) => format!(" proof={proof}"),
+                None => " proof=none".to_string(),
+            },
+            _ => String::new(),
+        }
+    }
+
     /// The end of the attempt by which the next step is decided.
     pub fn into_end(self) -> AttemptEnd<Response<ResponseBody>> {
         match self {
             Self::Responded(response) => {
                 AttemptEnd::Responded(response.status().as_u16(), response)
             }
-            Self::Refused => AttemptEnd::Refused,
-            Self::Misdirected => AttemptEnd::Misdirected,
+            Self::Refused(_) => AttemptEnd::Refused,
+            Self::Misdirected(_) => AttemptEnd::Misdirected,
             Self::NotSent(_) | Self::Closed => AttemptEnd::NotSent,
             Self::Lost(_) => AttemptEnd::Lost,
         }
@@ -113,8 +124,8 @@
             Self::Responded(response) => {
                 write!(f, "server responded with status {}", response.status())
             }
-            Self::Refused => f.write_str("refused, not run"),
-            Self::Misdirected => f.write_str("not the owner, not run"),
+            Self::Refused(_) => f.write_str("refused, not run"),
+            Self::Misdirected(_) => f.write_str("not the owner, not run"),
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
             Self::Closed => f.write_str("not sent: server closed the new connection"),
             Self::Lost(reason) => write!(f, "lost: {reason}"),
@@ -244,9 +255,8 @@
     pub client_deadline: Time,
     /// Whether the request has a key and therefore goes to the owner of the key.
     pub is_keyed: bool,
-    /// Whether an attempt that was given up may have reached its server: any byte of the
-    /// request was written. It is set when the exchange ends or is dropped.
-    pub may_be_sent: Cell<bool>,
+    /// What the current attempt has written. It is set when the exchange ends or is dropped.
+    pub sent: Cell<Option<SentRecord>>,
     /// Connections that have carried the request. A second response to an earlier attempt may
     /// arrive there, and looks like that to a later one.
     pub carriers: RefCell<Vec<ConnectionId>>,
@@ -280,12 +290,12 @@
             AttemptOutcome::Failed
         }
         ExchangeResult::Complete(_) => AttemptOutcome::Ran,
-        ExchangeResult::Failed(AttemptResult::Refused)
+        ExchangeResult::Failed(AttemptResult::Refused(_))
             if in_flight.reported_load.is_some_and(|load| load.has_room()) =>
         {
             AttemptOutcome::Shed
         }
-        ExchangeResult::Failed(AttemptResult::Refused) => AttemptOutcome::Full,
+        ExchangeResult::Failed(AttemptResult::Refused(_)) => AttemptOutcome::Full,
         ExchangeResult::Failed(AttemptResult::Closed) => AttemptOutcome::Closed,
         // A server that accepts a connection and closes it at once is running, and has
         // reached its connection limit.
@@ -362,7 +372,7 @@
     }
     outgoing.record_carrier(connection.id);
     let mut pooled = PooledConnection::new(&state.pool, address, connection, outgoing.body);
-    let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
+    let mark = SentMark::new(&outgoing.sent, pooled.connection_mut());
     let idle = state.clock.now() - pooled.connection_mut().socket.last_read();
     let reused = pooled.connection_mut().is_reused;
     let recorder =
@@ -564,8 +574,10 @@
     response: Response<Incoming>,
 ) -> ExchangeResult {
     let (mut head, body) = response.into_parts();
+    let is_first = !pooled.connection_mut().is_reused;
     pooled.connection_mut().keep_alive = keep_alive_timeout(&head.headers);
-    if !is_response_to(state, outgoing, &head) {
+    let origin = response_origin(state, server, outgoing, &head, is_first);
+    if !is_response_to(state, outgoing, &head, origin) {
         // This is a late or duplicate response, or it was parsed from excess bytes behind
         // one. The response to this request may still follow, or never come.
         return ExchangeResult::Failed(AttemptResult::Lost(
@@ -583,10 +595,12 @@
     }
     if is_refusal(state, &head) {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let proof = origin.refusal_proof();
+        state.local_metrics.borrow_mut().count_refusal(proof);
         drain_body(pooled, body).await;
         return ExchangeResult::Failed(match is_misdirected {
-            true => AttemptResult::Misdirected,
-            false => AttemptResult::Refused,
+            true => AttemptResult::Misdirected(proof),
+            false => AttemptResult::Refused(proof),
         });
     }
     record_ignored_length(state, server, &head);
@@ -600,18 +614,49 @@
     .await
 }
 
+/// What the response tells of its origin. `is_first` tells whether the connection has carried no
+/// request before.
+fn response_origin(
+    state: &TrafficState,
+    server: &ServerRecord,
+    outgoing: &OutgoingRequest<'_>,
+    head: &http::response::Parts,
+    is_first: bool,
+) -> ResponseOrigin {
+    let names = &state.headers;
+    let sent = outgoing.head.headers.get(&names.request_id);
+    let mut echoed = head.headers.get_all(&names.request_id).iter();
+    let process = head.headers.get(&names.server_start);
+    ResponseOrigin {
+        request: match head.headers.contains_key(&names.request_id) {
+            true if echoed.all(|id| Some(id) == sent) => NamedRequest::Current,
+            true => NamedRequest::Other,
+            false => NamedRequest::Missing,
+        },
+        is_first,
+        is_other_process: process
+            .is_some_and(|process| process.as_bytes() != server.entry.name.id().as_bytes()),
+    }
+}
+
 /// Whether the response belongs to this request, by the echoed request id.
 fn is_response_to(
     state: &TrafficState,
     outgoing: &OutgoingRequest<'_>,
     head: &http::response::Parts,
+    origin: ResponseOrigin,
 ) -> bool {
-    let name = &state.headers.request_id;
-    let sent = outgoing.head.headers.get(name);
-    match head.headers.get(name) {
-        Some(echoed) => Some(echoed) == sent,
+    match origin.request {
+        NamedRequest::Current => true,
+        NamedRequest::Other => false,
         // Refusals need not echo the request id, but other responses must.
-        None => sent.is_none() || is_refusal(state, head),
+        NamedRequest::Missing => {
+            let has_id = outgoing
+                .head
+                .headers
+                .contains_key(&state.headers.request_id);
+            !has_id || is_refusal(state, head)
+        }
     }
 }
 
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -131,7 +131,7 @@
         Err(_) => return DetourResult::NotSent("timed out connecting".to_string()),
     };
     let mut pooled = PooledConnection::new(&state.pool, peer.address, connection, outgoing.body);
-    let mark = SentMark::new(&outgoing.may_be_sent, &pooled.connection_mut().socket);
+    let mark = SentMark::new(&outgoing.sent, pooled.connection_mut());
     let request = outgoing_request(state, outgoing);
     let sent = pooled.connection_mut().sender.try_send_request(request);
     let response = match sent.await {
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -233,7 +233,7 @@
         deadline,
         client_deadline: started + client_timeout,
         is_keyed,
-        may_be_sent: Cell::default(),
+        sent: Cell::default(),
         carriers: RefCell::default(),
     };
     let active = ActiveRequest {
--- a/crates/citronproxy/src/edge/traffic/request_log.rs
+++ b/crates/citronproxy/src/edge/traffic/request_log.rs
@@ -29,9 +29,10 @@
     }
 
     /// Logs an attempt through another instance that failed.
-    pub fn failed_detour(&self, instance: &InstanceId, result: &impl fmt::Display) {
+    /// `sent` is what it has written, with a space before.
+    pub fn failed_detour(&self, instance: &InstanceId, sent: &str, result: &impl fmt::Display) {
         log::info!(
-            "{} id={} through {instance}: {result}",
+            "{} id={} through {instance}{sent}: {result}",
             events::TRY_FAILED,
             self.request_id
         );
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::metrics::register,
-    citron_core::{id::ServiceName, routing::Outcome},
+    citron_core::{id::ServiceName, request::RefusalProof, routing::Outcome},
     http::StatusCode,
     prometheus::{
         HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -31,6 +31,7 @@
     invalid_limits: IntCounter,
     invalid_rests: IntCounter,
     ignored_lengths: IntCounter,
+    refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -78,7 +79,13 @@
             "citron_ignored_lengths_total",
             "Answers with both Transfer-Encoding and Content-Length, which was ignored.",
         )?;
+        let refusals = Opts::new(
+            "citron_refusals_total",
+            "Refusals of requests by servers, by the proof that they belong to the request.",
+        );
+        let refusals = IntCounterVec::new(refusals, &["proof"])?;
         Ok(Self {
+            refusals: register(&registry, refusals)?,
             ignored_lengths: register(&registry, ignored_lengths)?,
             invalid_rests: register(&registry, invalid_rests)?,
             invalid_limits: register(&registry, invalid_limits)?,
@@ -103,6 +110,7 @@
             invalid_limits: self.invalid_limits.local(),
             invalid_rests: self.invalid_rests.local(),
             ignored_lengths: self.ignored_lengths.local(),
+            refusals: self.refusals.local(),
             latency: self.latency.local(),
         }
     }
@@ -141,6 +149,7 @@
     invalid_limits: LocalIntCounter,
     invalid_rests: LocalIntCounter,
     ignored_lengths: LocalIntCounter,
+    refusals: LocalIntCounterVec,
     latency: LocalHistogramVec,
 }
 
@@ -200,6 +209,12 @@
         self.ignored_lengths.inc();
     }
 
+    /// Counts a refusal of a request by a server. Without a proof it may belong to another one.
+    pub fn count_refusal(&mut self, proof: Option<RefusalProof>) {
+        let proof = proof.map_or("none".to_string(), |proof| proof.to_string());
+        self.refusals.with_label_values(&[proof.as_str()]).inc();
+    }
+
     /// Adds the counts to the shared metrics.
     pub fn flush(&mut self) {
         self.requests.flush();
@@ -209,6 +224,7 @@
         self.invalid_limits.flush();
         self.invalid_rests.flush();
         self.ignored_lengths.flush();
+        self.refusals.flush();
         self.latency.flush();
     }
 }
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod event;
+mod origin;
 mod progress;
 mod step;
 mod target;
@@ -9,6 +10,7 @@
 pub use {
     context::RequestContext,
     event::{AttemptEnd, DetourEnd, Event, means_not_run},
+    origin::{NamedRequest, RefusalProof, ResponseOrigin},
     progress::{Origin, RequestProgress, RequestTraits},
     step::{FinalResponse, Reason, Step, Wake},
     target::{DetourPeer, Overload, RETRY_JITTER, StaleOwner, Target},
