A refusal that names no request proves nothing on a used connection

Callers saw 503, which promises that a request has not run and never will, for requests that had run; some were sent again and ran twice.

Class: evidence taken for more than it proves.

Why this works: a refusal counts if it names the request, if the connection has carried no other one, or if it comes from a process other than the one that the request names, which refuses the request anyway. Otherwise a request that may run once ends as unknown (502). Not to lose one each time, such requests get new connections for a minute after a refusal without an id; after 421 without one the connection is closed. Idempotent requests are sent again as before.

Price: one 502 for each service and instance, then a new connection for each such request, only where servers refuse without ids.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -78,7 +78,8 @@
 pub enum AttemptResult {
     /// The server sent a response, which can be forwarded.
     Responded(Response<ResponseBody>),
-    /// The server guaranteed that the request has not run.
+    /// The server guaranteed that the request has not run. Without a proof, the refusal may
+    /// belong to another request.
     Refused(Option<RefusalProof>),
     /// The address belongs to another start of the server, or the server does not own the
     /// key. The request has not run.
@@ -110,8 +111,8 @@
             Self::Responded(response) => {
                 AttemptEnd::Responded(response.status().as_u16(), response)
             }
-            Self::Refused(_) => AttemptEnd::Refused,
-            Self::Misdirected(_) => AttemptEnd::Misdirected,
+            Self::Refused(proof) => AttemptEnd::Refused(proof),
+            Self::Misdirected(proof) => AttemptEnd::Misdirected(proof),
             Self::NotSent(_) | Self::Closed => AttemptEnd::NotSent,
             Self::Lost(_) => AttemptEnd::Lost,
         }
@@ -463,7 +464,13 @@
 ) -> Reuse {
     match idempotency {
         Idempotency::Idempotent => Reuse::KeepAliveOr(DEFAULT_IDLE_MAX),
-        Idempotency::AtMostOnce => Reuse::ReadWithin(state.idle_limits.limit(service)),
+        Idempotency::AtMostOnce => {
+            let refusals = state.unnamed_refusals.borrow();
+            match refusals.are_expected(service, state.clock.now()) {
+                true => Reuse::Never,
+                false => Reuse::ReadWithin(state.idle_limits.limit(service)),
+            }
+        }
     }
 }
 
@@ -596,8 +603,11 @@
     if is_refusal(state, &head) {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let proof = origin.refusal_proof();
-        state.local_metrics.borrow_mut().count_refusal(proof);
-        drain_body(pooled, body).await;
+        record_refusal(state, &server.entry.service, origin);
+        // Without an id, a copy of it could not be told from a response to the next request.
+        if !is_misdirected || proof == Some(RefusalProof::Id) {
+            drain_body(pooled, body).await;
+        }
         return ExchangeResult::Failed(match is_misdirected {
             true => AttemptResult::Misdirected(proof),
             false => AttemptResult::Refused(proof),
@@ -660,6 +670,14 @@
     }
 }
 
+/// Counts a refusal, and records whether servers of the service name the requests they refuse.
+fn record_refusal(state: &TrafficState, service: &ServiceName, origin: ResponseOrigin) {
+    let mut metrics = state.local_metrics.borrow_mut();
+    metrics.count_refusal(origin.refusal_proof());
+    let mut refusals = state.unnamed_refusals.borrow_mut();
+    refusals.record(service, origin, state.clock.now());
+}
+
 /// Whether the server guarantees that it has not run the request.
 fn is_refusal(state: &TrafficState, head: &http::response::Parts) -> bool {
     let is_not_run = head.headers.contains_key(&state.headers.not_executed);
--- a/crates/citronproxy/src/edge/traffic/thread.rs
+++ b/crates/citronproxy/src/edge/traffic/thread.rs
@@ -25,7 +25,7 @@
         freshness::{FreshnessTimes, StaleReason},
         id::ServiceName,
         registry::SendBounds,
-        request::Origin,
+        request::{Origin, UnnamedRefusals},
         routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
         slowstart::SlowStartLimiter,
@@ -108,6 +108,8 @@
     pub unreached: RefCell<UnreachedServers>,
     /// Requests for slots of servers.
     pub slots: SlotClient,
+    /// Services whose servers refuse requests without naming them.
+    pub unnamed_refusals: RefCell<UnnamedRefusals>,
     /// Limits of the buffered beginnings of request bodies.
     pub buffers: BufferLimits,
     /// Number of requests of other instances in progress.
@@ -225,6 +227,7 @@
         cold_limiter: RefCell::default(),
         unreached: RefCell::default(),
         slots: SlotClient::new(metrics.registry())?,
+        unnamed_refusals: RefCell::default(),
         buffers: BufferLimits {
             per_body: REPLAY_BUFFER_BYTES,
             budget: Rc::new(BufferBudget::new(REPLAY_BUFFERS_BYTES)),
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -1,7 +1,7 @@
 //! Events of a request.
 
 use {
-    super::Target,
+    super::{RefusalProof, Target},
     crate::{
         id::{InstanceId, ServerName},
         registry::ServerRecord,
@@ -57,11 +57,10 @@
 pub enum AttemptEnd<R> {
     /// The server sent a response with this status.
     Responded(u16, R),
-    /// The server guaranteed that the request has not run.
-    Refused,
-    /// The server does not hold the key, or is not the one that was meant. The request has
-    /// not run.
-    Misdirected,
+    /// The server guaranteed that a request has not run. Without a proof it may be another one.
+    Refused(Option<RefusalProof>),
+    /// The same, as the server does not hold the key or is not the one that was meant.
+    Misdirected(Option<RefusalProof>),
     /// No byte of the request was sent.
     NotSent,
     /// It is unknown whether the request has run.
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod progress;
 mod step;
 mod target;
+mod unnamed_refusals;
 
 pub use {
     context::RequestContext,
@@ -14,4 +15,5 @@
     progress::{Origin, RequestProgress, RequestTraits},
     step::{FinalResponse, Reason, Step, Wake},
     target::{DetourPeer, Overload, RETRY_JITTER, StaleOwner, Target},
+    unnamed_refusals::UnnamedRefusals,
 };
--- a/crates/core/src/request/progress.rs
+++ b/crates/core/src/request/progress.rs
@@ -368,18 +368,25 @@
         context: &impl RequestContext,
     ) -> Step<R> {
         let should_retry = match end {
+            AttemptEnd::Refused(None) | AttemptEnd::Misdirected(None)
+                if self.traits.idempotency == Idempotency::AtMostOnce =>
+            {
+                // The request may still run, also if the refusal is its own: nothing tells.
+                self.may_have_run = true;
+                return self.give_up(Reason::UnprovenRefusal, now, context).into();
+            }
             AttemptEnd::Responded(status, response) => {
                 return self.on_response(server, status, response, now, context);
             }
             AttemptEnd::NotSent => self.may_try_another(server, now, context),
-            AttemptEnd::Refused => {
+            AttemptEnd::Refused(_) => {
                 if let Some(rest) = self.owner_rest(&server, context) {
                     self.tried.push(server);
                     return self.reject(rest, Reason::OwnerResting, now).into();
                 }
                 self.may_retry(server, now, context)
             }
-            AttemptEnd::Misdirected => self.may_retry_owner(server, now, context),
+            AttemptEnd::Misdirected(_) => self.may_retry_owner(server, now, context),
             AttemptEnd::Lost => {
                 self.may_have_run = true;
                 // A request that must not run twice is not retried and takes no token
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -103,6 +103,8 @@
     RejectedElsewhere,
     /// The server responded with a status that clients take for a guarantee.
     ServerFailed,
+    /// A refusal came that may belong to another request.
+    UnprovenRefusal,
     /// The client stops waiting.
     DeadlinePassed,
 }
@@ -123,6 +125,7 @@
             Self::BodyConsumed => "part of its body was sent and cannot be sent again",
             Self::RejectedElsewhere => "another instance rejected it after an attempt",
             Self::ServerFailed => "the server failed",
+            Self::UnprovenRefusal => "a refusal may belong to another request",
             Self::DeadlinePassed => "the deadline passed",
         })
     }
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -8,7 +8,7 @@
         registry::{AddressClaim, ServerEntry, ServerRecord, ServerState},
         request::{
             AttemptEnd, DetourEnd, DetourPeer, Event, FinalResponse, Origin, Overload, Reason,
-            RequestContext, RequestProgress, RequestTraits, Step, Target, Wake,
+            RefusalProof, RequestContext, RequestProgress, RequestTraits, Step, Target, Wake,
         },
         routes::Idempotency,
         routing::Outcome,
@@ -30,6 +30,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Retry-After of the selection.
 const RETRY_AFTER: Duration = Duration::from_millis(70);
+/// Proof of a refusal.
+const PROVEN: Option<RefusalProof> = Some(RefusalProof::Id);
 const FULL: Overload = Overload::Servers(RejectReason::QueueTooLong);
 const UNREACHABLE: Overload = Overload::Servers(RejectReason::Unreachable);
 
@@ -375,13 +377,15 @@
 fn what_follows_the_end_of_an_attempt() {
     let context = Context::default();
     let mut table = String::new();
-    let ends: [Case<AttemptEnd<u16>>; 8] = [
+    let ends: [Case<AttemptEnd<u16>>; 10] = [
         ("200", || responded(200)),
         ("404", || responded(404)),
         ("429", || responded(429)),
         ("500", || responded(500)),
         ("503", || responded(503)),
-        ("refused", || AttemptEnd::Refused),
+        ("refused", || AttemptEnd::Refused(PROVEN)),
+        ("refused?", || AttemptEnd::Refused(None)),
+        ("strayed?", || AttemptEnd::Misdirected(None)),
         ("not sent", || AttemptEnd::NotSent),
         ("lost", || AttemptEnd::Lost),
     ];
@@ -399,13 +403,20 @@
 fn retries_are_bounded_by_attempts_budget_and_time() {
     let context = Context::default();
     let mut progress = idempotent();
-    let mut refuse = |millis| step(&mut progress, ended(AttemptEnd::Refused), millis, &context);
+    let mut refuse = |millis| {
+        step(
+            &mut progress,
+            ended(AttemptEnd::Refused(PROVEN)),
+            millis,
+            &context,
+        )
+    };
     assert_eq!(refuse(1), "read view");
     assert_eq!(refuse(2), "read view");
     assert_eq!(refuse(3), "reject, again in 200ms: no try is left");
     assert_eq!(context.tokens.get(), 98);
 
-    let refused = || ended(AttemptEnd::Refused);
+    let refused = || ended(AttemptEnd::Refused(PROVEN));
     assert_eq!(
         step(&mut idempotent(), refused(), 1_939, &context),
         "read view"
@@ -428,7 +439,12 @@
         let next = step(&mut progress, ended(AttemptEnd::NotSent), 1, &context);
         assert_eq!(next, "read view");
     }
-    let next = step(&mut progress, ended(AttemptEnd::Refused), 1, &context);
+    let next = step(
+        &mut progress,
+        ended(AttemptEnd::Refused(PROVEN)),
+        1,
+        &context,
+    );
     assert_eq!(next, "read view");
     assert_eq!(context.tokens.get(), 99);
     let next = step(&mut progress, ended(AttemptEnd::NotSent), 1, &context);
@@ -451,16 +467,31 @@
     let context = Context::default();
     let mut progress = at_most_once();
     for delay in [40, 80, 160] {
-        let next = step(&mut progress, ended(AttemptEnd::Misdirected), 10, &context);
+        let next = step(
+            &mut progress,
+            ended(AttemptEnd::Misdirected(PROVEN)),
+            10,
+            &context,
+        );
         assert_eq!(next, "read view");
         let stale = progress.stale_owner().unwrap();
         assert_eq!(stale.retry_at, after(10 + delay));
         assert_eq!((&stale.owner, stale.epoch), (&name("s-1"), Epoch(7)));
     }
-    let next = step(&mut progress, ended(AttemptEnd::Misdirected), 10, &context);
+    let next = step(
+        &mut progress,
+        ended(AttemptEnd::Misdirected(PROVEN)),
+        10,
+        &context,
+    );
     assert_eq!(next, "read view");
     assert_eq!(progress.stale_owner().unwrap().retry_at, START + TIMEOUT);
-    let next = step(&mut progress, ended(AttemptEnd::Misdirected), 10, &context);
+    let next = step(
+        &mut progress,
+        ended(AttemptEnd::Misdirected(PROVEN)),
+        10,
+        &context,
+    );
     assert_eq!(next, "reject, again in 200ms: no try is left");
     assert!(progress.tried().is_empty());
 }
@@ -473,14 +504,24 @@
         rest: Some(Duration::from_secs(2)),
         ..Context::default()
     };
-    let next = step(&mut idempotent(), ended(AttemptEnd::Refused), 1, &context);
+    let next = step(
+        &mut idempotent(),
+        ended(AttemptEnd::Refused(PROVEN)),
+        1,
+        &context,
+    );
     let expected = "reject, again in 2.3s: the owner of the key has asked for rest";
     assert_eq!(next, expected);
     let mut progress = RequestProgress::new(RequestTraits {
         is_keyed: false,
         ..traits(Idempotency::Idempotent)
     });
-    let next = step(&mut progress, ended(AttemptEnd::Refused), 1, &context);
+    let next = step(
+        &mut progress,
+        ended(AttemptEnd::Refused(PROVEN)),
+        1,
+        &context,
+    );
     assert_eq!(next, "read view");
 }
 
@@ -494,7 +535,12 @@
             tokens: Cell::new(0),
             ..Context::default()
         };
-        let next = step(&mut idempotent(), ended(AttemptEnd::Refused), 1, &context);
+        let next = step(
+            &mut idempotent(),
+            ended(AttemptEnd::Refused(PROVEN)),
+            1,
+            &context,
+        );
         assert_eq!(next, format!("reject, again in {expected}: no try is left"));
     }
 }
@@ -541,7 +587,11 @@
             &quarantined,
             Reason::Quarantined,
         ),
-        (ended(AttemptEnd::Refused), &resting, Reason::OwnerResting),
+        (
+            ended(AttemptEnd::Refused(PROVEN)),
+            &resting,
+            Reason::OwnerResting,
+        ),
         (
             detour_ended(DetourEnd::Responded(503, 503)),
             &normal,
@@ -667,7 +717,12 @@
     );
     let mut progress = idempotent();
     for _ in 0..2 {
-        step(&mut progress, ended(AttemptEnd::Refused), 1, &context);
+        step(
+            &mut progress,
+            ended(AttemptEnd::Refused(PROVEN)),
+            1,
+            &context,
+        );
     }
     let tokens = context.tokens.get();
     assert!(progress.second_attempt(after(5), &context).is_none());
@@ -686,7 +741,7 @@
         ("given up", || None),
         ("200", || Some(responded(200))),
         ("lost", || Some(AttemptEnd::Lost)),
-        ("refused", || Some(AttemptEnd::Refused)),
+        ("refused", || Some(AttemptEnd::Refused(PROVEN))),
     ];
     let detours: [Case<DetourEnd<u16>>; 5] = [
         ("201", || DetourEnd::Responded(201, 201)),
@@ -720,8 +775,10 @@
         Just(0u8).prop_map(|_| Event::PermitDenied),
         target.prop_map(Event::Selected),
         status.clone().prop_map(|status| ended(responded(status))),
-        Just(0u8).prop_map(|_| ended(AttemptEnd::Refused)),
-        Just(0u8).prop_map(|_| ended(AttemptEnd::Misdirected)),
+        Just(0u8).prop_map(|_| ended(AttemptEnd::Refused(PROVEN))),
+        Just(0u8).prop_map(|_| ended(AttemptEnd::Misdirected(PROVEN))),
+        Just(0u8).prop_map(|_| ended(AttemptEnd::Refused(None))),
+        Just(0u8).prop_map(|_| ended(AttemptEnd::Misdirected(None))),
         Just(0u8).prop_map(|_| ended(AttemptEnd::NotSent)),
         Just(0u8).prop_map(|_| ended(AttemptEnd::Lost)),
         status.prop_map(|status| detour_ended(DetourEnd::Responded(status, status))),
@@ -731,8 +788,11 @@
     ]
 }
 
-fn may_have_run(event: &Event<u16>) -> bool {
+fn may_have_run(event: &Event<u16>, is_once: bool) -> bool {
     match event {
+        Event::AttemptEnded(_, AttemptEnd::Refused(None) | AttemptEnd::Misdirected(None)) => {
+            is_once
+        }
         Event::AttemptEnded(_, end) => {
             matches!(end, AttemptEnd::Lost | AttemptEnd::Responded(..))
         }
@@ -756,7 +816,7 @@
         let mut progress = if is_once { at_most_once() } else { idempotent() };
         let mut is_uncertain = false;
         for (index, event) in events.into_iter().enumerate() {
-            is_uncertain |= may_have_run(&event);
+            is_uncertain |= may_have_run(&event, is_once);
             let next = progress.handle(event, after(30 * index as u64), &context);
             if is_uncertain {
                 let is_reject = matches!(&next, Step::Respond(FinalResponse::Reject { .. }));
@@ -782,8 +842,8 @@
     };
     let ends: [Case<AttemptEnd<u16>>; 5] = [
         ("not sent", || AttemptEnd::NotSent),
-        ("refused", || AttemptEnd::Refused),
-        ("misdirected", || AttemptEnd::Misdirected),
+        ("refused", || AttemptEnd::Refused(PROVEN)),
+        ("misdirected", || AttemptEnd::Misdirected(PROVEN)),
         ("lost", || AttemptEnd::Lost),
         ("failed", || responded(500)),
     ];
