Responses of other instances name the request that they belong to

Callers would see 503 for a request that runs: a response of another instance to one request, where that to the next one on the connection is expected, was passed on as the response to the latter.

Cause: detours checked neither the id of a response nor whether the connection had carried other requests; rejections by instances bore no id.

Why this works: instances name the request in all responses to others. One with another id, or without any on a used connection, ends the attempt as unknown. Price: while instances of an earlier version run beside those of this one, their rejections on used connections end as 502.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -583,7 +583,10 @@
     let (mut head, body) = response.into_parts();
     let is_first = !pooled.connection_mut().is_reused;
     pooled.connection_mut().keep_alive = keep_alive_timeout(&head.headers);
-    let origin = response_origin(state, server, outgoing, &head, is_first);
+    let origin = ResponseOrigin {
+        is_other_process: is_other_process(state, server, &head),
+        ..response_origin(state, outgoing, &head, is_first)
+    };
     if !is_response_to(state, outgoing, &head, origin) {
         // This is a late or duplicate response, or it was parsed from excess bytes behind
         // one. The response to this request may still follow, or never come.
@@ -624,11 +627,10 @@
     .await
 }
 
-/// What the response tells of its origin. `is_first` tells whether the connection has carried no
-/// request before.
-fn response_origin(
+/// What the response tells of its origin, other than its process. `is_first` tells whether the
+/// connection has carried no request before.
+pub fn response_origin(
     state: &TrafficState,
-    server: &ServerRecord,
     outgoing: &OutgoingRequest<'_>,
     head: &http::response::Parts,
     is_first: bool,
@@ -636,7 +638,6 @@
     let names = &state.headers;
     let sent = outgoing.head.headers.get(&names.request_id);
     let mut echoed = head.headers.get_all(&names.request_id).iter();
-    let process = head.headers.get(&names.server_start);
     ResponseOrigin {
         request: match head.headers.contains_key(&names.request_id) {
             true if echoed.all(|id| Some(id) == sent) => NamedRequest::Current,
@@ -644,11 +645,20 @@
             false => NamedRequest::Missing,
         },
         is_first,
-        is_other_process: process
-            .is_some_and(|process| process.as_bytes() != server.entry.name.id().as_bytes()),
+        is_other_process: false,
     }
 }
 
+/// Whether the response names a process other than the server.
+fn is_other_process(
+    state: &TrafficState,
+    server: &ServerRecord,
+    head: &http::response::Parts,
+) -> bool {
+    let process = head.headers.get(&state.headers.server_start);
+    process.is_some_and(|process| process.as_bytes() != server.entry.name.id().as_bytes())
+}
+
 /// Whether the response belongs to this request, by the echoed request id.
 fn is_response_to(
     state: &TrafficState,
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        attempt::{ExchangeResult, OutgoingRequest, outgoing_request, read_body},
+        attempt::{ExchangeResult, OutgoingRequest, outgoing_request, read_body, response_origin},
         pooled_connection::PooledConnection,
         response::ResponseBody,
         sent_mark::SentMark,
@@ -15,7 +15,7 @@
     },
     citron_core::{
         id::{InstanceId, ServerName},
-        request::{DetourEnd, DetourPeer, means_not_run},
+        request::{DetourEnd, DetourPeer, NamedRequest, means_not_run},
         routes::Idempotency,
         time::Time,
     },
@@ -110,6 +110,37 @@
     response.headers_mut().insert(UNREACHED, value);
 }
 
+/// Names the request in the response to another instance, which could otherwise be that to any
+/// request.
+pub fn name_request(
+    state: &TrafficState,
+    request_id: Option<HeaderValue>,
+    response: &mut Response<ResponseBody>,
+) {
+    let name = &state.headers.request_id;
+    if let Some(id) = request_id {
+        let headers = response.headers_mut();
+        headers.entry(name).or_insert(id);
+    }
+}
+
+/// Whether the response of another instance belongs to this request.
+fn is_response_to(
+    state: &TrafficState,
+    outgoing: &OutgoingRequest<'_>,
+    head: &http::response::Parts,
+    is_first: bool,
+) -> bool {
+    match response_origin(state, outgoing, head, is_first).request {
+        NamedRequest::Current => true,
+        NamedRequest::Other => false,
+        NamedRequest::Missing => {
+            let name = &state.headers.request_id;
+            is_first || !outgoing.head.headers.contains_key(name)
+        }
+    }
+}
+
 /// Sends a request through another instance and reads the response.
 pub async fn send(
     state: &TrafficState,
@@ -145,6 +176,11 @@
         }
     };
     let (mut head, body) = response.into_parts();
+    let is_first = !pooled.connection_mut().is_reused;
+    if !is_response_to(state, outgoing, &head, is_first) {
+        let reason = "received the response to another request";
+        return DetourResult::Lost(reason.to_string());
+    }
     // An instance never forwards a 503 of a server, which could bear the mark as well.
     let is_rejection = head.status == StatusCode::SERVICE_UNAVAILABLE;
     let is_unreached = is_rejection && head.headers.remove(UNREACHED).is_some();
--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -5,7 +5,7 @@
         active_request::ActiveRequest,
         attempt::OutgoingRequest,
         denial::{Denial, refuse},
-        detour::{GUESTS_MAX, mark_unreached},
+        detour::{GUESTS_MAX, mark_unreached, name_request},
         request_log::RequestLog,
         request_scope::RequestScope,
         response::ResponseBody,
@@ -55,7 +55,12 @@
 ) -> Response<ResponseBody> {
     let mut response = match origin {
         Origin::Client => route_request(&state, origin, head, body).await,
-        Origin::Peer => serve_guest(&state, head, body).await,
+        Origin::Peer => {
+            let id = head.headers.get(&state.headers.request_id).cloned();
+            let mut response = serve_guest(&state, head, body).await;
+            name_request(&state, id, &mut response);
+            response
+        }
     };
     if *state.leaving.borrow() {
         let close = HeaderValue::from_static("close");
