A request without a key leaves a server whose address is another's

Callers saw rejections while other servers would have run the request.

Cause: a refusal by another process at the address (421) was handled as that of an owner without the key: the server did not count as tried, and the request went back to it up to four times, each time taking a token of the retry budget.

The core test failed before (no server counted as tried).

Why this works: without a key the server counts as one to which nothing was sent; another one gets the request, four at most, still with a token for each.

--- a/crates/core/src/request/progress.rs
+++ b/crates/core/src/request/progress.rs
@@ -386,6 +386,9 @@
                 }
                 self.may_retry(server, now, context)
             }
+            AttemptEnd::Misdirected(_) if !self.traits.is_keyed => {
+                self.may_try_another(server, now, context) && context.take_retry()
+            }
             AttemptEnd::Misdirected(_) => self.may_retry_owner(server, now, context),
             AttemptEnd::Lost => {
                 self.may_have_run = true;
@@ -513,9 +516,9 @@
             && context.take_retry()
     }
 
-    /// Records a server to which the request could not be sent. Whether another server
-    /// may be tried: this causes no load at the service, so that it takes no token from
-    /// the retry budget.
+    /// Records a server to which the request could not be sent, or that is not there any more.
+    /// Whether another server may be tried. A request that was not sent causes no load at the
+    /// service, so that this takes no token from the retry budget.
     fn may_try_another(
         &mut self,
         unreached: ServerName,
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -496,6 +496,27 @@
     assert!(progress.tried().is_empty());
 }
 
+/// Guards against a request without a key that is sent again and again to a process which has got
+/// the address of its server, while other servers would run it.
+#[test]
+fn a_request_without_a_key_leaves_a_server_whose_address_is_anothers() {
+    let context = Context::default();
+    let mut progress = RequestProgress::new(RequestTraits {
+        is_keyed: false,
+        ..traits(Idempotency::AtMostOnce)
+    });
+    let misdirected = || ended(AttemptEnd::Misdirected(PROVEN));
+    for number in 1..4 {
+        let next = step(&mut progress, misdirected(), 10, &context);
+        assert_eq!(next, "read view");
+        assert_eq!(progress.tried().len(), number);
+        assert!(progress.stale_owner().is_none());
+    }
+    let next = step(&mut progress, misdirected(), 10, &context);
+    assert_eq!(next, "reject, again in 200ms: no try is left");
+    assert_eq!(context.tokens.get(), 97);
+}
+
 /// Guards against requests for a key that go on to an owner which has asked for rest.
 /// Without a key, another server may take the request.
 #[test]
