--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -4,7 +4,7 @@
     crate::ReadTimeout,
     citron_core::{id::StoreVersion, time::StoreTime},
     citron_wire::relay::{TableRowWire, TableWire},
-    std::{future::Future, time::Duration},
+    std::{collections::BTreeSet, future::Future, time::Duration},
     thiserror::Error,
 };
 
@@ -43,6 +43,39 @@
     pub store_time: Option<StoreTime>,
 }
 
+impl RowSet {
+    /// Applies the changes that follow the version of this set, and takes their version. Rows
+    /// that were removed are dropped.
+    ///
+    /// ```
+    /// use citron_core::id::StoreVersion;
+    /// use citron_ports::{Row, RowSet};
+    /// let version = |number| StoreVersion::new(Default::default(), number).unwrap();
+    /// let set = |key: &str, value: Option<&[u8]>, number| RowSet {
+    ///     rows: vec![Row {
+    ///         key: key.to_string(),
+    ///         value: value.map(<[u8]>::to_vec),
+    ///         version: version(number),
+    ///     }],
+    ///     version: version(number),
+    ///     store_time: None,
+    /// };
+    /// let mut rows = set("a", Some(b"old"), 1);
+    /// rows.merge(set("a", Some(b"new"), 2));
+    /// assert_eq!(rows, set("a", Some(b"new"), 2));
+    /// rows.merge(set("a", None, 3));
+    /// assert!(rows.rows.is_empty());
+    /// ```
+    pub fn merge(&mut self, changes: Self) {
+        let changed: BTreeSet<&str> = changes.rows.iter().map(|row| row.key.as_str()).collect();
+        self.rows.retain(|row| !changed.contains(row.key.as_str()));
+        let live = changes.rows.into_iter().filter(|row| row.value.is_some());
+        self.rows.extend(live);
+        self.version = changes.version;
+        self.store_time = changes.store_time.or(self.store_time);
+    }
+}
+
 impl From<&Row> for TableRowWire {
     fn from(row: &Row) -> Self {
         Self {
