--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -385,7 +385,7 @@
         ("503", || responded(503)),
         ("refused", || AttemptEnd::Refused(PROVEN)),
         ("refused?", || AttemptEnd::Refused(None)),
-        ("strayed?", || AttemptEnd::Misdirected(None)),
+        ("moved?", || AttemptEnd::Misdirected(None)),
         ("not sent", || AttemptEnd::NotSent),
         ("lost", || AttemptEnd::Lost),
     ];
