One place decides whether a response belongs to the request in flight

attempt.rs and detour.rs had a function each for it, which differed in when a response that names no request counts; both ask ResponseOrigin::belongs now. The name of a proof, worked out as text for logs and for metrics, is one function and allocates nothing on each refusal. Behaviour is unchanged.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -97,10 +97,9 @@
     /// The proof of a refusal, for logs, with a space before; empty if it is no refusal.
     pub fn proof_text(&self) -> String {
         match self {
-            Self::Refused(proof) | Self::Misdirected(proof) => match proof {
-                Some(proof) => format!(" proof={proof}"),
-                None => " proof=none".to_string(),
-            },
+            Self::Refused(proof) | Self::Misdirected(proof) => {
+                format!(" proof={}", RefusalProof::name(*proof))
+            }
             _ => String::new(),
         }
     }
@@ -264,6 +263,11 @@
 }
 
 impl OutgoingRequest<'_> {
+    /// Whether the client has given the request an id.
+    pub fn has_id(&self, state: &TrafficState) -> bool {
+        self.head.headers.contains_key(&state.headers.request_id)
+    }
+
     /// Records a connection that is about to carry the request. One that may run twice takes
     /// any response.
     fn record_carrier(&self, connection: ConnectionId) {
@@ -587,7 +591,8 @@
         is_other_process: is_other_process(state, server, &head),
         ..response_origin(state, outgoing, &head, is_first)
     };
-    if !is_response_to(state, outgoing, &head, origin) {
+    // Refusals need not echo the request id, but other responses must.
+    if !origin.belongs(!outgoing.has_id(state) || is_refusal(state, &head)) {
         // This is a late or duplicate response, or it was parsed from excess bytes behind
         // one. The response to this request may still follow, or never come.
         return ExchangeResult::Failed(AttemptResult::Lost(
@@ -659,27 +664,6 @@
     process.is_some_and(|process| process.as_bytes() != server.entry.name.id().as_bytes())
 }
 
-/// Whether the response belongs to this request, by the echoed request id.
-fn is_response_to(
-    state: &TrafficState,
-    outgoing: &OutgoingRequest<'_>,
-    head: &http::response::Parts,
-    origin: ResponseOrigin,
-) -> bool {
-    match origin.request {
-        NamedRequest::Current => true,
-        NamedRequest::Other => false,
-        // Refusals need not echo the request id, but other responses must.
-        NamedRequest::Missing => {
-            let has_id = outgoing
-                .head
-                .headers
-                .contains_key(&state.headers.request_id);
-            !has_id || is_refusal(state, head)
-        }
-    }
-}
-
 /// Counts a refusal, and records whether servers of the service name the requests they refuse.
 fn record_refusal(state: &TrafficState, service: &ServiceName, origin: ResponseOrigin) {
     let mut metrics = state.local_metrics.borrow_mut();
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -15,7 +15,7 @@
     },
     citron_core::{
         id::{InstanceId, ServerName},
-        request::{DetourEnd, DetourPeer, NamedRequest, means_not_run},
+        request::{DetourEnd, DetourPeer, means_not_run},
         routes::Idempotency,
         time::Time,
     },
@@ -124,23 +124,6 @@
     }
 }
 
-/// Whether the response of another instance belongs to this request.
-fn is_response_to(
-    state: &TrafficState,
-    outgoing: &OutgoingRequest<'_>,
-    head: &http::response::Parts,
-    is_first: bool,
-) -> bool {
-    match response_origin(state, outgoing, head, is_first).request {
-        NamedRequest::Current => true,
-        NamedRequest::Other => false,
-        NamedRequest::Missing => {
-            let name = &state.headers.request_id;
-            is_first || !outgoing.head.headers.contains_key(name)
-        }
-    }
-}
-
 /// Sends a request through another instance and reads the response.
 pub async fn send(
     state: &TrafficState,
@@ -177,7 +160,8 @@
     };
     let (mut head, body) = response.into_parts();
     let is_first = !pooled.connection_mut().is_reused;
-    if !is_response_to(state, outgoing, &head, is_first) {
+    let origin = response_origin(state, outgoing, &head, is_first);
+    if !origin.belongs(!outgoing.has_id(state) || is_first) {
         let reason = "received the response to another request";
         return DetourResult::Lost(reason.to_string());
     }
--- a/crates/citronproxy/src/traffic/metrics.rs
+++ b/crates/citronproxy/src/traffic/metrics.rs
@@ -211,8 +211,8 @@
 
     /// Counts a refusal of a request by a server. Without a proof it may belong to another one.
     pub fn count_refusal(&mut self, proof: Option<RefusalProof>) {
-        let proof = proof.map_or("none".to_string(), |proof| proof.to_string());
-        self.refusals.with_label_values(&[proof.as_str()]).inc();
+        let proof = RefusalProof::name(proof);
+        self.refusals.with_label_values(&[proof]).inc();
     }
 
     /// Adds the counts to the shared metrics.
--- a/crates/core/src/request/origin.rs
+++ b/crates/core/src/request/origin.rs
@@ -1,7 +1,5 @@
 //! Where a response comes from, and what a refusal proves.
 
-use std::fmt;
-
 /// Request that a response names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NamedRequest {
@@ -37,6 +35,26 @@
 }
 
 impl ResponseOrigin {
+    /// Whether the response belongs to the request in flight, if one that names no request does
+    /// so or not.
+    ///
+    /// ```
+    /// use citron_core::request::{NamedRequest, ResponseOrigin};
+    /// let late = ResponseOrigin {
+    ///     request: NamedRequest::Other,
+    ///     is_first: true,
+    ///     is_other_process: false,
+    /// };
+    /// assert!(!late.belongs(true));
+    /// ```
+    pub fn belongs(&self, unnamed_belongs: bool) -> bool {
+        match self.request {
+            NamedRequest::Current => true,
+            NamedRequest::Other => false,
+            NamedRequest::Missing => unnamed_belongs,
+        }
+    }
+
     /// Why the response is the refusal of the request in flight, if it refuses a request.
     /// `None` if it may be a late or additional response to another one.
     ///
@@ -61,12 +79,20 @@
     }
 }
 
-impl fmt::Display for RefusalProof {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Id => "id",
-            Self::FirstResponse => "first-response",
-            Self::OtherProcess => "other-process",
-        })
+impl RefusalProof {
+    /// Name of the proof of a refusal in logs and metrics, also if there is none.
+    ///
+    /// ```
+    /// use citron_core::request::RefusalProof;
+    /// assert_eq!(RefusalProof::name(Some(RefusalProof::Id)), "id");
+    /// assert_eq!(RefusalProof::name(None), "none");
+    /// ```
+    pub fn name(proof: Option<Self>) -> &'static str {
+        match proof {
+            Some(Self::Id) => "id",
+            Some(Self::FirstResponse) => "first-response",
+            Some(Self::OtherProcess) => "other-process",
+            None => "none",
+        }
     }
 }
