Keys without a proven owner wait for all leases after a restore of the store

Cause: the fence of a new planner ends once all registered servers have answered, and takes the silence of one that is not registered for an answer. That it may hold keys by a grant that the copy lacks was known nowhere.

Fix: a planner without a record of all grants renews the keys of the map under their former epochs, at processes that answer a health check under the owner's id. An owner that accepts has seen no higher epoch, so that its keys have not been moved. All other keys get no owner, and the map tells until when they may be held, so that later planners wait no longer.

What the proof rests on, found by the model of planners, which has servers now that vanish from the list and serve on: - a release goes out again if the map reaches its epoch meanwhile (a merge or a raised epoch); - a move keeps its recipient during the commit that names it; - the end of a lease stands in the map 4 s or more before the keys have another owner.

A test of late commits gives its planner the time that the end of a lease stands in the map.

--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -50,6 +50,16 @@
     connections: RefCell<BTreeMap<SocketAddr, Connection>>,
 }
 
+/// The process at a server's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Responder {
+    /// It is the server.
+    Server,
+    /// It is another one: the server has ended.
+    Other,
+    Unknown,
+}
+
 /// Connection to one server, and its limit of concurrent releases.
 #[derive(Debug, Clone)]
 struct Connection {
@@ -57,6 +67,8 @@
     releases: Rc<Semaphore>,
     /// Whether the last grant was withheld, as the process at the address may be another one.
     is_withheld: Rc<Cell<bool>>,
+    /// The server that last identified itself, and when it was asked.
+    identified: Rc<RefCell<Option<(ServerName, Instant)>>>,
 }
 
 impl OrderClient {
@@ -122,46 +134,91 @@
         controller: &Controller<A>,
         server: &ServerName,
     ) -> bool {
-        let Some((address, path)) = health_endpoint(controller, server) else {
+        let responder = self.responder(controller, server).await;
+        matches!(responder, Responder::Other)
+    }
+
+    /// Whether the process that has been listening at the server's address since `known_since`
+    /// or earlier is the server: it answers under its id, which no other process has.
+    async fn is_identified<A: Adapter>(
+        &self,
+        controller: &Controller<A>,
+        server: &ServerName,
+        known_since: Instant,
+    ) -> bool {
+        let Some(connection) = self.connection_to(controller, server) else {
             return false;
         };
+        let is_known =
+            |(name, asked): &(ServerName, Instant)| name == server && known_since <= *asked;
+        if connection
+            .identified
+            .borrow()
+            .as_ref()
+            .is_some_and(is_known)
+        {
+            return true;
+        }
+        // Of servers that restart under their id, it does not tell the process.
+        if server.start_time().is_some() {
+            return false;
+        }
+        let asked = Instant::now();
+        let is_server = self.responder(controller, server).await == Responder::Server;
+        if is_server {
+            *connection.identified.borrow_mut() = Some((server.clone(), asked));
+        }
+        is_server
+    }
+
+    /// Which process answers a health check at the server's address.
+    async fn responder<A: Adapter>(
+        &self,
+        controller: &Controller<A>,
+        server: &ServerName,
+    ) -> Responder {
+        let Some((address, path)) = health_endpoint(controller, server) else {
+            return Responder::Unknown;
+        };
         // The server rejects health checks as it rejects requests.
         if is_resting(controller, server) {
-            return false;
+            return Responder::Unknown;
         }
         let Ok(request) = Request::get(path).body(Bytes::new()) else {
-            return false;
+            return Responder::Unknown;
         };
         let headers = controller.adapter.headers();
-        let is_other = |response: &Response<Bytes>| {
-            let responder = response.headers().get(&headers.server_start);
-            responder.is_some_and(|id| id.as_bytes() != server.id().as_bytes())
-        };
+        let names_process =
+            |response: &Response<Bytes>| response.headers().contains_key(&headers.server_start);
         let client = self.connection_at(address).client;
         let reply = client
             .call_identified(
                 request,
                 &headers.request_id,
-                is_other,
+                names_process,
                 async |_| true,
                 HEALTH_TIMEOUT,
             )
             .await;
         let response = match reply {
             Ok(reply) => reply.response,
-            Err(CallError::OtherCall(reason)) => {
-                record_stray(controller, server, &reason);
-                return false;
-            }
-            Err(CallError::NotSent(_) | CallError::NotAdmitted | CallError::OutcomeUnknown(_)) => {
-                return false;
+            Err(error) => {
+                if let CallError::OtherCall(reason) = &error {
+                    record_stray(controller, server, reason);
+                }
+                log::debug!("health check of {server}: {error}");
+                return Responder::Unknown;
             }
         };
-        let is_replaced = is_other(&response);
-        if !is_replaced {
+        let responder = match response.headers().get(&headers.server_start) {
+            None => Responder::Unknown,
+            Some(id) if id.as_bytes() == server.id().as_bytes() => Responder::Server,
+            Some(_) => Responder::Other,
+        };
+        if responder != Responder::Other {
             record_order_response(controller, server, &response);
         }
-        is_replaced
+        responder
     }
 
     fn connection_at(&self, address: SocketAddr) -> Connection {
@@ -170,6 +227,7 @@
             client: HttpClient::new(address, RESPONSE_BYTES_MAX),
             releases: Rc::new(Semaphore::new(RELEASES_PER_SERVER_MAX)),
             is_withheld: Rc::default(),
+            identified: Rc::default(),
         });
         connection.clone()
     }
@@ -209,6 +267,7 @@
             let since = controller.clock.now() - age;
             if is_former {
                 controller.was_confirmed_in_former_era(since)
+                    || self.is_identified(controller, owner, known_since).await
             } else {
                 refresh::confirm_leadership(controller, leadership, since).await
             }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -240,10 +240,14 @@
                     }
                 }
             };
-            let foreign_grants_until = self.foreign_grants_until;
+            // Grants of this era follow from a map.
+            let foreign_grants_until =
+                match self.predecessors.is_empty() && unlisted_until.is_none() {
+                    true => self.foreign_grants_until.min(now),
+                    false => self.foreign_grants_until,
+                };
             let plan = self.plans.entry(name.clone()).or_insert_with(|| {
-                let foreign_leases_end = unlisted_until.unwrap_or(now).max(foreign_grants_until);
-                let book = LeaseTracker::new(lease_times, foreign_leases_end);
+                let book = LeaseTracker::new(lease_times, foreign_grants_until);
                 let map = map.unwrap_or_else(|| RangeMap::starting_at(floor));
                 let mut reconciler = Reconciler::new(map, book).with_floor(floor);
                 if is_restored {
--- a/crates/core/src/ranges/fence.rs
+++ b/crates/core/src/ranges/fence.rs
@@ -18,6 +18,8 @@
 
 /// Time after which all servers that run are registered in a store that came back from a copy.
 const REGISTRATION_TIME: Duration = Duration::from_millis(2_200);
+/// Time in which servers answer a release, after the requests on the keys.
+const ANSWER_TIME: Duration = Duration::from_millis(3_500);
 /// Largest number of releases in progress. Sent together, thousands of them would occupy a
 /// small processor for seconds.
 const IN_PROGRESS_MAX: usize = 40;
@@ -32,10 +34,14 @@
 /// the copy lacks: any server may hold any key. Once all servers have answered, each holds at
 /// most what the map assigns to it, and rejects late grants of earlier planners for the rest.
 ///
+/// That says nothing of servers that run and are not registered any more. Unless the planner
+/// has a record of all grants, a key is free only once its owner has accepted a renewal under
+/// the epoch of the map, as it rejects that after a release, or all leases have ended.
+///
 /// ```
 /// use citron_core::{
 ///     id::Epoch,
-///     ranges::{Fence, Order, OrderOutcome, OwnerState, Owners, RangeMap},
+///     ranges::{Fence, GrantRecord, Order, OrderOutcome, OwnerState, Owners, RangeMap},
 ///     id::ServerName, time::Time,
 /// };
 /// use std::time::Duration;
@@ -47,7 +53,7 @@
 /// let mut map = RangeMap::new();
 /// map.assign("0-99".parse().unwrap(), &one, None);
 /// let now = Time::ZERO;
-/// let mut fence = Fence::new(Epoch(7));
+/// let mut fence = Fence::new(Epoch(7), GrantRecord::Lost);
 /// fence.include(&map, &[], [&one, &two], &AllServing, now);
 /// let orders = fence.orders(now, &AllServing);
 /// let released = |order: &Order| match order {
@@ -65,6 +71,7 @@
 #[derive(Debug)]
 pub struct Fence {
     epoch: Epoch,
+    record: GrantRecord,
     /// When servers were included first, by a table read in the era of the fence.
     started: Option<Time>,
     included: BTreeSet<ServerName>,
@@ -72,6 +79,15 @@
     unanswered: BTreeMap<(ServerName, KeyRange), ReleaseState>,
 }
 
+/// What a planner knows of the grants that were sent before the store came back from a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantRecord {
+    /// It sent all of them itself.
+    Complete,
+    /// Others may have sent grants that the copy does not show.
+    Lost,
+}
+
 #[derive(Debug, Clone, Copy)]
 enum ReleaseState {
     /// To be sent at that time.
@@ -82,9 +98,10 @@
 
 impl Fence {
     /// Creates a fence with the epoch of its releases.
-    pub fn new(epoch: Epoch) -> Self {
+    pub fn new(epoch: Epoch, record: GrantRecord) -> Self {
         Self {
             epoch,
+            record,
             started: None,
             included: BTreeSet::new(),
             unanswered: BTreeMap::new(),
@@ -181,9 +198,24 @@
         }
     }
 
-    /// Whether all servers have answered, and none can still be unknown.
+    /// What the planner knows of earlier grants.
+    pub fn record(&self) -> GrantRecord {
+        self.record
+    }
+
+    /// When servers were included first.
+    pub fn started(&self) -> Option<Time> {
+        self.started
+    }
+
+    /// Whether all that run and reach the store are registered, and have answered. A planner
+    /// without a record of all grants waits no longer than servers take to answer: what it
+    /// grants does not follow from these answers alone.
     pub fn is_done(&self, now: Time) -> bool {
-        let is_over = |started| now - started >= REGISTRATION_TIME;
-        self.unanswered.is_empty() && self.started.is_some_and(is_over)
+        let Some(started) = self.started else {
+            return false;
+        };
+        let is_late = self.record == GrantRecord::Lost && now - started >= ANSWER_TIME;
+        (self.unanswered.is_empty() || is_late) && now - started >= REGISTRATION_TIME
     }
 }
--- a/crates/core/src/ranges/leases.rs
+++ b/crates/core/src/ranges/leases.rs
@@ -173,6 +173,18 @@
         last.map(|last| last + self.times.max_validity())
     }
 
+    /// Like [`Self::store_expiry`] while earlier planners may still send grants: counted from
+    /// the store's answer to a call begun at `moment` or later.
+    pub fn store_expiry_since(
+        &self,
+        moment: Time,
+        sent: Time,
+        clock: &StoreClock,
+    ) -> Option<StoreTime> {
+        let known = clock.at_or_after(moment)?;
+        Some(known + (self.lease_end(sent) - moment))
+    }
+
     /// Drops the records of servers for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&ServerName) -> bool) {
         self.grants.retain(|server, _| keep(server));
--- a/crates/core/src/ranges/map.rs
+++ b/crates/core/src/ranges/map.rs
@@ -13,7 +13,8 @@
 pub struct Slice {
     /// The keys.
     pub range: KeyRange,
-    /// The backend server process that owns the keys; `None` until the first assignment.
+    /// The backend server process that owns the keys; `None` until the first assignment, or
+    /// if it is unknown.
     pub owner: Option<ServerName>,
     /// Fencing token: higher than every epoch under which another server held one of the
     /// keys.
@@ -23,6 +24,7 @@
     pub handover: Option<String>,
     /// Latest end of the owner's lease, on the store's clock. While it is set, no planner
     /// grants the keys to this owner again, and the keys are reassigned after that time.
+    /// Without an owner: end of the leases of all servers that may hold the keys.
     pub expiry: Option<StoreTime>,
 }
 
@@ -154,6 +156,27 @@
         self.slices.iter().all(|slice| slice.epoch >= floor)
     }
 
+    /// Takes `ranges` from their owners, as others may hold the keys until the given times, under
+    /// epochs of at least `floor`.
+    pub(super) fn disown_all(
+        &mut self,
+        ranges: impl IntoIterator<Item = (KeyRange, StoreTime)>,
+        floor: Epoch,
+    ) {
+        let disowned = ranges.into_iter().flat_map(|(range, held_until)| {
+            let slices = self.slices_in(range).into_iter();
+            slices.map(move |slice| Slice {
+                owner: None,
+                epoch: slice.epoch.max(floor),
+                handover: None,
+                expiry: slice.expiry.max(Some(held_until)),
+                ..slice
+            })
+        });
+        let disowned = disowned.collect();
+        self.replace_all(disowned);
+    }
+
     /// Raises the epochs of all keys to at least `floor`, apart from those whose owner gets no
     /// further grant.
     pub fn raise_to(&mut self, floor: Epoch) {
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -26,7 +26,7 @@
     balance_timer::BalanceTimer,
     demand::{Demand, KeyDemand},
     error::RangeError,
-    fence::Fence,
+    fence::{Fence, GrantRecord},
     key::{KeyRange, RangeKey},
     learned_loads::{DemandShares, LearnedLoads, LoadLearner, Speed},
     leases::{LeaseTimes, LeaseTracker},
--- a/crates/core/src/ranges/reconciler/commits.rs
+++ b/crates/core/src/ranges/reconciler/commits.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Order, OrderOutcome, OwnerState, Owners, Reconciler,
+        COPY_AGE_MAX, Order, OrderOutcome, OwnerState, Owners, Reconciler,
         moves::{Move, MovePhase},
     },
     crate::{
@@ -18,6 +18,9 @@
 /// instance reads each write.
 const EXPIRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// The same for a serving server, which answers once the requests on the keys have ended.
+const SERVING_EXPIRY_DELAY: Duration = Duration::from_millis(3_500);
+
 /// Age from which a commit without an answer may be waiting for the end of a store
 /// outage.
 const OVERDUE_AFTER: Duration = Duration::from_millis(300);
@@ -79,10 +82,9 @@
     ) -> Vec<(KeyRange, StoreTime)> {
         let is_lost = |pending: &&Move| {
             let is_releasing = matches!(pending.phase, MovePhase::Releasing { .. });
-            let is_serving = |from| owners.state(from) == OwnerState::Serving;
-            is_releasing
-                && now - pending.started > EXPIRY_DELAY
-                && !pending.from.as_ref().is_some_and(is_serving)
+            let from = pending.from.as_ref();
+            let delay = from.map(|from| expiry_delay(from, owners));
+            is_releasing && delay.is_some_and(|delay| now - pending.started > delay)
         };
         let has_expiry = |pending: &Move| self.map.slice(pending.range.first).expiry.is_some();
         let waiting = self
@@ -91,10 +93,10 @@
             .filter(is_lost)
             .filter(|pending| !has_expiry(pending));
         let expiry = |pending: &Move| {
-            Some((
-                pending.range,
-                self.leases.store_expiry(pending.last_granted, clock)?,
-            ))
+            let lease_end = self.leases.store_expiry(pending.last_granted, clock)?;
+            let delay = expiry_delay(pending.from.as_ref()?, owners);
+            let told_until = clock.at_or_after(pending.started)? + (delay + COPY_AGE_MAX);
+            Some((pending.range, lease_end.max(told_until)))
         };
         waiting.filter_map(expiry).collect()
     }
@@ -150,6 +152,8 @@
             .extend(released.map(|pending| pending.range));
         self.moves.retain(|pending| !is_committed(pending));
         self.map = map.clone();
+        self.end_fence();
+        self.raise_releases();
         self.drop_raised();
         self.renewals.invalidate();
         let owners = self.map.slices().iter();
@@ -166,6 +170,15 @@
     }
 }
 
+/// How long a release stays unanswered before the end of the owner's lease is written to the
+/// map.
+pub fn expiry_delay(owner: &ServerName, owners: &impl Owners) -> Duration {
+    match owners.state(owner) {
+        OwnerState::Serving => SERVING_EXPIRY_DELAY,
+        OwnerState::Leaving | OwnerState::Ended => EXPIRY_DELAY,
+    }
+}
+
 /// Assigns keys to their current owners again, under an epoch above `seen`.
 fn raise_epochs(map: &mut RangeMap, range: KeyRange, seen: Epoch) {
     let raised = |slice: &Slice| {
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -2,15 +2,18 @@
 
 mod commits;
 mod event;
+mod fencing;
 mod moves;
 mod order;
 mod renewals;
 mod send_window;
 
 use {
-    super::{Balancer, Fence, KeyRange, LeaseTracker, MoveNotice, OwnerHint, RangeMap},
+    super::{
+        Balancer, Fence, GrantRecord, KeyRange, LeaseTracker, MoveNotice, OwnerHint, RangeMap,
+    },
     crate::{
-        id::{Epoch, ServerName},
+        id::Epoch,
         time::{StoreClock, Time},
     },
     moves::Move,
@@ -26,6 +29,9 @@
 /// Delay before a failed order is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Age of the oldest copy from which the store comes back.
+const COPY_AGE_MAX: Duration = Duration::from_secs(4);
+
 /// Limits under which a planner continues in a new era of the store.
 #[derive(Debug, Clone, Copy)]
 pub struct EraStart {
@@ -92,37 +98,6 @@
         Self { floor, ..self }
     }
 
-    /// Makes sure that servers hold no keys but those of the map before anything is granted:
-    /// the store came back from a copy, which may lack moves of earlier planners.
-    pub fn fence(&mut self) {
-        self.fence = Some(Fence::new(self.floor));
-    }
-
-    /// Adds registered servers to the fence, if there is one.
-    pub fn fence_servers<'a>(
-        &mut self,
-        servers: impl IntoIterator<Item = &'a ServerName>,
-        owners: &impl Owners,
-        now: Time,
-    ) {
-        if self.fence.is_some() {
-            let moving = self.moving_ranges();
-            if let Some(fence) = &mut self.fence {
-                fence.include(&self.map, &moving, servers, owners, now);
-            }
-        }
-    }
-
-    /// Whether moves and grants wait for the fence.
-    fn is_fencing(&mut self, now: Time) -> bool {
-        let is_over =
-            |fence: &Fence| fence.is_done(now) || now >= self.leases.lease_end(Time::ZERO);
-        if self.fence.as_ref().is_some_and(is_over) {
-            self.fence = None;
-        }
-        self.fence.is_some()
-    }
-
     /// Continues with the map known here in a new era of the store, which came back from an
     /// older copy. Orders in progress are sent anew: their outcomes are not reported any more.
     ///
@@ -138,7 +113,12 @@
         self.former_until = former_until;
         self.floor = era.floor;
         self.leases.extend_previous(era.others_until);
-        self.fence();
+        let had_record = self.fence.as_ref().map(Fence::record) != Some(GrantRecord::Lost);
+        let record = match had_record && era.others_until <= now {
+            true => GrantRecord::Complete,
+            false => GrantRecord::Lost,
+        };
+        self.fence = Some(Fence::new(self.floor, record));
         self.open_commit = None;
         self.renewals = Renewals::default();
         self.restart_releases(now);
@@ -172,6 +152,7 @@
     /// Restarts from the map in the store. The record of sent grants is kept.
     pub fn reload(&mut self, map: RangeMap) {
         self.map = map;
+        self.restart_fence();
         self.moves.clear();
         self.renewals = Renewals::default();
         self.awaiting_grant.clear();
@@ -225,9 +206,9 @@
             return;
         }
         self.compute_loads(balancer);
-        self.free_expired(now, clock);
+        self.free_expired(now, clock, owners);
         self.retarget(owners, balancer);
-        self.reassign_unserved(now, owners, balancer, scope.may_assign);
+        self.reassign_unserved(now, clock, owners, balancer, scope.may_assign);
         if scope.may_rebalance && !self.is_commit_overdue(now) {
             self.rebalance(now, balancer);
         }
@@ -237,15 +218,10 @@
     /// every slice.
     pub fn orders(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) -> Vec<Order> {
         if self.is_fencing(now) {
-            let fence = self.fence.as_mut();
-            let mut orders = fence.map_or_else(Vec::new, |fence| fence.orders(now, owners));
-            if now < self.former_until {
-                self.send_renewals(now, owners, &mut orders);
-            }
-            return orders;
+            return self.fence_orders(now, clock, owners);
         }
         let mut orders = Vec::new();
-        self.free_expired(now, clock);
+        self.free_expired(now, clock, owners);
         // Keys released during a store outage would have no owner until it ends.
         if !self.is_commit_overdue(now) {
             self.send_releases(now, &mut orders);
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, RETRY_DELAY, Reconciler,
+        COPY_AGE_MAX, FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, RETRY_DELAY,
+        Reconciler, commits::expiry_delay,
     },
     crate::{
         id::{Epoch, ServerName},
-        ranges::{Balancer, KeyRange, Reassignment, key::subtract},
+        ranges::{Balancer, KeyRange, Reassignment, Slice, key::subtract},
         time::{StoreClock, Time},
     },
     std::{
@@ -84,19 +85,22 @@
 impl Reconciler {
     /// Frees keys that never had an owner or whose lease has run out. That the owner's process
     /// has ended frees nothing: the next process at its address may have accepted a renewal.
-    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock) {
+    /// The map tells the end of the lease some time before: the owner would accept a renewal under
+    /// its former epoch if the store came back from a copy that shows neither.
+    pub(super) fn free_expired(&mut self, now: Time, clock: &StoreClock, owners: &impl Owners) {
         for pending in &mut self.moves {
             let MovePhase::Releasing { .. } = pending.phase else {
                 continue;
             };
-            if pending.from.is_some() {
+            if let Some(from) = &pending.from {
+                let is_told = now - pending.started >= expiry_delay(from, owners) + COPY_AGE_MAX;
                 let slice = self.map.slice(pending.range.first);
                 let has_expired = slice
                     .expiry
                     .is_some_and(|expiry| clock.is_past(expiry, now));
                 let reason = if has_expired {
                     FreeReason::ExpiryPassed
-                } else if now >= self.leases.lease_end(pending.last_granted) {
+                } else if is_told && now >= self.leases.lease_end(pending.last_granted) {
                     FreeReason::LeaseExpired
                 } else {
                     continue;
@@ -110,8 +114,12 @@
         }
     }
 
-    /// Picks another recipient for moves whose recipient no longer serves.
+    /// Picks another recipient for moves whose recipient no longer serves. Not during a commit,
+    /// after which the recipient owns the keys and has to release them.
     pub(super) fn retarget(&mut self, owners: &impl Owners, balancer: &mut Balancer<'_>) {
+        if self.open_commit.is_some() {
+            return;
+        }
         for pending in &mut self.moves {
             if owners.state(&pending.to) == OwnerState::Serving {
                 continue;
@@ -128,16 +136,21 @@
     pub(super) fn reassign_unserved(
         &mut self,
         now: Time,
+        clock: &StoreClock,
         owners: &impl Owners,
         balancer: &mut Balancer<'_>,
         may_assign: bool,
     ) {
+        let may_be_held = |slice: &Slice| {
+            let expiry = slice.expiry;
+            expiry.is_some_and(|expiry| !clock.is_past(expiry, now))
+        };
         let suspects = self.suspects(now);
         let moving = self.moving_ranges();
         let slices = self.map.slices().iter();
         let mut unserved: Vec<(KeyRange, Option<ServerName>)> = slices
             .filter(|slice| match &slice.owner {
-                None => may_assign,
+                None => may_assign && !may_be_held(slice),
                 Some(owner) => {
                     let is_serving = owners.state(owner) == OwnerState::Serving;
                     !is_serving || slice.expiry.is_some() || suspects.contains(owner)
@@ -192,6 +205,19 @@
         moving
     }
 
+    /// Sends releases again whose epoch the map has reached, as slices were merged or raised: an
+    /// owner that has released keys must reject a grant under any epoch of the map.
+    pub(super) fn raise_releases(&mut self) {
+        for pending in &mut self.moves {
+            let reached = self.map.max_epoch(pending.range);
+            if pending.from.is_some() && pending.epoch <= reached {
+                pending.epoch = Epoch(reached.0 + 1);
+                let send_at = Some(Time::ZERO);
+                pending.phase = MovePhase::Releasing { send_at };
+            }
+        }
+    }
+
     /// Starts moves that even out load, and merges of small slices if there are many.
     pub(super) fn rebalance(&mut self, now: Time, balancer: &mut Balancer<'_>) {
         let moving = self.moving_ranges();
--- a/crates/core/src/ranges/reconciler/order.rs
+++ b/crates/core/src/ranges/reconciler/order.rs
@@ -33,6 +33,11 @@
 pub trait Owners {
     /// State of a server; `Leaving` if it was never listed.
     fn state(&self, server: &ServerName) -> OwnerState;
+
+    /// Whether a server has an entry, though it may be leaving: it runs, as far as is known.
+    fn is_registered(&self, server: &ServerName) -> bool {
+        self.state(server) == OwnerState::Serving
+    }
 }
 
 /// Action for the caller to carry out. Its outcome is passed to
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -6,8 +6,8 @@
         moves::not_moving, send_window::SendWindow,
     },
     crate::{
-        id::Epoch,
-        ranges::{KeyRange, RangeKey, Slice},
+        id::{Epoch, ServerName},
+        ranges::{Fence, GrantRecord, KeyRange, RangeKey, Slice},
         time::Time,
     },
     std::{
@@ -78,6 +78,14 @@
             .map(|(range, _)| *range)
     }
 
+    /// Ranges whose grant has had no result yet.
+    pub fn untried(&self) -> impl Iterator<Item = KeyRange> {
+        let is_untried = |renewal: &Renewal| !renewal.is_held && renewal.failing_since.is_none();
+        let untried = self.by_range.iter();
+        let untried = untried.filter(move |(_, renewal)| is_untried(renewal));
+        untried.map(|(range, _)| *range)
+    }
+
     /// Updates the list of grants to `parts`, the ranges and epochs that owners are to
     /// hold.
     fn sync(&mut self, parts: &[(KeyRange, Epoch)], now: Time) {
@@ -162,8 +170,7 @@
         for range in self.renewals.take_due(now) {
             let slice = self.map.slice(range.first);
             let Some(owner) = &slice.owner else { continue };
-            // The next process at the address would take the grant as its own.
-            if owners.state(owner) == OwnerState::Ended {
+            if !self.may_renew(owner, owners) {
                 self.renewals.postpone(range, now);
                 continue;
             }
@@ -176,6 +183,17 @@
         }
     }
 
+    /// Whether grants are sent to an owner. The next process at the address of one that has ended
+    /// would take them as its own. Without a record of all grants, the keys of one without an
+    /// entry may have been given away while it could not be reached.
+    pub(super) fn may_renew(&self, owner: &ServerName, owners: &impl Owners) -> bool {
+        let record = self.fence.as_ref().map(Fence::record);
+        match record {
+            Some(GrantRecord::Lost) => owners.is_registered(owner),
+            _ => owners.state(owner) != OwnerState::Ended,
+        }
+    }
+
     /// Ranges that owners are to hold: all slices except the keys that are moving.
     fn renewable_ranges(&self) -> Vec<(KeyRange, Epoch)> {
         let is_outdated = |slice: &Slice| {
--- a/crates/core/src/registry/planned_owners.rs
+++ b/crates/core/src/registry/planned_owners.rs
@@ -37,4 +37,8 @@
             OwnerState::Leaving
         }
     }
+
+    fn is_registered(&self, server: &ServerName) -> bool {
+        self.registry.is_registered(server)
+    }
 }
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -481,4 +481,9 @@
             Some(_) => OwnerState::Leaving,
         }
     }
+
+    fn is_registered(&self, server: &ServerName) -> bool {
+        let is_known = self.servers.contains_key(server) && !self.removed.contains(server);
+        is_known && self.state(server) != OwnerState::Ended
+    }
 }
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -4,9 +4,9 @@
     citron_core::{
         id::{Epoch, ServerName},
         ranges::{
-            BalanceLimits, Balancer, Capacity, Demand, Fence, KeyDemand, KeyRange, LeaseTimes,
-            LeaseTracker, Order, OrderOutcome, OwnerState, Owners, PlanScope, RangeKey, RangeMap,
-            Reconciler, Slice,
+            BalanceLimits, Balancer, Capacity, Demand, Fence, GrantRecord, KeyDemand, KeyRange,
+            LeaseTimes, LeaseTracker, Order, OrderOutcome, OwnerState, Owners, PlanScope, RangeKey,
+            RangeMap, Reconciler, Slice,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -540,15 +540,17 @@
     let stored = planner.reconciler.map().clone();
     planner.ended.push(server(1));
     let mut commits = planner.tick(start);
+    commits.extend(planner.tick(after(6_000)));
     planner.reconciler.reload(raised(&stored));
-    commits.extend(planner.tick(after(1_000)));
+    commits.extend(planner.tick(after(7_000)));
+    commits.extend(planner.tick(after(13_000)));
     commits.retain(is_commit);
     assert_eq!(commits.len(), 2, "{commits:?}");
     let before = planner.reconciler.map().clone();
-    planner.complete(&commits[0], DONE, after(1_020));
+    planner.complete(&commits[0], DONE, after(13_020));
     assert!(planner.reconciler.is_commit_open());
     assert_eq!(*planner.reconciler.map(), before);
-    planner.complete(&commits[1], DONE, after(1_030));
+    planner.complete(&commits[1], DONE, after(13_030));
     assert!(!planner.reconciler.is_commit_open());
     assert_eq!(Order::Commit(planner.reconciler.map().clone()), commits[1]);
 }
@@ -570,7 +572,7 @@
     assert!(map.has_reached(Epoch(7)));
     assert!(!map.is_above(Epoch(7)));
     let now = Time::from_micros(100_000_000);
-    let mut fence = Fence::new(Epoch(7));
+    let mut fence = Fence::new(Epoch(7), GrantRecord::Lost);
     let nobody = EndedServers(&[]);
     fence.include(&map, &[], [&server(1)], &nobody, now);
     let orders = fence.orders(now, &nobody);
@@ -587,7 +589,7 @@
 fn a_fence_waits_until_servers_are_included() {
     let start = Time::from_micros(100_000_000);
     let after = |seconds| start + Duration::from_secs(seconds);
-    let mut fence = Fence::new(Epoch(7));
+    let mut fence = Fence::new(Epoch(7), GrantRecord::Lost);
     assert!(!fence.is_done(after(60)));
     fence.include(&RangeMap::new(), &[], [], &EndedServers(&[]), after(60));
     assert!(!fence.is_done(after(61)));
--- a/crates/core/tests/ranges_model/main.rs
+++ b/crates/core/tests/ranges_model/main.rs
@@ -4,8 +4,8 @@
 //! on which another one still works, and a server accepts keys only under an epoch above every
 //! epoch under which others held them.
 //! Injected faults: planners are cut off from the store, killed and replaced; servers
-//! crash, restart, leave and execute orders late; answers are lost; server clocks run 2%
-//! slow; planners reach only some servers; the store comes back from an older copy.
+//! crash, restart, leave, vanish from the list and execute orders late; answers are lost; server
+//! clocks run 2% slow; planners reach only some servers; the store comes back from an older copy.
 
 mod planner;
 mod server;
@@ -21,7 +21,7 @@
 /// 99, so there are more than 100.
 const SEEDS: u64 = 120;
 /// Maximum number of seeds for each flaw.
-const MAX_FLAW_SEEDS: u64 = 600;
+const MAX_FLAW_SEEDS: u64 = 1_000;
 /// Steps of 50 ms, one minute in all.
 const STEPS: u32 = 1_200;
 
@@ -32,10 +32,14 @@
         // A planner without the store is harmless to servers that its successor reaches.
         Flaw::RenewWithoutStore => World::with_partitions(seed, Some(flaw)),
         Flaw::AssumeEndedReleased => World::with_same_ids(seed, Some(flaw)),
-        Flaw::EarlyExpiry | Flaw::ClockAhead => World::with_planner_kills(seed, Some(flaw)),
-        Flaw::TrustCopy | Flaw::ForgetMoves | Flaw::ReuseEpochs | Flaw::MatchReusedVersions => {
-            World::with_restores(seed, Some(flaw))
+        Flaw::NoQuietPeriod | Flaw::EarlyExpiry | Flaw::ClockAhead => {
+            World::with_planner_kills(seed, Some(flaw))
         }
+        Flaw::TrustCopy
+        | Flaw::TrustRegistry
+        | Flaw::ForgetMoves
+        | Flaw::ReuseEpochs
+        | Flaw::MatchReusedVersions => World::with_restores(seed, Some(flaw)),
         _ => World::new(seed, Some(flaw)),
     };
     (0..STEPS).any(|_| {
@@ -130,7 +134,7 @@
 /// was cut off, and the store came back from a copy that lacks their claims.
 #[test]
 fn no_key_is_held_twice_when_a_replaced_planner_claims_again() {
-    let walks = walk_seeds(2 * SEEDS, World::with_replaced_planners);
+    let walks = walk_seeds(4 * SEEDS, World::with_replaced_planners);
     let replaced: u64 = walks.iter().map(|walk| walk.replaced_resumes).sum();
     assert_activity(&walks);
     assert!(replaced > SEEDS / 4, "{replaced} replaced planners resumed");
--- a/crates/core/tests/ranges_model/server.rs
+++ b/crates/core/tests/ranges_model/server.rs
@@ -51,6 +51,8 @@
     /// When its process ended, if it did.
     pub ended: Option<Time>,
     pub is_leaving: bool,
+    /// Whether it has left the list of servers, and still runs.
+    pub is_unlisted: bool,
     pub held: Vec<HeldRange>,
     pub work: Vec<Work>,
     /// Epochs seen with grants and releases, by range.
@@ -69,6 +71,7 @@
             is_up: true,
             ended: None,
             is_leaving: false,
+            is_unlisted: false,
             held: Vec::new(),
             work: Vec::new(),
             seen_epochs: Vec::new(),
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -67,6 +67,8 @@
     ClockAhead,
     /// A new planner trusts the map of a store that came back from a copy.
     TrustCopy,
+    /// A new planner takes servers that are not registered for ones that hold no keys.
+    TrustRegistry,
     /// A planner that lives on takes the map of the copy for its own.
     ForgetMoves,
     /// Epochs are counted on from those of the copy.
@@ -79,7 +81,7 @@
 }
 
 impl Flaw {
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::IgnorePreviousPlanners,
         Self::OnlyLastPlanner,
         Self::RenewWithoutStore,
@@ -94,6 +96,7 @@
         Self::EarlyExpiry,
         Self::ClockAhead,
         Self::TrustCopy,
+        Self::TrustRegistry,
         Self::ForgetMoves,
         Self::ReuseEpochs,
         Self::MatchReusedVersions,
@@ -202,10 +205,18 @@
         }
         let found = self.servers.iter().find(|known| known.listed == *server);
         match found {
-            Some(known) if known.is_up && !known.is_leaving => OwnerState::Serving,
+            Some(known) if known.is_up && !known.is_leaving && !known.is_unlisted => {
+                OwnerState::Serving
+            }
             _ => OwnerState::Leaving,
         }
     }
+
+    fn is_registered(&self, server: &ServerName) -> bool {
+        let found = self.servers.iter().find(|known| known.listed == *server);
+        let is_ended = self.ended.contains(server);
+        !is_ended && found.is_some_and(|known| known.is_up && !known.is_unlisted)
+    }
 }
 
 impl World {
@@ -449,6 +460,11 @@
             self.servers[at].is_leaving = true;
             self.start_server();
         }
+        if self.restores && self.chance(5) {
+            let at = self.rng.random_range(0..self.servers.len());
+            self.servers[at].is_unlisted = true;
+            self.start_server();
+        }
         if self.planner_kills {
             if self.chance(20) {
                 self.take_over(true);
@@ -477,7 +493,7 @@
         let restores = match self.restore_bursts {
             true if is_burst => 40,
             true => 2,
-            false if self.replaced_planners => 4,
+            false if self.replaced_planners => 2,
             false => 8,
         };
         if self.restores && self.chance(restores) {
@@ -533,12 +549,13 @@
             true => copied.newest_of(&newest),
             false => copied,
         };
+        let floor = self.floor();
         let Some(planner) = self.planners.last_mut() else {
             return;
         };
         planner.reconciler.reload(remembered);
         if flaw != Some(Flaw::TrustCopy) {
-            planner.reconciler.fence();
+            begin_fence(&mut planner.reconciler, flaw, floor, self.now);
         }
     }
 
@@ -744,7 +761,8 @@
         if self.servers.len() > SERVERS + 6 {
             let removable = self.servers.iter().position(|server| {
                 let is_holding = server.held.iter().any(|range| range.until > self.now);
-                (!server.is_up || server.is_leaving) && !is_holding
+                let has_left = server.is_leaving || server.is_unlisted;
+                (!server.is_up || has_left) && !is_holding
             });
             if let Some(at) = removable {
                 self.servers.remove(at);
@@ -779,7 +797,7 @@
         let leases = LeaseTracker::new(times, previous_until);
         let mut reconciler = Reconciler::new(self.map.clone(), leases).with_floor(self.floor());
         if self.has_unfenced_map() {
-            reconciler.fence();
+            begin_fence(&mut reconciler, self.flaw, self.floor(), self.now);
         }
         for notice in std::mem::take(&mut self.releases) {
             if self.late_commits && self.chance(700) {
@@ -859,6 +877,7 @@
             let retention = self.times.max_holding();
             let known = |server: &&Server| server.ended.is_none_or(|at| now - at <= retention);
             let names = self.servers.iter().filter(known);
+            let names = names.filter(|server| !server.is_unlisted);
             reconciler.fence_servers(names.map(|server| &server.listed), &listed, now);
             reconciler.tick(now, &clock, &listed, &mut balancer, scope)
         };
@@ -874,7 +893,7 @@
         let open = self
             .servers
             .iter()
-            .filter(|server| server.is_up && !server.is_leaving);
+            .filter(|server| server.is_up && !server.is_leaving && !server.is_unlisted);
         let capacity = |server: &Server| Capacity {
             server: server.listed.clone(),
             rate: 20.0,
@@ -1036,9 +1055,13 @@
             Order::Commit(_) => None,
         };
         let planner = &self.planners[index];
+        let is_unlisted = |to: &ServerName| {
+            let mut servers = self.servers.iter();
+            servers.any(|known| known.listed == *to && known.is_unlisted)
+        };
         let is_unreachable = to
             .as_ref()
-            .is_some_and(|to| planner.unreachable.contains(to));
+            .is_some_and(|to| planner.unreachable.contains(to) || is_unlisted(to));
         let is_one_way = to.is_some_and(|to| planner.one_way.contains(&to));
         if let Order::Release { range, epoch, .. } = &order {
             self.releases.push(MoveNotice {
@@ -1241,6 +1264,19 @@
     }
 }
 
+/// Has a new planner fence the servers.
+fn begin_fence(reconciler: &mut Reconciler, flaw: Option<Flaw>, floor: Epoch, now: Time) {
+    if flaw != Some(Flaw::TrustRegistry) {
+        return reconciler.fence();
+    }
+    let own_grants_only = EraStart {
+        floor,
+        former_until: Time::ZERO,
+        others_until: Time::ZERO,
+    };
+    reconciler.resume(own_grants_only, now);
+}
+
 fn store_time(now: Time) -> StoreTime {
     StoreTime(now.as_micros() / 1_000)
 }
