Requests that a shutdown would abort are rejected instead of sent

Callers: a POST whose body came late in a planned stop was passed on, ran, and was cut without an answer at the end of the grace (LOST); it may not be repeated.

Cause: no attempt and no wait looked at how much of the grace is left.

Fix: each attempt, retry, detour and wait asks the times of the shutdown.

--- a/crates/citronproxy/src/edge/traffic/handler.rs
+++ b/crates/citronproxy/src/edge/traffic/handler.rs
@@ -138,11 +138,17 @@
     if body.declared_length() > config.limits.max_body_bytes {
         return deny(Denial::BodyTooLarge, &head);
     }
-    if timeout(deadline - started, body.buffer_prefix())
-        .await
-        .is_err()
-    {
-        let reason = "its body did not come before its deadline";
+    let reason = tokio::select! {
+        biased;
+        prefix = timeout(deadline - started, body.buffer_prefix()) => match prefix {
+            Ok(()) => None,
+            Err(_) => Some("its body did not come before its deadline"),
+        },
+        () = state.until_too_late(deadline) => {
+            Some("its body did not come before this instance shuts down")
+        }
+    };
+    if let Some(reason) = reason {
         return refuse(state, &head, Some(config.version), reason);
     }
     if let Some(denial) = body_error(&body) {
--- a/crates/citronproxy/src/edge/traffic/request_scope.rs
+++ b/crates/citronproxy/src/edge/traffic/request_scope.rs
@@ -6,7 +6,7 @@
         crash::Fingerprint,
         id::{Epoch, InstanceId, ServerName, ServiceName},
         ranges::{RangeKey, Slice},
-        request::{DetourPeer, RequestContext},
+        request::{DetourPeer, RequestContext, Shutdown},
     },
     std::time::Duration,
 };
@@ -106,6 +106,10 @@
         self.request.body.is_buffered()
     }
 
+    fn shutdown(&self) -> Option<Shutdown> {
+        *self.state.shutdown.borrow()
+    }
+
     fn random(&self) -> f64 {
         rand::random()
     }
--- a/crates/citronproxy/src/edge/traffic/thread.rs
+++ b/crates/citronproxy/src/edge/traffic/thread.rs
@@ -25,7 +25,7 @@
         freshness::{FreshnessTimes, StaleReason},
         id::ServiceName,
         registry::SendBounds,
-        request::{Origin, UnnamedRefusals},
+        request::{Origin, Shutdown, UnnamedRefusals},
         routes::ConfigVersion,
         routing::{BudgetConfig, RetryBudget},
         slowstart::SlowStartLimiter,
@@ -55,11 +55,6 @@
 /// Time for which a leaving instance still accepts connections. Load balancers check
 /// readiness once a second and act on two equal results in a row.
 const LEAVE_NOTICE_TIME: Duration = Duration::from_millis(2_700);
-/// Part of the shutdown timeout that is reserved for the exit of the process, as a
-/// divisor. With a tenth of a core, it takes some hundred milliseconds to notice the
-/// timeout and to close what is open. A process that has not exited by then is killed,
-/// and its last responses are lost.
-const LEAVE_MARGIN_DIVISOR: u32 = 8;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Factor on the configured idle timeout of client connections. They are kept open for
@@ -96,6 +91,8 @@
     pub capacity_freed: Rc<Notify>,
     /// Whether the instance is leaving.
     pub leaving: watch::Receiver<bool>,
+    /// Times of the shutdown, once it has begun.
+    pub shutdown: watch::Sender<Option<Shutdown>>,
     /// Concurrency limits of services whose servers can all run any request.
     pub concurrency_limits: Rc<ConcurrencyLimits>,
     /// Limits on the idle time of reused connections.
@@ -170,6 +167,19 @@
         self.with_budget(service, RetryBudget::deposit);
     }
 
+    /// Waits until a request with this deadline can no longer start, as this instance shuts
+    /// down. Never returns if it can.
+    pub async fn until_too_late(&self, deadline: Time) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender is part of this state.
+        let begun = shutdown.wait_for(Option::is_some).await;
+        let begun = begun.ok().and_then(|shutdown| *shutdown);
+        match begun.and_then(|shutdown| shutdown.start_limit(deadline)) {
+            Some(limit) => sleep(limit - self.clock.now()).await,
+            None => pending().await,
+        }
+    }
+
     /// Takes a token from the retry budget of the service; `false` if there is none.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         self.with_budget(service, RetryBudget::take)
@@ -222,6 +232,7 @@
         headers: names.headers,
         pool: Pool::new(clock),
         capacity_freed: Rc::default(),
+        shutdown: watch::Sender::new(None),
         concurrency_limits: Rc::default(),
         idle_limits: Rc::default(),
         cold_limiter: RefCell::default(),
@@ -277,6 +288,8 @@
     let notice_period = async {
         // The sender is part of the shared state and lives as long as the process.
         let _ = leaving.wait_for(|leaving| *leaving).await;
+        let shutdown = Shutdown::new(state.clock.now(), state.settings.leave_timeout);
+        state.shutdown.send_replace(Some(shutdown));
         sleep(LEAVE_NOTICE_TIME).await;
     };
     tokio::select! {
@@ -293,9 +306,9 @@
     drop(detour_listener);
     drop(open_connections);
     close.send_replace(true);
-    let leave_timeout = state.settings.leave_timeout;
-    let remaining =
-        leave_timeout.saturating_sub(LEAVE_NOTICE_TIME + leave_timeout / LEAVE_MARGIN_DIVISOR);
+    let shutdown = *state.shutdown.borrow();
+    let now = state.clock.now();
+    let remaining = shutdown.map_or(Duration::ZERO, |shutdown| shutdown.abort_at() - now);
     if timeout(remaining, all_closed.recv()).await.is_err() {
         log::warn!(
             "{} shutdown timeout reached: open requests were aborted",
--- a/crates/core/src/request/context.rs
+++ b/crates/core/src/request/context.rs
@@ -1,7 +1,7 @@
 //! Shared state by which the next step of a request is decided.
 
 use {
-    super::DetourPeer,
+    super::{DetourPeer, Shutdown},
     crate::id::{Epoch, InstanceId, ServerName},
     std::time::Duration,
 };
@@ -48,6 +48,9 @@
     /// Whether the request can be sent while it is being sent elsewhere.
     fn can_send_twice(&self) -> bool;
 
+    /// The shutdown of this instance, if it has begun.
+    fn shutdown(&self) -> Option<Shutdown>;
+
     /// Random number, uniform in 0 to 1.
     fn random(&self) -> f64;
 }
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod origin;
 mod progress;
+mod shutdown;
 mod step;
 mod target;
 mod unnamed_refusals;
@@ -13,6 +14,7 @@
     event::{AttemptEnd, DetourEnd, Event, means_not_run},
     origin::{NamedRequest, RefusalProof, ResponseOrigin},
     progress::{Origin, RequestProgress, RequestTraits},
+    shutdown::Shutdown,
     step::{FinalResponse, Reason, Step, Wake},
     target::{DetourPeer, Overload, RETRY_JITTER, StaleOwner, Target},
     unnamed_refusals::UnnamedRefusals,
--- a/crates/core/src/request/progress.rs
+++ b/crates/core/src/request/progress.rs
@@ -29,6 +29,8 @@
 const MOVE_WAIT_SHARE: f64 = 0.8;
 /// Retry-After if the key is moving or has no owner, or no server is available.
 const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-After of an instance that shuts down: others serve the request.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Retry-After of a request that servers refused or could not be sent, before it is
 /// scaled by the rejection rate.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -226,6 +228,7 @@
         let peer = self.choose_detour(None, context)?;
         let attempts = self.sent_attempts() + 1;
         let may_send = self.traits.idempotency == Idempotency::Idempotent
+            && self.may_start(now, context)
             && attempts < self.traits.max_attempts as usize
             && self.has_time(now)
             && context.can_send_twice()
@@ -233,8 +236,11 @@
         may_send.then_some(peer)
     }
 
-    /// Selects a server, unless no server responds to this instance.
+    /// Selects a server, unless no server responds to this instance or it shuts down.
     fn on_view<R>(&mut self, now: Time, context: &impl RequestContext) -> Step<R> {
+        if !self.may_start(now, context) {
+            return self.reject_at_shutdown(now).into();
+        }
         if !context.is_cut_off() {
             return Step::Select;
         }
@@ -345,7 +351,8 @@
         self.start_attempt(Step::Detour(peer, owner), now, context)
     }
 
-    /// Counts an attempt and returns its step, unless requests like this one crash servers.
+    /// Counts an attempt and returns its step, unless requests like this one crash servers or
+    /// the instance shuts down.
     fn start_attempt<R>(
         &mut self,
         step: Step<R>,
@@ -355,6 +362,9 @@
         if let Some(retry_after) = context.quarantine_left() {
             return self.reject(retry_after, Reason::Quarantined, now).into();
         }
+        if !self.may_start(now, context) {
+            return self.reject_at_shutdown(now).into();
+        }
         self.attempts += 1;
         step
     }
@@ -564,6 +574,12 @@
         self.has_time(now) && context.can_resend()
     }
 
+    /// Whether an attempt may start, also if this instance shuts down.
+    fn may_start(&self, now: Time, context: &impl RequestContext) -> bool {
+        let shutdown = context.shutdown();
+        shutdown.is_none_or(|shutdown| shutdown.may_start(now, self.traits.deadline))
+    }
+
     /// Whether enough time is left to the deadline for another attempt.
     fn has_time(&self, now: Time) -> bool {
         self.traits.deadline - now > RETRY_TIME_MIN
@@ -618,6 +634,16 @@
         response
     }
 
+    /// Rejects a request that would be aborted. If it came from another instance, that one may
+    /// try a third.
+    fn reject_at_shutdown<R>(&mut self, now: Time) -> FinalResponse<R> {
+        let mut response = self.reject(SHUTDOWN_RETRY_AFTER, Reason::ShuttingDown, now);
+        if let FinalResponse::Reject { is_unreached, .. } = &mut response {
+            *is_unreached = self.traits.origin == Origin::Peer;
+        }
+        response
+    }
+
     /// Rejects the request, unless it may have run.
     fn reject<R>(&mut self, retry_after: Duration, reason: Reason, now: Time) -> FinalResponse<R> {
         if self.may_have_run {
--- a/crates/core/src/request/step.rs
+++ b/crates/core/src/request/step.rs
@@ -105,6 +105,8 @@
     ServerFailed,
     /// A refusal came that may belong to another request.
     UnprovenRefusal,
+    /// The instance shuts down before the request would have ended.
+    ShuttingDown,
     /// The client stops waiting.
     DeadlinePassed,
 }
@@ -126,6 +128,7 @@
             Self::RejectedElsewhere => "another instance rejected it after an attempt",
             Self::ServerFailed => "the server failed",
             Self::UnprovenRefusal => "a refusal may belong to another request",
+            Self::ShuttingDown => "this instance shuts down",
             Self::DeadlinePassed => "the deadline passed",
         })
     }
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -8,7 +8,8 @@
         registry::{AddressClaim, ServerEntry, ServerRecord, ServerState},
         request::{
             AttemptEnd, DetourEnd, DetourPeer, Event, FinalResponse, Origin, Overload, Reason,
-            RefusalProof, RequestContext, RequestProgress, RequestTraits, Step, Target, Wake,
+            RefusalProof, RequestContext, RequestProgress, RequestTraits, Shutdown, Step, Target,
+            Wake,
         },
         routes::Idempotency,
         routing::Outcome,
@@ -50,6 +51,7 @@
     clients_per_admission: f64,
     rejections: RefCell<Vec<ServerName>>,
     quarantine: Option<Duration>,
+    shutdown: Option<Shutdown>,
     is_body_consumed: bool,
 }
 
@@ -70,6 +72,7 @@
             clients_per_admission: 1.0,
             rejections: RefCell::default(),
             quarantine: None,
+            shutdown: None,
             is_body_consumed: false,
         }
     }
@@ -131,6 +134,10 @@
         self.quarantine
     }
 
+    fn shutdown(&self) -> Option<Shutdown> {
+        self.shutdown
+    }
+
     fn random(&self) -> f64 {
         0.5
     }
@@ -894,3 +901,46 @@
     lost by detour: 502: part of its body was sent and cannot be sent again
     ");
 }
+
+/// Guards against requests that are aborted without a response, as an attempt or a wait outlasts
+/// the shutdown of the instance.
+#[test]
+fn no_attempt_starts_that_a_shutdown_would_abort() {
+    let mut table = String::new();
+    for leave_time in [6_000, 3_200] {
+        let leave_time = Duration::from_millis(leave_time);
+        let context = Context {
+            shutdown: Some(Shutdown::new(Time::ZERO, leave_time)),
+            ..Context::default()
+        };
+        let mut row = |label: &str, progress: &mut RequestProgress, event| {
+            let next = step(progress, event, 1_000, &context);
+            writeln!(table, "{leave_time:?}, {label}: {next}").unwrap();
+        };
+        row("view", &mut idempotent(), Event::ViewRead);
+        row("view, peer", &mut from_peer(), Event::ViewRead);
+        let target = || Event::Selected(Target::Server(server("s-1")));
+        row("target", &mut at_most_once(), target());
+        let lost = || Event::AttemptEnded(name("s-1"), AttemptEnd::Lost);
+        let mut retried = idempotent();
+        row("lost", &mut retried, lost());
+        row("view after that", &mut retried, Event::ViewRead);
+        let second = idempotent().second_attempt(after(1_000), &context);
+        let second = second.is_some();
+        writeln!(table, "{leave_time:?}, second attempt: {second}").unwrap();
+    }
+    assert_snapshot!(table, @"
+    6s, view: select
+    6s, view, peer: select
+    6s, target: send to s-1
+    6s, lost: read view
+    6s, view after that: select
+    6s, second attempt: true
+    3.2s, view: reject, again in 50ms: this instance shuts down
+    3.2s, view, peer: reject, again in 50ms, marked: this instance shuts down
+    3.2s, target: reject, again in 50ms: this instance shuts down
+    3.2s, lost: read view
+    3.2s, view after that: 502: this instance shuts down
+    3.2s, second attempt: false
+    ");
+}
