Servers get no keys before they answer an order, and slots count within bounds

Cause: planned capacity is the stated slots times a speed, and keys were moved to a server that had never accepted an order.

Fix: the planner probes servers without keys by a release of a key that they do not hold, with a growing delay, and counts without them until they answer. Stated slots count up to four times the median of the service, in the list that all decisions read.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -243,7 +243,16 @@
                     let (event, version) = (events::SERVER_ENTRY, row.version);
                     log::info!("{event} {}: {:?}, row {version}", entry.name, entry.state);
                 }
+                let is_changed = known.is_none_or(|known| known.entry.slots != entry.slots);
+                let (name, stated) = (entry.name.clone(), entry.slots);
                 state.registry.apply_entry(entry, now);
+                if is_changed
+                    && let Some(counted) = state.registry.counted_slots(&name)
+                    && counted < stated
+                {
+                    let event = events::SLOTS_LIMITED;
+                    log::warn!("{event} {name}: {stated} stated, {counted} counted");
+                }
             }
             Err(error) => {
                 log::error!("{} {error}", events::SERVER_ENTRY_REFUSED);
--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -203,6 +203,7 @@
         let kind = match order {
             Order::Grant { .. } => "grant",
             Order::Release { .. } => "release",
+            Order::Probe { .. } => "probe",
             Order::Commit(_) => "commit",
         };
         self.key_orders
--- a/crates/citronproxy/src/edge/control/moves.rs
+++ b/crates/citronproxy/src/edge/control/moves.rs
@@ -94,7 +94,7 @@
                 };
                 Some((service.clone(), update))
             }
-            Order::Grant { .. } | Order::Commit(_) => None,
+            Order::Grant { .. } | Order::Probe { .. } | Order::Commit(_) => None,
         });
         self.announce(releases.collect());
     }
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -17,7 +17,9 @@
         events,
     },
     citron_core::id::{StoreEra, StoreVersion},
-    citron_core::ranges::{BalanceTimer, Demand, EraStart, LeaseTimes, LeaseTracker, Reconciler},
+    citron_core::ranges::{
+        BalanceTimer, Demand, EraStart, LeaseTimes, LeaseTracker, Probes, Reconciler,
+    },
     citron_core::time::Time,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
     std::{collections::BTreeSet, rc::Rc, time::Duration},
@@ -248,7 +250,12 @@
             reconciler.restore_release(&update);
         }
         let demand = Demand::default();
-        let plan = ServicePlan { reconciler, demand };
+        let probes = Probes::default();
+        let plan = ServicePlan {
+            reconciler,
+            demand,
+            probes,
+        };
         Some((service.clone(), plan))
     });
     let plans = plans.collect();
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -13,7 +13,7 @@
     citron_core::{
         dispatch::Failure,
         id::{Epoch, ServerName},
-        ranges::{KeyRange, LeaseTimes, Order, OrderOutcome, Slice},
+        ranges::{KeyRange, LeaseTimes, Order, OrderOutcome, RangeKey, Slice},
     },
     citron_ports::{Adapter, CallError, HttpClient, Reply},
     http::{HeaderValue, Request, Response, StatusCode},
@@ -39,6 +39,12 @@
 /// Largest response body that is read, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 * 1_024;
 
+/// Keys that are released to find out whether a server takes orders.
+const PROBED_KEYS: KeyRange = KeyRange {
+    first: RangeKey(u16::MAX),
+    last: RangeKey(u16::MAX),
+};
+
 /// Largest number of concurrent releases at one server. Each occupies a connection until
 /// the requests on its keys have ended. A server whose keys are distributed among
 /// hundreds of others would reset connections above its own limit.
@@ -121,6 +127,7 @@
                 log::debug!("release {range} at {server}, epoch {epoch}: {outcome:?}");
                 outcome
             }
+            Order::Probe { server } => self.probe(controller, server, lease_times).await,
             Order::Commit(_) => OrderOutcome::Unknown,
         }
     }
@@ -312,6 +319,36 @@
         }
     }
 
+    /// Sends a release of one key that the server does not hold, under an epoch below all others.
+    async fn probe<A: Adapter>(
+        &self,
+        controller: &Controller<A>,
+        server: &ServerName,
+        lease_times: &LeaseTimes,
+    ) -> OrderOutcome {
+        let request = controller.adapter.release_request(PROBED_KEYS, Epoch(0));
+        let timeout = lease_times.order_timeout;
+        let call = self.call(
+            controller,
+            server,
+            request,
+            |_| false,
+            async |_| true,
+            timeout,
+        );
+        match call.await.map(|reply| reply.response.status()) {
+            Ok(StatusCode::OK) => OrderOutcome::Done { handover: None },
+            Ok(status) => {
+                log::warn!("{} probe of {server}: {status}", events::GRANT_REFUSED);
+                OrderOutcome::Unknown
+            }
+            Err(error) => {
+                log::debug!("probe of {server} failed: {error}");
+                OrderOutcome::Unknown
+            }
+        }
+    }
+
     async fn call<A: Adapter>(
         &self,
         controller: &Controller<A>,
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -14,7 +14,7 @@
         id::{Epoch, ServiceName, StoreVersion},
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, EraStart, KeyEvent, KeyRange,
-            LeaseTimes, LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, RangeMap,
+            LeaseTimes, LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, Probes, RangeMap,
             Reconciler, is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
@@ -50,6 +50,8 @@
     pub reconciler: Reconciler,
     /// Demand as of the last plan for balance.
     pub demand: Demand,
+    /// Servers without keys.
+    pub probes: Probes,
 }
 
 /// State of one term.
@@ -88,6 +90,12 @@
         let Some(plan) = self.plans.get_mut(&result.service) else {
             return;
         };
+        if let Order::Probe { server } = &result.order {
+            plan.probes.complete(server, &result.end, now);
+            if plan.probes.has_answered(server) {
+                controller.plan_trigger.notify_one();
+            }
+        }
         if matches!(result.order, Order::Commit(_)) {
             match result.end {
                 OrderOutcome::Done { .. } => {
@@ -256,6 +264,7 @@
                 ServicePlan {
                     reconciler,
                     demand: Demand::default(),
+                    probes: Probes::default(),
                 }
             });
             let servers = lists.get(name).map_or(&[][..], |list| list.as_slice());
@@ -270,10 +279,17 @@
                 plan.reconciler.fence_servers(names, &owners, now);
             }
             let servers = servers.iter().map(|known| &**known);
-            let open: Vec<&ServerRecord> = servers.filter(|known| known.is_available()).collect();
+            let mut open: Vec<&ServerRecord> =
+                servers.filter(|known| known.is_available()).collect();
             let is_requested = controller.demands.borrow().is_requested(name);
             let ages: Vec<_> = open.iter().map(|known| now - known.first_seen).collect();
             let may_assign = is_server_set_complete(&ages, is_requested);
+            let key_servers = plan.reconciler.key_servers();
+            let has_keys = |known: &&ServerRecord| key_servers.contains(&known.entry.name);
+            let others = open.iter().filter(|known| !has_keys(known));
+            plan.probes
+                .set_servers(others.map(|known| &known.entry.name), now);
+            open.retain(|known| has_keys(known) || plan.probes.has_answered(&known.entry.name));
             let learned = controller.load_rows.learned(name, &open);
             let capacities = capacities(
                 &open,
@@ -334,7 +350,8 @@
         for (service, plan) in &mut self.plans {
             let reconciler = &mut plan.reconciler;
             let due_orders = reconciler.orders(now, &state.store_clock, &owners);
-            orders.extend(due_orders.into_iter().map(|order| (service.clone(), order)));
+            let due_orders = due_orders.into_iter().chain(plan.probes.orders(now));
+            orders.extend(due_orders.map(|order| (service.clone(), order)));
         }
         orders
     }
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -128,6 +128,8 @@
     BROKER_SILENT = 427, "broker-silent";
     /// A broker that did not answer answers again.
     BROKER_BACK = 428, "broker-back";
+    /// An entry states far more slots than those of the other servers of its service.
+    SLOTS_LIMITED = 429, "slots-limited";
     /// Another instance became the planner, or this one became it or ceased to be it.
     PLANNER = 430, "planner";
     /// A row that citronproxy writes itself cannot be read; the last valid one stays in
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -35,7 +35,7 @@
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{
-        EraStart, FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope,
+        EraStart, FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope, Probes,
         Reconciler,
     },
     server_set::is_server_set_complete,
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -5,6 +5,7 @@
 mod fencing;
 mod moves;
 mod order;
+mod probes;
 mod renewals;
 mod send_window;
 
@@ -13,7 +14,7 @@
         Balancer, Fence, GrantRecord, KeyRange, LeaseTracker, MoveNotice, OwnerHint, RangeMap,
     },
     crate::{
-        id::Epoch,
+        id::{Epoch, ServerName},
         time::{StoreClock, Time},
     },
     moves::Move,
@@ -25,6 +26,7 @@
 
 pub use event::{FreeReason, KeyEvent};
 pub use order::{Order, OrderOutcome, OwnerState, Owners, PlanScope};
+pub use probes::Probes;
 
 /// Delay before a failed order is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -231,6 +233,14 @@
         orders
     }
 
+    /// Servers that own keys, or will after the moves in progress.
+    pub fn key_servers(&self) -> BTreeSet<&ServerName> {
+        let slices = self.map.slices().iter();
+        let owners = slices.filter_map(|slice| slice.owner.as_ref());
+        let recipients = self.moves.iter().map(|pending| &pending.to);
+        owners.chain(recipients).collect()
+    }
+
     /// Adds the load of all keys to the servers that own them, or will after the moves in
     /// progress.
     fn compute_loads(&self, balancer: &mut Balancer<'_>) {
@@ -263,6 +273,7 @@
                 Some(fence) => fence.complete(server, *range, *epoch, &outcome, now),
                 None => self.complete_release(server, *range, *epoch, outcome, now),
             },
+            Order::Probe { .. } => {}
             Order::Commit(map) => self.complete_commit(map, &outcome),
         }
         false
--- a/crates/core/src/ranges/reconciler/order.rs
+++ b/crates/core/src/ranges/reconciler/order.rs
@@ -60,6 +60,12 @@
         /// Epoch of the next owner.
         epoch: Epoch,
     },
+    /// Have a server that holds no keys show that it takes orders. Its outcome is passed to
+    /// [`super::Probes::complete`].
+    Probe {
+        /// The server.
+        server: ServerName,
+    },
     /// Write the map to the store, unless another writer has changed it.
     Commit(RangeMap),
 }
--- a/crates/core/src/registry/servers.rs
+++ b/crates/core/src/registry/servers.rs
@@ -7,7 +7,7 @@
         restored::{Doubt, RestoredEvacuation},
     },
     crate::{
-        id::{DomainName, ServerName, ServiceName},
+        id::{DomainName, ServerName, ServiceName, Slots},
         ranges::{OwnerState, Owners},
         time::Time,
     },
@@ -28,6 +28,10 @@
 /// late entry `ready` must not revive the server.
 const STATEMENT_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// Largest number of slots of a server that is believed, relative to the median of the others
+/// of its service.
+const SLOTS_RATIO_MAX: u32 = 4;
+
 /// The servers of a service, ordered by name and shared between threads.
 pub type ServerList = Arc<Vec<Arc<ServerRecord>>>;
 
@@ -186,16 +190,25 @@
         for service in std::mem::take(&mut self.changed_services) {
             let servers = self.servers.values();
             let listed = servers.filter(|record| record.entry.service == service);
-            let listed: Vec<Arc<ServerRecord>> = listed.cloned().collect();
+            let mut listed: Vec<Arc<ServerRecord>> = listed.cloned().collect();
             if listed.is_empty() {
                 self.server_lists.remove(&service);
             } else {
+                limit_slots(&mut listed);
                 self.server_lists.insert(service, Arc::new(listed));
             }
         }
         &self.server_lists
     }
 
+    /// Returns the slots of a server that count, in the list of its service.
+    pub fn counted_slots(&mut self, server: &ServerName) -> Option<Slots> {
+        let service = self.get(server)?.entry.service.clone();
+        let list = self.server_lists().get(&service)?;
+        let listed = list.iter().find(|known| known.entry.name == *server)?;
+        Some(listed.entry.slots)
+    }
+
     /// Returns the servers that have been listed at an address.
     pub fn servers_at(&self, address: &SocketAddr) -> impl Iterator<Item = &ServerRecord> {
         let names = self.addresses.names_at(address).iter();
@@ -472,6 +485,21 @@
     }
 }
 
+/// Reduces numbers of slots that are far above those of the other servers: slots decide which
+/// server gets keys and requests, and entries may be wrong.
+fn limit_slots(servers: &mut [Arc<ServerRecord>]) {
+    let mut slots: Vec<Slots> = servers.iter().map(|known| known.entry.slots).collect();
+    slots.sort();
+    // Of two, the lower one.
+    let Some(median) = slots.get((slots.len() - 1) / 2) else {
+        return;
+    };
+    let max = Slots(median.0.saturating_mul(SLOTS_RATIO_MAX));
+    for known in servers.iter_mut().filter(|known| known.entry.slots > max) {
+        Arc::make_mut(known).entry.slots = max;
+    }
+}
+
 impl Owners for Registry {
     fn state(&self, server: &ServerName) -> OwnerState {
         match self.servers.get(server) {
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -5,8 +5,8 @@
         id::{Epoch, ServerName},
         ranges::{
             BalanceLimits, Balancer, Capacity, Demand, Fence, GrantRecord, KeyDemand, KeyRange,
-            LeaseTimes, LeaseTracker, Order, OrderOutcome, OwnerState, Owners, PlanScope, RangeKey,
-            RangeMap, Reconciler, Slice,
+            LeaseTimes, LeaseTracker, Order, OrderOutcome, OwnerState, Owners, PlanScope, Probes,
+            RangeKey, RangeMap, Reconciler, Slice,
         },
         time::{StoreClock, StoreTime, Time},
     },
@@ -595,3 +595,29 @@
     assert!(!fence.is_done(after(61)));
     assert!(fence.is_done(after(63)));
 }
+
+/// Guards against keys that lose an owner that serves them to a server that has answered no
+/// order, and against asking it without a pause, or never again after an outcome was lost.
+#[test]
+fn a_server_is_asked_less_often_until_it_answers() {
+    let after = |millis| Time::ZERO + Duration::from_millis(millis);
+    let asked = server(1);
+    let mut probes = Probes::default();
+    let mut asked_at = Vec::new();
+    for millis in (0..9_000).step_by(10) {
+        probes.set_servers([&asked], after(millis));
+        if !probes.orders(after(millis)).is_empty() {
+            asked_at.push(millis);
+            if asked_at.len() != 3 {
+                probes.complete(&asked, &OrderOutcome::Unknown, after(millis));
+            }
+        }
+        assert!(!probes.has_answered(&asked));
+    }
+    assert_eq!(asked_at, [0, 250, 750, 2_750, 3_750, 5_750, 7_750]);
+    assert_eq!(probes.orders(after(9_750)).len(), 1);
+    probes.complete(&asked, &DONE, after(9_750));
+    assert!(probes.has_answered(&asked));
+    probes.set_servers([], after(9_760));
+    assert!(!probes.has_answered(&asked));
+}
--- a/crates/core/tests/ranges_model/world.rs
+++ b/crates/core/tests/ranges_model/world.rs
@@ -1051,7 +1051,7 @@
         };
         let to = match &order {
             Order::Grant { slice, .. } => slice.owner.clone(),
-            Order::Release { server, .. } => Some(server.clone()),
+            Order::Release { server, .. } | Order::Probe { server } => Some(server.clone()),
             Order::Commit(_) => None,
         };
         let planner = &self.planners[index];
@@ -1144,7 +1144,7 @@
         let now = self.now;
         let name = match &sent.order {
             Order::Grant { slice, .. } => slice.owner.clone().unwrap(),
-            Order::Release { server, .. } => server.clone(),
+            Order::Release { server, .. } | Order::Probe { server } => server.clone(),
             Order::Commit(_) => return (OrderOutcome::Unknown, now),
         };
         let found = self
@@ -1175,6 +1175,7 @@
                 let handover = Some("warm".to_string());
                 (OrderOutcome::Done { handover }, now.max(work_end))
             }
+            Order::Probe { .. } => (OrderOutcome::Done { handover: None }, now),
             Order::Commit(_) => (OrderOutcome::Unknown, now),
         }
     }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -7,7 +7,8 @@
         registry::{PlannedOwners, Registry, RegistryTimes, SendBounds, ServerEntry, ServerState},
         time::Time,
     },
-    std::time::Duration,
+    insta::assert_snapshot,
+    std::{fmt::Write, time::Duration},
 };
 
 fn at(millis: u64) -> Time {
@@ -451,3 +452,30 @@
     registry.tick(at(6_100));
     assert_eq!(registry.state(&name), OwnerState::Serving);
 }
+
+/// Guards against an entry that takes the keys and requests of all other servers by stating more
+/// slots than all of them.
+#[test]
+fn slots_far_above_those_of_others_do_not_count() {
+    let mut registry = Registry::new(RegistryTimes::STANDARD);
+    let mut table = String::new();
+    for (number, slots) in [4, u32::MAX, 3, 5, 20].into_iter().enumerate() {
+        let name = format!("s-{number}");
+        let entry = ServerEntry {
+            slots: Slots(slots),
+            ..entry(&name, number as u16 + 1, ServerState::Ready)
+        };
+        registry.apply_entry(entry, at(0));
+        let lists = registry.server_lists();
+        let listed = lists.values().flat_map(|list| list.iter());
+        let slots: Vec<String> = listed.map(|known| known.entry.slots.to_string()).collect();
+        writeln!(table, "{}", slots.join(" ")).unwrap();
+    }
+    assert_snapshot!(table, @"
+    4
+    4 16
+    4 16 3
+    4 16 3 5
+    4 20 3 5 20
+    ");
+}
--- a/crates/core/tests/surge/world.rs
+++ b/crates/core/tests/surge/world.rs
@@ -339,7 +339,7 @@
             let span = match &order {
                 Order::Release { .. } => release_delays.next().flatten().unwrap_or(ORDER_TIME),
                 Order::Commit(_) => COMMIT_TIME,
-                Order::Grant { .. } => ORDER_TIME,
+                Order::Grant { .. } | Order::Probe { .. } => ORDER_TIME,
             };
             self.orders.push((self.now + span, order));
         }
