--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -289,6 +289,7 @@
             let others = open.iter().filter(|known| !has_keys(known));
             plan.probes
                 .set_servers(others.map(|known| &known.entry.name), now);
+            let may_assign = may_assign && !plan.probes.has_untried();
             open.retain(|known| has_keys(known) || plan.probes.has_answered(&known.entry.name));
             let learned = controller.load_rows.learned(name, &open);
             let capacities = capacities(
--- a/crates/core/src/ranges/reconciler/probes.rs
+++ b/crates/core/src/ranges/reconciler/probes.rs
@@ -66,13 +66,22 @@
         matches!(self.0.get(server), Some(ProbeState::Answered))
     }
 
+    /// Whether the first order to a server has had no outcome yet. Keys without an owner wait for
+    /// that, or the first server to answer would get them all.
+    pub fn has_untried(&self) -> bool {
+        self.0.values().any(|state| match state {
+            ProbeState::Due(_, delay) | ProbeState::Sent(_, delay) => *delay == RETRY_DELAY,
+            ProbeState::Answered => false,
+        })
+    }
+
     /// Returns the orders that are due.
     pub fn orders(&mut self, now: Time) -> Vec<Order> {
         for state in self.0.values_mut() {
             if let ProbeState::Sent(at, delay) = *state
                 && now - at >= OUTCOME_TIMEOUT
             {
-                *state = ProbeState::Due(now, delay);
+                *state = ProbeState::Due(now, next_delay(delay));
             }
         }
         let is_sent = |state: &&ProbeState| matches!(state, ProbeState::Sent(..));
@@ -103,7 +112,11 @@
         };
         *state = match outcome {
             OrderOutcome::Done { .. } => ProbeState::Answered,
-            _ => ProbeState::Due(now + delay, (delay * 2).min(RETRY_DELAY_MAX)),
+            _ => ProbeState::Due(now + delay, next_delay(delay)),
         };
     }
 }
+
+fn next_delay(delay: Duration) -> Duration {
+    (delay * 2).min(RETRY_DELAY_MAX)
+}
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -604,6 +604,8 @@
     let asked = server(1);
     let mut probes = Probes::default();
     let mut asked_at = Vec::new();
+    probes.set_servers([&asked], after(0));
+    assert!(probes.has_untried());
     for millis in (0..9_000).step_by(10) {
         probes.set_servers([&asked], after(millis));
         if !probes.orders(after(millis)).is_empty() {
@@ -614,10 +616,11 @@
         }
         assert!(!probes.has_answered(&asked));
     }
-    assert_eq!(asked_at, [0, 250, 750, 2_750, 3_750, 5_750, 7_750]);
-    assert_eq!(probes.orders(after(9_750)).len(), 1);
-    probes.complete(&asked, &DONE, after(9_750));
+    assert!(!probes.has_untried());
+    assert_eq!(asked_at, [0, 250, 750, 2_750, 4_750, 6_750, 8_750]);
+    assert_eq!(probes.orders(after(10_750)).len(), 1);
+    probes.complete(&asked, &DONE, after(10_750));
     assert!(probes.has_answered(&asked));
-    probes.set_servers([], after(9_760));
+    probes.set_servers([], after(10_760));
     assert!(!probes.has_answered(&asked));
 }
