--- a/crates/fakes/src/flood/server.rs
+++ b/crates/fakes/src/flood/server.rs
@@ -46,7 +46,19 @@
     /// # Errors
     /// If no port is free.
     pub async fn start(prefixes: &'static [&'static str], lines: HeaderLines) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(([127, 0, 0, 1], 0).into(), prefixes, lines).await
+    }
+
+    /// As [`Self::start`], at an address.
+    ///
+    /// # Errors
+    /// If the address is in use.
+    pub async fn start_at(
+        address: SocketAddr,
+        prefixes: &'static [&'static str],
+        lines: HeaderLines,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let server = Self {
             address: listener.local_addr()?,
             flood: Arc::default(),
