--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -63,6 +63,7 @@
     Server,
     /// It is another one: the server has ended.
     Other,
+    /// There is no answer, or it names no process.
     Unknown,
 }
 
@@ -166,7 +167,7 @@
         {
             return true;
         }
-        // Of servers that restart under their id, it does not tell the process.
+        // The answer names the id, not the process of a server that restarts under its id.
         if server.start_time().is_some() {
             return false;
         }
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -248,7 +248,8 @@
                     }
                 }
             };
-            // Grants of this era follow from a map.
+            // Grants of this term follow from committed maps; only former planners may have sent
+            // others.
             let foreign_grants_until =
                 match self.predecessors.is_empty() && unlisted_until.is_none() {
                     true => self.foreign_grants_until.min(now),
