--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -246,7 +246,9 @@
                 let is_changed = known.is_none_or(|known| known.entry.slots != entry.slots);
                 let (name, stated) = (entry.name.clone(), entry.slots);
                 state.registry.apply_entry(entry, now);
-                if is_changed
+                // Looking at each of a whole table would take quadratic time.
+                if is_logged
+                    && is_changed
                     && let Some(counted) = state.registry.counted_slots(&name)
                     && counted < stated
                 {
