A release waits for the outcome of grants of the same keys

Callers: keys that move wait longer for an owner.

Cause: a move starts at once, also of keys whose grant or renewal is on its way, and orders have no common connection. The release came first; the server rejected the grant as outdated, and the planner took that for a higher epoch elsewhere: a write of the map, all releases sent again.

Evidence: in both logs C0436 (freed, epoch 2 and 4) is about 10 ms before C0433 (refused, epoch 1 and 3) of the same keys; no other planner, no write in between.

Fix: a release waits until each grant of its keys has an outcome or can no longer arrive (order timeout 0.7 s; 1.2 s after the decision if the outcome is lost). Grants in progress outlast a reload of the map. No rule of ownership relies on the order, so that a new planner, which does not know them, is as before.

--- a/crates/core/src/ranges/leases.rs
+++ b/crates/core/src/ranges/leases.rs
@@ -56,13 +56,20 @@
         }
     }
 
+    /// Longest time between the decision to send an order and its arrival.
+    ///
+    /// ```
+    /// use {citron_core::ranges::LeaseTimes, std::time::Duration};
+    /// assert_eq!(LeaseTimes::STANDARD.max_transit(), Duration::from_millis(1_200));
+    /// ```
+    pub fn max_transit(&self) -> Duration {
+        self.start_timeout + self.order_timeout
+    }
+
     /// Longest time between the decision to send a grant and the end of its lease. Allows
     /// for a server clock that runs 2% slow and 100 ms of network delay.
     pub fn max_validity(&self) -> Duration {
-        self.start_timeout
-            + self.order_timeout
-            + self.lease.mul_f64(1.02)
-            + Duration::from_millis(100)
+        self.max_transit() + self.lease.mul_f64(1.02) + Duration::from_millis(100)
     }
 }
 
@@ -120,7 +127,7 @@
 
     /// Records that a grant is sent now.
     pub fn record_sent(&mut self, server: &ServerName, now: Time) {
-        let max_transit = self.times.start_timeout + self.times.order_timeout;
+        let max_transit = self.times.max_transit();
         let sent = self.grants.entry(server.clone()).or_default();
         let is_settled = |unsettled: &Time| now - *unsettled > max_transit;
         let last = sent.unsettled.iter().copied().filter(is_settled).max();
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -156,7 +156,7 @@
         self.map = map;
         self.restart_fence();
         self.moves.clear();
-        self.renewals = Renewals::default();
+        self.renewals.restart();
         self.awaiting_grant.clear();
         self.seen_epochs.clear();
         self.open_commit = None;
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -60,6 +60,26 @@
         self.is_stale = true;
     }
 
+    /// Forgets all grants but those without an outcome, which may still arrive.
+    pub fn restart(&mut self) {
+        let window = std::mem::take(&mut self.window);
+        *self = Self {
+            window,
+            ..Self::default()
+        };
+    }
+
+    /// Whether a grant of some keys of `range` may still arrive. Its server would reject it
+    /// after a release of these keys.
+    pub fn may_arrive(&self, range: KeyRange) -> bool {
+        self.window.overlaps(range)
+    }
+
+    /// Forgets grants that can no longer arrive, whatever their outcome.
+    pub fn expire_grants(&mut self, max_transit: Duration, now: Time) {
+        self.window.remove_older(max_transit, now);
+    }
+
     /// State of the grant for exactly this range.
     pub fn get(&self, range: &KeyRange) -> Option<&Renewal> {
         self.by_range.get(range)
--- a/crates/core/tests/ranges.rs
+++ b/crates/core/tests/ranges.rs
@@ -531,6 +531,43 @@
     assert!(planner.tick(end).iter().any(is_commit));
 }
 
+/// Guards against a release that overtakes a grant of the same keys: their owner would reject the
+/// grant, and the keys would wait for a new epoch.
+#[test]
+fn a_release_waits_for_the_outcome_of_a_grant() {
+    let start = Time::from_micros(100_000_000);
+    let after = |millis| start + Duration::from_millis(millis);
+    for is_reloaded in [false, true] {
+        let mut planner = TestPlanner::new();
+        let grants = planner.tick(start);
+        if is_reloaded {
+            let map = planner.reconciler.map().clone();
+            planner.reconciler.reload(map);
+        }
+        planner.ended.push(server(1));
+        let orders = planner.tick(after(10));
+        assert!(!orders.iter().any(is_release), "{orders:?}");
+        for grant in &grants {
+            planner.complete(grant, DONE, after(20));
+        }
+        let orders = planner.tick(after(20));
+        assert!(orders.iter().any(is_release), "{orders:?}");
+    }
+}
+
+/// Guards against a release that waits forever for the lost outcome of a grant.
+#[test]
+fn a_release_waits_no_longer_than_a_grant_may_travel() {
+    let start = Time::from_micros(100_000_000);
+    let end = start + LeaseTimes::STANDARD.max_transit();
+    let mut planner = TestPlanner::new();
+    planner.tick(start);
+    planner.ended.push(server(1));
+    assert!(!planner.tick(end).iter().any(is_release));
+    let orders = planner.tick(end + Duration::from_millis(1));
+    assert!(orders.iter().any(is_release), "{orders:?}");
+}
+
 /// Guards against a map from before a reload that comes back with the late outcome of its commit.
 #[test]
 fn the_late_outcome_of_a_commit_settles_no_other_one() {
