The window of grants in progress belongs to the planner, not to its list of renewals

A reload of the map renews the list and must keep the window, so that the list had a method that saved the window from its own reset, and two more that passed calls on. The window is a field of the reconciler now, and the three methods are gone. A resumed term still clears both, as the outcomes of its former orders are not reported any more. No decision changes.

--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -19,6 +19,7 @@
     },
     moves::Move,
     renewals::Renewals,
+    send_window::SendWindow,
     std::{collections::BTreeSet, time::Duration},
 };
 
@@ -61,6 +62,8 @@
     leases: LeaseTracker,
     moves: Vec<Move>,
     renewals: Renewals,
+    /// Grants in progress. They outlast a reload of the map.
+    window: SendWindow,
     /// Keys released for a move and not yet granted to their next owner.
     awaiting_grant: BTreeSet<KeyRange>,
     /// Epochs that owners have seen and that are above the epoch of their slice.
@@ -85,6 +88,7 @@
             leases,
             moves: Vec::new(),
             renewals: Renewals::default(),
+            window: SendWindow::default(),
             awaiting_grant: BTreeSet::new(),
             seen_epochs: Vec::new(),
             open_commit: None,
@@ -123,6 +127,7 @@
         self.fence = Some(Fence::new(self.floor, record));
         self.open_commit = None;
         self.renewals = Renewals::default();
+        self.window = SendWindow::default();
         self.restart_releases(now);
     }
 
@@ -156,7 +161,7 @@
         self.map = map;
         self.restart_fence();
         self.moves.clear();
-        self.renewals.restart();
+        self.renewals = Renewals::default();
         self.awaiting_grant.clear();
         self.seen_epochs.clear();
         self.open_commit = None;
--- a/crates/core/src/ranges/reconciler/moves.rs
+++ b/crates/core/src/ranges/reconciler/moves.rs
@@ -293,14 +293,14 @@
     /// owner would reject the grant if it came second, and the keys would get a new epoch.
     pub(super) fn send_releases(&mut self, now: Time, orders: &mut Vec<Order>) {
         let max_transit = self.leases.times().max_transit();
-        self.renewals.expire_grants(max_transit, now);
+        self.window.remove_older(max_transit, now);
         for pending in &mut self.moves {
             let (Some(server), MovePhase::Releasing { send_at }) =
                 (&pending.from, &mut pending.phase)
             else {
                 continue;
             };
-            if send_at.is_some_and(|time| time <= now) && !self.renewals.may_arrive(pending.range) {
+            if send_at.is_some_and(|time| time <= now) && !self.window.overlaps(pending.range) {
                 *send_at = None;
                 orders.push(Order::Release {
                     server: server.clone(),
--- a/crates/core/src/ranges/reconciler/renewals.rs
+++ b/crates/core/src/ranges/reconciler/renewals.rs
@@ -38,7 +38,6 @@
     /// Grants that are not in progress. Those that their server does not hold yet come
     /// first, because requests wait for them.
     queue: BTreeSet<(bool, Time, KeyRange)>,
-    window: SendWindow,
     /// Whether slices or moves have changed since the last call of `sync`.
     is_stale: bool,
 }
@@ -48,7 +47,6 @@
         Self {
             by_range: BTreeMap::new(),
             queue: BTreeSet::new(),
-            window: SendWindow::default(),
             is_stale: true,
         }
     }
@@ -60,26 +58,6 @@
         self.is_stale = true;
     }
 
-    /// Forgets all grants but those without an outcome, which may still arrive.
-    pub fn restart(&mut self) {
-        let window = std::mem::take(&mut self.window);
-        *self = Self {
-            window,
-            ..Self::default()
-        };
-    }
-
-    /// Whether a grant of some keys of `range` may still arrive. Its server would reject it
-    /// after a release of these keys.
-    pub fn may_arrive(&self, range: KeyRange) -> bool {
-        self.window.overlaps(range)
-    }
-
-    /// Forgets grants that can no longer arrive, whatever their outcome.
-    pub fn expire_grants(&mut self, max_transit: Duration, now: Time) {
-        self.window.remove_older(max_transit, now);
-    }
-
     /// State of the grant for exactly this range.
     pub fn get(&self, range: &KeyRange) -> Option<&Renewal> {
         self.by_range.get(range)
@@ -135,8 +113,8 @@
     }
 
     /// Takes the grants that are due, as many as the send window allows.
-    fn take_due(&mut self, now: Time) -> Vec<KeyRange> {
-        let available = self.window.available(now);
+    fn take_due(&mut self, window: &mut SendWindow, now: Time) -> Vec<KeyRange> {
+        let available = window.available(now);
         let last_key = KeyRange {
             first: RangeKey(u16::MAX),
             last: RangeKey(u16::MAX),
@@ -152,7 +130,7 @@
             .collect();
         for entry in &due {
             self.queue.remove(entry);
-            self.window.add(now, entry.2);
+            window.add(now, entry.2);
             if let Some(renewal) = self.by_range.get_mut(&entry.2) {
                 renewal.sent_at = Some(now);
             }
@@ -162,7 +140,6 @@
 
     /// Has a grant that was taken as due wait.
     fn postpone(&mut self, range: KeyRange, now: Time) {
-        self.window.remove(now, range);
         if let Some(renewal) = self.by_range.get_mut(&range) {
             renewal.sent_at = None;
             renewal.due = now + RETRY_DELAY;
@@ -187,10 +164,11 @@
             let parts = self.renewable_ranges();
             self.renewals.sync(&parts, now);
         }
-        for range in self.renewals.take_due(now) {
+        for range in self.renewals.take_due(&mut self.window, now) {
             let slice = self.map.slice(range.first);
             let Some(owner) = &slice.owner else { continue };
             if !self.may_renew(owner, owners) {
+                self.window.remove(now, range);
                 self.renewals.postpone(range, now);
                 continue;
             }
@@ -248,7 +226,7 @@
         outcome: OrderOutcome,
         now: Time,
     ) -> bool {
-        self.renewals.window.remove(ordered_at, slice.range);
+        self.window.remove(ordered_at, slice.range);
         if let (OrderOutcome::NotSent, Some(owner)) = (&outcome, &slice.owner) {
             self.leases.record_unsent(owner, ordered_at);
         }
