The log and metrics tell which keys wait for an owner, for whom and until when

Callers saw keys that nobody served for up to 27 s; between the claim of the planner (C0430) and the end of the leases (C0436) the log said nothing.

C0444 tells how many keys of a service wait, for how long at most, by former owner and reason, and the earlier planners that may still grant; C0445 the end. citron_waiting_keys and citron_waiting_seconds show the same at the planner. Logging only: what is granted, released or moved does not change.

--- a/crates/citronproxy/src/edge/control/metrics.rs
+++ b/crates/citronproxy/src/edge/control/metrics.rs
@@ -39,6 +39,10 @@
     pub store_era: IntGauge,
     /// 1 while this instance is the planner, otherwise 0.
     pub planning: IntGauge,
+    /// Keys without an owner, as seen by the planner.
+    pub waiting_keys: IntGauge,
+    /// Longest time until they may be granted, in seconds.
+    pub waiting_seconds: Gauge,
     /// Live instances, including this one.
     pub instances: IntGauge,
     /// Failure domains that are being evacuated.
@@ -132,6 +136,17 @@
                 "Version of the configuration in force.",
             )?,
             planning: gauge("citron_planning", "1 while this instance plans.")?,
+            waiting_keys: gauge(
+                "citron_waiting_keys",
+                "Keys without an owner, at the planner.",
+            )?,
+            waiting_seconds: register(
+                registry,
+                Gauge::new(
+                    "citron_waiting_seconds",
+                    "Longest time until keys without an owner may be granted, at the planner.",
+                )?,
+            )?,
             instances: gauge(
                 "citron_instances",
                 "Instances heard of lately, this one included.",
--- a/crates/citronproxy/src/edge/control/planner/mod.rs
+++ b/crates/citronproxy/src/edge/control/planner/mod.rs
@@ -9,5 +9,6 @@
 mod orders;
 mod run;
 mod term;
+mod wait_log;
 
 pub use {load_rows::LoadRows, run::run};
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -7,6 +7,7 @@
         load_rows,
         orders::OrderClient,
         term::{OrderResult, Term},
+        wait_log::WaitLog,
     },
     crate::{
         edge::control::{
@@ -43,6 +44,7 @@
     let (result_sender, mut results) = mpsc::unbounded_channel::<OrderResult>();
     let mut election = Election::new(controller.clock.now());
     let mut term: Option<Term> = None;
+    let mut wait_log = WaitLog::default();
     let mut idle_until = Time::ZERO;
     let mut planned_at = Time::ZERO;
     let mut next_wake = controller.clock.now();
@@ -66,6 +68,7 @@
             .as_mut()
             .filter(|term| controller.is_in_force(&term.leadership))
         else {
+            wait_log.clear(&controller);
             next_wake = controller.clock.now() + PLAN_INTERVAL;
             continue;
         };
@@ -87,6 +90,7 @@
         if Term::may_act(&controller, &lease_times) {
             if iteration_start - planned_at >= PLAN_INTERVAL {
                 term.plan(&controller, lease_times);
+                wait_log.update(&controller, term);
                 load_rows::write_due(&controller, term);
                 drop_unused_connections(&controller, &orders);
                 planned_at = iteration_start;
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -376,7 +376,7 @@
 }
 
 /// States of owners by which moves are planned now.
-fn planned_owners<'a, A: Adapter>(
+pub(super) fn planned_owners<'a, A: Adapter>(
     controller: &Controller<A>,
     state: &'a ControlState,
 ) -> PlannedOwners<'a> {
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -160,6 +160,10 @@
     /// Grants to a server begin or end to be withheld, as another process may be listening at
     /// its address.
     GRANTS_WITHHELD = 443, "grants-withheld";
+    /// Keys of a service wait for an owner, or for longer than said before.
+    KEYS_WAITING = 444, "keys-waiting";
+    /// No keys of a service wait for an owner any more.
+    KEYS_ASSIGNED = 445, "keys-assigned";
     /// A request was refused; it has not been executed.
     REQUEST_REFUSED = 500, "request-refused";
     /// The outcome of a request is unknown.
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -35,8 +35,8 @@
     move_log::{MoveLog, MoveNotice, OwnerHint},
     partitions::{MapPartition, PartitionedMap, partition_ranges},
     reconciler::{
-        EraStart, FreeReason, KeyEvent, Order, OrderOutcome, OwnerState, Owners, PlanScope, Probes,
-        Reconciler,
+        EraStart, FreeReason, KeyEvent, KeyWait, Order, OrderOutcome, OwnerState, Owners,
+        PlanScope, Probes, Reconciler, WaitReason,
     },
     server_set::is_server_set_complete,
     windows::DemandWindows,
--- a/crates/core/src/ranges/reconciler/fencing.rs
+++ b/crates/core/src/ranges/reconciler/fencing.rs
@@ -111,7 +111,7 @@
 
     /// Ranges whose owner has not accepted a renewal under the epoch of the map. It rejects one
     /// after a release; without a release, the map would tell the end of its lease.
-    fn unproven_ranges(&self) -> Vec<KeyRange> {
+    pub(super) fn unproven_ranges(&self) -> Vec<KeyRange> {
         let moving = self.moving_ranges();
         let is_proven = |range: &KeyRange, epoch: Epoch| {
             let renewal = self.renewals.get(range);
--- a/crates/core/src/ranges/reconciler/mod.rs
+++ b/crates/core/src/ranges/reconciler/mod.rs
@@ -8,6 +8,7 @@
 mod probes;
 mod renewals;
 mod send_window;
+mod waits;
 
 use {
     super::{
@@ -28,6 +29,7 @@
 pub use event::{FreeReason, KeyEvent};
 pub use order::{Order, OrderOutcome, OwnerState, Owners, PlanScope};
 pub use probes::Probes;
+pub use waits::{KeyWait, WaitReason};
 
 /// Delay before a failed order is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
