--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -205,7 +205,15 @@
         state.is_planning = false;
         drop(state);
         *term = None;
-        log::info!("{} this instance is no longer the planner", events::PLANNER);
+        let reason = match (is_replaced, must_leave) {
+            (true, _) => "another one has claimed the leadership",
+            (_, true) => "half of the servers or more do not respond to it, and do to others",
+            (false, false) => "it is leaving",
+        };
+        log::info!(
+            "{} this instance is no longer the planner: {reason}",
+            events::PLANNER
+        );
         controller.heartbeat_trigger.notify_one();
     }
 }
