A planner without the store needs witnesses, so that its successors wait for less

Keys without an owner were rejected for 25.5 s and more after a loss of all instances, 15 s are allowed. In processes: 27.2 to 27.6 s where the planner's instance did not come back, and the servers had lost power or the store came back from a copy.

Cause: a planner that is cut off from the store renews leases for 15 s. Its successor, which cannot tell one that is cut off from one that is gone for good, waited these 15 s and then for the longest lease, 10.5 s. Nobody had held the sum against the 15 s of the operators.

Fix: a planner names witnesses in its claim, processes of other instances that it hears. Without the store it acts for 1 s after more than half of them, two at least, last confirmed it. Its successor knows from the same heartbeats when too few are left to do so, as they have ended or follow the successor, and waits 1.5 s from then. A store that is away for all stops nobody: the witnesses confirm on. A planner whose claim a copy lacks is bounded in the same way once all instances but one follow the successor. The claims of former planners hand on their witnesses.

Why it is enough: confirmations count by process, so that a witness that starts again confirms nobody; one that follows a later claim never confirms an earlier one again. core/tests/tenure walks through cuts, pauses, restarts and restores, and finds each of three safeguards that is taken away.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -11,7 +11,7 @@
     },
     crate::events,
     citron_core::{
-        id::{StoreEra, StoreVersion},
+        id::{ParseIdError, StoreEra, StoreVersion},
         ranges::{MapPartition, MapReplica},
         registry::Evacuation,
         time::{StoreTime, Time},
@@ -329,11 +329,17 @@
         })
     };
     let predecessors = wire.before.iter();
+    let witnesses = wire.witnesses.iter().map(TryInto::try_into);
+    let witnesses: Result<_, ParseIdError> = witnesses.collect();
+    let witnesses = witnesses
+        .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED))
+        .unwrap_or_default();
     Some(Leadership {
         planner: planner_id(&wire.instance, wire.start)?,
         predecessors: predecessors
             .filter_map(|(name, incarnation)| planner_id(name, *incarnation))
             .collect(),
+        witnesses,
         claim: StoreVersion::new(StoreEra(wire.era), version.number())?,
         version,
     })
--- a/crates/citronproxy/src/edge/control/codec.rs
+++ b/crates/citronproxy/src/edge/control/codec.rs
@@ -1,9 +1,11 @@
 //! Formats of the rows that citronproxy itself writes to the store.
 
 use {
+    super::controller::PlannerId,
+    crate::events,
     citron_core::{
-        id::{Epoch, ServerName, ServiceName, StoreEra},
-        ranges::{DemandShares, KeyRange, LearnedLoads, RangeKey, Slice, Speed},
+        id::{Epoch, Incarnation, ParseIdError, ServerName, ServiceName, StoreEra},
+        ranges::{DemandShares, KeyRange, LearnedLoads, RangeKey, Slice, Speed, Witnesses},
         time::StoreTime,
     },
     serde::{Deserialize, Serialize, Serializer},
@@ -12,6 +14,7 @@
         fmt,
         net::SocketAddr,
         str::FromStr,
+        time::Duration,
     },
 };
 
@@ -126,6 +129,74 @@
     /// Former planners that may still be acting: instance name and incarnation.
     #[serde(default)]
     pub before: Vec<(String, u64)>,
+    /// Witnesses of the planner and of former ones. Without an entry, a planner acts for as long
+    /// as any may.
+    #[serde(default)]
+    pub witnesses: Vec<WitnessesWire>,
+}
+
+impl LeadershipWire {
+    /// Encodes the row in at most `max_bytes` as base64, if need be without witnesses; `None` on
+    /// an error.
+    pub fn encode(&self, max_bytes: usize) -> Option<Vec<u8>> {
+        let value = serde_json::to_vec(self).ok()?;
+        if value.len() <= max_bytes / 4 * 3 {
+            return Some(value);
+        }
+        let without = Self {
+            witnesses: Vec::new(),
+            ..self.clone()
+        };
+        log::info!(
+            "{} {PLANNER_KEY}: no space for witnesses, {} bytes",
+            events::PLANNER,
+            value.len()
+        );
+        serde_json::to_vec(&without).ok()
+    }
+}
+
+/// Processes whose heartbeats confirm a planner while the store does not answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessesWire {
+    /// Name of the planner's instance.
+    pub instance: String,
+    /// Incarnation of that instance.
+    pub start: u64,
+    /// Milliseconds for which the planner acts after its last confirmation.
+    pub limit: u64,
+    /// Instance name and incarnation of each witness.
+    pub processes: Vec<(String, u64)>,
+}
+
+impl From<(&PlannerId, &Witnesses)> for WitnessesWire {
+    fn from((planner, witnesses): (&PlannerId, &Witnesses)) -> Self {
+        let processes = witnesses.processes();
+        Self {
+            instance: planner.instance.to_string(),
+            start: planner.incarnation,
+            limit: witnesses.act_limit().as_millis() as u64,
+            processes: processes
+                .map(|(name, process)| (name.to_string(), process.0))
+                .collect(),
+        }
+    }
+}
+
+impl TryFrom<&WitnessesWire> for (PlannerId, Witnesses) {
+    type Error = ParseIdError;
+
+    fn try_from(wire: &WitnessesWire) -> Result<Self, ParseIdError> {
+        let planner = PlannerId {
+            instance: wire.instance.parse()?,
+            incarnation: wire.start,
+        };
+        let processes = wire.processes.iter();
+        let processes = processes.map(|(name, process)| Ok((name.parse()?, Incarnation(*process))));
+        let processes = processes.collect::<Result<Vec<_>, ParseIdError>>()?;
+        let limit = Duration::from_millis(wire.limit);
+        Ok((planner, Witnesses::new(processes, limit)))
+    }
 }
 
 /// Former planners: instance name, incarnation, and the store time in milliseconds by
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -27,7 +27,7 @@
             Sender, StoreHealth, StoreOutage, VersionTracker,
         },
         id::{Epoch, InstanceId, ServerName, ServiceName, StoreEra, StoreVersion},
-        ranges::{KeyRange, MapPartition, MapReplica},
+        ranges::{KeyRange, MapPartition, MapReplica, Witnesses},
         registry::{Registry, RegistryTimes},
         routes::RouteConfig,
         slowstart::{COLD_WINDOW, SlowStartGroup},
@@ -78,6 +78,9 @@
     pub planner: PlannerId,
     /// Former planners that may still be acting.
     pub predecessors: Vec<PlannerId>,
+    /// Witnesses of the planner and of the former ones. Planners without witnesses act for as
+    /// long as any may.
+    pub witnesses: BTreeMap<PlannerId, Witnesses>,
     /// Version of the row when the planner claimed the leadership.
     pub claim: StoreVersion,
     /// Version of the row in the store; its number is 0 if there is none. Differs from
@@ -155,6 +158,14 @@
             self.at = self.at.max(call_started);
         }
     }
+
+    /// Start of the last such call in this era or an earlier one.
+    pub fn until_era(&self, era: StoreEra) -> Time {
+        match self.era <= era {
+            true => self.at,
+            false => self.before_era,
+        }
+    }
 }
 
 /// State of the control thread.
--- a/crates/citronproxy/src/edge/control/heartbeat.rs
+++ b/crates/citronproxy/src/edge/control/heartbeat.rs
@@ -264,7 +264,7 @@
         .state
         .borrow_mut()
         .peers
-        .apply_heartbeat(&name, from, heartbeat, now);
+        .apply_heartbeat(&name, from, heartbeat, sent, now);
     if is_new {
         let count = controller.new_peers.get() + 1;
         controller.new_peers.set(count);
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -19,6 +19,9 @@
 /// Largest number of peers for detours, in this failure domain and in the others.
 const DETOUR_PEERS_MAX: usize = 8;
 
+/// Largest number of witnesses of a planner: the row that names it stays small.
+const WITNESSES_MAX: usize = 15;
+
 /// Number of peers from which on heartbeats form a partial mesh by failure domain.
 const PARTIAL_MESH_MIN: usize = 16;
 
@@ -33,6 +36,8 @@
     pub detour: Option<SocketAddr>,
     /// When its last heartbeat was received.
     pub last_heard: Option<Time>,
+    /// When its last heartbeat was sent, or earlier.
+    pub last_sent: Option<Time>,
     /// Last heartbeat received from it.
     pub heartbeat: Option<Heartbeat>,
     added_at: Time,
@@ -94,6 +99,7 @@
                 domain: None,
                 detour: None,
                 last_heard: None,
+                last_sent: None,
                 heartbeat: None,
                 added_at: now,
             }
@@ -142,13 +148,14 @@
         self.membership_edits
     }
 
-    /// Records a heartbeat. Returns whether its sender was unknown, lost or restarted
-    /// before.
+    /// Records a heartbeat that was sent at `sent` or later. Returns whether its sender was
+    /// unknown, lost or restarted before.
     pub fn apply_heartbeat(
         &mut self,
         name: &InstanceId,
         from: SocketAddr,
         heartbeat: Heartbeat,
+        sent: Time,
         now: Time,
     ) -> bool {
         let domain = heartbeat.domain.parse().ok();
@@ -161,6 +168,7 @@
         let last_start = peer.heartbeat.as_ref().map(|heartbeat| heartbeat.start);
         let is_new = last_start != Some(heartbeat.start) || !was_live;
         peer.last_heard = Some(now);
+        peer.last_sent = Some(sent);
         peer.detour = heartbeat.detour.or(peer.detour);
         peer.heartbeat = Some(heartbeat);
         is_new
@@ -199,11 +207,7 @@
 
     /// Silence after which a peer counts as lost, by failure domain.
     fn loss_timeouts(&self) -> LossTimeouts<'_> {
-        let reporting_count = match self.is_full_mesh() {
-            true => self.peers.len(),
-            false => self.same_domain_count,
-        };
-        let schedule = HeartbeatSchedule::for_instances(1 + reporting_count);
+        let schedule = self.schedule();
         LossTimeouts {
             domain: (!self.is_full_mesh()).then_some(&self.domain),
             same_domain: schedule.timeout(Sender::SameDomain),
@@ -216,15 +220,69 @@
         self.peers.get(name).and_then(Peer::holder_report)
     }
 
+    /// When a process last sent a heartbeat that confirms a planner: it knows of its claim and of
+    /// no later one.
+    pub fn last_confirmation(
+        &self,
+        name: &InstanceId,
+        process: Incarnation,
+        claim: StoreVersion,
+    ) -> Option<Time> {
+        let peer = self.peers.get(name)?;
+        let report = peer.holder_report()?;
+        let confirms = report.incarnation == process && report.claim == claim;
+        peer.last_sent.filter(|_| confirms && !report.is_planning)
+    }
+
+    /// Some live instances, at random, that can confirm a planner.
+    pub fn pick_witnesses(&self, now: Time) -> Vec<(InstanceId, Incarnation)> {
+        let live = self.live(now);
+        let processes = live.filter_map(|(name, peer)| {
+            let heartbeat = peer.heartbeat.as_ref()?;
+            (!heartbeat.leaving).then(|| (name.clone(), Incarnation(heartbeat.start)))
+        });
+        processes.choose_multiple(&mut rand::rng(), WITNESSES_MAX)
+    }
+
+    /// Intervals of the heartbeats that this instance receives.
+    pub fn schedule(&self) -> HeartbeatSchedule {
+        HeartbeatSchedule::for_instances(self.reporters_max())
+    }
+
+    /// The same for an instance that knows of some more instances.
+    pub fn longest_schedule(&self) -> HeartbeatSchedule {
+        let instances = self.reporters_max();
+        HeartbeatSchedule::for_instances(instances + instances / 4 + 1)
+    }
+
+    fn reporters_max(&self) -> usize {
+        let peers = match self.is_full_mesh() {
+            true => self.peers.len(),
+            false => self.same_domain_count,
+        };
+        1 + peers
+    }
+
+    /// Whether no other instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// Whether all peers were heard recently, know of a claim of the leadership and do not
-    /// plan. What they told before that claim proves nothing.
+    /// plan.
     pub fn all_follow(&self, claim: StoreVersion, now: Time) -> bool {
+        self.unsettled_count(claim, now) == 0
+    }
+
+    /// Number of peers of which this is not known. What they told before that claim proves
+    /// nothing.
+    pub fn unsettled_count(&self, claim: StoreVersion, now: Time) -> usize {
         let timeouts = self.loss_timeouts();
         let follows = |peer: &Peer| {
             let report = peer.holder_report();
             timeouts.is_live(peer, now) && report.is_some_and(|report| report.follows(claim))
         };
-        self.peers.values().all(follows)
+        self.peers.values().filter(|peer| !follows(peer)).count()
     }
 
     /// Recipients of the current round of heartbeats.
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -18,11 +18,15 @@
     },
     citron_core::id::{StoreEra, StoreVersion},
     citron_core::ranges::{
-        BalanceTimer, Demand, EraStart, LeaseTimes, LeaseTracker, Probes, Reconciler,
+        BalanceTimer, Demand, EraStart, LeaseTimes, LeaseTracker, Probes, Reconciler, Tenure,
+        Witnesses, act_limit,
     },
     citron_core::time::Time,
     citron_ports::{Adapter, RowCommit, RowStore, RowTable, StoreError},
-    std::{collections::BTreeSet, rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+    },
     tokio::task::spawn_local,
 };
 
@@ -56,6 +60,7 @@
     let current = controller.state.borrow().leadership.clone();
     let era = controller.state.borrow().replicas[RANGES].version.era();
     let predecessors = former_planners::still_acting(controller, current.as_ref());
+    let witnesses = stated_witnesses(controller, current.as_ref(), &predecessors, &lease_times);
     let wire = LeadershipWire {
         instance: controller.settings.instance.to_string(),
         start: controller.incarnation,
@@ -64,6 +69,7 @@
             .iter()
             .map(|planner| (planner.instance.to_string(), planner.incarnation))
             .collect(),
+        witnesses: witnesses.iter().map(Into::into).collect(),
     };
     let commit = RowCommit {
         expected: vec![
@@ -85,7 +91,7 @@
             (
                 RowTable::Ranges,
                 PLANNER_KEY.to_string(),
-                serde_json::to_vec(&wire).ok()?,
+                wire.encode(controller.settings.row_bytes_max)?,
             ),
             (
                 RowTable::Ranges,
@@ -122,19 +128,49 @@
         None => begin_term(controller, leadership, predecessors, lease_times),
     };
     if !term.predecessors.is_empty() {
-        let (leadership, predecessors) = (term.leadership.clone(), term.predecessors.clone());
+        let limits = former_planners::act_limits(&term.predecessors, lease_times.outage_limit);
+        let leadership = term.leadership.clone();
         let controller = Rc::clone(controller);
         spawn_local(former_planners::store_stop_times(
             controller,
             leadership,
-            predecessors,
+            limits,
             call_started,
-            lease_times.outage_limit,
         ));
     }
     Some(term)
 }
 
+/// Witnesses to name in a claim: those of this instance unless it knows no other one, and of the
+/// former planners as far as they are known.
+fn stated_witnesses<A: Adapter>(
+    controller: &Controller<A>,
+    replaced: Option<&Leadership>,
+    predecessors: &[PlannerId],
+    lease_times: &LeaseTimes,
+) -> BTreeMap<PlannerId, Witnesses> {
+    let state = controller.state.borrow();
+    let own = PlannerId {
+        instance: controller.settings.instance.clone(),
+        incarnation: controller.incarnation,
+    };
+    let live = state.peers.pick_witnesses(controller.clock.now());
+    let limit = act_limit(state.peers.schedule(), lease_times);
+    let is_alone = controller.registered_at.get().is_some() && state.peers.is_empty();
+    let named = (!is_alone).then(|| (own, Witnesses::new(live, limit)));
+    let known = predecessors.iter().filter_map(|planner| {
+        let witnesses = replaced?.witnesses.get(planner)?;
+        Some((planner.clone(), witnesses.clone()))
+    });
+    known.chain(named).collect()
+}
+
+/// The time for which this instance may act under a leadership that it has just claimed.
+fn new_tenure(leadership: &Leadership, lease_times: &LeaseTimes) -> Tenure {
+    let witnesses = leadership.witnesses.get(&leadership.planner).cloned();
+    Tenure::new(witnesses, lease_times)
+}
+
 /// Version of the row of stop times.
 fn former_planners_version<A: Adapter>(controller: &Controller<A>) -> StoreVersion {
     let state = controller.state.borrow();
@@ -192,9 +228,10 @@
 ) -> Term {
     let state = controller.state.borrow();
     let (now, outage_limit) = (controller.clock.now(), lease_times.outage_limit);
-    let stopped_by = former_planners::stopped_by(&state, &predecessors, outage_limit, now);
+    let limits = former_planners::act_limits(&predecessors, outage_limit);
+    let stopped_by = former_planners::stopped_by(&state, &limits, now);
     let claim = leadership.claim;
-    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
+    let unlisted_until = unlisted_planners_end(controller, &state, claim, &lease_times);
     let era = EraStart {
         floor: leadership.epoch_floor(),
         former_until: state.ranges_confirmed.before_era + outage_limit,
@@ -208,7 +245,8 @@
         era.former_until - now,
         era.others_until - now,
     );
-    former.resume(leadership, predecessors, unlisted_until, era, now)
+    let tenure = new_tenure(&leadership, &lease_times);
+    former.resume(leadership, tenure, predecessors, unlisted_until, era, now)
 }
 
 /// Time until which planners may act whose claims the copy lacks from which the store came back,
@@ -217,11 +255,11 @@
     controller: &Controller<A>,
     state: &ControlState,
     claim: StoreVersion,
-    outage_limit: Duration,
+    lease_times: &LeaseTimes,
 ) -> Option<Time> {
     let now = controller.clock.now();
     let restored_at = controller.restored_at.get()?;
-    let until = restored_at + outage_limit;
+    let until = restored_at + lease_times.outage_limit;
     (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
@@ -234,10 +272,9 @@
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
     let floor = leadership.epoch_floor();
-    let stopped_by =
-        former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
-    let (claim, outage_limit) = (leadership.claim, lease_times.outage_limit);
-    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
+    let limits = former_planners::act_limits(&predecessors, lease_times.outage_limit);
+    let stopped_by = former_planners::stopped_by(&state, &limits, now);
+    let unlisted_until = unlisted_planners_end(controller, &state, leadership.claim, &lease_times);
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
@@ -271,11 +308,15 @@
     controller.heartbeat_trigger.notify_one();
     let leadership_era = leadership.claim.era();
     Term {
+        tenure: new_tenure(&leadership, &lease_times),
         leadership,
         predecessors,
+        unconfirmed: BTreeMap::new(),
+        unstored_stops: None,
         plans,
         is_restored: leadership_era > StoreEra(0),
         unlisted_until,
+        is_unlisted_bound: false,
         foreign_grants_until: foreign_leases_end,
         incomplete_maps: BTreeSet::new(),
         balance_clock: BalanceTimer::new(now),
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -5,14 +5,22 @@
 //! it was replaced. Only its successor can tell when that was, and stores the time for
 //! later planners. Each of them would otherwise wait the full time again for an instance
 //! that left the deployment long ago.
+//!
+//! Without the store, a planner acts only while most of the witnesses that its claim names
+//! confirm it. A successor that knows enough of them to have ended, or to follow another planner,
+//! waits a second or two instead.
 
 use {
     crate::edge::control::{
         codec::{FORMER_PLANNERS_KEY, FormerPlannersWire},
         controller::{ControlState, Controller, Leadership, PlannerId},
-        election::has_ended,
+        election::{has_ended, has_stopped_planning},
+    },
+    citron_core::{
+        id::StoreVersion,
+        ranges::Witnesses,
+        time::{StoreTime, Time},
     },
-    citron_core::time::{StoreTime, Time},
     citron_ports::{Adapter, RowCommit, RowStore, RowTable},
     std::{rc::Rc, time::Duration},
 };
@@ -39,20 +47,42 @@
     predecessors
 }
 
-/// Time by which all of `predecessors` have certainly stopped, if they were replaced by
-/// now. `offline_max` is how long a planner acts without reaching the store.
-pub fn stopped_by(
+/// A former planner, and how long it may act from now on at most.
+pub type ActLimit = (PlannerId, Duration);
+
+/// Whether too few witnesses are left to confirm a former planner, given that this instance
+/// claimed the leadership at `claim`.
+pub fn is_unconfirmed<A: Adapter>(
+    controller: &Controller<A>,
     state: &ControlState,
-    predecessors: &[PlannerId],
-    offline_max: Duration,
-    now: Time,
-) -> Time {
-    let time_left = |planner: &PlannerId| {
+    witnesses: &Witnesses,
+    claim: StoreVersion,
+) -> bool {
+    !witnesses.may_confirm(|name, process| {
+        let witness = PlannerId {
+            instance: name.clone(),
+            incarnation: process.0,
+        };
+        *name == controller.settings.instance || has_stopped_planning(state, &witness, claim)
+    })
+}
+
+/// The same limit for each of `predecessors`: how long a planner acts without the store.
+pub fn act_limits(predecessors: &[PlannerId], outage_limit: Duration) -> Vec<ActLimit> {
+    let planners = predecessors.iter();
+    planners
+        .map(|planner| (planner.clone(), outage_limit))
+        .collect()
+}
+
+/// Time by which former planners have certainly stopped.
+pub fn stopped_by(state: &ControlState, limits: &[ActLimit], now: Time) -> Time {
+    let time_left = |(planner, limit): &ActLimit| {
         let stopped_by = state.former_planners.get(planner);
         let left = stopped_by.and_then(|time| state.store_clock.time_until(*time, now));
-        left.unwrap_or(offline_max).min(offline_max)
+        left.unwrap_or(*limit).min(*limit)
     };
-    now + predecessors.iter().map(time_left).max().unwrap_or_default()
+    now + limits.iter().map(time_left).max().unwrap_or_default()
 }
 
 /// The row of stop times without that of an earlier term of this incarnation, if there is one.
@@ -73,21 +103,15 @@
     Some((RowTable::Ranges, FORMER_PLANNERS_KEY.to_string(), value))
 }
 
-/// Stores the times by which former planners have stopped. They were replaced before the
-/// response to a call that began at `read_started`.
+/// Stores the times by which former planners have stopped. Their limits count from `since`;
+/// the store has answered a call that began no earlier.
 pub async fn store_stop_times<A: Adapter>(
     controller: Rc<Controller<A>>,
     leadership: Leadership,
-    predecessors: Vec<PlannerId>,
-    read_started: Time,
-    offline_max: Duration,
+    limits: Vec<ActLimit>,
+    since: Time,
 ) {
-    let Some(value) = encode_stop_times(
-        &controller.state.borrow(),
-        &predecessors,
-        read_started,
-        offline_max,
-    ) else {
+    let Some(value) = encode_stop_times(&controller.state.borrow(), &limits, since) else {
         return;
     };
     let commit = RowCommit {
@@ -101,22 +125,14 @@
     }
 }
 
-fn encode_stop_times(
-    state: &ControlState,
-    predecessors: &[PlannerId],
-    read_started: Time,
-    offline_max: Duration,
-) -> Option<Vec<u8>> {
-    let now = state.store_clock.at_or_after(read_started)?;
-    let stop_time = |planner: &PlannerId| {
+fn encode_stop_times(state: &ControlState, limits: &[ActLimit], since: Time) -> Option<Vec<u8>> {
+    let start = state.store_clock.at_or_after(since)?;
+    let stop_times = limits.iter().map(|(planner, limit)| {
         let known: Option<StoreTime> = state.former_planners.get(planner).copied();
-        known.unwrap_or(now + offline_max)
-    };
-    encode(
-        predecessors
-            .iter()
-            .map(|planner| (planner, stop_time(planner))),
-    )
+        let latest = start + *limit;
+        (planner, known.unwrap_or(latest).min(latest))
+    });
+    encode(stop_times)
 }
 
 fn encode<'a>(stop_times: impl Iterator<Item = (&'a PlannerId, StoreTime)>) -> Option<Vec<u8>> {
--- a/crates/citronproxy/src/edge/control/planner/run.rs
+++ b/crates/citronproxy/src/edge/control/planner/run.rs
@@ -86,8 +86,8 @@
             next_wake = idle_until;
             continue;
         }
-        term.settle_predecessors(&controller);
-        if Term::may_act(&controller, &lease_times) {
+        term.settle_predecessors(&controller, &lease_times);
+        if term.may_act(&controller) {
             if iteration_start - planned_at >= PLAN_INTERVAL {
                 term.plan(&controller, lease_times);
                 wait_log.update(&controller, term);
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -1,7 +1,10 @@
 //! One term of the planner: the time during which this instance has the leadership.
 
 use {
-    super::capacity::capacities,
+    super::{
+        capacity::capacities,
+        former_planners::{self, ActLimit},
+    },
     crate::{
         edge::control::{
             controller::{ControlState, Controller, Leadership, PlannerId},
@@ -15,13 +18,17 @@
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, EraStart, KeyEvent, KeyRange,
             LeaseTimes, LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, Probes, RangeMap,
-            Reconciler, is_server_set_complete,
+            Reconciler, Tenure, act_limit, is_server_set_complete, stop_delay,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
     },
     citron_ports::Adapter,
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+    },
+    tokio::task::spawn_local,
 };
 
 /// Largest number of changes of possession that are logged one by one; beyond it, only their
@@ -59,8 +66,14 @@
 pub struct Term {
     /// Leadership row of this term.
     pub leadership: Leadership,
+    /// How long this instance may act.
+    pub tenure: Tenure,
     /// Former planners that may still be acting.
     pub predecessors: Vec<PlannerId>,
+    /// Former planners that too few witnesses can confirm, and when each has stopped.
+    pub unconfirmed: BTreeMap<PlannerId, Time>,
+    /// Limits of former planners that are not stored yet, and when they begin.
+    pub unstored_stops: Option<(Time, Vec<ActLimit>)>,
     /// Plans by service.
     pub plans: BTreeMap<ServiceName, ServicePlan>,
     /// Whether the store has ever come back from a copy. Keys may then be held that no map
@@ -68,6 +81,8 @@
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
+    /// Whether that time was shortened.
+    pub is_unlisted_bound: bool,
     /// Time until which former planners may have sent grants, as known at the start.
     pub foreign_grants_until: Time,
     /// Services whose stored map lacks keys.
@@ -160,6 +175,7 @@
     pub fn resume(
         self,
         leadership: Leadership,
+        tenure: Tenure,
         predecessors: Vec<PlannerId>,
         unlisted_until: Option<Time>,
         era: EraStart,
@@ -171,30 +187,40 @@
         }
         Self {
             leadership,
+            tenure,
             predecessors,
+            unconfirmed: BTreeMap::new(),
+            unstored_stops: None,
             plans,
             is_restored: true,
             unlisted_until,
+            is_unlisted_bound: false,
             foreign_grants_until: self.foreign_grants_until.max(era.others_until),
             incomplete_maps: self.incomplete_maps,
             balance_clock: self.balance_clock,
         }
     }
 
-    /// Stops waiting for leases granted by former planners, once all of these have
-    /// stopped.
-    pub fn settle_predecessors<A: Adapter>(&mut self, controller: &Controller<A>) {
+    /// Shortens the wait for leases granted by former planners, once these are known to stop
+    /// soon, and ends it once all of them have stopped.
+    pub fn settle_predecessors<A: Adapter>(
+        &mut self,
+        controller: &Rc<Controller<A>>,
+        lease_times: &LeaseTimes,
+    ) {
+        self.store_stop_times(controller);
         if self.predecessors.is_empty() && self.unlisted_until.is_none() {
             return;
         }
         let now = controller.clock.now();
         let state = controller.state.borrow();
-        if state.peers.all_follow(self.leadership.claim, now) {
+        let claim = self.leadership.claim;
+        if state.peers.all_follow(claim, now) {
             self.unlisted_until = None;
         }
-        let claim = self.leadership.claim;
         self.predecessors
             .retain(|planner| !has_stopped_planning(&state, planner, claim));
+        self.bound_predecessors(controller, &state, lease_times);
         if self.predecessors.is_empty() && self.unlisted_until.is_none() {
             for plan in self.plans.values_mut() {
                 plan.reconciler.leases_mut().bound_previous(now);
@@ -202,11 +228,100 @@
         }
     }
 
-    /// Whether the store has recently confirmed the leadership. Otherwise another planner
-    /// may have it by now, and relies on this one to stop.
-    pub fn may_act<A: Adapter>(controller: &Controller<A>, lease_times: &LeaseTimes) -> bool {
-        controller.clock.now() - controller.state.borrow().ranges_confirmed.at
-            <= lease_times.outage_limit
+    /// Shortens the wait for planners that are not known, once a single instance is left that may
+    /// confirm one. Returns whether it did.
+    fn bound_unlisted(
+        &mut self,
+        state: &ControlState,
+        lease_times: &LeaseTimes,
+        now: Time,
+    ) -> bool {
+        let unsettled = state.peers.unsettled_count(self.leadership.claim, now);
+        let limit = act_limit(state.peers.longest_schedule(), lease_times);
+        let until = now + stop_delay(limit);
+        let longest = self.unlisted_until.filter(|longest| *longest > until);
+        if unsettled > 1 || self.is_unlisted_bound || longest.is_none() {
+            return false;
+        }
+        self.is_unlisted_bound = true;
+        self.unlisted_until = Some(until);
+        log::info!(
+            "{} planners that the store lost stop within {:?}",
+            events::PLANNER,
+            until - now,
+        );
+        true
+    }
+
+    /// Shortens the wait for former planners that too few witnesses can confirm by now.
+    fn bound_predecessors<A: Adapter>(
+        &mut self,
+        controller: &Controller<A>,
+        state: &ControlState,
+        lease_times: &LeaseTimes,
+    ) {
+        let now = controller.clock.now();
+        let mut is_shortened = self.bound_unlisted(state, lease_times, now);
+        for planner in &self.predecessors {
+            let Some(witnesses) = self.leadership.witnesses.get(planner) else {
+                continue;
+            };
+            let is_known = self.unconfirmed.contains_key(planner);
+            let claim = self.leadership.claim;
+            if is_known || !former_planners::is_unconfirmed(controller, state, witnesses, claim) {
+                continue;
+            }
+            let stop_delay = witnesses.stop_delay();
+            log::info!(
+                "{} too few witnesses of former planner {planner} are left, it stops within \
+                 {stop_delay:?}",
+                events::PLANNER,
+            );
+            self.unconfirmed.insert(planner.clone(), now + stop_delay);
+            is_shortened = true;
+        }
+        if !is_shortened {
+            return;
+        }
+        let limit = |planner: &PlannerId| {
+            let stopped_by = self.unconfirmed.get(planner);
+            stopped_by.map_or(lease_times.outage_limit, |time| *time - now)
+        };
+        let predecessors = self.predecessors.iter();
+        let limits: Vec<ActLimit> = predecessors
+            .map(|planner| (planner.clone(), limit(planner)))
+            .collect();
+        let stopped_by = former_planners::stopped_by(state, &limits, now);
+        let until = stopped_by.max(self.unlisted_until.unwrap_or_default());
+        self.foreign_grants_until = self.foreign_grants_until.min(until);
+        for plan in self.plans.values_mut() {
+            plan.reconciler.leases_mut().bound_previous(until);
+        }
+        self.unstored_stops = Some((now, limits));
+    }
+
+    /// Stores when former planners stop, once the store's clock tells when their limits began.
+    fn store_stop_times<A: Adapter>(&mut self, controller: &Rc<Controller<A>>) {
+        let clock = &controller.state.borrow().store_clock;
+        let is_known = |stops: &mut (Time, Vec<ActLimit>)| clock.at_or_after(stops.0).is_some();
+        if let Some((since, limits)) = self.unstored_stops.take_if(is_known) {
+            let leadership = self.leadership.clone();
+            let controller = Rc::clone(controller);
+            let stored = former_planners::store_stop_times(controller, leadership, limits, since);
+            spawn_local(stored);
+        }
+    }
+
+    /// Whether the store or most witnesses have recently confirmed the leadership. Otherwise
+    /// another planner may have it by now, and relies on this one to stop.
+    pub fn may_act<A: Adapter>(&mut self, controller: &Controller<A>) -> bool {
+        let state = controller.state.borrow();
+        let claim = self.leadership.claim;
+        let confirmed = state.ranges_confirmed.until_era(claim.era());
+        self.tenure.record_store(confirmed);
+        self.tenure
+            .record_witnesses(|name, process| state.peers.last_confirmation(name, process, claim));
+        controller.clock.now() < self.tenure.end()
     }
 
     /// Computes which keys should move, for each service whose servers hold keys.
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -19,6 +19,7 @@
 mod partitions;
 mod reconciler;
 mod server_set;
+mod tenure;
 mod windows;
 
 pub use {
@@ -39,5 +40,6 @@
         PlanScope, Probes, Reconciler, WaitReason,
     },
     server_set::is_server_set_complete,
+    tenure::{Tenure, Witnesses, act_limit, stop_delay},
     windows::DemandWindows,
 };
