Reads of a table that fail while the store serves others are paced

Cause: the pause after a failed read ends when the store answers any call. While other tables are read, it has always ended, and 60 ms remained.

Fix: while the store answers other calls, the pause doubles from 60 ms up to 1 s, with jitter. If it answers none, the pause ends with its first answer, as before, and the next one is short again.

--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -42,6 +42,8 @@
 /// How long polling pauses at most after a failure, unless another call of this instance
 /// succeeds. Tables that reach their age limit are refreshed regardless.
 const STORE_WAIT_MAX: Duration = Duration::from_secs(3);
+/// Longest pause between reads of a table that fail while the store answers other calls.
+const READ_RETRY_MAX: Duration = Duration::from_secs(1);
 
 /// How long a starting instance waits for tables from peers of its failure domain, for
 /// itself and for each peer that is preferred over it. Only few instances of a failure
@@ -77,6 +79,7 @@
 ) {
     wait_for_peer_table(&controller, table).await;
     let mut is_snapshot = !controller.state.borrow().replicas[table].is_read();
+    let mut failures = 0;
     loop {
         if !is_snapshot && !controller.reads_store() {
             sleep(ROLE_CHECK_INTERVAL).await;
@@ -112,13 +115,20 @@
         match read {
             Ok(row_set) => {
                 controller.on_table_read(table, row_set, is_snapshot, call_started);
-                is_snapshot = false;
+                (is_snapshot, failures) = (false, 0);
                 sleep(controller.poll_interval()).await;
             }
             Err(StoreError::Compacted) => is_snapshot = true,
             Err(error) => {
                 controller.on_store_read_failure(&format!("{row_table:?}"), call_started, &error);
-                wait_for_store(&controller).await;
+                if *controller.store_up.borrow() {
+                    let pause = POLL_INTERVAL.saturating_mul(1 << failures.min(8));
+                    sleep(pause.min(READ_RETRY_MAX).mul_f64(jitter_factor())).await;
+                    failures += 1;
+                } else {
+                    failures = 0;
+                    wait_for_store(&controller).await;
+                }
             }
         }
     }
