Names of objects and keys of rows are escaped in calls of the product's own platform

What callers saw: nothing so far; the product's own names need no escapes. An object whose name holds a blank could not be written or read, one with ? or # was another object.

Evidence: objects_with_odd_names_are_stored_under_them failed before with "invalid uri character".

The stand-in decodes them; it used to compare them undecoded.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -21,11 +21,9 @@
     response
 }
 
-/// Returns the value of a query parameter, without percent-decoding it.
-pub(crate) fn query_param<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
-    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+/// Returns the decoded value of a query parameter.
+pub(crate) fn query_param(query: Option<&str>, name: &str) -> Option<String> {
+    let mut pairs = form_urlencoded::parse(query?.as_bytes());
+    let (_, value) = pairs.find(|(key, _)| key == name)?;
+    Some(value.into_owned())
 }
--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -9,6 +9,7 @@
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
+    percent_encoding::percent_decode_str,
     serde_json::json as json_value,
     std::{io, net::SocketAddr},
     thiserror::Error,
@@ -104,18 +105,24 @@
                 result_response(self.memory.changes(number_param("since")).await)
             }
             (Method::POST, "/v1/commit") => self.commit(&body).await,
-            (Method::GET, "/v1/row") => self.row(query_param(params, "key").unwrap_or("")).await,
+            (Method::GET, "/v1/row") => {
+                let key = query_param(params, "key").unwrap_or_default();
+                self.row(&key).await
+            }
             (Method::GET, "/v1/log") => {
                 let limit = number_param("limit") as usize;
                 result_response(self.memory.log(number_param("after"), limit).await)
             }
             (Method::GET, "/v1/instances") => self.instances().await,
             (Method::GET, "/v1/objects") => {
-                let prefix = query_param(params, "prefix").unwrap_or("");
-                result_response(ObjectStore::list(&self.memory, prefix).await)
+                let prefix = query_param(params, "prefix").unwrap_or_default();
+                result_response(ObjectStore::list(&self.memory, &prefix).await)
             }
             (method, path) => match path.strip_prefix("/v1/objects/") {
-                Some(name) => self.object(method, name, body).await,
+                Some(name) => match percent_decode_str(name).decode_utf8() {
+                    Ok(name) => self.object(method, &name, body).await,
+                    Err(_) => byte_response(StatusCode::BAD_REQUEST, Vec::new()),
+                },
                 None => byte_response(StatusCode::NOT_FOUND, Vec::new()),
             },
         }
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the platform's services.
 
 use {
+    crate::uri::{escape_path, escape_query},
     crate::{
         CallError, HttpClient, IdleTimeout, Machine, MachineList, MachineState, ObjectStore,
         PlatformError, TableService,
@@ -59,7 +60,8 @@
     }
 
     async fn row(&self, key: &str) -> Result<Option<StoredRowWire>, PlatformError> {
-        self.get(&format!("/v1/row?key={key}")).await
+        self.get(&format!("/v1/row?key={}", escape_query(key)))
+            .await
     }
 
     async fn log(&self, after: u64, limit: usize) -> Result<LogWire, PlatformError> {
@@ -70,13 +72,13 @@
 
 impl ObjectStore for HttpPlatform {
     async fn put(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
-        let path = format!("/v1/objects/{name}");
+        let path = format!("/v1/objects/{}", escape_path(name));
         let (status, _) = call(self.address, Method::PUT, &path, bytes.into()).await?;
         check_status(status)
     }
 
     async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let path = format!("/v1/objects/{name}");
+        let path = format!("/v1/objects/{}", escape_path(name));
         let (status, bytes) = call(self.address, Method::GET, &path, Bytes::new()).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -86,7 +88,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
-        self.get_required(&format!("/v1/objects?prefix={prefix}"))
+        self.get_required(&format!("/v1/objects?prefix={}", escape_query(prefix)))
             .await
     }
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -20,6 +20,7 @@
 mod servers;
 mod table_service;
 mod table_store;
+mod uri;
 
 pub use {
     adapter::{Adapter, DecodeError, HeaderNames},
@@ -39,4 +40,5 @@
     servers::{ProbeResult, Prober, ServerClient},
     table_service::TableService,
     table_store::{HistoryEntry, TableStore},
+    uri::{escape_path, escape_query},
 };
--- a/crates/ports/tests/objects.rs
+++ b/crates/ports/tests/objects.rs
@@ -44,6 +44,32 @@
     assert_eq!(found, [leaving, ("server-1", MachineState::Live)]);
 }
 
+/// Characters that mean something else in a path or a query, or are not allowed there.
+const ODD_NAMES: [&str; 10] = [
+    "b c", "d&e", "f+g", "h#i", "j%41", "k%", "l\"<", "m?n=", "o\t\u{1}", "pé",
+];
+
+async fn check_odd_names(store: impl ObjectStore) {
+    for name in ODD_NAMES {
+        let name = format!("x/{name}");
+        store.put(&name, name.clone().into_bytes()).await.unwrap();
+    }
+    for name in ODD_NAMES {
+        let name = format!("x/{name}");
+        let bytes = store.get(&name).await.unwrap();
+        assert_eq!(bytes, Some(name.clone().into_bytes()), "{name}");
+        assert_eq!(store.list(&name).await.unwrap(), [name]);
+    }
+}
+
+/// Guards against names that are put into paths and queries as they are, and then name another
+/// object or none.
+#[tokio::test]
+async fn objects_with_odd_names_are_stored_under_them() {
+    check_odd_names(MemoryPlatform::default()).await;
+    check_odd_names(HttpPlatform::new(server().await.address)).await;
+}
+
 #[tokio::test]
 async fn instances_in_memory_and_over_http() {
     let memory = MemoryPlatform::default();
