citronctl escapes the kind of rows in its query

What callers saw: "table export server&x=1" and "server#x" listed the rows of another kind, "server", and other kinds of odd spelling failed as an invalid path.

Evidence: rows_of_a_kind_that_does_not_exist_are_none failed before, with the rows of all servers.

--- a/crates/citronctl/src/client.rs
+++ b/crates/citronctl/src/client.rs
@@ -55,7 +55,7 @@
 
     /// Returns the rows of one kind, or of all kinds.
     pub async fn rows(&self, kind: Option<&str>) -> Result<RowsWire, CtlError> {
-        let query = kind.map(|kind| format!("?kind={kind}"));
+        let query = kind.map(|kind| format!("?kind={}", escape(kind)));
         self.get(&format!("/v1/rows{}", query.unwrap_or_default()))
             .await
     }
--- a/crates/citronctl/tests/ctl.rs
+++ b/crates/citronctl/tests/ctl.rs
@@ -68,6 +68,19 @@
     insta::assert_snapshot!(text);
 }
 
+/// Guards against a kind that adds parameters to the query, or ends it: the rows of another kind
+/// would be listed.
+#[test]
+fn rows_of_a_kind_that_does_not_exist_are_none() {
+    let shell = Shell::start();
+    expect_success(shell.run(&format!("table import {TABLE} --yes --wait")));
+    let none = expect_success(shell.run("table export nothing"));
+    for kind in ["server&x=1", "server#x", "\"server\"", "serveré"] {
+        let listed = expect_success(shell.run(&format!("table export {kind}")));
+        assert_eq!(listed, none, "{kind}");
+    }
+}
+
 /// Round trip through a spreadsheet: import, export, change a cell, import again. Importing
 /// the older file once more must fail with a version conflict.
 #[test]
