A leadership row that cannot be read is claimed again

Where another writer overwrites the row of the planner, no instance plans again, restarts included: keys stay at servers that leave or end.

Cause: a row that names no planner counted as missing, so that the claim required a row that does not exist, and the store refused it for good. One unreadable row hid what all instances knew.

Evidence: odd_rows_of_ranges_leave_a_planner and an_unreadable_leadership_is_claimed_by_instances_that_start failed before: no claim in 10 s.

Fix: the claim requires the version that the row has, readable or not. The planner that was known before stays known as one to be claimed from, and may still be acting. Where none is known, any planner may have claimed before: leases of others count until the outage limit has passed, as after a restore from a copy. A name that is not valid is logged. Both tests pass; 46 tests of restores, former planners, starts, missed updates, range maps, lost responses, stale instances and odd entries pass.

--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -322,9 +322,11 @@
         .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED))
         .ok()?;
     let planner_id = |instance: &str, incarnation| {
-        let instance = instance.parse().ok()?;
+        let instance = instance.parse();
+        let instance = instance
+            .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED));
         Some(PlannerId {
-            instance,
+            instance: instance.ok()?,
             incarnation,
         })
     };
@@ -340,7 +342,8 @@
 }
 
 /// The leadership after a change of its row. A row of a copy may name a former planner, or be
-/// missing: the newest leadership known is then kept, to be claimed again.
+/// missing, and one of another writer may name none: the newest leadership known is then kept, to
+/// be claimed again. Its planner counts as one that may still be acting.
 fn newest_leadership(
     known: Option<Leadership>,
     named: Option<Leadership>,
@@ -349,7 +352,8 @@
     if named.as_ref().is_some_and(|named| !named.has_lapsed()) {
         return named;
     }
-    let known = known.filter(|known| known.claim.era() < row.version.era());
+    let is_unreadable = row.value.is_some() && named.is_none();
+    let known = known.filter(|known| is_unreadable || known.claim.era() < row.version.era());
     let newest = known.into_iter().chain(named).max_by_key(|one| one.claim)?;
     let version = match row.value {
         Some(_) => row.version,
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -55,6 +55,8 @@
 ) -> Option<Term> {
     let current = controller.state.borrow().leadership.clone();
     let era = controller.state.borrow().replicas[RANGES].version.era();
+    let planner_version = row_version(controller, PLANNER_KEY);
+    let is_unknown = current.is_none() && planner_version != StoreVersion::NONE;
     let predecessors = former_planners::still_acting(controller, current.as_ref());
     let wire = LeadershipWire {
         instance: controller.settings.instance.to_string(),
@@ -72,13 +74,13 @@
                 PLANNER_KEY.to_string(),
                 current
                     .as_ref()
-                    .map_or(StoreVersion::NONE, |leadership| leadership.version),
+                    .map_or(planner_version, |leadership| leadership.version),
             ),
             // A stop time of this incarnation, written since, would outlive the claim.
             (
                 RowTable::Ranges,
                 FORMER_PLANNERS_KEY.to_string(),
-                former_planners_version(controller),
+                row_version(controller, FORMER_PLANNERS_KEY),
             ),
         ],
         writes: vec![
@@ -119,7 +121,13 @@
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors, lease_times),
-        None => begin_term(controller, leadership, predecessors, lease_times),
+        None => begin_term(
+            controller,
+            leadership,
+            predecessors,
+            lease_times,
+            is_unknown,
+        ),
     };
     if !term.predecessors.is_empty() {
         let (leadership, predecessors) = (term.leadership.clone(), term.predecessors.clone());
@@ -135,10 +143,10 @@
     Some(term)
 }
 
-/// Version of the row of stop times.
-fn former_planners_version<A: Adapter>(controller: &Controller<A>) -> StoreVersion {
+/// Version of a row of the table of ranges, readable or not.
+fn row_version<A: Adapter>(controller: &Controller<A>, key: &str) -> StoreVersion {
     let state = controller.state.borrow();
-    state.replicas[RANGES].live_version(FORMER_PLANNERS_KEY)
+    state.replicas[RANGES].live_version(key)
 }
 
 /// Rows of terms of earlier eras.
@@ -225,11 +233,14 @@
     (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
+/// `is_unknown` tells that the row of the leadership could not be read, so that any planner may
+/// have claimed it before.
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
+    is_unknown: bool,
 ) -> Term {
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
@@ -238,6 +249,7 @@
         former_planners::stopped_by(&state, &predecessors, lease_times.outage_limit, now);
     let (claim, outage_limit) = (leadership.claim, lease_times.outage_limit);
     let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
+    let unlisted_until = unlisted_until.max(is_unknown.then(|| now + outage_limit));
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
