Control characters are escaped in log lines

What callers saw: an entry whose key holds a line feed put its rest on a line of its own in the log, which reads as an event of the instance.

Cause: texts of other writers go into log lines as they are.

Evidence: odd_keys_forge_no_log_lines failed before, with two such lines.

Fix: the log writer escapes control characters in each line; no event needs several lines.

--- a/crates/citronproxy/src/logs.rs
+++ b/crates/citronproxy/src/logs.rs
@@ -40,6 +40,7 @@
     let writer = builder.spawn(move || write_lines(&waiting));
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
     builder.format_timestamp_millis();
+    builder.format_indent(None);
     if let Err(error) = writer {
         // Without the writer thread, the library logs to standard error itself.
         builder.init();
@@ -54,7 +55,7 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.0.try_send(line.to_vec()).is_err() {
+        if self.0.try_send(escape_controls(line)).is_err() {
             LOST_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -65,6 +66,21 @@
     }
 }
 
+/// Escapes all control characters but the last line feed: texts of other programs must not begin
+/// a line.
+fn escape_controls(line: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(line);
+    let mut escaped = String::with_capacity(text.len());
+    for c in text.strip_suffix('\n').unwrap_or(&text).chars() {
+        match c.is_control() {
+            true => escaped.extend(c.escape_default()),
+            false => escaped.push(c),
+        }
+    }
+    escaped.push('\n');
+    escaped.into_bytes()
+}
+
 fn write_lines(waiting: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
     let mut reported = 0;
