--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -59,6 +59,8 @@
 ) -> Option<Term> {
     let current = controller.state.borrow().leadership.clone();
     let era = controller.state.borrow().replicas[RANGES].version.era();
+    let planner_version = row_version(controller, PLANNER_KEY);
+    let is_unknown = current.is_none() && planner_version != StoreVersion::NONE;
     let predecessors = former_planners::still_acting(controller, current.as_ref());
     let witnesses = stated_witnesses(controller, current.as_ref(), &predecessors, &lease_times);
     let wire = LeadershipWire {
@@ -78,13 +80,13 @@
                 PLANNER_KEY.to_string(),
                 current
                     .as_ref()
-                    .map_or(StoreVersion::NONE, |leadership| leadership.version),
+                    .map_or(planner_version, |leadership| leadership.version),
             ),
             // A stop time of this incarnation, written since, would outlive the claim.
             (
                 RowTable::Ranges,
                 FORMER_PLANNERS_KEY.to_string(),
-                former_planners_version(controller),
+                row_version(controller, FORMER_PLANNERS_KEY),
             ),
         ],
         writes: vec![
@@ -125,7 +127,13 @@
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors, lease_times),
-        None => begin_term(controller, leadership, predecessors, lease_times),
+        None => begin_term(
+            controller,
+            leadership,
+            predecessors,
+            lease_times,
+            is_unknown,
+        ),
     };
     if !term.predecessors.is_empty() {
         let limits = former_planners::act_limits(&term.predecessors, lease_times.outage_limit);
@@ -171,10 +179,10 @@
     Tenure::new(witnesses, lease_times)
 }
 
-/// Version of the row of stop times.
-fn former_planners_version<A: Adapter>(controller: &Controller<A>) -> StoreVersion {
+/// Version of a row of the table of ranges, readable or not.
+fn row_version<A: Adapter>(controller: &Controller<A>, key: &str) -> StoreVersion {
     let state = controller.state.borrow();
-    state.replicas[RANGES].live_version(FORMER_PLANNERS_KEY)
+    state.replicas[RANGES].live_version(key)
 }
 
 /// Rows of terms of earlier eras.
@@ -263,11 +271,14 @@
     (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
+/// `is_unknown` tells that the row of the leadership could not be read, so that any planner may
+/// have claimed it before.
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
+    is_unknown: bool,
 ) -> Term {
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
@@ -275,6 +286,8 @@
     let limits = former_planners::act_limits(&predecessors, lease_times.outage_limit);
     let stopped_by = former_planners::stopped_by(&state, &limits, now);
     let unlisted_until = unlisted_planners_end(controller, &state, leadership.claim, &lease_times);
+    let longest = now + lease_times.outage_limit;
+    let unlisted_until = unlisted_until.max(is_unknown.then_some(longest));
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
@@ -316,7 +329,7 @@
         plans,
         is_restored: leadership_era > StoreEra(0),
         unlisted_until,
-        is_unlisted_bound: false,
+        is_unlisted_bound: is_unknown,
         foreign_grants_until: foreign_leases_end,
         incomplete_maps: BTreeSet::new(),
         balance_clock: BalanceTimer::new(now),
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -81,7 +81,8 @@
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
-    /// Whether that time was shortened.
+    /// Whether that time is not to be shortened any more, or not at all, as the planner before is
+    /// unknown.
     pub is_unlisted_bound: bool,
     /// Time until which former planners may have sent grants, as known at the start.
     pub foreign_grants_until: Time,
@@ -237,10 +238,12 @@
         now: Time,
     ) -> bool {
         let unsettled = state.peers.unsettled_count(self.leadership.claim, now);
+        let has_follower = state.peers.len() > unsettled;
         let limit = act_limit(state.peers.longest_schedule(), lease_times);
         let until = now + stop_delay(limit);
         let longest = self.unlisted_until.filter(|longest| *longest > until);
-        if unsettled > 1 || self.is_unlisted_bound || longest.is_none() {
+        let is_left = unsettled > 1 || !has_follower;
+        if is_left || self.is_unlisted_bound || longest.is_none() {
             return false;
         }
         self.is_unlisted_bound = true;
