An end of stream before the request is written ends no response

What callers saw: a server answers an upload at once with a 200 that has no length, sends part of the body and resets the connection while the upload is being written; the client gets that part framed as a whole response.

Cause: the first failed write is turned into a pending one, so that an early rejection can still be read. On Linux that write has taken the socket's error with it: reads return what is left and then 0, as after a proper end. A body that only the end of the stream delimits then looks whole wherever it was cut. A server that stops sending while it has not read the upload was taken for one that has ended its response as well.

Fix: the stream reports its end as an error for as long as the request is not written: bytes wait in the connection's buffer (always so after a failed write), or the HTTP library still holds the request's body. No timing is involved. Responses with a length, in chunks or without a body, and rejections, are known to be whole before the end is read, and are passed on as before.

What it costs: a server that ends a response without a length before it has read the upload, and does so on purpose, is no longer believed.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -383,7 +383,7 @@
     let recorder =
         reused.then(|| ReuseRecorder::start(&state.idle_limits, service, idle, state.clock));
     let request = build_request(state, server, outgoing);
-    let sent = pooled.connection_mut().sender.try_send_request(request);
+    let sent = pooled.connection_mut().send(request);
     let silence = (SILENCE_MAX, Failure::Failing);
     let sent = match outgoing.body.is_complete() {
         true => watch_silence(state, server, in_flight.started, silence, sent).await,
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -147,7 +147,7 @@
     let mut pooled = PooledConnection::new(&state.pool, peer.address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.sent, pooled.connection_mut());
     let request = outgoing_request(state, outgoing);
-    let sent = pooled.connection_mut().sender.try_send_request(request);
+    let sent = pooled.connection_mut().send(request);
     let response = match sent.await {
         Ok(response) => response,
         Err(error) => {
--- a/crates/citronproxy/src/traffic/exchange.rs
+++ b/crates/citronproxy/src/traffic/exchange.rs
@@ -73,7 +73,7 @@
     ) -> Result<Response<Incoming>, ExchangeError> {
         self.connection.socket.set_permit(permit);
         self.in_flight.mark_written(runs_until);
-        let sent = self.connection.sender.try_send_request(request).await;
+        let sent = self.connection.send(request).await;
         sent.map_err(|error| {
             let socket = &self.connection.socket;
             if socket.written_bytes() > self.start_bytes {
--- a/crates/citronproxy/src/traffic/pool.rs
+++ b/crates/citronproxy/src/traffic/pool.rs
@@ -7,7 +7,14 @@
     },
     crate::clock::Clock,
     citron_core::time::Time,
-    hyper::client::conn::http1::{Builder, SendRequest},
+    http::{Request, Response},
+    hyper::{
+        body::Incoming,
+        client::conn::{
+            TrySendError,
+            http1::{Builder, SendRequest},
+        },
+    },
     hyper_util::rt::TokioIo,
     rustc_hash::FxHashMap,
     socket2::SockRef,
@@ -91,6 +98,19 @@
 }
 
 impl Connection {
+    /// Sends a request, and returns the head of the response.
+    ///
+    /// # Errors
+    /// If the connection fails, or ends before the request is written.
+    pub fn send(
+        &mut self,
+        request: Request<UpstreamBody>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<UpstreamBody>>>> + use<>
+    {
+        self.socket.set_body(request.body().watch());
+        self.sender.try_send_request(request)
+    }
+
     fn is_usable(&self, reuse: Reuse, now: Time) -> bool {
         let keep_alive = self
             .keep_alive
--- a/crates/citronproxy/src/traffic/request_body.rs
+++ b/crates/citronproxy/src/traffic/request_body.rs
@@ -13,7 +13,7 @@
         cell::RefCell,
         future::poll_fn,
         pin::Pin,
-        rc::Rc,
+        rc::{Rc, Weak},
         task::{Context, Poll, ready},
     },
     thiserror::Error,
@@ -288,10 +288,23 @@
     }
 }
 
+/// Tells whether a body is still being read. The HTTP library drops it at its end.
+#[derive(Debug, Default)]
+pub struct BodyWatch(Weak<()>);
+
+impl BodyWatch {
+    /// Whether the body is still being read.
+    pub fn is_open(&self) -> bool {
+        self.0.strong_count() > 0
+    }
+}
+
 /// Body of one attempt, read from a [`ClientBody`].
 #[derive(Debug)]
 pub struct UpstreamBody {
     body: Rc<ClientBody>,
+    /// Observed by a [`BodyWatch`].
+    liveness: Rc<()>,
     /// Index of the next part of the copy.
     next: usize,
     received_bytes: u64,
@@ -304,11 +317,17 @@
         body.state.borrow_mut().keep_identity();
         Self {
             body: Rc::clone(body),
+            liveness: Rc::default(),
             next: 0,
             received_bytes: 0,
         }
     }
 
+    /// Watches the body until it is dropped.
+    pub fn watch(&self) -> BodyWatch {
+        BodyWatch(Rc::downgrade(&self.liveness))
+    }
+
     fn next_buffered(&mut self) -> Option<Bytes> {
         let data = self.body.state.borrow().buffered.get(self.next).cloned()?;
         self.next += 1;
--- a/crates/citronproxy/src/traffic/socket.rs
+++ b/crates/citronproxy/src/traffic/socket.rs
@@ -1,6 +1,7 @@
 //! Sockets to backend servers, with exact counts of the bytes written.
 
 use {
+    super::request_body::BodyWatch,
     crate::clock::Clock,
     citron_core::{routing::Snapshot, time::Time},
     citron_ports::ReadBudget,
@@ -50,6 +51,7 @@
     last_read: Cell<Time>,
     permit: RefCell<Option<WritePermit>>,
     is_write_denied: Cell<bool>,
+    body: RefCell<BodyWatch>,
     budget: ReadBudget,
 }
 
@@ -62,6 +64,7 @@
             last_read: Cell::new(clock.now()),
             permit: RefCell::new(None),
             is_write_denied: Cell::new(false),
+            body: RefCell::default(),
             budget: ReadBudget::new(PART_BYTES_MAX),
         })
     }
@@ -72,6 +75,11 @@
         self.budget.reset();
     }
 
+    /// Sets the body of the request that is sent next.
+    pub fn set_body(&self, body: BodyWatch) {
+        self.body.replace(body);
+    }
+
     /// Number of bytes handed to the kernel. If it does not change during an exchange,
     /// the server has received nothing of the request.
     pub fn written_bytes(&self) -> u64 {
@@ -122,11 +130,18 @@
 /// A server may reject a request before it has read the body, and close the connection. The
 /// response is then received although writing fails, so that a failed write ends the exchange
 /// only when nothing more can be read.
+///
+/// The stream of a server that has not received the whole request never ends properly. On Linux,
+/// a failed write takes the reset with it, and reads return the end of the stream instead; and a
+/// process that ends closes its sockets as well. A response that only the end of the stream
+/// delimits would look complete wherever it was cut.
 #[derive(Debug)]
 pub struct TrackedStream {
     stream: TcpStream,
     socket: Rc<SocketState>,
     has_write_failed: bool,
+    /// Whether bytes wait to be written. None do after a flush.
+    has_unwritten: bool,
 }
 
 impl TrackedStream {
@@ -136,11 +151,17 @@
             stream,
             socket,
             has_write_failed: false,
+            has_unwritten: false,
         }
     }
 
+    /// Whether the request in progress is written completely.
+    fn is_written(&self) -> bool {
+        !self.has_unwritten && !self.socket.body.borrow().is_open()
+    }
+
     /// Result of a write; pending from the first one on that failed as the peer has closed the
-    /// connection. The end of the stream is then the next thing to be read.
+    /// connection. What it has sent before remains to be read.
     fn after_write(
         &mut self,
         cx: &mut Context<'_>,
@@ -172,8 +193,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let has_room = buf.remaining() > 0;
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         let size = buf.filled().len() - before;
+        let is_end = has_room && size == 0 && matches!(read, Poll::Ready(Ok(())));
+        if is_end && !self.is_written() {
+            let reason = "the stream ended before the request was written";
+            return Poll::Ready(Err(io::Error::new(ErrorKind::UnexpectedEof, reason)));
+        }
         if size > 0 {
             self.socket.last_read.set(self.socket.clock.now());
             self.socket.budget.spend(size)?;
@@ -189,6 +216,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.socket.check_permit()?;
+        self.has_unwritten = true;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.after_write(cx, written)
     }
@@ -199,6 +227,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.socket.check_permit()?;
+        self.has_unwritten = true;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.after_write(cx, written)
     }
@@ -208,6 +237,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.has_unwritten = false;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
