A message with a status that is not final is no response

What callers saw: a server in trouble sends a message with status 999 (or any of 600 to 999); the client gets it as the response, with its body. Through another instance a 101 was passed on too. A read, an order or a health check took such a message for its response.

Cause: the HTTP library accepts any three digits from 100 on and hands out a 101 like a final response. Only the reader of servers' responses looked at 101.

Fix: one function says which statuses are those of final responses; all readers of responses ask it before anything else of the head counts. The exchange then counts as lost, so that a safe request goes on to another server.

--- a/crates/citronproxy/src/edge/traffic/attempt.rs
+++ b/crates/citronproxy/src/edge/traffic/attempt.rs
@@ -32,6 +32,7 @@
         slots::SlotOutcome,
         time::Time,
     },
+    citron_ports::is_final_status,
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
@@ -585,6 +586,10 @@
     response: Response<Incoming>,
 ) -> ExchangeResult {
     let (mut head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        let reason = format!("status {} is not final", head.status);
+        return ExchangeResult::Failed(AttemptResult::Lost(reason));
+    }
     let is_first = !pooled.connection_mut().is_reused;
     pooled.connection_mut().keep_alive = keep_alive_timeout(&head.headers);
     let origin = ResponseOrigin {
@@ -602,12 +607,6 @@
     record_limit(state, &server.entry.name, &head);
     record_leaving(state, server, &head);
     record_rest(state, server, &head);
-    // `Upgrade` is not forwarded, so that no server has a reason to switch protocols.
-    if head.status == StatusCode::SWITCHING_PROTOCOLS {
-        return ExchangeResult::Failed(AttemptResult::Lost(
-            "unexpected 101 Switching Protocols".to_string(),
-        ));
-    }
     if is_refusal(state, &head) {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let proof = origin.refusal_proof();
--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -19,6 +19,7 @@
         routes::Idempotency,
         time::Time,
     },
+    citron_ports::is_final_status,
     http::{HeaderName, HeaderValue, Response, StatusCode},
     rand::seq::IteratorRandom,
     std::{collections::BTreeMap, fmt, time::Duration},
@@ -159,6 +160,9 @@
         }
     };
     let (mut head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        return DetourResult::Lost(format!("status {} is not final", head.status));
+    }
     let is_first = !pooled.connection_mut().is_reused;
     let origin = response_origin(state, outgoing, &head, is_first);
     if !origin.belongs(!outgoing.has_id(state) || is_first) {
--- a/crates/citronproxy/src/traffic/attempts.rs
+++ b/crates/citronproxy/src/traffic/attempts.rs
@@ -21,8 +21,9 @@
         table::ServerRow,
         time::Time,
     },
+    citron_ports::is_final_status,
     citron_wire::grant::HEADER_REFUSED,
-    http::{HeaderMap, Request, Response, StatusCode, header, request::Parts},
+    http::{HeaderMap, Request, Response, header, request::Parts},
     hyper::body::{Body, Incoming},
     std::{
         cell::{Cell, OnceCell, RefCell},
@@ -205,6 +206,10 @@
         exchange: Exchange,
         revision: Revision,
     ) -> AttemptOutcome {
+        if !is_final_status(response.status()) {
+            log::debug!("status {} is not final", response.status());
+            return AttemptOutcome::Failed(Event::Lost(no, ExchangeStage::AnswerPart));
+        }
         if let Some(reason) = response.headers().get(HEADER_REFUSED) {
             let is_shed = reason == "shed";
             let wait = retry_after(response.headers());
@@ -246,9 +251,6 @@
 /// Whether the end of a response can be distinguished from its truncation. A response
 /// that ends with its connection looks complete wherever it is cut.
 fn is_delimited(response: &Response<Incoming>) -> bool {
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        return false;
-    }
     let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
     let body = response.body();
     is_chunked || body.is_end_stream() || body.size_hint().exact().is_some()
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -6,6 +6,7 @@
         process_life::ProcessLife,
         read_budget::ReadBudget,
         reply::{Origin, Reply},
+        status::is_final_status,
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderName, HeaderValue, Request, Response, header},
@@ -337,6 +338,12 @@
             .await
             .map_err(|_| timed_out(0))?;
         let (head, body) = sent.map_err(outcome_unknown)?.into_parts();
+        if !is_final_status(head.status) {
+            return Err(outcome_unknown(format!(
+                "status {} is not final",
+                head.status
+            )));
+        }
         let bytes = self.read_body(body, limit).await?;
         Ok((Response::from_parts(head, bytes), connection))
     }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -18,6 +18,7 @@
 mod reply;
 mod rows;
 mod servers;
+mod status;
 mod table_service;
 mod table_store;
 
@@ -37,6 +38,7 @@
     reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
+    status::is_final_status,
     table_service::TableService,
     table_store::{HistoryEntry, TableStore},
 };
--- a/crates/ports/src/servers.rs
+++ b/crates/ports/src/servers.rs
@@ -1,7 +1,7 @@
 //! HTTP client for the control calls to backend servers: grants and health probes.
 
 use {
-    crate::{GrantClient, PlatformError},
+    crate::{GrantClient, PlatformError, is_final_status},
     bytes::Bytes,
     citron_core::{
         ownership::{BootId, Grant, GrantReply, ServerLease},
@@ -85,6 +85,10 @@
                 .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
             let sent = connection.send_request(request).await;
             let (head, body) = sent.map_err(outcome_unknown)?.into_parts();
+            if !is_final_status(head.status) {
+                let reason = format!("status {} is not final", head.status);
+                return Err(PlatformError::OutcomeUnknown(reason));
+            }
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|error| PlatformError::OutcomeUnknown(error.to_string()))?;
             self.return_idle(address, path, connection);
