--- a/crates/citronproxy/src/edge/traffic/detour.rs
+++ b/crates/citronproxy/src/edge/traffic/detour.rs
@@ -19,6 +19,7 @@
         routes::Idempotency,
         time::Time,
     },
+    citron_ports::is_final_status,
     http::{HeaderName, HeaderValue, Response, StatusCode},
     rand::seq::IteratorRandom,
     std::{collections::BTreeMap, fmt, time::Duration},
@@ -147,7 +148,7 @@
     let mut pooled = PooledConnection::new(&state.pool, peer.address, connection, outgoing.body);
     let mark = SentMark::new(&outgoing.sent, pooled.connection_mut());
     let request = outgoing_request(state, outgoing);
-    let sent = pooled.connection_mut().sender.try_send_request(request);
+    let sent = pooled.connection_mut().send(request);
     let response = match sent.await {
         Ok(response) => response,
         Err(error) => {
@@ -159,6 +160,9 @@
         }
     };
     let (mut head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        return DetourResult::Lost(format!("status {} is not final", head.status));
+    }
     let is_first = !pooled.connection_mut().is_reused;
     let origin = response_origin(state, outgoing, &head, is_first);
     if !origin.belongs(!outgoing.has_id(state) || is_first) {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -18,6 +18,7 @@
 mod reply;
 mod rows;
 mod servers;
+mod status;
 mod table_service;
 mod table_store;
 mod uri;
@@ -38,6 +39,7 @@
     reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
+    status::is_final_status,
     table_service::TableService,
     table_store::{HistoryEntry, TableStore},
     uri::{escape_path, escape_query},
