--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -18,8 +18,10 @@
 mod reply;
 mod rows;
 mod servers;
+mod status;
 mod table_service;
 mod table_store;
+mod uri;
 
 pub use {
     adapter::{Adapter, DecodeError, HeaderNames},
@@ -37,6 +39,8 @@
     reply::{Origin, Reply},
     rows::{Row, RowCommit, RowSet, RowStore, RowTable, StoreError},
     servers::{ProbeResult, Prober, ServerClient},
+    status::is_final_status,
     table_service::TableService,
     table_store::{HistoryEntry, TableStore},
+    uri::{escape_path, escape_query},
 };
