--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -263,11 +263,6 @@
         1 + peers
     }
 
-    /// Number of other instances.
-    pub fn len(&self) -> usize {
-        self.peers.len()
-    }
-
     /// Whether no other instance is known.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -81,9 +81,8 @@
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
-    /// Whether that time is not to be shortened any more, or not at all, as the planner before is
-    /// unknown.
-    pub is_unlisted_bound: bool,
+    /// Whether that time may be shortened, once, as these planners have named witnesses.
+    pub may_bound_unlisted: bool,
     /// Time until which former planners may have sent grants, as known at the start.
     pub foreign_grants_until: Time,
     /// Services whose stored map lacks keys.
@@ -195,7 +194,7 @@
             plans,
             is_restored: true,
             unlisted_until,
-            is_unlisted_bound: false,
+            may_bound_unlisted: false,
             foreign_grants_until: self.foreign_grants_until.max(era.others_until),
             incomplete_maps: self.incomplete_maps,
             balance_clock: self.balance_clock,
@@ -238,15 +237,13 @@
         now: Time,
     ) -> bool {
         let unsettled = state.peers.unsettled_count(self.leadership.claim, now);
-        let has_follower = state.peers.len() > unsettled;
         let limit = act_limit(state.peers.longest_schedule(), lease_times);
         let until = now + stop_delay(limit);
         let longest = self.unlisted_until.filter(|longest| *longest > until);
-        let is_left = unsettled > 1 || !has_follower;
-        if is_left || self.is_unlisted_bound || longest.is_none() {
+        if unsettled > 1 || !self.may_bound_unlisted || longest.is_none() {
             return false;
         }
-        self.is_unlisted_bound = true;
+        self.may_bound_unlisted = false;
         self.unlisted_until = Some(until);
         log::info!(
             "{} planners that the store lost stop within {:?}",
