Calls of the control thread end with their requests

The end of a stream counts for the client of the store, orders and health checks as it now does for servers: only once the request is written. A failed write was reported at once here, so that a reset was never taken for an end; but a peer that stopped sending while it had not read a large write was believed.

Evidence: in `calls_take_only_whole_responses`, a write of 24 MB, response without a length, end without a reset: taken before, not taken now.

--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -384,10 +384,7 @@
         let stream = connected.map_err(not_sent)?.map_err(not_sent)?;
         configure_socket(&stream).map_err(not_sent)?;
         let budget = ReadBudget::new(HEAD_BYTES_MAX + FRAMING_FACTOR * self.max_bytes);
-        let io = TokioIo::new(MeteredStream {
-            stream,
-            budget: budget.clone(),
-        });
+        let io = TokioIo::new(MeteredStream::new(stream, budget.clone()));
         let (sender, driver) = handshake(io).await.map_err(not_sent)?;
         let address = self.address;
         let driver = tokio::spawn(async move {
