--- a/crates/citronproxy/tests/exchange.rs
+++ b/crates/citronproxy/tests/exchange.rs
@@ -360,3 +360,75 @@
         assert_eq!(text.matches("idempotency-key: k-7").count(), 1, "{text}");
     }
 }
+
+/// Guards against a message that is no response, or part of one, that a caller gets as one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_that_is_no_response_reaches_nobody() {
+    let request = b"POST /kegs/bar-7 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+                    content-length: 2\r\n\r\nhi";
+    let messages = [
+        ("whole", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"),
+        ("without a length", "HTTP/1.1 200 OK\r\n\r\nok"),
+        (
+            "status 000",
+            "HTTP/1.1 000 x\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (
+            "status 101",
+            "HTTP/1.1 101 x\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        ),
+        (
+            "status 600",
+            "HTTP/1.1 600 x\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (
+            "status 999",
+            "HTTP/1.1 999 x\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (
+            "blank in a name",
+            "HTTP/1.1 200 OK\r\nx y: 1\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (
+            "0x01 in a name",
+            "HTTP/1.1 200 OK\r\nx\x01y: 1\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        ("cut head", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r"),
+        ("cut interim response", "HTTP/1.1 103 x\r\nlink: x\r\n"),
+    ];
+    let mut lines = Vec::new();
+    for (name, message) in messages {
+        for ending in [None, Some(Step::Reset)] {
+            let mut script = vec![Step::ReadRequest, Step::write(message)];
+            let is_reset = ending.is_some();
+            script.extend(ending);
+            let server = ScriptedServer::start(vec![script]).await.unwrap();
+            let path = DataPath::start(server.address);
+            let response = path.send_raw(request, TEST_TIMEOUT).await;
+            let status = response.get(9..12).unwrap_or("none");
+            lines.push(format!("{name}, reset {is_reset}: {status}"));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    whole, reset false: 200
+    whole, reset true: 200
+    without a length, reset false: 502
+    without a length, reset true: 502
+    status 000, reset false: 502
+    status 000, reset true: 502
+    status 101, reset false: 502
+    status 101, reset true: 502
+    status 600, reset false: 502
+    status 600, reset true: 502
+    status 999, reset false: 502
+    status 999, reset true: 502
+    blank in a name, reset false: 502
+    blank in a name, reset true: 502
+    0x01 in a name, reset false: 502
+    0x01 in a name, reset true: 502
+    cut head, reset false: 502
+    cut head, reset true: 502
+    cut interim response, reset false: 502
+    cut interim response, reset true: 502
+    ");
+}
