Planners that are not known are waited for in full, also by later claims

- A planner that the store had lost named no witnesses.
Its successor claimed twice, and took its own first claim, which named some, for a proof that the lost one had done so too.
- The row of the leadership was unreadable.
Its first successor waited 15 s for whoever had held it, but ended; the next one knew of that successor only, and waited 1.5 s.
- The same, where the first successor claims again.

The wait for planners that the store lost is no longer shortened (bound_unlisted is gone): each instance knows itself until when these may act. The unknown planner of an unreadable row stands in the claim as a former planner, so that all later claims wait for it, by its stored stop time.

A single witness confirms a planner again: two were asked for only for the sake of lost planners.

The price: where the store comes back from a copy and the planner is gone for good, 25.5 s are waited as before. The model of witnesses waits for lost planners in full, too; its flaw IgnoreLost is the planner that does not.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -114,12 +114,6 @@
         self.claim != self.version
     }
 
-    /// Whether the claim names witnesses of the planner. It does unless the planner knew no other
-    /// instance.
-    pub fn names_witnesses(&self) -> bool {
-        self.witnesses.contains_key(&self.planner)
-    }
-
     /// Whether this incarnation of an instance was the last to claim the leadership.
     pub fn is_held_by(&self, instance: &InstanceId, incarnation: u64) -> bool {
         self.planner.instance == *instance && self.planner.incarnation == incarnation
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -249,12 +249,6 @@
         HeartbeatSchedule::for_instances(self.reporters_max())
     }
 
-    /// The same for an instance that knows of some more instances.
-    pub fn longest_schedule(&self) -> HeartbeatSchedule {
-        let instances = self.reporters_max();
-        HeartbeatSchedule::for_instances(instances + instances / 4 + 1)
-    }
-
     fn reporters_max(&self) -> usize {
         let peers = match self.is_full_mesh() {
             true => self.peers.len(),
@@ -269,20 +263,14 @@
     }
 
     /// Whether all peers were heard recently, know of a claim of the leadership and do not
-    /// plan.
+    /// plan. What they told before that claim proves nothing.
     pub fn all_follow(&self, claim: StoreVersion, now: Time) -> bool {
-        self.unsettled_count(claim, now) == 0
-    }
-
-    /// Number of peers of which this is not known. What they told before that claim proves
-    /// nothing.
-    pub fn unsettled_count(&self, claim: StoreVersion, now: Time) -> usize {
         let timeouts = self.loss_timeouts();
         let follows = |peer: &Peer| {
             let report = peer.holder_report();
             timeouts.is_live(peer, now) && report.is_some_and(|report| report.follows(claim))
         };
-        self.peers.values().filter(|peer| !follows(peer)).count()
+        self.peers.values().all(follows)
     }
 
     /// Recipients of the current round of heartbeats.
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -61,7 +61,8 @@
     let era = controller.state.borrow().replicas[RANGES].version.era();
     let planner_version = row_version(controller, PLANNER_KEY);
     let is_unknown = current.is_none() && planner_version != StoreVersion::NONE;
-    let predecessors = former_planners::still_acting(controller, current.as_ref());
+    let mut predecessors = former_planners::still_acting(controller, current.as_ref());
+    predecessors.extend(former_planners::unnamed().filter(|_| is_unknown));
     let witnesses = stated_witnesses(controller, current.as_ref(), &predecessors, &lease_times);
     let wire = LeadershipWire {
         instance: controller.settings.instance.to_string(),
@@ -125,7 +126,7 @@
         .as_ref()
         .is_some_and(|former| is_unbroken(controller, former, current.as_ref(), &leadership));
     let former = former.take().filter(|_| is_unbroken);
-    let mut term = match former {
+    let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors, lease_times),
         None => begin_term(
             controller,
@@ -135,9 +136,6 @@
             is_unknown,
         ),
     };
-    // Planners that the store lost have claimed the leadership after this one, and name witnesses
-    // too.
-    term.may_bound_unlisted = current.is_some_and(|replaced| replaced.names_witnesses());
     if !term.predecessors.is_empty() {
         let limits = former_planners::act_limits(&term.predecessors, lease_times.outage_limit);
         let leadership = term.leadership.clone();
@@ -153,8 +151,7 @@
 }
 
 /// Witnesses to name in a claim: those of this instance unless it knows no other one, and of the
-/// former planners as far as they are known. Once a claim names witnesses, if only an empty list,
-/// all later ones do.
+/// former planners as far as they are known.
 fn stated_witnesses<A: Adapter>(
     controller: &Controller<A>,
     replaced: Option<&Leadership>,
@@ -168,8 +165,7 @@
     };
     let live = state.peers.pick_witnesses(controller.clock.now());
     let limit = act_limit(state.peers.schedule(), lease_times);
-    let is_registered = controller.registered_at.get().is_some();
-    let is_alone = is_registered && state.peers.is_empty() && !knows_of_others(&own, replaced);
+    let is_alone = controller.registered_at.get().is_some() && state.peers.is_empty();
     let named = (!is_alone).then(|| (own, Witnesses::new(live, limit)));
     let known = predecessors.iter().filter_map(|planner| {
         let witnesses = replaced?.witnesses.get(planner)?;
@@ -178,13 +174,6 @@
     known.chain(named).collect()
 }
 
-/// Whether the leadership that is replaced shows that there are other instances.
-fn knows_of_others(own: &PlannerId, replaced: Option<&Leadership>) -> bool {
-    replaced.is_some_and(|replaced| {
-        replaced.names_witnesses() || replaced.planner.instance != own.instance
-    })
-}
-
 /// The time for which this instance may act under a leadership that it has just claimed.
 fn new_tenure(leadership: &Leadership, lease_times: &LeaseTimes) -> Tenure {
     let witnesses = leadership.witnesses.get(&leadership.planner).cloned();
@@ -341,7 +330,6 @@
         plans,
         is_restored: leadership_era > StoreEra(0),
         unlisted_until,
-        may_bound_unlisted: false,
         foreign_grants_until: foreign_leases_end,
         incomplete_maps: BTreeSet::new(),
         balance_clock: BalanceTimer::new(now),
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -25,6 +25,9 @@
     std::{rc::Rc, time::Duration},
 };
 
+/// Name of a planner that is not known.
+const UNNAMED: &str = "unnamed-planner";
+
 /// Former planners that may not have stopped yet. Includes earlier ones than the last:
 /// one that is partitioned may still renew leases although its successor has ended.
 pub fn still_acting<A: Adapter>(
@@ -47,6 +50,16 @@
     predecessors
 }
 
+/// Stands for the planner of a leadership that could not be read, so that the claims after it
+/// wait for that planner too.
+pub fn unnamed() -> Option<PlannerId> {
+    let instance = UNNAMED.parse().ok()?;
+    Some(PlannerId {
+        instance,
+        incarnation: 0,
+    })
+}
+
 /// A former planner, and how long it may act from now on at most.
 pub type ActLimit = (PlannerId, Duration);
 
--- a/crates/citronproxy/src/edge/control/planner/term.rs
+++ b/crates/citronproxy/src/edge/control/planner/term.rs
@@ -18,7 +18,7 @@
         ranges::{
             BalanceLimits, BalanceTimer, Balancer, Demand, EraStart, KeyEvent, KeyRange,
             LeaseTimes, LeaseTracker, MapReplica, Order, OrderOutcome, PlanScope, Probes, RangeMap,
-            Reconciler, Tenure, act_limit, is_server_set_complete, stop_delay,
+            Reconciler, Tenure, is_server_set_complete,
         },
         registry::{PlannedOwners, ServerRecord},
         time::Time,
@@ -81,8 +81,6 @@
     pub is_restored: bool,
     /// Time until which planners that the copy lacks may act; `None` once they have stopped.
     pub unlisted_until: Option<Time>,
-    /// Whether that time may be shortened, once, as these planners have named witnesses.
-    pub may_bound_unlisted: bool,
     /// Time until which former planners may have sent grants, as known at the start.
     pub foreign_grants_until: Time,
     /// Services whose stored map lacks keys.
@@ -194,7 +192,6 @@
             plans,
             is_restored: true,
             unlisted_until,
-            may_bound_unlisted: false,
             foreign_grants_until: self.foreign_grants_until.max(era.others_until),
             incomplete_maps: self.incomplete_maps,
             balance_clock: self.balance_clock,
@@ -228,31 +225,6 @@
         }
     }
 
-    /// Shortens the wait for planners that are not known, once a single instance is left that may
-    /// confirm one. Returns whether it did.
-    fn bound_unlisted(
-        &mut self,
-        state: &ControlState,
-        lease_times: &LeaseTimes,
-        now: Time,
-    ) -> bool {
-        let unsettled = state.peers.unsettled_count(self.leadership.claim, now);
-        let limit = act_limit(state.peers.longest_schedule(), lease_times);
-        let until = now + stop_delay(limit);
-        let longest = self.unlisted_until.filter(|longest| *longest > until);
-        if unsettled > 1 || !self.may_bound_unlisted || longest.is_none() {
-            return false;
-        }
-        self.may_bound_unlisted = false;
-        self.unlisted_until = Some(until);
-        log::info!(
-            "{} planners that the store lost stop within {:?}",
-            events::PLANNER,
-            until - now,
-        );
-        true
-    }
-
     /// Shortens the wait for former planners that too few witnesses can confirm by now.
     fn bound_predecessors<A: Adapter>(
         &mut self,
@@ -261,7 +233,7 @@
         lease_times: &LeaseTimes,
     ) {
         let now = controller.clock.now();
-        let mut is_shortened = self.bound_unlisted(state, lease_times, now);
+        let mut is_shortened = false;
         for planner in &self.predecessors {
             let Some(witnesses) = self.leadership.witnesses.get(planner) else {
                 continue;
--- a/crates/core/src/ranges/mod.rs
+++ b/crates/core/src/ranges/mod.rs
@@ -40,6 +40,6 @@
         PlanScope, Probes, Reconciler, WaitReason,
     },
     server_set::is_server_set_complete,
-    tenure::{Tenure, Witnesses, act_limit, stop_delay},
+    tenure::{Tenure, Witnesses, act_limit},
     windows::DemandWindows,
 };
--- a/crates/core/src/ranges/tenure.rs
+++ b/crates/core/src/ranges/tenure.rs
@@ -17,16 +17,11 @@
 const HEARTBEATS_MIN: u32 = 3;
 /// Longest time between sending and receiving a heartbeat.
 const HEARTBEAT_DELAY_MAX: Duration = Duration::from_millis(500);
-/// Smallest number of witnesses that confirm a planner. After a restore of the store, a planner
-/// may be unknown whose claim the copy lacks; one instance that does not follow its successor
-/// must not suffice to confirm it.
-const QUORUM_MIN: usize = 2;
-
 /// Processes of instances whose heartbeats confirm a planner's leadership while the store does
 /// not answer. A planner names them in its claim.
 ///
-/// More than half of them must confirm it, two at least. Once too few are left that do not follow
-/// another planner and have not ended, it acts no longer than [`Witnesses::stop_delay`], whether or not it is heard.
+/// More than half of them must confirm it. Once too few are left that do not follow another planner
+/// and have not ended, it acts no longer than [`Witnesses::stop_delay`], whether or not it is heard.
 ///
 /// ```
 /// use {
@@ -80,7 +75,7 @@
 
     /// Longest time for which the planner acts once too few witnesses can confirm it.
     pub fn stop_delay(&self) -> Duration {
-        stop_delay(self.act_limit)
+        self.act_limit + HEARTBEAT_DELAY_MAX
     }
 
     /// Time as of which more than half of the witnesses have confirmed the planner; `None` if
@@ -105,7 +100,7 @@
     }
 
     fn quorum(&self) -> usize {
-        QUORUM_MIN.max(self.processes.len() / 2 + 1)
+        self.processes.len() / 2 + 1
     }
 }
 
@@ -129,17 +124,10 @@
     UNCONFIRMED_MIN.max(delayed).min(times.outage_limit)
 }
 
-/// Longest time for which a planner acts once too few witnesses can confirm it, if it acts for
-/// `act_limit` after a confirmation: its last one may be on the way.
-pub fn stop_delay(act_limit: Duration) -> Duration {
-    act_limit + HEARTBEAT_DELAY_MAX
-}
-
 /// Time for which a planner may act: for a short time after the store or most of its witnesses
 /// confirmed it, and for a limited time after the store did.
 ///
-/// A planner that knew no other instance when it claimed the leadership names no witnesses. It
-/// acts for the longer time, and its successors wait for that.
+/// A planner that names no witnesses acts for the longer time, and its successors wait for that.
 ///
 /// ```
 /// use {
--- a/crates/core/tests/tenure/world.rs
+++ b/crates/core/tests/tenure/world.rs
@@ -33,8 +33,7 @@
 pub enum Flaw {
     /// Each process of a witness confirms the planner.
     AnyProcess,
-    /// After a restore, a successor takes lost planners for stopped while instances are left
-    /// that may confirm one.
+    /// A successor does not wait for planners that the store has lost.
     IgnoreLost,
     /// A successor takes the planner for stopped once a single witness follows it.
     FewWitnesses,
@@ -372,23 +371,6 @@
                 term.listed_until = term.listed_until.min(until);
             }
         }
-        let is_settled = |other: &usize| {
-            heard.get(other).is_some_and(|heartbeat| {
-                let is_live = now - heartbeat.sent <= LIVE;
-                is_live && heartbeat.claim >= claim && !heartbeat.is_planning
-            })
-        };
-        let others = (0..INSTANCES).filter(|other| *other != at);
-        let unsettled = others.filter(|other| !is_settled(other)).count();
-        let unsettled_max = if flaw == Some(Flaw::IgnoreLost) {
-            INSTANCES
-        } else {
-            1
-        };
-        if unsettled <= unsettled_max {
-            let until = now + term.row.witnesses.stop_delay();
-            term.lost_until = term.lost_until.min(until);
-        }
         let others_until = term.listed_until.max(term.lost_until);
         self.outcome.was_shortened |= others_until < term.longest_until;
         let end = term.tenure.end();
@@ -441,7 +423,8 @@
             witnesses: Witnesses::new(live, limit),
             before: predecessors.clone(),
         };
-        let lost_until = match one.restored_at > Time::ZERO {
+        let has_lost = one.restored_at > Time::ZERO && self.flaw != Some(Flaw::IgnoreLost);
+        let lost_until = match has_lost {
             true => one.restored_at + times.outage_limit,
             false => now,
         };
