The stand-ins of the review build again: queries are decoded in citron-fakes

The tests' store decodes queries since, by two libraries that the manifest of the review's stand-ins does not name; these share the tests' support, and did not build any more. The same code is a public function of citron-fakes now, which they use.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod flood;
 pub mod link;
 pub mod platform;
+pub mod query;
 pub mod scripted;
 
 mod http;
