Planners of unreadable leaderships are told apart

Where such a row was met a second time, the stop time of the first one counted for the other, so that by reading nobody waited for it but its first successor. The number is the version of the row now.

planners_of_unreadable_leaderships_are_told_apart failed before ([unnamed-planner, 0] twice).

begin_term no longer asks whether the planner before is unknown: it stands in the list of former planners, by which the wait is counted.

--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -60,9 +60,10 @@
     let current = controller.state.borrow().leadership.clone();
     let era = controller.state.borrow().replicas[RANGES].version.era();
     let planner_version = row_version(controller, PLANNER_KEY);
-    let is_unknown = current.is_none() && planner_version != StoreVersion::NONE;
     let mut predecessors = former_planners::still_acting(controller, current.as_ref());
-    predecessors.extend(former_planners::unnamed().filter(|_| is_unknown));
+    if current.is_none() && planner_version != StoreVersion::NONE {
+        predecessors.extend(former_planners::unnamed(planner_version));
+    }
     let witnesses = stated_witnesses(controller, current.as_ref(), &predecessors, &lease_times);
     let wire = LeadershipWire {
         instance: controller.settings.instance.to_string(),
@@ -128,13 +129,7 @@
     let former = former.take().filter(|_| is_unbroken);
     let term = match former {
         Some(former) => resume_term(controller, former, leadership, predecessors, lease_times),
-        None => begin_term(
-            controller,
-            leadership,
-            predecessors,
-            lease_times,
-            is_unknown,
-        ),
+        None => begin_term(controller, leadership, predecessors, lease_times),
     };
     if !term.predecessors.is_empty() {
         let limits = former_planners::act_limits(&term.predecessors, lease_times.outage_limit);
@@ -272,14 +267,11 @@
     (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
-/// `is_unknown` tells that the row of the leadership could not be read, so that any planner may
-/// have claimed it before.
 fn begin_term<A: Adapter>(
     controller: &Controller<A>,
     leadership: Leadership,
     predecessors: Vec<PlannerId>,
     lease_times: LeaseTimes,
-    is_unknown: bool,
 ) -> Term {
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
@@ -287,8 +279,6 @@
     let limits = former_planners::act_limits(&predecessors, lease_times.outage_limit);
     let stopped_by = former_planners::stopped_by(&state, &limits, now);
     let unlisted_until = unlisted_planners_end(controller, &state, leadership.claim, &lease_times);
-    let longest = now + lease_times.outage_limit;
-    let unlisted_until = unlisted_until.max(is_unknown.then_some(longest));
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -51,12 +51,13 @@
 }
 
 /// Stands for the planner of a leadership that could not be read, so that the claims after it
-/// wait for that planner too.
-pub fn unnamed() -> Option<PlannerId> {
+/// wait for that planner too. `version` is that of the row: each such planner has a stop time of
+/// its own.
+pub fn unnamed(version: StoreVersion) -> Option<PlannerId> {
     let instance = UNNAMED.parse().ok()?;
     Some(PlannerId {
         instance,
-        incarnation: 0,
+        incarnation: version.0,
     })
 }
 
