One escape of texts in URIs, and less to say in claims

The id of this instance as a planner, the log line of a refused row and the schedule of heartbeats stood twice each, or in two steps. Behaviour is the same.

--- a/crates/citronctl/src/client.rs
+++ b/crates/citronctl/src/client.rs
@@ -9,6 +9,7 @@
             RefusedWire, RevisionWire, RowEditWire, RowsWire, StatusWire,
         },
         slo::BurnWire,
+        uri::escape_query,
     },
     http::{Method, Request, StatusCode, header},
     http_body_util::{BodyExt, Full},
@@ -55,7 +56,7 @@
 
     /// Returns the rows of one kind, or of all kinds.
     pub async fn rows(&self, kind: Option<&str>) -> Result<RowsWire, CtlError> {
-        let query = kind.map(|kind| format!("?kind={}", escape(kind)));
+        let query = kind.map(|kind| format!("?kind={}", escape_query(kind)));
         self.get(&format!("/v1/rows{}", query.unwrap_or_default()))
             .await
     }
@@ -74,7 +75,7 @@
 
     /// Returns the owner of a key.
     pub async fn owner(&self, service: &str, key: &str) -> Result<OwnerWire, CtlError> {
-        let (service, key) = (escape(service), escape(key));
+        let (service, key) = (escape_query(service), escape_query(key));
         self.get(&format!("/v1/owner?service={service}&key={key}"))
             .await
     }
@@ -196,15 +197,3 @@
 fn failed(error: impl ToString) -> CtlError {
     CtlError::Failed(error.to_string())
 }
-
-/// Percent-encodes all bytes except the unreserved characters of a URI.
-fn escape(text: &str) -> String {
-    let mut escaped = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        match byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
-            true => escaped.push(char::from(byte)),
-            false => escaped.push_str(&format!("%{byte:02X}")),
-        }
-    }
-    escaped
-}
--- a/crates/citronproxy/src/edge/control/apply.rs
+++ b/crates/citronproxy/src/edge/control/apply.rs
@@ -321,21 +321,19 @@
     let wire: LeadershipWire = serde_json::from_slice(value)
         .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED))
         .ok()?;
+    let log_refused =
+        |error: &ParseIdError| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED);
     let planner_id = |instance: &str, incarnation| {
-        let instance = instance.parse();
-        let instance = instance
-            .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED));
+        let instance = instance.parse().inspect_err(log_refused).ok()?;
         Some(PlannerId {
-            instance: instance.ok()?,
+            instance,
             incarnation,
         })
     };
     let predecessors = wire.before.iter();
     let witnesses = wire.witnesses.iter().map(TryInto::try_into);
     let witnesses: Result<_, ParseIdError> = witnesses.collect();
-    let witnesses = witnesses
-        .inspect_err(|error| log::error!("{} {PLANNER_KEY}: {error}", events::OWN_ROW_REFUSED))
-        .unwrap_or_default();
+    let witnesses = witnesses.inspect_err(log_refused).unwrap_or_default();
     Some(Leadership {
         planner: planner_id(&wire.instance, wire.start)?,
         predecessors: predecessors
--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -377,6 +377,14 @@
         }
     }
 
+    /// This incarnation of the instance, as a planner.
+    pub fn planner_id(&self) -> PlannerId {
+        PlannerId {
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Whether the instance was asked to leave.
     pub fn is_leaving(&self) -> bool {
         *self.shared.subscribe_leaving().borrow()
--- a/crates/citronproxy/src/edge/control/peers.rs
+++ b/crates/citronproxy/src/edge/control/peers.rs
@@ -246,15 +246,11 @@
 
     /// Intervals of the heartbeats that this instance receives.
     pub fn schedule(&self) -> HeartbeatSchedule {
-        HeartbeatSchedule::for_instances(self.reporters_max())
-    }
-
-    fn reporters_max(&self) -> usize {
-        let peers = match self.is_full_mesh() {
+        let reporting_count = match self.is_full_mesh() {
             true => self.peers.len(),
             false => self.same_domain_count,
         };
-        1 + peers
+        HeartbeatSchedule::for_instances(1 + reporting_count)
     }
 
     /// Whether no other instance is known.
--- a/crates/citronproxy/src/edge/control/planner/claim.rs
+++ b/crates/citronproxy/src/edge/control/planner/claim.rs
@@ -26,6 +26,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         rc::Rc,
+        time::Duration,
     },
     tokio::task::spawn_local,
 };
@@ -154,10 +155,7 @@
     lease_times: &LeaseTimes,
 ) -> BTreeMap<PlannerId, Witnesses> {
     let state = controller.state.borrow();
-    let own = PlannerId {
-        instance: controller.settings.instance.clone(),
-        incarnation: controller.incarnation,
-    };
+    let own = controller.planner_id();
     let live = state.peers.pick_witnesses(controller.clock.now());
     let limit = act_limit(state.peers.schedule(), lease_times);
     let is_alone = controller.registered_at.get().is_some() && state.peers.is_empty();
@@ -235,7 +233,7 @@
     let limits = former_planners::act_limits(&predecessors, outage_limit);
     let stopped_by = former_planners::stopped_by(&state, &limits, now);
     let claim = leadership.claim;
-    let unlisted_until = unlisted_planners_end(controller, &state, claim, &lease_times);
+    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
     let era = EraStart {
         floor: leadership.epoch_floor(),
         former_until: state.ranges_confirmed.before_era + outage_limit,
@@ -259,11 +257,11 @@
     controller: &Controller<A>,
     state: &ControlState,
     claim: StoreVersion,
-    lease_times: &LeaseTimes,
+    outage_limit: Duration,
 ) -> Option<Time> {
     let now = controller.clock.now();
     let restored_at = controller.restored_at.get()?;
-    let until = restored_at + lease_times.outage_limit;
+    let until = restored_at + outage_limit;
     (until > now && !state.peers.all_follow(claim, now)).then_some(until)
 }
 
@@ -276,9 +274,10 @@
     let mut state = controller.state.borrow_mut();
     let now = controller.clock.now();
     let floor = leadership.epoch_floor();
-    let limits = former_planners::act_limits(&predecessors, lease_times.outage_limit);
+    let (claim, outage_limit) = (leadership.claim, lease_times.outage_limit);
+    let limits = former_planners::act_limits(&predecessors, outage_limit);
     let stopped_by = former_planners::stopped_by(&state, &limits, now);
-    let unlisted_until = unlisted_planners_end(controller, &state, leadership.claim, &lease_times);
+    let unlisted_until = unlisted_planners_end(controller, &state, claim, outage_limit);
     let foreign_leases_end = stopped_by.max(unlisted_until.unwrap_or_default());
     let maps = state.maps.iter();
     let plans = maps.filter_map(|(service, map)| {
--- a/crates/citronproxy/src/edge/control/planner/former_planners.rs
+++ b/crates/citronproxy/src/edge/control/planner/former_planners.rs
@@ -103,10 +103,7 @@
 /// To be written with a claim: this incarnation acts again, and would count as stopped once the
 /// claim of another one replaces it.
 pub fn without_own<A: Adapter>(controller: &Controller<A>) -> Option<(RowTable, String, Vec<u8>)> {
-    let own = PlannerId {
-        instance: controller.settings.instance.clone(),
-        incarnation: controller.incarnation,
-    };
+    let own = controller.planner_id();
     let state = controller.state.borrow();
     if !state.former_planners.contains_key(&own) {
         return None;
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -1,13 +1,15 @@
 //! HTTP client of the platform's services.
 
 use {
-    crate::uri::{escape_path, escape_query},
     crate::{
         CallError, HttpClient, IdleTimeout, Machine, MachineList, MachineState, ObjectStore,
         PlatformError, TableService,
     },
     bytes::Bytes,
-    citron_wire::table::{ChangesWire, CommitResponseWire, CommitWire, LogWire, StoredRowWire},
+    citron_wire::{
+        table::{ChangesWire, CommitResponseWire, CommitWire, LogWire, StoredRowWire},
+        uri::{escape_path, escape_query},
+    },
     http::{Method, Request, StatusCode},
     serde::{Deserialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -21,7 +21,6 @@
 mod status;
 mod table_service;
 mod table_store;
-mod uri;
 
 pub use {
     adapter::{Adapter, DecodeError, HeaderNames},
@@ -42,5 +41,4 @@
     status::is_final_status,
     table_service::TableService,
     table_store::{HistoryEntry, TableStore},
-    uri::{escape_path, escape_query},
 };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod row;
 pub mod slo;
 pub mod table;
+pub mod uri;
 
 mod error;
 
--- a/crates/ports/src/uri.rs
+++ b/crates/wire/src/uri.rs
@@ -15,7 +15,7 @@
 /// not read the same value.
 ///
 /// ```
-/// use citron_ports::escape_query;
+/// use citron_wire::uri::escape_query;
 /// assert_eq!(escape_query("a+b c&d=é").to_string(), "a%2Bb%20c%26d%3D%C3%A9");
 /// ```
 pub fn escape_query(value: &str) -> PercentEncode<'_> {
@@ -25,7 +25,7 @@
 /// Escapes a path, except the slashes between its segments.
 ///
 /// ```
-/// use citron_ports::escape_path;
+/// use citron_wire::uri::escape_path;
 /// assert_eq!(escape_path("a/b?c").to_string(), "a/b%3Fc");
 /// ```
 pub fn escape_path(path: &str) -> PercentEncode<'_> {
