Full reads in place of changes are paced

What the users would see: a store that answers 410 to each read of the feed was read in full again and again, each about 60 ms apart, and without any pause where the full read failed for the same reason. Reads are priced, and all instances share their rate.

Cause: a full read that succeeded ended the row of failures, although the read of changes after it failed again; and 410 was never counted as a failure. It also left no line in the log.

Fix: only a read of changes ends the row of failures. The first 410 is followed by a full read at once, as before; further ones by pauses that double from 120 ms to 1 s. A 410 is a response, so that it does not count towards an outage of the store.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -561,6 +561,11 @@
     /// Records that a read from the store, begun at `call_started`, failed. `call` names the
     /// call in the log.
     pub fn on_store_read_failure(&self, call: &str, call_started: Time, error: &StoreError) {
+        if matches!(error, StoreError::Compacted) {
+            // The store has responded: it is reachable.
+            log::info!("{} {call}: {error}", events::STORE_CALL_FAILED);
+            return self.on_store_success(call_started, None);
+        }
         let now = self.clock.now();
         let health = &mut self.state.borrow_mut().store_health;
         health.record_failed_read(call_started, now);
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -42,7 +42,8 @@
 /// How long polling pauses at most after a failure, unless another call of this instance
 /// succeeds. Tables that reach their age limit are refreshed regardless.
 const STORE_WAIT_MAX: Duration = Duration::from_secs(3);
-/// Longest pause between reads of a table that fail while the store answers other calls.
+/// Longest pause between failing reads of a table while the store answers other calls. While it
+/// has no history, changes are learned of by full reads at this interval.
 const READ_RETRY_MAX: Duration = Duration::from_secs(1);
 
 /// How long a starting instance waits for tables from peers of its failure domain, for
@@ -115,15 +116,21 @@
         match read {
             Ok(row_set) => {
                 controller.on_table_read(table, row_set, is_snapshot, call_started);
-                (is_snapshot, failures) = (false, 0);
+                // A store without history serves all rows but no changes.
+                if !is_snapshot {
+                    failures = 0;
+                }
+                is_snapshot = false;
                 sleep(controller.poll_interval()).await;
             }
-            Err(StoreError::Compacted) => is_snapshot = true,
             Err(error) => {
                 controller.on_store_read_failure(&format!("{row_table:?}"), call_started, &error);
+                let lacks_history = matches!(error, StoreError::Compacted);
+                is_snapshot |= lacks_history;
                 if *controller.store_up.borrow() {
-                    let pause = POLL_INTERVAL.saturating_mul(1 << failures.min(8));
-                    sleep(pause.min(READ_RETRY_MAX).mul_f64(jitter_factor())).await;
+                    if failures > 0 || !lacks_history {
+                        sleep(retry_pause(failures)).await;
+                    }
                     failures += 1;
                 } else {
                     failures = 0;
@@ -134,6 +141,13 @@
     }
 }
 
+/// Random pause before a table is read again, after this many failed reads in a row before
+/// the last one.
+fn retry_pause(failures: u32) -> Duration {
+    let pause = POLL_INTERVAL.saturating_mul(1 << failures.min(8));
+    pause.min(READ_RETRY_MAX).mul_f64(jitter_factor())
+}
+
 impl<A: Adapter> Controller<A> {
     fn poll_interval(&self) -> Duration {
         match self.state.borrow().peers.is_full_mesh() {
