run: rows of the table that cannot be read hide no others

What callers would see: with one row of another writer in the table of `citronproxy run`, all instances lost their routing leases within seconds and served nothing, and those that started did not begin.

Cause: a response was converted as a whole, so that one row with an unknown key, or with a value that is no row, made each read fail.

Fix: rows are converted one by one. A row under a key that the table does not have is ignored. One whose value cannot be read counts as deleted: instances compare revisions only, so that their rows must be the same as of the same one, whether they knew the row before or not. Event C0105 names each.

--- a/crates/citronctl/tests/support/mod.rs
+++ b/crates/citronctl/tests/support/mod.rs
@@ -143,8 +143,8 @@
 
     async fn refresh(&self) -> Result<(), PlatformError> {
         let since = self.revision_in_force();
-        let changes = self.store.changes(since).await?;
-        self.table.borrow_mut().apply(changes).unwrap();
+        let read = self.store.changes(since).await?;
+        self.table.borrow_mut().apply(read.changes).unwrap();
         Ok(())
     }
 
--- a/crates/citronproxy/examples/control_cost.rs
+++ b/crates/citronproxy/examples/control_cost.rs
@@ -12,14 +12,14 @@
         membership::Member,
         ownership::{Assignment, BootId, Grant, GrantReply, GrantResult, ServerLease},
         table::{
-            BlockId, BlockRow, Changes, Check, Commit, CommitOutcome, DomainRow, DomainState,
-            Fencing, KeySource, MoveBudget, Objectives, Row, SHARDS_PER_BLOCK, ServerRow,
-            ServerState, ServiceRow, Write,
+            BlockId, BlockRow, Check, Commit, CommitOutcome, DomainRow, DomainState, Fencing,
+            KeySource, MoveBudget, Objectives, Row, SHARDS_PER_BLOCK, ServerRow, ServerState,
+            ServiceRow, Write,
         },
     },
     citron_ports::{
         GrantClient, HistoryEntry, IdempotentStore, Machine, MachineList, MemoryPlatform,
-        PlatformError, ProbeResult, Prober, TableStore,
+        PlatformError, ProbeResult, Prober, TableRead, TableStore,
     },
     citronproxy::{
         clock::Clock,
@@ -68,7 +68,7 @@
 }
 
 impl TableStore for CountingStore {
-    async fn changes(&self, since: Revision) -> Result<Changes, PlatformError> {
+    async fn changes(&self, since: Revision) -> Result<TableRead, PlatformError> {
         increment(&self.calls.reads);
         self.inner.changes(since).await
     }
--- a/crates/citronproxy/src/admin/inspect.rs
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -51,7 +51,7 @@
         // client that polls the status until a revision is in force would see the effect
         // of its own polling.
         let read = self.store.changes(in_force).await;
-        let known = read.as_ref().map_or(in_force, |changes| changes.revision);
+        let known = read.as_ref().map_or(in_force, |read| read.changes.revision);
         self.control.with_table(|table| {
             let instances = table.instances().map(InstanceWire::from);
             StatusWire {
--- a/crates/citronproxy/src/control/node.rs
+++ b/crates/citronproxy/src/control/node.rs
@@ -185,10 +185,13 @@
     pub async fn refresh(&self) -> Result<(), PlatformError> {
         let started = self.now();
         let since = self.with_table(Table::revision);
-        let changes = self.inner.store.changes(since).await?;
+        let read = self.inner.store.changes(since).await?;
         let answered = self.now();
+        for error in &read.unreadable {
+            log::error!("{} {error}", events::TABLE_ROW_REFUSED);
+        }
         let mut replica = self.inner.replica.borrow_mut();
-        let applied = replica.apply_read(started, answered, changes);
+        let applied = replica.apply_read(started, answered, read.changes);
         drop(replica);
         self.publish_read(applied.map_err(invalid_answer)?);
         Ok(())
--- a/crates/citronproxy/src/events/event.rs
+++ b/crates/citronproxy/src/events/event.rs
@@ -60,6 +60,8 @@
     /// Reads of the platform renew the routing lease again, or relays do not renew it any
     /// more.
     RELAY_ENDED = 104, "relay-ended";
+    /// A row of the table cannot be read: another program has written it.
+    TABLE_ROW_REFUSED = 105, "table-row-refused";
     /// This incarnation of the instance was listed in the table.
     JOINED = 110, "joined";
     /// An instance that does not answer was marked as expelled.
--- a/crates/citronproxy/tests/slo.rs
+++ b/crates/citronproxy/tests/slo.rs
@@ -77,7 +77,7 @@
     let store = IdempotentStore::new(memory.clone(), "control".to_string());
     let mut table = Table::default();
     table
-        .apply(store.changes(Revision(0)).await.unwrap())
+        .apply(store.changes(Revision(0)).await.unwrap().changes)
         .unwrap();
     let confirmation = RoutingLease {
         any_domain_until: until,
--- a/crates/citronproxy/tests/support/deployment.rs
+++ b/crates/citronproxy/tests/support/deployment.rs
@@ -98,7 +98,7 @@
     /// The platform's table, read directly from its memory and so in spite of injected faults.
     pub async fn changes(&self) -> Changes {
         let wire = self.platform.memory.changes(0).await.expect("in memory");
-        wire.try_into().expect("valid rows")
+        wire.into_changes(|key, error| panic!("{key}: {error}"))
     }
 
     /// Number of shards that a server owns or is releasing.
--- a/crates/ports/src/idempotent.rs
+++ b/crates/ports/src/idempotent.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        HistoryEntry, Machine, MachineList, ObjectStore, PlatformError, TableService, TableStore,
+        DecodeError, HistoryEntry, Machine, MachineList, ObjectStore, PlatformError, TableRead,
+        TableService, TableStore,
     },
     citron_core::{
         id::Revision,
-        table::{Changes, Check, Commit, CommitOutcome, HistoryRow, Row, Versioned, Write},
+        table::{Check, Commit, CommitOutcome, HistoryRow, Row, Versioned, Write},
     },
     citron_wire::{
         row::{RowWire, parse_row_key},
@@ -128,9 +129,17 @@
 }
 
 impl<S: TableService> TableStore for IdempotentStore<S> {
-    async fn changes(&self, since: Revision) -> Result<Changes, PlatformError> {
+    async fn changes(&self, since: Revision) -> Result<TableRead, PlatformError> {
         let wire = self.service.changes(since.0).await?;
-        Ok(Changes::try_from(wire)?)
+        let mut unreadable = Vec::new();
+        let changes = wire.into_changes(|key, error| {
+            let reason = error.to_string();
+            unreadable.push(DecodeError { key, reason });
+        });
+        Ok(TableRead {
+            changes,
+            unreadable,
+        })
     }
 
     async fn commit_checked(
--- a/crates/ports/src/table_store.rs
+++ b/crates/ports/src/table_store.rs
@@ -1,7 +1,7 @@
 //! The transactional table of services, servers, instances and shard owners.
 
 use {
-    crate::PlatformError,
+    crate::{DecodeError, PlatformError},
     citron_core::{
         id::Revision,
         table::{Changes, Check, Commit, CommitOutcome, HistoryRow, Versioned},
@@ -12,11 +12,21 @@
 /// An accepted edit and the revision that it created.
 pub type HistoryEntry = Versioned<HistoryRow>;
 
+/// Response to a read of the table.
+#[derive(Debug)]
+pub struct TableRead {
+    /// The rows that changed.
+    pub changes: Changes,
+    /// Errors of rows that another program has written. Those under a key of the table count
+    /// as deleted.
+    pub unreadable: Vec<DecodeError>,
+}
+
 /// Transactional access to the platform's table. A read sees every commit whose response
 /// was sent before the read began.
 pub trait TableStore {
     /// Reads the rows that changed after `since`.
-    fn changes(&self, since: Revision) -> impl Future<Output = Result<Changes, PlatformError>>;
+    fn changes(&self, since: Revision) -> impl Future<Output = Result<TableRead, PlatformError>>;
 
     /// Commits exactly once. If a response is lost, the outcome is determined before this
     /// returns.
--- a/crates/ports/tests/checks.rs
+++ b/crates/ports/tests/checks.rs
@@ -48,6 +48,6 @@
     };
     assert_eq!(key.to_string(), "domain/harbour");
     assert_eq!(current.unwrap().version, Revision(3));
-    let changes = two.changes(Revision(0)).await.unwrap();
+    let changes = two.changes(Revision(0)).await.unwrap().changes;
     assert_eq!(changes.revision, Revision(3));
 }
--- a/crates/ports/tests/table.rs
+++ b/crates/ports/tests/table.rs
@@ -83,7 +83,7 @@
     ));
     let fourth = committed(store.commit(delete(domain("b", "").key(), second)).await);
     for since in [Revision(0), first, third, fourth] {
-        let changes = store.changes(since).await.unwrap();
+        let changes = store.changes(since).await.unwrap().changes;
         let rows = changes.rows.iter().map(|(key, version, row)| {
             let gone = if row.is_none() { " gone" } else { "" };
             format!("{key}@{version}{gone}")
--- a/crates/wire/src/table/table_wire.rs
+++ b/crates/wire/src/table/table_wire.rs
@@ -116,21 +116,50 @@
     Row::try_from(wire)
 }
 
-impl TryFrom<ChangesWire> for Changes {
-    type Error = WireError;
-
-    fn try_from(wire: ChangesWire) -> Result<Self, WireError> {
-        let mut rows = Vec::with_capacity(wire.rows.len());
-        for stored in wire.rows {
-            let key = parse_row_key(&stored.key)?;
-            let row = stored.value.map(decode_row).transpose()?;
+impl ChangesWire {
+    /// Converts the rows, and passes the key and the error of each one that cannot be read to
+    /// `on_unreadable`. Such a row counts as deleted, so that replicas of the same revision have
+    /// the same rows.
+    ///
+    /// ```
+    /// use citron_wire::table::{ChangesWire, StoredRowWire};
+    /// let row = |key: &str, value| StoredRowWire {
+    ///     key: key.to_string(),
+    ///     version: 1,
+    ///     value: Some(value),
+    /// };
+    /// let wire = ChangesWire {
+    ///     since: 0,
+    ///     revision: 1,
+    ///     rows: vec![row("note", "a text".into()), row("server/s-1", "a text".into())],
+    /// };
+    /// let mut unreadable = Vec::new();
+    /// let changes = wire.into_changes(|key, _| unreadable.push(key));
+    /// assert_eq!(unreadable, ["note", "server/s-1"]);
+    /// assert!(matches!(&changes.rows[..], [(_, _, None)]));
+    /// ```
+    pub fn into_changes(self, mut on_unreadable: impl FnMut(String, WireError)) -> Changes {
+        let mut rows = Vec::with_capacity(self.rows.len());
+        for stored in self.rows {
+            let key = match parse_row_key(&stored.key) {
+                Ok(key) => key,
+                Err(error) => {
+                    on_unreadable(stored.key, error);
+                    continue;
+                }
+            };
+            let row = stored.value.map(decode_row).transpose();
+            let row = row.unwrap_or_else(|error| {
+                on_unreadable(stored.key, error);
+                None
+            });
             rows.push((key, Revision(stored.version), row));
         }
-        Ok(Self {
-            since: Revision(wire.since),
-            revision: Revision(wire.revision),
+        Changes {
+            since: Revision(self.since),
+            revision: Revision(self.revision),
             rows,
-        })
+        }
     }
 }
 
