Changes that are too long for a response lead to a full read

What callers would see: instances that ran followed a table no more, and sent requests by an old list of servers, after another writer had written 100 rows of 48 KB to a part of its own of that table.

Cause: the feed tells the changes of all parts, and the pages name no limit of its size. A response of more than 4 MiB was an error, and the read was repeated from the same version, for as long as the history held the rows. Reads of all rows come in pages of 1 MB of one part, and were not tried.

Fix: a response that is too long has an error of its own. Where changes were read, all rows are read in their place, as after a 410, and paced likewise. The read of changes goes on from their version.

an_answer_that_is_too_long_is_given_up expected an unknown outcome, which such a response was before. It expects the new error now, with its limit.

--- a/crates/citronproxy/src/edge/control/controller.rs
+++ b/crates/citronproxy/src/edge/control/controller.rs
@@ -561,7 +561,7 @@
     /// Records that a read from the store, begun at `call_started`, failed. `call` names the
     /// call in the log.
     pub fn on_store_read_failure(&self, call: &str, call_started: Time, error: &StoreError) {
-        if matches!(error, StoreError::Compacted) {
+        if error.requires_full_read() {
             // The store has responded: it is reachable.
             log::info!("{} {call}: {error}", events::STORE_CALL_FAILED);
             return self.on_store_success(call_started, None);
--- a/crates/citronproxy/src/edge/control/members.rs
+++ b/crates/citronproxy/src/edge/control/members.rs
@@ -133,7 +133,7 @@
                 controller.on_store_success(call_started, row_set.store_time);
                 return add_peers(controller, &row_set.rows);
             }
-            Err(StoreError::Compacted) => {
+            Err(error) if error.requires_full_read() => {
                 read_members(controller).await;
                 return;
             }
--- a/crates/citronproxy/src/edge/control/planner/orders.rs
+++ b/crates/citronproxy/src/edge/control/planner/orders.rs
@@ -314,7 +314,9 @@
                 log::debug!("grant of {} to {owner} failed: {error}", slice.range);
                 match error {
                     CallError::NotSent(_) | CallError::NotAdmitted => OrderOutcome::NotSent,
-                    CallError::OutcomeUnknown(_) | CallError::OtherCall(_) => OrderOutcome::Unknown,
+                    CallError::OutcomeUnknown(_)
+                    | CallError::OtherCall(_)
+                    | CallError::TooLong { .. } => OrderOutcome::Unknown,
                 }
             }
         }
@@ -387,7 +389,7 @@
                         shared.record_failure(server, Failure::Unreachable, started, now);
                     }
                     CallError::NotAdmitted => {}
-                    CallError::OutcomeUnknown(_) => {
+                    CallError::OutcomeUnknown(_) | CallError::TooLong { .. } => {
                         shared.record_silence(server, Failure::Failing, started, now);
                     }
                     CallError::OtherCall(reason) => {
--- a/crates/citronproxy/src/edge/control/refresh.rs
+++ b/crates/citronproxy/src/edge/control/refresh.rs
@@ -243,7 +243,7 @@
     };
     let is_arriving = || controller.is_transferring(table);
     match call_twice(changes, is_arriving).await {
-        Err(StoreError::Compacted) => {
+        Err(error) if error.requires_full_read() => {
             let mut transfer = TableTransfer::from_store(controller, table, RESPONSE_TIMEOUT);
             Ok((store.rows(WATCHED[table], &mut transfer).await?, true))
         }
--- a/crates/citronproxy/src/edge/control/watch.rs
+++ b/crates/citronproxy/src/edge/control/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{controller::Controller, peers::Peer, transfer::TableTransfer},
-    citron_ports::{Adapter, RowStore, RowTable, StoreError},
+    citron_ports::{Adapter, RowStore, RowTable},
     citron_wire::heartbeat::Heartbeat,
     rand::Rng,
     std::{rc::Rc, time::Duration},
@@ -125,10 +125,10 @@
             }
             Err(error) => {
                 controller.on_store_read_failure(&format!("{row_table:?}"), call_started, &error);
-                let lacks_history = matches!(error, StoreError::Compacted);
-                is_snapshot |= lacks_history;
+                let requires_full_read = error.requires_full_read();
+                is_snapshot |= requires_full_read;
                 if *controller.store_up.borrow() {
-                    if failures > 0 || !lacks_history {
+                    if failures > 0 || !requires_full_read {
                         sleep(retry_pause(failures)).await;
                     }
                     failures += 1;
--- a/crates/ports/src/http.rs
+++ b/crates/ports/src/http.rs
@@ -156,5 +156,6 @@
         CallError::OutcomeUnknown(reason) | CallError::OtherCall(reason) => {
             PlatformError::OutcomeUnknown(reason)
         }
+        error @ CallError::TooLong { .. } => PlatformError::OutcomeUnknown(error.to_string()),
     }
 }
--- a/crates/ports/src/http_client.rs
+++ b/crates/ports/src/http_client.rs
@@ -62,6 +62,12 @@
     /// the request.
     #[error("no response: received that to another call, {0}")]
     OtherCall(String),
+    /// The request was sent, and the body of the response is longer than this client accepts.
+    #[error("the response is longer than {max_bytes} bytes")]
+    TooLong {
+        /// Largest accepted size of a body.
+        max_bytes: usize,
+    },
     /// The request was not sent, as the process at the address may have started too recently
     /// to be the one that it is meant for.
     #[error("not sent: the process at the address may be another one by now")]
@@ -74,7 +80,7 @@
         match self {
             Self::NotSent(reason) => Self::OutcomeUnknown(reason),
             Self::NotAdmitted => Self::OutcomeUnknown(self.to_string()),
-            Self::OutcomeUnknown(_) | Self::OtherCall(_) => self,
+            Self::OutcomeUnknown(_) | Self::OtherCall(_) | Self::TooLong { .. } => self,
         }
     }
 }
@@ -308,7 +314,8 @@
     /// is reset.
     ///
     /// # Errors
-    /// [`CallError::NotSent`] only if the peer cannot have received the request.
+    /// [`CallError::NotSent`] only if the peer cannot have received the request,
+    /// [`CallError::TooLong`] if the body is longer than this client accepts.
     pub async fn fetch(
         &self,
         request: Request<Bytes>,
@@ -364,10 +371,8 @@
                 .into_data()
                 .unwrap_or_default();
             if bytes.len() + data.len() > self.max_bytes {
-                return Err(outcome_unknown(format!(
-                    "it is longer than {} bytes",
-                    self.max_bytes
-                )));
+                let max_bytes = self.max_bytes;
+                return Err(CallError::TooLong { max_bytes });
             }
             bytes.extend_from_slice(&data);
             limit.progressed();
--- a/crates/ports/src/rows.rs
+++ b/crates/ports/src/rows.rs
@@ -131,6 +131,10 @@
     /// the store came back from a copy. All rows must be read again.
     #[error("the store does not have the changes since the requested version")]
     Compacted,
+    /// The response is longer than a client accepts. All rows can still be read: they come in
+    /// pages.
+    #[error("no usable response from the store: {0}")]
+    TooLong(String),
     /// A row does not have its expected version; the call has no effect.
     #[error("a row does not have its expected version")]
     Conflict,
@@ -139,6 +143,20 @@
     InvalidResponse(String),
 }
 
+impl StoreError {
+    /// Whether the store responded to a read of changes, but cannot tell them: all rows must be
+    /// read in their place.
+    ///
+    /// ```
+    /// use citron_ports::StoreError;
+    /// assert!(StoreError::Compacted.requires_full_read());
+    /// assert!(!StoreError::Throttled.requires_full_read());
+    /// ```
+    pub fn requires_full_read(&self) -> bool {
+        matches!(self, Self::Compacted | Self::TooLong(_))
+    }
+}
+
 /// Client of a store of versioned rows.
 pub trait RowStore: Clone + 'static {
     /// Reads all rows of a table as of one version. The call fails when `limit` expires.
@@ -156,7 +174,7 @@
     ///
     /// # Errors
     /// [`StoreError::Compacted`] if the store does not have these changes, or has begun a new
-    /// era since.
+    /// era since; [`StoreError::TooLong`] if there are too many for a response.
     fn changes(
         &self,
         table: RowTable,
--- a/crates/ports/tests/http_client.rs
+++ b/crates/ports/tests/http_client.rs
@@ -128,7 +128,7 @@
     tokio::spawn(send_parts(listener, 100, 25));
     let ended = client.call(request(), TIMEOUT * 10).await;
     assert!(
-        matches!(ended, Err(CallError::OutcomeUnknown(_))),
+        matches!(ended, Err(CallError::TooLong { max_bytes: 16 })),
         "{ended:?}"
     );
 }
