run: a history row that cannot be read hides no others

What operators would see: `citronctl history` failed (503), for as long as a row of another writer stood under the keys of the history.

Evidence: rows_of_other_writers_hide_no_history: 503 before, "invalid type: integer `1`, expected a string".

Fix: rows are converted one by one. Those that cannot be read are left out and logged (C0105).

--- a/crates/citronproxy/examples/control_cost.rs
+++ b/crates/citronproxy/examples/control_cost.rs
@@ -18,7 +18,7 @@
         },
     },
     citron_ports::{
-        GrantClient, HistoryEntry, IdempotentStore, Machine, MachineList, MemoryPlatform,
+        GrantClient, HistoryRead, IdempotentStore, Machine, MachineList, MemoryPlatform,
         PlatformError, ProbeResult, Prober, TableRead, TableStore,
     },
     citronproxy::{
@@ -87,11 +87,7 @@
         self.inner.commit_checked(commit, checks).await
     }
 
-    async fn history(
-        &self,
-        after: Revision,
-        limit: usize,
-    ) -> Result<Vec<HistoryEntry>, PlatformError> {
+    async fn history(&self, after: Revision, limit: usize) -> Result<HistoryRead, PlatformError> {
         self.inner.history(after, limit).await
     }
 }
--- a/crates/citronproxy/src/admin/inspect.rs
+++ b/crates/citronproxy/src/admin/inspect.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{AdminApi, AdminError, ControlView},
+    crate::events,
     citron_core::{
         id::{KeyHash, Revision, ServiceName},
         ownership::{Assignment, Phase, Scope},
@@ -73,9 +74,12 @@
     ) -> Result<HistoryPageWire, AdminError> {
         let limit = limit.min(MAX_HISTORY_LIMIT);
         let read = self.store.history(after, limit).await;
-        let entries = read.map_err(AdminError::platform_unavailable)?;
+        let read = read.map_err(AdminError::platform_unavailable)?;
+        for error in &read.unreadable {
+            log::error!("{} {error}", events::TABLE_ROW_REFUSED);
+        }
         Ok(HistoryPageWire {
-            entries: entries.iter().map(Into::into).collect(),
+            entries: read.entries.iter().map(Into::into).collect(),
         })
     }
 
--- a/crates/citronproxy/tests/odd_rows.rs
+++ b/crates/citronproxy/tests/odd_rows.rs
@@ -9,7 +9,7 @@
     citron_wire::table::{CommitWire, WriteWire},
     serde_json::{Value, json},
     std::time::Duration,
-    support::{Deployment, Instance, get, wait_until_serving},
+    support::{Deployment, Instance, Operator, get, server_row, wait_until_serving},
     tokio::time::sleep,
 };
 
@@ -68,6 +68,22 @@
     wait_until_serving(started.traffic).await;
 }
 
+/// Guards against a history that cannot be read over a row of another writer.
+#[tokio::test(flavor = "multi_thread")]
+async fn rows_of_other_writers_hide_no_history() {
+    let grace = Duration::from_secs(2);
+    let deployment = Deployment::start(&["harbour"], Fencing::Checked, grace).await;
+    let instance = deployment.instance("entry-1", "harbour").await;
+    let ann = Operator::new("ann", instance.admin);
+    put_row(&deployment.platform, "log/odd", &json!([1])).await;
+    let row = server_row(2, 50);
+    let (status, body) = ann.put("server/server-2", 0, &row).await.unwrap();
+    assert_eq!(status, 200, "{body}");
+    let (status, page) = ann.get("/v1/history").await.unwrap();
+    assert_eq!(status, 200, "{page}");
+    assert_eq!(page["entries"][0]["changes"][0]["key"], "server/server-2");
+}
+
 /// Guards against a row of a server, or of an instance, that takes the others along: another writer
 /// has spoiled it.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ports/src/idempotent.rs
+++ b/crates/ports/src/idempotent.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        DecodeError, HistoryEntry, Machine, MachineList, ObjectStore, PlatformError, TableRead,
-        TableService, TableStore,
+        DecodeError, HistoryEntry, HistoryRead, Machine, MachineList, ObjectStore, PlatformError,
+        TableRead, TableService, TableStore,
     },
     citron_core::{
         id::Revision,
@@ -16,7 +16,7 @@
         },
     },
     serde_json::{Value, json},
-    std::time::Duration,
+    std::{fmt::Display, time::Duration},
     tokio::sync::Mutex,
 };
 
@@ -132,10 +132,7 @@
     async fn changes(&self, since: Revision) -> Result<TableRead, PlatformError> {
         let wire = self.service.changes(since.0).await?;
         let mut unreadable = Vec::new();
-        let changes = wire.into_changes(|key, error| {
-            let reason = error.to_string();
-            unreadable.push(DecodeError { key, reason });
-        });
+        let changes = wire.into_changes(|key, error| unreadable.push(decode_error(key, &error)));
         Ok(TableRead {
             changes,
             unreadable,
@@ -164,13 +161,20 @@
         Err(PlatformError::OutcomeUnknown(last_error))
     }
 
-    async fn history(
-        &self,
-        after: Revision,
-        limit: usize,
-    ) -> Result<Vec<HistoryEntry>, PlatformError> {
+    async fn history(&self, after: Revision, limit: usize) -> Result<HistoryRead, PlatformError> {
         let log = self.service.log(after.0, limit).await?;
-        log.rows.into_iter().map(history_entry).collect()
+        let (mut entries, mut unreadable) = (Vec::new(), Vec::new());
+        for stored in log.rows {
+            let key = stored.key.clone();
+            match history_entry(stored) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => unreadable.push(decode_error(key, &error)),
+            }
+        }
+        Ok(HistoryRead {
+            entries,
+            unreadable,
+        })
     }
 }
 
@@ -194,6 +198,11 @@
     }
 }
 
+fn decode_error(key: String, error: &impl Display) -> DecodeError {
+    let reason = error.to_string();
+    DecodeError { key, reason }
+}
+
 fn to_value(wire: &impl serde::Serialize) -> Value {
     serde_json::to_value(wire).unwrap_or(Value::Null)
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -40,5 +40,5 @@
     servers::{ProbeResult, Prober, ServerClient},
     status::is_final_status,
     table_service::TableService,
-    table_store::{HistoryEntry, TableRead, TableStore},
+    table_store::{HistoryEntry, HistoryRead, TableRead, TableStore},
 };
--- a/crates/ports/src/table_store.rs
+++ b/crates/ports/src/table_store.rs
@@ -22,6 +22,15 @@
     pub unreadable: Vec<DecodeError>,
 }
 
+/// Response to a read of the history.
+#[derive(Debug)]
+pub struct HistoryRead {
+    /// Accepted edits, oldest first.
+    pub entries: Vec<HistoryEntry>,
+    /// Errors of rows that another program has written.
+    pub unreadable: Vec<DecodeError>,
+}
+
 /// Transactional access to the platform's table. A read sees every commit whose response
 /// was sent before the read began.
 pub trait TableStore {
@@ -50,5 +59,5 @@
         &self,
         after: Revision,
         limit: usize,
-    ) -> impl Future<Output = Result<Vec<HistoryEntry>, PlatformError>>;
+    ) -> impl Future<Output = Result<HistoryRead, PlatformError>>;
 }
